--- /dev/null
+++ b/playground/target.ts
@@ -0,0 +1,155 @@
+/**
+ * A stand-in for a target: some slots, a short queue, a health answer, service times
+ * from a seeded distribution, and a ledger of what it ran.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { HEALTH_PATH, OUTCOME_HEADER, REQUEST_ID_HEADER } from '../src/entry/index.js'
+import type { Random } from './random.js'
+import { exponential } from './random.js'
+
+/** How often each request ran, over all targets. */
+export type Ledger = Map<string, number>
+
+/** How a target behaves. */
+export interface TargetBehaviour {
+  /** Mean time of a request, in ms. */
+  meanMs: number
+  /** Answers everything with 500 at once. */
+  failsAll: boolean
+  /** Accepts and never answers. */
+  hangs: boolean
+  /** Breaks every answer off in the middle. */
+  breaksAnswers: boolean
+}
+
+/** A running target. */
+export interface TargetServer {
+  address: string
+  behaviour: TargetBehaviour
+  /** Says in its health answer that it finishes what it has. */
+  drain(): void
+  /** Requests running or waiting. */
+  load(): number
+  /** Ends at once; connections break. */
+  kill(): Promise<void>
+}
+
+/** Options of {@link startTarget}. */
+export interface TargetOptions {
+  vm: string
+  incarnation: string
+  job: string
+  service: string
+  slots: number
+  host: string
+  port?: number
+  random: Random
+  ledger: Ledger
+  behaviour?: Partial<TargetBehaviour>
+}
+
+/** Requests that wait at a target before it refuses. */
+const QUEUE_PER_SLOT = 2
+const DEFAULT_MEAN_MS = 10
+
+/** Starts a target on a free port of the host. */
+export async function startTarget(opts: TargetOptions): Promise<TargetServer> {
+  const { vm, incarnation, job, service, slots, ledger } = opts
+  const behaviour: TargetBehaviour = {
+    meanMs: DEFAULT_MEAN_MS,
+    failsAll: false,
+    hangs: false,
+    breaksAnswers: false,
+    ...opts.behaviour,
+  }
+  const waiting: (() => void)[] = []
+  const sockets = new Set<Socket>()
+  let running = 0
+  let draining = false
+
+  const load = () => running + waiting.length
+
+  function answerHealth(res: ServerResponse): void {
+    const state = draining ? 'draining' : 'ok'
+    res.setHeader('content-type', 'application/json')
+    res.end(JSON.stringify({ vm, incarnation, job, state, load: load() }))
+  }
+
+  async function takeSlot(): Promise<void> {
+    if (running >= slots) await new Promise<void>((resolve) => waiting.push(resolve))
+    running++
+  }
+
+  function giveSlot(): void {
+    running--
+    waiting.shift()?.()
+  }
+
+  async function run(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (load() >= slots * (1 + QUEUE_PER_SLOT)) {
+      res.writeHead(503, { [OUTCOME_HEADER]: 'not-run' })
+      res.end()
+      return
+    }
+    await takeSlot()
+    const id = String(req.headers[REQUEST_ID_HEADER] ?? '')
+    ledger.set(id, (ledger.get(id) ?? 0) + 1)
+    let received = 0
+    for await (const chunk of req) received += (chunk as Buffer).length
+    const ms = behaviour.meanMs === 0 ? 0 : exponential(opts.random, behaviour.meanMs)
+    if (ms > 0) await new Promise((resolve) => setTimeout(resolve, ms))
+    if (!behaviour.hangs) answer(req, res, id, received)
+    giveSlot()
+  }
+
+  function answer(
+    req: IncomingMessage,
+    res: ServerResponse,
+    id: string,
+    received: number,
+  ) {
+    if (behaviour.failsAll) {
+      res.writeHead(500)
+      res.end('failed\n')
+      return
+    }
+    const body = JSON.stringify({
+      id,
+      service,
+      vm,
+      method: req.method,
+      url: req.url,
+      received,
+    })
+    const length = Buffer.byteLength(body)
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': length })
+    if (!behaviour.breaksAnswers) return void res.end(body)
+    res.write(body.slice(0, length / 2), () => res.destroy())
+  }
+
+  const server = createServer((req, res) => {
+    if (req.url === HEALTH_PATH) return answerHealth(res)
+    run(req, res).catch(() => giveSlot())
+  })
+  server.on('connection', (socket) => {
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+  })
+  // Longer than any idle time of the entries, so that they are the ones to close.
+  server.keepAliveTimeout = 120_000
+  await new Promise<void>((resolve) => server.listen(opts.port ?? 0, opts.host, resolve))
+
+  return {
+    address: `${opts.host}:${(server.address() as AddressInfo).port}`,
+    behaviour,
+    drain: () => (draining = true),
+    load,
+    kill: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve())
+        for (const socket of sockets) socket.destroy()
+      }),
+  }
+}
--- /dev/null
+++ b/src/config/index.ts
@@ -0,0 +1,4 @@
+/** INI settings: schema, defaults, checks. */
+export * from './resolveConfig.js'
+export type { ResolvedConfig, UserConfig } from './schema.js'
+export type { PeerAddress } from './values.js'
--- /dev/null
+++ b/src/config/values.ts
@@ -0,0 +1,112 @@
+/**
+ * Readers for the kinds of values that settings hold. Each gives an error that
+ * says what is allowed.
+ */
+import { isIP } from 'node:net'
+import { z } from 'zod'
+
+const DURATION_UNITS: Record<string, number> = { ms: 1, s: 1000, m: 60_000, h: 3_600_000 }
+const SIZE_UNITS: Record<string, number> = { B: 1, KiB: 1024, MiB: 1024 ** 2 }
+const SWITCH_WORDS: Record<string, boolean> = {
+  yes: true,
+  on: true,
+  true: true,
+  no: false,
+  off: false,
+  false: false,
+}
+
+function withUnit(text: string, units: Record<string, number>): number | undefined {
+  const match = /^(\d+(?:\.\d+)?)\s*([A-Za-z]+)$/.exec(text.trim())
+  const factor = units[match?.[2] ?? '']
+  if (!match || factor === undefined) return undefined
+  return Math.round(Number(match[1]) * factor)
+}
+
+function parsed<T>(allowed: string, read: (text: string) => T | undefined) {
+  return z.unknown().transform((raw, ctx): T => {
+    const value = read(String(raw))
+    if (value !== undefined) return value
+    ctx.addIssue({ code: 'custom', message: `'${String(raw)}' is not ${allowed}` })
+    return z.NEVER
+  })
+}
+
+/** A length of time, in milliseconds. */
+export const duration = () =>
+  parsed('a duration with a unit (ms, s, m, h), such as 250ms', (text) =>
+    withUnit(text, DURATION_UNITS),
+  )
+
+/** An amount of bytes. */
+export const size = () =>
+  parsed('a size with a unit (B, KiB, MiB), such as 64KiB', (text) =>
+    withUnit(text, SIZE_UNITS),
+  )
+
+/** A switch. */
+export const toggle = () =>
+  parsed('one of yes, no, on, off, true, false', (text) => SWITCH_WORDS[text])
+
+/** A whole number within bounds. */
+export const wholeNumber = (min: number, max: number) =>
+  parsed(`a whole number from ${min} to ${max}`, (text) => {
+    const value = Number(text)
+    const fits = /^\d+$/.test(text) && value >= min && value <= max
+    return fits ? value : undefined
+  })
+
+/** A part of one, from 0 to 1. */
+export const share = () =>
+  parsed('a number from 0 to 1', (text) => {
+    const value = Number(text)
+    return text.trim() !== '' && value >= 0 && value <= 1 ? value : undefined
+  })
+
+/** A TCP port. */
+export const port = () => wholeNumber(0, 65_535)
+
+/** An IP number. Host names are refused: a process must not need a name service. */
+export const ipNumber = () =>
+  parsed('an IP number (host names are not allowed), such as 10.1.0.4', (text) =>
+    isIP(text) ? text : undefined,
+  )
+
+/** The name of a node, data hall or region. */
+export const identifier = () =>
+  parsed('a name of letters, digits and dashes, at most 63 long', (text) =>
+    /^[a-z0-9](?:[a-z0-9-]{0,62})$/i.test(text) ? text : undefined,
+  )
+
+/** An HTTP address by IP number. */
+export const httpUrl = () =>
+  parsed('an http URL by IP number, such as http://10.1.0.4:7000', (text) => {
+    if (!URL.canParse(text)) return undefined
+    const url = new URL(text)
+    const host = url.hostname.replace(/^\[|\]$/g, '')
+    return url.protocol === 'http:' && isIP(host) ? url.origin : undefined
+  })
+
+/** One peer, written as `HALL IP:PORT`, with `keeper` behind it for a keeper process. */
+export interface PeerAddress {
+  hall: string
+  host: string
+  port: number
+  role: 'entry' | 'keeper'
+}
+
+const PEER_PATTERN = /^([a-z0-9-]+)\s+\[?([0-9a-f.:]+?)\]?:(\d+)(?:\s+(keeper))?$/i
+
+/** A peer's data hall and address. */
+export const peerAddress = () =>
+  parsed('a data hall and an address, such as oslo-1 10.1.0.4:7082', (text) => {
+    const [, hall, host, portText, role] = PEER_PATTERN.exec(text.trim()) ?? []
+    if (!hall || !host || !isIP(host) || Number(portText) > 65_535) return undefined
+    const peer: PeerAddress = {
+      hall,
+      host,
+      port: Number(portText),
+      role: role === undefined ? 'entry' : 'keeper',
+    }
+    return peer
+  })
--- /dev/null
+++ b/src/entry/answers.ts
@@ -0,0 +1,56 @@
+/** Answers that the entry gives itself. All tell the caller what is known of its request. */
+import type { ServerResponse } from 'node:http'
+import { OUTCOME_HEADER, REQUEST_ID_HEADER, RETRY_AFTER_S } from './constants.js'
+
+/** How a request ended, as far as the caller is concerned. */
+export type Outcome = 'answered' | 'not-run' | 'unknown'
+
+/** Reasons for an answer of our own. */
+export type RefusalKind =
+  | 'bad request'
+  | 'unknown service'
+  | 'no target'
+  | 'queue full'
+  | 'deadline before sending'
+  | 'stopping'
+  | 'no answer'
+  | 'deadline after sending'
+
+interface RefusalSpec {
+  status: number
+  outcome: Outcome
+  /** Whether coming back later may help. */
+  retryLater: boolean
+}
+
+const REFUSALS: Record<RefusalKind, RefusalSpec> = {
+  'bad request': { status: 400, outcome: 'not-run', retryLater: false },
+  'unknown service': { status: 404, outcome: 'not-run', retryLater: false },
+  'no target': { status: 503, outcome: 'not-run', retryLater: true },
+  'queue full': { status: 503, outcome: 'not-run', retryLater: true },
+  'deadline before sending': { status: 504, outcome: 'not-run', retryLater: true },
+  stopping: { status: 503, outcome: 'not-run', retryLater: true },
+  'no answer': { status: 502, outcome: 'unknown', retryLater: false },
+  'deadline after sending': { status: 504, outcome: 'unknown', retryLater: false },
+}
+
+/** Sends a refusal; does nothing when an answer has begun. Returns the outcome. */
+export function refuse(
+  res: ServerResponse,
+  kind: RefusalKind,
+  requestId: string | undefined,
+  detail: string,
+): Outcome {
+  const { status, outcome, retryLater } = REFUSALS[kind]
+  if (res.headersSent || res.destroyed) return outcome
+  const body = JSON.stringify({ outcome, reason: kind, detail, requestId })
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    [OUTCOME_HEADER]: outcome,
+    ...(requestId !== undefined && { [REQUEST_ID_HEADER]: requestId }),
+    ...(retryLater && { 'retry-after': String(RETRY_AFTER_S) }),
+  })
+  res.end(body)
+  return outcome
+}
--- /dev/null
+++ b/src/entry/attempt.ts
@@ -0,0 +1,141 @@
+/**
+ * One attempt: a request on one proved connection, its answer streamed to the caller
+ * with backpressure. The result says exactly what is known of the request's run.
+ */
+import type { ServerResponse } from 'node:http'
+import type { Client, Dispatcher } from 'undici'
+import { describeError } from '../shared/index.js'
+import type { RequestBody } from './body.js'
+import type { Call } from './call.js'
+import { OUTCOME_HEADER, REQUEST_ID_HEADER } from './constants.js'
+import { headersForCaller } from './headers.js'
+
+/** How an attempt ended. */
+export type AttemptResult =
+  /** The caller has the whole answer. */
+  | { kind: 'answered'; status: number }
+  /** Nothing of it ran: no byte was sent, or the target refused it. */
+  | { kind: 'not-run'; reason: string; refusedByTarget: boolean }
+  /** Bytes were sent, and no answer came; nothing was passed to the caller. */
+  | { kind: 'unknown'; reason: string }
+  /** The answer broke off after its head; the caller's connection is broken too. */
+  | { kind: 'broken'; reason: string }
+  /** The caller went away. */
+  | { kind: 'caller-left' }
+
+/** Options of {@link runAttempt}. */
+export interface AttemptOptions {
+  client: Client
+  call: Call
+  headers: string[]
+  body: RequestBody
+  res: ServerResponse
+  /** Fires when the caller leaves or the deadline passes. */
+  signal: AbortSignal
+}
+
+const TARGET_REFUSAL = 'not-run'
+
+/** Value of a response header in lower case; of several, the first. */
+function headerOf(headers: Record<string, string | string[] | undefined>, name: string) {
+  const value = headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+/** Sends the request and streams the answer. Never rejects. */
+export function runAttempt(opts: AttemptOptions): Promise<AttemptResult> {
+  const { client, call, res, signal } = opts
+  return new Promise((resolve) => {
+    let sent = false
+    let headPassed = false
+    let refusal: string | undefined
+    let status = 0
+    let control: Dispatcher.DispatchController | undefined
+
+    const finish = (result: AttemptResult) => {
+      signal.removeEventListener('abort', onAbort)
+      res.off('drain', onDrain)
+      resolve(result)
+    }
+    const onDrain = () => control?.resume()
+    const onAbort = () => control?.abort(new Error('the request was given up'))
+
+    const failed = (reason: string): AttemptResult => {
+      if (res.destroyed && !res.writableFinished) return { kind: 'caller-left' }
+      if (headPassed) return { kind: 'broken', reason }
+      if (refusal !== undefined) {
+        return { kind: 'not-run', reason: refusal, refusedByTarget: true }
+      }
+      if (sent) return { kind: 'unknown', reason }
+      return { kind: 'not-run', reason, refusedByTarget: false }
+    }
+
+    const handler: Dispatcher.DispatchHandler = {
+      onRequestStart(controller) {
+        // undici calls this right before the first byte is written.
+        control = controller
+        if (signal.aborted) return controller.abort(new Error('given up before sending'))
+        sent = true
+      },
+      onResponseStart(controller, statusCode, headers, statusMessage) {
+        if (statusCode < 200) return
+        status = statusCode
+        if (headerOf(headers, OUTCOME_HEADER) === TARGET_REFUSAL) {
+          refusal = `target refused with ${statusCode}`
+          return
+        }
+        headPassed = true
+        const raw = rawHeaders(controller, headers)
+        const passed = headersForCaller(raw, OUTCOME_HEADER)
+        passed.push(OUTCOME_HEADER, 'answered')
+        if (headerOf(headers, REQUEST_ID_HEADER) === undefined) {
+          passed.push(REQUEST_ID_HEADER, call.id)
+        }
+        res.writeHead(statusCode, statusMessage, passed)
+      },
+      onResponseData(controller, chunk) {
+        if (refusal !== undefined) return
+        if (!res.write(chunk)) controller.pause()
+      },
+      onResponseEnd(_controller, trailers) {
+        if (refusal !== undefined) return finish(failed(refusal))
+        const names = Object.keys(trailers ?? {})
+        if (names.length > 0) res.addTrailers(trailers as Record<string, string>)
+        res.end()
+        finish({ kind: 'answered', status })
+      },
+      onResponseError(_controller, cause) {
+        finish(failed(describeError(cause)))
+      },
+    }
+
+    signal.addEventListener('abort', onAbort)
+    res.on('drain', onDrain)
+    client.dispatch(requestOptions(opts), handler)
+  })
+}
+
+function rawHeaders(
+  controller: Dispatcher.DispatchController,
+  headers: Record<string, string | string[] | undefined>,
+): string[] {
+  const raw = (controller as { rawHeaders?: (Buffer | string)[] }).rawHeaders
+  if (raw)
+    return raw.map((each) => (typeof each === 'string' ? each : each.toString('latin1')))
+  return Object.entries(headers).flatMap(([name, value]) =>
+    [value ?? []].flat().flatMap((each) => [name, each]),
+  )
+}
+
+function requestOptions(opts: AttemptOptions): Dispatcher.DispatchOptions {
+  const { call, headers, body } = opts
+  const method = call.method as Dispatcher.HttpMethod
+  const base = { method, path: call.path, headers }
+  if (body.kind === 'none') return { ...base, body: null }
+  if (body.kind === 'buffered') return { ...base, body: body.bytes }
+  const withLength =
+    body.length === undefined
+      ? headers
+      : [...headers, 'content-length', String(body.length)]
+  return { ...base, headers: withLength, body: body.open() }
+}
--- /dev/null
+++ b/src/entry/body.ts
@@ -0,0 +1,68 @@
+/**
+ * The body of a caller's request. Small ones are read before routing and can be sent
+ * again; large ones stream through once, with backpressure, and are never held.
+ */
+import type { IncomingMessage } from 'node:http'
+import { Readable } from 'node:stream'
+
+/** A request body. */
+export type RequestBody =
+  | { kind: 'none' }
+  | { kind: 'buffered'; bytes: Buffer }
+  /** `open` gives the stream for the one attempt that may use it. */
+  | { kind: 'streamed'; length: number | undefined; open(): Readable }
+
+/** The caller broke off while its body was being read. */
+export const CALLER_LEFT = Symbol('caller left')
+
+/** Reads a small body whole, or prepares a large one for streaming. */
+export async function readBody(
+  req: IncomingMessage,
+  bufferLimit: number,
+): Promise<RequestBody | typeof CALLER_LEFT> {
+  const chunked = req.headers['transfer-encoding'] !== undefined
+  const length = Number(req.headers['content-length'] ?? 0)
+  if (!chunked && length === 0) return { kind: 'none' }
+  if (!chunked && length <= bufferLimit) return readWhole(req)
+  return { kind: 'streamed', length: chunked ? undefined : length, open: () => tap(req) }
+}
+
+function readWhole(req: IncomingMessage): Promise<RequestBody | typeof CALLER_LEFT> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    req.on('data', (chunk: Buffer) => chunks.push(chunk))
+    req.on('end', () => {
+      const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+      resolve({ kind: 'buffered', bytes })
+    })
+    req.on('close', () => resolve(CALLER_LEFT))
+    req.on('error', () => resolve(CALLER_LEFT))
+  })
+}
+
+/**
+ * A stream of the request's bytes that starts on the first read, so that an attempt
+ * that never connected has not touched the caller's stream.
+ */
+function tap(req: IncomingMessage): Readable {
+  let started = false
+  const start = (stream: Readable) => {
+    req.on('data', (chunk: Buffer) => {
+      if (!stream.push(chunk)) req.pause()
+    })
+    req.on('end', () => stream.push(null))
+    req.on('close', () => {
+      if (!req.complete) stream.destroy(new Error('the caller broke off its body'))
+    })
+    req.on('error', (cause) => stream.destroy(cause))
+  }
+  return new Readable({
+    read() {
+      if (!started) {
+        started = true
+        start(this)
+      }
+      req.resume()
+    },
+  })
+}
--- /dev/null
+++ b/src/entry/front.ts
@@ -0,0 +1,68 @@
+/**
+ * The HTTP front for callers. hono routes; request and answer bodies pass through the
+ * Node streams that its adapter exposes, which a measurement showed to cost far less
+ * than web streams (see docs/measurements.md).
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { serve } from '@hono/node-server'
+import type { HttpBindings } from '@hono/node-server'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import { Hono } from 'hono'
+import type { Router } from './router.js'
+
+/** The open front. */
+export interface Front {
+  address: { address: string; port: number }
+  /** Whether new requests are taken; false asks callers to close their connections. */
+  setStopping(): void
+  close(): Promise<void>
+}
+
+/** Opens the front for callers. Rejects when the address cannot be used. */
+export async function createFront(opts: {
+  router: Router
+  host: string
+  port: number
+}): Promise<Front> {
+  const { router, host, port } = opts
+  let stopping = false
+  const app = new Hono<{ Bindings: HttpBindings }>()
+  app.all('*', async (c) => {
+    const req = c.env.incoming as IncomingMessage
+    const res = c.env.outgoing as ServerResponse
+    if (stopping) res.setHeader('connection', 'close')
+    await router.serve(req, res)
+    return RESPONSE_ALREADY_SENT
+  })
+  const server = await listen(app, host, port)
+  // Large uploads may take long; the deadline of each request bounds it instead.
+  server.requestTimeout = 0
+  const address = server.address() as { address: string; port: number }
+
+  return {
+    address,
+    setStopping: () => (stopping = true),
+    async close() {
+      const closed = new Promise((resolve) => server.close(resolve))
+      server.closeIdleConnections()
+      await router.drained()
+      server.closeIdleConnections()
+      await closed
+    },
+  }
+}
+
+/** Starts a hono application on an address; rejects when it cannot be opened. */
+export function listen(
+  app: { fetch: Parameters<typeof serve>[0]['fetch'] },
+  host: string,
+  port: number,
+): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    const server = serve(
+      { fetch: app.fetch, hostname: host, port, overrideGlobalObjects: false },
+      () => resolve(server as Server),
+    )
+    server.once('error', reject)
+  })
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,10 @@
+/** Answers callers: routing, limits, retries, drain. */
+export * from './answers.js'
+export * from './chooser.js'
+export * from './constants.js'
+export * from './front.js'
+export * from './ops.js'
+export * from './router.js'
+export * from './target.js'
+export * from './targetConnection.js'
+export * from './targetView.js'
--- /dev/null
+++ b/src/entry/ops.ts
@@ -0,0 +1,48 @@
+/** The operational face: /healthz, /readyz and /metrics. */
+import { Hono } from 'hono'
+import type { Metrics } from '../shared/index.js'
+import { listen } from './front.js'
+
+/** What the face reports. */
+export interface OpsState {
+  /** Undefined when ready; otherwise why not. */
+  notReady(): string | undefined
+  /** Set once a planned stop has begun; the balancer then sends nothing new. */
+  stopping(): boolean
+}
+
+/** The open face. */
+export interface Ops {
+  port: number
+  close(): Promise<void>
+}
+
+/** Opens the operational face. */
+export async function createOps(opts: {
+  state: OpsState
+  metrics: Metrics
+  host: string
+  port: number
+}): Promise<Ops> {
+  const { state, metrics } = opts
+  const app = new Hono()
+  app.get('/healthz', (c) => c.text('ok\n'))
+  app.get('/readyz', (c) => {
+    if (state.stopping()) return c.text('stopping\n', 503)
+    const reason = state.notReady()
+    return reason === undefined ? c.text('ready\n') : c.text(`${reason}\n`, 503)
+  })
+  app.get('/metrics', async (c) => {
+    const text = await metrics.registry.metrics()
+    return c.body(text, 200, { 'content-type': metrics.registry.contentType })
+  })
+  const server = await listen(app, opts.host, opts.port)
+  return {
+    port: (server.address() as { port: number }).port,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve())
+        server.closeAllConnections()
+      }),
+  }
+}
--- /dev/null
+++ b/src/entry/router.ts
@@ -0,0 +1,308 @@
+/**
+ * Serves one request from its head to the end of its answer: admission, choice of a
+ * target, attempts. Written straight down; one call per request.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ResolvedConfig } from '../config/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger, Metrics } from '../shared/index.js'
+import type { ServiceLine, TableHolder } from '../table/index.js'
+import { refuse } from './answers.js'
+import type { Outcome, RefusalKind } from './answers.js'
+import { runAttempt } from './attempt.js'
+import type { AttemptResult } from './attempt.js'
+import { CALLER_LEFT, readBody } from './body.js'
+import type { RequestBody } from './body.js'
+import { readCall } from './call.js'
+import type { Call } from './call.js'
+import { POLICIES, eligibleTargets } from './chooser.js'
+import type { PolicyName } from './chooser.js'
+import { REQUEST_ID_HEADER } from './constants.js'
+import { headersForTarget } from './headers.js'
+import { createLimiter, partOfLimit } from './limiter.js'
+import type { Admission, Limiter } from './limiter.js'
+import { createRetryBudget } from './retryBudget.js'
+import { takesWork } from './target.js'
+import type { Target } from './target.js'
+import type { TargetView } from './targetView.js'
+
+/** Serves requests. */
+export interface Router {
+  /** Serves one request; resolves when its answer has ended. Never rejects. */
+  serve(req: IncomingMessage, res: ServerResponse): Promise<void>
+  /** Requests in flight and waiting, per service. */
+  loads(): { service: string; inFlight: number; queued: number }[]
+  /** Requests that have not ended, over all services. */
+  open(): number
+  /** Resolves once no request is open. */
+  drained(): Promise<void>
+}
+
+/** Options of {@link createRouter}. */
+export interface RouterOptions {
+  cfg: ResolvedConfig
+  table: TableHolder
+  view: TargetView
+  log: Logger
+  metrics: Metrics
+  /**
+   * How targets are chosen.
+   * @default 'twoChoicesReported'
+   */
+  policy?: PolicyName
+}
+
+/** What a request ended with: an outcome for the caller, or nobody left to tell. */
+type Ending = Outcome | 'broken' | 'caller-left'
+
+interface Exchange {
+  call: Call
+  req: IncomingMessage
+  res: ServerResponse
+  body: RequestBody
+  /** Fires when the caller leaves or the deadline passes. */
+  signal: AbortSignal
+}
+
+const ADMISSION_REFUSALS: Record<Exclude<Admission, 'admitted'>, RefusalKind> = {
+  'queue full': 'queue full',
+  'deadline passed': 'deadline before sending',
+  'caller left': 'deadline before sending',
+}
+
+/** Creates the router. */
+export function createRouter(opts: RouterOptions): Router {
+  const { cfg, table, view, log, metrics } = opts
+  const choose = POLICIES[opts.policy ?? 'twoChoicesReported']()
+  const limiters = new Map<string, Limiter>()
+  const budget = createRetryBudget(cfg.requests.retry_share)
+  const entryIds = Object.entries(cfg.peers)
+    .filter(([, peer]) => peer.role === 'entry')
+    .map(([id]) => id)
+  const drainWaiters: (() => void)[] = []
+  let open = 0
+
+  const lineOf = (service: string): ServiceLine | undefined =>
+    table.current()?.table.services.get(service)
+
+  function limiterOf(service: string): Limiter {
+    const known = limiters.get(service)
+    if (known) return known
+    const limiter = createLimiter(() => capacityOf(service), cfg.requests.queue)
+    limiters.set(service, limiter)
+    return limiter
+  }
+
+  function capacityOf(service: string): number {
+    const limit = lineOf(service)?.limit ?? 0
+    const part = partOfLimit(limit, entryIds, cfg.node.id)
+    let slots = 0
+    for (const target of view.targets(service))
+      if (takesWork(target)) slots += target.slots
+    return Math.min(part, slots)
+  }
+
+  const wakeAll = () => {
+    for (const limiter of limiters.values()) limiter.wake()
+  }
+  view.subscribe(wakeAll)
+  table.subscribe(wakeAll)
+
+  function refuseAs(exchange: Exchange, kind: RefusalKind, detail: string): Ending {
+    const { call, res } = exchange
+    if (log.enabled('notRouted')) {
+      const { id, service } = call
+      log.event('notRouted', { request: id, service, reason: kind, detail })
+    }
+    return refuse(res, kind, call.id, detail)
+  }
+
+  async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const read = readCall(req, cfg.requests.deadline)
+    if (read.isErr()) {
+      refuse(res, 'bad request', undefined, read.error)
+      metrics.requests.inc({ service: '', outcome: 'not-run' })
+      return
+    }
+    const call = read.value
+    const giveUp = new AbortController()
+    const timer = setTimeout(() => giveUp.abort(), call.deadline - monotonicMs())
+    res.on('close', () => giveUp.abort())
+    const ending = await serveCall(call, req, res, giveUp.signal)
+    clearTimeout(timer)
+    if (ending === 'broken') res.destroy()
+    const known = lineOf(call.service) ? call.service : ''
+    metrics.requests.inc({ service: known, outcome: ending })
+    metrics.latency.observe({ service: known }, (monotonicMs() - call.arrivedAt) / 1000)
+    if (log.enabled('requestEnded')) {
+      log.event('requestEnded', {
+        request: call.id,
+        service: call.service,
+        outcome: ending,
+      })
+    }
+  }
+
+  async function serveCall(
+    call: Call,
+    req: IncomingMessage,
+    res: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<Ending> {
+    const line = lineOf(call.service)
+    const exchange: Exchange = { call, req, res, signal, body: { kind: 'none' } }
+    if (!line) {
+      const detail = table.current() ? 'no such service' : 'no table is in force yet'
+      const kind = table.current() ? 'unknown service' : 'no target'
+      return refuseAs(exchange, kind, detail)
+    }
+    const body = await readBody(req, cfg.requests.buffer_body)
+    if (body === CALLER_LEFT) return 'caller-left'
+    budget.deposit()
+    const limiter = limiterOf(call.service)
+    const priority = call.priority ?? line.priority
+    if (capacityOf(call.service) === 0 && priority !== 'deferrable') {
+      return refuseAs(exchange, 'no target', 'no target takes work')
+    }
+    const { deadline } = call
+    const admission = await limiter.admit({ priority, deadline, signal })
+    if (admission !== 'admitted') {
+      if (res.destroyed) return 'caller-left'
+      return refuseAs(exchange, ADMISSION_REFUSALS[admission], admission)
+    }
+    try {
+      return await tryTargets({ ...exchange, body })
+    } finally {
+      limiter.leave()
+    }
+  }
+
+  async function tryTargets(exchange: Exchange): Promise<Ending> {
+    const { call, body, signal } = exchange
+    const tried = new Set<Target>()
+    let last: AttemptResult | undefined
+    for (let attempt = 1; attempt <= cfg.requests.attempts; attempt++) {
+      if (attempt > 1 && !budget.withdraw()) break
+      const candidates = eligibleTargets(view.targets(call.service), tried)
+      if (candidates.length === 0) break
+      const target = choose(candidates, Math.random)
+      tried.add(target)
+      noteRoute(call, target, candidates, attempt)
+      last = await attemptAt(target, exchange)
+      metrics.attempts.inc({ service: call.service, result: last.kind })
+      if (last.kind === 'answered') return 'answered'
+      if (last.kind === 'broken') return 'broken'
+      if (last.kind === 'caller-left') return 'caller-left'
+      noteFailure(call, target, last, attempt)
+      const again =
+        last.kind === 'not-run' || (call.repeatable && body.kind !== 'streamed')
+      if (!again || signal.aborted) break
+    }
+    return giveUpOn(exchange, last)
+  }
+
+  function giveUpOn(exchange: Exchange, last: AttemptResult | undefined): Ending {
+    const { res, signal } = exchange
+    if (res.destroyed) return 'caller-left'
+    if (last?.kind === 'unknown') {
+      const kind = signal.aborted ? 'deadline after sending' : 'no answer'
+      return refuseAs(exchange, kind, last.reason)
+    }
+    if (signal.aborted) return refuseAs(exchange, 'deadline before sending', 'deadline')
+    const reason = last?.kind === 'not-run' ? last.reason : 'no target takes work'
+    return refuseAs(exchange, 'no target', reason)
+  }
+
+  async function attemptAt(target: Target, exchange: Exchange): Promise<AttemptResult> {
+    const { call, req, res, body, signal } = exchange
+    target.inFlight++
+    try {
+      const connection = await target.acquire()
+      if (connection.isErr()) {
+        target.noteAttempt(false)
+        const reason = connection.error.message
+        return { kind: 'not-run', reason, refusedByTarget: false }
+      }
+      const client = connection.value
+      if (!takesWork(target)) {
+        target.release(client, true)
+        return { kind: 'not-run', reason: 'target is leaving', refusedByTarget: true }
+      }
+      const headers = headersForTarget(req.rawHeaders)
+      if (req.headers[REQUEST_ID_HEADER] === undefined) {
+        headers.push(REQUEST_ID_HEADER, call.id)
+      }
+      const result = await runAttempt({ client, call, headers, body, res, signal })
+      const refused = result.kind === 'not-run' && result.refusedByTarget
+      target.release(client, result.kind === 'answered' || refused)
+      if (result.kind !== 'caller-left') target.noteAttempt(wentWell(result))
+      return result
+    } finally {
+      target.inFlight--
+    }
+  }
+
+  function noteRoute(
+    call: Call,
+    target: Target,
+    candidates: readonly Target[],
+    attempt: number,
+  ): void {
+    if (!log.enabled('routed')) return
+    const { vm, job, inFlight, reportedLoad } = target
+    const from = candidates.length
+    const { id: request, service } = call
+    log.event('routed', {
+      request,
+      service,
+      vm,
+      job,
+      inFlight,
+      reportedLoad,
+      from,
+      attempt,
+    })
+  }
+
+  function noteFailure(
+    call: Call,
+    target: Target,
+    result: { kind: string; reason: string },
+    attempt: number,
+  ): void {
+    const { kind, reason } = result
+    const { vm, job } = target
+    log.event('attemptFailed', { request: call.id, vm, job, kind, reason, attempt })
+  }
+
+  return {
+    async serve(req, res) {
+      open++
+      try {
+        await handle(req, res)
+      } catch (cause) {
+        log.event('unexpectedError', { step: 'router.serve', reason: String(cause) })
+        res.destroy()
+      } finally {
+        open--
+        if (open === 0) for (const done of drainWaiters.splice(0)) done()
+      }
+    },
+    loads: () =>
+      [...limiters].map(([service, limiter]) => ({
+        service,
+        inFlight: limiter.inFlight(),
+        queued: limiter.queued(),
+      })),
+    open: () => open,
+    drained: () =>
+      open === 0
+        ? Promise.resolve()
+        : new Promise((resolve) => drainWaiters.push(resolve)),
+  }
+}
+
+function wentWell(result: AttemptResult): boolean {
+  if (result.kind === 'answered') return result.status < 500
+  return false
+}
--- /dev/null
+++ b/src/entry/target.ts
@@ -0,0 +1,144 @@
+/** One target as this entry sees it: counts, health, exclusion. One task watches each. */
+import type { Client } from 'undici'
+import type { Result } from 'neverthrow'
+import { monotonicMs, sleep } from '../shared/index.js'
+import type { Logger, RillshuntError } from '../shared/index.js'
+import { EXCLUDE_AFTER_FAILURES, EXCLUDE_BASE_MS, EXCLUDE_CAP_MS } from './constants.js'
+import { createTargetConnections } from './targetConnection.js'
+import type { TargetIdentity } from './targetConnection.js'
+
+/** A target. */
+export interface Target extends TargetIdentity {
+  service: string
+  slots: number
+  /** Requests of this entry that run there. */
+  inFlight: number
+  /** Load that the target last reported, over all entries. */
+  reportedLoad: number
+  /** Own requests in flight when it reported. */
+  inFlightAtReport: number
+  /** The VM's row says that it takes work. */
+  active: boolean
+  /** The platform's list says that the VM leaves. */
+  listedLeaving: boolean
+  /** The target itself says that it drains. */
+  draining: boolean
+  /** The address answered as somebody else. */
+  mismatched: boolean
+  /** Monotonic time in ms until which it is excluded; 0 when it is not. */
+  excludedUntil: number
+  failuresInRow: number
+  acquire(): Promise<Result<Client, RillshuntError>>
+  release(client: Client, reusable: boolean): void
+  /** Notes how an attempt went. */
+  noteAttempt(wentWell: boolean): void
+  close(): Promise<void>
+}
+
+/** Options of {@link createTarget}. */
+export interface TargetOptions {
+  identity: TargetIdentity
+  service: string
+  slots: number
+  connectTimeoutMs: number
+  healthIntervalMs: number
+  log: Logger
+}
+
+/** Creates a target and starts its health task. */
+export function createTarget(opts: TargetOptions): Target {
+  const { identity, log } = opts
+  const stopping = new AbortController()
+  let exclusions = 0
+
+  const connections = createTargetConnections({
+    identity,
+    connectTimeoutMs: opts.connectTimeoutMs,
+    onMismatch(found) {
+      if (!target.mismatched) log.event('identityMismatch', { ...identity, found })
+      target.mismatched = true
+    },
+  })
+
+  const target: Target = {
+    ...identity,
+    service: opts.service,
+    slots: opts.slots,
+    inFlight: 0,
+    reportedLoad: 0,
+    inFlightAtReport: 0,
+    active: true,
+    listedLeaving: false,
+    draining: false,
+    mismatched: false,
+    excludedUntil: 0,
+    failuresInRow: 0,
+    acquire: connections.acquire,
+    release: connections.release,
+    noteAttempt(wentWell) {
+      if (wentWell) {
+        target.failuresInRow = 0
+        return
+      }
+      target.failuresInRow++
+      if (target.failuresInRow >= EXCLUDE_AFTER_FAILURES) exclude()
+    },
+    async close() {
+      stopping.abort()
+      await connections.close()
+      await task
+    },
+  }
+
+  function exclude(): void {
+    if (target.excludedUntil > monotonicMs()) return
+    const ms = Math.min(EXCLUDE_CAP_MS, EXCLUDE_BASE_MS * 2 ** exclusions)
+    exclusions++
+    target.excludedUntil = monotonicMs() + ms
+    log.event('targetExcluded', { ...identity, service: opts.service, ms })
+  }
+
+  function readmit(): void {
+    if (target.excludedUntil === 0) {
+      exclusions = 0
+      return
+    }
+    if (target.excludedUntil > monotonicMs()) return
+    target.excludedUntil = 0
+    target.failuresInRow = 0
+    log.event('targetReadmitted', { ...identity, service: opts.service })
+  }
+
+  async function watchHealth(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      const health = await connections.health()
+      if (stopping.signal.aborted) return
+      if (health.isOk()) {
+        target.mismatched = false
+        target.reportedLoad = health.value.load
+        target.inFlightAtReport = target.inFlight
+        noteDraining(health.value.state === 'draining')
+        readmit()
+      } else {
+        target.noteAttempt(false)
+      }
+      await sleep(opts.healthIntervalMs * (0.9 + Math.random() * 0.2), stopping.signal)
+    }
+  }
+
+  function noteDraining(draining: boolean): void {
+    if (draining && !target.draining) {
+      log.event('targetLeaving', { ...identity, source: 'health' })
+    }
+    target.draining = draining
+  }
+
+  const task = watchHealth()
+  return target
+}
+
+/** Whether the target may get new work. */
+export function takesWork(target: Target): boolean {
+  const { active, listedLeaving, draining, mismatched } = target
+  return active && !listedLeaving && !draining && !mismatched
+}
--- /dev/null
+++ b/src/entry/targetConnection.ts
@@ -0,0 +1,154 @@
+/**
+ * Connections to one target. Each is asked who answers before it carries a request,
+ * and never connects again by itself: an address that another VM or a later
+ * incarnation has taken over is noticed before any byte of a request is sent.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { Client, buildConnector } from 'undici'
+import type { buildConnector as Connector } from 'undici'
+import { z } from 'zod'
+import { RillshuntError, describeError } from '../shared/index.js'
+import { HEALTH_PATH, IDLE_TIMEOUT_MS, MAX_IDLE_CONNECTIONS } from './constants.js'
+
+/** What a target says of itself. */
+export const healthSchema = z.object({
+  vm: z.string(),
+  incarnation: z.string(),
+  /** Task id; an address may be reused by another service of the same VM. */
+  job: z.string(),
+  state: z.enum(['ok', 'draining']),
+  /** Requests that it runs or holds. */
+  load: z.number().int().min(0),
+})
+export type Health = z.infer<typeof healthSchema>
+
+/** Who must answer at an address. */
+export interface TargetIdentity {
+  job: string
+  vm: string
+  incarnation: string
+  address: string
+}
+
+/** Verified connections to one target. */
+export interface TargetConnections {
+  /** A connection that is free and proved; it belongs to the caller until given back. */
+  acquire(): Promise<Result<Client, RillshuntError>>
+  /** Gives a connection back; one that is not reusable is closed. */
+  release(client: Client, reusable: boolean): void
+  /** Asks for health on a proved connection. */
+  health(): Promise<Result<Health, RillshuntError>>
+  close(): Promise<void>
+}
+
+/** Options of {@link createTargetConnections}. */
+export interface TargetConnectionsOptions {
+  identity: TargetIdentity
+  /** Longest wait for a proved connection, in ms. */
+  connectTimeoutMs: number
+  /** Called when the address answers as another VM, incarnation or job. */
+  onMismatch: (found: Health) => void
+}
+
+/** Creates the pool; nothing is connected before the first use. */
+export function createTargetConnections(
+  opts: TargetConnectionsOptions,
+): TargetConnections {
+  const { identity, connectTimeoutMs } = opts
+  const idle: Client[] = []
+  const lost = new WeakSet<Client>()
+  let closed = false
+
+  const fail = (step: string, cause: unknown) =>
+    err(
+      new RillshuntError(describeError(cause), {
+        props: { step: `target.${step}`, peer: identity.address },
+      }),
+    )
+
+  function connect(): Client {
+    const client = new Client(`http://${identity.address}`, {
+      connect: connectOnce(connectTimeoutMs),
+      pipelining: 1,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    })
+    client.on('disconnect', () => {
+      lost.add(client)
+      drop(client)
+    })
+    return client
+  }
+
+  function drop(client: Client): void {
+    const at = idle.indexOf(client)
+    if (at >= 0) idle.splice(at, 1)
+    client.destroy().catch(() => {})
+  }
+
+  async function prove(client: Client): Promise<Result<Health, RillshuntError>> {
+    try {
+      const signal = AbortSignal.timeout(connectTimeoutMs)
+      const res = await client.request({ method: 'GET', path: HEALTH_PATH, signal })
+      const health = healthSchema.parse(await res.body.json())
+      if (isSame(health, identity)) return ok(health)
+      opts.onMismatch(health)
+      drop(client)
+      return fail(
+        'identity',
+        `answers as ${health.vm}/${health.incarnation}/${health.job}`,
+      )
+    } catch (cause) {
+      drop(client)
+      return fail('connect', cause)
+    }
+  }
+
+  async function acquire(): Promise<Result<Client, RillshuntError>> {
+    if (closed) return fail('connect', 'target is removed')
+    const free = idle.pop()
+    if (free) return ok(free)
+    const client = connect()
+    const proof = await prove(client)
+    return proof.map(() => client)
+  }
+
+  function release(client: Client, reusable: boolean): void {
+    const keep = reusable && !closed && !lost.has(client)
+    if (keep && idle.length < MAX_IDLE_CONNECTIONS) idle.push(client)
+    else drop(client)
+  }
+
+  return {
+    acquire,
+    release,
+    async health() {
+      const client = idle.pop() ?? connect()
+      const proof = await prove(client)
+      if (proof.isOk()) release(client, true)
+      return proof
+    },
+    async close() {
+      closed = true
+      await Promise.all(idle.splice(0).map((client) => client.destroy().catch(() => {})))
+    },
+  }
+}
+
+function isSame(health: Health, identity: TargetIdentity): boolean {
+  const { vm, incarnation, job } = identity
+  return health.vm === vm && health.incarnation === incarnation && health.job === job
+}
+
+/** A connector that refuses the second use, so that undici cannot connect again unseen. */
+function connectOnce(timeout: number): Connector.connector {
+  const connector = buildConnector({ timeout })
+  let used = false
+  return (options, callback) => {
+    if (used) return callback(new Error('the proved connection is lost'), null)
+    used = true
+    return connector(options, callback)
+  }
+}
--- /dev/null
+++ b/src/entry/targetView.ts
@@ -0,0 +1,210 @@
+/**
+ * The targets of the own hall, by service, from the rows of jobs and VMs and from the
+ * platform's list. A target gets new work only while all sources allow it.
+ */
+import type { ResolvedConfig } from '../config/index.js'
+import { jobPrefix, jobRowSchema, vmKey, vmPrefix, vmRowSchema } from '../fleet/index.js'
+import type { JobRow, VmRow } from '../fleet/index.js'
+import type { Platform, RowWatch } from '../platform/index.js'
+import { sleep } from '../shared/index.js'
+import type { Logger, Metrics } from '../shared/index.js'
+import type { TableHolder } from '../table/index.js'
+import { createTarget, takesWork } from './target.js'
+import type { Target } from './target.js'
+
+/** The targets that this entry knows. */
+export interface TargetView {
+  /** Targets of a service, leaving ones included. */
+  targets(service: string): readonly Target[]
+  all(): Iterable<Target>
+  /** Generation and own requests in flight of every VM that is leaving. */
+  leaving(): { vm: string; generation: number; inFlight: number }[]
+  /** Own requests in flight of every job that is stopping. */
+  stopping(): { job: string; inFlight: number }[]
+  /** Calls back when the set of targets or their state changes. */
+  subscribe(listener: () => void): () => void
+  stop(): Promise<void>
+}
+
+/** Options of {@link createTargetView}. */
+export interface TargetViewOptions {
+  cfg: ResolvedConfig
+  platform: Platform
+  rows: RowWatch
+  table: TableHolder
+  log: Logger
+  metrics: Metrics
+}
+
+/** Creates the view and starts to follow the rows and the list. */
+export function createTargetView(opts: TargetViewOptions): TargetView {
+  const { cfg, rows, log, metrics } = opts
+  const { hall } = cfg.node
+  const byJob = new Map<string, Target>()
+  const byService = new Map<string, Target[]>()
+  const listeners = new Set<() => void>()
+  const stopping = new AbortController()
+  /** Targets without a row that still run requests of this entry. */
+  const removed = new Set<Target>()
+  let listedLeaving = new Set<string>()
+
+  function vmOf(job: JobRow): VmRow | undefined {
+    const row = rows.rows.get(vmKey(hall, job.vm))
+    const checked = vmRowSchema.safeParse(row?.value)
+    return checked.success ? checked.data : undefined
+  }
+
+  function update(keys: Iterable<string>): void {
+    const jobs = new Set<string>()
+    const vms = new Set<string>()
+    for (const key of keys) {
+      if (key.startsWith(jobPrefix(hall))) jobs.add(key)
+      else vms.add(key)
+    }
+    for (const key of jobs) updateJob(key)
+    for (const target of byJob.values()) {
+      if (vms.has(vmKey(hall, target.vm))) updateState(target)
+    }
+    report()
+  }
+
+  function updateJob(key: string): void {
+    const row = rows.rows.get(key)
+    const checked = jobRowSchema.safeParse(row?.value)
+    if (row && !checked.success) log.event('rowInvalid', { key })
+    const job = checked.success ? checked.data : undefined
+    const id = key.slice(jobPrefix(hall).length)
+    const known = byJob.get(id)
+    if (!job || job.state === 'starting' || job.address === undefined) {
+      if (known) remove(known)
+      return
+    }
+    if (known && known.address !== job.address) remove(known)
+    const target = byJob.get(id) ?? add(job, job.address)
+    updateState(target, job)
+  }
+
+  function add(job: JobRow, address: string): Target {
+    const { id, vm, incarnation, service, slots } = job
+    const target = createTarget({
+      identity: { job: id, vm, incarnation, address },
+      service,
+      slots,
+      connectTimeoutMs: cfg.requests.connect_timeout,
+      healthIntervalMs: cfg.requests.health_interval,
+      log,
+    })
+    byJob.set(id, target)
+    byService.set(service, [...(byService.get(service) ?? []), target])
+    log.event('targetAdded', { job: id, vm, incarnation, address, service })
+    return target
+  }
+
+  function remove(target: Target): void {
+    const { job, vm, service } = target
+    target.active = false
+    byJob.delete(job)
+    const rest = (byService.get(service) ?? []).filter((each) => each !== target)
+    byService.set(service, rest)
+    log.event('targetRemoved', { job, vm, service, inFlight: target.inFlight })
+    removed.add(target)
+    void target.close()
+  }
+
+  function updateState(target: Target, given?: JobRow): void {
+    const checked = given ?? jobRowSchema.safeParse(jobValue(target.job)).data
+    const vm = checked && vmOf(checked)
+    const active =
+      checked?.state === 'running' &&
+      vm?.state === 'active' &&
+      vm.incarnation === target.incarnation
+    if (target.active && !active) {
+      const { job, vm: id, service } = target
+      log.event('targetLeaving', {
+        job,
+        vm: id,
+        service,
+        source: 'row',
+        state: vm?.state,
+      })
+    }
+    target.active = active
+    target.listedLeaving = listedLeaving.has(`${target.vm}/${target.incarnation}`)
+  }
+
+  const jobValue = (id: string) => rows.rows.get(`${jobPrefix(hall)}${id}`)?.value
+
+  function inFlightBy(keyOf: (target: Target) => string): Map<string, number> {
+    for (const target of removed) if (target.inFlight === 0) removed.delete(target)
+    const counts = new Map<string, number>()
+    for (const target of [...byJob.values(), ...removed]) {
+      const key = keyOf(target)
+      counts.set(key, (counts.get(key) ?? 0) + target.inFlight)
+    }
+    return counts
+  }
+
+  function report(): void {
+    const all = [...byJob.values()]
+    metrics.targets.set({ state: 'ok' }, all.filter(takesWork).length)
+    metrics.targets.set({ state: 'leaving' }, all.filter((t) => !takesWork(t)).length)
+    for (const listener of listeners) listener()
+  }
+
+  async function followList(): Promise<void> {
+    let since = 0
+    while (!stopping.signal.aborted) {
+      const list = await opts.platform.listVms(hall, since)
+      if (list.isOk() && list.value) {
+        since = list.value.revision
+        const leaving = list.value.vms.filter((vm) => vm.state === 'leaving')
+        listedLeaving = new Set(leaving.map((vm) => `${vm.id}/${vm.incarnation}`))
+        for (const target of byJob.values()) updateState(target)
+        report()
+      }
+      await sleep(cfg.platform.poll * (0.9 + Math.random() * 0.2), stopping.signal)
+    }
+  }
+
+  update(rows.rows.keys())
+  const unsubscribe = rows.subscribe(update)
+  const list = followList()
+
+  return {
+    targets: (service) => byService.get(service) ?? [],
+    all: () => byJob.values(),
+    leaving() {
+      const counts = inFlightBy((target) => target.vm)
+      const leaving: { vm: string; generation: number; inFlight: number }[] = []
+      for (const [key, row] of rows.rows) {
+        if (!key.startsWith(vmPrefix(hall))) continue
+        const vm = vmRowSchema.safeParse(row.value)
+        if (!vm.success || vm.data.state === 'active') continue
+        const { id, generation } = vm.data
+        leaving.push({ vm: id, generation, inFlight: counts.get(id) ?? 0 })
+      }
+      return leaving
+    },
+    stopping() {
+      const counts = inFlightBy((target) => target.job)
+      const stopping: { job: string; inFlight: number }[] = []
+      for (const [key, row] of rows.rows) {
+        if (!key.startsWith(jobPrefix(hall))) continue
+        const job = jobRowSchema.safeParse(row.value)
+        if (!job.success || job.data.state !== 'stopping') continue
+        stopping.push({ job: job.data.id, inFlight: counts.get(job.data.id) ?? 0 })
+      }
+      return stopping
+    },
+    subscribe(listener) {
+      listeners.add(listener)
+      return () => listeners.delete(listener)
+    },
+    async stop() {
+      unsubscribe()
+      stopping.abort()
+      await Promise.all([...byJob.values(), ...removed].map((target) => target.close()))
+      await list
+    },
+  }
+}
--- /dev/null
+++ b/src/keeper/decisionLog.ts
@@ -0,0 +1,79 @@
+/**
+ * Keeps the events of decisions in the platform's object store, so that `explain` can
+ * tell what happened across keepers. Batches are small and written at most once a flush.
+ */
+import { nanoid } from 'nanoid'
+import type { Platform } from '../platform/index.js'
+import { EVENTS, sleep } from '../shared/index.js'
+import type { EventFields, EventName, Logger } from '../shared/index.js'
+
+const FLUSH_INTERVAL_MS = 2000
+/** Events kept while the object store is away; older ones are dropped. */
+const MAX_PENDING = 2000
+
+/** Where a hall's batches are. */
+export const DECISIONS_PREFIX = 'events/'
+
+/** One event as stored. */
+export interface StoredEvent {
+  /** Time of day at the keeper, for people only. */
+  at: string
+  event: string
+  name: EventName
+  text: string
+  fields: EventFields
+}
+
+/** A logger whose events are also stored. */
+export interface DecisionLog {
+  log: Logger
+  stop(): Promise<void>
+}
+
+/** Wraps a logger and starts the task that stores its events. */
+export function createDecisionLog(
+  base: Logger,
+  platform: Platform,
+  hall: string,
+  node: string,
+): DecisionLog {
+  let pending: StoredEvent[] = []
+  const stopping = new AbortController()
+
+  const wrap = (inner: Logger, extra: EventFields): Logger => ({
+    ...inner,
+    event(name, fields) {
+      inner.event(name, fields)
+      const { id, text } = EVENTS[name]
+      const all = { hall, node, ...extra, ...fields }
+      pending.push({ at: new Date().toISOString(), event: id, name, text, fields: all })
+      if (pending.length > MAX_PENDING) pending.splice(0, pending.length - MAX_PENDING)
+    },
+    child: (fields) => wrap(inner.child(fields), { ...extra, ...fields }),
+  })
+
+  async function flush(): Promise<void> {
+    if (pending.length === 0) return
+    const batch = pending
+    pending = []
+    const name = `${DECISIONS_PREFIX}${hall}/${Date.now()}-${nanoid(6)}`
+    const stored = await platform.putObject(name, batch)
+    if (stored.isErr()) pending = [...batch, ...pending]
+  }
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await sleep(FLUSH_INTERVAL_MS, stopping.signal)
+      await flush()
+    }
+  }
+
+  const task = run()
+  return {
+    log: wrap(base, {}),
+    async stop() {
+      stopping.abort()
+      await task
+    },
+  }
+}
--- /dev/null
+++ b/src/keeper/fleetState.ts
@@ -0,0 +1,122 @@
+/** What the keeper of a hall sees at the start of a round, read from rows and the list. */
+import type { z } from 'zod'
+import {
+  BUDGET_PREFIX,
+  WAVE_PREFIX,
+  budgetRowSchema,
+  hallKey,
+  jobPrefix,
+  jobRowSchema,
+  vmPrefix,
+  vmRowSchema,
+  waveRowSchema,
+} from '../fleet/index.js'
+import type { BudgetRow, JobRow, VmRow, WaveRow } from '../fleet/index.js'
+import type { ListedVm, Row, Task } from '../platform/index.js'
+import type { Logger } from '../shared/index.js'
+import type { Table } from '../table/index.js'
+
+/** A typed row with what a conditional write needs. */
+export interface Versioned<T> {
+  key: string
+  version: number
+  revision: number
+  value: T
+}
+
+/** The state of one hall. */
+export interface FleetState {
+  hall: string
+  table: Table
+  vms: Map<string, Versioned<VmRow>>
+  jobs: Map<string, Versioned<JobRow>>
+  /** Waves of this hall, by wave. */
+  waves: Map<string, Versioned<WaveRow>>
+  /** Budgets of all halls, by service. */
+  budgets: Map<string, Versioned<BudgetRow>>
+  /** The platform's list, workers of this hall only. */
+  listed: Map<string, ListedVm>
+  tasks: Map<string, Task>
+}
+
+/** Prefixes of the rows that a keeper needs. */
+export function keeperPrefixes(hall: string): string[] {
+  return [vmPrefix(hall), jobPrefix(hall), WAVE_PREFIX, BUDGET_PREFIX, hallKey(hall)]
+}
+
+/** Builds the state; rows of the wrong shape are left out and logged. */
+export function readFleetState(input: {
+  hall: string
+  table: Table
+  rows: ReadonlyMap<string, Row>
+  listed: ListedVm[]
+  tasks: Task[]
+  log: Logger
+}): FleetState {
+  const { hall, table, rows, listed, tasks, log } = input
+  const workers = listed.filter((vm) => vm.hall === hall && vm.role === 'worker')
+  return {
+    hall,
+    table,
+    vms: typedRows(rows, vmRowSchema, idUnder(vmPrefix(hall)), log),
+    jobs: typedRows(rows, jobRowSchema, idUnder(jobPrefix(hall)), log),
+    waves: typedRows(rows, waveRowSchema, idUnder(WAVE_PREFIX, `/${hall}`), log),
+    budgets: typedRows(rows, budgetRowSchema, idUnder(BUDGET_PREFIX), log),
+    listed: new Map(workers.map((vm) => [vm.id, vm])),
+    tasks: new Map(tasks.map((task) => [task.id, task])),
+  }
+}
+
+/** Checked values by row, so that an unchanged row is checked once. */
+const checkedRows = new WeakMap<Row, unknown>()
+
+function check<T>(row: Row, schema: z.ZodType<T>, log: Logger): T | undefined {
+  if (checkedRows.has(row)) return checkedRows.get(row) as T | undefined
+  const checked = schema.safeParse(row.value)
+  if (!checked.success) log.event('rowInvalid', { key: row.key })
+  const value = checked.success ? checked.data : undefined
+  checkedRows.set(row, value)
+  return value
+}
+
+function typedRows<T>(
+  rows: ReadonlyMap<string, Row>,
+  schema: z.ZodType<T>,
+  idOf: (key: string) => string | undefined,
+  log: Logger,
+): Map<string, Versioned<T>> {
+  const found = new Map<string, Versioned<T>>()
+  for (const [key, row] of rows) {
+    const id = idOf(key)
+    if (id === undefined) continue
+    const value = check(row, schema, log)
+    if (value === undefined) continue
+    const { version, revision } = row
+    found.set(id, { key, version, revision, value })
+  }
+  return found
+}
+
+function idUnder(prefix: string, suffix = ''): (key: string) => string | undefined {
+  return (key) => {
+    const matches = key.startsWith(prefix) && key.endsWith(suffix)
+    return matches ? key.slice(prefix.length, key.length - suffix.length) : undefined
+  }
+}
+
+/** Jobs on a VM. */
+export function jobsOn(state: FleetState, vm: string): JobRow[] {
+  const jobs: JobRow[] = []
+  for (const { value } of state.jobs.values()) if (value.vm === vm) jobs.push(value)
+  return jobs
+}
+
+/** Whether the job serves now: it runs on an active VM of the same incarnation. */
+export function isAvailable(state: FleetState, job: JobRow): boolean {
+  const vm = state.vms.get(job.vm)?.value
+  return (
+    job.state === 'running' &&
+    vm?.state === 'active' &&
+    vm.incarnation === job.incarnation
+  )
+}
--- /dev/null
+++ b/src/keeper/hallStatus.ts
@@ -0,0 +1,45 @@
+/**
+ * The state of a hall for operators: which epoch is in force at each of its entries.
+ * The row is written only when it changes, so its traffic does not grow with time.
+ */
+import { hallKey, hallRowSchema } from '../fleet/index.js'
+import type { HallRow } from '../fleet/index.js'
+import type { PeerNetwork } from '../peer/index.js'
+import { canonicalJson } from '../shared/index.js'
+import { writeUnderLease } from './context.js'
+import type { KeeperContext } from './context.js'
+
+/** An entry that was silent for so long is shown as not reached, in ms. */
+const SILENT_AFTER_MS = 5000
+
+/** Writes the hall's row if it changed. */
+export async function publishHallStatus(
+  ctx: KeeperContext,
+  fence: number,
+  peers: PeerNetwork,
+): Promise<void> {
+  const value = describeHall(ctx.hall, peers)
+  const key = hallKey(ctx.hall)
+  const row = ctx.rows.rows.get(key)
+  const known = hallRowSchema.safeParse(row?.value)
+  if (known.success && canonicalJson(known.data) === canonicalJson(value)) return
+  await writeUnderLease(ctx, fence, 'hallStatus', [
+    { key, version: row?.version ?? 0, value },
+  ])
+}
+
+function describeHall(hall: string, peers: PeerNetwork): HallRow {
+  const entries: HallRow['entries'] = []
+  const own = peers.ownReport()
+  if (own.routes) entries.push({ id: own.node, epoch: Number(own.epoch), reached: true })
+  for (const { id, address, report, silentForMs } of peers.peers()) {
+    if (address.hall !== hall || address.role !== 'entry') continue
+    const reached = report !== undefined && silentForMs() < SILENT_AFTER_MS
+    entries.push({ id, epoch: Number(report?.epoch ?? 0), reached })
+  }
+  entries.sort((a, b) => (a.id < b.id ? -1 : 1))
+  const answering = entries.filter((each) => each.reached)
+  const epoch =
+    answering.length > 0 ? Math.min(...answering.map((each) => each.epoch)) : 0
+  return { hall, epoch, entries }
+}
--- /dev/null
+++ b/src/keeper/keeper.ts
@@ -0,0 +1,350 @@
+/**
+ * The keeper of a hall: rounds of decisions while the lease is held. A round registers
+ * VMs, then decides pools, waves and jobs, and sees that one task carries each VM
+ * operation and each job that is not at rest.
+ */
+import { vmKey, waveKey } from '../fleet/index.js'
+import type { VmRow } from '../fleet/index.js'
+import type { ListedVm, Platform, RowWatch, RowWrite, Task } from '../platform/index.js'
+import type { PeerNetwork } from '../peer/index.js'
+import { describeError, monotonicMs, sleep } from '../shared/index.js'
+import type { Logger, Metrics } from '../shared/index.js'
+import { RESERVE_POOL } from '../table/index.js'
+import type { TableHolder } from '../table/index.js'
+import { createEntryAcks } from './acks.js'
+import { writeUnderLease } from './context.js'
+import type { KeeperContext } from './context.js'
+import { jobsOn, readFleetState } from './fleetState.js'
+import type { FleetState } from './fleetState.js'
+import { publishHallStatus } from './hallStatus.js'
+import { runJob, writeStarts, writeStops } from './jobs.js'
+import { createLease } from './lease.js'
+import {
+  newWaveRow,
+  runOperation,
+  servicesOn,
+  startMaintenance,
+  startMove,
+} from './operations.js'
+import { planJobs } from './placement.js'
+import type { JobDecision } from './placement.js'
+import { planPools } from './pools.js'
+import { instancesOut, planWaves } from './waves.js'
+
+/** Pause after a failed start of a service's instance, in ms; it grows with each failure. */
+const FAILED_START_PAUSE_MS = 5000
+const FAILED_START_CAP_MS = 300_000
+/** A VM missing from the list for so long is gone, in ms. */
+const GONE_AFTER_MS = 5000
+
+/** The running keeper. */
+export interface Keeper {
+  /** Whether this process holds the lease now. */
+  holdsLease(): boolean
+  /** Ends every task at its next step and gives up the lease. */
+  stop(): Promise<void>
+}
+
+/** Options of {@link createKeeper}. */
+export interface KeeperOptions {
+  hall: string
+  /** Unique per process and start. */
+  holder: string
+  platform: Platform
+  rows: RowWatch
+  table: TableHolder
+  peers: PeerNetwork
+  leaseMs: number
+  cycleMs: number
+  rebootTimeoutMs: number
+  log: Logger
+  metrics: Metrics
+}
+
+/** Starts the keeper's tasks. */
+export function createKeeper(opts: KeeperOptions): Keeper {
+  const { hall, holder, platform, rows, table, peers, log, metrics } = opts
+  const stopping = new AbortController()
+  const working = new Map<string, Promise<void>>()
+  const failedStarts = new Map<string, { count: number; until: number }>()
+  const missingSince = new Map<string, number>()
+  const held = new Map<string, string>()
+  let listed: ListedVm[] = []
+  let listRevision = 0
+  let tasks: Task[] = []
+  let cached: { key: string; state: FleetState } | undefined
+
+  const lease = createLease({ platform, hall, holder, ttlMs: opts.leaseMs, log, metrics })
+  const isGone = (entry: string) =>
+    listRevision > 0 && !listed.some((vm) => vm.id === entry && vm.state === 'live')
+  const ctx: KeeperContext = {
+    hall,
+    platform,
+    rows,
+    lease,
+    acks: createEntryAcks({ peers, hall, isGone }),
+    log,
+    metrics,
+    signal: stopping.signal,
+    rebootTimeoutMs: opts.rebootTimeoutMs,
+    lookMs: Math.max(20, opts.cycleMs / 4),
+    unplaced: new Set(),
+    state() {
+      const inForce = table.current()
+      if (!inForce) return undefined
+      const key = `${rows.revision()} ${inForce.epoch} ${listRevision} ${observations}`
+      if (cached?.key === key) return cached.state
+      const input = { hall, table: inForce.table, rows: rows.rows, listed, tasks, log }
+      cached = { key, state: readFleetState(input) }
+      return cached.state
+    },
+  }
+  let observations = 0
+
+  async function observe(): Promise<boolean> {
+    await rows.refresh()
+    const list = await platform.listVms(undefined, listRevision)
+    if (list.isErr()) return false
+    if (list.value && list.value.revision > listRevision) {
+      listed = list.value.vms
+      listRevision = list.value.revision
+    }
+    const found = await platform.listTasks(hall)
+    if (found.isErr()) return false
+    tasks = found.value
+    observations++
+    return rows.silentForMs() < opts.cycleMs * 2
+  }
+
+  async function round(fence: number): Promise<void> {
+    if (!(await observe())) return
+    const first = ctx.state()
+    if (!first) return
+    await registerVms(fence, first)
+    await decide(fence, (state) => decidePools(fence, state))
+    await decide(fence, (state) => decideWaves(fence, state))
+    await decide(fence, (state) => decideJobs(fence, state))
+    await publishHallStatus(ctx, fence, peers)
+    carryOn(fence)
+  }
+
+  async function decide(
+    fence: number,
+    step: (state: FleetState) => Promise<void>,
+  ): Promise<void> {
+    const state = ctx.state()
+    if (state && lease.fence() === fence) await step(state)
+  }
+
+  async function registerVms(fence: number, state: FleetState): Promise<void> {
+    const writes: RowWrite[] = []
+    for (const vm of state.listed.values()) {
+      missingSince.delete(vm.id)
+      const write = registration(state, vm)
+      if (write) writes.push(write)
+    }
+    for (const { key, version, value } of state.vms.values()) {
+      if (state.listed.has(value.id) || value.state === 'gone') continue
+      if (value.operation) continue
+      const since = missingSince.get(value.id) ?? monotonicMs()
+      missingSince.set(value.id, since)
+      if (monotonicMs() - since < GONE_AFTER_MS) continue
+      log.event('vmGone', { vm: value.id, pool: value.pool })
+      const generation = value.generation + 1
+      writes.push({ key, version, value: { ...value, state: 'gone', generation } })
+    }
+    if (writes.length > 0) await writeUnderLease(ctx, fence, 'registerVms', writes)
+  }
+
+  function registration(state: FleetState, vm: ListedVm): RowWrite | undefined {
+    const { id, rack, incarnation, cpus, memoryGb } = vm
+    const known = state.vms.get(id)
+    if (!known) {
+      log.event('vmRegistered', { vm: id, rack, pool: RESERVE_POOL })
+      const value: VmRow = {
+        id,
+        hall,
+        rack,
+        pool: RESERVE_POOL,
+        generation: 1,
+        incarnation,
+        state: 'active',
+        cpus,
+        memoryGb,
+      }
+      return { key: vmKey(hall, id), version: 0, value }
+    }
+    const { key, version, value } = known
+    const restarted = value.incarnation !== incarnation
+    if (value.operation || (!restarted && value.state !== 'gone')) return undefined
+    const generation = value.generation + 1
+    const back: VmRow = { ...value, rack, incarnation, generation, state: 'active' }
+    return { key, version, value: back }
+  }
+
+  async function decidePools(fence: number, state: FleetState): Promise<void> {
+    const vms = [...state.vms.values()].map((each) => each.value)
+    const moves = planPools(state.table, vms, (vm) => jobsOn(state, vm).length)
+    for (const move of moves) {
+      const now = ctx.state()
+      if (!now) return
+      const shortage = budgetShortage(now, servicesOn(now, move.vm))
+      if (shortage !== undefined) {
+        noteHeld(`move ${move.vm}`, shortage)
+        continue
+      }
+      log.event('vmMoveStarted', { ...move })
+      await startMove(ctx, fence, now, move.vm, move.to)
+    }
+  }
+
+  function budgetShortage(state: FleetState, services: string[]): string | undefined {
+    const input = waveInput(state)
+    for (const service of new Set(services)) {
+      const line = state.table.services.get(service)!
+      const wanted = services.filter((each) => each === service).length
+      const out = instancesOut(input, service, line)
+      if (out + wanted > line.budget) {
+        return `'${service}' has ${out} of its budget of ${line.budget} away`
+      }
+    }
+    return undefined
+  }
+
+  function waveInput(state: FleetState) {
+    const values = <T>(map: Map<string, { value: T }>) =>
+      new Map([...map].map(([key, each]) => [key, each.value]))
+    return {
+      table: state.table,
+      vms: [...values(state.vms).values()],
+      jobs: [...values(state.jobs).values()],
+      waves: values(state.waves),
+      budgets: values(state.budgets),
+      hall,
+    }
+  }
+
+  async function decideWaves(fence: number, state: FleetState): Promise<void> {
+    for (const decision of planWaves(waveInput(state))) {
+      const now = ctx.state()
+      if (!now) return
+      const { wave } = decision
+      if (decision.kind === 'hold') {
+        noteHeld(`wave ${wave}`, decision.reason, wave)
+        continue
+      }
+      held.delete(`wave ${wave}`)
+      if (decision.kind === 'finish') {
+        await finishWave(fence, now, wave)
+        continue
+      }
+      const { vm, reason } = decision
+      log.event('vmMaintStarted', { wave, vm, reason })
+      await startMaintenance(ctx, fence, now, vm, wave)
+    }
+  }
+
+  async function finishWave(fence: number, state: FleetState, wave: string) {
+    const row = state.waves.get(wave)
+    const value = { ...(row?.value ?? newWaveRow(wave, hall)), finished: true }
+    const write = { key: waveKey(wave, hall), version: row?.version ?? 0, value }
+    if (!(await writeUnderLease(ctx, fence, 'finishWave', [write]))) return
+    log.event('waveDone', { wave, done: value.done.length })
+  }
+
+  /** Logs why something is not started, once per reason. */
+  function noteHeld(what: string, reason: string, wave?: string): void {
+    if (held.get(what) === reason) return
+    held.set(what, reason)
+    log.event('waveHeld', { what, wave, reason })
+  }
+
+  async function decideJobs(fence: number, state: FleetState): Promise<void> {
+    const vms = [...state.vms.values()].map((each) => each.value)
+    const jobs = [...state.jobs.values()].map((each) => each.value)
+    const decisions = planJobs(state.table, vms, jobs)
+    const ofKind = <K extends JobDecision['kind']>(kind: K) =>
+      decisions.filter(
+        (each): each is Extract<JobDecision, { kind: K }> => each.kind === kind,
+      )
+    noteUnplaced(ofKind('unplaced'))
+    const starts = ofKind('start').filter(({ service }) => {
+      const failed = failedStarts.get(service)
+      return !failed || failed.until <= monotonicMs()
+    })
+    await writeStarts(ctx, fence, state, starts)
+    await decide(fence, (now) => writeStops(ctx, fence, now, ofKind('stop')))
+  }
+
+  function noteUnplaced(unplaced: { service: string; reason: string }[]): void {
+    const names = new Set(unplaced.map((each) => each.service))
+    for (const { service, reason } of unplaced) {
+      if (!ctx.unplaced.has(service)) log.event('jobUnplaced', { service, reason })
+    }
+    ctx.unplaced = names
+  }
+
+  /** Sees that one task works on each VM operation and each job that is not at rest. */
+  function carryOn(fence: number): void {
+    const state = ctx.state()
+    if (!state) return
+    for (const { value } of state.vms.values()) {
+      if (!value.operation) continue
+      work(`vm ${value.id}`, () => runOperation(ctx, fence, value.id))
+    }
+    for (const { value } of state.jobs.values()) {
+      if (value.state === 'running') continue
+      work(`job ${value.id}`, async () => {
+        noteStart(value.service, await runJob(ctx, fence, value))
+      })
+    }
+  }
+
+  function noteStart(service: string, how: 'done' | 'failed' | 'interrupted'): void {
+    if (how === 'done') failedStarts.delete(service)
+    if (how !== 'failed') return
+    const count = (failedStarts.get(service)?.count ?? 0) + 1
+    const pause = Math.min(FAILED_START_CAP_MS, FAILED_START_PAUSE_MS * 2 ** (count - 1))
+    failedStarts.set(service, { count, until: monotonicMs() + pause })
+  }
+
+  function work(name: string, run: () => Promise<void>): void {
+    if (working.has(name)) return
+    const task = run()
+      .catch((cause) => {
+        log.event('unexpectedError', { step: name, reason: describeError(cause) })
+      })
+      .finally(() => working.delete(name))
+    working.set(name, task)
+  }
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      const fence = lease.fence()
+      const startedAt = monotonicMs()
+      try {
+        if (fence !== undefined) await round(fence)
+      } catch (cause) {
+        log.event('unexpectedError', {
+          step: 'keeper.round',
+          reason: describeError(cause),
+        })
+      }
+      if (fence !== undefined) {
+        metrics.keeperRound.observe((monotonicMs() - startedAt) / 1000)
+      }
+      await sleep(opts.cycleMs * (0.9 + Math.random() * 0.2), stopping.signal)
+    }
+  }
+
+  const loop = run()
+  return {
+    holdsLease: () => lease.fence() !== undefined,
+    async stop() {
+      stopping.abort()
+      await loop
+      await Promise.all(working.values())
+      await lease.stop()
+    },
+  }
+}
--- /dev/null
+++ b/src/keeper/lease.ts
@@ -0,0 +1,134 @@
+/**
+ * The lease of a hall: at most one keeper decides for it. Expiry is judged without
+ * comparing clocks: a standby takes the lease when its row has not changed for longer
+ * than the term on the standby's own monotonic clock. The holder counts its term from
+ * before the request that renewed it, and every write names the fence as a condition.
+ */
+import { leaseKey, leaseRowSchema } from '../fleet/index.js'
+import type { LeaseRow } from '../fleet/index.js'
+import { commit, newOpId } from '../platform/index.js'
+import type { Platform, Row, RowGuard } from '../platform/index.js'
+import { monotonicMs, sleep } from '../shared/index.js'
+import type { Logger, Metrics } from '../shared/index.js'
+
+/** Renewals per term. */
+const RENEWALS_PER_TERM = 3
+/** A standby waits this much longer than the term. */
+const TAKEOVER_MARGIN = 1.25
+
+/** The lease as its keeper sees it. */
+export interface Lease {
+  /** The fence while the lease is held and not near its end; undefined otherwise. */
+  fence(): number | undefined
+  /** The condition that every write under the lease must carry. */
+  guard(fence: number): RowGuard
+  /** Gives the lease up, so that a standby need not wait for its end. */
+  stop(): Promise<void>
+}
+
+/** Options of {@link createLease}. */
+export interface LeaseOptions {
+  platform: Platform
+  hall: string
+  /** Unique per process and start. */
+  holder: string
+  /** Term in ms. */
+  ttlMs: number
+  log: Logger
+  metrics: Metrics
+  /**
+   * Monotonic clock in ms.
+   * @default monotonicMs
+   */
+  now?: () => number
+}
+
+const today = () => new Date().toISOString()
+
+/** Starts the task that takes and renews the lease. */
+export function createLease(opts: LeaseOptions): Lease {
+  const { platform, hall, holder, ttlMs, log, metrics } = opts
+  const now = opts.now ?? monotonicMs
+  const key = leaseKey(hall)
+  const stopping = new AbortController()
+  let held: { fence: number; until: number } | undefined
+  let seen = { version: -1, at: 0 }
+
+  function setHeld(next: typeof held): void {
+    if (!held && next) log.event('leaseTaken', { hall, holder, fence: next.fence })
+    if (held && !next) log.event('leaseLost', { hall, holder, fence: held.fence })
+    held = next
+    metrics.leaseHeld.set(next ? 1 : 0)
+  }
+
+  async function write(row: Row | undefined, value: LeaseRow, startedAt: number) {
+    const version = row?.version ?? 0
+    const writes = [{ key, version, value }]
+    const outcome = await commit(platform, { opId: newOpId('lease'), writes, guards: [] })
+    if (outcome.isErr()) return
+    if (!outcome.value.committed) return setHeld(undefined)
+    if (value.holder === holder) setHeld({ fence: value.fence, until: startedAt + ttlMs })
+  }
+
+  async function round(): Promise<void> {
+    const startedAt = now()
+    const rows = await platform.read([key])
+    if (rows.isErr()) return expire()
+    const row = rows.value.get(key)
+    const found = leaseRowSchema.safeParse(row?.value)
+    const current = found.success ? found.data : undefined
+    const fence = current?.fence ?? 0
+    if (current?.holder === holder) {
+      if (held && held.fence !== fence) setHeld(undefined)
+      await write(row, { holder, fence, ttlMs, renewedAt: today() }, startedAt)
+      return expire()
+    }
+    if (held) setHeld(undefined)
+    if (current && current.holder !== '' && !hasLapsed(row!, current)) return
+    await write(row, { holder, fence: fence + 1, ttlMs, renewedAt: today() }, startedAt)
+  }
+
+  /** Whether the holder has been silent for longer than its term, as watched from here. */
+  function hasLapsed(row: Row, lease: LeaseRow): boolean {
+    if (row.version !== seen.version) {
+      seen = { version: row.version, at: now() }
+      return false
+    }
+    return now() - seen.at > lease.ttlMs * TAKEOVER_MARGIN
+  }
+
+  function expire(): void {
+    if (held && now() >= held.until) setHeld(undefined)
+  }
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await round()
+      const pause = ttlMs / RENEWALS_PER_TERM
+      await sleep(pause * (0.9 + Math.random() * 0.2), stopping.signal)
+    }
+  }
+
+  const task = run()
+
+  return {
+    fence: () => (held && now() < held.until ? held.fence : undefined),
+    guard: (fence) => ({ key, field: 'fence', equals: fence }),
+    async stop() {
+      stopping.abort()
+      await task
+      if (!held) return
+      const { fence } = held
+      held = undefined
+      metrics.leaseHeld.set(0)
+      const rows = await platform.read([key])
+      const row = rows.isOk() ? rows.value.get(key) : undefined
+      const found = leaseRowSchema.safeParse(row?.value)
+      if (!row || !found.success || found.data.fence !== fence) return
+      const value: LeaseRow = { holder: '', fence, ttlMs, renewedAt: today() }
+      const writes = [{ key, version: row.version, value }]
+      await commit(platform, { opId: newOpId('lease'), writes, guards: [] })
+      log.event('leaseReleased', { hall, holder, fence })
+    },
+  }
+}
--- /dev/null
+++ b/src/keeper/operations.ts
@@ -0,0 +1,311 @@
+/**
+ * Operations on one VM, each written straight down as one task. The VM's row holds the
+ * operation until it is finished, so a successor that finds it goes on from there.
+ */
+import { budgetKey, waveKey } from '../fleet/index.js'
+import type { BudgetRow, Operation, VmRow, WaveRow } from '../fleet/index.js'
+import { newOpId } from '../platform/index.js'
+import type { RowWrite } from '../platform/index.js'
+import { monotonicMs, sleep } from '../shared/index.js'
+import { inFlightOnVm } from './acks.js'
+import { writeUnderLease } from './context.js'
+import type { KeeperContext } from './context.js'
+import { isAvailable, jobsOn } from './fleetState.js'
+import type { FleetState, Versioned } from './fleetState.js'
+
+/** Why an operation task ended without finishing; the next round starts it again. */
+const INTERRUPTED = Symbol('interrupted')
+type Step<T = void> = Promise<T | typeof INTERRUPTED>
+
+/** Starts to take a VM out of its pool for good. */
+export function startMove(
+  ctx: KeeperContext,
+  fence: number,
+  state: FleetState,
+  vmId: string,
+  toPool: string,
+): Promise<boolean> {
+  const vm = state.vms.get(vmId)!
+  const services = servicesOn(state, vmId)
+  const fromIncarnation = vm.value.incarnation
+  const id = newOpId('move')
+  const operation: Operation = { id, kind: 'move', toPool, fromIncarnation, services }
+  const writes = [leaveWrite(vm, operation), ...takeBudgets(state, vm.value, operation)]
+  return writeUnderLease(ctx, fence, 'startMove', writes, id)
+}
+
+/** Starts to maintain a VM as a step of a wave. */
+export function startMaintenance(
+  ctx: KeeperContext,
+  fence: number,
+  state: FleetState,
+  vmId: string,
+  wave: string,
+): Promise<boolean> {
+  const vm = state.vms.get(vmId)!
+  const services = servicesOn(state, vmId)
+  const fromIncarnation = vm.value.incarnation
+  const id = newOpId('maintain')
+  const operation: Operation = { id, kind: 'maintain', wave, fromIncarnation, services }
+  const row = state.waves.get(wave)
+  const before = row?.value ?? newWaveRow(wave, ctx.hall)
+  const value: WaveRow = { ...before, doing: [...before.doing, vmId] }
+  const writes = [
+    leaveWrite(vm, operation),
+    { key: waveKey(wave, ctx.hall), version: row?.version ?? 0, value },
+    ...takeBudgets(state, vm.value, operation),
+  ]
+  return writeUnderLease(ctx, fence, 'startMaintenance', writes, id)
+}
+
+/** An empty row of a wave in a hall. */
+export function newWaveRow(wave: string, hall: string): WaveRow {
+  return { wave, hall, done: [], doing: [], halted: '', finished: false }
+}
+
+/** Services with an instance on the VM, once per instance. */
+export function servicesOn(state: FleetState, vm: string): string[] {
+  return jobsOn(state, vm)
+    .map((job) => job.service)
+    .filter((service) => state.table.services.has(service))
+}
+
+function leaveWrite(vm: Versioned<VmRow>, operation: Operation): RowWrite {
+  const { key, version, value } = vm
+  const generation = value.generation + 1
+  return { key, version, value: { ...value, state: 'leaving', generation, operation } }
+}
+
+function takeBudgets(state: FleetState, vm: VmRow, operation: Operation): RowWrite[] {
+  return [...new Set(operation.services)].map((service) => {
+    const row = state.budgets.get(service)
+    const count = operation.services.filter((each) => each === service).length
+    const entry = { hall: vm.hall, vm: vm.id, operation: operation.id, count }
+    const value: BudgetRow = { out: [...(row?.value.out ?? []), entry] }
+    return { key: budgetKey(service), version: row?.version ?? 0, value }
+  })
+}
+
+function giveBackBudgets(state: FleetState, operation: Operation): RowWrite[] {
+  const writes: RowWrite[] = []
+  for (const { key, version, value } of state.budgets.values()) {
+    const out = value.out.filter((each) => each.operation !== operation.id)
+    if (out.length < value.out.length) writes.push({ key, version, value: { out } })
+  }
+  return writes
+}
+
+/** Carries the VM's operation to its end. Returns when it is done or the lease is lost. */
+export async function runOperation(
+  ctx: KeeperContext,
+  fence: number,
+  vmId: string,
+): Promise<void> {
+  if ((await emptyVm(ctx, fence, vmId)) === INTERRUPTED) return
+  const operation = current(ctx, vmId)?.vm.value.operation
+  if (!operation) return
+  if (operation.kind === 'move') {
+    await finishMove(ctx, fence, vmId)
+    return
+  }
+  if ((await reboot(ctx, fence, vmId)) === INTERRUPTED) return
+  await finishMaintenance(ctx, fence, vmId)
+}
+
+function current(ctx: KeeperContext, vmId: string) {
+  const state = ctx.state()
+  const vm = state?.vms.get(vmId)
+  return state && vm ? { state, vm } : undefined
+}
+
+/** Waits until the condition gives undefined; logs what is waited for when it changes. */
+async function waitUntil(
+  ctx: KeeperContext,
+  fence: number,
+  vmId: string,
+  waitingFor: () => string | undefined,
+): Step {
+  let logged = ''
+  for (;;) {
+    if (ctx.signal.aborted || ctx.lease.fence() !== fence) return INTERRUPTED
+    const reason = waitingFor()
+    if (reason === undefined) return undefined
+    if (reason !== logged) ctx.log.event('vmWaiting', { vm: vmId, reason })
+    logged = reason
+    await sleep(ctx.lookMs, ctx.signal)
+  }
+}
+
+/** Waits for the entries to leave the VM, and for its jobs to run elsewhere if they can. */
+async function emptyVm(ctx: KeeperContext, fence: number, vmId: string): Step {
+  const found = current(ctx, vmId)
+  if (!found || found.vm.value.state === 'away') return undefined
+  const { revision, value } = found.vm
+  const drained = await waitUntil(ctx, fence, vmId, () => {
+    const inFlight = inFlightOnVm(vmId, value.generation)
+    return ctx.acks.waitingFor(revision, inFlight)
+  })
+  if (drained === INTERRUPTED) return INTERRUPTED
+  ctx.log.event('vmDrained', { vm: vmId, operation: value.operation?.id })
+  const replaced = await waitUntil(ctx, fence, vmId, () => missingReplacement(ctx, vmId))
+  if (replaced === INTERRUPTED) return INTERRUPTED
+  const opId = value.operation?.id ?? newOpId('drain')
+  const told = await ctx.platform.drainVm(vmId, opId)
+  return told.isOk() ? stopJobs(ctx, fence, vmId) : INTERRUPTED
+}
+
+/** A service that has an instance on the VM and could run it elsewhere, but does not yet. */
+function missingReplacement(ctx: KeeperContext, vmId: string): string | undefined {
+  const state = ctx.state()
+  if (!state) return 'no table is in force'
+  for (const service of new Set(servicesOn(state, vmId))) {
+    if (ctx.unplaced.has(service)) continue
+    const wanted = state.table.services.get(service)!.instances
+    const jobs = [...state.jobs.values()].filter((job) => job.value.service === service)
+    const running = jobs.filter((job) => isAvailable(state, job.value)).length
+    if (running >= wanted) continue
+    return `'${service}' has ${running} of ${wanted} instances elsewhere`
+  }
+  return undefined
+}
+
+async function stopJobs(ctx: KeeperContext, fence: number, vmId: string): Step {
+  const state = ctx.state()
+  if (!state) return INTERRUPTED
+  const jobs = [...state.jobs.values()].filter((job) => job.value.vm === vmId)
+  for (const job of jobs) {
+    const stopped = await ctx.platform.stopTask(job.value.id)
+    if (stopped.isErr()) return INTERRUPTED
+  }
+  const writes = jobs.map(({ key, version }) => ({ key, version, value: null }))
+  if (writes.length === 0) return undefined
+  const done = await writeUnderLease(ctx, fence, 'stopJobs', writes)
+  for (const job of done ? jobs : []) {
+    const { id, service } = job.value
+    ctx.log.event('jobStopped', { job: id, vm: vmId, service, reason: 'VM leaves' })
+  }
+  return done ? undefined : INTERRUPTED
+}
+
+async function finishMove(ctx: KeeperContext, fence: number, vmId: string): Step {
+  const found = current(ctx, vmId)
+  const operation = found?.vm.value.operation
+  if (!found || operation?.toPool === undefined) return INTERRUPTED
+  const { state, vm } = found
+  const { operation: _done, ...rest } = vm.value
+  const value: VmRow = {
+    ...rest,
+    pool: operation.toPool,
+    state: 'active',
+    generation: rest.generation + 1,
+  }
+  const writes = [
+    { key: vm.key, version: vm.version, value },
+    ...giveBackBudgets(state, operation),
+  ]
+  if (!(await writeUnderLease(ctx, fence, 'finishMove', writes))) return INTERRUPTED
+  ctx.metrics.moves.inc({ kind: 'vm' })
+  const { id } = operation
+  ctx.log.event('vmMoveDone', {
+    vm: vmId,
+    from: rest.pool,
+    to: value.pool,
+    operation: id,
+  })
+  return undefined
+}
+
+async function reboot(ctx: KeeperContext, fence: number, vmId: string): Step {
+  const found = current(ctx, vmId)
+  const operation = found?.vm.value.operation
+  if (!found || !operation) return INTERRUPTED
+  const { key, version, value } = found.vm
+  if (value.state !== 'away') {
+    const generation = value.generation + 1
+    const away: VmRow = { ...value, state: 'away', generation }
+    const writes = [{ key, version, value: away }]
+    if (!(await writeUnderLease(ctx, fence, 'away', writes))) return INTERRUPTED
+  }
+  const asked = await ctx.platform.rebootVm(vmId, operation.id)
+  if (asked.isErr()) return INTERRUPTED
+  return waitForReturn(ctx, fence, vmId, operation)
+}
+
+async function waitForReturn(
+  ctx: KeeperContext,
+  fence: number,
+  vmId: string,
+  operation: Operation,
+): Step {
+  const startedAt = monotonicMs()
+  let halted = false
+  const isBack = () => {
+    const listed = ctx.state()?.listed.get(vmId)
+    const isNew = listed !== undefined && listed.incarnation !== operation.fromIncarnation
+    return isNew && listed.state === 'live'
+  }
+  while (!isBack()) {
+    if (ctx.signal.aborted || ctx.lease.fence() !== fence) return INTERRUPTED
+    if (!halted && monotonicMs() - startedAt > ctx.rebootTimeoutMs) {
+      halted = await haltWave(ctx, fence, operation, `${vmId} did not come back in time`)
+    }
+    await sleep(ctx.lookMs, ctx.signal)
+  }
+  return undefined
+}
+
+async function haltWave(
+  ctx: KeeperContext,
+  fence: number,
+  operation: Operation,
+  reason: string,
+): Promise<boolean> {
+  const wave = operation.wave ?? ''
+  const row = ctx.state()?.waves.get(wave)
+  if (!row) return false
+  const value: WaveRow = { ...row.value, halted: reason }
+  const writes = [{ key: row.key, version: row.version, value }]
+  const done = await writeUnderLease(ctx, fence, 'haltWave', writes)
+  if (done) ctx.log.event('waveHalted', { wave, reason, operation: operation.id })
+  return done
+}
+
+async function finishMaintenance(ctx: KeeperContext, fence: number, vmId: string): Step {
+  const found = current(ctx, vmId)
+  const operation = found?.vm.value.operation
+  const listed = found?.state.listed.get(vmId)
+  if (!found || !operation || !listed) return INTERRUPTED
+  const { state, vm } = found
+  const { operation: _done, ...rest } = vm.value
+  const value: VmRow = {
+    ...rest,
+    state: 'active',
+    incarnation: listed.incarnation,
+    generation: rest.generation + 1,
+  }
+  const writes: RowWrite[] = [
+    { key: vm.key, version: vm.version, value },
+    ...giveBackBudgets(state, operation),
+  ]
+  const wave = state.waves.get(operation.wave ?? '')
+  if (wave) {
+    const doing = wave.value.doing.filter((each) => each !== vmId)
+    const done = [...wave.value.done.filter((each) => each !== vmId), vmId]
+    writes.push({
+      key: wave.key,
+      version: wave.version,
+      value: { ...wave.value, doing, done },
+    })
+  }
+  const finished = await writeUnderLease(ctx, fence, 'finishMaintenance', writes)
+  if (!finished) return INTERRUPTED
+  const { id } = operation
+  const { incarnation } = value
+  ctx.log.event('vmMaintDone', {
+    vm: vmId,
+    wave: operation.wave,
+    incarnation,
+    operation: id,
+  })
+  return undefined
+}
--- /dev/null
+++ b/src/kernel/index.ts
@@ -0,0 +1,2 @@
+/** Services by name, start order, planned stop. */
+export * from './kernel.js'
--- /dev/null
+++ b/src/peer/constants.ts
@@ -0,0 +1,18 @@
+/** Bounds of what processes say to each other. */
+
+/** Most VMs named in one report. */
+export const MAX_LEAVING = 512
+/** Most services named in one report. */
+export const MAX_LOADS = 512
+/** Most jobs named in one report. */
+export const MAX_STOPPING = 512
+/** Longest message, in bytes. */
+export const MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+/** Time between two syncs with a peer of the same hall, in ms. */
+export const SYNC_INTERVAL_MS = 1000
+/** Time between two syncs with a peer of another hall, in ms. */
+export const REMOTE_SYNC_INTERVAL_MS = 5000
+/** Longest wait for an answer, in ms. */
+export const CALL_TIMEOUT_MS = 1500
+/** A peer that was silent for so long is reported as lost, in ms. */
+export const LOST_AFTER_MS = 5000
--- /dev/null
+++ b/src/peer/index.ts
@@ -0,0 +1,3 @@
+/** Messages between rillshunt's own processes. */
+export * from './network.js'
+export type { LeavingVm, NodeReport, ServiceLoad } from './gen/peer_pb.js'
--- /dev/null
+++ b/src/peer/network.ts
@@ -0,0 +1,304 @@
+/**
+ * The processes of rillshunt among themselves: one task per peer that exchanges
+ * reports, and a push of the epoch to every peer when a new table comes in force.
+ */
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { create } from '@bufbuild/protobuf'
+import type { Client } from '@connectrpc/connect'
+import { Code, ConnectError, createClient } from '@connectrpc/connect'
+import type { ConnectRouter } from '@connectrpc/connect'
+import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node'
+import { z } from 'zod'
+import type { PeerAddress, ResolvedConfig } from '../config/index.js'
+import { changesSchema } from '../platform/index.js'
+import type { Platform, RowWatch } from '../platform/index.js'
+import { describeError, monotonicMs, sleep } from '../shared/index.js'
+import type { Logger, Metrics } from '../shared/index.js'
+import { acceptedSchema, readPlatformTable } from '../table/index.js'
+import type { TableHolder } from '../table/index.js'
+import {
+  CALL_TIMEOUT_MS,
+  LOST_AFTER_MS,
+  MAX_LEAVING,
+  MAX_LOADS,
+  MAX_MESSAGE_BYTES,
+  MAX_STOPPING,
+  REMOTE_SYNC_INTERVAL_MS,
+  SYNC_INTERVAL_MS,
+} from './constants.js'
+import { NodeReportSchema, PeerService } from './gen/peer_pb.js'
+import type { NodeReport } from './gen/peer_pb.js'
+
+/** What a peer last said, and when. */
+export interface PeerState {
+  id: string
+  address: PeerAddress
+  /** Undefined until the peer has spoken. */
+  report: NodeReport | undefined
+  /** Ms since the peer last spoke, or since our start when it never did. */
+  silentForMs(): number
+}
+
+/** The part of a report that only the entry knows. */
+export type ReportSource = () => Pick<
+  NodeReport,
+  'routes' | 'leaving' | 'loads' | 'stopping'
+>
+
+/** The peers of this process. */
+export interface PeerNetwork {
+  peers(): PeerState[]
+  /** Sets who fills the report. */
+  setReportSource(source: ReportSource): void
+  /** Syncs with the peers of the own hall now. */
+  syncHall(): Promise<void>
+  /** The report of this process, for a keeper in the same process. */
+  ownReport(): NodeReport
+  /** Port that peers reach this process at. */
+  port: number
+  stop(): Promise<void>
+}
+
+/** Options of {@link createPeerNetwork}. */
+export interface PeerNetworkOptions {
+  cfg: ResolvedConfig
+  /** Changes at each start of the process. */
+  incarnation: string
+  platform: Platform
+  rows: RowWatch
+  table: TableHolder
+  log: Logger
+  metrics: Metrics
+}
+
+interface Peer extends PeerState {
+  client: Client<typeof PeerService>
+  heardAt: number
+  lost: boolean
+}
+
+const EMPTY_SOURCE: ReportSource = () => ({
+  routes: false,
+  leaving: [],
+  loads: [],
+  stopping: [],
+})
+
+/** Opens the peer port and starts one task per peer. */
+export async function createPeerNetwork(opts: PeerNetworkOptions): Promise<PeerNetwork> {
+  const { cfg, rows, table, log, metrics } = opts
+  const stopping = new AbortController()
+  let source = EMPTY_SOURCE
+
+  const ownReport = (): NodeReport => {
+    const { routes, leaving, loads, stopping: jobs } = source()
+    return create(NodeReportSchema, {
+      node: cfg.node.id,
+      hall: cfg.node.hall,
+      incarnation: opts.incarnation,
+      epoch: BigInt(table.current()?.epoch ?? 0),
+      revision: BigInt(rows.revision()),
+      routes,
+      leaving: leaving.slice(0, MAX_LEAVING),
+      loads: loads.slice(0, MAX_LOADS),
+      stopping: jobs.slice(0, MAX_STOPPING),
+    })
+  }
+
+  const peers = new Map<string, Peer>()
+  for (const [id, address] of Object.entries(cfg.peers)) {
+    if (id === cfg.node.id) continue
+    peers.set(id, makePeer(id, address))
+  }
+
+  function heard(report: NodeReport | undefined): void {
+    if (!report || isOverBounds(report)) {
+      log.event('peerMessageRefused', { peer: report?.node, reason: 'over the bounds' })
+      throw new ConnectError('report is over the bounds', Code.InvalidArgument)
+    }
+    const peer = peers.get(report.node)
+    if (!peer || peer.address.hall !== report.hall) {
+      log.event('peerMessageRefused', {
+        peer: report.node,
+        reason: 'not in the settings',
+      })
+      throw new ConnectError(`'${report.node}' is no peer of mine`, Code.PermissionDenied)
+    }
+    peer.report = report
+    peer.heardAt = monotonicMs()
+    if (peer.lost) log.event('peerBack', { peer: peer.id, hall: report.hall })
+    peer.lost = false
+    if (Number(report.epoch) > (table.current()?.epoch ?? 0)) void learnTable(peer)
+  }
+
+  async function learnTable(peer: Peer): Promise<void> {
+    await readPlatformTable(opts.platform, table)
+    if (Number(peer.report?.epoch ?? 0) <= (table.current()?.epoch ?? 0)) return
+    await fetchTable(peer)
+  }
+
+  async function fetchTable(peer: Peer): Promise<void> {
+    await call(peer, 'fetchTable', async () => {
+      const res = await peer.client.fetchTable({}, callOptions())
+      if (res.acceptedJson === '') return
+      table.offer(acceptedSchema.parse(JSON.parse(res.acceptedJson)), 'peer')
+    })
+  }
+
+  async function fetchRows(peer: Peer): Promise<void> {
+    await call(peer, 'fetchRows', async () => {
+      const res = await peer.client.fetchRows({ hall: cfg.node.hall }, callOptions())
+      const shape = z.object({ rows: changesSchema.shape.rows })
+      const { rows: found } = shape.parse(JSON.parse(res.rowsJson))
+      const revision = Number(res.revision)
+      rows.seed({ revision, rows: found, deleted: [], full: true })
+    })
+  }
+
+  const callOptions = () => ({ timeoutMs: CALL_TIMEOUT_MS, signal: stopping.signal })
+
+  async function call(peer: Peer, step: string, run: () => Promise<void>): Promise<void> {
+    try {
+      await run()
+      metrics.peerMessages.inc({ step, result: 'ok' })
+    } catch (cause) {
+      metrics.peerMessages.inc({ step, result: 'failed' })
+      noteSilence(peer, describeError(cause))
+    }
+  }
+
+  function noteSilence(peer: Peer, reason: string): void {
+    if (peer.lost || stopping.signal.aborted) return
+    if (peer.silentForMs() < LOST_AFTER_MS) return
+    peer.lost = true
+    log.event('peerLost', { peer: peer.id, hall: peer.address.hall, reason })
+  }
+
+  const sync = (peer: Peer) =>
+    call(peer, 'sync', async () => {
+      const res = await peer.client.sync({ report: ownReport() }, callOptions())
+      heard(res.report)
+    })
+
+  async function runPeer(peer: Peer): Promise<void> {
+    const local = peer.address.hall === cfg.node.hall
+    const interval = local ? SYNC_INTERVAL_MS : REMOTE_SYNC_INTERVAL_MS
+    while (!stopping.signal.aborted) {
+      await sync(peer)
+      if (local && rows.revision() === 0) await fetchRows(peer)
+      await sleep(interval * (0.9 + Math.random() * 0.2), stopping.signal)
+    }
+  }
+
+  const unsubscribe = table.subscribe(({ epoch }) => {
+    const message = { node: cfg.node.id, epoch: BigInt(epoch) }
+    for (const peer of peers.values()) {
+      if (Number(peer.report?.epoch ?? 0) >= epoch) continue
+      void call(peer, 'pushHead', async () => {
+        await peer.client.pushHead(message, callOptions())
+      })
+    }
+  })
+
+  const routes = (router: ConnectRouter) =>
+    router.service(PeerService, {
+      sync(req) {
+        heard(req.report)
+        return { report: ownReport() }
+      },
+      pushHead(req) {
+        const peer = peers.get(req.node)
+        if (!peer) throw new ConnectError('not in the settings', Code.PermissionDenied)
+        if (peer.report) peer.report.epoch = req.epoch
+        const epoch = table.current()?.epoch ?? 0
+        if (Number(req.epoch) > epoch) {
+          void readPlatformTable(opts.platform, table).then(() => {
+            if (Number(req.epoch) > (table.current()?.epoch ?? 0)) return fetchTable(peer)
+            return undefined
+          })
+        }
+        return { epoch: BigInt(epoch) }
+      },
+      fetchTable: () => {
+        const accepted = table.current()?.accepted
+        return { acceptedJson: accepted ? JSON.stringify(accepted) : '' }
+      },
+      fetchRows(req) {
+        if (req.hall !== cfg.node.hall) {
+          throw new ConnectError('another hall', Code.InvalidArgument)
+        }
+        const rowsJson = JSON.stringify({ rows: [...rows.rows.values()] })
+        return { revision: BigInt(rows.revision()), rowsJson }
+      },
+    })
+
+  const server = await listenForPeers(cfg, routes, metrics)
+  const tasks = [...peers.values()].map(runPeer)
+
+  return {
+    peers: () => [...peers.values()],
+    ownReport,
+    setReportSource: (next) => (source = next),
+    async syncHall() {
+      const hall = [...peers.values()].filter(
+        (each) => each.address.hall === cfg.node.hall,
+      )
+      await Promise.all(hall.map(sync))
+    },
+    port: (server.address() as { port: number }).port,
+    async stop() {
+      unsubscribe()
+      stopping.abort()
+      server.closeAllConnections()
+      await new Promise((resolve) => server.close(resolve))
+      await Promise.all(tasks)
+    },
+  }
+}
+
+function isOverBounds(report: NodeReport): boolean {
+  const { leaving, loads, stopping } = report
+  if (leaving.length > MAX_LEAVING || loads.length > MAX_LOADS) return true
+  return stopping.length > MAX_STOPPING
+}
+
+function makePeer(id: string, address: PeerAddress): Peer {
+  const host = address.host.includes(':') ? `[${address.host}]` : address.host
+  const transport = createConnectTransport({
+    httpVersion: '1.1',
+    baseUrl: `http://${host}:${address.port}`,
+    readMaxBytes: MAX_MESSAGE_BYTES,
+    useBinaryFormat: true,
+  })
+  const peer: Peer = {
+    id,
+    address,
+    report: undefined,
+    client: createClient(PeerService, transport),
+    heardAt: monotonicMs(),
+    lost: false,
+    silentForMs: () => monotonicMs() - peer.heardAt,
+  }
+  return peer
+}
+
+async function listenForPeers(
+  cfg: ResolvedConfig,
+  routes: (router: ConnectRouter) => void,
+  metrics: Metrics,
+): Promise<Server> {
+  const adapter = connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES })
+  const server = createServer(adapter)
+  server.on('connection', (socket) => {
+    socket.on('close', () => {
+      metrics.peerBytes.inc({ direction: 'received' }, socket.bytesRead)
+      metrics.peerBytes.inc({ direction: 'sent' }, socket.bytesWritten)
+    })
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(cfg.listen.peer_port, cfg.listen.address, resolve)
+  })
+  return server
+}
--- /dev/null
+++ b/src/platform/rowWatch.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps a copy of some rows by conditional reads: one read per poll, of changes only.
+ * In an outage the copy stays as it is and polls back off with full jitter.
+ */
+import { fullJitter, monotonicMs, sleep } from '../shared/index.js'
+import type { Logger, Metrics } from '../shared/index.js'
+import type { Changes, Platform, Row } from './types.js'
+
+/** Polls are spread by this share of the interval, so that processes do not march in step. */
+const POLL_JITTER = 0.2
+const BACKOFF_BASE_MS = 200
+
+/** Options of {@link createRowWatch}. */
+export interface RowWatchOptions {
+  platform: Platform
+  prefixes: string[]
+  /** Time between polls, in ms. */
+  pollMs: number
+  /** Longest pause in an outage, in ms. */
+  maxBackoffMs: number
+  log: Logger
+  metrics: Metrics
+}
+
+/** A copy of rows that follows the platform. */
+export interface RowWatch {
+  /** Rows by key. Do not change it. */
+  readonly rows: ReadonlyMap<string, Row>
+  /** Platform revision up to which the copy is complete; 0 before the first read. */
+  revision(): number
+  /** Ms since the platform last answered; Infinity when it never did. */
+  silentForMs(): number
+  /** Polls now; resolves when the poll has ended, well or not. */
+  refresh(): Promise<void>
+  /** Fills an empty copy from a peer's. Has no effect once the platform has answered. */
+  seed(changes: Changes): boolean
+  /** Calls back after every change with the changed keys. */
+  subscribe(listener: (keys: string[]) => void): () => void
+  start(): void
+  stop(): Promise<void>
+}
+
+/** Creates a watch; nothing is read before `start` or `refresh`. */
+export function createRowWatch(opts: RowWatchOptions): RowWatch {
+  const rows = new Map<string, Row>()
+  const listeners = new Set<(keys: string[]) => void>()
+  const stopping = new AbortController()
+  let revision = 0
+  let answeredAt = -Infinity
+  let down = false
+  let failures = 0
+  let loop: Promise<void> | undefined
+  let polling: Promise<void> | undefined
+
+  function apply(changes: Changes): void {
+    const changed = new Set<string>(changes.deleted)
+    if (changes.full) {
+      const present = new Set(changes.rows.map((row) => row.key))
+      for (const key of rows.keys()) if (!present.has(key)) changed.add(key)
+    }
+    for (const key of changed) rows.delete(key)
+    for (const row of changes.rows) {
+      const known = rows.get(row.key)
+      if (known?.op === row.op && known.version === row.version) continue
+      rows.set(row.key, row)
+      changed.add(row.key)
+    }
+    revision = changes.revision
+    if (changed.size === 0) return
+    for (const listener of listeners) listener([...changed])
+  }
+
+  async function poll(): Promise<void> {
+    const changes = await opts.platform.changes(opts.prefixes, revision)
+    if (changes.isErr()) {
+      failures++
+      opts.metrics.platformUp.set(0)
+      if (!down) opts.log.event('platformDown', { reason: changes.error.message })
+      down = true
+      return
+    }
+    if (down) opts.log.event('platformBack', { silentMs: monotonicMs() - answeredAt })
+    down = false
+    failures = 0
+    answeredAt = monotonicMs()
+    opts.metrics.platformUp.set(1)
+    apply(changes.value)
+  }
+
+  const refresh = (): Promise<void> => {
+    polling ??= poll().finally(() => (polling = undefined))
+    return polling
+  }
+
+  function pauseMs(): number {
+    if (failures > 0) {
+      return opts.pollMs / 2 + fullJitter(failures, BACKOFF_BASE_MS, opts.maxBackoffMs)
+    }
+    return opts.pollMs * (1 - POLL_JITTER / 2 + Math.random() * POLL_JITTER)
+  }
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await refresh()
+      await sleep(pauseMs(), stopping.signal)
+    }
+  }
+
+  return {
+    rows,
+    revision: () => revision,
+    silentForMs: () => monotonicMs() - answeredAt,
+    refresh,
+    seed(changes) {
+      if (answeredAt !== -Infinity || changes.revision <= revision) return false
+      apply({ ...changes, full: true })
+      return true
+    },
+    subscribe(listener) {
+      listeners.add(listener)
+      return () => listeners.delete(listener)
+    },
+    start() {
+      loop ??= run()
+    },
+    async stop() {
+      stopping.abort()
+      await loop
+    },
+  }
+}
--- /dev/null
+++ b/src/programs/index.ts
@@ -0,0 +1,3 @@
+/** The long-running programs. */
+export * from './main.js'
+export * from './programs.js'
--- /dev/null
+++ b/src/programs/main.ts
@@ -0,0 +1,88 @@
+/** The command line and the signals that the long-running programs share. */
+import { parseArgs } from 'node:util'
+import { loadConfig, printConfig } from '../config/index.js'
+import type { ResolvedConfig } from '../config/index.js'
+import type { Kernel } from '../kernel/index.js'
+import { createLogger } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+
+/** Exit codes of all programs; `docs/cli.md` lists them. */
+export const EXIT = { ok: 0, failed: 1, usage: 2, refused: 3, unknown: 4 } as const
+
+const USAGE = `Options:
+  --config FILE    settings in INI (required)
+  --check-config   check the settings and exit
+  --print-config   print the resolved settings and exit
+  --help           print this`
+
+/** Runs a program until SIGTERM or SIGINT, then stops it as planned. */
+export async function runProgram(
+  name: string,
+  create: (cfg: ResolvedConfig, log: Logger) => Kernel,
+): Promise<void> {
+  const options = readOptions(name)
+  if (!options) return
+  const loaded = await loadConfig(options.config)
+  if (loaded.isErr()) return exitWith(EXIT.usage, loaded.error.message)
+  const cfg = loaded.value
+  if (options.print) return void process.stdout.write(`${printConfig(cfg)}\n`)
+  if (options.check) return void process.stdout.write(`${options.config}: ok\n`)
+
+  const { level, routing } = cfg.log
+  const base = { program: name, node: cfg.node.id, hall: cfg.node.hall }
+  const log = createLogger({ level, routing, base })
+  const kernel = create(cfg, log)
+  const stop = stopOnSignal(kernel, log)
+  const started = await kernel.start()
+  if (started.isErr()) {
+    await log.close()
+    exitWith(EXIT.failed, started.error.message)
+    return
+  }
+  await stop
+}
+
+function exitWith(code: number, message: string): void {
+  process.stderr.write(`${message}\n`)
+  process.exitCode = code
+}
+
+function stopOnSignal(kernel: Kernel, log: Logger): Promise<void> {
+  return new Promise((resolve) => {
+    const stop = () => {
+      void kernel
+        .stop()
+        .then(() => log.close())
+        .then(resolve)
+    }
+    process.once('SIGTERM', stop)
+    process.once('SIGINT', stop)
+  })
+}
+
+function readOptions(
+  name: string,
+): { config: string; check: boolean; print: boolean } | undefined {
+  try {
+    const { values } = parseArgs({
+      options: {
+        config: { type: 'string' },
+        'check-config': { type: 'boolean', default: false },
+        'print-config': { type: 'boolean', default: false },
+        help: { type: 'boolean', default: false },
+      },
+    })
+    if (values.help) {
+      process.stdout.write(`Usage: ${name} --config FILE\n${USAGE}\n`)
+      return undefined
+    }
+    if (values.config !== undefined) {
+      const { config } = values
+      return { config, check: values['check-config'], print: values['print-config'] }
+    }
+    exitWith(EXIT.usage, `${name}: --config FILE is required\n${USAGE}`)
+  } catch (cause) {
+    exitWith(EXIT.usage, `${name}: ${(cause as Error).message}\n${USAGE}`)
+  }
+  return undefined
+}
--- /dev/null
+++ b/src/programs/programs.ts
@@ -0,0 +1,50 @@
+/** The long-running programs, each a kernel with its list of services. */
+import type { ResolvedConfig } from '../config/index.js'
+import { createKernel } from '../kernel/index.js'
+import type { Kernel } from '../kernel/index.js'
+import type { Logger } from '../shared/index.js'
+import {
+  frontService,
+  keeperService,
+  lifecycleService,
+  metricsService,
+  noticeService,
+  opsService,
+  peersService,
+  platformService,
+  routerService,
+  rowsService,
+  tableService,
+  viewService,
+} from './services.js'
+
+const commonServices = (cfg: ResolvedConfig, runsKeeper: boolean) => [
+  lifecycleService(),
+  metricsService(),
+  platformService(cfg),
+  rowsService(cfg, runsKeeper),
+  tableService(),
+  peersService(cfg),
+]
+
+/** An entry, with the keeper in the same process where the settings say so. */
+export function createEntry(cfg: ResolvedConfig, log: Logger): Kernel {
+  const services = [
+    ...commonServices(cfg, cfg.keeper.hosted),
+    viewService(cfg),
+    routerService(cfg),
+    frontService(cfg),
+    opsService(cfg, true),
+    noticeService(cfg),
+  ]
+  if (cfg.keeper.hosted) services.push(keeperService(cfg))
+  return createKernel(services, log)
+}
+
+/** A process that only runs the keeper. */
+export function createKeeperProgram(cfg: ResolvedConfig, log: Logger): Kernel {
+  return createKernel(
+    [...commonServices(cfg, true), opsService(cfg, false), keeperService(cfg)],
+    log,
+  )
+}
--- /dev/null
+++ b/src/programs/services.ts
@@ -0,0 +1,265 @@
+/** The services of the programs, for the kernel. */
+import { nanoid } from 'nanoid'
+import type { ResolvedConfig } from '../config/index.js'
+import { createFront, createOps, createRouter, createTargetView } from '../entry/index.js'
+import type { Front, Ops, Router, TargetView } from '../entry/index.js'
+import { createDecisionLog, createKeeper, keeperPrefixes } from '../keeper/index.js'
+import type { Keeper } from '../keeper/index.js'
+import { defineService } from '../kernel/index.js'
+import { jobPrefix, vmPrefix } from '../fleet/index.js'
+import { createPeerNetwork } from '../peer/index.js'
+import type { PeerNetwork } from '../peer/index.js'
+import { createHttpPlatform, createRowWatch } from '../platform/index.js'
+import type { Platform, RowWatch } from '../platform/index.js'
+import { createMetrics, sleep } from '../shared/index.js'
+import type { Metrics } from '../shared/index.js'
+import { HEAD_KEY, createTableHolder, followHead } from '../table/index.js'
+import type { TableHolder } from '../table/index.js'
+
+/** Whether a planned stop has begun; shared by the services that behave differently then. */
+interface Lifecycle {
+  incarnation: string
+  stopping: boolean
+}
+
+declare module '../kernel/kernel.js' {
+  interface ServiceMap {
+    lifecycle: Lifecycle
+    metrics: Metrics
+    platform: Platform
+    rows: RowWatch
+    table: TableHolder & { stop(): void }
+    peers: PeerNetwork
+    view: TargetView
+    router: Router
+    front: Front
+    ops: Ops
+    keeper: Keeper
+  }
+}
+
+/** Characters of a process's incarnation. */
+const INCARNATION_LENGTH = 8
+
+export const lifecycleService = () =>
+  defineService({
+    name: 'lifecycle',
+    needs: [],
+    start: async () => ({ incarnation: nanoid(INCARNATION_LENGTH), stopping: false }),
+  })
+
+export const metricsService = () =>
+  defineService({ name: 'metrics', needs: [], start: async () => createMetrics() })
+
+export const platformService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'platform',
+    needs: ['metrics'],
+    async start({ get }) {
+      const { platformCalls, platformBytes } = get('metrics')
+      return createHttpPlatform({
+        url: cfg.platform.url,
+        timeoutMs: cfg.platform.timeout,
+        node: cfg.node.id,
+        onTraffic(step, sent, received) {
+          platformCalls.inc({ step })
+          platformBytes.inc({ direction: 'sent' }, sent)
+          platformBytes.inc({ direction: 'received' }, received)
+        },
+      })
+    },
+    stop: (platform) => platform.close(),
+  })
+
+export const rowsService = (cfg: ResolvedConfig, runsKeeper: boolean) =>
+  defineService({
+    name: 'rows',
+    needs: ['platform', 'metrics'],
+    async start({ get, log }) {
+      const { hall } = cfg.node
+      const needed = runsKeeper ? keeperPrefixes(hall) : [vmPrefix(hall), jobPrefix(hall)]
+      const rows = createRowWatch({
+        platform: get('platform'),
+        prefixes: [HEAD_KEY, ...needed],
+        pollMs: cfg.platform.poll,
+        maxBackoffMs: cfg.platform.max_backoff,
+        log,
+        metrics: get('metrics'),
+      })
+      return rows
+    },
+    stop: (rows) => rows.stop(),
+  })
+
+export const tableService = () =>
+  defineService({
+    name: 'table',
+    needs: ['platform', 'rows', 'metrics'],
+    async start({ get, log }) {
+      const holder = createTableHolder(log)
+      const rows = get('rows')
+      holder.subscribe(({ epoch }) => get('metrics').epoch.set(epoch))
+      const stop = followHead(get('platform'), rows, holder)
+      rows.start()
+      return { ...holder, stop }
+    },
+    stop: async (table) => table.stop(),
+  })
+
+export const peersService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'peers',
+    needs: ['lifecycle', 'platform', 'rows', 'table', 'metrics'],
+    start: ({ get, log }) =>
+      createPeerNetwork({
+        cfg,
+        incarnation: get('lifecycle').incarnation,
+        platform: get('platform'),
+        rows: get('rows'),
+        table: get('table'),
+        log,
+        metrics: get('metrics'),
+      }),
+    stop: (peers) => peers.stop(),
+  })
+
+export const viewService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'view',
+    needs: ['platform', 'rows', 'table', 'metrics'],
+    start: async ({ get, log }) =>
+      createTargetView({
+        cfg,
+        platform: get('platform'),
+        rows: get('rows'),
+        table: get('table'),
+        log,
+        metrics: get('metrics'),
+      }),
+    stop: (view) => view.stop(),
+  })
+
+export const routerService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'router',
+    needs: ['table', 'view', 'peers', 'metrics'],
+    async start({ get, log }) {
+      const view = get('view')
+      const router = createRouter({
+        cfg,
+        table: get('table'),
+        view,
+        log,
+        metrics: get('metrics'),
+      })
+      get('peers').setReportSource(() => ({
+        routes: true,
+        leaving: view.leaving().map((each) => ({ $typeName: LEAVING, ...each })),
+        loads: router.loads().map((each) => ({ $typeName: LOAD, ...each })),
+        stopping: view.stopping().map((each) => ({ $typeName: STOPPING, ...each })),
+      }))
+      return router
+    },
+  })
+
+const LEAVING = 'rillshunt.peer.v1.LeavingVm' as const
+const LOAD = 'rillshunt.peer.v1.ServiceLoad' as const
+const STOPPING = 'rillshunt.peer.v1.StoppingJob' as const
+
+export const frontService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'front',
+    needs: ['router'],
+    start: ({ get }) =>
+      createFront({
+        router: get('router'),
+        host: cfg.listen.address,
+        port: cfg.listen.port,
+      }),
+    stop: (front) => front.close(),
+  })
+
+/** Started last, so stopped first: it tells the balancer before anything else ends. */
+export const opsService = (cfg: ResolvedConfig, needsFront: boolean) =>
+  defineService({
+    name: 'ops',
+    needs: [
+      'lifecycle',
+      'metrics',
+      'table',
+      'rows',
+      ...(needsFront ? ['front' as const] : []),
+    ],
+    async start({ get }) {
+      const lifecycle = get('lifecycle')
+      const table = get('table')
+      get('metrics').collectRuntime()
+      return createOps({
+        state: {
+          stopping: () => lifecycle.stopping,
+          notReady: () => (table.current() ? undefined : 'no table is in force'),
+        },
+        metrics: get('metrics'),
+        host: cfg.listen.address,
+        port: cfg.listen.ops_port,
+      })
+    },
+    stop: (ops) => ops.close(),
+  })
+
+/** The last service to start: on a planned stop it waits while the balancer still sends. */
+export const noticeService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'notice',
+    needs: ['lifecycle', 'front', 'ops'],
+    async start({ get }) {
+      const lifecycle = get('lifecycle')
+      const front = get('front')
+      return {
+        async announce() {
+          lifecycle.stopping = true
+          front.setStopping()
+          await sleep(cfg.requests.drain_notice)
+        },
+      }
+    },
+    stop: (notice) => notice.announce(),
+  })
+
+declare module '../kernel/kernel.js' {
+  interface ServiceMap {
+    notice: { announce(): Promise<void> }
+  }
+}
+
+export const keeperService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'keeper',
+    needs: ['lifecycle', 'platform', 'rows', 'table', 'peers', 'metrics'],
+    async start({ get, log }) {
+      const { hall, id } = cfg.node
+      const platform = get('platform')
+      const decisions = createDecisionLog(log, platform, hall, id)
+      const keeper = createKeeper({
+        hall,
+        holder: `${id}#${get('lifecycle').incarnation}`,
+        platform,
+        rows: get('rows'),
+        table: get('table'),
+        peers: get('peers'),
+        leaseMs: cfg.keeper.lease,
+        cycleMs: cfg.keeper.cycle,
+        rebootTimeoutMs: cfg.keeper.reboot_timeout,
+        log: decisions.log,
+        metrics: get('metrics'),
+      })
+      return {
+        holdsLease: keeper.holdsLease,
+        async stop() {
+          await keeper.stop()
+          await decisions.stop()
+        },
+      }
+    },
+    stop: (keeper) => keeper.stop(),
+  })
--- /dev/null
+++ b/src/shared/utils.ts
@@ -0,0 +1,35 @@
+/** Small helpers without a better home. Keep this file short. */
+
+/** Resolves after `ms` milliseconds, or at once when the signal fires. Never rejects. */
+export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted) return resolve()
+    const done = () => {
+      clearTimeout(timer)
+      signal?.removeEventListener('abort', done)
+      resolve()
+    }
+    const timer = setTimeout(done, ms)
+    signal?.addEventListener('abort', done)
+  })
+}
+
+/** Milliseconds on the monotonic clock; unrelated to the time of day. */
+export function monotonicMs(): number {
+  return performance.now()
+}
+
+/** A delay drawn evenly from 0 to `capMs` doubled per attempt, for retries with full jitter. */
+export function fullJitter(attempt: number, baseMs: number, capMs: number): number {
+  const ceiling = Math.min(capMs, baseMs * 2 ** Math.min(attempt, 20))
+  return Math.random() * ceiling
+}
+
+/** JSON with object keys in sorted order, so that equal values give equal text. */
+export function canonicalJson(value: unknown): string {
+  return JSON.stringify(value, (_key, inner: unknown) => {
+    if (inner === null || typeof inner !== 'object' || Array.isArray(inner)) return inner
+    const entries = Object.entries(inner).sort(([a], [b]) => (a < b ? -1 : 1))
+    return Object.fromEntries(entries)
+  })
+}
--- /dev/null
+++ b/src/table/index.ts
@@ -0,0 +1,8 @@
+/** The operators' table: schema, drafts, accept, the epoch in force. */
+export * from './csv.js'
+export * from './feed.js'
+export * from './inForce.js'
+export * from './merge.js'
+export * from './records.js'
+export * from './schema.js'
+export * from './store.js'
--- /dev/null
+++ b/src/table/merge.ts
@@ -0,0 +1,100 @@
+/**
+ * Merging by cell. A draft's edits are laid over the head; an edit of a cell that
+ * someone else changed since the draft's base, to another value, is a conflict.
+ */
+import type { RawTable } from './schema.js'
+
+/** One edited cell; `value` null clears the cell, column `*` with null removes the line. */
+export interface CellEdit {
+  row: string
+  column: string
+  value: string | null
+  editor: string
+}
+
+/** Column that stands for the whole line. */
+export const WHOLE_LINE = '*'
+
+/** Two edits of one cell. */
+export interface CellConflict {
+  row: string
+  column: string
+  mine: { editor: string; value: string | null }
+  theirs: { editor: string; value: string | null }
+}
+
+/** A merged table, with the conflicts that forbid using it. */
+export interface MergeResult {
+  merged: RawTable
+  conflicts: CellConflict[]
+}
+
+/** Puts edits into a copy of the table. */
+export function applyEdits(table: RawTable, edits: readonly CellEdit[]): RawTable {
+  const result: RawTable = structuredClone(table)
+  for (const { row, column, value } of edits) applyEdit(result, row, column, value)
+  return result
+}
+
+function applyEdit(
+  table: RawTable,
+  row: string,
+  column: string,
+  value: string | null,
+): void {
+  if (column === WHOLE_LINE) {
+    delete table[row]
+    return
+  }
+  if (value !== null) {
+    table[row] = { ...table[row], [column]: value }
+    return
+  }
+  delete table[row]?.[column]
+}
+
+/**
+ * Lays a draft over the head.
+ * @param edits the draft's edits, made against its base.
+ * @param since what others accepted after that base, oldest first.
+ */
+export function mergeDraft(
+  head: RawTable,
+  edits: readonly CellEdit[],
+  since: readonly CellEdit[],
+): MergeResult {
+  const conflicts: CellConflict[] = []
+  for (const edit of edits) {
+    const other = since.findLast((each) => touchesSameCell(each, edit))
+    if (!other || (other.value === edit.value && other.column === edit.column)) continue
+    const { row, column } = edit
+    const mine = { editor: edit.editor, value: edit.value }
+    const theirs = { editor: other.editor, value: other.value }
+    conflicts.push({ row, column, mine, theirs })
+  }
+  return { merged: applyEdits(head, edits), conflicts }
+}
+
+function touchesSameCell(a: CellEdit, b: CellEdit): boolean {
+  if (a.row !== b.row) return false
+  return a.column === b.column || a.column === WHOLE_LINE || b.column === WHOLE_LINE
+}
+
+/** The edits that turn one table into another. */
+export function diffTables(from: RawTable, to: RawTable, editor: string): CellEdit[] {
+  const edits: CellEdit[] = []
+  for (const row of Object.keys(from)) {
+    if (to[row]) continue
+    edits.push({ row, column: WHOLE_LINE, value: null, editor })
+  }
+  for (const [row, cells] of Object.entries(to)) {
+    const old = from[row] ?? {}
+    const columns = new Set([...Object.keys(old), ...Object.keys(cells)])
+    for (const column of columns) {
+      const value = cells[column] ?? null
+      if ((old[column] ?? null) === value) continue
+      edits.push({ row, column, value, editor })
+    }
+  }
+  return edits
+}
--- /dev/null
+++ b/src/table/schema.ts
@@ -0,0 +1,195 @@
+/**
+ * The operators' table: one line per pool, service and maintenance wave. Writers
+ * and readers check it with the same schema. `docs/table.md` describes each column.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { z } from 'zod'
+
+/** Kinds of lines. */
+export const KINDS = ['pool', 'service', 'wave'] as const
+export type Kind = (typeof KINDS)[number]
+
+/** Pool that holds the VMs of a hall that no other pool has. It stands in no table. */
+export const RESERVE_POOL = 'reserve'
+
+const MAX_WEIGHT = 1000
+const MAX_LIMIT = 1_000_000
+const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
+
+const number = (min: number, max: number) => {
+  const rule = `a number from ${min} to ${max}`
+  return z
+    .string()
+    .refine(
+      (text) => text.trim() !== '' && Number(text) >= min && Number(text) <= max,
+      rule,
+    )
+    .transform(Number)
+}
+const whole = (min: number, max: number) => {
+  const rule = `a whole number from ${min} to ${max}`
+  return z
+    .string()
+    .refine(
+      (text) => /^\d+$/.test(text) && Number(text) >= min && Number(text) <= max,
+      rule,
+    )
+    .transform(Number)
+}
+const name = () =>
+  z.string().regex(NAME_PATTERN, 'a name of a-z, 0-9 and dashes, at most 63')
+const oneOf = <const T extends readonly [string, ...string[]]>(words: T) =>
+  z.enum(words, { error: `one of ${words.join(', ')}` })
+
+const poolSchema = z.strictObject({
+  /** Share of the VMs when they are scarce. */
+  weight: number(0, MAX_WEIGHT),
+  /** The most VMs that it may have in a hall. */
+  limit: whole(0, MAX_LIMIT),
+})
+
+const serviceSchema = z.strictObject({
+  /** Share of the dispatch turns. */
+  weight: number(0, MAX_WEIGHT),
+  /** The most requests in flight over all entries. */
+  limit: whole(0, MAX_LIMIT),
+  /** Pool whose VMs run it. */
+  pool: name(),
+  /** Team that owns it. */
+  team: name().prefault('default'),
+  /** Instances in each hall. */
+  instances: whole(0, 10_000).prefault('1'),
+  /** Requests that one instance serves at a time. */
+  slots: whole(1, 10_000).prefault('8'),
+  /** Declared processors of an instance. */
+  cpus: number(0, 1024).prefault('2'),
+  /** Declared memory of an instance, in GB. */
+  memory_gb: number(0, 65_536).prefault('4'),
+  /** The most instances that may be away at once, over all halls, by our doing. */
+  budget: whole(0, 10_000).prefault('1'),
+  /** Which requests go first when there are too many. */
+  priority: oneOf(['urgent', 'normal', 'deferrable']).prefault('normal'),
+})
+
+const waveSchema = z.strictObject({
+  /** Order against other waves; the highest goes first. */
+  weight: number(0, MAX_WEIGHT),
+  /** The most VMs of a hall away at once. */
+  limit: whole(0, MAX_LIMIT),
+  /** Pool whose VMs are maintained. */
+  pool: name(),
+  /** What the wave may do. */
+  state: oneOf(['run', 'paused', 'cancelled']).prefault('run'),
+})
+
+const SCHEMAS = { pool: poolSchema, service: serviceSchema, wave: waveSchema } as const
+
+export type PoolLine = z.output<typeof poolSchema>
+export type ServiceLine = z.output<typeof serviceSchema>
+export type WaveLine = z.output<typeof waveSchema>
+
+/** The table as decisions use it. */
+export interface Table {
+  pools: Map<string, PoolLine>
+  services: Map<string, ServiceLine>
+  waves: Map<string, WaveLine>
+}
+
+/** Cells as text, by line (`kind/name`) and column. Absent cells take the default. */
+export type RawTable = Record<string, Record<string, string>>
+
+/** Shape of a raw table on the wire. */
+export const rawTableSchema = z.record(z.string(), z.record(z.string(), z.string()))
+
+/** One wrong cell. */
+export interface CellError {
+  row: string
+  column: string
+  value: string
+  rule: string
+}
+
+/** Columns of a kind of line, in order. */
+export function columnsOf(kind: Kind): string[] {
+  return Object.keys(SCHEMAS[kind].shape)
+}
+
+/** All columns of all kinds, in the order of an exported sheet. */
+export function allColumns(): string[] {
+  return [...new Set(KINDS.flatMap(columnsOf))]
+}
+
+/** Splits `kind/name`; undefined when it is no such thing. */
+export function splitRow(row: string): { kind: Kind; name: string } | undefined {
+  const at = row.indexOf('/')
+  const kind = KINDS.find((each) => each === row.slice(0, at))
+  const name = row.slice(at + 1)
+  return kind && NAME_PATTERN.test(name) ? { kind, name } : undefined
+}
+
+/** Checks a whole table; every wrong cell is listed. */
+export function checkTable(raw: RawTable): Result<Table, CellError[]> {
+  const table: Table = { pools: new Map(), services: new Map(), waves: new Map() }
+  const errors: CellError[] = []
+  for (const [row, cells] of Object.entries(raw)) checkLine(table, errors, row, cells)
+  errors.push(...checkReferences(table))
+  return errors.length > 0 ? err(errors) : ok(table)
+}
+
+function checkLine(
+  table: Table,
+  errors: CellError[],
+  row: string,
+  cells: Record<string, string>,
+): void {
+  const parts = splitRow(row)
+  if (!parts) {
+    const rule = `pool, service or wave, a slash, and a name of a-z, 0-9 and dashes`
+    errors.push({ row, column: 'name', value: row, rule })
+    return
+  }
+  if (parts.kind === 'pool' && parts.name === RESERVE_POOL) {
+    const rule = `'${RESERVE_POOL}' is kept for VMs that no pool has`
+    errors.push({ row, column: 'name', value: parts.name, rule })
+    return
+  }
+  const checked = SCHEMAS[parts.kind].safeParse(cells)
+  if (!checked.success) {
+    errors.push(...checked.error.issues.flatMap((issue) => describe(row, cells, issue)))
+    return
+  }
+  const lines = { pool: table.pools, service: table.services, wave: table.waves }
+  const target = lines[parts.kind] as Map<string, unknown>
+  target.set(parts.name, checked.data)
+}
+
+function describe(
+  row: string,
+  cells: Record<string, string>,
+  issue: z.core.$ZodIssue,
+): CellError[] {
+  if (issue.code === 'unrecognized_keys') {
+    const kind = splitRow(row)?.kind ?? 'pool'
+    const rule = `a ${kind} has no such column; it has ${columnsOf(kind).join(', ')}`
+    return issue.keys.map((column) => ({ row, column, value: cells[column] ?? '', rule }))
+  }
+  const column = String(issue.path[0] ?? '')
+  const missing = cells[column] === undefined
+  const rule = missing ? 'a value is required' : issue.message
+  return [{ row, column, value: cells[column] ?? '', rule }]
+}
+
+function checkReferences(table: Table): CellError[] {
+  const errors: CellError[] = []
+  const rule = 'a pool of this table'
+  for (const [name, { pool }] of table.services) {
+    if (table.pools.has(pool)) continue
+    errors.push({ row: `service/${name}`, column: 'pool', value: pool, rule })
+  }
+  for (const [name, { pool }] of table.waves) {
+    if (table.pools.has(pool)) continue
+    errors.push({ row: `wave/${name}`, column: 'pool', value: pool, rule })
+  }
+  return errors
+}
--- /dev/null
+++ b/src/table/store.ts
@@ -0,0 +1,253 @@
+/**
+ * Drafts and accepts against the platform. An accept is one conditional transaction:
+ * it writes `tables/N+1`, moves `head` from N to N+1 and deletes the draft, so a draft
+ * that still stands was not accepted.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { commit, newOpId } from '../platform/index.js'
+import type { Platform, Row, Transaction } from '../platform/index.js'
+import { PlatformError, TableError } from '../shared/index.js'
+import type { CellConflict, CellEdit } from './merge.js'
+import { diffTables, mergeDraft } from './merge.js'
+import type { AcceptedTable, Draft, Head } from './records.js'
+import {
+  HEAD_KEY,
+  acceptedSchema,
+  draftKey,
+  draftSchema,
+  hashTable,
+  headSchema,
+  tableKey,
+} from './records.js'
+import { checkTable } from './schema.js'
+import type { CellError, RawTable } from './schema.js'
+
+/** Times that an accept is merged again after it lost a race. */
+const ACCEPT_ROUNDS = 8
+/** Most accepted tables that one call reads back. */
+const HISTORY_BATCH = 50
+
+type StoreError = PlatformError | TableError
+type StoreResult<T> = Promise<Result<T, StoreError>>
+
+/** What became of an accept. */
+export type AcceptOutcome =
+  | { kind: 'accepted'; epoch: number; acceptId: string; changes: CellEdit[] }
+  | { kind: 'refused'; errors: CellError[]; conflicts: CellConflict[] }
+  | { kind: 'nothing' }
+  | { kind: 'unknown'; acceptId: string; reason: string }
+
+/** A draft and the table it is based on. */
+export interface DraftView {
+  head: AcceptedTable | undefined
+  draft: Draft
+  /** Version of the draft's row; 0 when there is none yet. */
+  version: number
+}
+
+/** Operations of the command line on the table. */
+export interface TableStore {
+  /** The accepted table; undefined before the first accept. */
+  head(): StoreResult<AcceptedTable | undefined>
+  /** Accepted tables, newest first. */
+  history(count: number): StoreResult<AcceptedTable[]>
+  draft(editor: string): StoreResult<DraftView>
+  /** Adds edits to the editor's draft. */
+  edit(editor: string, edits: Omit<CellEdit, 'editor'>[]): StoreResult<Draft>
+  /** Throws the editor's draft away. */
+  discard(editor: string): StoreResult<void>
+  /** Merges, checks and accepts the draft. */
+  accept(editor: string): StoreResult<AcceptOutcome>
+  /** Finds out whether an accept took effect; undefined when it did not. */
+  findAccept(acceptId: string): StoreResult<AcceptedTable | undefined>
+}
+
+/** Creates the store. */
+export function createTableStore(platform: Platform): TableStore {
+  async function readValue<T>(
+    key: string,
+    schema: { safeParse(value: unknown): { success: boolean; data?: T | undefined } },
+  ): StoreResult<{ value: T; row: Row } | undefined> {
+    const rows = await platform.read([key])
+    if (rows.isErr()) return err(rows.error)
+    const row = rows.value.get(key)
+    if (!row) return ok(undefined)
+    const checked = schema.safeParse(row.value)
+    if (checked.success) return ok({ value: checked.data as T, row })
+    const props = { step: 'table.read', peer: key }
+    return err(new TableError(`row '${key}' has the wrong shape`, { props }))
+  }
+
+  async function readHead(): StoreResult<{ row: Row; table: AcceptedTable } | undefined> {
+    const head = await readValue<Head>(HEAD_KEY, headSchema)
+    if (head.isErr()) return err(head.error)
+    if (!head.value) return ok(undefined)
+    const { epoch } = head.value.value
+    const table = await readValue<AcceptedTable>(tableKey(epoch), acceptedSchema)
+    if (table.isErr()) return err(table.error)
+    if (table.value) return ok({ row: head.value.row, table: table.value.value })
+    const props = { step: 'table.read', peer: tableKey(epoch) }
+    return err(new TableError(`accepted table ${epoch} is missing`, { props }))
+  }
+
+  async function readTables(from: number, to: number): StoreResult<AcceptedTable[]> {
+    const tables: AcceptedTable[] = []
+    for (let start = from; start <= to; start += HISTORY_BATCH) {
+      const last = Math.min(to, start + HISTORY_BATCH - 1)
+      const keys = Array.from({ length: last - start + 1 }, (_, i) => tableKey(start + i))
+      const rows = await platform.read(keys)
+      if (rows.isErr()) return err(rows.error)
+      for (const key of keys) {
+        const checked = acceptedSchema.safeParse(rows.value.get(key)?.value)
+        if (checked.success) tables.push(checked.data)
+      }
+    }
+    return ok(tables)
+  }
+
+  async function readDraft(editor: string): StoreResult<DraftView> {
+    const head = await readHead()
+    if (head.isErr()) return err(head.error)
+    const found = await readValue<Draft>(draftKey(editor), draftSchema)
+    if (found.isErr()) return err(found.error)
+    const base = head.value?.table.epoch ?? 0
+    const draft = found.value?.value ?? { base, edits: [] }
+    const version = found.value?.row.version ?? 0
+    return ok({ head: head.value?.table, draft, version })
+  }
+
+  async function writeDraft(
+    editor: string,
+    draft: Draft | null,
+    version: number,
+  ): StoreResult<void> {
+    const write = { key: draftKey(editor), version, value: draft }
+    const tx = { opId: newOpId('draft'), writes: [write], guards: [] }
+    const outcome = await commit(platform, tx)
+    if (outcome.isErr()) return err(outcome.error)
+    if (outcome.value.committed) return ok(undefined)
+    const props = { step: 'table.draft', peer: draftKey(editor) }
+    const reason = `the draft of '${editor}' was changed at the same time; nothing was written`
+    return err(new TableError(reason, { props }))
+  }
+
+  async function acceptOnce(editor: string): StoreResult<AcceptOutcome | 'again'> {
+    const view = await readDraft(editor)
+    if (view.isErr()) return err(view.error)
+    const { draft, version } = view.value
+    if (draft.edits.length === 0) return ok({ kind: 'nothing' })
+    const headRow = await readHead()
+    if (headRow.isErr()) return err(headRow.error)
+    const head = headRow.value?.table
+    const since = await readTables(draft.base + 1, head?.epoch ?? 0)
+    if (since.isErr()) return err(since.error)
+    const others = since.value.flatMap((each) => each.changes)
+    const { merged, conflicts } = mergeDraft(head?.raw ?? {}, draft.edits, others)
+    const checked = checkTable(merged)
+    if (conflicts.length > 0 || checked.isErr()) {
+      const errors = checked.isErr() ? checked.error : []
+      return ok({ kind: 'refused', errors, conflicts })
+    }
+    const changes = diffTables(head?.raw ?? {}, merged, editor)
+    if (changes.length === 0) {
+      const discarded = await writeDraft(editor, null, version)
+      return discarded.map(() => ({ kind: 'nothing' as const }))
+    }
+    const acceptId = newOpId('accept')
+    const marked = await writeDraft(editor, { ...draft, accepting: acceptId }, version)
+    if (marked.isErr()) return err(marked.error)
+    const accepted = nextTable(head, merged, changes, editor, acceptId)
+    const headVersion = headRow.value?.row.version ?? 0
+    return settle(accepted, headVersion, editor, version + 1)
+  }
+
+  async function settle(
+    table: AcceptedTable,
+    headVersion: number,
+    editor: string,
+    draftVersion: number,
+  ): StoreResult<AcceptOutcome | 'again'> {
+    const { epoch, acceptId, hash, changes } = table
+    const tx: Transaction = {
+      opId: acceptId,
+      writes: [
+        { key: tableKey(epoch), version: 0, value: table },
+        { key: HEAD_KEY, version: headVersion, value: { epoch, acceptId, hash } },
+        { key: draftKey(editor), version: draftVersion, value: null },
+      ],
+      guards: [],
+    }
+    const outcome = await commit(platform, tx)
+    if (outcome.isErr() && outcome.error.failure === 'unknown') {
+      return ok({ kind: 'unknown', acceptId, reason: outcome.error.message })
+    }
+    if (outcome.isErr()) return err(outcome.error)
+    if (!outcome.value.committed) return ok('again')
+    return ok({ kind: 'accepted', epoch, acceptId, changes })
+  }
+
+  return {
+    async head() {
+      const head = await readHead()
+      return head.map((found) => found?.table)
+    },
+    async history(count) {
+      const head = await readHead()
+      if (head.isErr()) return err(head.error)
+      const last = head.value?.table.epoch ?? 0
+      const tables = await readTables(Math.max(1, last - count + 1), last)
+      return tables.map((list) => list.reverse())
+    },
+    draft: readDraft,
+    async edit(editor, edits) {
+      const view = await readDraft(editor)
+      if (view.isErr()) return err(view.error)
+      const { draft, version } = view.value
+      const added = edits.map((edit) => ({ ...edit, editor }))
+      const kept = draft.edits.filter(
+        (old) => !added.some((edit) => isSameCell(old, edit)),
+      )
+      const next: Draft = { base: draft.base, edits: [...kept, ...added] }
+      const written = await writeDraft(editor, next, version)
+      return written.map(() => next)
+    },
+    async discard(editor) {
+      const view = await readDraft(editor)
+      if (view.isErr()) return err(view.error)
+      if (view.value.version === 0) return ok(undefined)
+      return writeDraft(editor, null, view.value.version)
+    },
+    async accept(editor) {
+      for (let round = 0; round < ACCEPT_ROUNDS; round++) {
+        const outcome = await acceptOnce(editor)
+        if (outcome.isErr()) return err(outcome.error)
+        if (outcome.value !== 'again') return ok(outcome.value)
+      }
+      const props = { step: 'table.accept' }
+      return err(new TableError('lost every race; nothing was accepted', { props }))
+    },
+    async findAccept(acceptId) {
+      const head = await readHead()
+      if (head.isErr()) return err(head.error)
+      const tables = await readTables(1, head.value?.table.epoch ?? 0)
+      return tables.map((list) => list.find((each) => each.acceptId === acceptId))
+    },
+  }
+}
+
+function isSameCell(a: { row: string; column: string }, b: CellEdit): boolean {
+  return a.row === b.row && a.column === b.column
+}
+
+function nextTable(
+  head: AcceptedTable | undefined,
+  raw: RawTable,
+  changes: CellEdit[],
+  editor: string,
+  acceptId: string,
+): AcceptedTable {
+  const epoch = (head?.epoch ?? 0) + 1
+  const hash = hashTable(epoch, raw)
+  return { epoch, acceptId, hash, editor, at: new Date().toISOString(), raw, changes }
+}
