--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -3,7 +3,7 @@
  * process on loopback addresses. The playground and the end-to-end tests use it.
  */
 import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { threadId } from 'node:worker_threads'
 import { resolveConfig } from '../src/config/index.js'
 import type { ResolvedConfig, UserConfig } from '../src/config/index.js'
 import type { Kernel } from '../src/kernel/index.js'
@@ -68,18 +68,33 @@
   entries(): ClusterNode[]
   /** Adds or replaces cells and accepts the table, as an operator would. */
   accept(table: RawTable): Promise<number>
-  stopNode(id: string): Promise<void>
+  /** Stops a node as planned and starts a fresh one with the same settings. */
+  restartNode(id: string): Promise<void>
   stop(): Promise<void>
 }
 
 const PORT_STEP_HALL = 100
 const PORT_STEP_NODE = 10
 
-async function freePort(): Promise<number> {
+/** Ports below those that the system gives out itself, apart for each test thread. */
+const FIRST_FREE_PORT = 12_000
+const PORTS_PER_THREAD = 300
+const THREAD_SLOTS = 60
+let nextPort = FIRST_FREE_PORT + (threadId % THREAD_SLOTS) * PORTS_PER_THREAD
+
+async function canListen(port: number): Promise<boolean> {
   const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
-  const { port } = server.address() as AddressInfo
+  const listens = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false))
+    server.listen(port, HOST, () => resolve(true))
+  })
   await new Promise((resolve) => server.close(resolve))
+  return listens
+}
+
+async function freePort(): Promise<number> {
+  let port = nextPort++
+  while (!(await canListen(port))) port = nextPort++
   return port
 }
 
@@ -147,7 +162,7 @@
   const plans = await planNodes(opts)
   addVms(fleet, opts, plans)
   const port = opts.basePort ?? 0
-  const platform = await startPlatform({ fleet, host: HOST, port })
+  const platform = await startPlatform({ fleet, ledger, host: HOST, port })
   const accept = (table: RawTable) => acceptTable(platform.url, table)
   await accept(opts.table)
 
@@ -163,10 +178,10 @@
     nodes,
     entries: () => nodes.filter((node) => node.role === 'entry'),
     accept,
-    async stopNode(id) {
+    async restartNode(id) {
       const at = nodes.findIndex((node) => node.id === id)
-      const [node] = nodes.splice(at, 1)
-      await node?.kernel.stop()
+      await nodes[at]!.kernel.stop()
+      nodes[at] = await startNode(opts, plans[at]!, plans, platform.url)
     },
     async stop() {
       await Promise.all(nodes.map((node) => node.kernel.stop()))
--- a/playground/load.ts
+++ b/playground/load.ts
@@ -23,6 +23,8 @@
   /** Part of the requests that must not run twice. */
   unrepeatableShare: number
   bodyBytes: number
+  /** Request ids begin with it; choose another one for each run. */
+  idPrefix: string
   signal?: AbortSignal
 }
 
@@ -96,7 +98,7 @@
   const origin = pickOf(opts.urls)
   const service = pickOf(opts.services)
   const repeatable = random() >= opts.unrepeatableShare
-  const id = `load-${opts.seed}-${report.sent++}`
+  const id = `${opts.idPrefix}${report.sent++}`
   const record: CallRecord = { id, repeatable, outcome: 'unknown' }
   const startedAt = performance.now()
   try {
--- a/playground/main.ts
+++ b/playground/main.ts
@@ -8,9 +8,11 @@
 const BASE_PORT = 7000
 const SEED = 20261202
 const LIGHT_RATE = 20
+const SERVICES = ['timing', 'boards', 'esim']
 const LOAD_SLICE_S = 10
 
 const levels = process.env['RILLSHUNT_LOG'] === 'all' ? 'info' : 'warn'
+console.log('rillshunt playground: starting two data halls …')
 
 const cluster = await startCluster({
   halls: ['oslo-1', 'oslo-2'],
@@ -23,20 +25,25 @@
   settings: { requests: { drain_notice: '200ms' } },
   log: (node, hall) => createLogger({ level: levels, base: { node, hall } }),
 })
-await waitForService(cluster)
-printHints(cluster)
-
 const stopping = new AbortController()
-const load = keepLoading(cluster)
 process.once('SIGINT', () => stopping.abort())
 process.once('SIGTERM', () => stopping.abort())
-await load
+await waitForService(cluster)
+printHints(cluster)
+
+await keepLoading(cluster)
 console.log('\nstopping: requests in flight end first')
 await cluster.stop()
 console.log('stopped')
 
+/** Waits until every entry answers for every service. */
 async function waitForService(running: Cluster): Promise<void> {
-  const url = `${running.entries()[0]!.url}/timing/hello`
+  for (const entry of running.entries()) {
+    for (const service of SERVICES) await waitFor(`${entry.url}/${service}/hello`)
+  }
+}
+
+async function waitFor(url: string): Promise<void> {
   for (;;) {
     const res = await fetch(url).catch(() => undefined)
     await res?.text()
@@ -47,15 +54,16 @@
 
 async function keepLoading(running: Cluster): Promise<void> {
   const totals = { answered: 0, notRun: 0, unknown: 0 }
-  while (!stopping.signal.aborted) {
+  for (let slice = 0; !stopping.signal.aborted; slice++) {
     const report = await runLoad({
       urls: running.entries().map((entry) => entry.url),
-      services: ['timing', 'boards', 'esim'],
+      services: SERVICES,
       rate: LIGHT_RATE,
       seconds: LOAD_SLICE_S,
-      seed: SEED + totals.answered,
+      seed: SEED + slice,
       unrepeatableShare: 0.5,
       bodyBytes: 300,
+      idPrefix: `light-${slice}-`,
       signal: stopping.signal,
     })
     totals.answered += report.answered
--- a/playground/platform.ts
+++ b/playground/platform.ts
@@ -7,8 +7,10 @@
 import { serve } from '@hono/node-server'
 import { Hono } from 'hono'
 import type { Context } from 'hono'
+import { z } from 'zod'
 import type { ListedVm, Row, TaskSpec, Transaction } from '../src/platform/index.js'
 import type { SimFleet } from './fleet.js'
+import type { Ledger } from './target.js'
 
 /** Faults of the platform; all are off at first. */
 export interface PlatformFaults {
@@ -38,6 +40,8 @@
 /** Options of {@link startPlatform}. */
 export interface StandInOptions {
   fleet: SimFleet
+  /** What the targets ran, for the load tool. */
+  ledger?: Ledger
   host?: string
   port?: number
 }
@@ -50,6 +54,18 @@
   objects: Map<string, unknown>
 }
 
+const DEFAULT_DOWN_MS = 2000
+
+const faultsSchema = z
+  .strictObject({
+    outage: z.boolean(),
+    slowMs: z.number().min(0),
+    loseReplies: z.number().int().min(0),
+    listLagMs: z.number().min(0),
+    cut: z.array(z.string()),
+  })
+  .partial()
+
 /** Starts a platform with an empty table. */
 export async function startPlatform(opts: StandInOptions): Promise<StandInPlatform> {
   const { fleet } = opts
@@ -136,6 +152,25 @@
     return c.json({})
   })
 
+  app.get('/control/ledger', (c) => {
+    const prefix = c.req.query('prefix') ?? ''
+    const runs = [...(opts.ledger ?? [])].filter(([id]) => id.startsWith(prefix))
+    return c.json({ runs: Object.fromEntries(runs) })
+  })
+  app.put('/control/faults', async (c) => {
+    const checked = faultsSchema.safeParse(await c.req.json())
+    if (!checked.success) return c.json({ error: z.prettifyError(checked.error) }, 400)
+    const { cut, ...rest } = checked.data
+    Object.assign(faults, rest)
+    if (cut) faults.cut = new Set(cut)
+    return c.json({ ...faults, cut: [...faults.cut] })
+  })
+  app.post('/control/vms/:id/crash', async (c) => {
+    const downMs = Number(c.req.query('downMs') ?? DEFAULT_DOWN_MS)
+    await fleet.crash(c.req.param('id'), downMs)
+    return c.json({})
+  })
+
   function laggingList() {
     const now = Date.now()
     const last = lists.at(-1)
--- a/playground/target.ts
+++ b/playground/target.ts
@@ -22,6 +22,8 @@
   hangs: boolean
   /** Breaks every answer off in the middle. */
   breaksAnswers: boolean
+  /** Reads no request body before this. */
+  readsAfter: Promise<void> | undefined
 }
 
 /** A running target. */
@@ -62,6 +64,7 @@
     failsAll: false,
     hangs: false,
     breaksAnswers: false,
+    readsAfter: undefined,
     ...opts.behaviour,
   }
   const waiting: (() => void)[] = []
@@ -96,6 +99,7 @@
     await takeSlot()
     const id = String(req.headers[REQUEST_ID_HEADER] ?? '')
     ledger.set(id, (ledger.get(id) ?? 0) + 1)
+    await behaviour.readsAfter
     let received = 0
     for await (const chunk of req) received += (chunk as Buffer).length
     const ms = behaviour.meanMs === 0 ? 0 : exponential(opts.random, behaviour.meanMs)
--- /dev/null
+++ b/src/cli/explainCommand.ts
@@ -0,0 +1,78 @@
+/** `rillshunt explain KIND ID`: the story of a VM, job, wave or pool from the stored events. */
+import { Option } from 'clipanion'
+import { DECISIONS_PREFIX } from '../keeper/index.js'
+import type { StoredEvent } from '../keeper/index.js'
+import { EXIT } from '../shared/index.js'
+import { PlatformCommand, need } from './base.js'
+import type { Session } from './base.js'
+
+/** Which fields of an event can name the thing asked about. */
+const FIELDS_BY_KIND: Record<string, string[]> = {
+  vm: ['vm'],
+  job: ['job'],
+  wave: ['wave'],
+  pool: ['pool', 'from', 'to'],
+  service: ['service'],
+}
+/** Newest batches that are read. */
+const MAX_BATCHES = 500
+const READ_AT_ONCE = 20
+/** Fields that are told in their own columns. */
+const OWN_COLUMNS = new Set(['hall', 'node', 'component'])
+
+/** `explain KIND ID` */
+export class Explain extends PlatformCommand {
+  static override paths = [['explain']]
+  static override usage = PlatformCommand.Usage({
+    description: 'tell what happened to a vm, job, wave, pool or service, and why',
+    examples: [['a wave', 'rillshunt explain wave kernel']],
+  })
+  kind = Option.String()
+  id = Option.String()
+
+  async run(session: Session): Promise<number> {
+    const fields = FIELDS_BY_KIND[this.kind]
+    if (!fields) {
+      const kinds = Object.keys(FIELDS_BY_KIND).join(', ')
+      return this.fail(`'${this.kind}' is none of ${kinds}`, EXIT.usage)
+    }
+    const events = await readEvents(session)
+    const story = events.filter(({ fields: values }) =>
+      fields.some((field) => values[field] === this.id),
+    )
+    this.print(story, () => {
+      if (story.length === 0) return `nothing is known of ${this.kind} '${this.id}'`
+      const lines = story.map(({ at, event, text, fields: values }) => [
+        at,
+        String(values['hall']),
+        event,
+        text,
+        describe(values),
+      ])
+      return this.grid(['at', 'hall', 'event', 'what', 'why'], lines)
+    })
+    return story.length > 0 ? EXIT.ok : EXIT.failed
+  }
+}
+
+function describe(values: Record<string, unknown>): string {
+  return Object.entries(values)
+    .filter(([name, value]) => !OWN_COLUMNS.has(name) && value !== undefined)
+    .map(([name, value]) => `${name}: ${String(value)}`)
+    .join(', ')
+}
+
+async function readEvents({ platform }: Session): Promise<StoredEvent[]> {
+  const names = need(await platform.listObjects(DECISIONS_PREFIX))
+  const stampOf = (name: string) => name.split('/').at(-1) ?? ''
+  const newest = names
+    .sort((a, b) => (stampOf(a) < stampOf(b) ? -1 : 1))
+    .slice(-MAX_BATCHES)
+  const events: StoredEvent[] = []
+  for (let start = 0; start < newest.length; start += READ_AT_ONCE) {
+    const batch = newest.slice(start, start + READ_AT_ONCE)
+    const found = await Promise.all(batch.map((name) => platform.getObject(name)))
+    for (const result of found) events.push(...(need(result) as StoredEvent[]))
+  }
+  return events.sort((a, b) => (a.at < b.at ? -1 : 1))
+}
--- /dev/null
+++ b/src/config/__tests__/resolveConfig.spec.ts
@@ -0,0 +1,119 @@
+import { readFileSync } from 'node:fs'
+import fc from 'fast-check'
+import { describe, it } from '../../../test/describe.js'
+import { allowedKeys, parseConfig, printConfig } from '../index.js'
+import { configSchema } from '../schema.js'
+
+const GOOD = `
+[node]
+id = oslo-1-e1
+hall = oslo-1
+[platform]
+url = http://10.0.0.1:7000
+[peers]
+oslo-1-e2 = oslo-1 10.1.0.2:7082
+oslo-1-k1 = oslo-1 [fd00::1]:7082 keeper
+`
+
+const errorOf = (text: string) => parseConfig(text, 'e.ini')._unsafeUnwrapErr().message
+
+describe('parseConfig', () => {
+  it('fills in defaults and reads units', (t) => {
+    const cfg = parseConfig(
+      `${GOOD}[requests]\ndeadline = 2m\nbuffer_body = 1KiB\n`,
+    )._unsafeUnwrap()
+    t.is(cfg.requests.deadline, 120_000)
+    t.is(cfg.requests.buffer_body, 1024)
+    t.is(cfg.platform.poll, 1000)
+    t.is(cfg.peers['oslo-1-k1']?.role, 'keeper')
+  })
+
+  describe('errors name file, section, key and what is allowed', () => {
+    const cases: [string, string, RegExp][] = [
+      [
+        'an unknown key',
+        `${GOOD}[keeper]\nlese = 5s`,
+        /^e\.ini: \[keeper\] lese: unknown key; allowed: hosted, lease/,
+      ],
+      [
+        'an unknown section',
+        `${GOOD}[nodes]\nid = x`,
+        /^e\.ini: unknown section \[nodes\]; allowed: node/,
+      ],
+      [
+        'a wrong unit',
+        `${GOOD}[keeper]\nlease = 5 parsec`,
+        /\[keeper\] lease: '5 parsec' is not a duration with a unit \(ms, s, m, h\)/,
+      ],
+      [
+        'a missing unit',
+        `${GOOD}[keeper]\nlease = 5`,
+        /\[keeper\] lease: '5' is not a duration/,
+      ],
+      [
+        'a host name',
+        GOOD.replace('10.0.0.1', 'platform.local'),
+        /\[platform\] url: .* by IP number/,
+      ],
+      [
+        'a host name of a peer',
+        GOOD.replace('10.1.0.2', 'e2'),
+        /\[peers\] oslo-1-e2: .*such as oslo-1 10\.1\.0\.4:7082/,
+      ],
+      ['a missing key', GOOD.replace('hall = oslo-1', ''), /\[node\] hall: is required/],
+      [
+        'a key before any section',
+        `id = x\n${GOOD}`,
+        /key 'id' stands before any section/,
+      ],
+      [
+        'a number out of bounds',
+        `${GOOD}[listen]\nport = 70000`,
+        /\[listen\] port: '70000' is not a whole number from 0 to 65535/,
+      ],
+    ]
+    for (const [what, text, expected] of cases) {
+      it(what, (t) => {
+        t.regex(errorOf(text), expected)
+        t.is(errorOf(text).split('\n').length, 1)
+      })
+    }
+  })
+
+  it('never throws, whatever the text', (t) => {
+    const word = fc.constantFrom(
+      '[',
+      ']',
+      '=',
+      '\n',
+      'node',
+      'id',
+      '__proto__',
+      'peers',
+      '10ms',
+      '[]',
+    )
+    const text = fc.array(fc.oneof(word, fc.string())).map((parts) => parts.join(''))
+    fc.assert(fc.property(text, (ini) => typeof parseConfig(ini).isOk() === 'boolean'))
+    t.pass()
+  })
+})
+
+describe('printConfig', () => {
+  it('prints what reads back as the same settings', (t) => {
+    const cfg = parseConfig(GOOD)._unsafeUnwrap()
+    t.deepEqual(parseConfig(printConfig(cfg))._unsafeUnwrap(), cfg)
+  })
+})
+
+describe('docs/config.md', () => {
+  it('describes every key of every section', (t) => {
+    const page = readFileSync('docs/config.md', 'utf8')
+    for (const section of Object.keys(configSchema.shape)) {
+      t.true(page.includes(`## [${section}]`), section)
+      const part = page.split(`## [${section}]`)[1]!.split('\n## ')[0]!
+      const listed = [...part.matchAll(/^\| `(\w+)` +\|/gm)].map(([, key]) => key!)
+      t.deepEqual(listed.sort(), allowedKeys(section).sort(), section)
+    }
+  })
+})
--- /dev/null
+++ b/src/entry/__tests__/entry.spec.ts
@@ -0,0 +1,295 @@
+import { connect } from 'node:net'
+import { Readable } from 'node:stream'
+import type { ExecutionContext } from 'ava'
+import fc from 'fast-check'
+import { request } from 'undici'
+import { describe, it } from '../../../test/describe.js'
+import { startRig } from '../../../test/rig.js'
+import type { EntryRig } from '../../../test/rig.js'
+
+async function setUp(t: ExecutionContext, settings = {}): Promise<EntryRig> {
+  const rig = await startRig(settings)
+  t.teardown(() => rig.stop())
+  return rig
+}
+
+interface Reply {
+  status: number
+  outcome: string | undefined
+  body: string
+  headers: Record<string, string | string[] | undefined>
+}
+
+async function call(
+  rig: EntryRig,
+  path: string,
+  opts: Parameters<typeof request>[1] = {},
+): Promise<Reply> {
+  const res = await request(`${rig.url}${path}`, opts)
+  const body = await res.body.text()
+  const outcome = res.headers['rillshunt-outcome'] as string | undefined
+  return { status: res.statusCode, outcome, body, headers: res.headers }
+}
+
+describe('entry', () => {
+  describe('answers', () => {
+    it('passes a request to a target and its whole answer back', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1')
+      const reply = await call(rig, '/s/rank/1?x=2', { method: 'POST', body: 'abc' })
+      t.is(reply.status, 200)
+      t.is(reply.outcome, 'answered')
+      t.like(JSON.parse(reply.body) as object, {
+        url: '/rank/1?x=2',
+        method: 'POST',
+        received: 3,
+      })
+    })
+
+    it('streams a large body with backpressure, so that it is never held', async (t) => {
+      const rig = await setUp(t)
+      let letRead = () => {}
+      const readsAfter = new Promise<void>((resolve) => (letRead = resolve))
+      await rig.addTarget('v1', { readsAfter })
+      const chunk = Buffer.alloc(1024 * 1024)
+      const chunks = 128
+      let sent = 0
+      const body = Readable.from(
+        (function* () {
+          for (; sent < chunks; sent++) yield chunk
+        })(),
+      )
+      const reply = call(rig, '/s/replay', { method: 'POST', body })
+      // The caller stalls once the buffers of the sockets are full.
+      for (let before = -1; before !== sent || sent === 0;) {
+        before = sent
+        await new Promise((resolve) => setTimeout(resolve, 200))
+      }
+      t.true(sent < chunks / 2, `${sent} MB were taken before the target read any`)
+      letRead()
+      t.like(JSON.parse((await reply).body) as object, {
+        received: chunks * chunk.length,
+      })
+    })
+
+    it('makes an answer that breaks off visibly broken, and does not try again', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1', { breaksAnswers: true })
+      await t.throwsAsync(
+        call(rig, '/s/x', { headers: { 'rillshunt-request-id': 'r1' } }),
+      )
+      t.is(rig.ledger.get('r1'), 1)
+    })
+
+    it('answers HEAD without a body', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1')
+      const reply = await call(rig, '/s/x', { method: 'HEAD' })
+      t.is(reply.status, 200)
+      t.is(reply.body, '')
+    })
+  })
+
+  describe('not run', () => {
+    it('for an unknown service, a wrong header and a missing target', async (t) => {
+      const rig = await setUp(t)
+      t.like(await call(rig, '/nope/x'), { status: 404, outcome: 'not-run' })
+      t.like(await call(rig, '/'), { status: 400, outcome: 'not-run' })
+      const headers = { 'rillshunt-repeatable': 'maybe' }
+      t.like(await call(rig, '/s/x', { headers }), { status: 400, outcome: 'not-run' })
+      const none = await call(rig, '/s/x')
+      t.like(none, { status: 503, outcome: 'not-run' })
+      t.is(none.headers['retry-after'], '1')
+    })
+
+    it('when nobody listens at the target, and another target is tried', async (t) => {
+      const rig = await setUp(t, { requests: { retry_share: '1' } })
+      const { target } = await rig.addTarget('v1')
+      await target.kill()
+      const headers = { 'rillshunt-request-id': 'r1' }
+      t.like(await call(rig, '/s/x', { method: 'POST', body: 'x', headers }), {
+        status: 503,
+        outcome: 'not-run',
+      })
+      t.is(rig.ledger.get('r1'), undefined)
+      await rig.addTarget('v2')
+      for (let i = 0; i < 5; i++) t.like(await call(rig, '/s/x'), { outcome: 'answered' })
+    })
+
+    it('when the deadline passes while it waits for a slot', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1', { hangs: true })
+      const hanging = Array.from({ length: 8 }, () =>
+        call(rig, '/s/x', { headers: { 'rillshunt-deadline-ms': '2000' } }).catch(
+          () => undefined,
+        ),
+      )
+      await rig.until(() => rig.kernel.get('router').loads()[0]?.inFlight === 8)
+      const headers = { 'rillshunt-deadline-ms': '50', 'rillshunt-request-id': 'late' }
+      t.like(await call(rig, '/s/x', { headers }), { status: 504, outcome: 'not-run' })
+      t.is(rig.ledger.get('late'), undefined)
+      await Promise.all(hanging)
+    })
+  })
+
+  describe('unknown', () => {
+    it('when the target dies after the body was sent; an unrepeatable one is not sent again', async (t) => {
+      const rig = await setUp(t, { requests: { retry_share: '1' } })
+      const { target } = await rig.addTarget('v1', { hangs: true })
+      const headers = { 'rillshunt-request-id': 'r1' }
+      const reply = call(rig, '/s/x', { method: 'POST', body: 'x', headers })
+      await rig.until(() => rig.ledger.get('r1') === 1)
+      await rig.addTarget('v2')
+      await target.kill()
+      t.like(await reply, { status: 502, outcome: 'unknown' })
+      t.is(rig.ledger.get('r1'), 1)
+    })
+
+    it('but a repeatable one is tried at another target', async (t) => {
+      const rig = await setUp(t, { requests: { retry_share: '1' } })
+      const { target } = await rig.addTarget('v1', { hangs: true })
+      const headers = { 'rillshunt-request-id': 'r1' }
+      const reply = call(rig, '/s/x', { headers })
+      await rig.until(() => rig.ledger.get('r1') === 1)
+      await rig.addTarget('v2')
+      await target.kill()
+      t.like(await reply, { status: 200, outcome: 'answered' })
+      t.is(rig.ledger.get('r1'), 2)
+    })
+
+    it('when the deadline passes after sending', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1', { hangs: true })
+      const headers = { 'rillshunt-deadline-ms': '100' }
+      t.like(await call(rig, '/s/x', { headers }), { status: 504, outcome: 'unknown' })
+    })
+  })
+
+  describe('leaving targets', () => {
+    it('get no new work once their row says so, and finish what they have', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1', { meanMs: 200 })
+      const headers = { 'rillshunt-request-id': 'r1' }
+      const running = call(rig, '/s/x', { headers })
+      await rig.until(() => rig.ledger.has('r1'))
+      await rig.setVm('v1', { state: 'leaving', generation: 2 })
+      t.like(await call(rig, '/s/x'), { status: 503, outcome: 'not-run' })
+      t.deepEqual(rig.kernel.get('view').leaving()[0]?.vm, 'v1')
+      t.like(await running, { status: 200 })
+    })
+
+    it('get no new work once they say so themselves, with the platform away', async (t) => {
+      const rig = await setUp(t)
+      const { target } = await rig.addTarget('v1')
+      rig.standIn.faults.outage = true
+      target.drain()
+      await rig.until(() => rig.kernel.get('view').targets('s')[0]?.draining === true)
+      t.like(await call(rig, '/s/x'), { status: 503, outcome: 'not-run' })
+    })
+  })
+
+  describe('identity', () => {
+    it('sends nothing to another incarnation at the same address', async (t) => {
+      const rig = await setUp(t)
+      const { target } = await rig.addTarget('v1')
+      t.like(await call(rig, '/s/x'), { status: 200 })
+      const port = Number(target.address.split(':')[1])
+      await target.kill()
+      // The rows still name the first incarnation; the address now belongs to the second.
+      const { startTarget } = await import('../../../playground/target.js')
+      const other = await startTarget({
+        vm: 'v1',
+        incarnation: 'v1.2',
+        job: 'other',
+        service: 's',
+        slots: 8,
+        host: '127.0.0.1',
+        port,
+        random: () => 0,
+        ledger: rig.ledger,
+        behaviour: { meanMs: 0 },
+      })
+      t.teardown(() => other.kill())
+      const before = [...rig.ledger.values()].length
+      for (let i = 0; i < 3; i++) t.like(await call(rig, '/s/x'), { outcome: 'not-run' })
+      t.is([...rig.ledger.values()].length, before)
+      t.true(rig.events.some(({ name }) => name === 'identityMismatch'))
+    })
+  })
+
+  describe('planned stop', () => {
+    it('lets requests in flight end', async (t) => {
+      const rig = await startRig()
+      await rig.addTarget('v1', { meanMs: 100 })
+      const ids = Array.from({ length: 8 }, (_, i) => `r${i}`)
+      const replies = ids.map((id) =>
+        call(rig, '/s/x', { headers: { 'rillshunt-request-id': id } }),
+      )
+      await rig.until(() => ids.every((id) => rig.ledger.has(id)))
+      const stopped = rig.stop()
+      for (const reply of await Promise.all(replies))
+        t.like(reply, { outcome: 'answered' })
+      await stopped
+    })
+
+    it('tells the balancer first', async (t) => {
+      const rig = await startRig({ requests: { drain_notice: '300ms' } })
+      t.is((await request(`${rig.opsUrl}/readyz`)).statusCode, 200)
+      const stopped = rig.stop()
+      await rig.until(
+        async () => (await request(`${rig.opsUrl}/readyz`)).statusCode === 503,
+      )
+      t.like(await call(rig, '/s/x'), { status: 503 })
+      await stopped
+    })
+  })
+
+  describe('operational face', () => {
+    it('gives metrics', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1')
+      await call(rig, '/s/x')
+      const text = await (await request(`${rig.opsUrl}/metrics`)).body.text()
+      t.regex(text, /rillshunt_requests_total\{service="s",outcome="answered"\} 1/)
+    })
+  })
+
+  describe('hostile input', () => {
+    it('gets an answer or a closed connection, and the entry goes on serving', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1')
+      const { port } = rig.kernel.get('front').address
+      const line = fc.constantFrom(
+        'GET /s/x HTTP/1.1',
+        'POST /s/x HTTP/1.1',
+        'Host: a',
+        'Content-Length: 5',
+        'Content-Length: -1',
+        'Transfer-Encoding: chunked',
+        'Rillshunt-Request-Id: \u0001',
+        'Rillshunt-Deadline-Ms: 1e9',
+        '',
+        'zz',
+        '5',
+      )
+      const text = fc.array(fc.oneof(line, fc.string()), { maxLength: 8 })
+      await fc.assert(
+        fc.asyncProperty(text, async (lines) => {
+          await sendRaw(port, `${lines.join('\r\n')}\r\n\r\n`)
+        }),
+        { numRuns: 60 },
+      )
+      t.like(await call(rig, '/s/x'), { status: 200, outcome: 'answered' })
+    })
+  })
+})
+
+/** Sends bytes, half-closes, and waits until the connection has ended. */
+function sendRaw(port: number, text: string): Promise<void> {
+  return new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => socket.end(text, 'latin1'))
+    socket.resume()
+    socket.on('error', () => {})
+    socket.on('close', () => resolve())
+  })
+}
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -32,6 +32,7 @@
     const res = c.env.outgoing as ServerResponse
     if (stopping) res.setHeader('connection', 'close')
     await router.serve(req, res)
+    if (stopping) endConnection(req, res)
     return RESPONSE_ALREADY_SENT
   })
   const server = await listen(app, host, port)
@@ -52,6 +53,12 @@
   }
 }
 
+/** Closes a kept-alive connection once its answer has been handed to the socket. */
+function endConnection(req: IncomingMessage, res: ServerResponse): void {
+  if (res.writableFinished) req.socket.destroySoon()
+  else res.once('finish', () => req.socket.destroySoon())
+}
+
 /** Starts a hono application on an address; rejects when it cannot be opened. */
 export function listen(
   app: { fetch: Parameters<typeof serve>[0]['fetch'] },
--- a/src/entry/target.ts
+++ b/src/entry/target.ts
@@ -1,7 +1,7 @@
 /** One target as this entry sees it: counts, health, exclusion. One task watches each. */
 import type { Client } from 'undici'
 import type { Result } from 'neverthrow'
-import { monotonicMs, sleep } from '../shared/index.js'
+import { createStopController, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, RillshuntError } from '../shared/index.js'
 import { EXCLUDE_AFTER_FAILURES, EXCLUDE_BASE_MS, EXCLUDE_CAP_MS } from './constants.js'
 import { createTargetConnections } from './targetConnection.js'
@@ -48,7 +48,7 @@
 /** Creates a target and starts its health task. */
 export function createTarget(opts: TargetOptions): Target {
   const { identity, log } = opts
-  const stopping = new AbortController()
+  const stopping = createStopController()
   let exclusions = 0
 
   const connections = createTargetConnections({
--- a/src/entry/targetView.ts
+++ b/src/entry/targetView.ts
@@ -3,10 +3,17 @@
  * platform's list. A target gets new work only while all sources allow it.
  */
 import type { ResolvedConfig } from '../config/index.js'
-import { jobPrefix, jobRowSchema, vmKey, vmPrefix, vmRowSchema } from '../fleet/index.js'
+import {
+  jobPrefix,
+  jobRowSchema,
+  servesWork,
+  vmKey,
+  vmPrefix,
+  vmRowSchema,
+} from '../fleet/index.js'
 import type { JobRow, VmRow } from '../fleet/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
-import { sleep } from '../shared/index.js'
+import { createStopController, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import type { TableHolder } from '../table/index.js'
 import { createTarget, takesWork } from './target.js'
@@ -43,7 +50,7 @@
   const byJob = new Map<string, Target>()
   const byService = new Map<string, Target[]>()
   const listeners = new Set<() => void>()
-  const stopping = new AbortController()
+  const stopping = createStopController()
   /** Targets without a row that still run requests of this entry. */
   const removed = new Set<Target>()
   let listedLeaving = new Set<string>()
@@ -116,8 +123,8 @@
     const vm = checked && vmOf(checked)
     const active =
       checked?.state === 'running' &&
-      vm?.state === 'active' &&
-      vm.incarnation === target.incarnation
+      servesWork(vm) &&
+      vm?.incarnation === target.incarnation
     if (target.active && !active) {
       const { job, vm: id, service } = target
       log.event('targetLeaving', {
@@ -179,7 +186,7 @@
       for (const [key, row] of rows.rows) {
         if (!key.startsWith(vmPrefix(hall))) continue
         const vm = vmRowSchema.safeParse(row.value)
-        if (!vm.success || vm.data.state === 'active') continue
+        if (!vm.success || servesWork(vm.data)) continue
         const { id, generation } = vm.data
         leaving.push({ vm: id, generation, inFlight: counts.get(id) ?? 0 })
       }
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -12,7 +12,7 @@
   wave: z.string().optional(),
   /** Incarnation before a reboot. */
   fromIncarnation: z.string(),
-  /** Services whose budget is taken by this operation. */
+  /** Services with an instance that the operation takes away, once per instance. */
   services: z.array(z.string()),
 })
 export type Operation = z.infer<typeof operationSchema>
@@ -27,16 +27,21 @@
   generation: z.number().int().min(1),
   incarnation: z.string(),
   /**
-   * `active` takes work, `leaving` finishes what it has, `away` is restarting,
-   * `gone` is not on the platform's list.
+   * `active` takes work; `evacuating` still does while its jobs are replaced elsewhere;
+   * `leaving` finishes what it has; `away` is restarting; `gone` is off the list.
    */
-  state: z.enum(['active', 'leaving', 'away', 'gone']),
+  state: z.enum(['active', 'evacuating', 'leaving', 'away', 'gone']),
   cpus: z.number(),
   memoryGb: z.number(),
   operation: operationSchema.optional(),
 })
 export type VmRow = z.infer<typeof vmRowSchema>
 
+/** Whether targets on the VM may get new work. */
+export function servesWork(vm: VmRow | undefined): boolean {
+  return vm?.state === 'active' || vm?.state === 'evacuating'
+}
+
 /** Contents of `jobs/<hall>/<id>`: one attempt to run a service's instance on a VM. */
 export const jobRowSchema = z.object({
   /** Also the task id at the platform; never used twice. */
@@ -99,9 +104,11 @@
 })
 export type HallRow = z.infer<typeof hallRowSchema>
 
-export const vmPrefix = (hall: string): string => `vms/${hall}/`
+export const VM_ROOT = 'vms/'
+export const vmPrefix = (hall: string): string => `${VM_ROOT}${hall}/`
 export const vmKey = (hall: string, id: string): string => `${vmPrefix(hall)}${id}`
-export const jobPrefix = (hall: string): string => `jobs/${hall}/`
+export const JOB_ROOT = 'jobs/'
+export const jobPrefix = (hall: string): string => `${JOB_ROOT}${hall}/`
 export const jobKey = (hall: string, id: string): string => `${jobPrefix(hall)}${id}`
 export const leaseKey = (hall: string): string => `leases/${hall}`
 export const waveKey = (wave: string, hall: string): string => `waves/${wave}/${hall}`
--- /dev/null
+++ b/src/keeper/__tests__/lease.spec.ts
@@ -0,0 +1,91 @@
+import type { ExecutionContext } from 'ava'
+import { describe, it } from '../../../test/describe.js'
+import { createSimFleet } from '../../../playground/fleet.js'
+import { startPlatform } from '../../../playground/platform.js'
+import { createRandom } from '../../../playground/random.js'
+import { commit, createHttpPlatform, newOpId } from '../../platform/index.js'
+import { createMemoryLogger, createMetrics } from '../../shared/index.js'
+import { createLease } from '../lease.js'
+
+async function setUp(t: ExecutionContext) {
+  const fleet = createSimFleet({
+    host: '127.0.0.1',
+    random: createRandom(1),
+    ledger: new Map(),
+  })
+  const standIn = await startPlatform({ fleet })
+  const platform = createHttpPlatform({ url: standIn.url, timeoutMs: 2000, node: 'test' })
+  t.teardown(async () => {
+    await platform.close()
+    await standIn.close()
+  })
+  const keeper = (holder: string, now: () => number = () => performance.now()) =>
+    createLease({
+      platform,
+      hall: 'h',
+      holder,
+      ttlMs: 300,
+      log: createMemoryLogger(),
+      metrics: createMetrics(),
+      now,
+    })
+  return { platform, standIn, keeper }
+}
+
+async function until(check: () => boolean): Promise<void> {
+  while (!check()) await new Promise((resolve) => setTimeout(resolve, 5))
+}
+
+const write = (key: string) => ({ key, version: 0, value: 1 })
+
+describe('createLease', () => {
+  it('lets one of two keepers hold it, and gives it on at a planned stop', async (t) => {
+    const { keeper } = await setUp(t)
+    const a = keeper('a')
+    await until(() => a.fence() !== undefined)
+    const b = keeper('b')
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    t.is(b.fence(), undefined)
+    await a.stop()
+    await until(() => b.fence() !== undefined)
+    t.is(b.fence(), 2)
+    await b.stop()
+  })
+
+  it('refuses the write of a keeper that was paused past its lease', async (t) => {
+    const { platform, keeper } = await setUp(t)
+    // Its clock stands still, so it goes on believing that it holds the lease.
+    const a = keeper('a', () => 0)
+    await until(() => a.fence() !== undefined)
+    const fence = a.fence()!
+    // Written as a successor would, again until it falls between two renewals.
+    for (let taken = false; !taken;) {
+      const row = (await platform.read(['leases/h']))._unsafeUnwrap().get('leases/h')!
+      const value = { holder: 'b', fence: fence + 1, ttlMs: 300, renewedAt: '' }
+      const writes = [{ key: row.key, version: row.version, value }]
+      const outcome = await commit(platform, { opId: newOpId('b'), writes, guards: [] })
+      taken = outcome._unsafeUnwrap().committed
+    }
+    const late = await commit(platform, {
+      opId: 'late',
+      writes: [write('x')],
+      guards: [a.guard(fence)],
+    })
+    t.deepEqual(late._unsafeUnwrap(), { committed: false, failedKey: 'leases/h' })
+    await a.stop()
+  })
+
+  it('is lost by its own clock in an outage, and taken by another after it', async (t) => {
+    const { standIn, keeper } = await setUp(t)
+    const a = keeper('a')
+    await until(() => a.fence() !== undefined)
+    standIn.faults.cut.add('test')
+    await until(() => a.fence() === undefined)
+    standIn.faults.cut.clear()
+    await a.stop()
+    const b = keeper('b')
+    await until(() => b.fence() !== undefined)
+    t.true(b.fence()! >= 2)
+    await b.stop()
+  })
+})
--- /dev/null
+++ b/src/keeper/budgets.ts
@@ -0,0 +1,58 @@
+/** How many instances of a service are away, and whether more may go. */
+import { servesWork } from '../fleet/index.js'
+import type { BudgetRow, JobRow, VmRow } from '../fleet/index.js'
+import type { ServiceLine, Table } from '../table/index.js'
+
+/** What budgets are worked out from. */
+export interface BudgetInput {
+  table: Table
+  /** VMs and jobs of the own hall. */
+  vms: readonly VmRow[]
+  jobs: readonly JobRow[]
+  /** Budgets of all halls, by service. */
+  budgets: ReadonlyMap<string, BudgetRow>
+  hall: string
+}
+
+/**
+ * Why the budgets forbid taking these instances away; undefined when they allow it.
+ * @param services one entry per instance.
+ */
+export function budgetShortage(
+  input: BudgetInput,
+  services: readonly string[],
+): string | undefined {
+  for (const service of new Set(services)) {
+    const line = input.table.services.get(service)
+    if (!line) continue
+    const wanted = services.filter((each) => each === service).length
+    const out = instancesOut(input, service, line)
+    if (out + wanted <= line.budget) continue
+    return `'${service}' has ${out} of its budget of ${line.budget} away`
+  }
+  return undefined
+}
+
+/**
+ * Instances away now: those that any hall has taken out, and those of this hall that
+ * are missing for another reason.
+ */
+export function instancesOut(
+  input: BudgetInput,
+  service: string,
+  line: ServiceLine,
+): number {
+  const planned = input.budgets.get(service)?.out ?? []
+  const total = planned.reduce((sum, each) => sum + each.count, 0)
+  const here = planned
+    .filter((each) => each.hall === input.hall)
+    .reduce((sum, each) => sum + each.count, 0)
+  const vms = new Map(input.vms.map((vm) => [vm.id, vm]))
+  const available = input.jobs.filter((job) => {
+    const vm = vms.get(job.vm)
+    const serves = servesWork(vm) && vm?.incarnation === job.incarnation
+    return job.service === service && job.state === 'running' && serves
+  }).length
+  const missing = Math.max(0, line.instances - available)
+  return total + Math.max(0, missing - here)
+}
--- a/src/keeper/decisionLog.ts
+++ b/src/keeper/decisionLog.ts
@@ -4,7 +4,7 @@
  */
 import { nanoid } from 'nanoid'
 import type { Platform } from '../platform/index.js'
-import { EVENTS, sleep } from '../shared/index.js'
+import { createStopController, EVENTS, sleep } from '../shared/index.js'
 import type { EventFields, EventName, Logger } from '../shared/index.js'
 
 const FLUSH_INTERVAL_MS = 2000
@@ -38,7 +38,7 @@
   node: string,
 ): DecisionLog {
   let pending: StoredEvent[] = []
-  const stopping = new AbortController()
+  const stopping = createStopController()
 
   const wrap = (inner: Logger, extra: EventFields): Logger => ({
     ...inner,
--- a/src/keeper/fleetState.ts
+++ b/src/keeper/fleetState.ts
@@ -110,13 +110,3 @@
   for (const { value } of state.jobs.values()) if (value.vm === vm) jobs.push(value)
   return jobs
 }
-
-/** Whether the job serves now: it runs on an active VM of the same incarnation. */
-export function isAvailable(state: FleetState, job: JobRow): boolean {
-  const vm = state.vms.get(job.vm)?.value
-  return (
-    job.state === 'running' &&
-    vm?.state === 'active' &&
-    vm.incarnation === job.incarnation
-  )
-}
--- a/src/keeper/keeper.ts
+++ b/src/keeper/keeper.ts
@@ -7,29 +7,28 @@
 import type { VmRow } from '../fleet/index.js'
 import type { ListedVm, Platform, RowWatch, RowWrite, Task } from '../platform/index.js'
 import type { PeerNetwork } from '../peer/index.js'
-import { describeError, monotonicMs, sleep } from '../shared/index.js'
+import {
+  createStopController,
+  describeError,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import { RESERVE_POOL } from '../table/index.js'
 import type { TableHolder } from '../table/index.js'
 import { createEntryAcks } from './acks.js'
 import { writeUnderLease } from './context.js'
 import type { KeeperContext } from './context.js'
-import { jobsOn, readFleetState } from './fleetState.js'
+import { readFleetState } from './fleetState.js'
 import type { FleetState } from './fleetState.js'
 import { publishHallStatus } from './hallStatus.js'
 import { runJob, writeStarts, writeStops } from './jobs.js'
 import { createLease } from './lease.js'
-import {
-  newWaveRow,
-  runOperation,
-  servicesOn,
-  startMaintenance,
-  startMove,
-} from './operations.js'
+import { newWaveRow, runOperation, startMaintenance, startMove } from './operations.js'
 import { planJobs } from './placement.js'
 import type { JobDecision } from './placement.js'
 import { planPools } from './pools.js'
-import { instancesOut, planWaves } from './waves.js'
+import { countJobs, maintainedVms, planWaves, poolsInWave, waveInput } from './waves.js'
 
 /** Pause after a failed start of a service's instance, in ms; it grows with each failure. */
 const FAILED_START_PAUSE_MS = 5000
@@ -64,7 +63,7 @@
 /** Starts the keeper's tasks. */
 export function createKeeper(opts: KeeperOptions): Keeper {
   const { hall, holder, platform, rows, table, peers, log, metrics } = opts
-  const stopping = new AbortController()
+  const stopping = createStopController()
   const working = new Map<string, Promise<void>>()
   const failedStarts = new Map<string, { count: number; until: number }>()
   const missingSince = new Map<string, number>()
@@ -183,57 +182,27 @@
   }
 
   async function decidePools(fence: number, state: FleetState): Promise<void> {
-    const vms = [...state.vms.values()].map((each) => each.value)
-    const moves = planPools(state.table, vms, (vm) => jobsOn(state, vm).length)
-    for (const move of moves) {
+    const input = waveInput(state)
+    const counts = countJobs(input.jobs)
+    const count = (vm: string) => counts.get(vm) ?? 0
+    for (const move of planPools(state.table, input.vms, count, poolsInWave(input))) {
       const now = ctx.state()
       if (!now) return
-      const shortage = budgetShortage(now, servicesOn(now, move.vm))
-      if (shortage !== undefined) {
-        noteHeld(`move ${move.vm}`, shortage)
-        continue
-      }
       log.event('vmMoveStarted', { ...move })
       await startMove(ctx, fence, now, move.vm, move.to)
     }
   }
 
-  function budgetShortage(state: FleetState, services: string[]): string | undefined {
-    const input = waveInput(state)
-    for (const service of new Set(services)) {
-      const line = state.table.services.get(service)!
-      const wanted = services.filter((each) => each === service).length
-      const out = instancesOut(input, service, line)
-      if (out + wanted > line.budget) {
-        return `'${service}' has ${out} of its budget of ${line.budget} away`
-      }
-    }
-    return undefined
-  }
-
-  function waveInput(state: FleetState) {
-    const values = <T>(map: Map<string, { value: T }>) =>
-      new Map([...map].map(([key, each]) => [key, each.value]))
-    return {
-      table: state.table,
-      vms: [...values(state.vms).values()],
-      jobs: [...values(state.jobs).values()],
-      waves: values(state.waves),
-      budgets: values(state.budgets),
-      hall,
-    }
-  }
-
   async function decideWaves(fence: number, state: FleetState): Promise<void> {
     for (const decision of planWaves(waveInput(state))) {
       const now = ctx.state()
       if (!now) return
       const { wave } = decision
       if (decision.kind === 'hold') {
-        noteHeld(`wave ${wave}`, decision.reason, wave)
+        noteHeld(wave, decision.reason)
         continue
       }
-      held.delete(`wave ${wave}`)
+      held.delete(wave)
       if (decision.kind === 'finish') {
         await finishWave(fence, now, wave)
         continue
@@ -252,17 +221,20 @@
     log.event('waveDone', { wave, done: value.done.length })
   }
 
-  /** Logs why something is not started, once per reason. */
-  function noteHeld(what: string, reason: string, wave?: string): void {
-    if (held.get(what) === reason) return
-    held.set(what, reason)
-    log.event('waveHeld', { what, wave, reason })
+  /** Logs why a wave does not go on, once per reason. */
+  function noteHeld(wave: string, reason: string): void {
+    if (held.get(wave) === reason) return
+    held.set(wave, reason)
+    log.event('waveHeld', { wave, reason })
   }
 
   async function decideJobs(fence: number, state: FleetState): Promise<void> {
-    const vms = [...state.vms.values()].map((each) => each.value)
-    const jobs = [...state.jobs.values()].map((each) => each.value)
-    const decisions = planJobs(state.table, vms, jobs)
+    const input = waveInput(state)
+    const decisions = planJobs({
+      ...input,
+      maintained: maintainedVms(input),
+      inWave: poolsInWave(input),
+    })
     const ofKind = <K extends JobDecision['kind']>(kind: K) =>
       decisions.filter(
         (each): each is Extract<JobDecision, { kind: K }> => each.kind === kind,
--- a/src/keeper/lease.ts
+++ b/src/keeper/lease.ts
@@ -8,7 +8,7 @@
 import type { LeaseRow } from '../fleet/index.js'
 import { commit, newOpId } from '../platform/index.js'
 import type { Platform, Row, RowGuard } from '../platform/index.js'
-import { monotonicMs, sleep } from '../shared/index.js'
+import { createStopController, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 
 /** Renewals per term. */
@@ -50,7 +50,7 @@
   const { platform, hall, holder, ttlMs, log, metrics } = opts
   const now = opts.now ?? monotonicMs
   const key = leaseKey(hall)
-  const stopping = new AbortController()
+  const stopping = createStopController()
   let held: { fence: number; until: number } | undefined
   let seen = { version: -1, at: 0 }
 
--- a/src/keeper/operations.ts
+++ b/src/keeper/operations.ts
@@ -10,14 +10,16 @@
 import { inFlightOnVm } from './acks.js'
 import { writeUnderLease } from './context.js'
 import type { KeeperContext } from './context.js'
-import { isAvailable, jobsOn } from './fleetState.js'
+import { jobsOn } from './fleetState.js'
 import type { FleetState, Versioned } from './fleetState.js'
+import { budgetShortage } from './budgets.js'
+import { waveInput } from './waves.js'
 
 /** Why an operation task ended without finishing; the next round starts it again. */
 const INTERRUPTED = Symbol('interrupted')
 type Step<T = void> = Promise<T | typeof INTERRUPTED>
 
-/** Starts to take a VM out of its pool for good. */
+/** Starts to move a VM to another pool. */
 export function startMove(
   ctx: KeeperContext,
   fence: number,
@@ -26,12 +28,9 @@
   toPool: string,
 ): Promise<boolean> {
   const vm = state.vms.get(vmId)!
-  const services = servicesOn(state, vmId)
-  const fromIncarnation = vm.value.incarnation
-  const id = newOpId('move')
-  const operation: Operation = { id, kind: 'move', toPool, fromIncarnation, services }
-  const writes = [leaveWrite(vm, operation), ...takeBudgets(state, vm.value, operation)]
-  return writeUnderLease(ctx, fence, 'startMove', writes, id)
+  const operation = newOperation(vm.value, { kind: 'move', toPool })
+  const writes = [evacuateWrite(vm, operation)]
+  return writeUnderLease(ctx, fence, 'startMove', writes, operation.id)
 }
 
 /** Starts to maintain a VM as a step of a wave. */
@@ -43,19 +42,23 @@
   wave: string,
 ): Promise<boolean> {
   const vm = state.vms.get(vmId)!
-  const services = servicesOn(state, vmId)
-  const fromIncarnation = vm.value.incarnation
-  const id = newOpId('maintain')
-  const operation: Operation = { id, kind: 'maintain', wave, fromIncarnation, services }
+  const operation = newOperation(vm.value, { kind: 'maintain', wave })
   const row = state.waves.get(wave)
   const before = row?.value ?? newWaveRow(wave, ctx.hall)
   const value: WaveRow = { ...before, doing: [...before.doing, vmId] }
   const writes = [
-    leaveWrite(vm, operation),
+    evacuateWrite(vm, operation),
     { key: waveKey(wave, ctx.hall), version: row?.version ?? 0, value },
-    ...takeBudgets(state, vm.value, operation),
   ]
-  return writeUnderLease(ctx, fence, 'startMaintenance', writes, id)
+  return writeUnderLease(ctx, fence, 'startMaintenance', writes, operation.id)
+}
+
+function newOperation(
+  vm: VmRow,
+  what: Pick<Operation, 'kind' | 'toPool' | 'wave'>,
+): Operation {
+  const id = newOpId(what.kind)
+  return { ...what, id, fromIncarnation: vm.incarnation, services: [] }
 }
 
 /** An empty row of a wave in a hall. */
@@ -70,17 +73,26 @@
     .filter((service) => state.table.services.has(service))
 }
 
-function leaveWrite(vm: Versioned<VmRow>, operation: Operation): RowWrite {
+function evacuateWrite(vm: Versioned<VmRow>, operation: Operation): RowWrite {
   const { key, version, value } = vm
   const generation = value.generation + 1
+  return { key, version, value: { ...value, state: 'evacuating', generation, operation } }
+}
+
+function leaveWrite(vm: Versioned<VmRow>, services: string[]): RowWrite {
+  const { key, version, value } = vm
+  const generation = value.generation + 1
+  const operation = value.operation && { ...value.operation, services }
   return { key, version, value: { ...value, state: 'leaving', generation, operation } }
 }
 
-function takeBudgets(state: FleetState, vm: VmRow, operation: Operation): RowWrite[] {
-  return [...new Set(operation.services)].map((service) => {
+/** Takes the instances out of the budgets; every hall's holder writes the same rows. */
+function takeBudgets(state: FleetState, vm: VmRow, services: string[]): RowWrite[] {
+  return [...new Set(services)].map((service) => {
     const row = state.budgets.get(service)
-    const count = operation.services.filter((each) => each === service).length
-    const entry = { hall: vm.hall, vm: vm.id, operation: operation.id, count }
+    const count = services.filter((each) => each === service).length
+    const operation = vm.operation?.id ?? ''
+    const entry = { hall: vm.hall, vm: vm.id, operation, count }
     const value: BudgetRow = { out: [...(row?.value.out ?? []), entry] }
     return { key: budgetKey(service), version: row?.version ?? 0, value }
   })
@@ -101,6 +113,7 @@
   fence: number,
   vmId: string,
 ): Promise<void> {
+  if ((await evacuate(ctx, fence, vmId)) === INTERRUPTED) return
   if ((await emptyVm(ctx, fence, vmId)) === INTERRUPTED) return
   const operation = current(ctx, vmId)?.vm.value.operation
   if (!operation) return
@@ -136,7 +149,44 @@
   }
 }
 
-/** Waits for the entries to leave the VM, and for its jobs to run elsewhere if they can. */
+/**
+ * Waits until the jobs of the VM run elsewhere. What fits nowhere else is taken out of
+ * its budget in the transaction that marks the VM as leaving.
+ */
+async function evacuate(ctx: KeeperContext, fence: number, vmId: string): Step {
+  for (;;) {
+    const left = await waitUntil(ctx, fence, vmId, () => {
+      const found = current(ctx, vmId)
+      if (!found) return 'no table is in force'
+      if (found.vm.value.state !== 'evacuating') return undefined
+      return jobsToMove(ctx, found.state, vmId) ?? shortage(found.state, vmId)
+    })
+    if (left === INTERRUPTED) return INTERRUPTED
+    const found = current(ctx, vmId)
+    if (found?.vm.value.state !== 'evacuating') return undefined
+    const { state, vm } = found
+    const services = servicesOn(state, vmId)
+    const writes = [leaveWrite(vm, services), ...takeBudgets(state, vm.value, services)]
+    if (await writeUnderLease(ctx, fence, 'leave', writes)) return undefined
+  }
+}
+
+/** Names a service on the VM that has room elsewhere but does not run there yet. */
+function jobsToMove(
+  ctx: KeeperContext,
+  state: FleetState,
+  vmId: string,
+): string | undefined {
+  const waiting = jobsOn(state, vmId).find((job) => !ctx.unplaced.has(job.service))
+  return waiting && `'${waiting.service}' still runs on it`
+}
+
+/** Why the budgets forbid taking away what is left on the VM. */
+function shortage(state: FleetState, vmId: string): string | undefined {
+  return budgetShortage(waveInput(state), servicesOn(state, vmId))
+}
+
+/** Waits for the entries to leave the VM, then stops what is left on it. */
 async function emptyVm(ctx: KeeperContext, fence: number, vmId: string): Step {
   const found = current(ctx, vmId)
   if (!found || found.vm.value.state === 'away') return undefined
@@ -147,28 +197,11 @@
   })
   if (drained === INTERRUPTED) return INTERRUPTED
   ctx.log.event('vmDrained', { vm: vmId, operation: value.operation?.id })
-  const replaced = await waitUntil(ctx, fence, vmId, () => missingReplacement(ctx, vmId))
-  if (replaced === INTERRUPTED) return INTERRUPTED
   const opId = value.operation?.id ?? newOpId('drain')
   const told = await ctx.platform.drainVm(vmId, opId)
   return told.isOk() ? stopJobs(ctx, fence, vmId) : INTERRUPTED
 }
 
-/** A service that has an instance on the VM and could run it elsewhere, but does not yet. */
-function missingReplacement(ctx: KeeperContext, vmId: string): string | undefined {
-  const state = ctx.state()
-  if (!state) return 'no table is in force'
-  for (const service of new Set(servicesOn(state, vmId))) {
-    if (ctx.unplaced.has(service)) continue
-    const wanted = state.table.services.get(service)!.instances
-    const jobs = [...state.jobs.values()].filter((job) => job.value.service === service)
-    const running = jobs.filter((job) => isAvailable(state, job.value)).length
-    if (running >= wanted) continue
-    return `'${service}' has ${running} of ${wanted} instances elsewhere`
-  }
-  return undefined
-}
-
 async function stopJobs(ctx: KeeperContext, fence: number, vmId: string): Step {
   const state = ctx.state()
   if (!state) return INTERRUPTED
@@ -187,12 +220,18 @@
   return done ? undefined : INTERRUPTED
 }
 
+function withoutOperation(vm: VmRow): VmRow {
+  const rest = { ...vm }
+  delete rest.operation
+  return rest
+}
+
 async function finishMove(ctx: KeeperContext, fence: number, vmId: string): Step {
   const found = current(ctx, vmId)
   const operation = found?.vm.value.operation
   if (!found || operation?.toPool === undefined) return INTERRUPTED
   const { state, vm } = found
-  const { operation: _done, ...rest } = vm.value
+  const rest = withoutOperation(vm.value)
   const value: VmRow = {
     ...rest,
     pool: operation.toPool,
@@ -276,7 +315,7 @@
   const listed = found?.state.listed.get(vmId)
   if (!found || !operation || !listed) return INTERRUPTED
   const { state, vm } = found
-  const { operation: _done, ...rest } = vm.value
+  const rest = withoutOperation(vm.value)
   const value: VmRow = {
     ...rest,
     state: 'active',
--- a/src/keeper/placement.ts
+++ b/src/keeper/placement.ts
@@ -3,8 +3,11 @@
  * to the VM of its pool with the fewest of its like, then the most room.
  */
 import { nanoid } from 'nanoid'
+import { servesWork } from '../fleet/index.js'
 import type { JobRow, VmRow } from '../fleet/index.js'
+import { groupBy } from '../shared/index.js'
 import type { ServiceLine, Table } from '../table/index.js'
+import { countJobs } from './waves.js'
 
 /** One decision about jobs. */
 export type JobDecision =
@@ -13,12 +16,31 @@
       job: string
       service: string
       vm: string
+      /** VMs that were weighed. */
       from: number
       reason: string
     }
   | { kind: 'stop'; job: string; service: string; reason: string }
   | { kind: 'unplaced'; service: string; reason: string }
 
+/** What placement looks at. */
+export interface PlacementInput {
+  table: Table
+  vms: readonly VmRow[]
+  jobs: readonly JobRow[]
+  /**
+   * VMs that a wave under way has maintained; they are preferred.
+   * @default none
+   */
+  maintained?: ReadonlySet<string>
+  /**
+   * Pools that a wave goes through; nothing is spread anew there until it is over.
+   * @default none
+   */
+  inWave?: ReadonlySet<string>
+}
+
+/** Free room of a VM. */
 interface Room {
   vm: VmRow
   cpus: number
@@ -28,37 +50,78 @@
 }
 
 /** Decides what to start and stop, given the VMs and jobs of a hall. */
-export function planJobs(
-  table: Table,
-  vms: readonly VmRow[],
-  jobs: readonly JobRow[],
-): JobDecision[] {
+export function planJobs(input: PlacementInput): JobDecision[] {
+  const { table, vms, jobs } = input
   const rooms = makeRooms(table, vms, jobs)
+  const byService = groupBy(jobs, (job) => job.service)
   const decisions: JobDecision[] = []
-  for (const job of jobs) {
-    if (table.services.has(job.service) || job.state === 'stopping') continue
-    decisions.push(stop(job, 'service is not in the table'))
+  for (const [service, mine] of byService) {
+    if (table.services.has(service)) continue
+    const left = mine.filter((job) => job.state !== 'stopping')
+    decisions.push(...left.map((job) => stop(job, 'service is not in the table')))
   }
   for (const [service, line] of table.services) {
-    const mine = jobs.filter((job) => job.service === service && job.state !== 'stopping')
-    const sound = mine.filter(
-      (job) => rooms.get(job.vm)?.vm.incarnation === job.incarnation,
-    )
-    const standing = sound.filter((job) => stands(rooms.get(job.vm)!.vm, line))
-    decisions.push(...surplusStops(service, line, standing))
-    decisions.push(...replacedStops(service, line, mine, standing))
-    for (let n = standing.length; n < line.instances; n++) {
-      const decision = start(service, line, rooms)
-      decisions.push(decision)
-      if (decision.kind === 'unplaced') break
-    }
+    const mine = byService.get(service) ?? []
+    decisions.push(...planService(input, service, line, mine, rooms))
   }
   return decisions
 }
 
+function planService(
+  input: PlacementInput,
+  service: string,
+  line: ServiceLine,
+  jobs: readonly JobRow[],
+  rooms: Map<string, Room>,
+): JobDecision[] {
+  const mine = jobs.filter((job) => job.state !== 'stopping')
+  const isSound = (job: JobRow) => rooms.get(job.vm)?.vm.incarnation === job.incarnation
+  const standing = mine.filter(
+    (job) => isSound(job) && stands(rooms.get(job.vm)!.vm, line),
+  )
+  const decisions = [
+    ...surplusStops(service, line, standing),
+    ...fallenStops(service, line, mine, standing, rooms),
+  ]
+  const choose = () => start(service, line, rooms, input.maintained ?? new Set())
+  for (let n = standing.length; n < line.instances; n++) {
+    const decision = choose()
+    decisions.push(decision)
+    if (decision.kind === 'unplaced') break
+  }
+  const settled = mine.length === line.instances && standing.length === line.instances
+  const calm = !input.inWave?.has(line.pool)
+  if (settled && calm && isCrowded(service, line, standing, rooms))
+    decisions.push(choose())
+  return decisions
+}
+
 /** Whether an instance on this VM counts as one that stays. */
 function stands(vm: VmRow, line: ServiceLine): boolean {
-  return vm.state === 'active' && vm.pool === line.pool
+  return vm.state === 'active' && vm.operation === undefined && vm.pool === line.pool
+}
+
+/** Whether a VM has two more instances than another that could take one. */
+function isCrowded(
+  service: string,
+  line: ServiceLine,
+  standing: readonly JobRow[],
+  rooms: Map<string, Room>,
+): boolean {
+  if (standing.some((job) => job.state !== 'running')) return false
+  const most = Math.max(0, ...standing.map((job) => countOf(rooms.get(job.vm)!, service)))
+  if (most < 2) return false
+  const fewest = fittingRooms(line, rooms).map((room) => countOf(room, service))
+  return most - Math.min(Infinity, ...fewest) >= 2
+}
+
+const countOf = (room: Room, service: string): number => room.counts.get(service) ?? 0
+
+function fittingRooms(line: ServiceLine, rooms: Map<string, Room>): Room[] {
+  return [...rooms.values()].filter(
+    (room) =>
+      stands(room.vm, line) && room.cpus >= line.cpus && room.memoryGb >= line.memory_gb,
+  )
 }
 
 function makeRooms(
@@ -83,25 +146,30 @@
 function occupy(room: Room, service: string, line: ServiceLine): void {
   room.cpus -= line.cpus
   room.memoryGb -= line.memory_gb
-  room.counts.set(service, (room.counts.get(service) ?? 0) + 1)
+  room.counts.set(service, countOf(room, service) + 1)
 }
 
 function start(
   service: string,
   line: ServiceLine,
   rooms: Map<string, Room>,
+  maintained: ReadonlySet<string>,
 ): JobDecision {
-  const inPool = [...rooms.values()].filter((room) => stands(room.vm, line))
-  const fitting = inPool.filter(
-    (room) => room.cpus >= line.cpus && room.memoryGb >= line.memory_gb,
-  )
-  const count = (room: Room) => room.counts.get(service) ?? 0
+  const fitting = fittingRooms(line, rooms)
+  const done = (room: Room) => (maintained.has(room.vm.id) ? 0 : 1)
   fitting.sort(
-    (a, b) => count(a) - count(b) || b.cpus - a.cpus || (a.vm.id < b.vm.id ? -1 : 1),
+    (a, b) =>
+      countOf(a, service) - countOf(b, service) ||
+      done(a) - done(b) ||
+      b.cpus - a.cpus ||
+      (a.vm.id < b.vm.id ? -1 : 1),
   )
   const best = fitting[0]
-  if (!best) return { kind: 'unplaced', service, reason: shortage(line, inPool) }
-  const reason = `${count(best)} of its like there, ${best.cpus} processors free`
+  if (!best) {
+    const inPool = [...rooms.values()].filter((room) => stands(room.vm, line))
+    return { kind: 'unplaced', service, reason: shortage(line, inPool) }
+  }
+  const reason = `${countOf(best, service)} of its like there, ${best.cpus} processors free`
   occupy(best, service, line)
   const job = `${service}-${nanoid(8)}`
   return { kind: 'start', job, service, vm: best.vm.id, from: fitting.length, reason }
@@ -123,30 +191,59 @@
   return { kind: 'stop', job: job.id, service: job.service, reason }
 }
 
-/** More instances than asked for: the newest go. */
+/**
+ * More instances than asked for: those on the most crowded VM go. One that is starting
+ * beside enough running ones is a move under way, and stays.
+ */
 function surplusStops(
   service: string,
   line: ServiceLine,
   standing: readonly JobRow[],
 ): JobDecision[] {
-  const surplus = standing.length - line.instances
-  if (surplus <= 0) return []
+  const reason = `'${service}' asks for ${line.instances} instances`
+  const running = standing.filter((job) => job.state === 'running')
   const starting = standing.filter((job) => job.state === 'starting')
-  const running = standing.filter((job) => job.state !== 'starting')
-  return [...starting, ...running.reverse()]
-    .slice(0, surplus)
-    .map((job) => stop(job, `'${service}' asks for ${line.instances} instances`))
+  const wanted = Math.max(1, line.instances - running.length)
+  const stops = starting.slice(0, Math.max(0, starting.length - wanted))
+  const left = [...running]
+  while (left.length > line.instances) {
+    const crowded = mostCrowded(left)
+    left.splice(left.indexOf(crowded), 1)
+    stops.push(crowded)
+  }
+  return stops.map((job) => stop(job, reason))
 }
 
-/** Instances that do not stand any more go once enough others run. */
-function replacedStops(
+/** A job on the VM with the most of these jobs; the last such one. */
+function mostCrowded(jobs: readonly JobRow[]): JobRow {
+  const counts = countJobs(jobs)
+  const count = (job: JobRow) => counts.get(job.vm) ?? 0
+  return jobs.reduce((best, job) => (count(job) >= count(best) ? job : best))
+}
+
+/**
+ * Instances that do not stand any more: dead ones go at once, those that still serve
+ * as far as enough others serve.
+ */
+function fallenStops(
   service: string,
   line: ServiceLine,
   mine: readonly JobRow[],
   standing: readonly JobRow[],
+  rooms: Map<string, Room>,
 ): JobDecision[] {
-  const running = standing.filter((job) => job.state === 'running').length
   const fallen = mine.filter((job) => !standing.includes(job))
-  if (running < line.instances) return []
-  return fallen.map((job) => stop(job, `enough instances of '${service}' run elsewhere`))
+  const serves = (job: JobRow) => {
+    const vm = rooms.get(job.vm)?.vm
+    const sound = vm?.incarnation === job.incarnation
+    return job.state === 'running' && sound && servesWork(vm)
+  }
+  const dead = fallen.filter((job) => !serves(job))
+  const serving = fallen.filter(serves)
+  const running = standing.filter((job) => job.state === 'running').length
+  const spare = Math.max(0, running + serving.length - line.instances)
+  return [
+    ...dead.map((job) => stop(job, 'its VM does not serve any more')),
+    ...serving.slice(0, spare).map((job) => stop(job, `'${service}' runs elsewhere`)),
+  ]
 }
--- a/src/keeper/pools.ts
+++ b/src/keeper/pools.ts
@@ -77,11 +77,13 @@
 /**
  * The moves that bring each pool to its share.
  * @param jobCount jobs on a VM; VMs with few are moved first.
+ * @param surge pools that may have one VM of the reserve above their share.
  */
 export function planPools(
   table: Table,
   vms: readonly VmRow[],
   jobCount: (vm: string) => number,
+  surge: ReadonlySet<string> = new Set(),
 ): PoolMove[] {
   const usable = vms.filter((vm) => vm.state !== 'gone')
   const first = usable[0]
@@ -105,6 +107,10 @@
     moves.push({ vm: vm.id, from: vm.pool, to, reason })
   }
   const surplus = (pool: string) => (counts.get(pool) ?? 0) - (shares.get(pool) ?? 0)
+  const spare = (pool: string) =>
+    surge.has(pool) && (shares.get(pool) ?? 0) < (table.pools.get(pool)?.limit ?? 0)
+      ? 1
+      : 0
   const giver = () =>
     givers.find((vm) => vm.pool === RESERVE_POOL) ??
     givers.find((vm) => vm.pool !== RESERVE_POOL && surplus(vm.pool) > 0)
@@ -116,8 +122,13 @@
       take(vm, pool, `pool has ${counts.get(pool) ?? 0} of its share of ${share}`)
     }
   }
+  for (const pool of shares.keys()) {
+    const vm = givers.find((each) => each.pool === RESERVE_POOL)
+    if (!vm || spare(pool) === 0 || surplus(pool) !== 0) continue
+    take(vm, pool, 'a wave goes through the pool, and the reserve can spare a VM')
+  }
   for (const vm of [...givers]) {
-    if (vm.pool === RESERVE_POOL || surplus(vm.pool) <= 0) continue
+    if (vm.pool === RESERVE_POOL || surplus(vm.pool) <= spare(vm.pool)) continue
     take(vm, RESERVE_POOL, `pool has more than its share of ${shares.get(vm.pool) ?? 0}`)
   }
   return moves
--- a/src/keeper/waves.ts
+++ b/src/keeper/waves.ts
@@ -1,54 +1,75 @@
 /**
- * Which VMs go into maintenance next. A step is started only while the budgets of all
- * services on the VM allow one more instance away, unplanned losses counted in.
+ * Which VMs go into maintenance next. Empty VMs go first, so that the others can move
+ * their jobs onto VMs that are already done, and each job moves at most once a wave.
  */
-import type { BudgetRow, JobRow, VmRow, WaveRow } from '../fleet/index.js'
-import type { ServiceLine, Table, WaveLine } from '../table/index.js'
+import type { JobRow, VmRow, WaveRow } from '../fleet/index.js'
+import type { WaveLine } from '../table/index.js'
+import type { BudgetInput } from './budgets.js'
+import type { FleetState } from './fleetState.js'
 
 /** One VM to maintain, or the reason why none is. */
 export type WaveDecision =
-  | { kind: 'start'; wave: string; vm: string; services: string[]; reason: string }
+  | { kind: 'start'; wave: string; vm: string; reason: string }
   | { kind: 'hold'; wave: string; reason: string }
   | { kind: 'finish'; wave: string }
 
 /** What wave planning looks at. */
-export interface WaveInput {
-  table: Table
-  vms: readonly VmRow[]
-  jobs: readonly JobRow[]
+export interface WaveInput extends BudgetInput {
+  /** Rows of the waves in this hall. */
   waves: ReadonlyMap<string, WaveRow>
-  budgets: ReadonlyMap<string, BudgetRow>
-  hall: string
 }
 
-/** Decides at most one step per wave; the heaviest wave goes first. */
-export function planWaves(input: WaveInput): WaveDecision[] {
-  const ordered = [...input.table.waves].sort(
-    ([a, x], [b, y]) => y.weight - x.weight || (a < b ? -1 : 1),
-  )
-  const decisions: WaveDecision[] = []
-  const taken = new Map<string, number>()
-  for (const [wave, line] of ordered) {
-    const row = input.waves.get(wave)
-    if (line.state !== 'run' || row?.finished) continue
-    const decision = planWave(input, wave, line, row, taken)
-    decisions.push(decision)
-    if (decision.kind !== 'start') continue
-    for (const service of decision.services) {
-      taken.set(service, (taken.get(service) ?? 0) + 1)
-    }
+/** The state without the versions of its rows. */
+export function waveInput(state: FleetState): WaveInput {
+  const values = <T>(map: Map<string, { value: T }>) =>
+    new Map([...map].map(([key, each]) => [key, each.value]))
+  return {
+    table: state.table,
+    vms: [...values(state.vms).values()],
+    jobs: [...values(state.jobs).values()],
+    waves: values(state.waves),
+    budgets: values(state.budgets),
+    hall: state.hall,
   }
-  return decisions
+}
+
+/** Waves that are due in this hall, the heaviest first. */
+export function dueWaves(
+  input: Pick<WaveInput, 'table' | 'waves'>,
+): [string, WaveLine][] {
+  return [...input.table.waves]
+    .filter(([wave, line]) => line.state === 'run' && !input.waves.get(wave)?.finished)
+    .sort(([a, x], [b, y]) => y.weight - x.weight || (a < b ? -1 : 1))
+}
+
+/** Pools that a wave is going through; they may borrow a VM of the reserve. */
+export function poolsInWave(input: Pick<WaveInput, 'table' | 'waves'>): Set<string> {
+  return new Set(dueWaves(input).map(([, line]) => line.pool))
+}
+
+/** VMs that a due wave has already maintained; jobs are best moved there. */
+export function maintainedVms(input: Pick<WaveInput, 'table' | 'waves'>): Set<string> {
+  return new Set(dueWaves(input).flatMap(([wave]) => input.waves.get(wave)?.done ?? []))
+}
+
+/** Decides at most one step per wave. */
+export function planWaves(input: WaveInput): WaveDecision[] {
+  const taken = new Set<string>()
+  return dueWaves(input).map(([wave, line]) => {
+    const decision = planWave(input, wave, line, taken)
+    if (decision.kind === 'start') taken.add(decision.vm)
+    return decision
+  })
 }
 
 function planWave(
   input: WaveInput,
   wave: string,
   line: WaveLine,
-  row: WaveRow | undefined,
-  taken: ReadonlyMap<string, number>,
+  taken: ReadonlySet<string>,
 ): WaveDecision {
   const hold = (reason: string): WaveDecision => ({ kind: 'hold', wave, reason })
+  const row = input.waves.get(wave)
   if (row && row.halted !== '') return hold(`halted: ${row.halted}`)
   const doing = row?.doing.length ?? 0
   const inPool = input.vms.filter((vm) => vm.pool === line.pool && vm.state !== 'gone')
@@ -56,69 +77,23 @@
   if (left.length === 0 && doing === 0) return { kind: 'finish', wave }
   if (doing >= line.limit)
     return hold(`${doing} VMs are away, the limit is ${line.limit}`)
-  const ready = left.filter((vm) => vm.state === 'active' && vm.operation === undefined)
-  if (ready.length === 0) return hold('no VM of the pool is free for it')
-
-  ready.sort((a, b) => jobsOn(input, a) - jobsOn(input, b) || (a.id < b.id ? -1 : 1))
-  let firstReason = ''
-  for (const vm of ready) {
-    const services = servicesOn(input, vm)
-    const reason = budgetShortage(input, services, taken)
-    if (reason === undefined) {
-      const why = `${left.length} of ${inPool.length} VMs left, fewest jobs first`
-      return { kind: 'start', wave, vm: vm.id, services, reason: why }
-    }
-    firstReason ||= `${vm.id}: ${reason}`
-  }
-  return hold(firstReason)
-}
-
-const jobsOn = (input: WaveInput, vm: VmRow): number =>
-  input.jobs.filter((job) => job.vm === vm.id).length
-
-/** Services with an instance on the VM, once per instance. */
-function servicesOn(input: WaveInput, vm: VmRow): string[] {
-  return input.jobs
-    .filter((job) => job.vm === vm.id && input.table.services.has(job.service))
-    .map((job) => job.service)
-}
-
-/** Why the budgets forbid taking these instances away; undefined when they allow it. */
-function budgetShortage(
-  input: WaveInput,
-  services: readonly string[],
-  taken: ReadonlyMap<string, number>,
-): string | undefined {
-  for (const service of new Set(services)) {
-    const line = input.table.services.get(service)!
-    const wanted = services.filter((each) => each === service).length
-    const out = instancesOut(input, service, line) + (taken.get(service) ?? 0)
-    if (out + wanted <= line.budget) continue
-    return `'${service}' has ${out} of its budget of ${line.budget} away`
-  }
-  return undefined
+  const ready = left.filter(
+    (vm) => vm.state === 'active' && vm.operation === undefined && !taken.has(vm.id),
+  )
+  const counts = countJobs(input.jobs)
+  const count = (vm: VmRow) => counts.get(vm.id) ?? 0
+  ready.sort((a, b) => count(a) - count(b) || (a.id < b.id ? -1 : 1))
+  const next = ready[0]
+  if (!next) return hold('no VM of the pool is free for it')
+  const comes = input.vms.some((vm) => vm.operation?.toPool === line.pool)
+  if (comes && count(next) > 0) return hold('a VM is on its way to the pool')
+  const reason = `${left.length} of ${inPool.length} VMs left, ${count(next)} jobs on this one`
+  return { kind: 'start', wave, vm: next.id, reason }
 }
 
-/**
- * Instances away now: those that any hall has taken out, and those of this hall that
- * are missing for another reason.
- */
-export function instancesOut(
-  input: Pick<WaveInput, 'vms' | 'jobs' | 'budgets' | 'hall'>,
-  service: string,
-  line: ServiceLine,
-): number {
-  const planned = input.budgets.get(service)?.out ?? []
-  const total = planned.reduce((sum, each) => sum + each.count, 0)
-  const here = planned
-    .filter((each) => each.hall === input.hall)
-    .reduce((sum, each) => sum + each.count, 0)
-  const active = new Map(input.vms.map((vm) => [vm.id, vm]))
-  const available = input.jobs.filter((job) => {
-    const vm = active.get(job.vm)
-    const serves = vm?.state === 'active' && vm.incarnation === job.incarnation
-    return job.service === service && job.state === 'running' && serves
-  }).length
-  const missing = Math.max(0, line.instances - available)
-  return total + Math.max(0, missing - here)
+/** Jobs by VM. */
+export function countJobs(jobs: readonly JobRow[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { vm } of jobs) counts.set(vm, (counts.get(vm) ?? 0) + 1)
+  return counts
 }
--- /dev/null
+++ b/src/peer/__tests__/peers.spec.ts
@@ -0,0 +1,111 @@
+import { request } from 'undici'
+import type { ExecutionContext } from 'ava'
+import fc from 'fast-check'
+import { describe, it } from '../../../test/describe.js'
+import { startCluster } from '../../../playground/cluster.js'
+import type { Cluster } from '../../../playground/cluster.js'
+import { ONE_SERVICE } from '../../../test/rig.js'
+import { createMemoryLogger } from '../../shared/index.js'
+import type { LoggedEvent } from '../../shared/index.js'
+
+async function setUp(
+  t: ExecutionContext,
+  over: Partial<Parameters<typeof startCluster>[0]> = {},
+) {
+  const events = new Map<string, LoggedEvent[]>()
+  const cluster = await startCluster({
+    halls: ['h1', 'h2'],
+    entriesPerHall: 2,
+    keepersPerHall: 0,
+    workersPerHall: 1,
+    seed: 1,
+    table: ONE_SERVICE,
+    settings: { requests: { drain_notice: '0ms' }, ...over.settings },
+    log(node) {
+      const log = createMemoryLogger()
+      events.set(node, log.events)
+      return log
+    },
+    ...over,
+  })
+  t.teardown(() => cluster.stop())
+  return { cluster, events }
+}
+
+async function until(check: () => boolean): Promise<void> {
+  while (!check()) await new Promise((resolve) => setTimeout(resolve, 10))
+}
+
+const epochOf = (cluster: Cluster, index: number) =>
+  cluster.nodes[index]!.kernel.get('table').current()?.epoch ?? 0
+
+describe('peers', () => {
+  it('bring an accepted table to entries that are cut off from the platform', async (t) => {
+    const { cluster } = await setUp(t)
+    await until(() => cluster.nodes.every((_, i) => epochOf(cluster, i) === 1))
+    for (const id of ['h2-e1', 'h2-e2']) cluster.platform.faults.cut.add(id)
+    const table = { ...ONE_SERVICE, 'pool/p': { weight: '2', limit: '10' } }
+    await cluster.accept(table)
+    await until(() => cluster.nodes.every((_, i) => epochOf(cluster, i) === 2))
+    const source = cluster.nodes[2]!.kernel.get('table').current()?.accepted.raw
+    t.deepEqual(source, table)
+  })
+
+  it('give rows and table to an entry that starts while the platform is away', async (t) => {
+    const { cluster } = await setUp(t, { halls: ['h1'] })
+    const [first] = cluster.nodes
+    const rows = first!.kernel.get('rows')
+    await until(() => [...rows.rows.keys()].some((key) => key.startsWith('jobs/h1/')))
+    cluster.platform.faults.outage = true
+    await cluster.restartNode('h1-e2')
+    const fresh = cluster.nodes.find(({ id }) => id === 'h1-e2')!.kernel
+    await until(() => fresh.get('table').current()?.epoch === 1)
+    await until(() => fresh.get('rows').rows.size > 0)
+    t.deepEqual([...fresh.get('rows').rows.keys()].sort(), [...rows.rows.keys()].sort())
+  })
+
+  describe('hostile messages', () => {
+    it('are refused, and the process goes on', async (t) => {
+      const { cluster, events } = await setUp(t, { halls: ['h1'] })
+      const { peer_port: port } = cluster.nodes[0]!.cfg.listen
+      const method = fc.constantFrom(
+        'Sync',
+        'PushHead',
+        'FetchTable',
+        'FetchRows',
+        'Nope',
+      )
+      const type = fc.constantFrom('application/json', 'application/proto', 'text/plain')
+      const body = fc.oneof(
+        fc.uint8Array({ maxLength: 64 }).map((bytes) => Buffer.from(bytes)),
+        fc.json().map((text) => Buffer.from(text)),
+        fc
+          .constantFrom(
+            '{"report":{"node":"x","hall":"h1"}}',
+            '{"node":"x","epoch":"99"}',
+          )
+          .map((text) => Buffer.from(text)),
+      )
+      await fc.assert(
+        fc.asyncProperty(method, type, body, async (name, contentType, bytes) => {
+          const res = await request(
+            `http://127.0.0.1:${port}/rillshunt.peer.v1.PeerService/${name}`,
+            {
+              method: 'POST',
+              headers: { 'content-type': contentType },
+              body: bytes,
+            },
+          )
+          await res.body.dump()
+          t.true(res.statusCode >= 200)
+        }),
+        { numRuns: 80 },
+      )
+      t.is(epochOf(cluster, 0), 1)
+      t.true(events.get('h1-e1')!.some(({ name }) => name === 'peerMessageRefused'))
+      await until(
+        () => cluster.nodes[0]!.kernel.get('peers').peers()[0]?.report !== undefined,
+      )
+    })
+  })
+})
--- a/src/peer/index.ts
+++ b/src/peer/index.ts
@@ -1,3 +1,3 @@
 /** Messages between rillshunt's own processes. */
 export * from './network.js'
-export type { LeavingVm, NodeReport, ServiceLoad } from './gen/peer_pb.js'
+export type { NodeReport } from './gen/peer_pb.js'
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -13,7 +13,12 @@
 import type { PeerAddress, ResolvedConfig } from '../config/index.js'
 import { changesSchema } from '../platform/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
-import { describeError, monotonicMs, sleep } from '../shared/index.js'
+import {
+  createStopController,
+  describeError,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import { acceptedSchema, readPlatformTable } from '../table/index.js'
 import type { TableHolder } from '../table/index.js'
@@ -88,7 +93,7 @@
 /** Opens the peer port and starts one task per peer. */
 export async function createPeerNetwork(opts: PeerNetworkOptions): Promise<PeerNetwork> {
   const { cfg, rows, table, log, metrics } = opts
-  const stopping = new AbortController()
+  const stopping = createStopController()
   let source = EMPTY_SOURCE
 
   const ownReport = (): NodeReport => {
--- a/src/platform/rowWatch.ts
+++ b/src/platform/rowWatch.ts
@@ -2,7 +2,7 @@
  * Keeps a copy of some rows by conditional reads: one read per poll, of changes only.
  * In an outage the copy stays as it is and polls back off with full jitter.
  */
-import { fullJitter, monotonicMs, sleep } from '../shared/index.js'
+import { createStopController, fullJitter, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import type { Changes, Platform, Row } from './types.js'
 
@@ -44,7 +44,7 @@
 export function createRowWatch(opts: RowWatchOptions): RowWatch {
   const rows = new Map<string, Row>()
   const listeners = new Set<(keys: string[]) => void>()
-  const stopping = new AbortController()
+  const stopping = createStopController()
   let revision = 0
   let answeredAt = -Infinity
   let down = false
--- a/src/programs/main.ts
+++ b/src/programs/main.ts
@@ -3,12 +3,9 @@
 import { loadConfig, printConfig } from '../config/index.js'
 import type { ResolvedConfig } from '../config/index.js'
 import type { Kernel } from '../kernel/index.js'
-import { createLogger } from '../shared/index.js'
+import { EXIT, createLogger } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 
-/** Exit codes of all programs; `docs/cli.md` lists them. */
-export const EXIT = { ok: 0, failed: 1, usage: 2, refused: 3, unknown: 4 } as const
-
 const USAGE = `Options:
   --config FILE    settings in INI (required)
   --check-config   check the settings and exit
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -1,4 +1,12 @@
 /** Small helpers without a better home. Keep this file short. */
+import { setMaxListeners } from 'node:events'
+
+/** A controller whose signal many tasks may wait on. */
+export function createStopController(): AbortController {
+  const controller = new AbortController()
+  setMaxListeners(0, controller.signal)
+  return controller
+}
 
 /** Resolves after `ms` milliseconds, or at once when the signal fires. Never rejects. */
 export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
@@ -33,3 +41,15 @@
     return Object.fromEntries(entries)
   })
 }
+
+/** Groups items by a key, in the order of their first appearance. */
+export function groupBy<T, K>(items: Iterable<T>, keyOf: (item: T) => K): Map<K, T[]> {
+  const groups = new Map<K, T[]>()
+  for (const item of items) {
+    const key = keyOf(item)
+    const group = groups.get(key)
+    if (group) group.push(item)
+    else groups.set(key, [item])
+  }
+  return groups
+}
--- /dev/null
+++ b/src/table/__tests__/store.spec.ts
@@ -0,0 +1,125 @@
+import type { ExecutionContext } from 'ava'
+import { describe, it } from '../../../test/describe.js'
+import { createSimFleet } from '../../../playground/fleet.js'
+import { startPlatform } from '../../../playground/platform.js'
+import { createRandom } from '../../../playground/random.js'
+import { createHttpPlatform } from '../../platform/index.js'
+import type { Platform } from '../../platform/index.js'
+import { createTableStore } from '../index.js'
+
+async function setUp(t: ExecutionContext) {
+  const fleet = createSimFleet({
+    host: '127.0.0.1',
+    random: createRandom(1),
+    ledger: new Map(),
+  })
+  const standIn = await startPlatform({ fleet })
+  const platform = createHttpPlatform({ url: standIn.url, timeoutMs: 2000, node: 'test' })
+  t.teardown(async () => {
+    await platform.close()
+    await standIn.close()
+  })
+  return { standIn, platform, store: createTableStore(platform) }
+}
+
+const pool = (name: string, weight: string, limit = '4') => [
+  { row: `pool/${name}`, column: 'weight', value: weight },
+  { row: `pool/${name}`, column: 'limit', value: limit },
+]
+
+/** A platform that runs a step before the first call that matches. */
+function before(
+  platform: Platform,
+  call: 'transact',
+  step: () => Promise<unknown>,
+): Platform {
+  let done = false
+  return {
+    ...platform,
+    async [call](tx) {
+      if (!done && tx.opId.startsWith('accept')) {
+        done = true
+        await step()
+      }
+      return platform[call](tx)
+    },
+  }
+}
+
+describe('TableStore', () => {
+  describe('accept', () => {
+    it('moves the head by one and drops the draft', async (t) => {
+      const { store, standIn } = await setUp(t)
+      await store.edit('ana', pool('p', '1'))
+      t.like((await store.accept('ana'))._unsafeUnwrap(), { kind: 'accepted', epoch: 1 })
+      t.like(standIn.row('head') as object, { epoch: 1 })
+      t.is(standIn.row('drafts/ana'), undefined)
+    })
+
+    it('refuses wrong cells and changes nothing', async (t) => {
+      const { store, standIn } = await setUp(t)
+      await store.edit('ana', pool('p', 'heavy'))
+      const outcome = (await store.accept('ana'))._unsafeUnwrap()
+      t.like(outcome, { kind: 'refused', errors: [{ row: 'pool/p', column: 'weight' }] })
+      t.is(standIn.row('head'), undefined)
+      t.not(standIn.row('drafts/ana'), undefined)
+    })
+
+    it('merges with an accept that wins the race', async (t) => {
+      const { store, platform } = await setUp(t)
+      const racing = createTableStore(
+        before(platform, 'transact', async () => {
+          await store.edit('bo', pool('q', '2'))
+          await store.accept('bo')
+        }),
+      )
+      await racing.edit('ana', pool('p', '1'))
+      t.like((await racing.accept('ana'))._unsafeUnwrap(), { kind: 'accepted', epoch: 2 })
+      const head = (await store.head())._unsafeUnwrap()
+      t.deepEqual(Object.keys(head?.raw ?? {}).sort(), ['pool/p', 'pool/q'])
+    })
+
+    it('names both editors when the race touched the same cell', async (t) => {
+      const { store, platform } = await setUp(t)
+      const racing = createTableStore(
+        before(platform, 'transact', async () => {
+          await store.edit('bo', pool('p', '2'))
+          await store.accept('bo')
+        }),
+      )
+      await racing.edit('ana', pool('p', '1'))
+      const outcome = (await racing.accept('ana'))._unsafeUnwrap()
+      t.like(outcome, {
+        kind: 'refused',
+        conflicts: [
+          { mine: { editor: 'ana', value: '1' }, theirs: { editor: 'bo', value: '2' } },
+        ],
+      })
+    })
+  })
+
+  describe('lost replies', () => {
+    it('finds out that an accept took effect', async (t) => {
+      const { store, platform, standIn } = await setUp(t)
+      const losing = createTableStore(
+        before(platform, 'transact', async () => (standIn.faults.loseReplies = 1)),
+      )
+      await losing.edit('ana', pool('p', '1'))
+      t.like((await losing.accept('ana'))._unsafeUnwrap(), { kind: 'accepted', epoch: 1 })
+      t.is((await store.history(9))._unsafeUnwrap().length, 1)
+    })
+
+    it('says unknown in an outage, and the accept id tells later', async (t) => {
+      const { store, platform, standIn } = await setUp(t)
+      const cut = createTableStore(
+        before(platform, 'transact', async () => (standIn.faults.outage = true)),
+      )
+      await cut.edit('ana', pool('p', '1'))
+      const outcome = (await cut.accept('ana'))._unsafeUnwrap()
+      if (outcome.kind !== 'unknown') return t.fail(outcome.kind)
+      standIn.faults.outage = false
+      t.is((await store.findAccept(outcome.acceptId))._unsafeUnwrap(), undefined)
+      t.like((await store.accept('ana'))._unsafeUnwrap(), { kind: 'accepted', epoch: 1 })
+    })
+  })
+})
--- a/src/table/merge.ts
+++ b/src/table/merge.ts
@@ -51,6 +51,7 @@
     return
   }
   delete table[row]?.[column]
+  if (Object.keys(table[row] ?? {}).length === 0) delete table[row]
 }
 
 /**
--- a/src/table/schema.ts
+++ b/src/table/schema.ts
@@ -150,7 +150,7 @@
     return
   }
   if (parts.kind === 'pool' && parts.name === RESERVE_POOL) {
-    const rule = `'${RESERVE_POOL}' is kept for VMs that no pool has`
+    const rule = `another name: '${RESERVE_POOL}' holds the VMs that no pool has`
     errors.push({ row, column: 'name', value: parts.name, rule })
     return
   }
@@ -171,12 +171,12 @@
 ): CellError[] {
   if (issue.code === 'unrecognized_keys') {
     const kind = splitRow(row)?.kind ?? 'pool'
-    const rule = `a ${kind} has no such column; it has ${columnsOf(kind).join(', ')}`
+    const rule = `empty: a ${kind} has only ${columnsOf(kind).join(', ')}`
     return issue.keys.map((column) => ({ row, column, value: cells[column] ?? '', rule }))
   }
   const column = String(issue.path[0] ?? '')
   const missing = cells[column] === undefined
-  const rule = missing ? 'a value is required' : issue.message
+  const rule = missing ? 'given; it has no default' : issue.message
   return [{ row, column, value: cells[column] ?? '', rule }]
 }
 
