--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,29 @@
+/** `npm run bench -- NAME`: runs one bench and keeps its results under `bench/results/`. */
+import { execFileSync } from 'node:child_process'
+import { mkdir, writeFile } from 'node:fs/promises'
+import { cpus } from 'node:os'
+
+/** A bench prints its tables and returns what is kept. */
+type Bench = () => Promise<object>
+
+const BENCHES: Record<string, () => Promise<{ default: Bench }>> = {
+  relay: () => import('./relay.js'),
+}
+
+const [name = ''] = process.argv.slice(2)
+const load = BENCHES[name]
+if (!load) {
+  console.error(`Usage: npm run bench -- ${Object.keys(BENCHES).join('|')}`)
+  process.exit(2)
+}
+const { default: bench } = await load()
+const results = await bench()
+const commit = execFileSync('git', ['describe', '--always', '--dirty'], {
+  encoding: 'utf8',
+}).trim()
+const machine = `${cpus().length} x ${cpus()[0]?.model ?? 'unknown'}, Node ${process.version}`
+const kept = { bench: name, commit, at: new Date().toISOString(), machine, ...results }
+await mkdir('bench/results', { recursive: true })
+await writeFile(`bench/results/${name}.json`, `${JSON.stringify(kept, null, 2)}\n`)
+console.log(`kept in bench/results/${name}.json (${commit})`)
+process.exit(0)
--- /dev/null
+++ b/bench/relay.ts
@@ -0,0 +1,200 @@
+/**
+ * The entry against two bare relays with no decisions, in one run: throughput, added
+ * p50 and p99 at 30 % load, resident memory.
+ */
+import { mkdtemp, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { acceptTable } from '../playground/cluster.js'
+import { createSimFleet } from '../playground/fleet.js'
+import { startPlatform } from '../playground/platform.js'
+import { createRandom } from '../playground/random.js'
+import { jobKey, vmKey } from '../src/fleet/index.js'
+import { commit, createHttpPlatform } from '../src/platform/index.js'
+import type { Child } from './childProcess.js'
+import { startChild } from './childProcess.js'
+import { closedLoop, median, openLoop } from './drive.js'
+import type { Work } from './drive.js'
+
+const CONNECTIONS = 48
+const ROUNDS = 5
+const ROUND_MS = 3000
+const WARM_UP_MS = 1500
+const LATENCY_MS = 8000
+const LOAD_SHARE = 0.3
+const SEED = 11
+const HALL = 'h'
+const READY = /ready (\S+)/
+const POST_BODY = Buffer.alloc(300, 'y')
+
+interface Relay {
+  name: string
+  child: Child
+  origin: string
+  path: string
+}
+
+type Method = Work['method']
+
+/** Starts the real entry binary with a platform that announces the target. */
+async function startEntry(
+  platformUrl: string,
+  routing: 'on' | 'off',
+  port: number,
+): Promise<Child> {
+  const dir = await mkdtemp(join(tmpdir(), 'rillshunt-bench-'))
+  const file = join(dir, 'e.ini')
+  await writeFile(
+    file,
+    `[node]\nid = e${port}\nhall = ${HALL}\n[listen]\nport = ${port}\nops_port = 0\npeer_port = 0\n` +
+      `[platform]\nurl = ${platformUrl}\n[log]\nrouting = ${routing}\n[requests]\ndrain_notice = 0ms\n`,
+  )
+  return startChild('dist/src/bin/entry.js', ['--config', file], /targetAdded/)
+}
+
+async function announceTarget(platformUrl: string, address: string): Promise<void> {
+  await acceptTable(platformUrl, {
+    'pool/p': { weight: '1', limit: '1' },
+    'service/s': { weight: '1', limit: '1000', pool: 'p', slots: '1000' },
+  })
+  const platform = createHttpPlatform({
+    url: platformUrl,
+    timeoutMs: 2000,
+    node: 'bench',
+  })
+  const vm = {
+    id: 'v1',
+    hall: HALL,
+    rack: 'r',
+    pool: 'p',
+    generation: 1,
+    incarnation: 'v1.1',
+  }
+  const job = { id: 'j1', service: 's', hall: HALL, vm: 'v1', incarnation: 'v1.1' }
+  const writes = [
+    {
+      key: vmKey(HALL, 'v1'),
+      version: 0,
+      value: { ...vm, state: 'active', cpus: 32, memoryGb: 128 },
+    },
+    {
+      key: jobKey(HALL, 'j1'),
+      version: 0,
+      value: { ...job, state: 'running', address, slots: 1000 },
+    },
+  ]
+  await commit(platform, { opId: 'bench', writes, guards: [] })
+  await platform.close()
+}
+
+const work = (relay: Pick<Relay, 'origin' | 'path'>, method: Method): Work => ({
+  origin: relay.origin,
+  path: relay.path,
+  method,
+  body: method === 'POST' ? POST_BODY : null,
+})
+
+async function measureThroughput(relays: Relay[], method: Method) {
+  const rates = new Map<string, number[]>(relays.map(({ name }) => [name, []]))
+  for (const relay of relays)
+    await closedLoop(work(relay, method), CONNECTIONS, WARM_UP_MS)
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const relay of relays) {
+      rates
+        .get(relay.name)!
+        .push(await closedLoop(work(relay, method), CONNECTIONS, ROUND_MS))
+    }
+  }
+  const base = rates.get('node')!
+  return relays.map(({ name }) => {
+    const mine = rates.get(name)!
+    const ratios = mine.map((rate, i) => rate / base[i]!)
+    return { name, method, rate: Math.round(median(mine)), ratio: round2(median(ratios)) }
+  })
+}
+
+const round2 = (value: number): number => Math.round(value * 100) / 100
+
+async function measureLatency(relays: Relay[], method: Method, rate: number) {
+  const rows = []
+  for (const relay of relays) {
+    const histogram = await openLoop(
+      work(relay, method),
+      CONNECTIONS,
+      rate,
+      LATENCY_MS,
+      SEED,
+    )
+    const at = (percentile: number) =>
+      round2(histogram.getValueAtPercentile(percentile) / 1000)
+    rows.push({
+      name: relay.name,
+      method,
+      rate: Math.round(rate),
+      p50Ms: at(50),
+      p99Ms: at(99),
+    })
+  }
+  return rows
+}
+
+export default async function relayBench(): Promise<object> {
+  const fleet = createSimFleet({
+    host: '127.0.0.1',
+    random: createRandom(SEED),
+    ledger: new Map(),
+  })
+  const platform = await startPlatform({ fleet })
+  const target = await startChild('dist/bench/relayTarget.js', [], READY)
+  await announceTarget(platform.url, target.ready)
+  const baseline = (kind: string) =>
+    startChild('dist/bench/relayBaseline.js', [kind, target.ready], READY)
+  const node = await baseline('node')
+  const hono = await baseline('hono')
+  const entry = await startEntry(platform.url, 'off', 7391)
+  const logging = await startEntry(platform.url, 'on', 7392)
+  const relays: Relay[] = [
+    { name: 'node', child: node, origin: `http://${node.ready}`, path: '/x' },
+    { name: 'hono', child: hono, origin: `http://${hono.ready}`, path: '/x' },
+    { name: 'entry', child: entry, origin: 'http://127.0.0.1:7391', path: '/s/x' },
+    {
+      name: 'entry, a line each',
+      child: logging,
+      origin: 'http://127.0.0.1:7392',
+      path: '/s/x',
+    },
+  ]
+  const idleMb = Object.fromEntries(
+    relays.map(({ name, child }) => [name, Math.round(child.residentMb())]),
+  )
+  const throughput = [
+    ...(await measureThroughput(relays, 'GET')),
+    ...(await measureThroughput(relays, 'POST')),
+  ]
+  console.log(
+    `closed loop, ${CONNECTIONS} connections, 300-byte answers, medians of ${ROUNDS} rounds`,
+  )
+  console.table(throughput)
+  const baseRate = throughput.find(
+    (row) => row.name === 'node' && row.method === 'GET',
+  )!.rate
+  const direct = {
+    name: 'target',
+    child: target,
+    origin: `http://${target.ready}`,
+    path: '/x',
+  }
+  const latency = await measureLatency([direct, ...relays], 'GET', baseRate * LOAD_SHARE)
+  console.log(`open loop at ${LOAD_SHARE} of the node relay's throughput, seed ${SEED}`)
+  console.table(latency)
+  const memory = relays.map(({ name, child }) => ({
+    name,
+    idleMb: idleMb[name],
+    afterLoadMb: Math.round(child.residentMb()),
+  }))
+  console.table(memory)
+  for (const { child } of relays) await child.stop()
+  await target.stop()
+  await platform.close()
+  return { seed: SEED, connections: CONNECTIONS, throughput, latency, memory }
+}
