--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,179 @@
+/**
+ * Slopes for docs/CAPACITY.md: what control costs a process, by VMs, targets and peers.
+ * Each part is measured at several sizes and fitted by a line.
+ */
+import { startCluster } from '../playground/cluster.js'
+import {
+  countJobs,
+  maintainedVms,
+  planJobs,
+  planPools,
+  planWaves,
+  poolsInWave,
+} from '../src/keeper/index.js'
+import { readFleetState, waveInput } from '../src/keeper/index.js'
+import { createMemoryLogger } from '../src/shared/index.js'
+import { startChild } from './childProcess.js'
+import { median } from './drive.js'
+import { fitExponent, fitLine } from './fit.js'
+import type { Point } from './fit.js'
+import { GENERATED_HALL, generateHall } from './fleetData.js'
+import { startHallPlatform } from './hallPlatform.js'
+
+const SEED = 5
+const VM_SIZES = [100, 200, 400, 800, 1300, 2600, 5200]
+const ROUNDS = 9
+const TARGET_SIZES = [0, 20, 40, 80, 160]
+const PEER_SIZES = [2, 4, 8, 12]
+const WATCH_MS = 10_000
+
+const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms))
+const collectGarbage = (globalThis as { gc?: () => void }).gc
+
+/** One round of decisions over an unchanged hall: time in ms, and the heap of its rows. */
+function measurePlanning() {
+  const times: Point[] = []
+  const cold: Point[] = []
+  const heap: Point[] = []
+  for (const size of VM_SIZES) {
+    collectGarbage?.()
+    const before = process.memoryUsage().heapUsed
+    const hall = generateHall(size, SEED)
+    collectGarbage?.()
+    heap.push({ size, value: (process.memoryUsage().heapUsed - before) / 1024 })
+    const log = createMemoryLogger()
+    const round = () => {
+      const startedAt = performance.now()
+      const state = readFleetState({
+        hall: GENERATED_HALL,
+        table: hall.table,
+        rows: hall.rows,
+        listed: hall.listed,
+        tasks: [],
+        log,
+      })
+      const input = waveInput(state)
+      const counts = countJobs(input.jobs)
+      planPools(state.table, input.vms, (vm) => counts.get(vm) ?? 0, poolsInWave(input))
+      planWaves(input)
+      const extra = { maintained: maintainedVms(input), inWave: poolsInWave(input) }
+      planJobs({ ...input, ...extra })
+      return performance.now() - startedAt
+    }
+    cold.push({ size, value: round() })
+    times.push({ size, value: median(Array.from({ length: ROUNDS }, round)) })
+  }
+  return { times, cold, heap }
+}
+
+interface Sample {
+  cpuPercent: number
+  residentMb: number
+  platformCalls: number
+  platformBytes: number
+}
+
+/** The real entry binary, idle, before so many targets. */
+async function measureEntry(targets: number, hosted: boolean): Promise<Sample> {
+  const hall = await startHallPlatform(targets, SEED)
+  const file = await hall.writeSettings(hosted)
+  const ready = targets > 0 ? /targetAdded/ : /RS-3001/
+  const child = await startChild('dist/src/bin/entry.js', ['--config', file], ready)
+  await wait(3000)
+  const before = {
+    cpu: child.cpuMs(),
+    calls: hall.calls(),
+    bytes: await hall.platformBytes(),
+  }
+  await wait(WATCH_MS)
+  const seconds = WATCH_MS / 1000
+  const sample = {
+    cpuPercent: (child.cpuMs() - before.cpu) / (WATCH_MS / 100),
+    residentMb: child.residentMb(),
+    platformCalls: (hall.calls() - before.calls) / seconds,
+    platformBytes: ((await hall.platformBytes()) - before.bytes) / seconds,
+  }
+  await child.stop()
+  await hall.close()
+  return sample
+}
+
+/** Bytes a second that each of so many processes of one hall exchanges with its peers. */
+async function measurePeers(count: number): Promise<{ bytes: number; messages: number }> {
+  const cluster = await startCluster({
+    halls: ['h'],
+    entriesPerHall: count,
+    keepersPerHall: 0,
+    workersPerHall: 0,
+    seed: SEED,
+    table: { 'pool/p': { weight: '1', limit: '1' } },
+    settings: { requests: { drain_notice: '0ms' } },
+    log: () => createMemoryLogger(10),
+  })
+  const read = async () => {
+    let bytes = 0
+    let messages = 0
+    for (const { kernel } of cluster.nodes) {
+      const metrics = kernel.get('metrics')
+      await metrics.render()
+      for (const { value } of (await metrics.peerBytes.get()).values) bytes += value
+      for (const { value } of (await metrics.peerMessages.get()).values) messages += value
+    }
+    return { bytes, messages }
+  }
+  await wait(3000)
+  const before = await read()
+  await wait(WATCH_MS)
+  const after = await read()
+  await cluster.stop()
+  const perSecond = (value: number) => value / (WATCH_MS / 1000) / count
+  return {
+    bytes: perSecond(after.bytes - before.bytes),
+    messages: perSecond(after.messages - before.messages),
+  }
+}
+
+export default async function capacityBench(): Promise<object> {
+  const planning = measurePlanning()
+  const entry: (Sample & { targets: number })[] = []
+  for (const targets of TARGET_SIZES) {
+    entry.push({ targets, ...(await measureEntry(targets, false)) })
+  }
+  const hosted: (Sample & { targets: number })[] = []
+  for (const targets of TARGET_SIZES) {
+    hosted.push({ targets, ...(await measureEntry(targets, true)) })
+  }
+  const peers: { peers: number; bytes: number; messages: number }[] = []
+  for (const count of PEER_SIZES)
+    peers.push({ peers: count - 1, ...(await measurePeers(count)) })
+
+  const of = (rows: (Sample & { targets: number })[], key: keyof Sample): Point[] =>
+    rows.map((row) => ({ size: row.targets, value: row[key] }))
+  const fits = {
+    'keeper round, ms per VM': fitLine(planning.times),
+    'keeper first round, ms per VM': fitLine(planning.cold),
+    'rows of a hall, KB per VM': fitLine(planning.heap),
+    'entry, % of a core per target': fitLine(of(entry, 'cpuPercent')),
+    'entry, MB per target': fitLine(of(entry, 'residentMb')),
+    'entry with keeper, % of a core per target': fitLine(of(hosted, 'cpuPercent')),
+    'entry with keeper, MB per target': fitLine(of(hosted, 'residentMb')),
+    'peers, bytes/s per peer of the hall': fitLine(
+      peers.map((row) => ({ size: row.peers, value: row.bytes })),
+    ),
+  }
+  const exponents = { 'keeper round': fitExponent(planning.times) }
+  console.table(
+    planning.times.map(({ size, value }, i) => ({
+      vms: size,
+      roundMs: value,
+      firstMs: planning.cold[i]!.value,
+      heapKb: planning.heap[i]!.value,
+    })),
+  )
+  console.table(entry)
+  console.table(hosted)
+  console.table(peers)
+  console.table(fits)
+  console.log(exponents)
+  return { seed: SEED, planning, entry, hosted, peers, fits, exponents }
+}
--- /dev/null
+++ b/bench/fit.ts
@@ -0,0 +1,52 @@
+/** Straight lines through measured points. */
+
+/** A least-squares line. */
+export interface Fit {
+  /** Change per unit of size. */
+  slope: number
+  /** Value at size 0. */
+  base: number
+  /** Part of the variance that the line explains. */
+  r2: number
+  /** Largest distance of a point from the line, as a part of the largest value. */
+  worst: number
+}
+
+/** A measured point. */
+export interface Point {
+  size: number
+  value: number
+}
+
+/** Fits a line through at least two points. */
+export function fitLine(points: readonly Point[]): Fit {
+  const n = points.length
+  const mean = (pick: (p: Point) => number) =>
+    points.reduce((sum, p) => sum + pick(p), 0) / n
+  const meanSize = mean((p) => p.size)
+  const meanValue = mean((p) => p.value)
+  const covariance = mean((p) => (p.size - meanSize) * (p.value - meanValue))
+  const slope = covariance / mean((p) => (p.size - meanSize) ** 2)
+  const base = meanValue - slope * meanSize
+  const residuals = points.map((p) => p.value - (base + slope * p.size))
+  const total = mean((p) => (p.value - meanValue) ** 2)
+  const left = residuals.reduce((sum, r) => sum + r * r, 0) / n
+  const largest = Math.max(...points.map((p) => Math.abs(p.value)))
+  const worst = Math.max(...residuals.map(Math.abs)) / largest
+  const digits = (value: number) => Number(value.toPrecision(3))
+  return {
+    slope: digits(slope),
+    base: digits(base),
+    r2: digits(1 - left / total),
+    worst: digits(worst),
+  }
+}
+
+/** Exponent of the power law through the points: 1 is linear. */
+export function fitExponent(points: readonly Point[]): number {
+  const logs = points.map(({ size, value }) => ({
+    size: Math.log(size),
+    value: Math.log(value),
+  }))
+  return fitLine(logs).slope
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 
 const BENCHES: Record<string, () => Promise<{ default: Bench }>> = {
   relay: () => import('./relay.js'),
+  capacity: () => import('./capacity.js'),
 }
 
 const [name = ''] = process.argv.slice(2)
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -20,7 +20,7 @@
 const ROUNDS = 5
 const ROUND_MS = 3000
 const WARM_UP_MS = 1500
-const LATENCY_MS = 8000
+const LATENCY_MS = 3000
 const LOAD_SHARE = 0.3
 const SEED = 11
 const HALL = 'h'
@@ -94,48 +94,64 @@
   body: method === 'POST' ? POST_BODY : null,
 })
 
+/** Rounds in turn over all relays, so that a change of the machine's speed meets all. */
 async function measureThroughput(relays: Relay[], method: Method) {
-  const rates = new Map<string, number[]>(relays.map(({ name }) => [name, []]))
+  const rounds = new Map<string, { rate: number; cpuUs: number }[]>()
   for (const relay of relays)
     await closedLoop(work(relay, method), CONNECTIONS, WARM_UP_MS)
   for (let round = 0; round < ROUNDS; round++) {
     for (const relay of relays) {
-      rates
-        .get(relay.name)!
-        .push(await closedLoop(work(relay, method), CONNECTIONS, ROUND_MS))
+      const before = relay.child.cpuMs()
+      const rate = await closedLoop(work(relay, method), CONNECTIONS, ROUND_MS)
+      const cpuUs = ((relay.child.cpuMs() - before) * 1e6) / (rate * ROUND_MS)
+      rounds.set(relay.name, [...(rounds.get(relay.name) ?? []), { rate, cpuUs }])
     }
   }
-  const base = rates.get('node')!
+  const base = rounds.get('node')!
   return relays.map(({ name }) => {
-    const mine = rates.get(name)!
-    const ratios = mine.map((rate, i) => rate / base[i]!)
-    return { name, method, rate: Math.round(median(mine)), ratio: round2(median(ratios)) }
+    const mine = rounds.get(name)!
+    return {
+      name,
+      method,
+      rate: Math.round(median(mine.map(({ rate }) => rate))),
+      cpuUs: Math.round(median(mine.map(({ cpuUs }) => cpuUs))),
+      ratio: round2(median(mine.map(({ rate }, i) => rate / base[i]!.rate))),
+      cpuRatio: round2(median(mine.map(({ cpuUs }, i) => base[i]!.cpuUs / cpuUs))),
+    }
   })
 }
 
 const round2 = (value: number): number => Math.round(value * 100) / 100
 
 async function measureLatency(relays: Relay[], method: Method, rate: number) {
-  const rows = []
-  for (const relay of relays) {
-    const histogram = await openLoop(
-      work(relay, method),
-      CONNECTIONS,
-      rate,
-      LATENCY_MS,
-      SEED,
-    )
-    const at = (percentile: number) =>
-      round2(histogram.getValueAtPercentile(percentile) / 1000)
-    rows.push({
-      name: relay.name,
+  const rounds = new Map<string, { p50: number; p99: number }[]>()
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const relay of relays) {
+      const seed = SEED + round
+      const histogram = await openLoop(
+        work(relay, method),
+        CONNECTIONS,
+        rate,
+        LATENCY_MS,
+        seed,
+      )
+      const at = (percentile: number) => histogram.getValueAtPercentile(percentile) / 1000
+      const sample = { p50: at(50), p99: at(99) }
+      rounds.set(relay.name, [...(rounds.get(relay.name) ?? []), sample])
+    }
+  }
+  const base = rounds.get('node')!
+  return relays.map(({ name }) => {
+    const mine = rounds.get(name)!
+    return {
+      name,
       method,
       rate: Math.round(rate),
-      p50Ms: at(50),
-      p99Ms: at(99),
-    })
-  }
-  return rows
+      p50Ms: round2(median(mine.map(({ p50 }) => p50))),
+      p99Ms: round2(median(mine.map(({ p99 }) => p99))),
+      addedP99Ms: round2(median(mine.map(({ p99 }, i) => p99 - base[i]!.p99))),
+    }
+  })
 }
 
 export default async function relayBench(): Promise<object> {
--- /dev/null
+++ b/src/entry/__tests__/allotments.spec.ts
@@ -0,0 +1,205 @@
+import fc from 'fast-check'
+import { describe, it } from '../../../test/describe.js'
+import { createAllotments } from '../allotments.js'
+import type { Allotments, LoanMessage } from '../allotments.js'
+
+const SERVICE = 's'
+const IDS = ['e1', 'e2', 'e3', 'e4']
+
+/** One step of a run over a network that loses, delays, repeats and reorders. */
+type Op =
+  | { kind: 'step' | 'fill' | 'finish' | 'queue' | 'idle' | 'restart'; at: number }
+  | { kind: 'send'; at: number; to: number }
+  | { kind: 'deliver' | 'repeat' | 'lose'; pick: number }
+  | { kind: 'exchange' }
+
+const at = fc.nat(IDS.length - 1)
+const pick = fc.nat(9999)
+const op: fc.Arbitrary<Op> = fc.oneof(
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('step' as const), at }) },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('fill' as const), at }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constantFrom('finish' as const, 'queue' as const, 'idle' as const),
+      at,
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('restart' as const), at }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('send' as const), at, to: at }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constantFrom('deliver' as const, 'repeat' as const, 'lose' as const),
+      pick,
+    }),
+  },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('exchange' as const) }) },
+)
+
+/** Entries over a small fake network. */
+function createWorld(limitOf: (entry: number) => number) {
+  const network: { from: string; to: number; message: LoanMessage }[] = []
+  /** All messages ever sent; any may arrive once more. */
+  const history: typeof network = []
+  const nodes: {
+    allotments: Allotments
+    inFlight: number
+    queued: number
+    life: number
+  }[] = []
+
+  function boot(index: number, life: number): void {
+    const node = {
+      inFlight: 0,
+      queued: 0,
+      life,
+      allotments: undefined as unknown as Allotments,
+    }
+    node.allotments = createAllotments({
+      own: IDS[index]!,
+      life,
+      entries: IDS,
+      services: () => [SERVICE],
+      limitOf: () => limitOf(index),
+      inFlight: () => node.inFlight,
+      queued: () => node.queued,
+      isGone: () => false,
+    })
+    nodes[index] = node
+  }
+  IDS.forEach((_, index) => boot(index, 1))
+
+  const send = (from: number, to: number) => {
+    if (from === to) return
+    const message = nodes[from]!.allotments.messageFor(IDS[to]!)
+    const sent = { from: IDS[from]!, to, message: structuredClone(message) }
+    network.push(sent)
+    history.push(sent)
+  }
+  const admit = (index: number): boolean => {
+    const node = nodes[index]!
+    if (node.inFlight >= node.allotments.usable(SERVICE)) return false
+    node.inFlight++
+    return true
+  }
+
+  const atNode: Record<
+    'step' | 'fill' | 'finish' | 'queue' | 'idle' | 'restart',
+    (index: number) => void
+  > = {
+    step: (index) => nodes[index]!.allotments.step(),
+    fill: (index) => {
+      while (admit(index));
+    },
+    finish: (index) => (nodes[index]!.inFlight = Math.floor(nodes[index]!.inFlight / 2)),
+    queue: (index) => (nodes[index]!.queued = 9),
+    idle: (index) => (nodes[index]!.queued = 0),
+    restart: (index) => boot(index, nodes[index]!.life + 1),
+  }
+
+  function apply(step: Op): void {
+    if (step.kind === 'exchange') return exchangeAll()
+    if (step.kind === 'send') return send(step.at, step.to)
+    if ('at' in step) return atNode[step.kind](step.at)
+    const from = step.kind === 'repeat' ? history : network
+    if (from.length === 0) return
+    const index = step.pick % from.length
+    const sent = from[index]!
+    if (step.kind !== 'repeat') network.splice(index, 1)
+    if (step.kind !== 'lose') nodes[sent.to]!.allotments.receive(sent.from, sent.message)
+  }
+
+  const exchangeAll = () => {
+    for (let from = 0; from < IDS.length; from++) {
+      nodes[from]!.allotments.step()
+      for (let to = 0; to < IDS.length; to++) send(from, to)
+    }
+    for (const sent of network.splice(0)) {
+      nodes[sent.to]!.allotments.receive(sent.from, sent.message)
+    }
+  }
+  const total = () => nodes.reduce((sum, node) => sum + node.inFlight, 0)
+  return { nodes, apply, admit, exchangeAll, total }
+}
+
+describe('createAllotments', () => {
+  it('never lets more run than the limit, whatever happens to messages and entries', (t) => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 0, max: 24 }),
+        fc.array(op, { maxLength: 120, size: 'max' }),
+        (limit, ops) => {
+          const world = createWorld(() => limit)
+          world.exchangeAll()
+          for (const step of ops) {
+            world.apply(step)
+            t.true(world.total() <= limit)
+          }
+        },
+      ),
+      { numRuns: 1500 },
+    )
+  })
+
+  it('holds the larger limit while a lower one spreads, and the lower one once old requests have ended', (t) => {
+    const ops = fc.array(op, { maxLength: 80, size: 'max' })
+    fc.assert(
+      fc.property(ops, ops, (before, during) => {
+        const limits = IDS.map(() => 24)
+        const world = createWorld((index) => limits[index]!)
+        world.exchangeAll()
+        const run = (steps: Op[]) => {
+          for (const step of steps) {
+            world.apply(step)
+            t.true(world.total() <= 24)
+          }
+        }
+        run(before)
+        IDS.forEach((_, index) => {
+          limits[index] = 8
+          run(during.slice(index * 20, (index + 1) * 20))
+        })
+        for (const node of world.nodes) node.inFlight = node.queued = 0
+        for (let round = 0; round < 4; round++) world.exchangeAll()
+        IDS.forEach((_, index) => world.apply({ kind: 'fill', at: index }))
+        t.true(world.total() <= 8, `${world.total()} run`)
+      }),
+      { numRuns: 500 },
+    )
+  })
+
+  it('follows uneven demand: one entry gets most of the limit', (t) => {
+    const world = createWorld(() => 48)
+    world.exchangeAll()
+    world.nodes[0]!.queued = 48
+    for (let round = 0; round < 20; round++) {
+      while (world.admit(0))
+        world.nodes[0]!.queued = Math.max(1, world.nodes[0]!.queued - 1)
+      world.exchangeAll()
+    }
+    t.true(world.nodes[0]!.inFlight >= 36, String(world.nodes[0]!.inFlight))
+    t.true(world.total() <= 48)
+  })
+
+  it('gives back what is not needed, and reaches every part again', (t) => {
+    const world = createWorld(() => 48)
+    world.exchangeAll()
+    world.nodes[0]!.queued = 48
+    for (let round = 0; round < 10; round++) world.exchangeAll()
+    world.nodes[0]!.queued = 0
+    for (let round = 0; round < 60; round++) world.exchangeAll()
+    for (let i = 0; i < IDS.length; i++)
+      t.is(world.nodes[i]!.allotments.usable(SERVICE), 12)
+  })
+
+  it('a fresh life uses a quarter until all have told what they still hold', (t) => {
+    const world = createWorld(() => 48)
+    world.exchangeAll()
+    world.apply({ kind: 'restart', at: 1 })
+    t.is(world.nodes[1]!.allotments.usable(SERVICE), 3)
+    world.exchangeAll()
+    world.exchangeAll()
+    t.is(world.nodes[1]!.allotments.usable(SERVICE), 12)
+  })
+})
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -53,6 +53,8 @@
     let headPassed = false
     let refusal: string | undefined
     let status = 0
+    /** Bytes still to come; NaN where the target names no length. */
+    let left = NaN
     let control: Dispatcher.DispatchController | undefined
 
     const finish = (result: AttemptResult) => {
@@ -64,6 +66,7 @@
 
     const failed = (reason: string): AttemptResult => {
       if (res.destroyed && !res.writableFinished) return { kind: 'caller-left' }
+      if (headPassed && left === 0) return { kind: 'answered', status }
       if (headPassed) return { kind: 'broken', reason }
       if (refusal !== undefined) {
         return { kind: 'not-run', reason: refusal, refusedByTarget: true }
@@ -87,8 +90,9 @@
           return
         }
         headPassed = true
+        left = Number(headerOf(headers, 'content-length') ?? NaN)
         const raw = rawHeaders(controller, headers)
-        const passed = headersForCaller(raw, OUTCOME_HEADER)
+        const passed = headersForCaller(raw)
         passed.push(OUTCOME_HEADER, 'answered')
         if (headerOf(headers, REQUEST_ID_HEADER) === undefined) {
           passed.push(REQUEST_ID_HEADER, call.id)
@@ -97,13 +101,16 @@
       },
       onResponseData(controller, chunk) {
         if (refusal !== undefined) return
+        left -= chunk.length
+        // The last bytes of a known length: the answer is whole, and one call is saved.
+        if (left === 0) return void res.end(chunk)
         if (!res.write(chunk)) controller.pause()
       },
       onResponseEnd(_controller, trailers) {
         if (refusal !== undefined) return finish(failed(refusal))
         const names = Object.keys(trailers ?? {})
         if (names.length > 0) res.addTrailers(trailers as Record<string, string>)
-        res.end()
+        if (!res.writableEnded) res.end()
         finish({ kind: 'answered', status })
       },
       onResponseError(_controller, cause) {
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -1,4 +1,5 @@
 /** Which headers pass between caller and target. Raw lists: name, value, name, value. */
+import { OUTCOME_HEADER } from './constants.js'
 
 const HOP_BY_HOP = new Set([
   'connection',
@@ -11,37 +12,45 @@
   'upgrade',
 ])
 /** Handled by the entry itself. */
-const NOT_TO_TARGET = new Set(['expect', 'content-length'])
+const NOT_TO_TARGET = new Set([...HOP_BY_HOP, 'expect', 'content-length'])
+/** A target's own outcome is not passed on; the entry says what it knows. */
+const NOT_TO_CALLER = new Set([...HOP_BY_HOP, OUTCOME_HEADER])
+/** Values of `connection` that name no other header. */
+const PLAIN_CONNECTION = /^(keep-alive|close)$/i
 
-function namedInConnection(raw: readonly string[]): Set<string> | undefined {
+function keep(raw: readonly string[], dropped: ReadonlySet<string>): string[] {
+  const kept: string[] = []
+  let listed: Set<string> | undefined
   for (let i = 0; i < raw.length; i += 2) {
-    if (raw[i]!.toLowerCase() !== 'connection') continue
-    const names = raw[i + 1]!.toLowerCase().split(',')
-    return new Set(names.map((name) => name.trim()))
+    const name = raw[i]!
+    const lower = name.toLowerCase()
+    if (lower === 'connection') listed = namesIn(raw[i + 1]!)
+    if (!dropped.has(lower)) kept.push(name, raw[i + 1]!)
   }
-  return undefined
+  return listed ? without(kept, listed) : kept
+}
+
+/** Headers that a `connection` header names, which then are hop by hop too. */
+function namesIn(connection: string): Set<string> | undefined {
+  if (PLAIN_CONNECTION.test(connection)) return undefined
+  const names = connection.toLowerCase().split(',')
+  return new Set(names.map((name) => name.trim()))
 }
 
-function keep(raw: readonly string[], dropped: (name: string) => boolean): string[] {
-  const listed = namedInConnection(raw)
+function without(raw: readonly string[], names: ReadonlySet<string>): string[] {
   const kept: string[] = []
   for (let i = 0; i < raw.length; i += 2) {
-    const name = raw[i]!.toLowerCase()
-    if (HOP_BY_HOP.has(name) || dropped(name) || listed?.has(name)) continue
-    kept.push(raw[i]!, raw[i + 1]!)
+    if (!names.has(raw[i]!.toLowerCase())) kept.push(raw[i]!, raw[i + 1]!)
   }
   return kept
 }
 
 /** Headers of a request for the target. The length is set by whoever sends the body. */
 export function headersForTarget(raw: readonly string[]): string[] {
-  return keep(raw, (name) => NOT_TO_TARGET.has(name))
+  return keep(raw, NOT_TO_TARGET)
 }
 
-/** Headers of an answer for the caller; a target's own outcome header is not passed on. */
-export function headersForCaller(
-  raw: readonly string[],
-  outcomeHeader: string,
-): string[] {
-  return keep(raw, (name) => name === outcomeHeader)
+/** Headers of an answer for the caller. */
+export function headersForCaller(raw: readonly string[]): string[] {
+  return keep(raw, NOT_TO_CALLER)
 }
--- a/src/entry/ops.ts
+++ b/src/entry/ops.ts
@@ -33,7 +33,7 @@
     return reason === undefined ? c.text('ready\n') : c.text(`${reason}\n`, 503)
   })
   app.get('/metrics', async (c) => {
-    const text = await metrics.registry.metrics()
+    const text = await metrics.render()
     return c.body(text, 200, { 'content-type': metrics.registry.contentType })
   })
   const server = await listen(app, opts.host, opts.port)
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ResolvedConfig } from '../config/index.js'
-import { monotonicMs } from '../shared/index.js'
+import { memoize, monotonicMs } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import type { ServiceLine, TableHolder } from '../table/index.js'
 import { refuse } from './answers.js'
@@ -84,6 +84,13 @@
   const drainWaiters: (() => void)[] = []
   let open = 0
 
+  // Labelled once: looking labels up for each request shows in the profile.
+  const metricsOf = memoize((service) => ({
+    outcome: memoize((outcome) => metrics.requests.labels({ service, outcome })),
+    attempt: memoize((result) => metrics.attempts.labels({ service, result })),
+    latency: metrics.latency.labels({ service }),
+  }))
+
   const lineOf = (service: string): ServiceLine | undefined =>
     table.current()?.table.services.get(service)
 
@@ -134,8 +141,9 @@
     clearTimeout(timer)
     if (ending === 'broken') res.destroy()
     const known = lineOf(call.service) ? call.service : ''
-    metrics.requests.inc({ service: known, outcome: ending })
-    metrics.latency.observe({ service: known }, (monotonicMs() - call.arrivedAt) / 1000)
+    const mine = metricsOf(known)
+    mine.outcome(ending).inc()
+    mine.latency.observe((monotonicMs() - call.arrivedAt) / 1000)
     if (log.enabled('requestEnded')) {
       log.event('requestEnded', {
         request: call.id,
@@ -191,7 +199,7 @@
       tried.add(target)
       noteRoute(call, target, candidates, attempt)
       last = await attemptAt(target, exchange)
-      metrics.attempts.inc({ service: call.service, result: last.kind })
+      metricsOf(call.service).attempt(last.kind).inc()
       if (last.kind === 'answered') return 'answered'
       if (last.kind === 'broken') return 'broken'
       if (last.kind === 'caller-left') return 'caller-left'
--- a/src/keeper/index.ts
+++ b/src/keeper/index.ts
@@ -1,6 +1,6 @@
 /** Decides pools, placements and waves of a hall, under its lease. */
 export * from './decisionLog.js'
-export { keeperPrefixes } from './fleetState.js'
+export { keeperPrefixes, readFleetState } from './fleetState.js'
 export * from './keeper.js'
 export * from './lease.js'
 export * from './placement.js'
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -3,7 +3,7 @@
  * reports, and a push of the epoch to every peer when a new table comes in force.
  */
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { Agent, Server } from 'node:http'
 import { create } from '@bufbuild/protobuf'
 import type { Client } from '@connectrpc/connect'
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
@@ -34,6 +34,8 @@
 } from './constants.js'
 import { NodeReportSchema, PeerService } from './gen/peer_pb.js'
 import type { NodeReport } from './gen/peer_pb.js'
+import { createMeteredAgent, createTrafficMeter } from './traffic.js'
+import type { TrafficMeter } from './traffic.js'
 
 /** What a peer last said, and when. */
 export interface PeerState {
@@ -95,6 +97,8 @@
   const { cfg, rows, table, log, metrics } = opts
   const stopping = createStopController()
   let source = EMPTY_SOURCE
+  const meter = createTrafficMeter(metrics)
+  const agent = createMeteredAgent(meter)
 
   const ownReport = (): NodeReport => {
     const { routes, leaving, loads, stopping: jobs } = source()
@@ -114,7 +118,7 @@
   const peers = new Map<string, Peer>()
   for (const [id, address] of Object.entries(cfg.peers)) {
     if (id === cfg.node.id) continue
-    peers.set(id, makePeer(id, address))
+    peers.set(id, makePeer(id, address, agent))
   }
 
   function heard(report: NodeReport | undefined): void {
@@ -238,7 +242,8 @@
       },
     })
 
-  const server = await listenForPeers(cfg, routes, metrics)
+  const server = await listenForPeers(cfg, routes, meter)
+  metrics.beforeScrape.push(meter.collect)
   const tasks = [...peers.values()].map(runPeer)
 
   return {
@@ -255,6 +260,7 @@
     async stop() {
       unsubscribe()
       stopping.abort()
+      agent.destroy()
       server.closeAllConnections()
       await new Promise((resolve) => server.close(resolve))
       await Promise.all(tasks)
@@ -268,13 +274,14 @@
   return stopping.length > MAX_STOPPING
 }
 
-function makePeer(id: string, address: PeerAddress): Peer {
+function makePeer(id: string, address: PeerAddress, agent: Agent): Peer {
   const host = address.host.includes(':') ? `[${address.host}]` : address.host
   const transport = createConnectTransport({
     httpVersion: '1.1',
     baseUrl: `http://${host}:${address.port}`,
     readMaxBytes: MAX_MESSAGE_BYTES,
     useBinaryFormat: true,
+    nodeOptions: { agent },
   })
   const peer: Peer = {
     id,
@@ -291,16 +298,11 @@
 async function listenForPeers(
   cfg: ResolvedConfig,
   routes: (router: ConnectRouter) => void,
-  metrics: Metrics,
+  meter: TrafficMeter,
 ): Promise<Server> {
   const adapter = connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES })
   const server = createServer(adapter)
-  server.on('connection', (socket) => {
-    socket.on('close', () => {
-      metrics.peerBytes.inc({ direction: 'received' }, socket.bytesRead)
-      metrics.peerBytes.inc({ direction: 'sent' }, socket.bytesWritten)
-    })
-  })
+  server.on('connection', meter.track)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(cfg.listen.peer_port, cfg.listen.address, resolve)
--- /dev/null
+++ b/src/peer/traffic.ts
@@ -0,0 +1,50 @@
+/** Counts the bytes to and from peers over sockets that stay open. */
+import { Agent } from 'node:http'
+import { createConnection } from 'node:net'
+import type { NetConnectOpts, Socket } from 'node:net'
+import type { Metrics } from '../shared/index.js'
+
+/** Counts what sockets carry. */
+export interface TrafficMeter {
+  track(socket: Socket): void
+  /** Adds what has passed since the last call to the metrics. */
+  collect(): void
+}
+
+/** Creates a meter for one process. */
+export function createTrafficMeter(metrics: Metrics): TrafficMeter {
+  const counted = new Map<Socket, { received: number; sent: number }>()
+
+  function count(socket: Socket): void {
+    const before = counted.get(socket)
+    if (!before) return
+    const { bytesRead: received, bytesWritten: sent } = socket
+    metrics.peerBytes.inc({ direction: 'received' }, received - before.received)
+    metrics.peerBytes.inc({ direction: 'sent' }, sent - before.sent)
+    counted.set(socket, { received, sent })
+  }
+
+  return {
+    track(socket) {
+      counted.set(socket, { received: 0, sent: 0 })
+      socket.once('close', () => {
+        count(socket)
+        counted.delete(socket)
+      })
+    },
+    collect() {
+      for (const socket of counted.keys()) count(socket)
+    },
+  }
+}
+
+/** A keep-alive agent whose sockets are counted. */
+export function createMeteredAgent(meter: TrafficMeter): Agent {
+  const agent = new Agent({ keepAlive: true })
+  const connect = (options: NetConnectOpts): Socket => {
+    const socket = createConnection(options)
+    meter.track(socket)
+    return socket
+  }
+  return Object.assign(agent, { createConnection: connect })
+}
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -5,6 +5,19 @@
   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
 ]
 
+/** A function that makes a value once per key. */
+export function memoize<T>(make: (key: string) => T): (key: string) => T {
+  const made = new Map<string, T>()
+  return (key) => {
+    let value = made.get(key)
+    if (value === undefined) {
+      value = make(key)
+      made.set(key, value)
+    }
+    return value
+  }
+}
+
 /** All metrics of one process. */
 export type Metrics = ReturnType<typeof createMetrics>
 
@@ -17,8 +30,15 @@
   const gauge = <T extends string>(name: string, help: string, labelNames: T[]) =>
     new Gauge({ name: `rillshunt_${name}`, help, labelNames, registers })
 
-  return {
+  const metrics = {
     registry,
+    /** Called before the metrics are read, to bring counters up to date. */
+    beforeScrape: [] as (() => void)[],
+    /** All metrics in the exposition format of Prometheus. */
+    async render(this: void): Promise<string> {
+      for (const update of metrics.beforeScrape) update()
+      return registry.metrics()
+    },
     /** Adds the metrics of the Node runtime. */
     collectRuntime: () => collectDefaultMetrics({ register: registry }),
     requests: counter('requests_total', 'requests ended, by outcome', [
@@ -65,4 +85,5 @@
     }),
     moves: counter('moves_total', 'VMs and jobs moved by our decision', ['kind']),
   }
+  return metrics
 }
