feat(entry): unrepeatable requests run at most once across entries

Cause: a caller's repeat of an unrepeatable request was a new request; and fixed parts of a limit left most of it unused under uneven demand. Change: each id has an owner by hashing that tells first from repeat; a planned stop leaves the memory with a peer that stands in; after a kill the owner is unsure of what it may have known. Allotments are wired into the syncs. Ruled out: a second memory per id with a witness (see docs/design/once.md): it refused requests in halls of two entries while one was replaced.

--- a/src/config/resolveConfig.ts
+++ b/src/config/resolveConfig.ts
@@ -74,6 +74,7 @@
   platform: { timeout: 'ms', poll: 'ms', max_backoff: 'ms' },
   requests: {
     deadline: 'ms',
+    once_memory: 'ms',
     connect_timeout: 'ms',
     health_interval: 'ms',
     drain_notice: 'ms',
--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -109,6 +109,11 @@
    * @default 512
    */
   queue: wholeNumber(0, 100_000).prefault('512'),
+  /**
+   * Time for which unrepeatable requests are remembered.
+   * @default '10m'
+   */
+  once_memory: duration().prefault('10m'),
   /**
    * Time between two health checks of a target.
    * @default '500ms'
--- /dev/null
+++ b/src/entry/__tests__/once.spec.ts
@@ -0,0 +1,223 @@
+import fc from 'fast-check'
+import { describe, it } from '../../../test/describe.js'
+import { createOnce, ownerOf } from '../once.js'
+import type { EntryPlace, Once, OncePeers } from '../once.js'
+
+const ENTRIES: EntryPlace[] = [
+  { id: 'a1', hall: 'a' },
+  { id: 'a2', hall: 'a' },
+  { id: 'a3', hall: 'a' },
+  { id: 'b1', hall: 'b' },
+  { id: 'b2', hall: 'b' },
+]
+/** An id that names no hall, and whose home is hall a. */
+const PLAIN = 'w'
+const MEMORY_MS = 600_000
+
+/** Entries whose links can be cut and whose memory can be lost. */
+function createWorld() {
+  const nodes = new Map<string, Once>()
+  const cut = new Set<string>()
+  const lives = new Map<string, number>()
+  let now = 0
+  let loseReplies = false
+
+  const linkOf = (x: string, y: string) => [x, y].sort().join('-')
+  function peersOf(own: string): OncePeers {
+    const to = (peer: string): Once['answer'] => {
+      const node = nodes.get(peer)
+      if (!node || cut.has(linkOf(own, peer))) throw new Error('cut off')
+      return node.answer
+    }
+    const reply = <T>(value: T): T => {
+      if (loseReplies) throw new Error('reply lost')
+      return value
+    }
+    return {
+      claim: async (peer, id, owner) => reply(to(peer).claim(id, owner)),
+      settle: async (peer, id, state) => reply(to(peer).settle(id, state)),
+      collect: async (peer) => reply(to(peer).collect(own)),
+      handOver: async (peer, legacy) => reply(to(peer).handOver(own, legacy)),
+    }
+  }
+
+  function boot(id: string): void {
+    const life = (lives.get(id) ?? 0) + 1
+    lives.set(id, life)
+    const own = ENTRIES.find((entry) => entry.id === id)!
+    const once = createOnce({
+      own,
+      entries: ENTRIES,
+      peers: peersOf(id),
+      memoryMs: MEMORY_MS,
+      firstLife: life === 1,
+      isReached: (peer) => nodes.has(peer) && !cut.has(linkOf(id, peer)),
+      now: () => now,
+      wallSeconds: () => 1_700_000_000 + now / 1000,
+    })
+    nodes.set(id, once)
+  }
+  for (const { id } of ENTRIES) boot(id)
+
+  return {
+    node: (id: string) => nodes.get(id)!,
+    kill: boot,
+    async stopAndStart(id: string) {
+      await nodes.get(id)!.leave()
+      boot(id)
+    },
+    toggleLink(x: string, y: string) {
+      const link = linkOf(x, y)
+      if (!cut.delete(link)) cut.add(link)
+    },
+    cutOff(id: string) {
+      for (const other of ENTRIES) if (other.id !== id) cut.add(linkOf(id, other.id))
+    },
+    setLoseReplies: (lose: boolean) => (loseReplies = lose),
+    advance: (ms: number) => (now += ms),
+  }
+}
+
+const entry = fc.constantFrom(...ENTRIES.map(({ id }) => id))
+const requestId = fc.constantFrom(
+  'x',
+  'y',
+  'a.1700000010.z',
+  'b.1700000010.z',
+  'b.1700000040.z',
+)
+type Op =
+  | { kind: 'send'; at: string; id: string; ends: 'answered' | 'unknown' | 'not-run' }
+  | { kind: 'kill' | 'replace' | 'recover' | 'leave'; at: string }
+  | { kind: 'link'; at: string; to: string }
+  | { kind: 'lose'; lose: boolean }
+  | { kind: 'later' }
+const op: fc.Arbitrary<Op> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('send' as const),
+      at: entry,
+      id: requestId,
+      ends: fc.constantFrom('answered' as const, 'unknown' as const, 'not-run' as const),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constantFrom('kill' as const, 'replace' as const, 'leave' as const),
+      at: entry,
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({ kind: fc.constant('recover' as const), at: entry }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('link' as const), at: entry, to: entry }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('lose' as const), lose: fc.boolean() }),
+  },
+)
+
+describe('createOnce', () => {
+  it('lets no id run twice, through any entry, cuts, lost replies, kills and planned stops', async (t) => {
+    let ran = 0
+    await fc.assert(
+      fc.asyncProperty(fc.array(op, { maxLength: 60, size: 'max' }), async (ops) => {
+        const world = createWorld()
+        const runs = new Map<string, number>()
+        for (const step of ops) {
+          if ('ends' in step) {
+            const verdict = await world.node(step.at).begin(step.id)
+            if (verdict.kind !== 'first') continue
+            const times = (runs.get(step.id) ?? 0) + (step.ends === 'not-run' ? 0 : 1)
+            runs.set(step.id, times)
+            ran += times
+            if (times > 1) throw new Error(`${step.id} ran twice`)
+            await world.node(step.at).end(step.id, step.ends)
+          } else if (step.kind === 'lose') world.setLoseReplies(step.lose)
+          else if (step.kind === 'later') world.advance(20_000)
+          else if (step.kind === 'leave') await world.node(step.at).leave()
+          else if (step.kind === 'link') world.toggleLink(step.at, step.to)
+          else if (step.kind === 'kill') world.kill(step.at)
+          else if (step.kind === 'replace') await world.stopAndStart(step.at)
+          else await world.node(step.at).recover()
+        }
+      }),
+      { numRuns: 1500 },
+    )
+    t.true(ran > 1000, 'the runs hardly let anything through')
+  })
+
+  describe('a repeat', () => {
+    it('is known at every entry of the home hall, and in another hall by its dated id', async (t) => {
+      const world = createWorld()
+      const id = 'a.1700000010.z'
+      t.is((await world.node('b1').begin(id)).kind, 'first')
+      await world.node('b1').end(id, 'answered')
+      for (const { id: at } of ENTRIES) {
+        t.deepEqual(await world.node(at).begin(id), { kind: 'repeat', state: 'answered' })
+      }
+    })
+
+    it('is new again after the first one was told not-run', async (t) => {
+      const world = createWorld()
+      for (const { id: at } of ENTRIES.slice(0, 3)) {
+        t.is((await world.node(at).begin(PLAIN)).kind, 'first')
+        await world.node(at).end(PLAIN, 'not-run')
+      }
+    })
+
+    it('is known while each entry is replaced in turn, and after it', async (t) => {
+      const world = createWorld()
+      await world.node('a1').begin(PLAIN)
+      await world.node('a1').end(PLAIN, 'answered')
+      for (const id of ['a1', 'a2', 'a3', 'a1']) {
+        await world.node(id).leave()
+        for (const at of ['b1', 'b2'])
+          t.is((await world.node(at).begin(PLAIN)).kind, 'repeat')
+        world.kill(id)
+        await world.node(id).recover()
+        for (const { id: at } of ENTRIES)
+          t.is((await world.node(at).begin(PLAIN)).kind, 'repeat')
+      }
+    })
+  })
+
+  describe('a fresh id', () => {
+    it('is granted by whoever stands in for an owner that is being replaced', async (t) => {
+      const owner = ownerOf(PLAIN, ENTRIES)
+      const world = createWorld()
+      await world.node(owner).leave()
+      t.is((await world.node('b1').begin(PLAIN)).kind, 'first')
+      world.kill(owner)
+      await world.node(owner).recover()
+      t.is((await world.node('b2').begin(PLAIN)).kind, 'repeat')
+    })
+
+    it('is unsure while the owner is cut off or has lost its memory, for as long as that lasted', async (t) => {
+      const owner = ownerOf(PLAIN, ENTRIES)
+      const world = createWorld()
+      world.cutOff(owner)
+      t.is((await world.node('b1').begin(PLAIN)).kind, 'unsure')
+      const lost = createWorld()
+      lost.kill(owner)
+      await lost.node(owner).recover()
+      t.is((await lost.node('b1').begin(PLAIN)).kind, 'unsure')
+      lost.advance(MEMORY_MS)
+      t.is((await lost.node('b1').begin(PLAIN)).kind, 'first')
+    })
+
+    it('that was made after its owner started is granted, but not one from the future', async (t) => {
+      const world = createWorld()
+      for (const { id } of ENTRIES) world.kill(id)
+      world.advance(100_000)
+      t.is((await world.node('a1').begin('a.1700000100.z')).kind, 'first')
+      t.is((await world.node('a1').begin('a.1700000200.z')).kind, 'unsure')
+    })
+  })
+})
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -15,6 +15,8 @@
   | 'stopping'
   | 'no answer'
   | 'deadline after sending'
+  | 'repeat'
+  | 'unsure'
 
 interface RefusalSpec {
   status: number
@@ -32,6 +34,9 @@
   stopping: { status: 503, outcome: 'not-run', retryLater: true },
   'no answer': { status: 502, outcome: 'unknown', retryLater: false },
   'deadline after sending': { status: 504, outcome: 'unknown', retryLater: false },
+  // Of these, this attempt did not run, but an earlier one of the same id may have.
+  repeat: { status: 409, outcome: 'unknown', retryLater: false },
+  unsure: { status: 503, outcome: 'unknown', retryLater: true },
 }
 
 /** Sends a refusal; does nothing when an answer has begun. Returns the outcome. */
--- a/src/entry/call.ts
+++ b/src/entry/call.ts
@@ -21,6 +21,8 @@
   method: string
   /** Path and query for the target: the caller's without the service. */
   path: string
+  /** The caller gave the id, so it can send the request again under it. */
+  idGiven: boolean
   /** Whether it may run twice. */
   repeatable: boolean
   /** Undefined where the caller names none; the service's line decides then. */
@@ -55,6 +57,7 @@
   const arrivedAt = monotonicMs()
   return ok({
     id: id.value,
+    idGiven: req.headers[REQUEST_ID_HEADER] !== undefined,
     service: match[1]!,
     method: req.method ?? 'GET',
     path: rest.startsWith('/') ? rest : `/${rest}`,
--- a/src/entry/constants.ts
+++ b/src/entry/constants.ts
@@ -29,3 +29,7 @@
 export const MAX_EXCLUDED_SHARE = 0.5
 /** Seconds after which a refused caller should come back. */
 export const RETRY_AFTER_S = 1
+/** Times that the owner of an unrepeatable request's id is asked while it is unsure. */
+export const ONCE_ASKS = 4
+/** Pause between two of them, in ms. */
+export const ONCE_PAUSE_MS = 100
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,8 +1,11 @@
 /** Answers callers: routing, limits, retries, drain. */
+export * from './allotments.js'
 export * from './answers.js'
 export * from './chooser.js'
+export type { ClaimRecord } from './claimBook.js'
 export * from './constants.js'
 export * from './front.js'
+export * from './once.js'
 export * from './ops.js'
 export * from './router.js'
 export * from './target.js'
--- /dev/null
+++ b/src/entry/once.ts
@@ -0,0 +1,239 @@
+/**
+ * At most once for unrepeatable requests that carry their caller's id. Each id has an
+ * owner among the entries of its home hall, by rendezvous hashing; the owner says
+ * whether the id is new. An entry that stops as planned leaves its memory with another,
+ * which stands in for it. After a loss of memory the owner is "unsure" of ids that it
+ * may have known, and their requests are not sent. docs/design/once.md states what is
+ * promised.
+ */
+import { createHash } from 'node:crypto'
+import { createClaimBook } from './claimBook.js'
+import type { ClaimRecord, ClaimState } from './claimBook.js'
+
+/** Whether a request may be sent. */
+export type Verdict =
+  | { kind: 'first' }
+  | { kind: 'repeat'; state: ClaimState }
+  | { kind: 'unsure'; reason: string }
+
+/** Memory that an entry left when it stopped as planned. */
+export interface Legacy {
+  claims: ClaimRecord[]
+  /** Whether that memory had no gap; false when nothing was left here. */
+  complete: boolean
+}
+
+/** Calls to other entries; a rejection means that nothing is known of its effect. */
+export interface OncePeers {
+  /** Asks the owner, or who stands in for the owner that is named. */
+  claim(peer: string, id: string, owner: string): Promise<Verdict>
+  settle(peer: string, id: string, state: ClaimState | 'not-run'): Promise<void>
+  /** Takes back what an earlier life of the caller left there. */
+  collect(peer: string): Promise<Legacy>
+  handOver(peer: string, legacy: Legacy): Promise<void>
+}
+
+/** One entry, with its hall. */
+export interface EntryPlace {
+  id: string
+  hall: string
+}
+
+/** Options of {@link createOnce}. */
+export interface OnceOptions {
+  own: EntryPlace
+  /** Entries of all halls, this one included. */
+  entries: readonly EntryPlace[]
+  peers: OncePeers
+  /** Time for which a claim is remembered, in ms. */
+  memoryMs: number
+  /** This entry never ran before, so that there is nothing to remember. */
+  firstLife: boolean
+  /** Whether the entry has spoken lately. */
+  isReached(entry: string): boolean
+  /** Monotonic clock in ms. */
+  now(): number
+  /** Time of day in s, for ids that name when they were made. */
+  wallSeconds(): number
+}
+
+/** Decides whether unrepeatable requests may be sent. */
+export interface Once {
+  begin(id: string): Promise<Verdict>
+  /** Notes how a request that had begun ended. */
+  end(id: string, state: ClaimState | 'not-run'): Promise<void>
+  /** Takes back what an earlier life left with a peer; call it before any `begin`. */
+  recover(): Promise<void>
+  /** Leaves the memory with a peer before a planned stop. */
+  leave(): Promise<void>
+  /** What peers ask of this entry. */
+  answer: {
+    claim(id: string, owner: string): Verdict
+    settle(id: string, state: ClaimState | 'not-run'): void
+    collect(from: string): Legacy
+    handOver(from: string, legacy: Legacy): void
+  }
+}
+
+/** Most claims that an entry remembers. */
+const MAX_CLAIMS = 200_000
+/** Ids dated so far ahead of the own clock are not accepted, in s. */
+const MAX_AHEAD_S = 15
+/**
+ * Ids made so long after the start are new for certain, in s. An earlier life accepted
+ * none dated later than its end and {@link MAX_AHEAD_S}; the rest covers clocks that differ.
+ */
+const CLOCK_MARGIN_S = 30
+/** Ids that name their home hall and the time they were made: HALL.SECONDS.RANDOM. */
+const DATED_ID = /^([a-z0-9-]+)\.(\d{9,11})\.[\w-]+$/i
+
+const madeAt = (id: string): number => Number(DATED_ID.exec(id)?.[2] ?? 0)
+
+/** Names by their rendezvous score for the id, the highest first. */
+function byScore(names: readonly string[], id: string): string[] {
+  const scored = names.map((name) => {
+    const score = createHash('sha1').update(`${name} ${id}`).digest('hex')
+    return { name, score }
+  })
+  return scored.sort((a, b) => (a.score < b.score ? 1 : -1)).map(({ name }) => name)
+}
+
+/** The entry that owns the id; the same wherever the id arrives. */
+export function ownerOf(id: string, entries: readonly EntryPlace[]): string {
+  const halls = [...new Set(entries.map((entry) => entry.hall))]
+  const named = DATED_ID.exec(id)?.[1] ?? ''
+  const home = halls.includes(named) ? named : byScore(halls, id)[0]
+  const inHall = entries.filter((entry) => entry.hall === home)
+  return byScore(
+    inHall.map((entry) => entry.id),
+    id,
+  )[0]!
+}
+
+const unsure = (reason: string): Verdict => ({ kind: 'unsure', reason })
+
+/** Creates the memory of one life. */
+export function createOnce(opts: OnceOptions): Once {
+  const { own, entries, peers, memoryMs, now } = opts
+  const startedAt = now()
+  const startedSeconds = opts.wallSeconds()
+  const newBook = () => createClaimBook({ memoryMs, maxRecords: MAX_CLAIMS, now })
+  const book = newBook()
+  /** Memory of entries that stopped as planned, until their next life takes it back. */
+  const legacies = new Map<
+    string,
+    { book: ReturnType<typeof newBook>; complete: boolean }
+  >()
+  /** The entry that granted each running request of this one. */
+  const grantedBy = new Map<string, string>()
+  const ownHallFirst = [...entries]
+    .filter((entry) => entry.id !== own.id)
+    .sort((a, b) => Number(a.hall !== own.hall) - Number(b.hall !== own.hall))
+  let recovered = opts.firstLife
+  let left = false
+
+  /** Whether an id that is not in the book is new for certain. */
+  function isSure(id: string): boolean {
+    if (recovered || now() - startedAt >= memoryMs) return true
+    return madeAt(id) > startedSeconds + CLOCK_MARGIN_S
+  }
+
+  function claim(id: string, from: typeof book, sure: boolean): Verdict {
+    const state = from.find(id)
+    if (state) return { kind: 'repeat', state }
+    const ahead = madeAt(id) > opts.wallSeconds() + MAX_AHEAD_S
+    if (ahead) return unsure('the id is dated in the future; check the clocks')
+    if (left) return unsure('the owner of the id is stopping')
+    if (!sure) return unsure('the owner of the id has started anew')
+    if (!from.add(id, 'running')) return unsure('too many requests are remembered')
+    return { kind: 'first' }
+  }
+
+  /** Decides as the owner, or for an owner whose memory is here. */
+  function decide(id: string, owner: string): Verdict {
+    if (owner === own.id) return claim(id, book, isSure(id))
+    const legacy = legacies.get(owner)
+    if (!legacy) return unsure('this entry does not stand in for the owner')
+    return claim(id, legacy.book, legacy.complete)
+  }
+
+  async function ask(peer: string, id: string, owner: string): Promise<Verdict> {
+    if (peer === own.id) return decide(id, owner)
+    return peers
+      .claim(peer, id, owner)
+      .catch(() => unsure(`the owner of the id, ${owner}, does not answer`))
+  }
+
+  /** Notes the state in whichever book knows the id. */
+  function note(id: string, state: ClaimState | 'not-run'): void {
+    const books = [book, ...[...legacies.values()].map((legacy) => legacy.book)]
+    for (const each of books) {
+      if (state === 'not-run') each.remove(id)
+      else each.set(id, state)
+    }
+  }
+
+  return {
+    async begin(id) {
+      const owner = ownerOf(id, entries)
+      const first = await ask(owner, id, owner)
+      const others = [own, ...ownHallFirst].filter((each) => each.id !== owner)
+      let verdict = first
+      let by = owner
+      for (const { id: other } of first.kind === 'unsure' ? others : []) {
+        if (other !== own.id && !opts.isReached(other)) continue
+        by = other
+        verdict = await ask(other, id, owner)
+        if (verdict.kind !== 'unsure') break
+      }
+      if (verdict.kind === 'first') grantedBy.set(id, by)
+      return verdict.kind === 'unsure' ? first : verdict
+    },
+    async end(id, state) {
+      const by = grantedBy.get(id)
+      grantedBy.delete(id)
+      note(id, state)
+      // A lost message leaves the id claimed there: a repeat is then told "unknown".
+      if (by !== undefined && by !== own.id) {
+        await peers.settle(by, id, state).catch(() => undefined)
+      }
+    },
+    async recover() {
+      if (recovered) return
+      const found = await Promise.all(
+        ownHallFirst.map(({ id }) => peers.collect(id).catch(() => undefined)),
+      )
+      for (const { id, state, ageMs } of found.flatMap((each) => each?.claims ?? [])) {
+        if (book.find(id) === undefined) book.add(id, state, ageMs)
+      }
+      recovered = found.some((each) => each?.complete)
+    },
+    async leave() {
+      if (left) return
+      left = true
+      const complete = recovered || now() - startedAt >= memoryMs
+      // To one peer only: after a lost reply a second one would stand in as well.
+      const heir = ownHallFirst.find(({ id }) => opts.isReached(id))
+      if (!heir) return
+      const legacy = { claims: book.records(), complete }
+      await peers.handOver(heir.id, legacy).catch(() => undefined)
+    },
+    answer: {
+      claim: decide,
+      settle: note,
+      collect(from) {
+        const legacy = legacies.get(from)
+        legacies.delete(from)
+        return {
+          claims: legacy?.book.records() ?? [],
+          complete: legacy?.complete ?? false,
+        }
+      },
+      handOver(from, { claims, complete }) {
+        const legacy = { book: newBook(), complete: complete && !left }
+        for (const { id, state, ageMs } of claims) legacy.book.add(id, state, ageMs)
+        legacies.set(from, legacy)
+      },
+    },
+  }
+}
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ResolvedConfig } from '../config/index.js'
-import { memoize, monotonicMs } from '../shared/index.js'
+import { memoize, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import type { ServiceLine, TableHolder } from '../table/index.js'
 import { refuse } from './answers.js'
@@ -19,10 +19,11 @@
 import type { Cancellation } from './cancellation.js'
 import { POLICIES, eligibleTargets } from './chooser.js'
 import type { PolicyName } from './chooser.js'
-import { REQUEST_ID_HEADER } from './constants.js'
+import { ONCE_ASKS, ONCE_PAUSE_MS, REQUEST_ID_HEADER } from './constants.js'
 import { headersForTarget } from './headers.js'
-import { createLimiter, partOfLimit } from './limiter.js'
+import { createLimiter } from './limiter.js'
 import type { Admission, Limiter } from './limiter.js'
+import type { Once, Verdict } from './once.js'
 import { createRetryBudget } from './retryBudget.js'
 import { takesWork } from './target.js'
 import type { Target } from './target.js'
@@ -34,6 +35,9 @@
   serve(req: IncomingMessage, res: ServerResponse): Promise<void>
   /** Requests in flight and waiting, per service. */
   loads(): { service: string; inFlight: number; queued: number }[]
+  loadOf(service: string): { inFlight: number; queued: number }
+  /** Lets waiting requests start if there is room now. */
+  wake(): void
   /** Requests that have not ended, over all services. */
   open(): number
   /** Resolves once no request is open. */
@@ -45,6 +49,9 @@
   cfg: ResolvedConfig
   table: TableHolder
   view: TargetView
+  once: Pick<Once, 'begin' | 'end'>
+  /** How many requests of a service may be in flight here now. */
+  usable(service: string): number
   log: Logger
   metrics: Metrics
   /**
@@ -78,9 +85,6 @@
   const choose = POLICIES[opts.policy ?? 'twoChoicesReported']()
   const limiters = new Map<string, Limiter>()
   const budget = createRetryBudget(cfg.requests.retry_share)
-  const entryIds = Object.entries(cfg.peers)
-    .filter(([, peer]) => peer.role === 'entry')
-    .map(([id]) => id)
   const drainWaiters: (() => void)[] = []
   let open = 0
 
@@ -102,15 +106,16 @@
     return limiter
   }
 
-  function capacityOf(service: string): number {
-    const limit = lineOf(service)?.limit ?? 0
-    const part = partOfLimit(limit, entryIds, cfg.node.id)
+  function slotsOf(service: string): number {
     let slots = 0
     for (const target of view.targets(service))
       if (takesWork(target)) slots += target.slots
-    return Math.min(part, slots)
+    return slots
   }
 
+  const capacityOf = (service: string): number =>
+    Math.min(opts.usable(service), slotsOf(service))
+
   const wakeAll = () => {
     for (const limiter of limiters.values()) limiter.wake()
   }
@@ -171,7 +176,8 @@
     budget.deposit()
     const limiter = limiterOf(call.service)
     const priority = call.priority ?? line.priority
-    if (capacityOf(call.service) === 0 && priority !== 'deferrable') {
+    if (line.limit === 0) return refuseAs(exchange, 'no target', 'the limit is 0')
+    if (slotsOf(call.service) === 0 && priority !== 'deferrable') {
       return refuseAs(exchange, 'no target', 'no target takes work')
     }
     const { deadline } = call
@@ -181,12 +187,39 @@
       return refuseAs(exchange, ADMISSION_REFUSALS[admission], admission)
     }
     try {
-      return await tryTargets({ ...exchange, body })
+      const ready = { ...exchange, body }
+      const guarded = !call.repeatable && call.idGiven
+      return guarded ? await serveOnce(ready) : await tryTargets(ready)
     } finally {
       limiter.leave()
     }
   }
 
+  /** Asks a few times: an owner that is being replaced is unsure for a moment. */
+  async function beginOnce({ call, cancellation }: Exchange): Promise<Verdict> {
+    let verdict = await opts.once.begin(call.id)
+    for (let asked = 1; verdict.kind === 'unsure' && asked < ONCE_ASKS; asked++) {
+      await sleep(ONCE_PAUSE_MS)
+      if (cancellation.cancelled) break
+      verdict = await opts.once.begin(call.id)
+    }
+    return verdict
+  }
+
+  /** An unrepeatable request that its caller may send again: sent only if it is new. */
+  async function serveOnce(exchange: Exchange): Promise<Ending> {
+    const { id } = exchange.call
+    const verdict = await beginOnce(exchange)
+    if (verdict.kind === 'unsure') return refuseAs(exchange, 'unsure', verdict.reason)
+    if (verdict.kind === 'repeat') {
+      return refuseAs(exchange, 'repeat', `the first one: ${verdict.state}`)
+    }
+    const ending = await tryTargets(exchange)
+    const state = ending === 'broken' || ending === 'caller-left' ? 'unknown' : ending
+    void opts.once.end(id, state)
+    return ending
+  }
+
   async function tryTargets(exchange: Exchange): Promise<Ending> {
     const { call, body, cancellation } = exchange
     const tried = new Set<Target>()
@@ -305,6 +338,11 @@
         inFlight: limiter.inFlight(),
         queued: limiter.queued(),
       })),
+    loadOf(service) {
+      const limiter = limiters.get(service)
+      return { inFlight: limiter?.inFlight() ?? 0, queued: limiter?.queued() ?? 0 }
+    },
+    wake: wakeAll,
     open: () => open,
     drained: () =>
       open === 0
--- a/src/entry/targetView.ts
+++ b/src/entry/targetView.ts
@@ -28,6 +28,8 @@
   leaving(): { vm: string; generation: number; inFlight: number }[]
   /** Own requests in flight of every job that is stopping. */
   stopping(): { job: string; inFlight: number }[]
+  /** The platform's list was read, and the VM is not on it. */
+  isOffList(vm: string): boolean
   /** Calls back when the set of targets or their state changes. */
   subscribe(listener: () => void): () => void
   stop(): Promise<void>
@@ -54,6 +56,7 @@
   /** Targets without a row that still run requests of this entry. */
   const removed = new Set<Target>()
   let listedLeaving = new Set<string>()
+  let listed: Set<string> | undefined
 
   function vmOf(job: JobRow): VmRow | undefined {
     const row = rows.rows.get(vmKey(hall, job.vm))
@@ -164,6 +167,7 @@
       const list = await opts.platform.listVms(hall, since)
       if (list.isOk() && list.value) {
         since = list.value.revision
+        listed = new Set(list.value.vms.map((vm) => vm.id))
         const leaving = list.value.vms.filter((vm) => vm.state === 'leaving')
         listedLeaving = new Set(leaving.map((vm) => `${vm.id}/${vm.incarnation}`))
         for (const target of byJob.values()) updateState(target)
@@ -203,6 +207,7 @@
       }
       return stopping
     },
+    isOffList: (vm) => listed !== undefined && !listed.has(vm),
     subscribe(listener) {
       listeners.add(listener)
       return () => listeners.delete(listener)
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -113,6 +113,8 @@
 export const leaseKey = (hall: string): string => `leases/${hall}`
 export const waveKey = (wave: string, hall: string): string => `waves/${wave}/${hall}`
 export const budgetKey = (service: string): string => `budgets/${service}`
+/** Contents of `lives/<entry>`: the entry ran before. */
+export const lifeKey = (entry: string): string => `lives/${entry}`
 export const HALL_PREFIX = 'halls/'
 export const hallKey = (hall: string): string => `${HALL_PREFIX}${hall}`
 export const LEASE_PREFIX = 'leases/'
--- a/src/peer/__tests__/peers.spec.ts
+++ b/src/peer/__tests__/peers.spec.ts
@@ -64,6 +64,28 @@
     t.deepEqual([...fresh.get('rows').rows.keys()].sort(), [...rows.rows.keys()].sort())
   })
 
+  it('tell an unrepeatable request from its repeat at every entry', async (t) => {
+    const { cluster } = await setUp(t)
+    const serves = (index: number) =>
+      cluster.nodes[index]!.kernel.get('view').targets('s').length > 0
+    await until(() => cluster.nodes.every((_, index) => serves(index)))
+    const send = async (index: number, id: string) => {
+      const res = await request(`${cluster.nodes[index]!.url}/s/activate`, {
+        method: 'POST',
+        headers: { 'rillshunt-request-id': id },
+        body: 'x',
+      })
+      await res.body.dump()
+      return [res.statusCode, res.headers['rillshunt-outcome']]
+    }
+    for (const id of ['r1', 'r2', `h2.${Math.floor(Date.now() / 1000)}.r3`]) {
+      t.deepEqual(await send(0, id), [200, 'answered'])
+      for (const index of [0, 1, 2, 3])
+        t.deepEqual(await send(index, id), [409, 'unknown'])
+      t.is(cluster.ledger.get(id), 1)
+    }
+  })
+
   describe('hostile messages', () => {
     it('are refused, and the process goes on', async (t) => {
       const { cluster, events } = await setUp(t, { halls: ['h1'] })
--- a/src/peer/constants.ts
+++ b/src/peer/constants.ts
@@ -6,6 +6,8 @@
 export const MAX_LOADS = 512
 /** Most jobs named in one report. */
 export const MAX_STOPPING = 512
+/** Most remembered requests in one message. */
+export const MAX_CLAIMS_PER_MESSAGE = 50_000
 /** Longest message, in bytes. */
 export const MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 /** Time between two syncs with a peer of the same hall, in ms. */
--- /dev/null
+++ b/src/peer/loans.ts
@@ -0,0 +1,25 @@
+/** Loan messages on the wire. */
+import { create } from '@bufbuild/protobuf'
+import type { LoanMessage } from '../entry/index.js'
+import { LoansSchema } from './gen/peer_pb.js'
+import type { Loans } from './gen/peer_pb.js'
+import { MAX_LOADS } from './constants.js'
+
+/** As it is sent. */
+export function encodeLoans(message: LoanMessage): Loans {
+  return create(LoansSchema, {
+    life: BigInt(message.life),
+    peerLife: BigInt(message.peerLife),
+    lines: message.lines.slice(0, MAX_LOADS),
+  })
+}
+
+/** As the entry uses it. */
+export function decodeLoans(loans: Loans): LoanMessage {
+  const lines = loans.lines.map(
+    ({ service, granted, returned, legacy, wants, recall }) => {
+      return { service, granted, returned, legacy, wants, recall }
+    },
+  )
+  return { life: Number(loans.life), peerLife: Number(loans.peerLife), lines }
+}
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -11,6 +11,7 @@
 import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node'
 import { z } from 'zod'
 import type { PeerAddress, ResolvedConfig } from '../config/index.js'
+import type { Allotments, Once, OncePeers } from '../entry/index.js'
 import { changesSchema } from '../platform/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
 import {
@@ -33,7 +34,9 @@
   SYNC_INTERVAL_MS,
 } from './constants.js'
 import { NodeReportSchema, PeerService } from './gen/peer_pb.js'
-import type { NodeReport } from './gen/peer_pb.js'
+import type { Loans, NodeReport } from './gen/peer_pb.js'
+import { decodeLoans, encodeLoans } from './loans.js'
+import { createOncePeers, onceRoutes } from './oncePeers.js'
 import { createMeteredAgent, createTrafficMeter } from './traffic.js'
 import type { TrafficMeter } from './traffic.js'
 
@@ -53,9 +56,19 @@
   'routes' | 'leaving' | 'loads' | 'stopping'
 >
 
+/** What the entry adds to the messages between peers. */
+export interface EntryExchange {
+  loans: Pick<Allotments, 'messageFor' | 'receive'>
+  once: Once['answer']
+}
+
 /** The peers of this process. */
 export interface PeerNetwork {
   peers(): PeerState[]
+  /** Calls of the entry's own to a peer; they reject when nothing is known of the effect. */
+  oncePeers: OncePeers
+  /** Sets what the entry adds. */
+  setExchange(exchange: EntryExchange): void
   /** Sets who fills the report. */
   setReportSource(source: ReportSource): void
   /** Syncs with the peers of the own hall now. */
@@ -97,6 +110,7 @@
   const { cfg, rows, table, log, metrics } = opts
   const stopping = createStopController()
   let source = EMPTY_SOURCE
+  let exchange: EntryExchange | undefined
   const meter = createTrafficMeter(metrics)
   const agent = createMeteredAgent(meter)
 
@@ -165,6 +179,16 @@
     })
   }
 
+  function loansFor(peer: string): Loans | undefined {
+    const message = exchange?.loans.messageFor(peer)
+    return message && encodeLoans(message)
+  }
+
+  function learnLoans(peer: string, loans: Loans | undefined): void {
+    if (!loans || loans.lines.length > MAX_LOADS) return
+    exchange?.loans.receive(peer, decodeLoans(loans))
+  }
+
   const callOptions = () => ({ timeoutMs: CALL_TIMEOUT_MS, signal: stopping.signal })
 
   async function call(peer: Peer, step: string, run: () => Promise<void>): Promise<void> {
@@ -186,8 +210,10 @@
 
   const sync = (peer: Peer) =>
     call(peer, 'sync', async () => {
-      const res = await peer.client.sync({ report: ownReport() }, callOptions())
+      const message = { report: ownReport(), loans: loansFor(peer.id) }
+      const res = await peer.client.sync(message, callOptions())
       heard(res.report)
+      learnLoans(peer.id, res.loans)
     })
 
   async function runPeer(peer: Peer): Promise<void> {
@@ -214,7 +240,8 @@
     router.service(PeerService, {
       sync(req) {
         heard(req.report)
-        return { report: ownReport() }
+        learnLoans(req.report!.node, req.loans)
+        return { report: ownReport(), loans: loansFor(req.report!.node) }
       },
       pushHead(req) {
         const peer = peers.get(req.node)
@@ -229,6 +256,10 @@
         }
         return { epoch: BigInt(epoch) }
       },
+      ...onceRoutes(
+        () => exchange?.once,
+        (id) => peers.has(id),
+      ),
       fetchTable: () => {
         const accepted = table.current()?.accepted
         return { acceptedJson: accepted ? JSON.stringify(accepted) : '' }
@@ -249,6 +280,8 @@
   return {
     peers: () => [...peers.values()],
     ownReport,
+    oncePeers: createOncePeers(cfg.node.id, (id) => peers.get(id)?.client),
+    setExchange: (next) => (exchange = next),
     setReportSource: (next) => (source = next),
     async syncHall() {
       const hall = [...peers.values()].filter(
--- /dev/null
+++ b/src/peer/oncePeers.ts
@@ -0,0 +1,99 @@
+/** Claims of unrepeatable requests between entries. */
+import type { Client, ServiceImpl } from '@connectrpc/connect'
+import { Code, ConnectError } from '@connectrpc/connect'
+import { fromThrowable } from 'neverthrow'
+import { z } from 'zod'
+import type { ClaimRecord, Legacy, Once, OncePeers } from '../entry/index.js'
+import { PeerError } from '../shared/index.js'
+import { CALL_TIMEOUT_MS, MAX_CLAIMS_PER_MESSAGE } from './constants.js'
+import type { Claim, PeerService } from './gen/peer_pb.js'
+
+const stateSchema = z.enum(['running', 'answered', 'unknown'])
+const settleSchema = z.enum(['running', 'answered', 'unknown', 'not-run'])
+
+type PeerClient = Client<typeof PeerService>
+
+/** Calls to other entries by id. */
+export function createOncePeers(
+  own: string,
+  clientOf: (peer: string) => PeerClient | undefined,
+): OncePeers {
+  const options = () => ({ timeoutMs: CALL_TIMEOUT_MS })
+  const client = (peer: string): PeerClient => {
+    const found = clientOf(peer)
+    if (found) return found
+    throw new PeerError('is not in the settings', { props: { step: 'once.call', peer } })
+  }
+  return {
+    async claim(peer, id, owner) {
+      const res = await client(peer).claimId({ node: own, id, owner }, options())
+      if (res.verdict === 'first') return { kind: 'first' }
+      if (res.verdict === 'unsure') return { kind: 'unsure', reason: res.reason }
+      return { kind: 'repeat', state: stateSchema.parse(res.state) }
+    },
+    async settle(peer, id, state) {
+      await client(peer).settle({ node: own, id, state }, options())
+    },
+    async collect(peer) {
+      const { claims, complete } = await client(peer).collect({ node: own }, options())
+      return { claims: decodeClaims(claims), complete }
+    },
+    async handOver(peer, legacy) {
+      await client(peer).handOver({ node: own, ...encodeLegacy(legacy) }, options())
+    },
+  }
+}
+
+/** A list that is too long is cut, and is no whole memory then. */
+function encodeLegacy({ claims, complete }: Legacy) {
+  const kept = claims.slice(-MAX_CLAIMS_PER_MESSAGE)
+  const encoded = kept.map(({ id, state, ageMs }) => {
+    return { id, state, ageMs: BigInt(Math.round(ageMs)) }
+  })
+  return { claims: encoded, complete: complete && kept.length === claims.length }
+}
+
+/** Throws on a state that is none. */
+function decodeClaims(claims: Claim[]): ClaimRecord[] {
+  return claims.map(({ id, state, ageMs }) => {
+    return { id, state: stateSchema.parse(state), ageMs: Number(ageMs) }
+  })
+}
+
+type OnceMethods = 'claimId' | 'settle' | 'collect' | 'handOver'
+
+/** What this process answers to other entries. */
+export function onceRoutes(
+  answer: () => Once['answer'] | undefined,
+  isPeer: (id: string) => boolean,
+): Pick<ServiceImpl<typeof PeerService>, OnceMethods> {
+  function of(node: string): Once['answer'] {
+    const found = answer()
+    if (!isPeer(node))
+      throw new ConnectError('not in the settings', Code.PermissionDenied)
+    if (found) return found
+    throw new ConnectError('this process is no entry, or is starting', Code.Unavailable)
+  }
+  return {
+    claimId(req) {
+      const verdict = of(req.node).claim(req.id, req.owner)
+      const state = verdict.kind === 'repeat' ? verdict.state : ''
+      const reason = verdict.kind === 'unsure' ? verdict.reason : ''
+      return { verdict: verdict.kind, state, reason }
+    },
+    settle(req) {
+      const state = settleSchema.safeParse(req.state)
+      if (!state.success) throw new ConnectError('no such state', Code.InvalidArgument)
+      of(req.node).settle(req.id, state.data)
+      return {}
+    },
+    collect: (req) => encodeLegacy(of(req.node).collect(req.node)),
+    handOver(req) {
+      const answer = of(req.node)
+      const claims = fromThrowable(decodeClaims)(req.claims)
+      if (claims.isErr()) throw new ConnectError('no such state', Code.InvalidArgument)
+      answer.handOver(req.node, { claims: claims.value, complete: req.complete })
+      return {}
+    },
+  }
+}
--- /dev/null
+++ b/src/programs/entryServices.ts
@@ -0,0 +1,222 @@
+/** The services that only an entry needs, for the kernel. */
+import type { ResolvedConfig } from '../config/index.js'
+import {
+  createAllotments,
+  createFront,
+  createOnce,
+  createRouter,
+  createTargetView,
+} from '../entry/index.js'
+import type { Allotments, Front, Once, Router, TargetView } from '../entry/index.js'
+import { lifeKey } from '../fleet/index.js'
+import { defineService } from '../kernel/index.js'
+import type { PeerNetwork } from '../peer/index.js'
+import { commit, newOpId } from '../platform/index.js'
+import type { Platform } from '../platform/index.js'
+import { createStopController, monotonicMs, sleep } from '../shared/index.js'
+
+declare module '../kernel/kernel.js' {
+  interface ServiceMap {
+    view: TargetView
+    once: Once & { close(): Promise<void> }
+    router: Router & { allotments: Allotments }
+    loans: { stop(): Promise<void> }
+    front: Front
+    notice: { announce(): Promise<void> }
+  }
+}
+
+/** Time between two looks at loans, in ms. */
+const LOAN_STEP_MS = 250
+/** A peer that spoke within so long counts as reached, in ms. */
+const REACHED_WITHIN_MS = 3000
+/** An entry that is off the list and silent for so long is gone, in ms. */
+const GONE_AFTER_MS = 30_000
+
+/** Entries of all halls by the settings, this one included. */
+function entriesOf(cfg: ResolvedConfig) {
+  const listed = Object.entries(cfg.peers)
+    .filter(([, peer]) => peer.role === 'entry')
+    .map(([id, peer]) => ({ id, hall: peer.hall }))
+  const known = listed.some(({ id }) => id === cfg.node.id)
+  return known ? listed : [...listed, { id: cfg.node.id, hall: cfg.node.hall }]
+}
+
+function isReached(peers: PeerNetwork, entry: string): boolean {
+  const peer = peers.peers().find(({ id }) => id === entry)
+  return peer?.report !== undefined && peer.silentForMs() < REACHED_WITHIN_MS
+}
+
+function isGoneBy(peers: PeerNetwork, view: TargetView): (entry: string) => boolean {
+  return (entry) => {
+    const peer = peers.peers().find(({ id }) => id === entry)
+    const silentMs = peer?.silentForMs() ?? Infinity
+    return silentMs > GONE_AFTER_MS && view.isOffList(entry)
+  }
+}
+
+export const viewService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'view',
+    needs: ['platform', 'rows', 'table', 'metrics'],
+    start: async ({ get, log }) =>
+      createTargetView({
+        cfg,
+        platform: get('platform'),
+        rows: get('rows'),
+        table: get('table'),
+        log,
+        metrics: get('metrics'),
+      }),
+    stop: (view) => view.stop(),
+  })
+
+/** Remembers unrepeatable requests; on a planned stop it leaves that with a peer. */
+export const onceService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'once',
+    needs: ['platform', 'peers'],
+    async start({ get }) {
+      const { id, hall } = cfg.node
+      const peers = get('peers')
+      const once = createOnce({
+        own: { id, hall },
+        entries: entriesOf(cfg),
+        peers: peers.oncePeers,
+        memoryMs: cfg.requests.once_memory,
+        firstLife: await isFirstLife(get('platform'), id),
+        isReached: (entry) => isReached(peers, entry),
+        now: monotonicMs,
+        wallSeconds: () => Date.now() / 1000,
+      })
+      // Before this life claims anything: what was left for it must be taken back first.
+      await once.recover()
+      return {
+        ...once,
+        async close() {
+          // Who is reached decides who may stand in.
+          await peers.syncHall()
+          await once.leave()
+        },
+      }
+    },
+    stop: (once) => once.close(),
+  })
+
+/** Whether the platform's table knows no earlier life; notes this one. */
+async function isFirstLife(platform: Platform, entry: string): Promise<boolean> {
+  const key = lifeKey(entry)
+  const rows = await platform.read([key])
+  if (rows.isErr() || rows.value.has(key)) return false
+  const writes = [{ key, version: 0, value: { firstAt: new Date().toISOString() } }]
+  const noted = await commit(platform, { opId: newOpId('life'), writes, guards: [] })
+  return noted.isOk() && noted.value.committed
+}
+
+/** Routes requests; its limits come from the loans service, which needs its counts. */
+export const routerService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'router',
+    needs: ['table', 'view', 'once', 'lifecycle', 'peers', 'metrics'],
+    async start({ get, log }) {
+      const view = get('view')
+      const table = get('table')
+      const once = get('once')
+      const peers = get('peers')
+      const entries = entriesOf(cfg)
+      const services = () =>
+        table.current()?.table.services ?? new Map<string, { limit: number }>()
+      const loadOf = (service: string) => router.loadOf(service)
+      const allotments = createAllotments({
+        own: cfg.node.id,
+        life: get('lifecycle').startedAt,
+        entries: entries.map(({ id }) => id),
+        services: () => services().keys(),
+        limitOf: (service) => services().get(service)?.limit ?? 0,
+        inFlight: (service) => loadOf(service).inFlight,
+        queued: (service) => loadOf(service).queued,
+        isGone: isGoneBy(peers, view),
+      })
+      const router = createRouter({
+        cfg,
+        table,
+        view,
+        once,
+        usable: allotments.usable,
+        log,
+        metrics: get('metrics'),
+      })
+      peers.setExchange({ loans: allotments, once: once.answer })
+      peers.setReportSource(() => ({
+        routes: true,
+        leaving: view.leaving().map((each) => ({ $typeName: LEAVING, ...each })),
+        loads: router.loads().map((each) => ({ $typeName: LOAD, ...each })),
+        stopping: view.stopping().map((each) => ({ $typeName: STOPPING, ...each })),
+      }))
+      return { ...router, allotments }
+    },
+  })
+
+const LEAVING = 'rillshunt.peer.v1.LeavingVm' as const
+const LOAD = 'rillshunt.peer.v1.ServiceLoad' as const
+const STOPPING = 'rillshunt.peer.v1.StoppingJob' as const
+
+/** Lends and asks for parts of limits; while requests wait, at once. */
+export const loansService = () =>
+  defineService({
+    name: 'loans',
+    needs: ['router', 'peers'],
+    async start({ get }) {
+      const router = get('router')
+      const peers = get('peers')
+      const stopping = createStopController()
+      async function run(): Promise<void> {
+        while (!stopping.signal.aborted) {
+          router.allotments.step()
+          if (router.loads().some(({ queued }) => queued > 0)) await peers.syncHall()
+          router.wake()
+          await sleep(LOAN_STEP_MS, stopping.signal)
+        }
+      }
+      const task = run()
+      return {
+        async stop() {
+          stopping.abort()
+          await task
+        },
+      }
+    },
+    stop: (loans) => loans.stop(),
+  })
+
+export const frontService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'front',
+    needs: ['router'],
+    start: ({ get }) =>
+      createFront({
+        router: get('router'),
+        host: cfg.listen.address,
+        port: cfg.listen.port,
+      }),
+    stop: (front) => front.close(),
+  })
+
+/** The last service to start: on a planned stop it waits while the balancer still sends. */
+export const noticeService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'notice',
+    needs: ['lifecycle', 'front', 'ops'],
+    async start({ get }) {
+      const lifecycle = get('lifecycle')
+      const front = get('front')
+      return {
+        async announce() {
+          lifecycle.stopping = true
+          front.setStopping()
+          await sleep(cfg.requests.drain_notice)
+        },
+      }
+    },
+    stop: (notice) => notice.announce(),
+  })
--- a/src/programs/programs.ts
+++ b/src/programs/programs.ts
@@ -5,17 +5,21 @@
 import type { Logger } from '../shared/index.js'
 import {
   frontService,
+  loansService,
+  noticeService,
+  onceService,
+  routerService,
+  viewService,
+} from './entryServices.js'
+import {
   keeperService,
   lifecycleService,
   metricsService,
-  noticeService,
   opsService,
   peersService,
   platformService,
-  routerService,
   rowsService,
   tableService,
-  viewService,
 } from './services.js'
 
 const commonServices = (cfg: ResolvedConfig, runsKeeper: boolean) => [
@@ -32,7 +36,9 @@
   const services = [
     ...commonServices(cfg, cfg.keeper.hosted),
     viewService(cfg),
+    onceService(cfg),
     routerService(cfg),
+    loansService(),
     frontService(cfg),
     opsService(cfg, true),
     noticeService(cfg),
--- a/src/programs/services.ts
+++ b/src/programs/services.ts
@@ -1,8 +1,8 @@
-/** The services of the programs, for the kernel. */
+/** The services that all programs or the keeper need, for the kernel. */
 import { nanoid } from 'nanoid'
 import type { ResolvedConfig } from '../config/index.js'
-import { createFront, createOps, createRouter, createTargetView } from '../entry/index.js'
-import type { Front, Ops, Router, TargetView } from '../entry/index.js'
+import { createOps } from '../entry/index.js'
+import type { Ops } from '../entry/index.js'
 import { createDecisionLog, createKeeper, keeperPrefixes } from '../keeper/index.js'
 import type { Keeper } from '../keeper/index.js'
 import { defineService } from '../kernel/index.js'
@@ -11,7 +11,7 @@
 import type { PeerNetwork } from '../peer/index.js'
 import { createHttpPlatform, createRowWatch } from '../platform/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
-import { createMetrics, sleep } from '../shared/index.js'
+import { createMetrics } from '../shared/index.js'
 import type { Metrics } from '../shared/index.js'
 import { HEAD_KEY, createTableHolder, followHead } from '../table/index.js'
 import type { TableHolder } from '../table/index.js'
@@ -19,6 +19,8 @@
 /** Whether a planned stop has begun; shared by the services that behave differently then. */
 interface Lifecycle {
   incarnation: string
+  /** Time of day of the start, in ms; orders the lives of a process. */
+  startedAt: number
   stopping: boolean
 }
 
@@ -30,9 +32,6 @@
     rows: RowWatch
     table: TableHolder & { stop(): void }
     peers: PeerNetwork
-    view: TargetView
-    router: Router
-    front: Front
     ops: Ops
     keeper: Keeper
   }
@@ -45,7 +44,11 @@
   defineService({
     name: 'lifecycle',
     needs: [],
-    start: async () => ({ incarnation: nanoid(INCARNATION_LENGTH), stopping: false }),
+    start: async () => ({
+      incarnation: nanoid(INCARNATION_LENGTH),
+      startedAt: Date.now(),
+      stopping: false,
+    }),
   })
 
 export const metricsService = () =>
@@ -123,62 +126,6 @@
     stop: (peers) => peers.stop(),
   })
 
-export const viewService = (cfg: ResolvedConfig) =>
-  defineService({
-    name: 'view',
-    needs: ['platform', 'rows', 'table', 'metrics'],
-    start: async ({ get, log }) =>
-      createTargetView({
-        cfg,
-        platform: get('platform'),
-        rows: get('rows'),
-        table: get('table'),
-        log,
-        metrics: get('metrics'),
-      }),
-    stop: (view) => view.stop(),
-  })
-
-export const routerService = (cfg: ResolvedConfig) =>
-  defineService({
-    name: 'router',
-    needs: ['table', 'view', 'peers', 'metrics'],
-    async start({ get, log }) {
-      const view = get('view')
-      const router = createRouter({
-        cfg,
-        table: get('table'),
-        view,
-        log,
-        metrics: get('metrics'),
-      })
-      get('peers').setReportSource(() => ({
-        routes: true,
-        leaving: view.leaving().map((each) => ({ $typeName: LEAVING, ...each })),
-        loads: router.loads().map((each) => ({ $typeName: LOAD, ...each })),
-        stopping: view.stopping().map((each) => ({ $typeName: STOPPING, ...each })),
-      }))
-      return router
-    },
-  })
-
-const LEAVING = 'rillshunt.peer.v1.LeavingVm' as const
-const LOAD = 'rillshunt.peer.v1.ServiceLoad' as const
-const STOPPING = 'rillshunt.peer.v1.StoppingJob' as const
-
-export const frontService = (cfg: ResolvedConfig) =>
-  defineService({
-    name: 'front',
-    needs: ['router'],
-    start: ({ get }) =>
-      createFront({
-        router: get('router'),
-        host: cfg.listen.address,
-        port: cfg.listen.port,
-      }),
-    stop: (front) => front.close(),
-  })
-
 /** Started last, so stopped first: it tells the balancer before anything else ends. */
 export const opsService = (cfg: ResolvedConfig, needsFront: boolean) =>
   defineService({
@@ -207,31 +154,6 @@
     stop: (ops) => ops.close(),
   })
 
-/** The last service to start: on a planned stop it waits while the balancer still sends. */
-export const noticeService = (cfg: ResolvedConfig) =>
-  defineService({
-    name: 'notice',
-    needs: ['lifecycle', 'front', 'ops'],
-    async start({ get }) {
-      const lifecycle = get('lifecycle')
-      const front = get('front')
-      return {
-        async announce() {
-          lifecycle.stopping = true
-          front.setStopping()
-          await sleep(cfg.requests.drain_notice)
-        },
-      }
-    },
-    stop: (notice) => notice.announce(),
-  })
-
-declare module '../kernel/kernel.js' {
-  interface ServiceMap {
-    notice: { announce(): Promise<void> }
-  }
-}
-
 export const keeperService = (cfg: ResolvedConfig) =>
   defineService({
     name: 'keeper',
