--- a/src/entry/call.ts
+++ b/src/entry/call.ts
@@ -10,9 +10,10 @@
   PRIORITY_HEADER,
   REPEATABLE_HEADER,
   REQUEST_ID_HEADER,
+  TEAM_HEADER,
 } from './constants.js'
-import { PRIORITIES } from './limiter.js'
-import type { Priority } from './limiter.js'
+import { PRIORITIES } from './turns.js'
+import type { Priority } from './turns.js'
 
 /** What the entry knows of a request before it reads the body. */
 export interface Call {
@@ -27,12 +28,15 @@
   repeatable: boolean
   /** Undefined where the caller names none; the service's line decides then. */
   priority: Priority | undefined
+  /** Undefined where the caller names none; the service's team counts then. */
+  team: string | undefined
   /** Monotonic time in ms at which the caller gives up. */
   deadline: number
   arrivedAt: number
 }
 
 const REPEATABLE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'])
+const TEAM_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
 const MAX_ID_LENGTH = 128
 const ID_PATTERN = /^[\x21-\x7e]+$/
 
@@ -50,6 +54,8 @@
   if (repeatable.isErr()) return err(repeatable.error)
   const priority = readPriority(req)
   if (priority.isErr()) return err(priority.error)
+  const team = readTeam(req)
+  if (team.isErr()) return err(team.error)
   const deadlineMs = readDeadline(req, defaultDeadlineMs)
   if (deadlineMs.isErr()) return err(deadlineMs.error)
 
@@ -63,6 +69,7 @@
     path: rest.startsWith('/') ? rest : `/${rest}`,
     repeatable: repeatable.value,
     priority: priority.value,
+    team: team.value,
     deadline: arrivedAt + deadlineMs.value,
     arrivedAt,
   })
@@ -91,6 +98,15 @@
   return found ? ok(found) : err(`${PRIORITY_HEADER}: one of ${PRIORITIES.join(', ')}`)
 }
 
+function readTeam(req: IncomingMessage): Result<string | undefined, string> {
+  const given = req.headers[TEAM_HEADER]
+  if (given === undefined) return ok(undefined)
+  const valid = typeof given === 'string' && TEAM_PATTERN.test(given)
+  return valid
+    ? ok(given)
+    : err(`${TEAM_HEADER}: a name of a-z, 0-9 and dashes, at most 63`)
+}
+
 function readDeadline(req: IncomingMessage, defaultMs: number): Result<number, string> {
   const given = req.headers[DEADLINE_HEADER]
   if (given === undefined) return ok(defaultMs)
--- a/src/entry/constants.ts
+++ b/src/entry/constants.ts
@@ -11,6 +11,9 @@
 /** Which requests go first: urgent, normal or deferrable. */
 export const PRIORITY_HEADER = 'rillshunt-priority'
 
+/** Team of the caller; teams of a band take turns by their weights. */
+export const TEAM_HEADER = 'rillshunt-team'
+
 /** Path at which a target tells who it is. */
 export const HEALTH_PATH = '/health'
 
--- a/src/entry/limiter.ts
+++ b/src/entry/limiter.ts
@@ -1,14 +1,12 @@
 /**
- * Admission per service: at most as many requests in flight as this entry's part of
- * the service's limit and as the usable slots allow. The rest wait in order of
- * priority and arrival, up to their deadline.
+ * Admission per service: at most as many requests in flight as this entry may have now.
+ * The rest wait for their turn, up to their deadline; when too many wait, the one that
+ * has the least claim to a place is refused at once.
  */
 import { monotonicMs } from '../shared/index.js'
 import type { Cancellation } from './cancellation.js'
-
-/** Which requests go first. */
-export const PRIORITIES = ['urgent', 'normal', 'deferrable'] as const
-export type Priority = (typeof PRIORITIES)[number]
+import { createTurns } from './turns.js'
+import type { Priority, Waiting } from './turns.js'
 
 /** How a wait for admission ended. */
 export type Admission = 'admitted' | 'queue full' | 'deadline passed' | 'caller left'
@@ -16,6 +14,7 @@
 /** Options of one wait. */
 export interface AdmitOptions {
   priority: Priority
+  team: string
   /** Monotonic time in ms at which waiting is pointless. */
   deadline: number
   cancellation: Cancellation
@@ -33,59 +32,74 @@
   queued(): number
 }
 
-interface Waiter {
+/** Options of {@link createLimiter}. */
+export interface LimiterOptions {
+  /** Requests that may be in flight now; asked anew each time. */
+  capacity(): number
+  /** Requests that may wait. */
+  maxQueue: number
+  /** Share of the turns of a team against others of its band. */
+  weightOf(team: string): number
+}
+
+interface Waiter extends Waiting {
   settle(how: Admission): void
 }
 
-/** Creates a limiter. `capacity` is asked anew each time. */
-export function createLimiter(capacity: () => number, maxQueue: number): Limiter {
-  const queues = new Map<Priority, Set<Waiter>>(PRIORITIES.map((p) => [p, new Set()]))
+/** Creates a limiter without requests. */
+export function createLimiter(opts: LimiterOptions): Limiter {
+  const { capacity, maxQueue } = opts
+  const turns = createTurns<Waiter>(opts.weightOf)
   let inFlight = 0
-  let queued = 0
 
   function wake(): void {
-    if (queued === 0) return
-    let free = capacity() - inFlight
-    for (const priority of PRIORITIES) {
-      for (const waiter of queues.get(priority)!) {
-        if (free <= 0) return
-        free--
-        waiter.settle('admitted')
-      }
+    if (turns.size() === 0) return
+    for (let free = capacity() - inFlight; free > 0; free--) {
+      const waiter = turns.next()
+      if (!waiter) return
+      waiter.settle('admitted')
     }
   }
 
-  function wait(opts: AdmitOptions): Promise<Admission> {
+  function wait({
+    priority,
+    team,
+    deadline,
+    cancellation,
+  }: AdmitOptions): Promise<Admission> {
     return new Promise((resolve) => {
-      const queue = queues.get(opts.priority)!
       const waiter: Waiter = {
+        priority,
+        team,
         settle(how) {
-          queue.delete(waiter)
-          queued--
+          turns.remove(waiter)
           clearTimeout(timer)
           unsubscribe()
           if (how === 'admitted') inFlight++
           resolve(how)
         },
       }
-      const ms = Math.max(0, opts.deadline - monotonicMs())
+      const ms = Math.max(0, deadline - monotonicMs())
       const timer = setTimeout(() => waiter.settle('deadline passed'), ms)
-      const unsubscribe = opts.cancellation.subscribe(() => waiter.settle('caller left'))
-      queue.add(waiter)
-      queued++
+      const unsubscribe = cancellation.subscribe(() => waiter.settle('caller left'))
+      turns.add(waiter)
     })
   }
 
   return {
-    async admit(opts) {
-      if (opts.cancellation.cancelled) return 'caller left'
-      if (queued === 0 && inFlight < capacity()) {
+    async admit(request) {
+      if (request.cancellation.cancelled) return 'caller left'
+      if (turns.size() === 0 && inFlight < capacity()) {
         inFlight++
         return 'admitted'
       }
-      if (opts.deadline <= monotonicMs()) return 'deadline passed'
-      if (queued >= maxQueue) return 'queue full'
-      return wait(opts)
+      if (request.deadline <= monotonicMs()) return 'deadline passed'
+      if (turns.size() >= maxQueue) {
+        const victim = turns.victimFor(request)
+        if (!victim) return 'queue full'
+        victim.settle('queue full')
+      }
+      return wait(request)
     },
     leave() {
       inFlight--
@@ -93,7 +107,7 @@
     },
     wake,
     inFlight: () => inFlight,
-    queued: () => queued,
+    queued: () => turns.size(),
   }
 }
 
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -79,12 +79,25 @@
   'caller left': 'deadline before sending',
 }
 
+/** Weight of a team that owns no service. */
+const DEFAULT_WEIGHT = 1
+
+/** A team's share of the turns: the weights of its services together. */
+function teamWeights(services: Iterable<ServiceLine>): Map<string, number> {
+  const weights = new Map<string, number>()
+  for (const { team, weight } of services) {
+    weights.set(team, (weights.get(team) ?? 0) + weight)
+  }
+  return weights
+}
+
 /** Creates the router. */
 export function createRouter(opts: RouterOptions): Router {
   const { cfg, table, view, log, metrics } = opts
   const choose = POLICIES[opts.policy ?? 'twoChoicesReported']()
   const limiters = new Map<string, Limiter>()
   const budget = createRetryBudget(cfg.requests.retry_share)
+  let weights = teamWeights(table.current()?.table.services.values() ?? [])
   const drainWaiters: (() => void)[] = []
   let open = 0
 
@@ -101,7 +114,11 @@
   function limiterOf(service: string): Limiter {
     const known = limiters.get(service)
     if (known) return known
-    const limiter = createLimiter(() => capacityOf(service), cfg.requests.queue)
+    const limiter = createLimiter({
+      capacity: () => capacityOf(service),
+      maxQueue: cfg.requests.queue,
+      weightOf: (team) => weights.get(team) ?? DEFAULT_WEIGHT,
+    })
     limiters.set(service, limiter)
     return limiter
   }
@@ -120,7 +137,10 @@
     for (const limiter of limiters.values()) limiter.wake()
   }
   view.subscribe(wakeAll)
-  table.subscribe(wakeAll)
+  table.subscribe(() => {
+    weights = teamWeights(table.current()?.table.services.values() ?? [])
+    wakeAll()
+  })
 
   function refuseAs(exchange: Exchange, kind: RefusalKind, detail: string): Ending {
     const { call, res } = exchange
@@ -181,7 +201,8 @@
       return refuseAs(exchange, 'no target', 'no target takes work')
     }
     const { deadline } = call
-    const admission = await limiter.admit({ priority, deadline, cancellation })
+    const team = call.team ?? line.team
+    const admission = await limiter.admit({ priority, team, deadline, cancellation })
     if (admission !== 'admitted') {
       if (res.destroyed) return 'caller-left'
       return refuseAs(exchange, ADMISSION_REFUSALS[admission], admission)
--- /dev/null
+++ b/src/entry/turns.ts
@@ -0,0 +1,120 @@
+/**
+ * Waiting requests of one service, in the order in which they get their turn: bands of
+ * priority first; inside a band teams by weight; inside a team by arrival. A team that
+ * floods lengthens its own wait only.
+ */
+
+/** Which requests go first. */
+export const PRIORITIES = ['urgent', 'normal', 'deferrable'] as const
+export type Priority = (typeof PRIORITIES)[number]
+
+/** A waiting request. */
+export interface Waiting {
+  priority: Priority
+  team: string
+}
+
+interface TeamQueue<T> {
+  team: string
+  items: Set<T>
+  /** Turns had, divided by the weight; the team with the least goes next. */
+  pass: number
+}
+
+/** Waiting requests in order. */
+export interface Turns<T extends Waiting> {
+  size(): number
+  add(item: T): void
+  remove(item: T): void
+  /** Takes out the request whose turn it is. */
+  next(): T | undefined
+  /**
+   * The request that should make room for a new one: the last of the team that waits
+   * most for its weight, in the last band that is not before the new one's.
+   * Undefined when the new one itself is it.
+   */
+  victimFor(item: Waiting): T | undefined
+}
+
+/** Creates empty queues; `weightOf` is asked at each turn. */
+export function createTurns<T extends Waiting>(
+  weightOf: (team: string) => number,
+): Turns<T> {
+  const bands = new Map(PRIORITIES.map((p) => [p, new Map<string, TeamQueue<T>>()]))
+  let size = 0
+
+  const shareOf = (team: string): number => Math.max(weightOf(team), Number.MIN_VALUE)
+
+  function leastServed(band: Map<string, TeamQueue<T>>): TeamQueue<T> | undefined {
+    let best: TeamQueue<T> | undefined
+    for (const queue of band.values()) {
+      if (!best || queue.pass < best.pass) best = queue
+    }
+    return best
+  }
+
+  function longest(band: Map<string, TeamQueue<T>>, extra: Waiting | undefined) {
+    let best: { queue: TeamQueue<T>; length: number } | undefined
+    for (const queue of band.values()) {
+      const added = extra?.team === queue.team ? 1 : 0
+      const length = (queue.items.size + added) / shareOf(queue.team)
+      if (!best || length > best.length) best = { queue, length }
+    }
+    return best
+  }
+
+  const bandOf = (priority: Priority) => bands.get(priority)!
+
+  return {
+    size: () => size,
+    add(item) {
+      const band = bandOf(item.priority)
+      let queue = band.get(item.team)
+      if (!queue) {
+        // A team that was away gets no turns for the time when it wanted none.
+        const pass = leastServed(band)?.pass ?? 0
+        queue = { team: item.team, items: new Set(), pass }
+        band.set(item.team, queue)
+      }
+      queue.items.add(item)
+      size++
+    },
+    remove(item) {
+      const band = bandOf(item.priority)
+      const queue = band.get(item.team)
+      if (!queue?.items.delete(item)) return
+      size--
+      if (queue.items.size === 0) band.delete(item.team)
+    },
+    next() {
+      for (const priority of PRIORITIES) {
+        const band = bandOf(priority)
+        const queue = leastServed(band)
+        if (!queue) continue
+        const [item] = queue.items
+        queue.pass += 1 / shareOf(queue.team)
+        this.remove(item!)
+        return item
+      }
+      return undefined
+    },
+    victimFor(item) {
+      const own = PRIORITIES.indexOf(item.priority)
+      for (let at = PRIORITIES.length - 1; at >= own; at--) {
+        const isOwnBand = at === own
+        const band = bandOf(PRIORITIES[at]!)
+        const found = longest(band, isOwnBand ? item : undefined)
+        if (!found) continue
+        if (isOwnBand && !isLonger(found.length, item)) return undefined
+        if (isOwnBand && found.queue.team === item.team) return undefined
+        return [...found.queue.items].at(-1)
+      }
+      return undefined
+    },
+  }
+
+  /** Whether the longest queue is longer than the new request's team would be alone. */
+  function isLonger(length: number, item: Waiting): boolean {
+    return length > 1 / shareOf(item.team)
+  }
+}
--- a/src/programs/entryServices.ts
+++ b/src/programs/entryServices.ts
@@ -14,6 +14,7 @@
 import { commit, newOpId } from '../platform/index.js'
 import type { Platform } from '../platform/index.js'
 import { createStopController, monotonicMs, sleep } from '../shared/index.js'
+import type { ServiceLine } from '../table/index.js'
 
 declare module '../kernel/kernel.js' {
   interface ServiceMap {
@@ -113,6 +114,15 @@
   return noted.isOk() && noted.value.committed
 }
 
+/**
+ * A service's limit, but not more than its targets have slots: beyond that, requests would
+ * wait at targets, where an urgent one cannot pass them.
+ */
+function usefulLimit(line: ServiceLine | undefined, halls: number): number {
+  if (!line) return 0
+  return Math.min(line.limit, line.instances * line.slots * halls)
+}
+
 /** Routes requests; its limits come from the loans service, which needs its counts. */
 export const routerService = (cfg: ResolvedConfig) =>
   defineService({
@@ -124,15 +134,15 @@
       const once = get('once')
       const peers = get('peers')
       const entries = entriesOf(cfg)
-      const services = () =>
-        table.current()?.table.services ?? new Map<string, { limit: number }>()
+      const halls = new Set(entries.map(({ hall }) => hall)).size
+      const services = () => table.current()?.table.services
       const loadOf = (service: string) => router.loadOf(service)
       const allotments = createAllotments({
         own: cfg.node.id,
         life: get('lifecycle').startedAt,
         entries: entries.map(({ id }) => id),
-        services: () => services().keys(),
-        limitOf: (service) => services().get(service)?.limit ?? 0,
+        services: () => services()?.keys() ?? [],
+        limitOf: (service) => usefulLimit(services()?.get(service), halls),
         inFlight: (service) => loadOf(service).inFlight,
         queued: (service) => loadOf(service).queued,
         isGone: isGoneBy(peers, view),
