--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -26,6 +26,8 @@
 const TARGET_SIZES = [0, 20, 40, 80, 160]
 const PEER_SIZES = [2, 4, 8, 12]
 const WATCH_MS = 10_000
+/** Time for warm-up, after which an idle process is measured. */
+const SETTLE_MS = 10_000
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms))
 const collectGarbage = (globalThis as { gc?: () => void }).gc
@@ -73,29 +75,34 @@
   platformBytes: number
 }
 
-/** The real entry binary, idle, before so many targets. */
-async function measureEntry(targets: number, hosted: boolean): Promise<Sample> {
+/** The real entry binary, idle before so many targets: with the keeper, then without. */
+async function measureEntry(targets: number): Promise<{ hosted: Sample; alone: Sample }> {
   const hall = await startHallPlatform(targets, SEED)
-  const file = await hall.writeSettings(hosted)
-  const ready = targets > 0 ? /targetAdded/ : /RS-3001/
-  const child = await startChild('dist/src/bin/entry.js', ['--config', file], ready)
-  await wait(3000)
-  const before = {
-    cpu: child.cpuMs(),
-    calls: hall.calls(),
-    bytes: await hall.platformBytes(),
-  }
-  await wait(WATCH_MS)
-  const seconds = WATCH_MS / 1000
-  const sample = {
-    cpuPercent: (child.cpuMs() - before.cpu) / (WATCH_MS / 100),
-    residentMb: child.residentMb(),
-    platformCalls: (hall.calls() - before.calls) / seconds,
-    platformBytes: ((await hall.platformBytes()) - before.bytes) / seconds,
+  const watch = async (hosted: boolean): Promise<Sample> => {
+    const file = await hall.writeSettings(hosted)
+    const child = await startChild('dist/src/bin/entry.js', ['--config', file], /RS-3001/)
+    while (hall.running() < targets) await wait(100)
+    await wait(SETTLE_MS)
+    const before = {
+      cpu: child.cpuMs(),
+      calls: hall.calls(),
+      bytes: await hall.platformBytes(),
+    }
+    await wait(WATCH_MS)
+    const seconds = WATCH_MS / 1000
+    const sample = {
+      cpuPercent: (child.cpuMs() - before.cpu) / (WATCH_MS / 100),
+      residentMb: child.residentMb(),
+      platformCalls: (hall.calls() - before.calls) / seconds,
+      platformBytes: ((await hall.platformBytes()) - before.bytes) / seconds,
+    }
+    await child.stop()
+    return sample
   }
-  await child.stop()
+  const hosted = await watch(true)
+  const alone = await watch(false)
   await hall.close()
-  return sample
+  return { hosted, alone }
 }
 
 /** Bytes a second that each of so many processes of one hall exchanges with its peers. */
@@ -136,12 +143,11 @@
 export default async function capacityBench(): Promise<object> {
   const planning = measurePlanning()
   const entry: (Sample & { targets: number })[] = []
-  for (const targets of TARGET_SIZES) {
-    entry.push({ targets, ...(await measureEntry(targets, false)) })
-  }
   const hosted: (Sample & { targets: number })[] = []
   for (const targets of TARGET_SIZES) {
-    hosted.push({ targets, ...(await measureEntry(targets, true)) })
+    const sample = await measureEntry(targets)
+    entry.push({ targets, ...sample.alone })
+    hosted.push({ targets, ...sample.hosted })
   }
   const peers: { peers: number; bytes: number; messages: number }[] = []
   for (const count of PEER_SIZES)
@@ -157,6 +163,9 @@
     'entry, MB per target': fitLine(of(entry, 'residentMb')),
     'entry with keeper, % of a core per target': fitLine(of(hosted, 'cpuPercent')),
     'entry with keeper, MB per target': fitLine(of(hosted, 'residentMb')),
+    'entry with keeper, platform bytes/s per target': fitLine(
+      of(hosted, 'platformBytes'),
+    ),
     'peers, bytes/s per peer of the hall': fitLine(
       peers.map((row) => ({ size: row.peers, value: row.bytes })),
     ),
--- a/bench/childProcess.ts
+++ b/bench/childProcess.ts
@@ -12,29 +12,39 @@
   /** Processor time used so far, in ms. */
   cpuMs(): number
   stop(): Promise<void>
+  /** Ends it at once, as a failure would. */
+  kill(): Promise<void>
 }
 
 const CLOCK_TICKS_PER_S = 100
 
-/** Starts a script of this project and waits for a line that matches. */
+/** Starts a script of this project and, if a pattern is given, waits for a line that matches. */
 export async function startChild(
   script: string,
   args: string[],
-  readyPattern: RegExp,
+  readyPattern: RegExp | undefined,
 ): Promise<Child> {
   const child = spawn(process.execPath, [script, ...args], {
     stdio: ['ignore', 'pipe', 'inherit'],
   })
+  const waitsFor = readyPattern ?? /^/
   const ready = await new Promise<string>((resolve, reject) => {
     let out = ''
+    if (!readyPattern) resolve('')
     child.once('exit', (code) => reject(new Error(`${script} ended with ${code}`)))
     child.stdout.on('data', (chunk: Buffer) => {
-      if (readyPattern.test(out)) return
+      if (!readyPattern || waitsFor.test(out)) return
       out += chunk
-      const match = readyPattern.exec(out)
+      const match = waitsFor.exec(out)
       if (match) resolve(match[1] ?? match[0])
     })
   })
+  async function end(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    if (child.exitCode !== null || child.signalCode !== null) return
+    const ended = once(child, 'exit')
+    child.kill(signal)
+    await ended
+  }
   const proc = (file: string) => readFileSync(`/proc/${child.pid}/${file}`, 'utf8')
   return {
     ready,
@@ -43,11 +53,7 @@
       const fields = proc('stat').split(') ')[1]!.split(' ')
       return ((Number(fields[11]) + Number(fields[12])) * 1000) / CLOCK_TICKS_PER_S
     },
-    async stop() {
-      if (child.exitCode !== null) return
-      const ended = once(child, 'exit')
-      child.kill('SIGTERM')
-      await ended
-    },
+    stop: () => end('SIGTERM'),
+    kill: () => end('SIGKILL'),
   }
 }
--- /dev/null
+++ b/bench/entryFarm.ts
@@ -0,0 +1,273 @@
+/** Entries before real targets, without keeper or platform, for the requests bench. */
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import type { Histogram } from 'hdr-histogram-js'
+import { Agent } from 'undici'
+import { resolveConfig } from '../src/config/index.js'
+import { createFront, createRouter, createTarget } from '../src/entry/index.js'
+import type { Front, PolicyName, Router, Target, TargetView } from '../src/entry/index.js'
+import { createMemoryLogger, createMetrics } from '../src/shared/index.js'
+import type { Metrics } from '../src/shared/index.js'
+import { checkTable, createTableHolder, hashTable } from '../src/table/index.js'
+import type { RawTable } from '../src/table/index.js'
+import { createRandom, exponential } from '../playground/random.js'
+import { startTarget } from '../playground/target.js'
+import type { Ledger, TargetBehaviour, TargetServer } from '../playground/target.js'
+import { newHistogram } from './drive.js'
+
+const HOST = '127.0.0.1'
+
+/** Shape of a farm. */
+export interface FarmOptions {
+  entries: number
+  instances: number
+  slots: number
+  meanMs: number
+  policy: PolicyName
+  seed: number
+  /** Behaviour of the first instance. */
+  first?: Partial<TargetBehaviour>
+  retryShare?: number
+}
+
+/** Entries and targets. */
+export interface Farm {
+  urls: string[]
+  targets: TargetServer[]
+  ledger: Ledger
+  metrics: Metrics[]
+  /** Requests that each target ran. */
+  runsPerTarget(): number[]
+  /** Kills all targets, and starts them again at the same addresses. */
+  killAll(): Promise<void>
+  startAll(): Promise<void>
+  stop(): Promise<void>
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return port
+}
+
+/** Starts a farm. */
+export async function startFarm(opts: FarmOptions): Promise<Farm> {
+  const random = createRandom(opts.seed)
+  const ledgers = Array.from({ length: opts.instances }, (): Ledger => new Map())
+  const ports = await Promise.all(ledgers.map(freePort))
+  const identity = (i: number) => ({ vm: `v${i}`, incarnation: `v${i}.1`, job: `j${i}` })
+  const start = (i: number) =>
+    startTarget({
+      ...identity(i),
+      service: 's',
+      slots: opts.slots,
+      host: HOST,
+      port: ports[i]!,
+      random,
+      ledger: ledgers[i]!,
+      behaviour: { meanMs: opts.meanMs, ...(i === 0 ? opts.first : {}) },
+    })
+  let servers = await Promise.all(ledgers.map((_, i) => start(i)))
+
+  const limit = opts.instances * opts.slots
+  const raw: RawTable = {
+    'pool/p': { weight: '1', limit: '1' },
+    'service/s': { weight: '1', limit: String(limit), pool: 'p' },
+  }
+  checkTable(raw)._unsafeUnwrap()
+  const log = createMemoryLogger(10)
+  const quiet = { ...log, enabled: () => false, event: () => {}, child: () => quiet }
+  const farm: { router: Router; front: Front; targets: Target[]; metrics: Metrics }[] = []
+  for (let e = 0; e < opts.entries; e++) {
+    const table = createTableHolder(quiet)
+    const accepted = {
+      epoch: 1,
+      acceptId: 'a',
+      hash: hashTable(1, raw),
+      editor: 'bench',
+      at: '',
+      raw,
+      changes: [],
+    }
+    table.offer(accepted, 'platform')
+    const targets = servers.map((server, i) =>
+      createTarget({
+        identity: { ...identity(i), address: server.address },
+        service: 's',
+        slots: opts.slots,
+        connectTimeoutMs: 1000,
+        healthIntervalMs: 500,
+        log: quiet,
+      }),
+    )
+    const view = {
+      targets: () => targets,
+      subscribe: () => () => {},
+    } as unknown as TargetView
+    const cfg = resolveConfig({
+      node: { id: `e${e}`, hall: 'h' },
+      platform: { url: 'http://127.0.0.1:1' },
+      requests: { queue: '2000', retry_share: String(opts.retryShare ?? 0.1) },
+    })._unsafeUnwrap()
+    const metrics = createMetrics()
+    const part = Math.floor(limit / opts.entries) + (e < limit % opts.entries ? 1 : 0)
+    const router = createRouter({
+      cfg,
+      table,
+      view,
+      once: { begin: async () => ({ kind: 'first' }), end: async () => {} },
+      usable: () => part,
+      log: quiet,
+      metrics,
+      policy: opts.policy,
+    })
+    farm.push({
+      router,
+      targets,
+      metrics,
+      front: await createFront({ router, host: HOST, port: 0 }),
+    })
+  }
+
+  return {
+    urls: farm.map(({ front }) => `http://${HOST}:${front.address.port}`),
+    targets: servers,
+    ledger: new Map(),
+    metrics: farm.map(({ metrics }) => metrics),
+    runsPerTarget: () =>
+      ledgers.map((ledger) => [...ledger.values()].reduce((a, b) => a + b, 0)),
+    async killAll() {
+      await Promise.all(servers.map((server) => server.kill()))
+    },
+    async startAll() {
+      servers = await Promise.all(ledgers.map((_, i) => start(i)))
+    },
+    async stop() {
+      for (const { targets, front } of farm) {
+        await Promise.all(targets.map((target) => target.close()))
+        await Promise.race([
+          front.close(),
+          new Promise((resolve) => setTimeout(resolve, 500)),
+        ])
+      }
+      await Promise.all(servers.map((server) => server.kill()))
+    },
+  }
+}
+
+/** One kind of caller in an open loop. */
+export interface Stream {
+  name: string
+  /** Requests a second. */
+  rate: number
+  headers: Record<string, string>
+}
+
+/** What a stream saw. */
+export interface StreamReport {
+  name: string
+  sent: number
+  answered: number
+  failed: number
+  notRun: number
+  unknown: number
+  latency: Histogram
+  /** Answers and refusals by half second of arrival. */
+  halfSeconds: { answered: number; refused: number; latency: Histogram }[]
+}
+
+const CALLER_TIMEOUT_MS = 20_000
+const SLICE_MS = 500
+
+/** Drives streams at once, each by a Poisson process of its own. */
+export async function drive(
+  urls: string[],
+  streams: Stream[],
+  ms: number,
+  seed: number,
+): Promise<StreamReport[]> {
+  const agent = new Agent({ connections: 2000, pipelining: 1 })
+  const reports = await Promise.all(
+    streams.map((stream, i) => driveOne(agent, urls, stream, ms, seed + i)),
+  )
+  await agent.destroy()
+  return reports
+}
+
+async function driveOne(
+  agent: Agent,
+  urls: string[],
+  stream: Stream,
+  ms: number,
+  seed: number,
+): Promise<StreamReport> {
+  const random = createRandom(seed)
+  const report: StreamReport = {
+    name: stream.name,
+    sent: 0,
+    answered: 0,
+    failed: 0,
+    notRun: 0,
+    unknown: 0,
+    latency: newHistogram(),
+    halfSeconds: [],
+  }
+  const pending: Promise<void>[] = []
+  const startedAt = performance.now()
+  for (
+    let due = exponential(random, 1000 / stream.rate);
+    due < ms;
+    due += exponential(random, 1000 / stream.rate)
+  ) {
+    const wait = startedAt + due - performance.now()
+    if (wait > 0) await new Promise((resolve) => setTimeout(resolve, wait))
+    const slice = Math.floor(due / SLICE_MS)
+    while (report.halfSeconds.length <= slice) {
+      report.halfSeconds.push({ answered: 0, refused: 0, latency: newHistogram() })
+    }
+    const origin = urls[Math.floor(random() * urls.length)]!
+    pending.push(sendOne(agent, origin, stream, report, report.halfSeconds[slice]!))
+  }
+  await Promise.all(pending)
+  return report
+}
+
+async function sendOne(
+  agent: Agent,
+  origin: string,
+  stream: Stream,
+  report: StreamReport,
+  slice: StreamReport['halfSeconds'][number],
+): Promise<void> {
+  report.sent++
+  const sentAt = performance.now()
+  try {
+    const signal = AbortSignal.timeout(CALLER_TIMEOUT_MS)
+    const { headers } = stream
+    const res = await agent.request({
+      origin,
+      path: '/s/x',
+      method: 'GET',
+      headers,
+      signal,
+    })
+    await res.body.dump()
+    const us = Math.round((performance.now() - sentAt) * 1000)
+    const outcome = res.headers['rillshunt-outcome']
+    if (outcome === 'answered' && res.statusCode < 500) {
+      report.answered++
+      report.latency.recordValue(us)
+      slice.answered++
+      slice.latency.recordValue(us)
+      return
+    }
+    if (outcome === 'answered') report.failed++
+    else if (outcome === 'not-run') report.notRun++
+    else report.unknown++
+  } catch {
+    report.unknown++
+  }
+  slice.refused++
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,8 @@
 const BENCHES: Record<string, () => Promise<{ default: Bench }>> = {
   relay: () => import('./relay.js'),
   capacity: () => import('./capacity.js'),
+  soak: () => import('./soak.js'),
+  requests: () => import('./requests.js'),
 }
 
 const [name = ''] = process.argv.slice(2)
--- /dev/null
+++ b/bench/requests.ts
@@ -0,0 +1,218 @@
+/**
+ * Requests under load and faults: choosing a target, overload, and a total outage of the
+ * targets, each against a baseline in the same run.
+ */
+import type { PolicyName } from '../src/entry/index.js'
+import type { TargetBehaviour } from '../playground/target.js'
+import type { Farm, FarmOptions, Stream } from './entryFarm.js'
+import { drive, startFarm } from './entryFarm.js'
+
+const SEED = 21
+const SHAPE = { entries: 6, instances: 8, slots: 8, meanMs: 200, seed: SEED }
+/** Requests a second that the targets can serve. */
+const FULL_RATE = (SHAPE.instances * SHAPE.slots * 1000) / SHAPE.meanMs
+const POLICY_NAMES: PolicyName[] = [
+  'random',
+  'roundRobin',
+  'twoChoices',
+  'twoChoicesReported',
+]
+const CHOICE_MS = 5000
+const OVERLOAD_MS = 8000
+const OUTAGE_MS = 12_000
+const OUTAGE_FROM_MS = 3000
+const OUTAGE_TO_MS = 6000
+
+const SCENARIOS: { name: string; load: number; first: Partial<TargetBehaviour> }[] = [
+  { name: 'all sound, 50 %', load: 0.5, first: {} },
+  { name: 'all sound, 80 %', load: 0.8, first: {} },
+  { name: 'all sound, 95 %', load: 0.95, first: {} },
+  { name: 'one is 5 times slower, 50 %', load: 0.5, first: { meanMs: 1000 } },
+  { name: 'one fails at once, 50 %', load: 0.5, first: { failsAll: true, meanMs: 0 } },
+  { name: 'one hangs, 50 %', load: 0.5, first: { hangs: true } },
+]
+
+const ms = (us: number): number => Math.round(us / 100) / 10
+const round = (value: number, digits = 2): number => Number(value.toFixed(digits))
+
+async function withFarm<T>(
+  over: Partial<FarmOptions>,
+  run: (farm: Farm) => Promise<T>,
+): Promise<T> {
+  const farm = await startFarm({ ...SHAPE, policy: 'twoChoices', ...over })
+  try {
+    return await run(farm)
+  } finally {
+    await farm.stop()
+  }
+}
+
+/** How uneven the runs are: the largest over the mean. */
+function imbalance(runs: number[]): number {
+  const mean = runs.reduce((a, b) => a + b, 0) / runs.length
+  return round(Math.max(...runs) / mean)
+}
+
+async function compareChoices() {
+  const rows = []
+  for (const { name, load, first } of SCENARIOS) {
+    for (const policy of POLICY_NAMES) {
+      rows.push(
+        await withFarm({ policy, first }, async (farm) => {
+          const headers = { 'rillshunt-deadline-ms': '5000' }
+          const stream = { name, rate: FULL_RATE * load, headers }
+          const [report] = await drive(farm.urls, [stream], CHOICE_MS, SEED)
+          const { sent, failed, notRun, unknown, latency } = report!
+          return {
+            scenario: name,
+            policy,
+            sent,
+            p50Ms: ms(latency.getValueAtPercentile(50)),
+            p99Ms: ms(latency.getValueAtPercentile(99)),
+            failed,
+            notRun,
+            unknown,
+            imbalance: imbalance(farm.runsPerTarget()),
+          }
+        }),
+      )
+    }
+  }
+  return rows
+}
+
+/** Traffic of two bands; as first come, first served it carries no priority. */
+function bands(total: number, ordered: boolean): Stream[] {
+  const urgentRate = FULL_RATE * 0.1
+  const headers = (priority: string): Record<string, string> =>
+    ordered ? { 'rillshunt-priority': priority } : {}
+  return [
+    { name: 'urgent', rate: urgentRate, headers: headers('urgent') },
+    { name: 'normal', rate: FULL_RATE * total - urgentRate, headers: headers('normal') },
+  ].map((stream) => ({
+    ...stream,
+    headers: { ...stream.headers, 'rillshunt-deadline-ms': '3000' },
+  }))
+}
+
+async function compareOverload() {
+  const rows = []
+  for (const ordered of [true, false]) {
+    for (const load of [0.5, 2]) {
+      const reports = await withFarm({}, (farm) =>
+        drive(farm.urls, bands(load, ordered), OVERLOAD_MS, SEED),
+      )
+      for (const { name, sent, answered, notRun, unknown, latency } of reports) {
+        rows.push({
+          order: ordered ? 'bands and turns' : 'first come, first served',
+          load,
+          stream: name,
+          sent,
+          answeredShare: round(answered / sent),
+          notRun,
+          unknown,
+          p50Ms: ms(latency.getValueAtPercentile(50)),
+          p99Ms: ms(latency.getValueAtPercentile(99)),
+        })
+      }
+    }
+  }
+  return rows
+}
+
+/** Three teams, of which the first floods: served rates with and without the flood. */
+async function compareFlood() {
+  const rows = []
+  for (const ordered of [true, false]) {
+    for (const flood of [1, 10]) {
+      const team = (name: string, factor: number): Stream => ({
+        name,
+        rate: FULL_RATE * 0.25 * factor,
+        headers: {
+          'rillshunt-deadline-ms': '3000',
+          ...(ordered && { 'rillshunt-team': name }),
+        },
+      })
+      const streams = [team('a', flood), team('b', 1), team('c', 1)]
+      const reports = await withFarm({}, (farm) =>
+        drive(farm.urls, streams, OVERLOAD_MS, SEED),
+      )
+      for (const { name, sent, answered, latency } of reports) {
+        rows.push({
+          order: ordered ? 'bands and turns' : 'first come, first served',
+          flood,
+          team: name,
+          sent,
+          servedPerS: round(answered / (OVERLOAD_MS / 1000), 1),
+          servedShare: round(answered / sent),
+          p99Ms: ms(latency.getValueAtPercentile(99)),
+        })
+      }
+    }
+  }
+  return rows
+}
+
+async function sumAttempts(farm: Farm): Promise<number> {
+  let sum = 0
+  for (const metrics of farm.metrics) {
+    for (const { value } of (await metrics.attempts.get()).values) sum += value
+  }
+  return sum
+}
+
+/** All targets are gone for three seconds; the naive version retries without a budget. */
+async function compareOutage() {
+  const rows: object[] = []
+  const curves: Record<string, object[]> = {}
+  for (const [name, retryShare] of [
+    ['budget of 0.1', 0.1],
+    ['no budget', 1],
+  ] as const) {
+    await withFarm({ retryShare }, async (farm) => {
+      const headers = { 'rillshunt-deadline-ms': '2000' }
+      const stream = { name, rate: FULL_RATE * 0.6, headers }
+      setTimeout(() => void farm.killAll(), OUTAGE_FROM_MS)
+      setTimeout(() => void farm.startAll(), OUTAGE_TO_MS)
+      const [report] = await drive(farm.urls, [stream], OUTAGE_MS, SEED)
+      const { sent, answered, notRun, unknown, halfSeconds } = report!
+      const attempts = await sumAttempts(farm)
+      rows.push({
+        retries: name,
+        sent,
+        answered,
+        notRun,
+        unknown,
+        attemptsPerRequest: round(attempts / sent),
+      })
+      curves[name] = halfSeconds.map((slice, i) => ({
+        atS: i / 2,
+        answered: slice.answered,
+        refused: slice.refused,
+        p99Ms: ms(slice.latency.getValueAtPercentile(99)),
+      }))
+    })
+  }
+  return { rows, curves }
+}
+
+export default async function requestsBench(): Promise<object> {
+  const choices = await compareChoices()
+  console.table(choices)
+  const overload = await compareOverload()
+  console.table(overload)
+  const flood = await compareFlood()
+  console.table(flood)
+  const outage = await compareOutage()
+  console.table(outage.rows)
+  console.table(outage.curves['budget of 0.1'])
+  return {
+    seed: SEED,
+    shape: SHAPE,
+    fullRate: FULL_RATE,
+    choices,
+    overload,
+    flood,
+    outage,
+  }
+}
--- a/playground/fleet.ts
+++ b/playground/fleet.ts
@@ -57,8 +57,10 @@
   /** Marks the VM as leaving in the list. */
   leave(vm: string): void
   targetOf(task: string): TargetServer | undefined
-  /** Counts changes, for conditional reads. */
+  /** Counts changes of VMs, for conditional reads. */
   revision(): number
+  /** Counts changes of tasks. */
+  taskRevision(): number
   /** How often each VM was rebooted on request. */
   reboots(): Map<string, number>
   /** Refuses every task of these services. */
@@ -76,6 +78,7 @@
   const timers = new Set<NodeJS.Timeout>()
   const failServices = new Set<string>()
   let revision = 1
+  let taskRevision = 1
 
   const incarnationOf = (vm: SimVm) => `${vm.id}.${vm.starts}`
 
@@ -91,6 +94,7 @@
     for (const task of tasks.values()) {
       if (task.spec.vm !== vm || task.state === 'stopped') continue
       task.state = 'failed'
+      taskRevision++
       task.reason = 'VM restarted'
       const { target } = task
       delete task.target
@@ -132,6 +136,7 @@
     if (task.state !== 'starting') return target.kill()
     task.target = target
     task.state = 'running'
+    taskRevision++
   }
 
   return {
@@ -172,10 +177,12 @@
       if (failServices.has(spec.service)) return `'${spec.service}' cannot run anywhere`
       const task: SimTask = { spec, state: 'starting', incarnation: incarnationOf(vm) }
       tasks.set(spec.id, task)
+      taskRevision++
       later(opts.taskStartMs ?? DEFAULT_TASK_START_MS, () => void bringUp(task))
       return undefined
     },
     async stopTask(id) {
+      taskRevision++
       const task = tasks.get(id)
       if (!task) {
         // Remembered, so that a late start of it is refused.
@@ -206,6 +213,7 @@
     },
     targetOf: (task) => tasks.get(task)?.target,
     revision: () => revision,
+    taskRevision: () => taskRevision,
     reboots: () => new Map([...vms.values()].map((vm) => [vm.id, vm.reboots.size])),
     async stop() {
       for (const timer of timers) clearTimeout(timer)
--- a/playground/platform.ts
+++ b/playground/platform.ts
@@ -133,7 +133,11 @@
     const vms = list.vms.filter((vm) => hall === undefined || vm.hall === hall)
     return c.json({ revision: list.revision, vms })
   })
-  app.get('/v1/tasks', (c) => c.json({ tasks: fleet.tasks(c.req.query('hall') ?? '') }))
+  app.get('/v1/tasks', (c) => {
+    const revision = fleet.taskRevision()
+    if (Number(c.req.query('since')) === revision) return c.body(null, 304)
+    return c.json({ revision, tasks: fleet.tasks(c.req.query('hall') ?? '') })
+  })
   app.post('/v1/tasks', async (c) => {
     const refusal = fleet.startTask(await c.req.json<TaskSpec>())
     return refusal === undefined ? c.json({}) : c.json({ error: refusal }, 422)
--- a/src/cli/__tests__/cli.spec.ts
+++ b/src/cli/__tests__/cli.spec.ts
@@ -4,19 +4,11 @@
 import { PassThrough } from 'node:stream'
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
-import { createSimFleet } from '../../../playground/fleet.js'
-import { startPlatform } from '../../../playground/platform.js'
-import { createRandom } from '../../../playground/random.js'
+import { startStandIn } from '../../../test/standIn.js'
 import { createCli } from '../index.js'
 
 async function setUp(t: ExecutionContext) {
-  const fleet = createSimFleet({
-    host: '127.0.0.1',
-    random: createRandom(1),
-    ledger: new Map(),
-  })
-  const standIn = await startPlatform({ fleet })
-  t.teardown(() => standIn.close())
+  const { standIn } = await startStandIn(t)
 
   async function run(
     ...args: string[]
--- /dev/null
+++ b/src/cli/acceptCommand.ts
@@ -0,0 +1,89 @@
+/** `rillshunt table accept`: shows what the draft would do, checks it, puts it in force. */
+import { Option } from 'clipanion'
+import { EXIT } from '../shared/index.js'
+import { applyEdits, checkTable } from '../table/index.js'
+import type { AcceptOutcome, CellConflict, CellError } from '../table/index.js'
+import { PlatformCommand, need, showCell } from './base.js'
+import type { Session } from './base.js'
+import { previewTable } from './preview.js'
+import type { HallPreview } from './preview.js'
+
+const EXIT_OF: Record<AcceptOutcome['kind'], number> = {
+  accepted: EXIT.ok,
+  nothing: EXIT.ok,
+  refused: EXIT.refused,
+  unknown: EXIT.unknown,
+}
+
+/** What became of the accept, for people. */
+const TEXT_OF: {
+  [K in AcceptOutcome['kind']]: (outcome: Extract<AcceptOutcome, { kind: K }>) => string
+} = {
+  accepted: ({ epoch }) => `accepted as epoch ${epoch}`,
+  nothing: () => 'the draft changes nothing',
+  refused: ({ errors, conflicts }) => describeRefusal(errors, conflicts),
+  unknown: ({ acceptId }) =>
+    `unknown: the platform did not answer. Ask again with: rillshunt table find ${acceptId}`,
+}
+
+/** `table accept` */
+export class TableAccept extends PlatformCommand {
+  static override paths = [['table', 'accept']]
+  static override usage = PlatformCommand.Usage({
+    description: 'check the draft and put it in force in every hall',
+  })
+  dryRun = Option.Boolean('--dry-run', false, {
+    description: 'only show what it would do',
+  })
+
+  async run(session: Session): Promise<number> {
+    const preview = await this.preview(session)
+    if (this.dryRun) {
+      this.print({ preview }, () => describePreview(preview))
+      return EXIT.ok
+    }
+    const outcome = need(await session.store.accept(session.editor))
+    this.print({ ...outcome, preview }, () => {
+      const text = (TEXT_OF[outcome.kind] as (outcome: AcceptOutcome) => string)(outcome)
+      return outcome.kind === 'accepted' ? `${text}\n${describePreview(preview)}` : text
+    })
+    return EXIT_OF[outcome.kind]
+  }
+
+  private async preview({ store, platform, editor }: Session) {
+    const { head, draft } = need(await store.draft(editor))
+    const checked = checkTable(applyEdits(head?.raw ?? {}, draft.edits))
+    return checked.isOk() ? previewTable(platform, checked.value) : undefined
+  }
+}
+
+function describePreview(preview: HallPreview[] | undefined): string {
+  if (!preview) return 'its effects cannot be shown'
+  const lines = preview.flatMap((each) => {
+    const { hall, vmMoves, jobStarts, jobStops, unplaced, stuckWaves } = each
+    const moves = vmMoves.map(
+      ({ vm, from, to }) => `  VM ${vm} moves from ${from} to ${to}`,
+    )
+    const lacks = unplaced.map(
+      ({ service, reason }) => `  '${service}' lacks room: ${reason}`,
+    )
+    const stuck = stuckWaves.map(
+      ({ wave, reason }) => `  wave '${wave}' cannot finish: ${reason}`,
+    )
+    const head = `${hall}: ${vmMoves.length} VMs move, ${jobStarts} jobs start, ${jobStops} stop`
+    return [head, ...moves, ...lacks, ...stuck]
+  })
+  return lines.join('\n')
+}
+
+function describeRefusal(errors: CellError[], conflicts: CellConflict[]): string {
+  const wrong = errors.map(
+    ({ row, column, value, rule }) => `${row} ${column}: '${value}' must be ${rule}`,
+  )
+  const clashes = conflicts.map(
+    ({ row, column, mine, theirs }) =>
+      `${row} ${column}: ${theirs.editor} accepted ${showCell(theirs.value)}, ` +
+      `${mine.editor} wants ${showCell(mine.value)}`,
+  )
+  return ['refused; nothing was changed:', ...wrong, ...clashes].join('\n  ')
+}
--- a/src/cli/base.ts
+++ b/src/cli/base.ts
@@ -131,3 +131,8 @@
   if (result.isOk()) return result.value
   throw new CommandFailure(describeError(result.error), exitCode)
 }
+
+/** A cell's text for people. */
+export function showCell(value: string | null): string {
+  return value === null ? '(default)' : `'${value}'`
+}
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -3,13 +3,19 @@
 import type { CommandClass } from 'clipanion'
 import { Explain } from './explainCommand.js'
 import { Jobs, Pools, Vms, Waves } from './fleetCommands.js'
-import * as tableCommands from './tableCommands.js'
+import { TableAccept } from './acceptCommand.js'
+import * as draftCommands from './draftCommands.js'
+import * as sheetCommands from './sheetCommands.js'
+import * as statusCommands from './statusCommands.js'
 
 /** Creates the command line with all commands. */
 export function createCli(): Cli {
   const cli = new Cli({ binaryLabel: 'rillshunt', binaryName: 'rillshunt' })
   const own: CommandClass[] = [
-    ...Object.values(tableCommands),
+    ...Object.values(draftCommands),
+    ...Object.values(sheetCommands),
+    ...Object.values(statusCommands),
+    TableAccept,
     Explain,
     Jobs,
     Pools,
--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -116,9 +116,9 @@
   once_memory: duration().prefault('10m'),
   /**
    * Time between two health checks of a target.
-   * @default '500ms'
+   * @default '1s'
    */
-  health_interval: duration().prefault('500ms'),
+  health_interval: duration().prefault('1s'),
   /**
    * Time that the balancer needs to see that an entry is stopping.
    * @default '2s'
--- a/src/entry/__tests__/outcomes.spec.ts
+++ b/src/entry/__tests__/outcomes.spec.ts
@@ -25,6 +25,10 @@
   },
   '/half-chunked': (req, res) =>
     void res.write('x'.repeat(50), () => req.socket.destroy()),
+  '/refuse-midway': (req, res) =>
+    void req.once('data', () =>
+      res.writeHead(503, { 'rillshunt-outcome': 'not-run' }).end(),
+    ),
   '/early-answer': (_req, res) =>
     void res.writeHead(413, { connection: 'close' }).end('too large'),
   '/no-content': (_req, res) => void res.writeHead(204).end(),
@@ -37,6 +41,14 @@
   '/two-cookies': (_req, res) =>
     void res.writeHead(200, { 'set-cookie': ['a=1', 'b=2'] }).end(),
   '/continue': (req, res) => void req.resume().once('end', () => res.end('done')),
+  // The first target to get it breaks off, the second one refuses.
+  '/break-then-refuse': (() => {
+    let times = 0
+    return (req: IncomingMessage, res: ServerResponse): void => {
+      if (times++ === 0) return void req.socket.destroy()
+      res.writeHead(503, { 'rillshunt-outcome': 'not-run' }).end()
+    }
+  })(),
   '/large': (_req, res) => void res.end(Buffer.alloc(32 * 1024 * 1024, 'y')),
 }
 
@@ -88,6 +100,22 @@
       })
     }
 
+    it('is not forgotten when a later attempt is refused: the outcome stays unknown', async (t) => {
+      const { rig, hits } = await setUp(t)
+      const res = await request(`${rig.url}/s/break-then-refuse`)
+      await res.body.dump()
+      t.is(res.headers['rillshunt-outcome'], 'unknown')
+      t.deepEqual(hits, ['/break-then-refuse', '/break-then-refuse'])
+    })
+
+    it('is not sent elsewhere once bytes of a streamed body were taken', async (t) => {
+      const { rig, hits } = await setUp(t)
+      const { status, outcome, res } = await post(rig, '/refuse-midway', LARGE)
+      await res.body.dump()
+      t.deepEqual([status, outcome], [503, 'not-run'])
+      t.deepEqual(hits, ['/refuse-midway'])
+    })
+
     for (const path of ['/head-only', '/half-fixed', '/half-chunked']) {
       it(`in the answer (${path}) gives a visibly broken answer, and no second attempt`, async (t) => {
         const { rig, hits } = await setUp(t)
--- a/src/entry/__tests__/policy.spec.ts
+++ b/src/entry/__tests__/policy.spec.ts
@@ -104,9 +104,9 @@
     const all = waiting.map(async ([priority, team], index) => {
       if ((await limiter.admit(ask(priority, team))) !== 'admitted') return
       order.push(index)
-      limiter.leave()
+      limiter.leave(0)
     })
-    limiter.leave()
+    limiter.leave(0)
     await Promise.all(all)
     return order
   }
@@ -176,12 +176,31 @@
     t.is(await limiter.admit(ask('deferrable', 'other')), 'queue full')
     const urgent = limiter.admit(ask('urgent', 'flood'))
     t.is(await flood[1], 'queue full')
-    limiter.leave()
+    limiter.leave(0)
     t.is(await urgent, 'admitted')
-    limiter.leave()
+    limiter.leave(0)
     t.is(await Promise.race([flood[0], other]), 'admitted')
   })
 
+  it('does not start what would hardly be answered in time', async (t) => {
+    const limiter = limiterOf(9)
+    for (let i = 0; i < 200; i++) {
+      await limiter.admit(ask('normal'))
+      limiter.leave(1000)
+    }
+    await limiter.admit(ask('normal'))
+    const patient = limiter.admit(ask('normal'))
+    limiter.leave(1000)
+    t.is(await patient, 'admitted')
+    const hurried = limiter.admit({
+      ...ask('normal'),
+      deadline: performance.now() + 1200,
+    })
+    await new Promise((resolve) => setTimeout(resolve, 700))
+    limiter.leave(1000)
+    t.is(await hurried, 'deadline passed')
+  })
+
   it('forgets callers that leave', async (t) => {
     const limiter = limiterOf(9)
     await limiter.admit(ask('normal'))
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -9,8 +9,8 @@
 export type RequestBody =
   | { kind: 'none' }
   | { kind: 'buffered'; bytes: Buffer }
-  /** `open` gives the stream for the one attempt that may use it. */
-  | { kind: 'streamed'; length: number | undefined; open(): Readable }
+  /** `open` gives the stream to an attempt; once it is `started`, no other may use it. */
+  | { kind: 'streamed'; length: number | undefined; open(): Readable; started(): boolean }
 
 /** The caller broke off while its body was being read. */
 export const CALLER_LEFT = Symbol('caller left')
@@ -24,7 +24,7 @@
   const length = Number(req.headers['content-length'] ?? 0)
   if (!chunked && length === 0) return { kind: 'none' }
   if (!chunked && length <= bufferLimit) return readWhole(req)
-  return { kind: 'streamed', length: chunked ? undefined : length, open: () => tap(req) }
+  return streamed(req, chunked ? undefined : length)
 }
 
 function readWhole(req: IncomingMessage): Promise<RequestBody | typeof CALLER_LEFT> {
@@ -41,12 +41,13 @@
 }
 
 /**
- * A stream of the request's bytes that starts on the first read, so that an attempt
+ * The request's bytes, read from the caller only when an attempt reads them: an attempt
  * that never connected has not touched the caller's stream.
  */
-function tap(req: IncomingMessage): Readable {
+function streamed(req: IncomingMessage, length: number | undefined): RequestBody {
   let started = false
   const start = (stream: Readable) => {
+    started = true
     req.on('data', (chunk: Buffer) => {
       if (!stream.push(chunk)) req.pause()
     })
@@ -56,13 +57,12 @@
     })
     req.on('error', (cause) => stream.destroy(cause))
   }
-  return new Readable({
-    read() {
-      if (!started) {
-        started = true
-        start(this)
-      }
-      req.resume()
-    },
-  })
+  const open = () =>
+    new Readable({
+      read() {
+        if (!started) start(this)
+        req.resume()
+      },
+    })
+  return { kind: 'streamed', length, open, started: () => started }
 }
--- a/src/entry/constants.ts
+++ b/src/entry/constants.ts
@@ -36,3 +36,6 @@
 export const ONCE_ASKS = 4
 /** Pause between two of them, in ms. */
 export const ONCE_PAUSE_MS = 100
+/** Longest pause before the second attempt of a request, in ms; it doubles up to the cap. */
+export const RETRY_BASE_MS = 5
+export const RETRY_CAP_MS = 100
--- a/src/entry/limiter.ts
+++ b/src/entry/limiter.ts
@@ -8,6 +8,13 @@
 import { createTurns } from './turns.js'
 import type { Priority, Waiting } from './turns.js'
 
+/** Weight of the latest request in the running mean. */
+const SMOOTHING = 0.05
+/** Multiple of the mean that must be left before the deadline. */
+const NEEDED_TIMES = 2
+/** But never more than this part of the caller's patience. */
+const MAX_NEEDED_SHARE = 0.5
+
 /** How a wait for admission ended. */
 export type Admission = 'admitted' | 'queue full' | 'deadline passed' | 'caller left'
 
@@ -24,8 +31,8 @@
 export interface Limiter {
   /** Resolves when the request may start or never will. After `admitted`, call `leave`. */
   admit(opts: AdmitOptions): Promise<Admission>
-  /** Ends one admitted request. */
-  leave(): void
+  /** Ends one admitted request, which held its place for so long. */
+  leave(heldMs: number): void
   /** Admits as many waiting requests as now fit; call it when capacity changed. */
   wake(): void
   inFlight(): number
@@ -43,6 +50,10 @@
 }
 
 interface Waiter extends Waiting {
+  /** Monotonic time in ms at which the caller gives up. */
+  deadline: number
+  /** Time between its arrival and its deadline, in ms. */
+  patienceMs: number
   settle(how: Admission): void
 }
 
@@ -51,16 +62,33 @@
   const { capacity, maxQueue } = opts
   const turns = createTurns<Waiter>(opts.weightOf)
   let inFlight = 0
+  /** Running mean of the time that a request holds its place, in ms. */
+  let typicalMs = 0
 
   function wake(): void {
     if (turns.size() === 0) return
-    for (let free = capacity() - inFlight; free > 0; free--) {
+    let free = capacity() - inFlight
+    while (free > 0) {
       const waiter = turns.next()
       if (!waiter) return
+      if (comesTooLate(waiter)) {
+        waiter.settle('deadline passed')
+        continue
+      }
       waiter.settle('admitted')
+      free--
     }
   }
 
+  /**
+   * Whether the request would hardly be answered in time: sent now, it would most likely
+   * end as "unknown", after using a slot for nothing.
+   */
+  function comesTooLate({ deadline, patienceMs }: Waiter): boolean {
+    const needed = Math.min(typicalMs * NEEDED_TIMES, patienceMs * MAX_NEEDED_SHARE)
+    return deadline - monotonicMs() < needed
+  }
+
   function wait({
     priority,
     team,
@@ -71,6 +99,8 @@
       const waiter: Waiter = {
         priority,
         team,
+        deadline,
+        patienceMs: deadline - monotonicMs(),
         settle(how) {
           turns.remove(waiter)
           clearTimeout(timer)
@@ -101,8 +131,9 @@
       }
       return wait(request)
     },
-    leave() {
+    leave(heldMs) {
       inFlight--
+      typicalMs += (heldMs - typicalMs) * SMOOTHING
       wake()
     },
     wake,
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -9,24 +9,21 @@
 import type { ServiceLine, TableHolder } from '../table/index.js'
 import { refuse } from './answers.js'
 import type { Outcome, RefusalKind } from './answers.js'
-import { runAttempt } from './attempt.js'
-import type { AttemptResult } from './attempt.js'
 import { CALLER_LEFT, readBody } from './body.js'
-import type { RequestBody } from './body.js'
 import { readCall } from './call.js'
 import type { Call } from './call.js'
 import { createCancellation } from './cancellation.js'
 import type { Cancellation } from './cancellation.js'
-import { POLICIES, eligibleTargets } from './chooser.js'
+import { POLICIES } from './chooser.js'
 import type { PolicyName } from './chooser.js'
-import { ONCE_ASKS, ONCE_PAUSE_MS, REQUEST_ID_HEADER } from './constants.js'
-import { headersForTarget } from './headers.js'
+import { ONCE_ASKS, ONCE_PAUSE_MS } from './constants.js'
 import { createLimiter } from './limiter.js'
 import type { Admission, Limiter } from './limiter.js'
 import type { Once, Verdict } from './once.js'
 import { createRetryBudget } from './retryBudget.js'
 import { takesWork } from './target.js'
-import type { Target } from './target.js'
+import { createTargetLoop } from './targetLoop.js'
+import type { Exchange } from './targetLoop.js'
 import type { TargetView } from './targetView.js'
 
 /** Serves requests. */
@@ -56,7 +53,7 @@
   metrics: Metrics
   /**
    * How targets are chosen.
-   * @default 'twoChoicesReported'
+   * @default 'twoChoices'
    */
   policy?: PolicyName
 }
@@ -64,15 +61,6 @@
 /** What a request ended with: an outcome for the caller, or nobody left to tell. */
 type Ending = Outcome | 'broken' | 'caller-left'
 
-interface Exchange {
-  call: Call
-  req: IncomingMessage
-  res: ServerResponse
-  body: RequestBody
-  /** Fires when the caller leaves or the deadline passes. */
-  cancellation: Cancellation
-}
-
 const ADMISSION_REFUSALS: Record<Exclude<Admission, 'admitted'>, RefusalKind> = {
   'queue full': 'queue full',
   'deadline passed': 'deadline before sending',
@@ -94,7 +82,6 @@
 /** Creates the router. */
 export function createRouter(opts: RouterOptions): Router {
   const { cfg, table, view, log, metrics } = opts
-  const choose = POLICIES[opts.policy ?? 'twoChoicesReported']()
   const limiters = new Map<string, Limiter>()
   const budget = createRetryBudget(cfg.requests.retry_share)
   let weights = teamWeights(table.current()?.table.services.values() ?? [])
@@ -108,6 +95,15 @@
     latency: metrics.latency.labels({ service }),
   }))
 
+  const tryTargets = createTargetLoop({
+    attempts: cfg.requests.attempts,
+    choose: POLICIES[opts.policy ?? 'twoChoices'](),
+    budget,
+    targets: view.targets,
+    log,
+    noteAttempt: (service, result) => metricsOf(service).attempt(result).inc(),
+  })
+
   const lineOf = (service: string): ServiceLine | undefined =>
     table.current()?.table.services.get(service)
 
@@ -207,12 +203,13 @@
       if (res.destroyed) return 'caller-left'
       return refuseAs(exchange, ADMISSION_REFUSALS[admission], admission)
     }
+    const admittedAt = monotonicMs()
     try {
       const ready = { ...exchange, body }
       const guarded = !call.repeatable && call.idGiven
-      return guarded ? await serveOnce(ready) : await tryTargets(ready)
+      return guarded ? await serveOnce(ready) : await sendTo(ready)
     } finally {
-      limiter.leave()
+      limiter.leave(monotonicMs() - admittedAt)
     }
   }
 
@@ -235,109 +232,29 @@
     if (verdict.kind === 'repeat') {
       return refuseAs(exchange, 'repeat', `the first one: ${verdict.state}`)
     }
-    const ending = await tryTargets(exchange)
+    const ending = await sendTo(exchange)
     const state = ending === 'broken' || ending === 'caller-left' ? 'unknown' : ending
     void opts.once.end(id, state)
     return ending
   }
 
-  async function tryTargets(exchange: Exchange): Promise<Ending> {
-    const { call, body, cancellation } = exchange
-    const tried = new Set<Target>()
-    let last: AttemptResult | undefined
-    for (let attempt = 1; attempt <= cfg.requests.attempts; attempt++) {
-      if (attempt > 1 && !budget.withdraw()) break
-      const candidates = eligibleTargets(view.targets(call.service), tried)
-      if (candidates.length === 0) break
-      const target = choose(candidates, Math.random)
-      tried.add(target)
-      noteRoute(call, target, candidates, attempt)
-      last = await attemptAt(target, exchange)
-      metricsOf(call.service).attempt(last.kind).inc()
-      if (last.kind === 'answered') return 'answered'
-      if (last.kind === 'broken') return 'broken'
-      if (last.kind === 'caller-left') return 'caller-left'
-      noteFailure(call, target, last, attempt)
-      const again =
-        last.kind === 'not-run' || (call.repeatable && body.kind !== 'streamed')
-      if (!again || cancellation.cancelled) break
-    }
-    return giveUpOn(exchange, last)
-  }
-
-  function giveUpOn(exchange: Exchange, last: AttemptResult | undefined): Ending {
-    const { res, cancellation } = exchange
-    if (res.destroyed) return 'caller-left'
-    if (last?.kind === 'unknown') {
-      const kind = cancellation.cancelled ? 'deadline after sending' : 'no answer'
-      return refuseAs(exchange, kind, last.reason)
-    }
-    if (cancellation.cancelled)
-      return refuseAs(exchange, 'deadline before sending', 'deadline')
-    const reason = last?.kind === 'not-run' ? last.reason : 'no target takes work'
-    return refuseAs(exchange, 'no target', reason)
-  }
-
-  async function attemptAt(target: Target, exchange: Exchange): Promise<AttemptResult> {
-    const { call, req, res, body, cancellation } = exchange
-    target.inFlight++
-    try {
-      const connection = await target.acquire()
-      if (connection.isErr()) {
-        target.noteAttempt(false)
-        const reason = connection.error.message
-        return { kind: 'not-run', reason, refusedByTarget: false }
-      }
-      const client = connection.value
-      if (!takesWork(target)) {
-        target.release(client, true)
-        return { kind: 'not-run', reason: 'target is leaving', refusedByTarget: true }
-      }
-      const headers = headersForTarget(req.rawHeaders)
-      if (req.headers[REQUEST_ID_HEADER] === undefined) {
-        headers.push(REQUEST_ID_HEADER, call.id)
-      }
-      const result = await runAttempt({ client, call, headers, body, res, cancellation })
-      const refused = result.kind === 'not-run' && result.refusedByTarget
-      target.release(client, result.kind === 'answered' || refused)
-      if (result.kind !== 'caller-left') target.noteAttempt(wentWell(result))
-      return result
-    } finally {
-      target.inFlight--
+  async function sendTo(exchange: Exchange): Promise<Ending> {
+    const result = await tryTargets(exchange)
+    if (result.kind === 'answered' || result.kind === 'broken') return result.kind
+    if (result.kind === 'caller-left' || exchange.res.destroyed) return 'caller-left'
+    const late = exchange.cancellation.cancelled
+    if (result.kind === 'unknown') {
+      return refuseAs(
+        exchange,
+        late ? 'deadline after sending' : 'no answer',
+        result.reason,
+      )
     }
-  }
-
-  function noteRoute(
-    call: Call,
-    target: Target,
-    candidates: readonly Target[],
-    attempt: number,
-  ): void {
-    if (!log.enabled('routed')) return
-    const { vm, job, inFlight, reportedLoad } = target
-    const from = candidates.length
-    const { id: request, service } = call
-    log.event('routed', {
-      request,
-      service,
-      vm,
-      job,
-      inFlight,
-      reportedLoad,
-      from,
-      attempt,
-    })
-  }
-
-  function noteFailure(
-    call: Call,
-    target: Target,
-    result: { kind: string; reason: string },
-    attempt: number,
-  ): void {
-    const { kind, reason } = result
-    const { vm, job } = target
-    log.event('attemptFailed', { request: call.id, vm, job, kind, reason, attempt })
+    return refuseAs(
+      exchange,
+      late ? 'deadline before sending' : 'no target',
+      result.reason,
+    )
   }
 
   return {
@@ -371,8 +288,3 @@
         : new Promise((resolve) => drainWaiters.push(resolve)),
   }
 }
-
-function wentWell(result: AttemptResult): boolean {
-  if (result.kind === 'answered') return result.status < 500
-  return false
-}
--- a/src/entry/targetConnection.ts
+++ b/src/entry/targetConnection.ts
@@ -3,10 +3,10 @@
  * and never connects again by itself: an address that another VM or a later
  * incarnation has taken over is noticed before any byte of a request is sent.
  */
-import { err, ok } from 'neverthrow'
+import { err, fromThrowable, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { Client, buildConnector } from 'undici'
-import type { buildConnector as Connector } from 'undici'
+import type { Dispatcher, buildConnector as Connector } from 'undici'
 import { z } from 'zod'
 import { RillshuntError, describeError } from '../shared/index.js'
 import { HEALTH_PATH, IDLE_TIMEOUT_MS, MAX_IDLE_CONNECTIONS } from './constants.js'
@@ -89,21 +89,16 @@
   }
 
   async function prove(client: Client): Promise<Result<Health, RillshuntError>> {
-    try {
-      const signal = AbortSignal.timeout(connectTimeoutMs)
-      const res = await client.request({ method: 'GET', path: HEALTH_PATH, signal })
-      const health = healthSchema.parse(await res.body.json())
-      if (isSame(health, identity)) return ok(health)
-      opts.onMismatch(health)
+    const answer = await askHealth(client, connectTimeoutMs)
+    if (answer.isErr()) {
       drop(client)
-      return fail(
-        'identity',
-        `answers as ${health.vm}/${health.incarnation}/${health.job}`,
-      )
-    } catch (cause) {
-      drop(client)
-      return fail('connect', cause)
+      return fail('connect', answer.error)
     }
+    const health = answer.value
+    if (isSame(health, identity)) return ok(health)
+    opts.onMismatch(health)
+    drop(client)
+    return fail('identity', `answers as ${health.vm}/${health.incarnation}/${health.job}`)
   }
 
   async function acquire(): Promise<Result<Client, RillshuntError>> {
@@ -137,6 +132,40 @@
   }
 }
 
+/**
+ * Asks for health through a bare handler: at one check a second and target, the comfort of
+ * `request` with an abort signal showed in the idle processor time.
+ */
+function askHealth(client: Client, timeoutMs: number): Promise<Result<Health, Error>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let control: Dispatcher.DispatchController | undefined
+    const finish = (result: Result<Health, Error>) => {
+      clearTimeout(timer)
+      resolve(result)
+    }
+    const timer = setTimeout(() => {
+      const cause = new Error(`no health answer within ${timeoutMs} ms`)
+      control?.abort(cause)
+      finish(err(cause))
+    }, timeoutMs)
+    client.dispatch(
+      { method: 'GET', path: HEALTH_PATH },
+      {
+        onRequestStart: (controller) => void (control = controller),
+        onResponseData: (_controller, chunk) => void chunks.push(chunk),
+        onResponseEnd: () => finish(parseHealth(Buffer.concat(chunks).toString())),
+        onResponseError: (_controller, cause) => finish(err(cause)),
+      },
+    )
+  })
+}
+
+const parseHealth = fromThrowable(
+  (text: string): Health => healthSchema.parse(JSON.parse(text)),
+  (cause) => cause as Error,
+)
+
 function isSame(health: Health, identity: TargetIdentity): boolean {
   const { vm, incarnation, job } = identity
   return health.vm === vm && health.incarnation === incarnation && health.job === job
--- a/src/keeper/__tests__/lease.spec.ts
+++ b/src/keeper/__tests__/lease.spec.ts
@@ -1,24 +1,12 @@
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
-import { createSimFleet } from '../../../playground/fleet.js'
-import { startPlatform } from '../../../playground/platform.js'
-import { createRandom } from '../../../playground/random.js'
-import { commit, createHttpPlatform, newOpId } from '../../platform/index.js'
+import { CLIENT_NODE, startStandIn } from '../../../test/standIn.js'
+import { commit, newOpId } from '../../platform/index.js'
 import { createMemoryLogger, createMetrics } from '../../shared/index.js'
 import { createLease } from '../lease.js'
 
 async function setUp(t: ExecutionContext) {
-  const fleet = createSimFleet({
-    host: '127.0.0.1',
-    random: createRandom(1),
-    ledger: new Map(),
-  })
-  const standIn = await startPlatform({ fleet })
-  const platform = createHttpPlatform({ url: standIn.url, timeoutMs: 2000, node: 'test' })
-  t.teardown(async () => {
-    await platform.close()
-    await standIn.close()
-  })
+  const { standIn, platform } = await startStandIn(t)
   const keeper = (holder: string, now: () => number = () => performance.now()) =>
     createLease({
       platform,
@@ -79,7 +67,7 @@
     const { standIn, keeper } = await setUp(t)
     const a = keeper('a')
     await until(() => a.fence() !== undefined)
-    standIn.faults.cut.add('test')
+    standIn.faults.cut.add(CLIENT_NODE)
     await until(() => a.fence() === undefined)
     standIn.faults.cut.clear()
     await a.stop()
--- a/src/keeper/keeper.ts
+++ b/src/keeper/keeper.ts
@@ -71,6 +71,7 @@
   let listed: ListedVm[] = []
   let listRevision = 0
   let tasks: Task[] = []
+  let taskRevision = 0
   let cached: { key: string; state: FleetState } | undefined
 
   const lease = createLease({ platform, hall, holder, ttlMs: opts.leaseMs, log, metrics })
@@ -91,14 +92,13 @@
     state() {
       const inForce = table.current()
       if (!inForce) return undefined
-      const key = `${rows.revision()} ${inForce.epoch} ${listRevision} ${observations}`
+      const key = `${rows.revision()} ${inForce.epoch} ${listRevision} ${taskRevision}`
       if (cached?.key === key) return cached.state
       const input = { hall, table: inForce.table, rows: rows.rows, listed, tasks, log }
       cached = { key, state: readFleetState(input) }
       return cached.state
     },
   }
-  let observations = 0
 
   async function observe(): Promise<boolean> {
     await rows.refresh()
@@ -108,10 +108,12 @@
       listed = list.value.vms
       listRevision = list.value.revision
     }
-    const found = await platform.listTasks(hall)
+    const found = await platform.listTasks(hall, taskRevision)
     if (found.isErr()) return false
-    tasks = found.value
-    observations++
+    if (found.value) {
+      tasks = found.value.tasks
+      taskRevision = found.value.revision
+    }
     return rows.silentForMs() < opts.cycleMs * 2
   }
 
--- a/src/keeper/pools.ts
+++ b/src/keeper/pools.ts
@@ -3,8 +3,9 @@
  * only what is above their share. VMs that no pool needs are in the reserve pool.
  */
 import type { VmRow } from '../fleet/index.js'
+import { groupBy } from '../shared/index.js'
 import { RESERVE_POOL } from '../table/index.js'
-import type { Table } from '../table/index.js'
+import type { ServiceLine, Table } from '../table/index.js'
 
 /** One VM that should change its pool. */
 export interface PoolMove {
@@ -16,25 +17,33 @@
 
 /** VMs that each pool of the hall needs, by the declared sizes of its services. */
 export function poolDemand(table: Table, vm: { cpus: number; memoryGb: number }) {
+  const services = groupBy(table.services.values(), (service) => service.pool)
   const demand = new Map<string, number>()
   for (const [pool, line] of table.pools) {
-    let cpus = 0
-    let memory = 0
-    let widest = 0
-    for (const service of table.services.values()) {
-      if (service.pool !== pool) continue
-      cpus += service.instances * service.cpus
-      memory += service.instances * service.memory_gb
-      // One VM for each instance that must not share a VM with its like.
-      widest = Math.max(widest, Math.min(service.instances, 2))
-    }
-    const bySize = Math.max(cpus / vm.cpus, memory / vm.memoryGb)
-    const needed = Math.max(widest, Math.ceil(bySize))
+    const needed = vmsNeeded(services.get(pool) ?? [], vm)
     demand.set(pool, Math.min(line.limit, needed))
   }
   return demand
 }
 
+/** VMs that hold these services by their declared sizes. */
+function vmsNeeded(
+  services: readonly ServiceLine[],
+  vm: { cpus: number; memoryGb: number },
+): number {
+  let cpus = 0
+  let memory = 0
+  let widest = 0
+  for (const service of services) {
+    cpus += service.instances * service.cpus
+    memory += service.instances * service.memory_gb
+    // Two VMs at least for several instances, so that they do not share one.
+    widest = Math.max(widest, Math.min(service.instances, 2))
+  }
+  const bySize = Math.max(cpus / vm.cpus, memory / vm.memoryGb)
+  return Math.max(widest, Math.ceil(bySize))
+}
+
 /**
  * Shares out VMs: each pool gets its demand, or when they are scarce its share by
  * weight, never more than its demand. Whole VMs, largest remainder first.
@@ -44,7 +53,11 @@
   weights: ReadonlyMap<string, number>,
   available: number,
 ): Map<string, number> {
+  const wanted = [...demand].filter(([pool]) => (weights.get(pool) ?? 0) > 0)
+  const total = wanted.reduce((sum, [, count]) => sum + count, 0)
   const shares = new Map([...demand.keys()].map((pool) => [pool, 0]))
+  // With enough for all there is nothing to weigh.
+  if (total <= available) return new Map([...shares, ...wanted])
   let left = available
   while (left > 0) {
     const next = mostDeserving(demand, weights, shares)
--- a/src/peer/__tests__/peers.spec.ts
+++ b/src/peer/__tests__/peers.spec.ts
@@ -108,18 +108,19 @@
           )
           .map((text) => Buffer.from(text)),
       )
+      const send = async (name: string, contentType: string, bytes: Buffer) => {
+        const path = `/rillshunt.peer.v1.PeerService/${name}`
+        const headers = { 'content-type': contentType }
+        const options = { method: 'POST' as const, headers, body: bytes }
+        const res = await request(`http://127.0.0.1:${port}${path}`, options)
+        await res.body.dump()
+        return res.statusCode
+      }
+      const stranger = Buffer.from('{"report":{"node":"x","hall":"h1","epoch":"99"}}')
+      t.is(await send('Sync', 'application/json', stranger), 403)
       await fc.assert(
         fc.asyncProperty(method, type, body, async (name, contentType, bytes) => {
-          const res = await request(
-            `http://127.0.0.1:${port}/rillshunt.peer.v1.PeerService/${name}`,
-            {
-              method: 'POST',
-              headers: { 'content-type': contentType },
-              body: bytes,
-            },
-          )
-          await res.body.dump()
-          t.true(res.statusCode >= 200)
+          t.true((await send(name, contentType, bytes)) >= 200)
         }),
         { numRuns: 80 },
       )
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -2,17 +2,11 @@
  * The processes of rillshunt among themselves: one task per peer that exchanges
  * reports, and a push of the epoch to every peer when a new table comes in force.
  */
-import { createServer } from 'node:http'
-import type { Agent, Server } from 'node:http'
 import { create } from '@bufbuild/protobuf'
-import type { Client } from '@connectrpc/connect'
-import { Code, ConnectError, createClient } from '@connectrpc/connect'
+import { Code, ConnectError } from '@connectrpc/connect'
 import type { ConnectRouter } from '@connectrpc/connect'
-import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node'
-import { z } from 'zod'
-import type { PeerAddress, ResolvedConfig } from '../config/index.js'
+import type { ResolvedConfig } from '../config/index.js'
 import type { Allotments, Once, OncePeers } from '../entry/index.js'
-import { changesSchema } from '../platform/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
 import {
   createStopController,
@@ -21,34 +15,26 @@
   sleep,
 } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
-import { acceptedSchema, readPlatformTable } from '../table/index.js'
+import { readPlatformTable } from '../table/index.js'
 import type { TableHolder } from '../table/index.js'
 import {
   CALL_TIMEOUT_MS,
   LOST_AFTER_MS,
   MAX_LEAVING,
   MAX_LOADS,
-  MAX_MESSAGE_BYTES,
   MAX_STOPPING,
   REMOTE_SYNC_INTERVAL_MS,
+  SILENT_INTERVALS,
   SYNC_INTERVAL_MS,
 } from './constants.js'
 import { NodeReportSchema, PeerService } from './gen/peer_pb.js'
 import type { Loans, NodeReport } from './gen/peer_pb.js'
 import { decodeLoans, encodeLoans } from './loans.js'
 import { createOncePeers, onceRoutes } from './oncePeers.js'
+import { isOverBounds, listenForPeers, makePeer } from './peerLink.js'
+import type { Peer, PeerState } from './peerLink.js'
+import { createSharing } from './sharing.js'
 import { createMeteredAgent, createTrafficMeter } from './traffic.js'
-import type { TrafficMeter } from './traffic.js'
-
-/** What a peer last said, and when. */
-export interface PeerState {
-  id: string
-  address: PeerAddress
-  /** Undefined until the peer has spoken. */
-  report: NodeReport | undefined
-  /** Ms since the peer last spoke, or since our start when it never did. */
-  silentForMs(): number
-}
 
 /** The part of a report that only the entry knows. */
 export type ReportSource = () => Pick<
@@ -92,12 +78,6 @@
   metrics: Metrics
 }
 
-interface Peer extends PeerState {
-  client: Client<typeof PeerService>
-  heardAt: number
-  lost: boolean
-}
-
 const EMPTY_SOURCE: ReportSource = () => ({
   routes: false,
   leaving: [],
@@ -111,6 +91,7 @@
   const stopping = createStopController()
   let source = EMPTY_SOURCE
   let exchange: EntryExchange | undefined
+  const sharing = createSharing({ hall: cfg.node.hall, table, rows })
   const meter = createTrafficMeter(metrics)
   const agent = createMeteredAgent(meter)
 
@@ -120,7 +101,7 @@
       node: cfg.node.id,
       hall: cfg.node.hall,
       incarnation: opts.incarnation,
-      epoch: BigInt(table.current()?.epoch ?? 0),
+      epoch: BigInt(sharing.epoch()),
       revision: BigInt(rows.revision()),
       routes,
       leaving: leaving.slice(0, MAX_LEAVING),
@@ -152,31 +133,15 @@
     peer.heardAt = monotonicMs()
     if (peer.lost) log.event('peerBack', { peer: peer.id, hall: report.hall })
     peer.lost = false
-    if (Number(report.epoch) > (table.current()?.epoch ?? 0)) void learnTable(peer)
+    const epoch = Number(report.epoch)
+    if (epoch > sharing.epoch()) void learnTable(peer, epoch)
   }
 
-  async function learnTable(peer: Peer): Promise<void> {
+  /** Gets a newer table from the platform or, when that is away, from the peer. */
+  async function learnTable(peer: Peer, epoch: number): Promise<void> {
     await readPlatformTable(opts.platform, table)
-    if (Number(peer.report?.epoch ?? 0) <= (table.current()?.epoch ?? 0)) return
-    await fetchTable(peer)
-  }
-
-  async function fetchTable(peer: Peer): Promise<void> {
-    await call(peer, 'fetchTable', async () => {
-      const res = await peer.client.fetchTable({}, callOptions())
-      if (res.acceptedJson === '') return
-      table.offer(acceptedSchema.parse(JSON.parse(res.acceptedJson)), 'peer')
-    })
-  }
-
-  async function fetchRows(peer: Peer): Promise<void> {
-    await call(peer, 'fetchRows', async () => {
-      const res = await peer.client.fetchRows({ hall: cfg.node.hall }, callOptions())
-      const shape = z.object({ rows: changesSchema.shape.rows })
-      const { rows: found } = shape.parse(JSON.parse(res.rowsJson))
-      const revision = Number(res.revision)
-      rows.seed({ revision, rows: found, deleted: [], full: true })
-    })
+    if (epoch <= sharing.epoch()) return
+    await call(peer, 'fetchTable', () => sharing.fetchTable(peer.client, callOptions()))
   }
 
   function loansFor(peer: string): Loans | undefined {
@@ -219,9 +184,15 @@
   async function runPeer(peer: Peer): Promise<void> {
     const local = peer.address.hall === cfg.node.hall
     const interval = local ? SYNC_INTERVAL_MS : REMOTE_SYNC_INTERVAL_MS
+    // One side of a pair asks, since the answer carries the other's report; the other one
+    // asks only while it hears nothing.
+    const asks = cfg.node.id < peer.id
+    await sync(peer)
     while (!stopping.signal.aborted) {
-      await sync(peer)
-      if (local && rows.revision() === 0) await fetchRows(peer)
+      if (asks || peer.silentForMs() > interval * SILENT_INTERVALS) await sync(peer)
+      if (local && rows.revision() === 0) {
+        await call(peer, 'fetchRows', () => sharing.fetchRows(peer.client, callOptions()))
+      }
       await sleep(interval * (0.9 + Math.random() * 0.2), stopping.signal)
     }
   }
@@ -247,30 +218,14 @@
         const peer = peers.get(req.node)
         if (!peer) throw new ConnectError('not in the settings', Code.PermissionDenied)
         if (peer.report) peer.report.epoch = req.epoch
-        const epoch = table.current()?.epoch ?? 0
-        if (Number(req.epoch) > epoch) {
-          void readPlatformTable(opts.platform, table).then(() => {
-            if (Number(req.epoch) > (table.current()?.epoch ?? 0)) return fetchTable(peer)
-            return undefined
-          })
-        }
-        return { epoch: BigInt(epoch) }
+        if (Number(req.epoch) > sharing.epoch()) void learnTable(peer, Number(req.epoch))
+        return { epoch: BigInt(sharing.epoch()) }
       },
       ...onceRoutes(
         () => exchange?.once,
         (id) => peers.has(id),
       ),
-      fetchTable: () => {
-        const accepted = table.current()?.accepted
-        return { acceptedJson: accepted ? JSON.stringify(accepted) : '' }
-      },
-      fetchRows(req) {
-        if (req.hall !== cfg.node.hall) {
-          throw new ConnectError('another hall', Code.InvalidArgument)
-        }
-        const rowsJson = JSON.stringify({ rows: [...rows.rows.values()] })
-        return { revision: BigInt(rows.revision()), rowsJson }
-      },
+      ...sharing.routes,
     })
 
   const server = await listenForPeers(cfg, routes, meter)
@@ -300,45 +255,3 @@
     },
   }
 }
-
-function isOverBounds(report: NodeReport): boolean {
-  const { leaving, loads, stopping } = report
-  if (leaving.length > MAX_LEAVING || loads.length > MAX_LOADS) return true
-  return stopping.length > MAX_STOPPING
-}
-
-function makePeer(id: string, address: PeerAddress, agent: Agent): Peer {
-  const host = address.host.includes(':') ? `[${address.host}]` : address.host
-  const transport = createConnectTransport({
-    httpVersion: '1.1',
-    baseUrl: `http://${host}:${address.port}`,
-    readMaxBytes: MAX_MESSAGE_BYTES,
-    useBinaryFormat: true,
-    nodeOptions: { agent },
-  })
-  const peer: Peer = {
-    id,
-    address,
-    report: undefined,
-    client: createClient(PeerService, transport),
-    heardAt: monotonicMs(),
-    lost: false,
-    silentForMs: () => monotonicMs() - peer.heardAt,
-  }
-  return peer
-}
-
-async function listenForPeers(
-  cfg: ResolvedConfig,
-  routes: (router: ConnectRouter) => void,
-  meter: TrafficMeter,
-): Promise<Server> {
-  const adapter = connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES })
-  const server = createServer(adapter)
-  server.on('connection', meter.track)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(cfg.listen.peer_port, cfg.listen.address, resolve)
-  })
-  return server
-}
--- a/src/platform/__tests__/platform.spec.ts
+++ b/src/platform/__tests__/platform.spec.ts
@@ -4,34 +4,17 @@
 import type { ExecutionContext } from 'ava'
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
-import { createSimFleet } from '../../../playground/fleet.js'
-import { startPlatform } from '../../../playground/platform.js'
-import { createRandom } from '../../../playground/random.js'
+import { startStandIn } from '../../../test/standIn.js'
 import { createMemoryLogger, createMetrics } from '../../shared/index.js'
 import { commit, createHttpPlatform, createRowWatch, newOpId } from '../index.js'
 import type { Platform } from '../index.js'
 
-async function setUp(t: ExecutionContext) {
-  const fleet = createSimFleet({
-    host: '127.0.0.1',
-    random: createRandom(1),
-    ledger: new Map(),
-  })
-  const standIn = await startPlatform({ fleet })
-  const platform = createHttpPlatform({ url: standIn.url, timeoutMs: 2000, node: 'n1' })
-  t.teardown(async () => {
-    await platform.close()
-    await standIn.close()
-  })
-  return { standIn, platform }
-}
-
 const put = (platform: Platform, key: string, version: number, value: unknown) =>
   commit(platform, { opId: newOpId('t'), writes: [{ key, version, value }], guards: [] })
 
 describe('commit', () => {
   it('applies all writes or none', async (t) => {
-    const { platform, standIn } = await setUp(t)
+    const { platform, standIn } = await startStandIn(t)
     await put(platform, 'a', 0, 1)
     const writes = [
       { key: 'b', version: 0, value: 1 },
@@ -43,7 +26,7 @@
   })
 
   it('knows its own write after a lost reply, and does not write twice', async (t) => {
-    const { platform, standIn } = await setUp(t)
+    const { platform, standIn } = await startStandIn(t)
     standIn.faults.loseReplies = 1
     t.true((await put(platform, 'a', 0, { n: 1 }))._unsafeUnwrap().committed)
     const row = (await platform.read(['a']))._unsafeUnwrap().get('a')
@@ -51,7 +34,7 @@
   })
 
   it('refuses a write under an older fence', async (t) => {
-    const { platform } = await setUp(t)
+    const { platform } = await startStandIn(t)
     await put(platform, 'lease', 0, { fence: 2 })
     const guards = [{ key: 'lease', field: 'fence', equals: 1 }]
     const writes = [{ key: 'a', version: 0, value: 1 }]
@@ -82,7 +65,7 @@
     })
 
   it('follows changes and deletions by differences', async (t) => {
-    const { platform } = await setUp(t)
+    const { platform } = await startStandIn(t)
     const rows = watch(platform)
     const seen: string[][] = []
     rows.subscribe((keys) => seen.push(keys))
@@ -98,7 +81,7 @@
   })
 
   it('keeps its copy in an outage, and takes a seed only before the first answer', async (t) => {
-    const { platform, standIn } = await setUp(t)
+    const { platform, standIn } = await startStandIn(t)
     await put(platform, 'a/1', 0, 1)
     const rows = watch(platform)
     await rows.refresh()
@@ -139,7 +122,7 @@
       ['changes', () => platform.changes(['a'], 0)],
       ['transact', () => platform.transact({ opId: 'x', writes: [], guards: [] })],
       ['listVms', () => platform.listVms('h', 0)],
-      ['listTasks', () => platform.listTasks('h')],
+      ['listTasks', () => platform.listTasks('h', 0)],
       ['listObjects', () => platform.listObjects('e')],
     ]
     const texts = fc.oneof(fc.string(), fc.json(), fc.constant('{"rows":[{"key":1}]}'))
--- a/src/platform/httpPlatform.ts
+++ b/src/platform/httpPlatform.ts
@@ -7,7 +7,7 @@
 import { describeError } from '../shared/index.js'
 import type { PlatformError, PlatformFailure } from '../shared/index.js'
 import { platformFailure } from './fail.js'
-import { changesSchema, rowSchema, taskSchema, vmListSchema } from './types.js'
+import { changesSchema, rowSchema, taskListSchema, vmListSchema } from './types.js'
 import type { Platform, PlatformResult, TransactionOutcome } from './types.js'
 
 /** Options of {@link createHttpPlatform}. */
@@ -38,7 +38,6 @@
 const committedSchema = z.object({ revision: z.number() })
 const conflictSchema = z.object({ failedKey: z.string() })
 const rowsSchema = z.object({ rows: z.array(rowSchema) })
-const tasksSchema = z.object({ tasks: z.array(taskSchema) })
 const namesSchema = z.object({ names: z.array(z.string()) })
 
 interface Call {
@@ -104,6 +103,20 @@
     })
   }
 
+  /** A conditional read: undefined when nothing has changed. */
+  async function askIfChanged<T>(
+    step: string,
+    path: string,
+    schema: z.ZodType<T>,
+  ): PlatformResult<T | undefined> {
+    const answer = await send({ step, method: 'GET', path })
+    if (answer.isErr()) return err(answer.error)
+    if (answer.value.status === HTTP_NOT_MODIFIED) return ok(undefined)
+    const checked = schema.safeParse(answer.value.body)
+    if (checked.success) return ok(checked.data)
+    return platformFailure(step, 'unknown', 'answer has the wrong shape', opts.url)
+  }
+
   const post = (step: string, path: string, body: unknown): PlatformResult<void> =>
     ask({ step, method: 'POST', path, body }, emptyAnswer).then((res) =>
       res.map(() => undefined),
@@ -164,20 +177,13 @@
       const answer = await ask({ step: 'listObjects', method: 'GET', path }, namesSchema)
       return answer.map(({ names }) => names)
     },
-    async listVms(hall, since) {
-      const path = `/v1/vms?${query('hall', hall === undefined ? [] : [hall])}&since=${since}`
-      const answer = await send({ step: 'listVms', method: 'GET', path })
-      if (answer.isErr()) return err(answer.error)
-      if (answer.value.status === HTTP_NOT_MODIFIED) return ok(undefined)
-      const checked = vmListSchema.safeParse(answer.value.body)
-      if (checked.success) return ok(checked.data)
-      const reason = 'list of VMs has the wrong shape'
-      return platformFailure('listVms', 'unknown', reason, opts.url)
+    listVms(hall, since) {
+      const halls = query('hall', hall === undefined ? [] : [hall])
+      return askIfChanged('listVms', `/v1/vms?${halls}&since=${since}`, vmListSchema)
     },
-    async listTasks(hall) {
-      const path = `/v1/tasks?${new URLSearchParams({ hall })}`
-      const answer = await ask({ step: 'listTasks', method: 'GET', path }, tasksSchema)
-      return answer.map(({ tasks }) => tasks)
+    listTasks(hall, since) {
+      const path = `/v1/tasks?${query('hall', [hall])}&since=${since}`
+      return askIfChanged('listTasks', path, taskListSchema)
     },
     startTask: (spec) => post('startTask', '/v1/tasks', spec),
     stopTask: (id) => post('stopTask', '/v1/tasks/stop', { id }),
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -94,6 +94,13 @@
 })
 export type Task = z.infer<typeof taskSchema>
 
+/** The tasks of a hall. */
+export const taskListSchema = z.object({
+  revision: z.number(),
+  tasks: z.array(taskSchema),
+})
+export type TaskList = z.infer<typeof taskListSchema>
+
 /** What to run on a VM. */
 export interface TaskSpec {
   /** Unique per attempt. A second start with the same id changes nothing. */
@@ -123,7 +130,8 @@
   listObjects(prefix: string): PlatformResult<string[]>
   /** The lagging list; undefined when it is unchanged since that revision. */
   listVms(hall: string | undefined, since: number): PlatformResult<VmList | undefined>
-  listTasks(hall: string): PlatformResult<Task[]>
+  /** The tasks of a hall; undefined when they are unchanged since that revision. */
+  listTasks(hall: string, since: number): PlatformResult<TaskList | undefined>
   startTask(spec: TaskSpec): PlatformResult<void>
   stopTask(id: string): PlatformResult<void>
   /** Tells the VM's tasks to finish; idempotent under the operation id. */
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -5,6 +5,9 @@
   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
 ]
 
+/** Step of the event loop's lag monitor, in ms; the default of 10 wakes an idle process. */
+const LOOP_PRECISION_MS = 100
+
 /** A function that makes a value once per key. */
 export function memoize<T>(make: (key: string) => T): (key: string) => T {
   const made = new Map<string, T>()
@@ -40,7 +43,11 @@
       return registry.metrics()
     },
     /** Adds the metrics of the Node runtime. */
-    collectRuntime: () => collectDefaultMetrics({ register: registry }),
+    collectRuntime: () =>
+      collectDefaultMetrics({
+        register: registry,
+        eventLoopMonitoringPrecision: LOOP_PRECISION_MS,
+      }),
     requests: counter('requests_total', 'requests ended, by outcome', [
       'service',
       'outcome',
--- a/src/table/__tests__/store.spec.ts
+++ b/src/table/__tests__/store.spec.ts
@@ -1,24 +1,11 @@
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
-import { createSimFleet } from '../../../playground/fleet.js'
-import { startPlatform } from '../../../playground/platform.js'
-import { createRandom } from '../../../playground/random.js'
-import { createHttpPlatform } from '../../platform/index.js'
+import { startStandIn } from '../../../test/standIn.js'
 import type { Platform } from '../../platform/index.js'
 import { createTableStore } from '../index.js'
 
 async function setUp(t: ExecutionContext) {
-  const fleet = createSimFleet({
-    host: '127.0.0.1',
-    random: createRandom(1),
-    ledger: new Map(),
-  })
-  const standIn = await startPlatform({ fleet })
-  const platform = createHttpPlatform({ url: standIn.url, timeoutMs: 2000, node: 'test' })
-  t.teardown(async () => {
-    await platform.close()
-    await standIn.close()
-  })
+  const { standIn, platform } = await startStandIn(t)
   return { standIn, platform, store: createTableStore(platform) }
 }
 
