--- /dev/null
+++ b/bench/__tests__/capacityPage.spec.ts
@@ -0,0 +1,32 @@
+import { readFileSync } from 'node:fs'
+import { describe, it } from '../../test/describe.js'
+import { BLOCK, renderCapacity } from '../capacityPage.js'
+import type { CapacityResults } from '../capacityPage.js'
+import { fitExponent, fitLine } from '../fit.js'
+
+/** Cells without the padding that the formatter adds. */
+const plain = (text: string): string =>
+  text
+    .replace(/ *\| */g, '|')
+    .replace(/-{3,}/g, '---')
+    .replace(/\s+/g, ' ')
+    .trim()
+
+describe('docs/CAPACITY.md', () => {
+  it('has the tables that follow from the kept results', (t) => {
+    const results = JSON.parse(
+      readFileSync('bench/results/capacity.json', 'utf8'),
+    ) as CapacityResults
+    const page = readFileSync('docs/CAPACITY.md', 'utf8')
+    const block = page.split(BLOCK.begin)[1]?.split(BLOCK.end)[0] ?? ''
+    t.is(plain(block), plain(renderCapacity(results)))
+  })
+})
+
+describe('fits', () => {
+  it('find the line and the exponent that points lie on', (t) => {
+    const points = [1, 2, 3, 5].map((size) => ({ size, value: 4 + 2 * size }))
+    t.like(fitLine(points), { slope: 2, base: 4, r2: 1 })
+    t.is(fitExponent([1, 2, 4, 8].map((size) => ({ size, value: 3 * size ** 2 }))), 2)
+  })
+})
--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -23,6 +23,8 @@
 const SEED = 5
 const VM_SIZES = [100, 200, 400, 800, 1300, 2600, 5200]
 const ROUNDS = 9
+/** Its table has the pools and services of the size to design for. */
+const DESIGN_VMS = 1300
 const TARGET_SIZES = [0, 20, 40, 80, 160]
 const PEER_SIZES = [2, 4, 8, 12]
 const WATCH_MS = 10_000
@@ -184,5 +186,7 @@
   console.table(peers)
   console.table(fits)
   console.log(exponents)
-  return { seed: SEED, planning, entry, hosted, peers, fits, exponents }
+  const tableBytes = JSON.stringify(generateHall(DESIGN_VMS, SEED).raw).length
+  console.log({ tableBytes })
+  return { seed: SEED, tableBytes, planning, entry, hosted, peers, fits, exponents }
 }
