fix(entry): claims without message storms; health checks shared in a hall

And every entry checked every target. Change: an owner that says it is unsure is believed; stand-ins are asked for only while the owner is away, and what was found out is kept for half a second. The entries of a hall share the health checks and tell each other of drains at once. Ruled out: the targets and the limiter: the queue of the entries was empty.

--- a/bench/capacityPage.ts
+++ b/bench/capacityPage.ts
@@ -1,5 +1,5 @@
 /** The tables of docs/CAPACITY.md, worked out from the kept results of the capacity bench. */
-import type { Fit } from './fit.js'
+import type { Fit, Point } from './fit.js'
 
 /** The part of the results that the page uses. */
 export interface CapacityResults {
@@ -18,6 +18,7 @@
     platformBytes: number
   }[]
   tableBytes: number
+  planning: { times: Point[] }
 }
 
 /** The size to design for, from the users' letter, and what we take for the rest. */
@@ -43,11 +44,20 @@
 const TARGETS = VMS * DESIGN.targetsPerVm
 const ENTRIES = DESIGN.halls * DESIGN.entriesPerHall
 
+/** The value at a size between two measured ones. */
+function between(points: readonly Point[], size: number): number {
+  const upper = points.findIndex((point) => point.size >= size)
+  const [a, b] = [points[upper - 1]!, points[upper]!]
+  return a.value + ((b.value - a.value) * (size - a.size)) / (b.size - a.size)
+}
+
 const at = (fit: Fit, size: number): number => Math.max(0, fit.base + fit.slope * size)
 /** The size at which a line reaches a limit. */
 const reach = (fit: Fit, limit: number): number =>
   Math.floor((limit - fit.base) / fit.slope)
 const text = (value: number, digits = 1): string => value.toFixed(digits)
+const upTo = (size: number, what: string): string =>
+  size > 0 ? `${size} ${what}` : 'the base alone is over it'
 const verdict = (value: number, limit: number): string =>
   value <= limit ? 'yes' : '**no**'
 
@@ -58,9 +68,10 @@
   const health = fit('entry, % of a core per target')
   const round = fit('keeper round, ms per VM')
   const peer = fit('peers, bytes/s per peer of the hall')
-  const roundMs = at(round, VMS)
+  const roundMs = between(results.planning.times, VMS)
   const keeperCpu = roundMs / 10
-  const entryCpu = at(health, TARGETS)
+  const checked = TARGETS / DESIGN.entriesPerHall
+  const entryCpu = at(health, checked)
   const localPeers = DESIGN.entriesPerHall - 1
   const remotePeers = ENTRIES - DESIGN.entriesPerHall
   const peerBytes = peer.slope * (localPeers + remotePeers * REMOTE_FACTOR)
@@ -78,7 +89,7 @@
       LIMIT_CPU_PERCENT,
       text(entryCpu),
       verdict(entryCpu, LIMIT_CPU_PERCENT),
-      `${reach(health, LIMIT_CPU_PERCENT)} targets a hall`,
+      upTo(reach(health, LIMIT_CPU_PERCENT) * DESIGN.entriesPerHall, 'targets a hall'),
     ],
     [
       'rounds of the keeper with the lease, % of a core',
@@ -125,7 +136,8 @@
   ]
   const lines = [
     `Worked out from \`bench/results/capacity.json\`, commit ${results.commit}, for ${DESIGN.workers} workers, ${DESIGN.halls} halls`,
-    `(${text(VMS, 0)} VMs and ${text(TARGETS, 0)} targets each, at ${DESIGN.targetsPerVm} targets a VM) and ${DESIGN.entriesPerHall} entries a hall.`,
+    `(${text(VMS, 0)} VMs and ${text(TARGETS, 0)} targets each, at ${DESIGN.targetsPerVm} targets a VM) and ${DESIGN.entriesPerHall} entries a hall,`,
+    `each of which checks its part of the targets (${text(checked, 0)}).`,
     '',
     '| what | limit | at that size | within it | holds up to |',
     '| --- | --- | --- | --- | --- |',
--- a/src/entry/constants.ts
+++ b/src/entry/constants.ts
@@ -33,9 +33,9 @@
 /** Seconds after which a refused caller should come back. */
 export const RETRY_AFTER_S = 1
 /** Times that the owner of an unrepeatable request's id is asked while it is unsure. */
-export const ONCE_ASKS = 4
+export const ONCE_ASKS = 12
 /** Pause between two of them, in ms. */
-export const ONCE_PAUSE_MS = 100
+export const ONCE_PAUSE_MS = 200
 /** Longest pause before the second attempt of a request, in ms; it doubles up to the cap. */
 export const RETRY_BASE_MS = 5
 export const RETRY_CAP_MS = 100
--- a/src/entry/once.ts
+++ b/src/entry/once.ts
@@ -6,15 +6,16 @@
  * may have known, and their requests are not sent. docs/design/once.md states what is
  * promised.
  */
-import { createHash } from 'node:crypto'
 import { createClaimBook } from './claimBook.js'
 import type { ClaimRecord, ClaimState } from './claimBook.js'
+import { byScore } from './rendezvous.js'
 
 /** Whether a request may be sent. */
 export type Verdict =
   | { kind: 'first' }
   | { kind: 'repeat'; state: ClaimState }
-  | { kind: 'unsure'; reason: string }
+  /** `standIn`: the owner is away or stopping, so another entry may stand in for it. */
+  | { kind: 'unsure'; reason: string; standIn: boolean }
 
 /** Memory that an entry left when it stopped as planned. */
 export interface Legacy {
@@ -77,6 +78,8 @@
 
 /** Most claims that an entry remembers. */
 const MAX_CLAIMS = 200_000
+/** Time for which it is remembered who stands in for an owner, in ms. */
+const STAND_IN_MS = 500
 /** Ids dated so far ahead of the own clock are not accepted, in s. */
 const MAX_AHEAD_S = 15
 /**
@@ -89,15 +92,6 @@
 
 const madeAt = (id: string): number => Number(DATED_ID.exec(id)?.[2] ?? 0)
 
-/** Names by their rendezvous score for the id, the highest first. */
-function byScore(names: readonly string[], id: string): string[] {
-  const scored = names.map((name) => {
-    const score = createHash('sha1').update(`${name} ${id}`).digest('hex')
-    return { name, score }
-  })
-  return scored.sort((a, b) => (a.score < b.score ? 1 : -1)).map(({ name }) => name)
-}
-
 /** The entry that owns the id; the same wherever the id arrives. */
 export function ownerOf(id: string, entries: readonly EntryPlace[]): string {
   const halls = [...new Set(entries.map((entry) => entry.hall))]
@@ -110,7 +104,8 @@
   )[0]!
 }
 
-const unsure = (reason: string): Verdict => ({ kind: 'unsure', reason })
+const unsure = (reason: string): Verdict => ({ kind: 'unsure', reason, standIn: false })
+const away = (reason: string): Verdict => ({ kind: 'unsure', reason, standIn: true })
 
 /** Creates the memory of one life. */
 export function createOnce(opts: OnceOptions): Once {
@@ -129,6 +124,8 @@
   const ownHallFirst = [...entries]
     .filter((entry) => entry.id !== own.id)
     .sort((a, b) => Number(a.hall !== own.hall) - Number(b.hall !== own.hall))
+  /** Who stands in for an owner, as last found out. */
+  const standIns = new Map<string, { by: string | undefined; until: number }>()
   let recovered = opts.firstLife
   let left = false
 
@@ -143,7 +140,7 @@
     if (state) return { kind: 'repeat', state }
     const ahead = madeAt(id) > opts.wallSeconds() + MAX_AHEAD_S
     if (ahead) return unsure('the id is dated in the future; check the clocks')
-    if (left) return unsure('the owner of the id is stopping')
+    if (left) return away('the owner of the id is stopping')
     if (!sure) return unsure('the owner of the id has started anew')
     if (!from.add(id, 'running')) return unsure('too many requests are remembered')
     return { kind: 'first' }
@@ -159,9 +156,31 @@
 
   async function ask(peer: string, id: string, owner: string): Promise<Verdict> {
     if (peer === own.id) return decide(id, owner)
+    if (!opts.isReached(peer)) return away(`${peer}, which owns the id, does not answer`)
     return peers
       .claim(peer, id, owner)
-      .catch(() => unsure(`the owner of the id, ${owner}, does not answer`))
+      .catch(() => away(`${peer}, which owns the id, does not answer`))
+  }
+
+  /**
+   * Asks whoever stands in for the owner. That nobody does is remembered for a while, so
+   * that the loss of an entry does not multiply the messages of each request.
+   */
+  async function askStandIn(id: string, owner: string): Promise<[string, Verdict]> {
+    const none: [string, Verdict] = [owner, away('nobody stands in for the owner')]
+    const known = standIns.get(owner)
+    if (known && now() < known.until) {
+      return known.by === undefined ? none : [known.by, await ask(known.by, id, owner)]
+    }
+    for (const { id: other } of [own, ...ownHallFirst]) {
+      if (other === owner) continue
+      const verdict = await ask(other, id, owner)
+      if (verdict.kind === 'unsure') continue
+      standIns.set(owner, { by: other, until: now() + STAND_IN_MS })
+      return [other, verdict]
+    }
+    standIns.set(owner, { by: undefined, until: now() + STAND_IN_MS })
+    return none
   }
 
   /** Notes the state in whichever book knows the id. */
@@ -176,18 +195,13 @@
   return {
     async begin(id) {
       const owner = ownerOf(id, entries)
-      const first = await ask(owner, id, owner)
-      const others = [own, ...ownHallFirst].filter((each) => each.id !== owner)
-      let verdict = first
       let by = owner
-      for (const { id: other } of first.kind === 'unsure' ? others : []) {
-        if (other !== own.id && !opts.isReached(other)) continue
-        by = other
-        verdict = await ask(other, id, owner)
-        if (verdict.kind !== 'unsure') break
+      let verdict = await ask(owner, id, owner)
+      if (verdict.kind === 'unsure' && verdict.standIn) {
+        ;[by, verdict] = await askStandIn(id, owner)
       }
       if (verdict.kind === 'first') grantedBy.set(id, by)
-      return verdict.kind === 'unsure' ? first : verdict
+      return verdict
     },
     async end(id, state) {
       const by = grantedBy.get(id)
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -213,10 +213,11 @@
     }
   }
 
-  /** Asks a few times: an owner that is being replaced is unsure for a moment. */
+  /** Asks a few times while the owner is being replaced. */
   async function beginOnce({ call, cancellation }: Exchange): Promise<Verdict> {
     let verdict = await opts.once.begin(call.id)
-    for (let asked = 1; verdict.kind === 'unsure' && asked < ONCE_ASKS; asked++) {
+    const mayChange = () => verdict.kind === 'unsure' && verdict.standIn
+    for (let asked = 1; mayChange() && asked < ONCE_ASKS; asked++) {
       await sleep(ONCE_PAUSE_MS)
       if (cancellation.cancelled) break
       verdict = await opts.once.begin(call.id)
--- a/src/entry/target.ts
+++ b/src/entry/target.ts
@@ -21,8 +21,10 @@
   active: boolean
   /** The platform's list says that the VM leaves. */
   listedLeaving: boolean
-  /** The target itself says that it drains. */
+  /** The target itself says that it drains, to this entry or to another one. */
   draining: boolean
+  /** It said so to this entry. */
+  saidDraining: boolean
   /** The address answered as somebody else. */
   mismatched: boolean
   /** Monotonic time in ms until which it is excluded; 0 when it is not. */
@@ -30,6 +32,8 @@
   failuresInRow: number
   acquire(): Promise<Result<Client, RillshuntError>>
   release(client: Client, reusable: boolean): void
+  /** Notes what another entry was told. */
+  notePeerDraining(draining: boolean): void
   /** Notes how an attempt went. */
   noteAttempt(wentWell: boolean): void
   close(): Promise<void>
@@ -42,6 +46,13 @@
   slots: number
   connectTimeoutMs: number
   healthIntervalMs: number
+  /**
+   * Whether this entry is the one that asks the target for its health.
+   * @default always
+   */
+  onDuty?: () => boolean
+  /** Called when the target has told this entry that it drains, or no longer does. */
+  onDraining?: () => void
   log: Logger
 }
 
@@ -50,6 +61,7 @@
   const { identity, log } = opts
   const stopping = createStopController()
   let exclusions = 0
+  let peerDraining = false
 
   const connections = createTargetConnections({
     identity,
@@ -70,14 +82,20 @@
     active: true,
     listedLeaving: false,
     draining: false,
+    saidDraining: false,
     mismatched: false,
     excludedUntil: 0,
     failuresInRow: 0,
     acquire: connections.acquire,
     release: connections.release,
+    notePeerDraining(draining) {
+      peerDraining = draining
+      updateDraining('peer')
+    },
     noteAttempt(wentWell) {
       if (wentWell) {
         target.failuresInRow = 0
+        exclusions = 0
         return
       }
       target.failuresInRow++
@@ -99,37 +117,51 @@
   }
 
   function readmit(): void {
-    if (target.excludedUntil === 0) {
-      exclusions = 0
-      return
-    }
-    if (target.excludedUntil > monotonicMs()) return
+    if (target.excludedUntil === 0 || target.excludedUntil > monotonicMs()) return
     target.excludedUntil = 0
-    target.failuresInRow = 0
+    // On probation: the next failure excludes it again, for twice as long.
+    target.failuresInRow = EXCLUDE_AFTER_FAILURES - 1
     log.event('targetReadmitted', { ...identity, service: opts.service })
   }
 
   async function watchHealth(): Promise<void> {
     while (!stopping.signal.aborted) {
-      const health = await connections.health()
-      if (stopping.signal.aborted) return
-      if (health.isOk()) {
-        target.mismatched = false
-        target.reportedLoad = health.value.load
-        target.inFlightAtReport = target.inFlight
-        noteDraining(health.value.state === 'draining')
-        readmit()
-      } else {
-        target.noteAttempt(false)
-      }
+      if (mustAsk()) await askHealth()
       await sleep(opts.healthIntervalMs * (0.9 + Math.random() * 0.2), stopping.signal)
     }
   }
 
-  function noteDraining(draining: boolean): void {
-    if (draining && !target.draining) {
-      log.event('targetLeaving', { ...identity, source: 'health' })
+  /** An excluded or foreign target is asked by each entry for itself. */
+  function mustAsk(): boolean {
+    const { excludedUntil, mismatched, saidDraining } = target
+    if (excludedUntil > 0 || mismatched || saidDraining) return true
+    return opts.onDuty?.() ?? true
+  }
+
+  async function askHealth(): Promise<void> {
+    const health = await connections.health()
+    if (stopping.signal.aborted) return
+    if (health.isOk()) {
+      target.mismatched = false
+      target.reportedLoad = health.value.load
+      target.inFlightAtReport = target.inFlight
+      noteDraining(health.value.state === 'draining')
+      readmit()
+    } else {
+      target.noteAttempt(false)
     }
+  }
+
+  function noteDraining(draining: boolean): void {
+    if (draining === target.saidDraining) return
+    target.saidDraining = draining
+    updateDraining('health')
+    opts.onDraining?.()
+  }
+
+  function updateDraining(source: 'health' | 'peer'): void {
+    const draining = target.saidDraining || peerDraining
+    if (draining && !target.draining) log.event('targetLeaving', { ...identity, source })
     target.draining = draining
   }
 
--- a/src/entry/targetView.ts
+++ b/src/entry/targetView.ts
@@ -16,6 +16,7 @@
 import { createStopController, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import type { TableHolder } from '../table/index.js'
+import { createHealthDuty } from './healthDuty.js'
 import { createTarget, takesWork } from './target.js'
 import type { Target } from './target.js'
 
@@ -26,6 +27,10 @@
   all(): Iterable<Target>
   /** Generation and own requests in flight of every VM that is leaving. */
   leaving(): { vm: string; generation: number; inFlight: number }[]
+  /** Jobs whose target has told this entry that it drains. */
+  draining(): string[]
+  /** Notes the jobs whose targets have told other entries so. */
+  notePeerDraining(jobs: ReadonlySet<string>): void
   /** Own requests in flight of every job that is stopping. */
   stopping(): { job: string; inFlight: number }[]
   /** The platform's list was read, and the VM is not on it. */
@@ -41,6 +46,10 @@
   platform: Platform
   rows: RowWatch
   table: TableHolder
+  /** Entries of the hall that answer, without this one. */
+  reachedEntries(): readonly string[]
+  /** Tells the other entries at once what a target has said. */
+  tellPeers(): void
   log: Logger
   metrics: Metrics
 }
@@ -53,6 +62,7 @@
   const byService = new Map<string, Target[]>()
   const listeners = new Set<() => void>()
   const stopping = createStopController()
+  const duty = createHealthDuty(cfg.node.id, opts.reachedEntries)
   /** Targets without a row that still run requests of this entry. */
   const removed = new Set<Target>()
   let listedLeaving = new Set<string>()
@@ -102,6 +112,8 @@
       slots,
       connectTimeoutMs: cfg.requests.connect_timeout,
       healthIntervalMs: cfg.requests.health_interval,
+      onDuty: () => duty.isMine(id),
+      onDraining: opts.tellPeers,
       log,
     })
     byJob.set(id, target)
@@ -196,6 +208,10 @@
       }
       return leaving
     },
+    draining: () => [...byJob.values()].filter((t) => t.saidDraining).map((t) => t.job),
+    notePeerDraining(jobs) {
+      for (const target of byJob.values()) target.notePeerDraining(jobs.has(target.job))
+    },
     stopping() {
       const counts = inFlightBy((target) => target.job)
       const stopping: { job: string; inFlight: number }[] = []
--- a/src/peer/__tests__/peers.spec.ts
+++ b/src/peer/__tests__/peers.spec.ts
@@ -86,6 +86,21 @@
     }
   })
 
+  it('tell each other of a target that drains, with the platform away', async (t) => {
+    const { cluster } = await setUp(t, { halls: ['h1'] })
+    const targetsOf = (index: number) =>
+      cluster.nodes[index]!.kernel.get('view').targets('s')
+    await until(() => [0, 1].every((index) => targetsOf(index).length === 2))
+    cluster.platform.faults.outage = true
+    for (const { job } of targetsOf(0)) {
+      cluster.fleet.targetOf(job)!.drain()
+      const knows = (index: number) =>
+        targetsOf(index).some((target) => target.job === job && target.draining)
+      await until(() => [0, 1].every(knows))
+    }
+    t.pass()
+  })
+
   describe('hostile messages', () => {
     it('are refused, and the process goes on', async (t) => {
       const { cluster, events } = await setUp(t, { halls: ['h1'] })
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -39,7 +39,7 @@
 /** The part of a report that only the entry knows. */
 export type ReportSource = () => Pick<
   NodeReport,
-  'routes' | 'leaving' | 'loads' | 'stopping'
+  'routes' | 'leaving' | 'loads' | 'stopping' | 'draining'
 >
 
 /** What the entry adds to the messages between peers. */
@@ -57,6 +57,8 @@
   setExchange(exchange: EntryExchange): void
   /** Sets who fills the report. */
   setReportSource(source: ReportSource): void
+  /** Calls back after each report of a peer. */
+  subscribe(listener: () => void): () => void
   /** Syncs with the peers of the own hall now. */
   syncHall(): Promise<void>
   /** The report of this process, for a keeper in the same process. */
@@ -83,6 +85,7 @@
   leaving: [],
   loads: [],
   stopping: [],
+  draining: [],
 })
 
 /** Opens the peer port and starts one task per peer. */
@@ -91,12 +94,13 @@
   const stopping = createStopController()
   let source = EMPTY_SOURCE
   let exchange: EntryExchange | undefined
+  const listeners = new Set<() => void>()
   const sharing = createSharing({ hall: cfg.node.hall, table, rows })
   const meter = createTrafficMeter(metrics)
   const agent = createMeteredAgent(meter)
 
   const ownReport = (): NodeReport => {
-    const { routes, leaving, loads, stopping: jobs } = source()
+    const { routes, leaving, loads, stopping: jobs, draining } = source()
     return create(NodeReportSchema, {
       node: cfg.node.id,
       hall: cfg.node.hall,
@@ -107,13 +111,17 @@
       leaving: leaving.slice(0, MAX_LEAVING),
       loads: loads.slice(0, MAX_LOADS),
       stopping: jobs.slice(0, MAX_STOPPING),
+      draining: draining.slice(0, MAX_STOPPING),
     })
   }
 
+  const intervalOf = (hall: string): number =>
+    hall === cfg.node.hall ? SYNC_INTERVAL_MS : REMOTE_SYNC_INTERVAL_MS
+
   const peers = new Map<string, Peer>()
   for (const [id, address] of Object.entries(cfg.peers)) {
     if (id === cfg.node.id) continue
-    peers.set(id, makePeer(id, address, agent))
+    peers.set(id, makePeer(id, address, intervalOf(address.hall), agent))
   }
 
   function heard(report: NodeReport | undefined): void {
@@ -133,6 +141,7 @@
     peer.heardAt = monotonicMs()
     if (peer.lost) log.event('peerBack', { peer: peer.id, hall: report.hall })
     peer.lost = false
+    for (const listener of listeners) listener()
     const epoch = Number(report.epoch)
     if (epoch > sharing.epoch()) void learnTable(peer, epoch)
   }
@@ -183,7 +192,7 @@
 
   async function runPeer(peer: Peer): Promise<void> {
     const local = peer.address.hall === cfg.node.hall
-    const interval = local ? SYNC_INTERVAL_MS : REMOTE_SYNC_INTERVAL_MS
+    const interval = intervalOf(peer.address.hall)
     // One side of a pair asks, since the answer carries the other's report; the other one
     // asks only while it hears nothing.
     const asks = cfg.node.id < peer.id
@@ -238,6 +247,10 @@
     oncePeers: createOncePeers(cfg.node.id, (id) => peers.get(id)?.client),
     setExchange: (next) => (exchange = next),
     setReportSource: (next) => (source = next),
+    subscribe(listener) {
+      listeners.add(listener)
+      return () => listeners.delete(listener)
+    },
     async syncHall() {
       const hall = [...peers.values()].filter(
         (each) => each.address.hall === cfg.node.hall,
--- a/src/peer/oncePeers.ts
+++ b/src/peer/oncePeers.ts
@@ -28,7 +28,8 @@
     async claim(peer, id, owner) {
       const res = await client(peer).claimId({ node: own, id, owner }, options())
       if (res.verdict === 'first') return { kind: 'first' }
-      if (res.verdict === 'unsure') return { kind: 'unsure', reason: res.reason }
+      const { reason, standIn } = res
+      if (res.verdict === 'unsure') return { kind: 'unsure', reason, standIn }
       return { kind: 'repeat', state: stateSchema.parse(res.state) }
     },
     async settle(peer, id, state) {
@@ -79,7 +80,8 @@
       const verdict = of(req.node).claim(req.id, req.owner)
       const state = verdict.kind === 'repeat' ? verdict.state : ''
       const reason = verdict.kind === 'unsure' ? verdict.reason : ''
-      return { verdict: verdict.kind, state, reason }
+      const standIn = verdict.kind === 'unsure' && verdict.standIn
+      return { verdict: verdict.kind, state, reason, standIn }
     },
     settle(req) {
       const state = settleSchema.safeParse(req.state)
--- a/src/peer/peerLink.ts
+++ b/src/peer/peerLink.ts
@@ -6,7 +6,13 @@
 import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node'
 import type { PeerAddress, ResolvedConfig } from '../config/index.js'
 import { monotonicMs } from '../shared/index.js'
-import { MAX_LEAVING, MAX_LOADS, MAX_MESSAGE_BYTES, MAX_STOPPING } from './constants.js'
+import {
+  MAX_LEAVING,
+  MAX_LOADS,
+  MAX_MESSAGE_BYTES,
+  MAX_STOPPING,
+  REACHED_INTERVALS,
+} from './constants.js'
 import { PeerService } from './gen/peer_pb.js'
 import type { NodeReport } from './gen/peer_pb.js'
 import type { TrafficMeter } from './traffic.js'
@@ -19,6 +25,8 @@
   report: NodeReport | undefined
   /** Ms since the peer last spoke, or since our start when it never did. */
   silentForMs(): number
+  /** Whether it has spoken within a few of its intervals. */
+  isReached(): boolean
 }
 
 /** A peer with what it takes to call it. */
@@ -30,13 +38,21 @@
 
 /** Whether a report has more entries than a sender may name. */
 export function isOverBounds(report: NodeReport): boolean {
-  const { leaving, loads, stopping } = report
+  const { leaving, loads, stopping, draining } = report
   if (leaving.length > MAX_LEAVING || loads.length > MAX_LOADS) return true
-  return stopping.length > MAX_STOPPING
+  return stopping.length > MAX_STOPPING || draining.length > MAX_STOPPING
 }
 
-/** Prepares calls to a peer; nothing is connected yet. */
-export function makePeer(id: string, address: PeerAddress, agent: Agent): Peer {
+/**
+ * Prepares calls to a peer; nothing is connected yet.
+ * @param intervalMs time between two syncs with it.
+ */
+export function makePeer(
+  id: string,
+  address: PeerAddress,
+  intervalMs: number,
+  agent: Agent,
+): Peer {
   const host = address.host.includes(':') ? `[${address.host}]` : address.host
   const transport = createConnectTransport({
     httpVersion: '1.1',
@@ -53,6 +69,8 @@
     heardAt: monotonicMs(),
     lost: false,
     silentForMs: () => monotonicMs() - peer.heardAt,
+    isReached: () =>
+      peer.report !== undefined && peer.silentForMs() < intervalMs * REACHED_INTERVALS,
   }
   return peer
 }
--- a/src/programs/entryServices.ts
+++ b/src/programs/entryServices.ts
@@ -29,8 +29,6 @@
 
 /** Time between two looks at loans, in ms. */
 const LOAN_STEP_MS = 250
-/** A peer that spoke within so long counts as reached, in ms. */
-const REACHED_WITHIN_MS = 3000
 /** An entry that is off the list and silent for so long is gone, in ms. */
 const GONE_AFTER_MS = 30_000
 
@@ -45,7 +43,7 @@
 
 function isReached(peers: PeerNetwork, entry: string): boolean {
   const peer = peers.peers().find(({ id }) => id === entry)
-  return peer?.report !== undefined && peer.silentForMs() < REACHED_WITHIN_MS
+  return peer?.isReached() ?? false
 }
 
 function isGoneBy(peers: PeerNetwork, view: TargetView): (entry: string) => boolean {
@@ -59,19 +57,40 @@
 export const viewService = (cfg: ResolvedConfig) =>
   defineService({
     name: 'view',
-    needs: ['platform', 'rows', 'table', 'metrics'],
-    start: async ({ get, log }) =>
-      createTargetView({
+    needs: ['platform', 'rows', 'table', 'peers', 'metrics'],
+    async start({ get, log }) {
+      const peers = get('peers')
+      const inHall = entriesOf(cfg).filter(
+        ({ id, hall }) => hall === cfg.node.hall && id !== cfg.node.id,
+      )
+      const view = createTargetView({
         cfg,
         platform: get('platform'),
         rows: get('rows'),
         table: get('table'),
+        reachedEntries: () =>
+          inHall.map(({ id }) => id).filter((id) => isReached(peers, id)),
+        tellPeers: () => void peers.syncHall(),
         log,
         metrics: get('metrics'),
-      }),
+      })
+      peers.subscribe(() =>
+        view.notePeerDraining(drainingElsewhere(peers, cfg.node.hall)),
+      )
+      return view
+    },
     stop: (view) => view.stop(),
   })
 
+/** Jobs whose targets have told other entries of the hall that they drain. */
+function drainingElsewhere(peers: PeerNetwork, hall: string): Set<string> {
+  const jobs = peers
+    .peers()
+    .filter((peer) => peer.address.hall === hall && isReached(peers, peer.id))
+    .flatMap((peer) => peer.report?.draining ?? [])
+  return new Set(jobs)
+}
+
 /** Remembers unrepeatable requests; on a planned stop it leaves that with a peer. */
 export const onceService = (cfg: ResolvedConfig) =>
   defineService({
@@ -162,6 +181,7 @@
         leaving: view.leaving().map((each) => ({ $typeName: LEAVING, ...each })),
         loads: router.loads().map((each) => ({ $typeName: LOAD, ...each })),
         stopping: view.stopping().map((each) => ({ $typeName: STOPPING, ...each })),
+        draining: view.draining(),
       }))
       return { ...router, allotments }
     },
