fix(entry): a request that asks again after a lost reply is no repeat

Cause: in rolling replacement one request of some 300 now and then ended as unknown: its owner granted the id, and the reply was cut off by the owner's stop; whoever stood in for it then took the second question for a repeat. Change: a claim carries the request's token, and the same token is granted again. A stopping process lets answers to peers go out for up to 100 ms. Ruled out: a heir that was not reached (the memory was there each time). Measured: a test brings the lost reply about; it fails without the token.

--- a/src/entry/__tests__/once.spec.ts
+++ b/src/entry/__tests__/once.spec.ts
@@ -10,6 +10,10 @@
   { id: 'b1', hall: 'b' },
   { id: 'b2', hall: 'b' },
 ]
+let tokens = 0
+/** A token for one request. */
+const fresh = () => `t${tokens++}`
+
 /** An id that names no hall, and whose home is hall a. */
 const PLAIN = 'w'
 const MEMORY_MS = 600_000
@@ -35,9 +39,9 @@
       return value
     }
     return {
-      claim: async (peer, id, owner) => {
+      claim: async (peer, id, owner, token) => {
         claims++
-        return reply(to(peer).claim(id, owner))
+        return reply(to(peer).claim(id, owner, token))
       },
       settle: async (peer, id, state) => reply(to(peer).settle(id, state)),
       collect: async (peer) => reply(to(peer).collect(own)),
@@ -138,7 +142,7 @@
         const runs = new Map<string, number>()
         for (const step of ops) {
           if ('ends' in step) {
-            const verdict = await world.node(step.at).begin(step.id)
+            const verdict = await world.node(step.at).begin(step.id, fresh())
             if (verdict.kind !== 'first') continue
             const times = (runs.get(step.id) ?? 0) + (step.ends === 'not-run' ? 0 : 1)
             runs.set(step.id, times)
@@ -163,33 +167,36 @@
     it('is known at every entry of the home hall, and in another hall by its dated id', async (t) => {
       const world = createWorld()
       const id = 'a.1700000010.z'
-      t.is((await world.node('b1').begin(id)).kind, 'first')
+      t.is((await world.node('b1').begin(id, fresh())).kind, 'first')
       await world.node('b1').end(id, 'answered')
       for (const { id: at } of ENTRIES) {
-        t.deepEqual(await world.node(at).begin(id), { kind: 'repeat', state: 'answered' })
+        t.deepEqual(await world.node(at).begin(id, fresh()), {
+          kind: 'repeat',
+          state: 'answered',
+        })
       }
     })
 
     it('is new again after the first one was told not-run', async (t) => {
       const world = createWorld()
       for (const { id: at } of ENTRIES.slice(0, 3)) {
-        t.is((await world.node(at).begin(PLAIN)).kind, 'first')
+        t.is((await world.node(at).begin(PLAIN, fresh())).kind, 'first')
         await world.node(at).end(PLAIN, 'not-run')
       }
     })
 
     it('is known while each entry is replaced in turn, and after it', async (t) => {
       const world = createWorld()
-      await world.node('a1').begin(PLAIN)
+      await world.node('a1').begin(PLAIN, fresh())
       await world.node('a1').end(PLAIN, 'answered')
       for (const id of ['a1', 'a2', 'a3', 'a1']) {
         await world.node(id).leave()
         for (const at of ['b1', 'b2'])
-          t.is((await world.node(at).begin(PLAIN)).kind, 'repeat')
+          t.is((await world.node(at).begin(PLAIN, fresh())).kind, 'repeat')
         world.kill(id)
         await world.node(id).recover()
         for (const { id: at } of ENTRIES)
-          t.is((await world.node(at).begin(PLAIN)).kind, 'repeat')
+          t.is((await world.node(at).begin(PLAIN, fresh())).kind, 'repeat')
       }
     })
   })
@@ -199,45 +206,57 @@
     const world = createWorld()
     world.kill(owner)
     const before = world.claims()
-    for (let n = 0; n < 20; n++) await world.node('b1').begin(PLAIN)
+    for (let n = 0; n < 20; n++) await world.node('b1').begin(PLAIN, fresh())
     // The owner itself said that it is unsure: one message each, and nobody else is asked.
     t.is(world.claims() - before, 20)
     const cut = createWorld()
     cut.cutOff(owner)
-    for (let n = 0; n < 20; n++) await cut.node('b1').begin(PLAIN)
+    for (let n = 0; n < 20; n++) await cut.node('b1').begin(PLAIN, fresh())
     t.true(cut.claims() <= ENTRIES.length)
   })
 
+  it('knows a request that asks again after a lost reply', async (t) => {
+    const world = createWorld()
+    const owner = ownerOf(PLAIN, ENTRIES)
+    world.setLoseReplies(true)
+    t.is((await world.node('b1').begin(PLAIN, 'mine')).kind, 'unsure')
+    world.setLoseReplies(false)
+    await world.node(owner).leave()
+    world.advance(1000)
+    t.is((await world.node('b1').begin(PLAIN, 'mine')).kind, 'first')
+    t.is((await world.node('b2').begin(PLAIN, 'other')).kind, 'repeat')
+  })
+
   describe('a fresh id', () => {
     it('is granted by whoever stands in for an owner that is being replaced', async (t) => {
       const owner = ownerOf(PLAIN, ENTRIES)
       const world = createWorld()
       await world.node(owner).leave()
-      t.is((await world.node('b1').begin(PLAIN)).kind, 'first')
+      t.is((await world.node('b1').begin(PLAIN, fresh())).kind, 'first')
       world.kill(owner)
       await world.node(owner).recover()
-      t.is((await world.node('b2').begin(PLAIN)).kind, 'repeat')
+      t.is((await world.node('b2').begin(PLAIN, fresh())).kind, 'repeat')
     })
 
     it('is unsure while the owner is cut off or has lost its memory, for as long as that lasted', async (t) => {
       const owner = ownerOf(PLAIN, ENTRIES)
       const world = createWorld()
       world.cutOff(owner)
-      t.is((await world.node('b1').begin(PLAIN)).kind, 'unsure')
+      t.is((await world.node('b1').begin(PLAIN, fresh())).kind, 'unsure')
       const lost = createWorld()
       lost.kill(owner)
       await lost.node(owner).recover()
-      t.is((await lost.node('b1').begin(PLAIN)).kind, 'unsure')
+      t.is((await lost.node('b1').begin(PLAIN, fresh())).kind, 'unsure')
       lost.advance(MEMORY_MS)
-      t.is((await lost.node('b1').begin(PLAIN)).kind, 'first')
+      t.is((await lost.node('b1').begin(PLAIN, fresh())).kind, 'first')
     })
 
     it('that was made after its owner started is granted, but not one from the future', async (t) => {
       const world = createWorld()
       for (const { id } of ENTRIES) world.kill(id)
       world.advance(100_000)
-      t.is((await world.node('a1').begin('a.1700000100.z')).kind, 'first')
-      t.is((await world.node('a1').begin('a.1700000200.z')).kind, 'unsure')
+      t.is((await world.node('a1').begin('a.1700000100.z', fresh())).kind, 'first')
+      t.is((await world.node('a1').begin('a.1700000200.z', fresh())).kind, 'unsure')
     })
   })
 })
--- a/src/entry/claimBook.ts
+++ b/src/entry/claimBook.ts
@@ -9,14 +9,16 @@
   state: ClaimState
   /** Ms since the claim. */
   ageMs: number
+  /** Names the request that claimed the id. */
+  token: string
 }
 
 /** Remembered requests. */
 export interface ClaimBook {
-  /** The state if the id is known. */
-  find(id: string): ClaimState | undefined
+  /** The claim if the id is known. */
+  find(id: string): { state: ClaimState; token: string } | undefined
   /** Adds an id; false when the book is full. */
-  add(id: string, state: ClaimState, ageMs?: number): boolean
+  add(record: ClaimRecord): boolean
   /** Changes the state of a known id. */
   set(id: string, state: ClaimState): void
   /** Forgets an id that did not run. */
@@ -32,7 +34,7 @@
   now: () => number
 }): ClaimBook {
   const { memoryMs, maxRecords, now } = opts
-  const claims = new Map<string, { state: ClaimState; at: number }>()
+  const claims = new Map<string, { state: ClaimState; token: string; at: number }>()
 
   /** Drops what is older than the memory; the map keeps the order of arrival. */
   function prune(): void {
@@ -45,12 +47,12 @@
   return {
     find(id) {
       prune()
-      return claims.get(id)?.state
+      return claims.get(id)
     },
-    add(id, state, ageMs = 0) {
+    add({ id, state, ageMs, token }) {
       prune()
       if (claims.size >= maxRecords) return false
-      claims.set(id, { state, at: now() - ageMs })
+      claims.set(id, { state, token, at: now() - ageMs })
       return true
     },
     set(id, state) {
@@ -64,6 +66,7 @@
       return [...claims].map(([id, claim]) => ({
         id,
         state: claim.state,
+        token: claim.token,
         ageMs: at - claim.at,
       }))
     },
--- a/src/entry/once.ts
+++ b/src/entry/once.ts
@@ -27,7 +27,7 @@
 /** Calls to other entries; a rejection means that nothing is known of its effect. */
 export interface OncePeers {
   /** Asks the owner, or who stands in for the owner that is named. */
-  claim(peer: string, id: string, owner: string): Promise<Verdict>
+  claim(peer: string, id: string, owner: string, token: string): Promise<Verdict>
   settle(peer: string, id: string, state: ClaimState | 'not-run'): Promise<void>
   /** Takes back what an earlier life of the caller left there. */
   collect(peer: string): Promise<Legacy>
@@ -60,7 +60,8 @@
 
 /** Decides whether unrepeatable requests may be sent. */
 export interface Once {
-  begin(id: string): Promise<Verdict>
+  /** @param token names the request; asking again with it is no repeat. */
+  begin(id: string, token: string): Promise<Verdict>
   /** Notes how a request that had begun ended. */
   end(id: string, state: ClaimState | 'not-run'): Promise<void>
   /** Takes back what an earlier life left with a peer; call it before any `begin`. */
@@ -69,7 +70,7 @@
   leave(): Promise<void>
   /** What peers ask of this entry. */
   answer: {
-    claim(id: string, owner: string): Verdict
+    claim(id: string, owner: string, token: string): Verdict
     settle(id: string, state: ClaimState | 'not-run'): void
     collect(from: string): Legacy
     handOver(from: string, legacy: Legacy): void
@@ -135,30 +136,38 @@
     return madeAt(id) > startedSeconds + CLOCK_MARGIN_S
   }
 
-  function claim(id: string, from: typeof book, sure: boolean): Verdict {
-    const state = from.find(id)
-    if (state) return { kind: 'repeat', state }
+  function claim(id: string, token: string, from: typeof book, sure: boolean): Verdict {
+    const known = from.find(id)
+    const sameRequest = known?.token === token && known.state === 'running'
+    if (sameRequest) return { kind: 'first' }
+    if (known) return { kind: 'repeat', state: known.state }
     const ahead = madeAt(id) > opts.wallSeconds() + MAX_AHEAD_S
     if (ahead) return unsure('the id is dated in the future; check the clocks')
     if (left) return away('the owner of the id is stopping')
     if (!sure) return unsure('the owner of the id has started anew')
-    if (!from.add(id, 'running')) return unsure('too many requests are remembered')
+    if (!from.add({ id, state: 'running', ageMs: 0, token }))
+      return unsure('too many requests are remembered')
     return { kind: 'first' }
   }
 
   /** Decides as the owner, or for an owner whose memory is here. */
-  function decide(id: string, owner: string): Verdict {
-    if (owner === own.id) return claim(id, book, isSure(id))
+  function decide(id: string, owner: string, token: string): Verdict {
+    if (owner === own.id) return claim(id, token, book, isSure(id))
     const legacy = legacies.get(owner)
     if (!legacy) return unsure('this entry does not stand in for the owner')
-    return claim(id, legacy.book, legacy.complete)
+    return claim(id, token, legacy.book, legacy.complete)
   }
 
-  async function ask(peer: string, id: string, owner: string): Promise<Verdict> {
-    if (peer === own.id) return decide(id, owner)
+  async function ask(
+    peer: string,
+    id: string,
+    owner: string,
+    token: string,
+  ): Promise<Verdict> {
+    if (peer === own.id) return decide(id, owner, token)
     if (!opts.isReached(peer)) return away(`${peer}, which owns the id, does not answer`)
     return peers
-      .claim(peer, id, owner)
+      .claim(peer, id, owner, token)
       .catch(() => away(`${peer}, which owns the id, does not answer`))
   }
 
@@ -166,15 +175,21 @@
    * Asks whoever stands in for the owner. That nobody does is remembered for a while, so
    * that the loss of an entry does not multiply the messages of each request.
    */
-  async function askStandIn(id: string, owner: string): Promise<[string, Verdict]> {
+  async function askStandIn(
+    id: string,
+    owner: string,
+    token: string,
+  ): Promise<[string, Verdict]> {
     const none: [string, Verdict] = [owner, away('nobody stands in for the owner')]
     const known = standIns.get(owner)
     if (known && now() < known.until) {
-      return known.by === undefined ? none : [known.by, await ask(known.by, id, owner)]
+      return known.by === undefined
+        ? none
+        : [known.by, await ask(known.by, id, owner, token)]
     }
     for (const { id: other } of [own, ...ownHallFirst]) {
       if (other === owner) continue
-      const verdict = await ask(other, id, owner)
+      const verdict = await ask(other, id, owner, token)
       if (verdict.kind === 'unsure') continue
       standIns.set(owner, { by: other, until: now() + STAND_IN_MS })
       return [other, verdict]
@@ -193,12 +208,12 @@
   }
 
   return {
-    async begin(id) {
+    async begin(id, token) {
       const owner = ownerOf(id, entries)
       let by = owner
-      let verdict = await ask(owner, id, owner)
+      let verdict = await ask(owner, id, owner, token)
       if (verdict.kind === 'unsure' && verdict.standIn) {
-        ;[by, verdict] = await askStandIn(id, owner)
+        ;[by, verdict] = await askStandIn(id, owner, token)
       }
       if (verdict.kind === 'first') grantedBy.set(id, by)
       return verdict
@@ -217,8 +232,8 @@
       const found = await Promise.all(
         ownHallFirst.map(({ id }) => peers.collect(id).catch(() => undefined)),
       )
-      for (const { id, state, ageMs } of found.flatMap((each) => each?.claims ?? [])) {
-        if (book.find(id) === undefined) book.add(id, state, ageMs)
+      for (const record of found.flatMap((each) => each?.claims ?? [])) {
+        if (book.find(record.id) === undefined) book.add(record)
       }
       recovered = found.some((each) => each?.complete)
     },
@@ -245,7 +260,7 @@
       },
       handOver(from, { claims, complete }) {
         const legacy = { book: newBook(), complete: complete && !left }
-        for (const { id, state, ageMs } of claims) legacy.book.add(id, state, ageMs)
+        for (const record of claims) legacy.book.add(record)
         legacies.set(from, legacy)
       },
     },
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -3,6 +3,7 @@
  * target, attempts. Written straight down; one call per request.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { nanoid } from 'nanoid'
 import type { ResolvedConfig } from '../config/index.js'
 import { memoize, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
@@ -215,12 +216,13 @@
 
   /** Asks a few times while the owner is being replaced. */
   async function beginOnce({ call, cancellation }: Exchange): Promise<Verdict> {
-    let verdict = await opts.once.begin(call.id)
+    const token = nanoid()
+    let verdict = await opts.once.begin(call.id, token)
     const mayChange = () => verdict.kind === 'unsure' && verdict.standIn
     for (let asked = 1; mayChange() && asked < ONCE_ASKS; asked++) {
       await sleep(ONCE_PAUSE_MS)
       if (cancellation.cancelled) break
-      verdict = await opts.once.begin(call.id)
+      verdict = await opts.once.begin(call.id, token)
     }
     return verdict
   }
--- a/src/peer/constants.ts
+++ b/src/peer/constants.ts
@@ -14,6 +14,8 @@
 export const SYNC_INTERVAL_MS = 1000
 /** Time between two syncs with a peer of another hall, in ms. */
 export const REMOTE_SYNC_INTERVAL_MS = 5000
+/** Time for answers under way at a stop, in ms. */
+export const CLOSE_GRACE_MS = 100
 /** Intervals of silence for which a peer still counts as reached. */
 export const REACHED_INTERVALS = 3
 /** Intervals of silence after which the other side of a pair asks too. */
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -19,6 +19,7 @@
 import type { TableHolder } from '../table/index.js'
 import {
   CALL_TIMEOUT_MS,
+  CLOSE_GRACE_MS,
   LOST_AFTER_MS,
   MAX_LEAVING,
   MAX_LOADS,
@@ -261,9 +262,13 @@
     async stop() {
       unsubscribe()
       stopping.abort()
+      const closed = new Promise((resolve) => server.close(resolve))
+      server.closeIdleConnections()
+      // Answers under way still go out; a peer that keeps its connection open is cut off.
+      await Promise.race([closed, sleep(CLOSE_GRACE_MS)])
       agent.destroy()
       server.closeAllConnections()
-      await new Promise((resolve) => server.close(resolve))
+      await closed
       await Promise.all(tasks)
     },
   }
--- a/src/peer/oncePeers.ts
+++ b/src/peer/oncePeers.ts
@@ -25,8 +25,8 @@
     throw new PeerError('is not in the settings', { props: { step: 'once.call', peer } })
   }
   return {
-    async claim(peer, id, owner) {
-      const res = await client(peer).claimId({ node: own, id, owner }, options())
+    async claim(peer, id, owner, token) {
+      const res = await client(peer).claimId({ node: own, id, owner, token }, options())
       if (res.verdict === 'first') return { kind: 'first' }
       const { reason, standIn } = res
       if (res.verdict === 'unsure') return { kind: 'unsure', reason, standIn }
@@ -48,16 +48,16 @@
 /** A list that is too long is cut, and is no whole memory then. */
 function encodeLegacy({ claims, complete }: Legacy) {
   const kept = claims.slice(-MAX_CLAIMS_PER_MESSAGE)
-  const encoded = kept.map(({ id, state, ageMs }) => {
-    return { id, state, ageMs: BigInt(Math.round(ageMs)) }
+  const encoded = kept.map(({ id, state, ageMs, token }) => {
+    return { id, state, ageMs: BigInt(Math.round(ageMs)), token }
   })
   return { claims: encoded, complete: complete && kept.length === claims.length }
 }
 
 /** Throws on a state that is none. */
 function decodeClaims(claims: Claim[]): ClaimRecord[] {
-  return claims.map(({ id, state, ageMs }) => {
-    return { id, state: stateSchema.parse(state), ageMs: Number(ageMs) }
+  return claims.map(({ id, state, ageMs, token }) => {
+    return { id, state: stateSchema.parse(state), ageMs: Number(ageMs), token }
   })
 }
 
@@ -77,7 +77,7 @@
   }
   return {
     claimId(req) {
-      const verdict = of(req.node).claim(req.id, req.owner)
+      const verdict = of(req.node).claim(req.id, req.owner, req.token)
       const state = verdict.kind === 'repeat' ? verdict.state : ''
       const reason = verdict.kind === 'unsure' ? verdict.reason : ''
       const standIn = verdict.kind === 'unsure' && verdict.standIn
