fix(keeper): replace an instance whose task has failed on a sound VM

Cause: reading placement as a newcomer showed that only a VM's incarnation was looked at; a task that failed alone stayed in the rows as running for ever. Change: such a job counts as of no life of its VM, for placement, budgets and waves alike. Measured: an end-to-end test ends one task and waits for its replacement. Conclusion: a crashed process is now replaced like a crashed VM.

--- a/playground/__tests__/cluster.spec.ts
+++ b/playground/__tests__/cluster.spec.ts
@@ -103,6 +103,16 @@
     for (const key of rows) t.deepEqual(cluster.platform.row(key), { out: [] })
   })
 
+  it('replace an instance whose task has failed, though its VM is sound', async (t) => {
+    const { cluster } = await setUp(t)
+    const view = cluster.entries()[0]!.kernel.get('view')
+    const [failed] = view.targets('timing')
+    await cluster.fleet.failTask(failed!.job)
+    const jobs = () => view.targets('timing').map((target) => target.job)
+    await until(() => jobs().length === 2 && !jobs().includes(failed!.job))
+    t.pass()
+  })
+
   it('put an accepted table in force everywhere', async (t) => {
     const { cluster } = await setUp(t)
     const epoch = await cluster.accept({
--- a/playground/fleet.ts
+++ b/playground/fleet.ts
@@ -54,6 +54,8 @@
   reboot(vm: string, opId: string): void
   /** Stops a VM as a failure would, and brings it back after `downMs` if given. */
   crash(vm: string, downMs?: number): Promise<void>
+  /** Ends one task as a crash of its process would. */
+  failTask(id: string): Promise<void>
   /** Marks the VM as leaving in the list. */
   leave(vm: string): void
   targetOf(task: string): TargetServer | undefined
@@ -205,6 +207,15 @@
       void takeDown(id, opts.rebootMs ?? DEFAULT_REBOOT_MS)
     },
     crash: (id, downMs) => takeDown(id, downMs),
+    async failTask(id) {
+      const task = tasks.get(id)
+      if (!task) return
+      task.state = 'failed'
+      taskRevision++
+      const { target } = task
+      delete task.target
+      await target?.kill()
+    },
     leave(id) {
       const vm = vms.get(id)
       if (!vm) return
--- a/src/keeper/fleetState.ts
+++ b/src/keeper/fleetState.ts
@@ -110,3 +110,10 @@
   for (const { value } of state.jobs.values()) if (value.vm === vm) jobs.push(value)
   return jobs
 }
+
+/** Services with an instance on the VM, once per instance. */
+export function servicesOn(state: FleetState, vm: string): string[] {
+  return jobsOn(state, vm)
+    .map((job) => job.service)
+    .filter((service) => state.table.services.has(service))
+}
--- a/src/keeper/keeper.ts
+++ b/src/keeper/keeper.ts
@@ -3,9 +3,8 @@
  * VMs, then decides pools, waves and jobs, and sees that one task carries each VM
  * operation and each job that is not at rest.
  */
-import { vmKey, waveKey } from '../fleet/index.js'
-import type { VmRow } from '../fleet/index.js'
-import type { ListedVm, Platform, RowWatch, RowWrite, Task } from '../platform/index.js'
+import { waveKey } from '../fleet/index.js'
+import type { ListedVm, Platform, RowWatch, Task } from '../platform/index.js'
 import type { PeerNetwork } from '../peer/index.js'
 import {
   createStopController,
@@ -14,7 +13,6 @@
   sleep,
 } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
-import { RESERVE_POOL } from '../table/index.js'
 import type { TableHolder } from '../table/index.js'
 import { createEntryAcks } from './acks.js'
 import { writeUnderLease } from './context.js'
@@ -28,13 +26,12 @@
 import { planJobs } from './placement.js'
 import type { JobDecision } from './placement.js'
 import { planPools } from './pools.js'
+import { registerVms } from './registration.js'
 import { countJobs, maintainedVms, planWaves, poolsInWave, waveInput } from './waves.js'
 
 /** Pause after a failed start of a service's instance, in ms; it grows with each failure. */
 const FAILED_START_PAUSE_MS = 5000
 const FAILED_START_CAP_MS = 300_000
-/** A VM missing from the list for so long is gone, in ms. */
-const GONE_AFTER_MS = 5000
 
 /** The running keeper. */
 export interface Keeper {
@@ -66,7 +63,7 @@
   const stopping = createStopController()
   const working = new Map<string, Promise<void>>()
   const failedStarts = new Map<string, { count: number; until: number }>()
-  const missingSince = new Map<string, number>()
+  const missing = new Map<string, number>()
   const held = new Map<string, string>()
   let listed: ListedVm[] = []
   let listRevision = 0
@@ -121,7 +118,7 @@
     if (!(await observe())) return
     const first = ctx.state()
     if (!first) return
-    await registerVms(fence, first)
+    await registerVms(ctx, fence, first, missing)
     await decide(fence, (state) => decidePools(fence, state))
     await decide(fence, (state) => decideWaves(fence, state))
     await decide(fence, (state) => decideJobs(fence, state))
@@ -137,52 +134,6 @@
     if (state && lease.fence() === fence) await step(state)
   }
 
-  async function registerVms(fence: number, state: FleetState): Promise<void> {
-    const writes: RowWrite[] = []
-    for (const vm of state.listed.values()) {
-      missingSince.delete(vm.id)
-      const write = registration(state, vm)
-      if (write) writes.push(write)
-    }
-    for (const { key, version, value } of state.vms.values()) {
-      if (state.listed.has(value.id) || value.state === 'gone') continue
-      if (value.operation) continue
-      const since = missingSince.get(value.id) ?? monotonicMs()
-      missingSince.set(value.id, since)
-      if (monotonicMs() - since < GONE_AFTER_MS) continue
-      log.event('vmGone', { vm: value.id, pool: value.pool })
-      const generation = value.generation + 1
-      writes.push({ key, version, value: { ...value, state: 'gone', generation } })
-    }
-    if (writes.length > 0) await writeUnderLease(ctx, fence, 'registerVms', writes)
-  }
-
-  function registration(state: FleetState, vm: ListedVm): RowWrite | undefined {
-    const { id, rack, incarnation, cpus, memoryGb } = vm
-    const known = state.vms.get(id)
-    if (!known) {
-      log.event('vmRegistered', { vm: id, rack, pool: RESERVE_POOL })
-      const value: VmRow = {
-        id,
-        hall,
-        rack,
-        pool: RESERVE_POOL,
-        generation: 1,
-        incarnation,
-        state: 'active',
-        cpus,
-        memoryGb,
-      }
-      return { key: vmKey(hall, id), version: 0, value }
-    }
-    const { key, version, value } = known
-    const restarted = value.incarnation !== incarnation
-    if (value.operation || (!restarted && value.state !== 'gone')) return undefined
-    const generation = value.generation + 1
-    const back: VmRow = { ...value, rack, incarnation, generation, state: 'active' }
-    return { key, version, value: back }
-  }
-
   async function decidePools(fence: number, state: FleetState): Promise<void> {
     const input = waveInput(state)
     const counts = countJobs(input.jobs)
--- a/src/keeper/operations.ts
+++ b/src/keeper/operations.ts
@@ -2,17 +2,18 @@
  * Operations on one VM, each written straight down as one task. The VM's row holds the
  * operation until it is finished, so a successor that finds it goes on from there.
  */
-import { budgetKey, waveKey } from '../fleet/index.js'
-import type { BudgetRow, Operation, VmRow, WaveRow } from '../fleet/index.js'
+import { waveKey } from '../fleet/index.js'
+import type { Operation, VmRow, WaveRow } from '../fleet/index.js'
 import { newOpId } from '../platform/index.js'
 import type { RowWrite } from '../platform/index.js'
 import { monotonicMs, sleep } from '../shared/index.js'
 import { inFlightOnVm } from './acks.js'
 import { writeUnderLease } from './context.js'
 import type { KeeperContext } from './context.js'
-import { jobsOn } from './fleetState.js'
+import { jobsOn, servicesOn } from './fleetState.js'
 import type { FleetState, Versioned } from './fleetState.js'
 import { budgetShortage } from './budgets.js'
+import { giveBackBudgets, takeBudgets } from './budgetWrites.js'
 import { waveInput } from './waves.js'
 
 /** Why an operation task ended without finishing; the next round starts it again. */
@@ -66,13 +67,6 @@
   return { wave, hall, done: [], doing: [], halted: '', finished: false }
 }
 
-/** Services with an instance on the VM, once per instance. */
-export function servicesOn(state: FleetState, vm: string): string[] {
-  return jobsOn(state, vm)
-    .map((job) => job.service)
-    .filter((service) => state.table.services.has(service))
-}
-
 function evacuateWrite(vm: Versioned<VmRow>, operation: Operation): RowWrite {
   const { key, version, value } = vm
   const generation = value.generation + 1
@@ -86,27 +80,6 @@
   return { key, version, value: { ...value, state: 'leaving', generation, operation } }
 }
 
-/** Takes the instances out of the budgets; every hall's holder writes the same rows. */
-function takeBudgets(state: FleetState, vm: VmRow, services: string[]): RowWrite[] {
-  return [...new Set(services)].map((service) => {
-    const row = state.budgets.get(service)
-    const count = services.filter((each) => each === service).length
-    const operation = vm.operation?.id ?? ''
-    const entry = { hall: vm.hall, vm: vm.id, operation, count }
-    const value: BudgetRow = { out: [...(row?.value.out ?? []), entry] }
-    return { key: budgetKey(service), version: row?.version ?? 0, value }
-  })
-}
-
-function giveBackBudgets(state: FleetState, operation: Operation): RowWrite[] {
-  const writes: RowWrite[] = []
-  for (const { key, version, value } of state.budgets.values()) {
-    const out = value.out.filter((each) => each.operation !== operation.id)
-    if (out.length < value.out.length) writes.push({ key, version, value: { out } })
-  }
-  return writes
-}
-
 /** Carries the VM's operation to its end. Returns when it is done or the lease is lost. */
 export async function runOperation(
   ctx: KeeperContext,
--- /dev/null
+++ b/src/keeper/registration.ts
@@ -0,0 +1,79 @@
+/** Rows of VMs that the platform's list shows for the first time, anew, or no more. */
+import { vmKey } from '../fleet/index.js'
+import type { VmRow } from '../fleet/index.js'
+import type { ListedVm, RowWrite } from '../platform/index.js'
+import { monotonicMs } from '../shared/index.js'
+import { RESERVE_POOL } from '../table/index.js'
+import { writeUnderLease } from './context.js'
+import type { KeeperContext } from './context.js'
+import type { FleetState, Versioned } from './fleetState.js'
+
+/** A VM missing from the lagging list for so long is gone, in ms. */
+const GONE_AFTER_MS = 5000
+
+/**
+ * Brings the rows of VMs in line with the list. A VM under an operation is left to it.
+ * @param missing when each VM was first seen to be missing, on the monotonic clock.
+ */
+export async function registerVms(
+  ctx: KeeperContext,
+  fence: number,
+  state: FleetState,
+  missing: Map<string, number>,
+): Promise<void> {
+  const writes: RowWrite[] = []
+  for (const vm of state.listed.values()) {
+    missing.delete(vm.id)
+    const known = state.vms.get(vm.id)
+    const write = known ? returnWrite(known, vm) : firstWrite(ctx, vm)
+    if (write) writes.push(write)
+  }
+  for (const known of state.vms.values()) {
+    if (state.listed.has(known.value.id)) continue
+    const write = goneWrite(ctx, known, missing)
+    if (write) writes.push(write)
+  }
+  if (writes.length > 0) await writeUnderLease(ctx, fence, 'registerVms', writes)
+}
+
+function firstWrite(ctx: KeeperContext, vm: ListedVm): RowWrite {
+  const { id, rack, incarnation, cpus, memoryGb } = vm
+  const { hall } = ctx
+  ctx.log.event('vmRegistered', { vm: id, rack, pool: RESERVE_POOL })
+  const place = { id, hall, rack, pool: RESERVE_POOL }
+  const value: VmRow = {
+    ...place,
+    generation: 1,
+    incarnation,
+    state: 'active',
+    cpus,
+    memoryGb,
+  }
+  return { key: vmKey(hall, id), version: 0, value }
+}
+
+/** A VM that restarted, was replaced, or is listed again. */
+function returnWrite(known: Versioned<VmRow>, vm: ListedVm): RowWrite | undefined {
+  const { key, version, value } = known
+  const restarted = value.incarnation !== vm.incarnation
+  if (value.operation || (!restarted && value.state !== 'gone')) return undefined
+  const { rack, incarnation } = vm
+  const generation = value.generation + 1
+  const back: VmRow = { ...value, rack, incarnation, generation, state: 'active' }
+  return { key, version, value: back }
+}
+
+function goneWrite(
+  ctx: KeeperContext,
+  known: Versioned<VmRow>,
+  missing: Map<string, number>,
+): RowWrite | undefined {
+  const { key, version, value } = known
+  if (value.state === 'gone' || value.operation) return undefined
+  const since = missing.get(value.id) ?? monotonicMs()
+  missing.set(value.id, since)
+  if (monotonicMs() - since < GONE_AFTER_MS) return undefined
+  ctx.log.event('vmGone', { vm: value.id, pool: value.pool })
+  const generation = value.generation + 1
+  return { key, version, value: { ...value, state: 'gone', generation } }
+}
--- a/src/keeper/waves.ts
+++ b/src/keeper/waves.ts
@@ -26,13 +26,19 @@
   return {
     table: state.table,
     vms: [...values(state.vms).values()],
-    jobs: [...values(state.jobs).values()],
+    jobs: [...values(state.jobs).values()].map((job) => withTaskState(state, job)),
     waves: values(state.waves),
     budgets: values(state.budgets),
     hall: state.hall,
   }
 }
 
+/** A job whose task has failed serves nobody: it is shown as of no life of its VM. */
+function withTaskState(state: FleetState, job: JobRow): JobRow {
+  const failed = state.tasks.get(job.id)?.state === 'failed'
+  return failed ? { ...job, incarnation: '' } : job
+}
+
 /** Waves that are due in this hall, the heaviest first. */
 export function dueWaves(
   input: Pick<WaveInput, 'table' | 'waves'>,
