fix(entry): ask again while a memory goes back to its owner's next life

Cause: with the reasons printed, the refusals of rolling replacement all said 'this entry does not stand in for the owner': who stands in is remembered for half a second, and in that time it may have given the memory back, while the owner's next life does not answer yet. That answer counted as final. Change: it now counts as 'away', so the request asks again within its window.

--- a/src/entry/__tests__/once.spec.ts
+++ b/src/entry/__tests__/once.spec.ts
@@ -238,6 +238,24 @@
       t.is((await world.node('b2').begin(PLAIN, fresh())).kind, 'repeat')
     })
 
+    it('may be asked again while the memory goes back to the owner', async (t) => {
+      const owner = ownerOf(PLAIN, ENTRIES)
+      const world = createWorld()
+      await world.node(owner).leave()
+      t.is((await world.node('b1').begin(PLAIN, 'mine')).kind, 'first')
+      // The next life has its memory back, but does not answer yet.
+      world.kill(owner)
+      await world.node(owner).recover()
+      world.cutOff(owner)
+      const other = ['w1', 'w2', 'w3', 'w4', 'w5'].find(
+        (id) => ownerOf(id, ENTRIES) === owner,
+      )!
+      t.like(await world.node('b1').begin(other, 'later'), {
+        kind: 'unsure',
+        standIn: true,
+      })
+    })
+
     it('is unsure while the owner is cut off or has lost its memory, for as long as that lasted', async (t) => {
       const owner = ownerOf(PLAIN, ENTRIES)
       const world = createWorld()
--- a/src/entry/once.ts
+++ b/src/entry/once.ts
@@ -154,7 +154,7 @@
   function decide(id: string, owner: string, token: string): Verdict {
     if (owner === own.id) return claim(id, token, book, isSure(id))
     const legacy = legacies.get(owner)
-    if (!legacy) return unsure('this entry does not stand in for the owner')
+    if (!legacy) return away('this entry does not stand in for the owner')
     return claim(id, token, legacy.book, legacy.complete)
   }
 
@@ -183,9 +183,10 @@
     const none: [string, Verdict] = [owner, away('nobody stands in for the owner')]
     const known = standIns.get(owner)
     if (known && now() < known.until) {
-      return known.by === undefined
-        ? none
-        : [known.by, await ask(known.by, id, owner, token)]
+      if (known.by === undefined) return none
+      const verdict = await ask(known.by, id, owner, token)
+      // It may have given the memory back to the owner's next life meanwhile.
+      return verdict.kind === 'unsure' && verdict.standIn ? none : [known.by, verdict]
     }
     for (const { id: other } of [own, ...ownHallFirst]) {
       if (other === owner) continue
