--- a/src/entry/target.ts
+++ b/src/entry/target.ts
@@ -1,7 +1,7 @@
 /** One target as this entry sees it: counts, health, exclusion. One task watches each. */
 import type { Client } from 'undici'
 import type { Result } from 'neverthrow'
-import { createStopController, monotonicMs, sleep } from '../shared/index.js'
+import { createStopController, jittered, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, RillshuntError } from '../shared/index.js'
 import { EXCLUDE_AFTER_FAILURES, EXCLUDE_BASE_MS, EXCLUDE_CAP_MS } from './constants.js'
 import { createTargetConnections } from './targetConnection.js'
@@ -127,7 +127,7 @@
   async function watchHealth(): Promise<void> {
     while (!stopping.signal.aborted) {
       if (mustAsk()) await askHealth()
-      await sleep(opts.healthIntervalMs * (0.9 + Math.random() * 0.2), stopping.signal)
+      await sleep(jittered(opts.healthIntervalMs), stopping.signal)
     }
   }
 
--- a/src/entry/targetView.ts
+++ b/src/entry/targetView.ts
@@ -4,6 +4,8 @@
  */
 import type { ResolvedConfig } from '../config/index.js'
 import {
+  checkedValue,
+  jobKey,
   jobPrefix,
   jobRowSchema,
   servesWork,
@@ -13,7 +15,7 @@
 } from '../fleet/index.js'
 import type { JobRow, VmRow } from '../fleet/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
-import { createStopController, sleep } from '../shared/index.js'
+import { createStopController, jittered, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import type { TableHolder } from '../table/index.js'
 import { createHealthDuty } from './healthDuty.js'
@@ -69,9 +71,7 @@
   let listed: Set<string> | undefined
 
   function vmOf(job: JobRow): VmRow | undefined {
-    const row = rows.rows.get(vmKey(hall, job.vm))
-    const checked = vmRowSchema.safeParse(row?.value)
-    return checked.success ? checked.data : undefined
+    return checkedValue(rows.rows.get(vmKey(hall, job.vm)), vmRowSchema)
   }
 
   function update(keys: Iterable<string>): void {
@@ -90,9 +90,7 @@
 
   function updateJob(key: string): void {
     const row = rows.rows.get(key)
-    const checked = jobRowSchema.safeParse(row?.value)
-    if (row && !checked.success) log.event('rowInvalid', { key })
-    const job = checked.success ? checked.data : undefined
+    const job = checkedValue(row, jobRowSchema, () => log.event('rowInvalid', { key }))
     const id = key.slice(jobPrefix(hall).length)
     const known = byJob.get(id)
     if (!job || job.state === 'starting' || job.address === undefined) {
@@ -134,7 +132,7 @@
   }
 
   function updateState(target: Target, given?: JobRow): void {
-    const checked = given ?? jobRowSchema.safeParse(jobValue(target.job)).data
+    const checked = given ?? checkedValue(jobRow(target.job), jobRowSchema)
     const vm = checked && vmOf(checked)
     const active =
       checked?.state === 'running' &&
@@ -154,7 +152,7 @@
     target.listedLeaving = listedLeaving.has(`${target.vm}/${target.incarnation}`)
   }
 
-  const jobValue = (id: string) => rows.rows.get(`${jobPrefix(hall)}${id}`)?.value
+  const jobRow = (id: string) => rows.rows.get(jobKey(hall, id))
 
   function inFlightBy(keyOf: (target: Target) => string): Map<string, number> {
     for (const target of removed) if (target.inFlight === 0) removed.delete(target)
@@ -185,7 +183,7 @@
         for (const target of byJob.values()) updateState(target)
         report()
       }
-      await sleep(cfg.platform.poll * (0.9 + Math.random() * 0.2), stopping.signal)
+      await sleep(jittered(cfg.platform.poll), stopping.signal)
     }
   }
 
@@ -201,9 +199,9 @@
       const leaving: { vm: string; generation: number; inFlight: number }[] = []
       for (const [key, row] of rows.rows) {
         if (!key.startsWith(vmPrefix(hall))) continue
-        const vm = vmRowSchema.safeParse(row.value)
-        if (!vm.success || servesWork(vm.data)) continue
-        const { id, generation } = vm.data
+        const vm = checkedValue(row, vmRowSchema)
+        if (!vm || servesWork(vm)) continue
+        const { id, generation } = vm
         leaving.push({ vm: id, generation, inFlight: counts.get(id) ?? 0 })
       }
       return leaving
@@ -217,9 +215,9 @@
       const stopping: { job: string; inFlight: number }[] = []
       for (const [key, row] of rows.rows) {
         if (!key.startsWith(jobPrefix(hall))) continue
-        const job = jobRowSchema.safeParse(row.value)
-        if (!job.success || job.data.state !== 'stopping') continue
-        stopping.push({ job: job.data.id, inFlight: counts.get(job.data.id) ?? 0 })
+        const job = checkedValue(row, jobRowSchema)
+        if (job?.state !== 'stopping') continue
+        stopping.push({ job: job.id, inFlight: counts.get(job.id) ?? 0 })
       }
       return stopping
     },
--- a/src/keeper/fleetState.ts
+++ b/src/keeper/fleetState.ts
@@ -4,6 +4,7 @@
   BUDGET_PREFIX,
   WAVE_PREFIX,
   budgetRowSchema,
+  checkedValue,
   hallKey,
   jobPrefix,
   jobRowSchema,
@@ -67,18 +68,6 @@
   }
 }
 
-/** Checked values by row, so that an unchanged row is checked once. */
-const checkedRows = new WeakMap<Row, unknown>()
-
-function check<T>(row: Row, schema: z.ZodType<T>, log: Logger): T | undefined {
-  if (checkedRows.has(row)) return checkedRows.get(row) as T | undefined
-  const checked = schema.safeParse(row.value)
-  if (!checked.success) log.event('rowInvalid', { key: row.key })
-  const value = checked.success ? checked.data : undefined
-  checkedRows.set(row, value)
-  return value
-}
-
 function typedRows<T>(
   rows: ReadonlyMap<string, Row>,
   schema: z.ZodType<T>,
@@ -89,7 +78,7 @@
   for (const [key, row] of rows) {
     const id = idOf(key)
     if (id === undefined) continue
-    const value = check(row, schema, log)
+    const value = checkedValue(row, schema, () => log.event('rowInvalid', { key }))
     if (value === undefined) continue
     const { version, revision } = row
     found.set(id, { key, version, revision, value })
--- a/src/keeper/keeper.ts
+++ b/src/keeper/keeper.ts
@@ -9,6 +9,7 @@
 import {
   createStopController,
   describeError,
+  jittered,
   monotonicMs,
   sleep,
 } from '../shared/index.js'
@@ -258,7 +259,7 @@
       if (fence !== undefined) {
         metrics.keeperRound.observe((monotonicMs() - startedAt) / 1000)
       }
-      await sleep(opts.cycleMs * (0.9 + Math.random() * 0.2), stopping.signal)
+      await sleep(jittered(opts.cycleMs), stopping.signal)
     }
   }
 
--- a/src/keeper/lease.ts
+++ b/src/keeper/lease.ts
@@ -8,7 +8,7 @@
 import type { LeaseRow } from '../fleet/index.js'
 import { commit, newOpId } from '../platform/index.js'
 import type { Platform, Row, RowGuard } from '../platform/index.js'
-import { createStopController, monotonicMs, sleep } from '../shared/index.js'
+import { createStopController, jittered, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 
 /** Renewals per term. */
@@ -105,7 +105,7 @@
     while (!stopping.signal.aborted) {
       await round()
       const pause = ttlMs / RENEWALS_PER_TERM
-      await sleep(pause * (0.9 + Math.random() * 0.2), stopping.signal)
+      await sleep(jittered(pause), stopping.signal)
     }
   }
 
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -11,6 +11,7 @@
 import {
   createStopController,
   describeError,
+  jittered,
   monotonicMs,
   sleep,
 } from '../shared/index.js'
@@ -203,7 +204,7 @@
       if (local && rows.revision() === 0) {
         await call(peer, 'fetchRows', () => sharing.fetchRows(peer.client, callOptions()))
       }
-      await sleep(interval * (0.9 + Math.random() * 0.2), stopping.signal)
+      await sleep(jittered(interval), stopping.signal)
     }
   }
 
--- a/src/platform/rowWatch.ts
+++ b/src/platform/rowWatch.ts
@@ -2,12 +2,16 @@
  * Keeps a copy of some rows by conditional reads: one read per poll, of changes only.
  * In an outage the copy stays as it is and polls back off with full jitter.
  */
-import { createStopController, fullJitter, monotonicMs, sleep } from '../shared/index.js'
+import {
+  createStopController,
+  fullJitter,
+  jittered,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import type { Changes, Platform, Row } from './types.js'
 
-/** Polls are spread by this share of the interval, so that processes do not march in step. */
-const POLL_JITTER = 0.2
 const BACKOFF_BASE_MS = 200
 
 /** Options of {@link createRowWatch}. */
@@ -96,7 +100,7 @@
     if (failures > 0) {
       return opts.pollMs / 2 + fullJitter(failures, BACKOFF_BASE_MS, opts.maxBackoffMs)
     }
-    return opts.pollMs * (1 - POLL_JITTER / 2 + Math.random() * POLL_JITTER)
+    return jittered(opts.pollMs)
   }
 
   async function run(): Promise<void> {
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -53,3 +53,11 @@
   }
   return groups
 }
+
+/** Part of an interval by which {@link jittered} spreads it. */
+const JITTER = 0.2
+
+/** The interval, a tenth shorter or longer at random, so that processes do not march in step. */
+export function jittered(ms: number): number {
+  return ms * (1 - JITTER / 2 + Math.random() * JITTER)
+}
