feat(vms): pools follow demand, waves are carried out

Cause: pools stayed as they were, so a service at its peak queued (served 0.735), and no VM of a wave had its maintenance (0.275 for duties missed). Change: the fleet has an owner of its own. Owners of services report what runs where and what is asked for; it empties VMs, moves them, and maintains those of a wave.

--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -13,8 +13,8 @@
 import type { JobService, LocalOwners, OwnerCalls } from '../front/index.js'
 import { createKernel, defineService } from '../kernel/index.js'
 import type { Kernel } from '../kernel/index.js'
-import { createNodeRegistry, createOwnership } from '../ownership/index.js'
-import type { NodeRegistry, Owner, Ownership } from '../ownership/index.js'
+import { FLEET, createNodeRegistry, createOwnership } from '../ownership/index.js'
+import type { Authority, NodeRegistry, Owner, Ownership } from '../ownership/index.js'
 import type {
   Advice,
   Documents,
@@ -24,8 +24,10 @@
 } from '../ports/index.js'
 import { createServiceOwner } from '../scheduler/index.js'
 import type { ServiceOwner } from '../scheduler/index.js'
-import { sleep } from '../shared/index.js'
+import { KernelError, createStopController, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import { REPORT_MS, createFleetOwner } from '../vms/index.js'
+import type { FleetOwner } from '../vms/index.js'
 
 /** What the adapter to a platform provides. */
 export interface NodePlatform {
@@ -56,6 +58,7 @@
     ownership: Ownership
     owners: OwnerTable
     ownerCalls: OwnerCalls & { server: Server }
+    reports: { stop(): Promise<void> }
     callers: { server: Server }
     readiness: { server: Server }
     departure: { depart(): Promise<void> }
@@ -64,7 +67,8 @@
 
 /** Owners that run on this node, by service. */
 export interface OwnerTable {
-  get: LocalOwners
+  local: LocalOwners
+  setFleet(owner: FleetOwner | undefined): void
   /** Names that this node claims, also while it still takes over. */
   names(): string[]
   claim(service: string): void
@@ -112,8 +116,10 @@
     async start() {
       const owners = new Map<string, ServiceOwner>()
       const claimed = new Set<string>()
+      let fleet: FleetOwner | undefined
       return {
-        get: (service) => owners.get(service),
+        local: { service: (name) => owners.get(name), fleet: () => fleet },
+        setFleet: (owner) => void (fleet = owner),
         names: () => [...claimed],
         claim: (service) => void claimed.add(service),
         release: (service) => void claimed.delete(service),
@@ -156,7 +162,7 @@
     stop: (each) => each.stop(),
   })
 
-const ownershipService = () =>
+const ownershipService = (cfg: NodeConfig) =>
   defineService({
     name: 'ownership',
     needs: [
@@ -173,12 +179,30 @@
       const owners = get('owners')
       const targets = get('targetList')
       const { store, orders, documents } = platform
+      const startFleet = async (authority: Authority): Promise<Owner> => {
+        if (!platform.cloud) throw new KernelError('no cloud is configured')
+        const { cloud } = platform
+        const { move_time: moveMs, maintenance_time: maintenanceMs } = cfg.cloud
+        const holder = cfg.node.id
+        const times = { moveMs, maintenanceMs }
+        const parts = { store, cloud, configuration, documents, authority, log }
+        const fleet = createFleetOwner({ ...parts, ...times, holder })
+        owners.setFleet(fleet)
+        return {
+          async stop(handOver) {
+            owners.setFleet(undefined)
+            owners.release(FLEET)
+            await fleet.stop(handOver)
+          },
+        }
+      }
       const ownership = createOwnership({
         store,
         registry: get('registry'),
-        names: () => ownedNames(configuration),
+        names: () => ownedNames(configuration, platform.cloud !== undefined),
         async start(authority): Promise<Owner> {
           owners.claim(authority.service)
+          if (authority.service === FLEET) return startFleet(authority)
           await targets.ready
           const owner = await createServiceOwner({
             store,
@@ -206,9 +230,10 @@
   })
 
 /** Every service with queues needs an owner; so do services that still have targets. */
-function ownedNames(configuration: ConfigurationHolder): string[] {
+function ownedNames(configuration: ConfigurationHolder, hasCloud: boolean): string[] {
   const services = configuration.current()?.services.values() ?? []
   const names = [...services].filter(({ spare }) => !spare).map(({ name }) => name)
+  if (names.length > 0 && hasCloud) names.push(FLEET)
   return names.sort()
 }
 
@@ -217,7 +242,7 @@
     name: 'ownerCalls',
     needs: ['registry', 'owners'],
     async start({ get, log }) {
-      const local = get('owners').get
+      const { local } = get('owners')
       const calls = createOwnerCalls({ registry: get('registry'), local, log })
       const { address, node_port: port } = cfg.listen
       const server = await listenForNodes(address, port, ownerRoutes(local))
@@ -230,6 +255,37 @@
     },
   })
 
+/** Tells the owner of the fleet about the services of this node, one task for all. */
+const reportsService = () =>
+  defineService({
+    name: 'reports',
+    needs: ['owners', 'ownerCalls'],
+    async start({ get }) {
+      const owners = get('owners')
+      const calls = get('ownerCalls')
+      const stopping = createStopController()
+      const reportOne = async (service: string): Promise<void> => {
+        const owner = owners.local.service(service)
+        const answer = owner && (await calls.reportToFleet(owner.report()))
+        if (answer) owner.evacuate(answer)
+      }
+      async function run(): Promise<void> {
+        while (!stopping.signal.aborted) {
+          await Promise.all(owners.names().map(reportOne))
+          await sleep(REPORT_MS, stopping.signal)
+        }
+      }
+      const task = run()
+      return {
+        async stop() {
+          stopping.abort()
+          await task
+        },
+      }
+    },
+    stop: (reports) => reports.stop(),
+  })
+
 const callersService = () =>
   defineService({
     name: 'callers',
@@ -300,8 +356,9 @@
       configurationService(),
       registryService(cfg),
       targetListService(),
-      ownershipService(),
+      ownershipService(cfg),
       ownerCallsService(cfg),
+      reportsService(),
       callersService(),
       readinessService(),
       departureService(),
--- /dev/null
+++ b/src/scheduler/evacuation.ts
@@ -0,0 +1,62 @@
+/**
+ * Empties a target whose VM is wanted elsewhere. Short tasks end by themselves; lasting
+ * ones are stopped and start again elsewhere, no more at a time than their step allows.
+ */
+import type { Step, Task } from '../jobs/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import type { Placement, TargetAgent } from './targetAgent.js'
+
+/**
+ * Time for which a task must have been at work again before the next one of its step is
+ * stopped, in ms: reports lag by a long poll.
+ */
+const SETTLED_MS = 1200
+
+export interface EvacuationInput {
+  agent: TargetAgent
+  /** All targets of the service. */
+  agents: TargetAgent[]
+  /** Stop long tasks as well: time is running out. */
+  hurry: boolean
+  log: Logger
+}
+
+/** Stops what has to be stopped on the target, as far as that is allowed now. */
+export function moveTasksAway({ agent, agents, hurry, log }: EvacuationInput): void {
+  for (const placement of agent.placements.values()) {
+    const { task } = placement
+    if (!task || placement.state !== 'running') continue
+    const { lasting, checkpoints } = task.step.spec
+    const stops = lasting ? mayStop(task, agents) : hurry && checkpoints
+    if (!stops) continue
+    if (lasting) log.event('lastingMoved', { task: task.name, target: agent.target.id })
+    agent.stop(task.name)
+  }
+}
+
+/** Whether one more task of the step may be away. */
+function mayStop(task: Task, agents: TargetAgent[]): boolean {
+  const { step } = task
+  const allowed = step.spec.mayMiss ?? step.tasks.length
+  const placements = placementsOf(step, agents)
+  const away = step.tasks.filter((each) => each !== task && !isAtWork(each, placements))
+  return away.length < allowed
+}
+
+function placementsOf(step: Step, agents: TargetAgent[]): Map<string, Placement> {
+  const found = new Map<string, Placement>()
+  for (const agent of agents) {
+    if (!agent.isAnswering() || agent.target.draining) continue
+    for (const placement of agent.placements.values()) {
+      if (placement.task?.step === step) found.set(placement.name, placement)
+    }
+  }
+  return found
+}
+
+function isAtWork(task: Task, placements: Map<string, Placement>): boolean {
+  const placement = placements.get(task.name)
+  if (!placement || placement.state !== 'running' || placement.percent < 100) return false
+  return monotonicMs() - task.startedAt > SETTLED_MS
+}
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -35,6 +35,8 @@
   RUNS_PER_TERM,
   TASK_LEASE_MS,
 } from './constants.js'
+import { createDemandMeter } from './demand.js'
+import { moveTasksAway } from './evacuation.js'
 import { planStarts } from './planner.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
@@ -42,6 +44,7 @@
 import type { Inherited } from './takeover.js'
 import { createTargetAgent } from './targetAgent.js'
 import type { TargetAgent } from './targetAgent.js'
+import type { FleetAnswer, ServiceReport } from '../vms/types.js'
 
 export interface ServiceOwner extends Owner {
   readonly service: string
@@ -52,6 +55,10 @@
   status(id: string): JobStatus | undefined
   waiting(queue: string): number
   agents(): TargetAgent[]
+  /** State for the owner of the fleet. */
+  report(): ServiceReport
+  /** Empties the targets named, and no other. */
+  evacuate(answer: FleetAnswer): void
 }
 
 export interface ServiceOwnerOptions {
@@ -115,6 +122,7 @@
       log.event('jobEnded', { job: job.spec.id, queue: job.spec.queue, outcome, cause }),
   })
 
+  const demand = createDemandMeter()
   const inherited = await readUntilDone()
   const roster = createRoster({
     store,
@@ -184,7 +192,7 @@
 
   function offer(job: JobSpec): void {
     if (book.jobs.has(job.id)) return
-    book.add(job)
+    demand.arrived(book.add(job), monotonicMs())
     log.event('jobTaken', { job: job.id, queue: job.queue, service })
     wake()
   }
@@ -266,6 +274,25 @@
     }
   }
 
+  function evacuate({ evacuate: ids, hurry }: FleetAnswer): void {
+    for (const agent of agents.values()) {
+      const { id } = agent.target
+      const wanted = ids.includes(id)
+      if (wanted !== agent.evacuating) {
+        agent.evacuating = wanted
+        log.event('evacuating', { target: id, wanted, runs: agent.placements.size })
+      }
+      if (wanted)
+        moveTasksAway({
+          agent,
+          agents: [...agents.values()],
+          hurry: hurry.includes(id),
+          log,
+        })
+    }
+    wake()
+  }
+
   async function runHousekeeping(): Promise<void> {
     while (!stopping.signal.aborted) {
       book.markDue()
@@ -309,6 +336,15 @@
     },
     waiting: (queue) => book.waiting(queue),
     agents: () => [...agents.values()],
+    report: () =>
+      demand.report(
+        service,
+        authority.term,
+        book.jobs.values(),
+        [...agents.values()],
+        monotonicMs(),
+      ),
+    evacuate,
     async stop(handOver) {
       stopping.abort()
       unsubscribe()
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -102,6 +102,14 @@
   mirrorStale: spec('RS-8041', 'warn', 'copy of a table cannot be brought up to date'),
   mirrorFresh: spec('RS-8042', 'info', 'copy of a table is up to date again'),
   settingsReloaded: spec('RS-8043', 'info', 'settings file read again'),
+  vmsNotRead: spec('RS-9001', 'warn', 'list of VMs could not be read'),
+  vmOrdered: spec('RS-9002', 'info', 'order for a VM given'),
+  waveSeen: spec('RS-9003', 'info', 'wave taken on'),
+  waveStatus: spec('RS-9004', 'info', 'status of a wave written'),
+  waveNotRead: spec('RS-9005', 'warn', 'progress of a wave could not be read'),
+  waveNotWritten: spec('RS-9006', 'warn', 'progress of a wave could not be written yet'),
+  evacuating: spec('RS-9007', 'info', 'target is being emptied for its VM'),
+  lastingMoved: spec('RS-9008', 'info', 'lasting task stopped to start elsewhere'),
   peerMessageRefused: spec('RS-6003', 'warn', 'message of a peer refused'),
 } as const satisfies Record<string, EventSpec>
 
--- /dev/null
+++ b/src/vms/index.ts
@@ -0,0 +1,4 @@
+/** The fleet of VMs: pools, moves, maintenance waves. */
+export * from './fleetOwner.js'
+export * from './types.js'
+export * from './constants.js'
--- /dev/null
+++ b/src/vms/types.ts
@@ -0,0 +1,39 @@
+/** What the owner of a service tells the owner of the fleet, and the answer. */
+import { z } from 'zod'
+
+/** One target of a service, as its owner sees it. */
+export const targetLoadSchema = z.object({
+  id: z.string(),
+  /** Runs that are present or may be. */
+  runs: z.number(),
+  /** Runs of lasting steps among them. */
+  lasting: z.number(),
+  /** Whether its owner starts nothing new there, as we asked. */
+  evacuating: z.boolean(),
+  /** Thousandths of a core in use. */
+  usedCpu: z.number(),
+})
+export type TargetLoad = z.infer<typeof targetLoadSchema>
+
+/** State of a service. */
+export const serviceReportSchema = z.object({
+  service: z.string(),
+  term: z.number(),
+  /** Thousandths of a core that its tasks ask for, running and waiting. */
+  demandCpu: z.number(),
+  /** Expected soon, from the work that arrived lately. */
+  expectedCpu: z.number(),
+  /** Least number of targets on which its lasting steps fit. */
+  minTargets: z.number(),
+  targets: z.array(targetLoadSchema),
+})
+export type ServiceReport = z.infer<typeof serviceReportSchema>
+
+/** Answer of the fleet's owner. */
+export const fleetAnswerSchema = z.object({
+  /** Targets that get no new tasks, because their VM is wanted elsewhere. */
+  evacuate: z.array(z.string()),
+  /** Targets among them whose long tasks should be stopped now. */
+  hurry: z.array(z.string()),
+})
+export type FleetAnswer = z.infer<typeof fleetAnswerSchema>
--- /dev/null
+++ b/src/vms/waves.ts
@@ -0,0 +1,128 @@
+/**
+ * Progress of maintenance waves. Which VMs have begun is a row, so that a successor
+ * neither forgets nor repeats any of them.
+ */
+import { z } from 'zod'
+import type { Documents, RowKey, RowStore, Vm, Wave } from '../ports/index.js'
+import type { Authority } from '../ownership/index.js'
+import { describeError, monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+
+const WAVES_TABLE = 'waves'
+
+const waveRowSchema = z.object({ begun: z.array(z.string()) })
+
+/** One wave as this owner carries it out. */
+export interface WaveProgress {
+  wave: Wave
+  begun: Set<string>
+  /** Steady time at which this owner first saw it, in ms. */
+  seenAt: number
+  status: 'new' | 'running' | 'completed'
+  dirty: boolean
+}
+
+export interface WaveBook {
+  /** Waves that are not completed. */
+  active(): WaveProgress[]
+  /** Brings the book up to date with the waves that the operators ask for. */
+  update(waves: Wave[]): Promise<void>
+  /** VMs of a wave that are there and have not begun. */
+  pending(progress: WaveProgress, vms: ReadonlyMap<string, Vm>): Vm[]
+  markBegun(progress: WaveProgress, vm: string): void
+  /** Writes what changed, and the status that the operators read. */
+  save(vms: ReadonlyMap<string, Vm>): Promise<void>
+}
+
+export function createWaveBook(opts: {
+  store: RowStore
+  authority: Authority
+  status: Documents['waveStatus']
+  log: Logger
+}): WaveBook {
+  const { store, authority, status, log } = opts
+  const waves = new Map<number, WaveProgress>()
+
+  const rowKey = (id: number): RowKey => ({
+    table: WAVES_TABLE,
+    part: authority.service,
+    key: String(id),
+  })
+
+  async function load(wave: Wave): Promise<void> {
+    const { table, part, key } = rowKey(wave.id)
+    const rows = await store.read(table, part, { from: key, until: `${key}\u0000` })
+    if (rows.isErr()) {
+      return log.event('waveNotRead', {
+        wave: wave.id,
+        reason: describeError(rows.error),
+      })
+    }
+    const row = rows.value.rows[0]
+    const parsed = row && waveRowSchema.safeParse(JSON.parse(row.value))
+    const begun = new Set(parsed?.success ? parsed.data.begun : [])
+    const seenAt = monotonicMs()
+    waves.set(wave.id, { wave, begun, seenAt, status: 'new', dirty: false })
+    log.event('waveSeen', { wave: wave.id, vms: wave.vms.length, begun: begun.size })
+  }
+
+  async function writeStatus(
+    progress: WaveProgress,
+    state: 'running' | 'completed',
+  ): Promise<void> {
+    const row = status.row(progress.wave.id)
+    const res = await store.commit({
+      conditions: [],
+      puts: [{ ...row, value: status.encode(state) }],
+      removals: [],
+    })
+    if (res.isErr()) {
+      const reason = describeError(res.error)
+      return log.event('waveNotWritten', { wave: progress.wave.id, reason })
+    }
+    progress.status = state
+    log.event('waveStatus', { wave: progress.wave.id, state, begun: progress.begun.size })
+  }
+
+  async function writeBegun(progress: WaveProgress): Promise<void> {
+    const { id } = progress.wave
+    progress.dirty = false
+    const value = JSON.stringify({ begun: [...progress.begun] })
+    const res = await store.commit({
+      conditions: [authority.epoch()],
+      puts: [{ ...rowKey(id), value }],
+      removals: [],
+    })
+    if (res.isOk() && res.value.committed) return
+    progress.dirty = true
+    const reason = res.isErr() ? describeError(res.error) : 'the epoch row has changed'
+    log.event('waveNotWritten', { wave: id, reason })
+  }
+
+  const pending = (progress: WaveProgress, vms: ReadonlyMap<string, Vm>): Vm[] =>
+    progress.wave.vms.flatMap((name) => {
+      const vm = vms.get(name)
+      return vm && !progress.begun.has(name) ? [vm] : []
+    })
+
+  return {
+    active: () => [...waves.values()].filter((each) => each.status !== 'completed'),
+    async update(asked) {
+      for (const wave of asked) if (!waves.has(wave.id)) await load(wave)
+    },
+    pending,
+    markBegun(progress, vm) {
+      progress.begun.add(vm)
+      progress.dirty = true
+    },
+    async save(vms) {
+      for (const progress of waves.values()) {
+        if (progress.dirty) await writeBegun(progress)
+        if (progress.status === 'completed') continue
+        const complete = !progress.dirty && pending(progress, vms).length === 0
+        const state = complete ? 'completed' : 'running'
+        if (progress.status !== state) await writeStatus(progress, state)
+      }
+    },
+  }
+}
