--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -50,7 +50,7 @@
   let history: RowChange[] = []
   let compactedAt = 0
   let version = 0
-  let wakeUps: (() => void)[] = []
+  const wakeUps: (() => void)[] = []
   const faults: StoreFaults = {
     down: false,
     refusedNodes: new Set(),
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -102,7 +102,7 @@
   let leaseTimer: NodeJS.Timeout | undefined
   let usedCpu = 0
   let dead = false
-  let waiters: (() => void)[] = []
+  const waiters: (() => void)[] = []
   const faults: TargetFaults = {
     silent: false,
     mute: false,
