feat(scheduler): order by what can be in time; pools sized by arriving work

Change: jobs that can still meet their objective go first, then late, then useless ones; run times are learned per queue; need is lasting work, the steady state of arriving work with its trend, and the backlog over 1.5 s. Surplus by present need is given to a service that lacks VMs; parking waits for the held peak.

--- a/src/directory/targetList.ts
+++ b/src/directory/targetList.ts
@@ -5,7 +5,7 @@
 import { createRowMirror } from './rowMirror.js'
 
 /** Pause between two reads, in ms: a draining target must be known well within 2 s. */
-const POLL_MS = 700
+const POLL_MS = 350
 
 export interface TargetList {
   ready: Promise<void>
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -67,9 +67,8 @@
   arrivedAt: number
 }
 
-/** Runs and priorities come from the queue; this is what the owner needs of it. */
+/** What the job book needs of a queue's configuration. */
 export interface JobRules {
-  priority: number
   maxAttempts: number
 }
 
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -17,7 +17,7 @@
 import type { JobOutcome, JobSpec } from './schema.js'
 
 export interface JobBookOptions {
-  /** Priority and attempts of a queue, as configured now. */
+  /** Attempts of a queue's tasks, as configured now. */
   rulesOf(queue: string): JobRules
   /** Steady clock, in ms. */
   now(): number
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -1,11 +1,15 @@
 /** What a service needs, for the owner of the fleet. */
 import { tasksOf } from '../jobs/index.js'
 import type { Job, Step } from '../jobs/index.js'
-import { ARRIVAL_WINDOW_MS } from '../vms/constants.js'
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
+import { createArrivalMeter } from './arrivals.js'
 import { needOf } from './room.js'
+import type { RunTimes } from './runTimes.js'
 import type { TargetAgent } from './targetAgent.js'
 
+/** Time in which waiting work should be done: about that of one more VM's coming, in ms. */
+const CLEAR_BACKLOG_MS = 1500
+
 /** Follows arriving work and sums up what jobs ask for. */
 export interface DemandMeter {
   /** Notes the work of a new job. */
@@ -19,12 +23,6 @@
   ): ServiceReport
 }
 
-interface Arrival {
-  at: number
-  /** Thousandths of a core times ms. */
-  work: number
-}
-
 /** Targets on which the lasting steps fit with one more, so that one can be emptied. */
 function minTargetsFor(step: Step): number {
   const { lasting, maxPerTarget } = step.spec
@@ -32,44 +30,33 @@
   return Math.ceil(step.tasks.length / maxPerTarget) + 1
 }
 
-export function createDemandMeter(): DemandMeter {
-  let arrivals: Arrival[] = []
-
-  const expectedCpu = (now: number): number => {
-    arrivals = arrivals.filter(({ at }) => now - at < ARRIVAL_WINDOW_MS)
-    return arrivals.reduce((sum, { work }) => sum + work, 0) / ARRIVAL_WINDOW_MS
-  }
+export function createDemandMeter(runTimes: RunTimes): DemandMeter {
+  const arrivals = createArrivalMeter()
 
   return {
     arrived(job, now) {
-      const steps = job.spec.steps.filter(({ lasting }) => !lasting)
-      const work = steps.reduce(
-        (sum, each) => sum + each.count * each.cpu * each.estimateMs,
-        0,
-      )
-      arrivals.push({ at: now, work })
+      let work = 0
+      for (const step of job.occurrences[0]?.steps ?? []) {
+        if (step.spec.lasting) continue
+        work += step.tasks.length * needOf(step).cpu * runTimes.meanOf(step)
+      }
+      arrivals.note(work, now)
     },
     report(service, term, jobs, agents, now) {
-      let demandCpu = 0
-      let lastingCpu = 0
+      const sum = { lasting: 0, running: 0, backlog: 0 }
       let minTargets = 0
       for (const job of jobs) {
         if (job.outcome) continue
-        for (const task of tasksOf(job)) {
-          if (task.phase !== 'ready' && task.phase !== 'placed') continue
-          const { cpu } = needOf(task.step)
-          demandCpu += cpu
-          if (task.step.spec.lasting) lastingCpu += cpu
-        }
+        addTasks(sum, job, runTimes)
         for (const { steps } of job.occurrences) {
           for (const step of steps) minTargets = Math.max(minTargets, minTargetsFor(step))
         }
       }
+      const steady = Math.max(sum.running, arrivals.expectedCpu(now))
       return {
         service,
         term,
-        demandCpu,
-        expectedCpu: lastingCpu + expectedCpu(now),
+        neededCpu: sum.lasting + steady + sum.backlog / CLEAR_BACKLOG_MS,
         minTargets,
         targets: agents.map(loadOf),
       }
@@ -77,6 +64,21 @@
   }
 }
 
+/** Adds what the tasks of a job ask for; the backlog is work, in thousandths of a core times ms. */
+function addTasks(
+  sum: { lasting: number; running: number; backlog: number },
+  job: Job,
+  runTimes: RunTimes,
+): void {
+  for (const task of tasksOf(job)) {
+    const { cpu } = needOf(task.step)
+    const wanted = task.phase === 'ready' || task.phase === 'placed'
+    if (wanted && task.step.spec.lasting) sum.lasting += cpu
+    else if (task.phase === 'placed') sum.running += cpu
+    else if (task.phase === 'ready') sum.backlog += cpu * runTimes.meanOf(task.step)
+  }
+}
+
 function loadOf(agent: TargetAgent): TargetLoad {
   const placements = [...agent.placements.values()]
   const lasting = placements.filter(({ task }) => task?.step.spec.lasting).length
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -1,7 +1,9 @@
 /** Chooses targets for tasks that may start. Pure: it only reads and returns. */
-import type { Step, Task } from '../jobs/index.js'
+import type { Job, Step, Task } from '../jobs/index.js'
 import type { TargetAgent } from './targetAgent.js'
 import { needOf } from './room.js'
+import { compareUrgency } from './urgency.js'
+import type { Urgency } from './urgency.js'
 
 /** Racks are named by a label of this form. */
 const RACK_LABEL = /^r\d/
@@ -14,7 +16,7 @@
 export interface PlanInput {
   ready: Iterable<Task>
   agents: readonly TargetAgent[]
-  priorityOf(queue: string): number
+  urgencyOf(job: Job): Urgency
   /** Whether the target may be used for the step, by evidence and advice. */
   allows(agent: TargetAgent, step: Step): boolean
 }
@@ -117,7 +119,7 @@
   return []
 }
 
-/** Plans starts: urgent queues first, then the job that came first. */
+/** Plans starts in the order of urgency. */
 export function planStarts(input: PlanInput): Plan {
   const drafts = input.agents.filter((agent) => agent.isUsable()).map(createDraft)
   const steps = new Map<Step, Task[]>()
@@ -126,11 +128,14 @@
     if (group) group.push(task)
     else steps.set(task.step, [task])
   }
-  const ordered = [...steps.keys()].sort(
-    (a, b) =>
-      input.priorityOf(a.job.spec.queue) - input.priorityOf(b.job.spec.queue) ||
-      a.job.arrivedAt - b.job.arrivedAt,
-  )
+  const urgencies = new Map<Job, Urgency>()
+  for (const { job } of steps.keys()) {
+    if (!urgencies.has(job)) urgencies.set(job, input.urgencyOf(job))
+  }
+  const ordered = [...steps.keys()]
+    .map((step) => ({ step, urgency: urgencies.get(step.job)! }))
+    .sort((a, b) => compareUrgency(a.urgency, b.urgency))
+    .map(({ step }) => step)
   const plan: Plan = { starts: [], waiting: new Set() }
   for (const step of ordered) {
     if (step.spec.gang) {
--- /dev/null
+++ b/src/scheduler/runTimes.ts
@@ -0,0 +1,58 @@
+/**
+ * Learns how long tasks really run: callers' guesses are far off. One average for each
+ * queue, corrected against the guess where there is one.
+ */
+import type { Job, Step, Task } from '../jobs/index.js'
+
+/** Weight of one more run in the average: about the last forty runs count. */
+const WEIGHT = 0.05
+/** Run time assumed before anything is known, in ms: short, so that nothing is given up. */
+const UNKNOWN_MS = 500
+/** Longest tasks of a step run so much longer than the mean one. */
+const SPREAD = 1.4
+
+export interface RunTimes {
+  /** Notes a run that ended well. */
+  note(task: Task, ranMs: number): void
+  /** Expected run time of one task of the step, in ms. */
+  meanOf(step: Step): number
+  /** Expected time of the longest chain of the job, in ms. */
+  chainOf(job: Job): number
+  /** The same for what is not done yet. */
+  remainingOf(job: Job): number
+}
+
+export function createRunTimes(): RunTimes {
+  /** Average of run time by queue, and of its ratio to the guess. */
+  const means = new Map<string, number>()
+
+  const meanOf = (step: Step): number =>
+    means.get(step.job.spec.queue) ?? (step.spec.estimateMs || UNKNOWN_MS)
+
+  /** Longest path over the steps that `counts` takes in. */
+  function longest(job: Job, counts: (step: Step) => boolean): number {
+    let result = 0
+    for (const { due, steps } of job.occurrences) {
+      if (!due) continue
+      const ends: number[] = []
+      for (const step of steps) {
+        const begins = Math.max(0, ...step.spec.after.map((index) => ends[index] ?? 0))
+        const spread = step.tasks.length > 1 ? SPREAD : 1
+        ends.push(begins + (counts(step) ? meanOf(step) * spread : 0))
+      }
+      result = Math.max(result, ...ends)
+    }
+    return result
+  }
+
+  return {
+    note(task, ranMs) {
+      const { queue } = task.step.job.spec
+      const before = means.get(queue) ?? ranMs
+      means.set(queue, before + (ranMs - before) * WEIGHT)
+    },
+    meanOf,
+    chainOf: (job) => longest(job, () => true),
+    remainingOf: (job) => longest(job, (step) => step.doneCount < step.tasks.length),
+  }
+}
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -40,9 +40,11 @@
 import { planStarts } from './planner.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
+import { createRunTimes } from './runTimes.js'
 import { readInherited, readIntake } from './takeover.js'
 import type { Inherited } from './takeover.js'
 import { createTargetAgent } from './targetAgent.js'
+import { urgencyOf } from './urgency.js'
 import type { TargetAgent } from './targetAgent.js'
 import type { FleetAnswer, ServiceReport } from '../vms/types.js'
 
@@ -108,10 +110,7 @@
   const book = createJobBook({
     rulesOf(queue) {
       const found = configuration.queue(queue)
-      return {
-        priority: found?.priority ?? LOWEST_PRIORITY,
-        maxAttempts: found?.maxAttempts ?? 1,
-      }
+      return { maxAttempts: found?.maxAttempts ?? 1 }
     },
     now: monotonicMs,
     wallMs: Date.now,
@@ -122,7 +121,8 @@
       log.event('jobEnded', { job: job.spec.id, queue: job.spec.queue, outcome, cause }),
   })
 
-  const demand = createDemandMeter()
+  const runTimes = createRunTimes()
+  const demand = createDemandMeter(runTimes)
   const inherited = await readUntilDone()
   const roster = createRoster({
     store,
@@ -207,7 +207,9 @@
       inheritedLeaseMs: roster.has(target.id) ? inheritedLeaseMs : 0,
       log,
       changed: wake,
-      ended: () => undefined,
+      ended: (_agent, task, kind) => {
+        if (kind === 'done') runTimes.note(task, monotonicMs() - task.startedAt)
+      },
       failed: () => undefined,
       gone: (each) => {
         agents.delete(each.target.id)
@@ -255,10 +257,12 @@
       book.openGate()
     }
     if (book.ready.size === 0) return
+    const now = monotonicMs()
     const { starts } = planStarts({
       ready: book.ready,
       agents: [...agents.values()],
-      priorityOf: (queue) => configuration.queue(queue)?.priority ?? LOWEST_PRIORITY,
+      urgencyOf: (job) =>
+        urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
       allows: (agent) => roster.has(agent.target.id),
     })
     const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
@@ -356,9 +360,6 @@
   }
 }
 
-/** Jobs of a queue that is configured no more come last. */
-const LOWEST_PRIORITY = 1000
-
 /** A target that only the roster names: it gets no starts until the list shows it. */
 function unlistedTarget(id: string, address: string, service: string): Target {
   const capacity = { cpu: 0, memMb: 0, gpu: 0 }
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -17,11 +17,12 @@
   LIST_BUSY_MS,
   LIST_MS,
   ORDERS_PER_ROUND,
-  PARK_AFTER_MS,
+  PEAK_HOLD_MS,
   REPORT_STALE_MS,
   ROUND_MS,
   WAVE_PATIENCE,
 } from './constants.js'
+import { createPeakHold } from './peakHold.js'
 import { planPools } from './poolPlanner.js'
 import type { FleetAnswer, ServiceReport, TargetLoad } from './types.js'
 import { createWaveBook } from './waves.js'
@@ -61,7 +62,7 @@
   const stopping = createStopController()
   const reports = new Map<string, { report: ServiceReport; at: number }>()
   const pendingOrders = new Map<string, PendingOrder>()
-  const surplusSince = new Map<string, number>()
+  const peaks = createPeakHold(PEAK_HOLD_MS)
   /** VM and pool that the cloud has refused to bring together. */
   const misfits = new Set<string>()
   /** VMs being emptied, with the reason. */
@@ -189,20 +190,15 @@
     for (const [name, order] of pendingOrders) {
       if (order.kind === 'move') movingTo.set(name, order.pool)
     }
-    const { moves, gaps } = planPools({
+    const { moves } = planPools({
       vms: [...vms.values()],
       reports: freshReports(),
       sparePool: spare,
       movingTo,
       held: new Set([...emptying, ...pendingOrders.keys()]),
       fitsPool: (vm, pool) => !misfits.has(`${vm.name} ${pool}`),
-      mayPark: (pool) =>
-        monotonicMs() - (surplusSince.get(pool) ?? Infinity) > PARK_AFTER_MS,
+      keptBy: (service, needed) => peaks.note(service, needed, monotonicMs()),
     })
-    for (const [pool, gap] of gaps) {
-      if (gap >= 0) surplusSince.delete(pool)
-      else if (!surplusSince.has(pool)) surplusSince.set(pool, monotonicMs())
-    }
     const loads = loadsById()
     const possible = moves.filter(({ vm }) => isEmpty(vm, loads))
     reserved = new Set(moves.map(({ vm }) => vm.name))
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -21,8 +21,8 @@
   held: ReadonlySet<string>
   /** Whether the VM can be in the pool at all. */
   fitsPool(vm: Vm, pool: string): boolean
-  /** Whether a pool has had more than it needs for long enough. */
-  mayPark(pool: string): boolean
+  /** VMs that a service should keep rather than park, given what it needs now. */
+  keptBy(service: string, needed: number): number
 }
 
 export interface PoolPlan {
@@ -34,8 +34,7 @@
 /** VMs that a service needs by its report. */
 export function neededVms(report: ServiceReport, cpuPerVm: number): number {
   if (cpuPerVm <= 0) return report.minTargets
-  const cpu = Math.max(report.demandCpu, report.expectedCpu)
-  const byLoad = Math.ceil(cpu / (cpuPerVm * PLANNED_USE))
+  const byLoad = Math.ceil(report.neededCpu / (cpuPerVm * PLANNED_USE))
   return Math.max(1, report.minTargets, byLoad)
 }
 
@@ -57,10 +56,14 @@
 
   const loads = new Map<string, TargetLoad>()
   const gaps = new Map<string, number>()
+  /** The same against what a service keeps for its next peak. */
+  const keepGaps = new Map<string, number>()
   for (const [service, report] of reports) {
     for (const load of report.targets) loads.set(load.id, load)
     const there = vms.filter((vm) => poolOf(vm) === service && vm.state !== 'down')
-    gaps.set(service, neededVms(report, cpuPerVm) - there.length)
+    const needed = neededVms(report, cpuPerVm)
+    gaps.set(service, needed - there.length)
+    keepGaps.set(service, input.keptBy(service, needed) - there.length)
   }
 
   const spare = vms.filter((vm) => vm.pool === sparePool && free(vm))
@@ -83,8 +86,10 @@
       [pool, -1],
       [vm.pool, 1],
     ] as const) {
-      const gap = gaps.get(name)
-      if (gap !== undefined) gaps.set(name, gap + change)
+      for (const each of [gaps, keepGaps]) {
+        const gap = each.get(name)
+        if (gap !== undefined) each.set(name, gap + change)
+      }
     }
   }
 
@@ -104,9 +109,8 @@
     }
   }
   if (sparePool === undefined) return { moves, gaps }
-  for (const [service] of gaps) {
-    if (!input.mayPark(service)) continue
-    while ((gaps.get(service) ?? 0) < 0) {
+  for (const [service] of keepGaps) {
+    while ((keepGaps.get(service) ?? 0) < 0) {
       const vm = idle.find(
         (each) => each.pool === service && input.fitsPool(each, sparePool),
       )
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -19,10 +19,8 @@
 export const serviceReportSchema = z.object({
   service: z.string(),
   term: z.number(),
-  /** Thousandths of a core that its tasks ask for, running and waiting. */
-  demandCpu: z.number(),
-  /** Expected soon, from the work that arrived lately. */
-  expectedCpu: z.number(),
+  /** Thousandths of a core that its tasks need, now and soon. */
+  neededCpu: z.number(),
   /** Least number of targets on which its lasting steps fit. */
   minTargets: z.number(),
   targets: z.array(targetLoadSchema),
