fix(scheduler): give up no run while out of touch with the store

A hall was cut off with an owner in it; its successor heard the targets outside and took note that their tasks were done; the cut owner, in its grace time, took their leases for over and ran the tasks again at home. Ruled out: a lost condition on the epoch row (no write of the old owner was accepted). Change: a run is given up for a lease that is over, a target that is gone, or an absence from a report only while ownership is confirmed. Test with two lives of that state, which failed before.

--- a/src/scheduler/__tests__/serviceOwner.spec.ts
+++ b/src/scheduler/__tests__/serviceOwner.spec.ts
@@ -128,6 +128,25 @@
     await rig.stop()
   })
 
+  // Found on fk-aktiv trouble-2: a hall was cut off with the owner in it; its successor
+  // took note of ends that the owner could not hear, and the owner ran the tasks again.
+  it('gives up no run while it is out of touch with the store', async (t) => {
+    const rig = createJobRig()
+    const silent = rig.addTarget('t1')
+    const owner = await rig.own()
+    rig.submit(owner, makeJob({ ms: 0, cpu: 400 }, [{ count: 1 }]))
+    await sleep(300)
+    owner.confirmed = false
+    silent.crash()
+    rig.addTarget('t2')
+    await sleep(7500)
+    t.is(rig.ledger.entries.length, 1)
+    owner.confirmed = true
+    await sleep(700)
+    t.is(rig.ledger.entries.at(-1)?.target, 't2')
+    await rig.stop()
+  })
+
   it('moves lasting tasks off a target that drains', async (t) => {
     const rig = createJobRig()
     rig.addTarget('t1')
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -213,7 +213,7 @@
       const confirmed = placement.confirmedClock > 0
       if (fenced) vanish(placement, 'never started')
       else if (confirmed && report.clockMs > placement.confirmedClock) {
-        vanish(placement, 'not listed any more')
+        if (authority.isConfirmed()) vanish(placement, 'not listed any more')
       }
     }
   }
@@ -237,6 +237,18 @@
     if (gone) return
     gone = true
     log.event('targetGone', { target: target.id, reason })
+    void forgetRuns(reason)
+  }
+
+  /**
+   * Gives up everything on a target that is gone. Out of touch with the store this waits:
+   * a successor may have heard from the target and taken note that its tasks were done.
+   */
+  async function forgetRuns(reason: string): Promise<void> {
+    while (!authority.isConfirmed() && !stopping.signal.aborted) {
+      await sleep(SYNC_RETRY_MS, stopping.signal)
+    }
+    if (stopping.signal.aborted) return
     for (const placement of [...placements.values()]) vanish(placement, reason)
     stopping.abort()
     opts.gone(agent)
@@ -255,6 +267,8 @@
   /** Once the lease of everything on a silent target is over, nothing runs there. */
   function expireLease(): void {
     if (monotonicMs() < leaseOverAt || placements.size === 0) return
+    // A successor may have renewed the leases: only an owner for certain can tell.
+    if (!authority.isConfirmed()) return
     for (const placement of [...placements.values()]) vanish(placement, 'lease is over')
   }
 
@@ -274,7 +288,7 @@
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       expireLease()
-      if (!authority.mayOrder()) {
+      if (gone || !authority.mayOrder()) {
         await sleep(SYNC_RETRY_MS, stopping.signal)
         continue
       }
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -95,6 +95,8 @@
 export interface RigOwner extends ServiceOwner {
   /** Set false to end the owner's right to give orders. */
   live: boolean
+  /** Set false for an owner that is out of touch with the store. */
+  confirmed: boolean
   lostBecause: string | undefined
 }
 
@@ -160,14 +162,18 @@
     async own(predecessorMayLive = false) {
       term++
       const version = table.put(EPOCH, String(term))
-      const state = { live: true, lostBecause: undefined as string | undefined }
+      const state = {
+        live: true,
+        confirmed: true,
+        lostBecause: undefined as string | undefined,
+      }
       const authority: Authority = {
         service: SERVICE,
         term,
         predecessorMayLive,
         epoch: () => ({ ...EPOCH, version }),
         mayOrder: () => state.live,
-        isConfirmed: () => state.live,
+        isConfirmed: () => state.live && state.confirmed,
         lost(reason) {
           state.live = false
           state.lostBecause ??= reason
