feat(scheduler): lives that are over are known at once

Nearly every job of 44 to 50 s failed. Change: the fleet's owner tells which lives its accepted orders ended; a silent life that no VM has in two readings of the list is over as well. Test, failing before.

--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -207,6 +207,7 @@
           const owner = await createServiceOwner({
             store,
             orders,
+            cloud: platform.cloud,
             documents,
             configuration,
             targets,
--- a/src/scheduler/__tests__/serviceOwner.spec.ts
+++ b/src/scheduler/__tests__/serviceOwner.spec.ts
@@ -1,7 +1,12 @@
+import { ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
 import { createJobRig, findBrokenPromise, makeJob } from '../../../test/jobRig.js'
 import { sleep } from '../../shared/index.js'
 
+const unused = (): never => {
+  throw new Error('not used in this test')
+}
+
 describe('createServiceOwner', () => {
   it('runs steps in their order and makes outcomes durable', async (t) => {
     const rig = createJobRig()
@@ -147,6 +152,20 @@
     await rig.stop()
   })
 
+  it('does not wait for leases of a life that no VM has any more', async (t) => {
+    const rig = createJobRig()
+    const lost = rig.addTarget('t1')
+    rig.cloud = { list: async () => ok([]), move: unused, maintain: unused }
+    const owner = await rig.own()
+    rig.submit(owner, makeJob({ ms: 0, cpu: 400 }, [{ count: 1 }]))
+    await sleep(300)
+    lost.crash()
+    rig.addTarget('t2')
+    await sleep(2800)
+    t.is(rig.ledger.entries.at(-1)?.target, 't2')
+    await rig.stop()
+  })
+
   it('moves lasting tasks off a target that drains', async (t) => {
     const rig = createJobRig()
     rig.addTarget('t1')
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -2,7 +2,13 @@
  * Owner of one service: takes the jobs over from the store, keeps one agent per target,
  * and starts what may start. Everything that it decides rests on the job book.
  */
-import type { Documents, RowStore, Target, TargetOrders } from '../ports/index.js'
+import type {
+  Documents,
+  RowStore,
+  Target,
+  TargetOrders,
+  VmCloud,
+} from '../ports/index.js'
 import type { ConfigurationHolder, RowMirror, TargetList } from '../directory/index.js'
 import { createRowMirror } from '../directory/index.js'
 import {
@@ -37,6 +43,7 @@
 } from './constants.js'
 import { createDemandMeter } from './demand.js'
 import { moveTasksAway } from './evacuation.js'
+import { createLifeCheck } from './lifeCheck.js'
 import { planStarts } from './planner.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
@@ -66,6 +73,8 @@
 export interface ServiceOwnerOptions {
   store: RowStore
   orders: TargetOrders
+  /** Undefined where no cloud is configured. */
+  cloud: VmCloud | undefined
   documents: Documents
   configuration: ConfigurationHolder
   targets: TargetList
@@ -123,6 +132,7 @@
 
   const runTimes = createRunTimes()
   const demand = createDemandMeter(runTimes)
+  const lifeCheck = createLifeCheck(opts.cloud, log)
   const inherited = await readUntilDone()
   const roster = createRoster({
     store,
@@ -278,9 +288,13 @@
     }
   }
 
-  function evacuate({ evacuate: ids, hurry }: FleetAnswer): void {
-    for (const agent of agents.values()) {
+  function evacuate({ evacuate: ids, hurry, ended }: FleetAnswer): void {
+    for (const agent of [...agents.values()]) {
       const { id } = agent.target
+      if (ended.includes(id)) {
+        agent.markGone('its VM was moved or maintained')
+        continue
+      }
       const wanted = ids.includes(id)
       if (wanted !== agent.evacuating) {
         agent.evacuating = wanted
@@ -311,6 +325,7 @@
       book.markDue()
       closeLapsed()
       leaveDraining()
+      await lifeCheck.run([...agents.values()])
       await clearFinished()
       wake()
       await sleep(HOUSEKEEPING_MS, stopping.signal)
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -58,6 +58,8 @@
 
 /** Time after an order within which the list must show it, in ms. */
 const ORDER_SETTLE_MS = 1500
+/** Time for which owners are told of a life that has ended, in ms: many reports. */
+const TELL_ENDED_MS = 5000
 
 export function createFleetOwner(opts: FleetOwnerOptions): FleetOwner {
   const { cloud, authority, configuration, log } = opts
@@ -70,6 +72,8 @@
   /** VMs being emptied, with the reason. */
   const emptying = new Set<string>()
   const hurried = new Set<string>()
+  /** Lives that our orders have ended, with the time of the order. */
+  const endedLives = new Map<string, number>()
   /** Idle VMs that will move once their service starts nothing new there. */
   let reserved = new Set<string>()
   let vms = new Map<string, Vm>()
@@ -126,6 +130,8 @@
     const answer = res.isOk() ? res.value : undefined
     const reason = res.isErr() ? describeError(res.error) : ''
     log.event('vmOrdered', { vm: vm.name, from: vm.pool, ...order, answer, reason })
+    if (answer === 'accepted' && vm.targetId !== '')
+      endedLives.set(vm.targetId, monotonicMs())
     if (answer === 'fenced') authority.lost('the cloud has seen a newer owner')
     // An unanswered order stays pending: it may have been carried out.
     if (answer !== undefined && answer !== 'accepted') pendingOrders.delete(vm.name)
@@ -247,9 +253,13 @@
       const targetsOf = (names: Iterable<string>): string[] =>
         [...names].flatMap((name) => vms.get(name)?.targetId || [])
       const ordered = [...pendingOrders.keys()]
+      for (const [id, at] of endedLives) {
+        if (monotonicMs() - at > TELL_ENDED_MS) endedLives.delete(id)
+      }
       return {
         evacuate: targetsOf([...emptying, ...reserved, ...ordered]),
         hurry: targetsOf([...hurried].filter((name) => emptying.has(name))),
+        ended: [...endedLives.keys()],
       }
     },
     async stop() {
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -33,5 +33,7 @@
   evacuate: z.array(z.string()),
   /** Targets among them whose long tasks should be stopped now. */
   hurry: z.array(z.string()),
+  /** Lives that an accepted order of ours has ended. */
+  ended: z.array(z.string()),
 })
 export type FleetAnswer = z.infer<typeof fleetAnswerSchema>
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -1,5 +1,5 @@
 /** A store, targets and a configuration, for tests of owners without any wire. */
-import type { Documents, Queue, Target } from '../src/ports/index.js'
+import type { Documents, Queue, Target, VmCloud } from '../src/ports/index.js'
 import type { ConfigurationHolder, TargetList } from '../src/directory/index.js'
 import {
   jobSchema,
@@ -79,6 +79,8 @@
   listed: Map<string, Target>
   ledger: RunLedger
   log: ReturnType<typeof createMemoryLogger>
+  /** List of VMs that owners see; undefined for none. */
+  cloud: VmCloud | undefined
   addTarget(id: string, more?: Partial<Target>): SimTarget
   /** Takes a target off the list. */
   unlist(id: string): void
@@ -139,6 +141,7 @@
     listed,
     ledger,
     log,
+    cloud: undefined,
     addTarget(id, more = {}) {
       const target = createSimTarget({ id, capacity: more.capacity ?? CAPACITY, ledger })
       targets.set(id, target)
@@ -182,6 +185,7 @@
       const owner = await createServiceOwner({
         store: table.forNode('n'),
         orders: createSimOrders(targets),
+        cloud: rig.cloud,
         documents: DOCUMENTS,
         configuration,
         targets: targetList,
