feat(sharing): pace what fills beside what serves; advice with tickets

Cause: the sharing and advice contracts were not served; a filler could hold a serving task over its tail bound (HARM), and a queue with a policy could start nothing. Change: a pacer per target halves fillers above 0.8 of the bound and brings them back in small steps below 0.55; tickets are asked for once per waiting step and reused.

--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -208,6 +208,7 @@
             store,
             orders,
             cloud: platform.cloud,
+            advice: platform.advice,
             documents,
             configuration,
             targets,
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -12,6 +12,8 @@
 export const LEASE_MARGIN_MS = 300
 /** Long poll for ends: renews leases at the same time, six times per lease. */
 export const SYNC_WAIT_MS = 1000
+/** The same where tasks that fill in are paced by the reports. */
+export const PACED_WAIT_MS = 500
 /** Pause after a sync that failed. */
 export const SYNC_RETRY_MS = 150
 /** Longest wait for ends to become durable before leases are renewed again. */
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -3,6 +3,7 @@
  * and starts what may start. Everything that it decides rests on the job book.
  */
 import type {
+  Advice,
   Documents,
   RowStore,
   Target,
@@ -20,7 +21,7 @@
   progressKey,
   statusOf,
 } from '../jobs/index.js'
-import type { Job, JobSpec, JobStatus } from '../jobs/index.js'
+import type { Job, JobSpec, JobStatus, Step } from '../jobs/index.js'
 import { GRACE_MS } from '../ownership/index.js'
 import type { Authority, Owner } from '../ownership/index.js'
 import {
@@ -51,6 +52,7 @@
 import { createRunTimes } from './runTimes.js'
 import { readInherited, readIntake } from './takeover.js'
 import type { Inherited } from './takeover.js'
+import { createTickets } from './tickets.js'
 import { createTargetAgent } from './targetAgent.js'
 import { urgencyOf } from './urgency.js'
 import type { TargetAgent } from './targetAgent.js'
@@ -76,6 +78,8 @@
   orders: TargetOrders
   /** Undefined where no cloud is configured. */
   cloud: VmCloud | undefined
+  /** Undefined where no advice service is configured. */
+  advice: Advice | undefined
   documents: Documents
   configuration: ConfigurationHolder
   targets: TargetList
@@ -134,6 +138,7 @@
   const runTimes = createRunTimes()
   const demand = createDemandMeter(runTimes)
   const health = createHealth({ runTimes, agentCount: () => agents.size, log })
+  const tickets = createTickets({ advice: opts.advice, log, changed: wake })
   const lifeCheck = createLifeCheck(opts.cloud, log)
   const inherited = await readUntilDone()
   const roster = createRoster({
@@ -219,6 +224,7 @@
       inheritedLeaseMs: roster.has(target.id) ? inheritedLeaseMs : 0,
       log,
       changed: wake,
+      ticketRefused: (step, id) => tickets.drop(step, id),
       ended: (each, task, kind) => {
         if (kind === 'done') runTimes.note(task, monotonicMs() - task.startedAt)
         health.noteEnd(each, task, kind)
@@ -263,6 +269,14 @@
     }
   }
 
+  const hasPolicy = (step: Step): boolean =>
+    configuration.queue(step.job.spec.queue)?.advice !== undefined
+
+  function allows(agent: TargetAgent, step: Step): boolean {
+    if (!roster.has(agent.target.id) || !health.allows(agent)) return false
+    return !hasPolicy(step) || tickets.find(step, agent) !== undefined
+  }
+
   function plan(): void {
     if (stopping.signal.aborted || !authority.mayOrder()) return
     if (!gateOpen && [...agents.values()].every((agent) => agent.isSettled())) {
@@ -272,17 +286,24 @@
     }
     if (book.ready.size === 0) return
     const now = monotonicMs()
-    const { starts } = planStarts({
+    const { starts, waiting } = planStarts({
       ready: book.ready,
       agents: [...agents.values()],
       urgencyOf: (job) =>
         urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
-      allows: (agent) => roster.has(agent.target.id) && health.allows(agent),
+      allows,
     })
+    for (const step of waiting) {
+      if (hasPolicy(step)) tickets.want(step, [...agents.values()])
+    }
     const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
     for (const { task, agent } of starts) {
       const run = Math.max(task.run + 1, firstRun)
-      agent.start(task, run, '')
+      agent.start(
+        task,
+        run,
+        hasPolicy(task.step) ? (tickets.find(task.step, agent) ?? '') : '',
+      )
       log.event('taskPlaced', {
         task: task.name,
         run,
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -12,7 +12,7 @@
   TargetLink,
   TargetReport,
 } from '../ports/index.js'
-import type { JobBook, Task } from '../jobs/index.js'
+import type { JobBook, Step, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import { createStopController, jittered, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -22,12 +22,15 @@
   FULL_PAUSE_MS,
   LEASE_MARGIN_MS,
   MAX_LISTED_ENDS,
+  PACED_WAIT_MS,
   REFUSED_PAUSE_MS,
   SYNC_RETRY_MS,
   SYNC_WAIT_MS,
   TASK_LEASE_MS,
   TOKENS_PER_TERM,
 } from './constants.js'
+import { createPacer } from '../sharing/index.js'
+import type { SharedRun } from '../sharing/index.js'
 import type { ProgressWriter } from './progressWriter.js'
 import { createRoom } from './room.js'
 import type { Room } from './room.js'
@@ -77,6 +80,8 @@
   /** Time that unknown runs of the predecessor may last, in ms. */
   inheritedLeaseMs: number
   log: Logger
+  /** It did not accept the ticket of a step. */
+  ticketRefused(step: Step, targetId: string): void
   /** Room, state or reports have changed. */
   changed(): void
   /** A run has ended; for evidence about the target. */
@@ -94,6 +99,7 @@
   const bornAt = monotonicMs()
   let target = opts.target
   const room = createRoom(target.capacity)
+  const pacer = createPacer()
   let bump = 0
   let clock: { clockMs: number; at: number } | undefined
   let processedSeq = 0
@@ -218,6 +224,21 @@
     }
   }
 
+  /** Runs that share the target, for the pacer. */
+  const sharedRuns = (): SharedRun[] =>
+    [...placements.values()].flatMap(({ name, task, state, load }) => {
+      if (!task || state !== 'running') return []
+      const { tailMs, fills } = task.step.spec
+      return [{ name, tailMs, fills, load }]
+    })
+
+  function pacePlacements(): void {
+    for (const { name, percent } of pacer.step(sharedRuns(), monotonicMs())) {
+      log.event('taskPaced', { task: name, target: target.id, percent })
+      agent.pace(name, percent)
+    }
+  }
+
   function applyReport(report: TargetReport, reportToken: number): void {
     noteClock(report.clockMs)
     for (const run of report.runs) {
@@ -230,6 +251,7 @@
     if (!heard) log.event('targetHeard', { target: target.id, runs: report.runs.length })
     heard = true
     answering = true
+    pacePlacements()
     opts.changed()
   }
 
@@ -294,7 +316,9 @@
       }
       if (processedSeq > ackedSeq) await progress.flushed(ACK_WAIT_MS)
       const waits = heard && processedSeq === ackedSeq
-      const done = await syncOnce(waits ? SYNC_WAIT_MS : 0)
+      const paced = sharedRuns().some(({ fills }) => fills)
+      const waitMs = paced ? PACED_WAIT_MS : SYNC_WAIT_MS
+      const done = await syncOnce(waits ? waitMs : 0)
       if (!done) await sleep(jittered(SYNC_RETRY_MS), stopping.signal)
     }
   }
@@ -324,7 +348,7 @@
     superseded: () => undefined,
     expired: () => undefined,
     full: () => (pausedUntil = monotonicMs() + FULL_PAUSE_MS),
-    ticket: () => undefined,
+    ticket: ({ task }) => task && opts.ticketRefused(task.step, target.id),
   }
 
   async function sendStart(
--- /dev/null
+++ b/src/sharing/index.ts
@@ -0,0 +1,2 @@
+/** Sharing of targets between tasks that serve and tasks that fill. */
+export * from './pacer.js'
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -186,6 +186,7 @@
         store: table.forNode('n'),
         orders: createSimOrders(targets),
         cloud: rig.cloud,
+        advice: undefined,
         documents: DOCUMENTS,
         configuration,
         targets: targetList,
