--- /dev/null
+++ b/playground/sim/nodeProcess.ts
@@ -0,0 +1,81 @@
+/** Starts `rillshunt-node` as a process of its own against a stand-in platform. */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { SimPlatform } from './wireServer.js'
+
+const HOST = '127.0.0.1'
+const PROGRAM = 'dist/src/bin/node.js'
+
+export interface NodeProcess {
+  name: string
+  /** Where callers come in. */
+  callers: string
+  readiness: string
+  child: ChildProcess
+  /** Everything that it wrote. */
+  output(): string
+  /** Ends it at once; resolves when it is gone. */
+  kill(signal?: NodeJS.Signals): Promise<void>
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+  const { port } = server.address() as { port: number }
+  await new Promise((resolve) => server.close(resolve))
+  return port
+}
+
+/** Starts a node; it is ready once its readiness address says so. */
+export async function startNodeProcess(
+  platform: SimPlatform,
+  name: string,
+  hall: string,
+): Promise<NodeProcess> {
+  const [callers, readiness, nodePort, metricsPort] = await Promise.all([
+    freePort(),
+    freePort(),
+    freePort(),
+    freePort(),
+  ])
+  const file = join(mkdtempSync(join(tmpdir(), 'rillshunt-')), 'node.ini')
+  const settings = [
+    '[node]',
+    `id = ${name}`,
+    `hall = ${hall}`,
+    '[listen]',
+    `address = ${HOST}`,
+    `callers = ${HOST}:${callers}`,
+    `readiness = ${HOST}:${readiness}`,
+    `node_port = ${nodePort}`,
+    `metrics_port = ${metricsPort}`,
+    '[store]',
+    `address = ${platform.storeAddress}`,
+    '[cloud]',
+    `address = ${platform.cloudAddress}`,
+  ]
+  writeFileSync(file, settings.join('\n'))
+  const child = spawn(process.execPath, [PROGRAM, file], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  })
+  let output = ''
+  for (const stream of [child.stdout, child.stderr]) {
+    stream.on('data', (chunk: Buffer) => (output += chunk.toString('utf8')))
+  }
+  const ended = new Promise<void>((resolve) => child.once('exit', () => resolve()))
+  return {
+    name,
+    callers: `${HOST}:${callers}`,
+    readiness: `${HOST}:${readiness}`,
+    child,
+    output: () => output,
+    async kill(signal = 'SIGKILL') {
+      child.kill(signal)
+      await ended
+    },
+  }
+}
