feat(node): metrics, bounded log that never blocks, commands for operators

Change: metrics follow from events by a table of handlers; each kind of event is bounded and what is left out is told; the log is written without blocking; rillshunt node jobs, explain, owners, waves, vms read store and cloud through platform/.

--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -1,9 +1,11 @@
 #!/usr/bin/env node
 /** `rillshunt-node`: takes jobs from callers and runs them on targets. */
+import { isDeepStrictEqual } from 'node:util'
 import {
   createAdviceClient,
   createCloudClient,
   createJobFace,
+  createMetricsFace,
   createOrdersClient,
   createReadinessFace,
   createStoreClient,
@@ -12,24 +14,28 @@
 } from '../../platform/index.js'
 import { loadNodeConfig } from '../config/index.js'
 import type { NodeConfig } from '../config/index.js'
-import { createNode } from '../node/index.js'
-import type { NodePlatform } from '../node/index.js'
-import { EXIT, createLogger } from '../shared/index.js'
+import { createNode, createNodeMetrics } from '../node/index.js'
+import type { NodeMetrics, NodePlatform } from '../node/index.js'
+import type { Logger } from '../shared/index.js'
+import { EXIT, createFdSink, createLogger } from '../shared/index.js'
 
 /** Variable that holds the path of the settings. */
 const SETTINGS_VARIABLE = 'RILLSHUNT_BOOT'
 
-function createPlatform(cfg: NodeConfig): NodePlatform {
-  const store = createStoreClient({ address: cfg.store.address })
+function createPlatform(cfg: NodeConfig, metrics: NodeMetrics): NodePlatform {
+  const onTraffic = metrics.noteCall
+  const store = createStoreClient({ address: cfg.store.address, onTraffic })
   const { address: cloudAddress } = cfg.cloud
-  const cloud = cloudAddress ? createCloudClient({ address: cloudAddress }) : undefined
+  const cloud = cloudAddress
+    ? createCloudClient({ address: cloudAddress, onTraffic })
+    : undefined
   const { address: adviceAddress } = cfg.advice
   const advice = adviceAddress
-    ? createAdviceClient({ address: adviceAddress })
+    ? createAdviceClient({ address: adviceAddress, onTraffic })
     : undefined
   return {
     store,
-    orders: createOrdersClient({}),
+    orders: createOrdersClient({ onTraffic }),
     cloud,
     advice,
     documents: platformDocuments,
@@ -37,6 +43,11 @@
       openFace(createJobFace(jobs, maxBodyBytes), cfg.listen.callers),
     openReadiness: (notReady) =>
       openFace(createReadinessFace(notReady), cfg.listen.readiness),
+    openMetrics: () =>
+      openFace(
+        createMetricsFace(() => metrics.registry.metrics()),
+        `${cfg.listen.address}:${cfg.listen.metrics_port}`,
+      ),
     close() {
       store.close()
       cloud?.close()
@@ -45,6 +56,23 @@
   }
 }
 
+/**
+ * Reads the settings again. What they say of addresses takes effect with the next start;
+ * a difference is logged, so that nobody waits for it.
+ */
+async function reload(file: string, cfg: NodeConfig, log: Logger): Promise<void> {
+  const next = await loadNodeConfig(file)
+  if (next.isErr()) return log.event('settingsRejected', { reason: next.error.message })
+  const changed = Object.keys(cfg).filter(
+    (name) =>
+      !isDeepStrictEqual(
+        cfg[name as keyof NodeConfig],
+        next.value[name as keyof NodeConfig],
+      ),
+  )
+  log.event('settingsReloaded', { file, takesEffectAtStart: changed })
+}
+
 async function main(): Promise<void> {
   const file = process.argv[2] ?? process.env[SETTINGS_VARIABLE]
   if (file === undefined) {
@@ -59,15 +87,20 @@
     return
   }
   const { id, hall } = cfg.value.node
-  const log = createLogger({ level: cfg.value.log.level, base: { node: id, hall } })
-  const kernel = createNode(cfg.value, createPlatform(cfg.value), log)
+  const { level } = cfg.value.log
+  const stream = createFdSink(process.stdout.fd)
+  const metrics = createNodeMetrics()
+  const log = metrics.watch(
+    createLogger({ level, bounded: true, stream, base: { node: id, hall } }),
+  )
+  const kernel = createNode(cfg.value, createPlatform(cfg.value, metrics), log)
   process.once('SIGTERM', () => {
     void kernel
       .stop()
       .then(() => log.close())
       .then(() => process.exit(EXIT.ok))
   })
-  process.on('SIGHUP', () => log.event('settingsReloaded', { file }))
+  process.on('SIGHUP', () => void reload(file, cfg.value, log))
   process.on('uncaughtException', (cause) =>
     log.event('unexpectedError', { reason: cause.stack ?? String(cause) }),
   )
--- a/src/cli/base.ts
+++ b/src/cli/base.ts
@@ -28,15 +28,60 @@
   editor: string
 }
 
+/** Base of all commands: output for people or as JSON. */
+export abstract class OutputCommand extends Command {
+  json = Option.Boolean('--json', false, { description: 'print JSON' })
+
+  /** Prints an error for people or as JSON. */
+  fail(message: string, exitCode: number): number {
+    const text = this.json ? JSON.stringify({ error: message }) : message
+    this.context.stderr.write(`${text}\n`)
+    return exitCode
+  }
+
+  /** Prints a value as JSON, or for people by `human`. */
+  print(value: unknown, human: () => string): void {
+    const text = this.json ? JSON.stringify(value, null, 2) : human()
+    this.context.stdout.write(`${text}\n`)
+  }
+
+  /** Colours that are off unless the output is a terminal. */
+  colors() {
+    const stream = this.context.stdout as { isTTY?: boolean }
+    return pc.createColors(stream.isTTY === true && process.env['NO_COLOR'] === undefined)
+  }
+
+  /** A table for people. */
+  grid(head: string[], lines: (string | number)[][]): string {
+    const none = Object.fromEntries(BORDERS.map((name) => [name, '']))
+    const table = new Table({
+      head: head.map((each) => this.colors().bold(each)),
+      style: { head: [], border: [], 'padding-left': 0, 'padding-right': 2 },
+      chars: none,
+    })
+    table.push(...lines)
+    const text = table.toString()
+    return text
+      .split('\n')
+      .map((line) => line.trimEnd())
+      .join('\n')
+  }
+
+  /** Ends the command with what was thrown. */
+  failWith(cause: unknown): number {
+    const code = cause instanceof CommandFailure ? cause.exitCode : EXIT.failed
+    return this.fail(describeError(cause), code)
+  }
+}
+
 /** Base of all commands that talk to the platform. */
-export abstract class PlatformCommand extends Command {
+export abstract class PlatformCommand extends OutputCommand {
   url = Option.String('--platform', {
     description: 'address of the platform; RILLSHUNT_PLATFORM otherwise',
   })
   editorName = Option.String('--editor', {
     description: 'whose draft to use; RILLSHUNT_EDITOR or USER otherwise',
   })
-  json = Option.Boolean('--json', false, { description: 'print JSON' })
 
   /** The command itself; its number is the exit code. */
   abstract run(session: Session): Promise<number>
@@ -65,47 +110,11 @@
     try {
       return await this.run({ platform, store: createTableStore(platform), editor })
     } catch (cause) {
-      const code = cause instanceof CommandFailure ? cause.exitCode : EXIT.failed
-      return this.fail(describeError(cause), code)
+      return this.failWith(cause)
     } finally {
       await platform.close()
     }
   }
-
-  /** Prints an error for people or as JSON. */
-  fail(message: string, exitCode: number): number {
-    const text = this.json ? JSON.stringify({ error: message }) : message
-    this.context.stderr.write(`${text}\n`)
-    return exitCode
-  }
-
-  /** Prints a value as JSON, or for people by `human`. */
-  print(value: unknown, human: () => string): void {
-    const text = this.json ? JSON.stringify(value, null, 2) : human()
-    this.context.stdout.write(`${text}\n`)
-  }
-
-  /** Colours that are off unless the output is a terminal. */
-  colors() {
-    const stream = this.context.stdout as { isTTY?: boolean }
-    return pc.createColors(stream.isTTY === true && process.env['NO_COLOR'] === undefined)
-  }
-
-  /** A table for people. */
-  grid(head: string[], lines: (string | number)[][]): string {
-    const none = Object.fromEntries(BORDERS.map((name) => [name, '']))
-    const table = new Table({
-      head: head.map((each) => this.colors().bold(each)),
-      style: { head: [], border: [], 'padding-left': 0, 'padding-right': 2 },
-      chars: none,
-    })
-    table.push(...lines)
-    const text = table.toString()
-    return text
-      .split('\n')
-      .map((line) => line.trimEnd())
-      .join('\n')
-  }
 }
 
 const BORDERS = [
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -4,6 +4,7 @@
 import { Explain } from './explainCommand.js'
 import { Jobs, Pools, Vms, Waves } from './fleetCommands.js'
 import { TableAccept } from './acceptCommand.js'
+import * as nodeCommands from './nodeCommands.js'
 import * as draftCommands from './draftCommands.js'
 import * as sheetCommands from './sheetCommands.js'
 import * as statusCommands from './statusCommands.js'
@@ -12,6 +13,7 @@
 export function createCli(): Cli {
   const cli = new Cli({ binaryLabel: 'rillshunt', binaryName: 'rillshunt' })
   const own: CommandClass[] = [
+    ...Object.values(nodeCommands),
     ...Object.values(draftCommands),
     ...Object.values(sheetCommands),
     ...Object.values(statusCommands),
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,2 +1,3 @@
 /** `rillshunt-node`: everything that runs on an entry VM of the platform. */
 export * from './nodeServices.js'
+export * from './nodeMetrics.js'
--- /dev/null
+++ b/src/node/nodeMetrics.ts
@@ -0,0 +1,93 @@
+/**
+ * Metrics of a node, by prom-client. Most follow from the events, so that log and metrics
+ * cannot tell different stories; calls to outside services report for themselves.
+ */
+import { Counter, Histogram, Registry } from 'prom-client'
+import type { EventFields, EventName, Logger } from '../shared/index.js'
+
+/** Upper bounds in seconds: calls take some ms, jobs some seconds. */
+const BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32]
+
+export interface NodeMetrics {
+  registry: Registry
+  /** Notes a call to an outside service. */
+  noteCall(step: string, ms: number, sent: number, received: number): void
+  /** A logger that counts what passes through it. */
+  watch(log: Logger): Logger
+}
+
+const numberOf = (fields: EventFields, name: string): number => Number(fields[name] ?? 0)
+
+export function createNodeMetrics(): NodeMetrics {
+  const registry = new Registry()
+  const registers = [registry]
+  const events = new Counter({
+    name: 'rillshunt_events_total',
+    help: 'events by name; the catalogue is docs/events.md',
+    labelNames: ['name'],
+    registers,
+  })
+  const calls = new Histogram({
+    name: 'rillshunt_call_seconds',
+    help: 'time of calls to store, targets, cloud and advice, by step',
+    labelNames: ['step'],
+    buckets: BUCKETS_S,
+    registers,
+  })
+  const bytes = new Counter({
+    name: 'rillshunt_call_bytes_total',
+    help: 'bytes of bodies, by step and direction',
+    labelNames: ['step', 'direction'],
+    registers,
+  })
+  const waits = new Histogram({
+    name: 'rillshunt_task_wait_seconds',
+    help: 'time from when a task may start to its start order',
+    buckets: BUCKETS_S,
+    registers,
+  })
+  const jobs = new Histogram({
+    name: 'rillshunt_job_seconds',
+    help: 'time from taking a job on to its durable outcome, by outcome',
+    labelNames: ['outcome'],
+    buckets: BUCKETS_S,
+    registers,
+  })
+  const runEnds = new Counter({
+    name: 'rillshunt_runs_ended_total',
+    help: 'ends of runs, by kind',
+    labelNames: ['kind'],
+    registers,
+  })
+
+  /** What an event means for a metric, beyond being counted. */
+  const HANDLERS: Partial<Record<EventName, (fields: EventFields) => void>> = {
+    taskPlaced: (fields) => waits.observe(numberOf(fields, 'waitedMs') / 1000),
+    runEnded: (fields) => runEnds.inc({ kind: String(fields['kind']) }),
+    jobSettled: (fields) =>
+      jobs.observe(
+        { outcome: String(fields['outcome']) },
+        numberOf(fields, 'tookMs') / 1000,
+      ),
+  }
+
+  const watch = (log: Logger): Logger => ({
+    ...log,
+    event(name, fields = {}) {
+      events.inc({ name })
+      HANDLERS[name]?.(fields)
+      log.event(name, fields)
+    },
+    child: (fields) => watch(log.child(fields)),
+  })
+
+  return {
+    registry,
+    watch,
+    noteCall(step, ms, sent, received) {
+      calls.observe({ step }, ms / 1000)
+      bytes.inc({ step, direction: 'sent' }, sent)
+      bytes.inc({ step, direction: 'received' }, received)
+    },
+  }
+}
--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -24,7 +24,12 @@
 } from '../ports/index.js'
 import { createServiceOwner } from '../scheduler/index.js'
 import type { ServiceOwner } from '../scheduler/index.js'
-import { KernelError, createStopController, sleep } from '../shared/index.js'
+import {
+  KernelError,
+  createStopController,
+  describeError,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { REPORT_MS, createFleetOwner } from '../vms/index.js'
 import type { FleetOwner } from '../vms/index.js'
@@ -40,6 +45,8 @@
   openCallers(jobs: JobService, maxBodyBytes: () => number): Promise<Server>
   /** Opens the address where the platform asks whether the node is ready. */
   openReadiness(notReady: () => string | undefined): Promise<Server>
+  /** Opens the address for metrics. */
+  openMetrics(): Promise<Server>
   close(): void
 }
 
@@ -59,6 +66,7 @@
     owners: OwnerTable
     ownerCalls: OwnerCalls & { server: Server }
     reports: { stop(): Promise<void> }
+    metricsFace: { server: Server | undefined }
     callers: { server: Server }
     readiness: { server: Server }
     departure: { depart(): Promise<void> }
@@ -288,6 +296,25 @@
     stop: (reports) => reports.stop(),
   })
 
+const metricsService = () =>
+  defineService({
+    name: 'metricsFace',
+    needs: ['nodePlatform'],
+    // A node without metrics still serves: its port may be taken by something else.
+    async start({ get, log }) {
+      try {
+        return { server: await get('nodePlatform').openMetrics() }
+      } catch (cause) {
+        log.event('metricsNotServed', { reason: describeError(cause) })
+        return { server: undefined }
+      }
+    },
+    async stop({ server }) {
+      server?.close()
+      server?.closeAllConnections()
+    },
+  })
+
 const callersService = () =>
   defineService({
     name: 'callers',
@@ -361,6 +388,7 @@
       ownershipService(cfg),
       ownerCallsService(cfg),
       reportsService(),
+      metricsService(),
       callersService(),
       readinessService(),
       departureService(),
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -22,7 +22,8 @@
   TAKEOVER_MARGIN_MS,
 } from './constants.js'
 
-const NODES_TABLE = 'nodes'
+/** One row per node; the part is empty. */
+export const NODES_TABLE = 'nodes'
 const NODES_PART = ''
 
 const nodeSchema = z.object({
@@ -38,6 +39,11 @@
 })
 export type NodeRow = z.infer<typeof nodeSchema>
 
+/** Reads a node's row; undefined when it has the wrong shape. */
+export function decodeNode(value: string): NodeRow | undefined {
+  return nodeSchema.safeParse(JSON.parse(value)).data
+}
+
 /** A node as last seen. */
 export interface Member extends NodeRow {
   id: string
@@ -162,12 +168,11 @@
   function note(row: { key: string; value: string; version: number }): void {
     const known = members.get(row.key)
     if (known?.version === row.version) return
-    const parsed = nodeSchema.safeParse(JSON.parse(row.value))
-    if (!parsed.success)
-      return log.event('rowInvalid', { table: NODES_TABLE, key: row.key })
-    if (!known) log.event('nodeSeen', { seen: row.key, life: parsed.data.life })
+    const node = decodeNode(row.value)
+    if (!node) return log.event('rowInvalid', { table: NODES_TABLE, key: row.key })
+    if (!known) log.event('nodeSeen', { seen: row.key, life: node.life })
     const { version } = row
-    members.set(row.key, { ...parsed.data, id: row.key, version, seenAt: now() })
+    members.set(row.key, { ...node, id: row.key, version, seenAt: now() })
   }
 
   async function poll(): Promise<boolean> {
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -24,7 +24,7 @@
 import type { Member, NodeRegistry } from './nodeRegistry.js'
 
 /** Rows of epochs; the part is the service, as for the rows that depend on them. */
-const EPOCH_TABLE = 'epochs'
+export const EPOCH_TABLE = 'epochs'
 const EPOCH_KEY = 'epoch'
 
 /** The fleet of VMs is owned like a service, under a name that no service can have. */
@@ -39,6 +39,11 @@
 })
 type EpochRow = z.infer<typeof epochSchema>
 
+/** Reads an epoch row; undefined when it has the wrong shape. */
+export function decodeEpoch(value: string): EpochRow | undefined {
+  return epochSchema.safeParse(JSON.parse(value)).data
+}
+
 /** The right to act for a service. */
 export interface Authority {
   readonly service: string
@@ -174,8 +179,7 @@
     if (found.isErr())
       return log.event('claimFailed', { service, reason: describeError(found.error) })
     const row = found.value.rows[0]
-    const parsed = row && epochSchema.safeParse(JSON.parse(row.value))
-    const before = parsed?.success ? parsed.data : undefined
+    const before = row && decodeEpoch(row.value)
     if (before && !isHolderGone(before, service)) return
     const sentAt = now()
     const { id, life } = registry.self
@@ -310,6 +314,6 @@
 }
 
 function isOwn(value: string, row: EpochRow): boolean {
-  const parsed = epochSchema.safeParse(JSON.parse(value))
-  return parsed.success && parsed.data.life === row.life && parsed.data.term === row.term
+  const current = decodeEpoch(value)
+  return current?.life === row.life && current.term === row.term
 }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -118,7 +118,11 @@
     authority,
     log,
     settled: (job) =>
-      log.event('jobSettled', { job: job.spec.id, outcome: job.durableOutcome }),
+      log.event('jobSettled', {
+        job: job.spec.id,
+        outcome: job.durableOutcome,
+        tookMs: Math.round(monotonicMs() - job.arrivedAt),
+      }),
   })
 
   const book = createJobBook({
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -120,6 +120,12 @@
   waveNotWritten: spec('RS-9006', 'warn', 'progress of a wave could not be written yet'),
   evacuating: spec('RS-9007', 'info', 'target is being emptied for its VM'),
   lastingMoved: spec('RS-9008', 'info', 'lasting task stopped to start elsewhere'),
+  settingsRejected: spec(
+    'RS-8044',
+    'error',
+    'settings file cannot be used; the old settings stay',
+  ),
+  metricsNotServed: spec('RS-8045', 'warn', 'metrics cannot be served'),
   peerMessageRefused: spec('RS-6003', 'warn', 'message of a peer refused'),
 } as const satisfies Record<string, EventSpec>
 
--- a/src/shared/logger.ts
+++ b/src/shared/logger.ts
@@ -5,6 +5,7 @@
 import winston from 'winston'
 import type { EventLevel, EventName } from './events.js'
 import { EVENTS } from './events.js'
+import { createEventLimit } from './eventLimit.js'
 import { createLineBuffer } from './lineBuffer.js'
 
 /** Values that an event may carry. */
@@ -34,6 +35,11 @@
    * @default true
    */
   routing?: boolean
+  /**
+   * Whether lines of one kind are bounded; see `eventLimit.ts`.
+   * @default false
+   */
+  bounded?: boolean
   /** Fields of every line, such as the node and its hall. */
   base?: EventFields
   /**
@@ -51,6 +57,8 @@
   'requestEnded',
 ])
 
+const UNLIMITED = { allowed: true, leftOut: 0 }
+
 /** winston's names of the properties that its transports read. */
 const LEVEL = Symbol.for('level')
 const MESSAGE = Symbol.for('message')
@@ -77,10 +85,13 @@
     if (!routing && ROUTING_EVENTS.has(name)) return false
     return LEVEL_ORDER[EVENTS[name].level] <= LEVEL_ORDER[level]
   }
+  const limit = opts.bounded ? createEventLimit() : undefined
   const make = (extra: EventFields): Logger => ({
     enabled,
     event(name, fields) {
       if (!enabled(name)) return
+      const { allowed, leftOut } = limit?.take(name) ?? UNLIMITED
+      if (!allowed) return
       const { id, level, text } = EVENTS[name]
       // Straight into winston's stream: `log` would copy the fields once more.
       sink.write({
@@ -89,6 +100,7 @@
         event: id,
         name,
         message: text,
+        ...(leftOut > 0 && { leftOut }),
         ...extra,
         ...fields,
       })
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -8,10 +8,16 @@
 import { describeError, monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 
-const WAVES_TABLE = 'waves'
+/** Progress of waves; the part is the fleet's. */
+export const WAVES_TABLE = 'waves'
 
 const waveRowSchema = z.object({ begun: z.array(z.string()) })
 
+/** Reads the row of a wave; undefined when it has the wrong shape. */
+export function decodeWaveRow(value: string): z.infer<typeof waveRowSchema> | undefined {
+  return waveRowSchema.safeParse(JSON.parse(value)).data
+}
+
 /** One wave as this owner carries it out. */
 export interface WaveProgress {
   wave: Wave
@@ -59,8 +65,7 @@
       })
     }
     const row = rows.value.rows[0]
-    const parsed = row && waveRowSchema.safeParse(JSON.parse(row.value))
-    const begun = new Set(parsed?.success ? parsed.data.begun : [])
+    const begun = new Set(row && decodeWaveRow(row.value)?.begun)
     const seenAt = monotonicMs()
     waves.set(wave.id, { wave, begun, seenAt, status: 'new', dirty: false })
     log.event('waveSeen', { wave: wave.id, vms: wave.vms.length, begun: begun.size })
