--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -95,6 +95,8 @@
   const { service } = authority
   const stopping = createStopController()
   const agents = new Map<string, TargetAgent>()
+  /** Lives that are over, while the list still shows them. */
+  const goneLives = new Set<string>()
   let planned = false
   let gateOpen = false
 
@@ -236,6 +238,7 @@
       failed: () => undefined,
       gone: (each) => {
         agents.delete(each.target.id)
+        goneLives.add(each.target.id)
         health.forget(each)
         roster.remove(each.target.id)
         void each.close()
@@ -252,11 +255,12 @@
       if (target.service !== service) continue
       const agent = agents.get(target.id)
       if (agent) agent.update(target)
-      else if (!target.draining) {
+      else if (!target.draining && !goneLives.has(target.id)) {
         openAgent(target)
         roster.add(target)
       }
     }
+    for (const id of goneLives) if (!listed.has(id)) goneLives.delete(id)
     for (const agent of agents.values()) {
       if (!listed.has(agent.target.id)) agent.update({ ...agent.target, draining: true })
     }
