fix(vms): a life is over only when the list shows it; unheard targets are not empty

Change: a life counts as ended when a reading of the list after the order shows it; a target that does not answer, or has not yet, counts as in use; reports of a deposed owner are passed over.

--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -85,7 +85,8 @@
   const { capacity, free } = agent.room
   return {
     id: agent.target.id,
-    runs: placements.length,
+    // What runs on a target that does not answer, or has not yet, is not known.
+    runs: agent.isAnswering() ? placements.length : Math.max(1, placements.length),
     lasting,
     evacuating: agent.evacuating,
     usedCpu: capacity.cpu - free.cpu,
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -53,6 +53,10 @@
 interface PendingOrder {
   kind: 'move' | 'maintain'
   pool: string
+  /** Life that the order ends. */
+  targetId: string
+  /** Steady time of the order, and after which it is not waited for, in ms. */
+  at: number
   until: number
 }
 
@@ -111,27 +115,36 @@
     listedAt = sentAt
     vms = new Map(res.value.map((vm) => [vm.name, vm]))
     for (const [name, order] of pendingOrders) {
-      const vm = vms.get(name)
-      if (!vm || vm.state !== 'up' || sentAt > order.until) pendingOrders.delete(name)
-      else if (order.kind === 'move' && vm.pool === order.pool) pendingOrders.delete(name)
+      // A reading from before the order says nothing about it.
+      if (sentAt >= order.at) settleOrder(name, order, sentAt)
     }
   }
 
+  /**
+   * Compares an order with a later reading of the list. Only that shows that a life is
+   * over: an order that was done already is accepted as well, and ends nothing.
+   */
+  function settleOrder(name: string, order: PendingOrder, readAt: number): void {
+    const vm = vms.get(name)
+    const ended = !vm || vm.state !== 'up' || vm.targetId !== order.targetId
+    if (ended && order.targetId !== '') endedLives.set(order.targetId, monotonicMs())
+    if (ended || readAt > order.until) pendingOrders.delete(name)
+  }
+
   /** Gives an order, if this node is still the one to give it. */
   async function give(
     vm: Vm,
-    order: Omit<PendingOrder, 'until'>,
+    order: Pick<PendingOrder, 'kind' | 'pool'>,
     send: () => ReturnType<VmCloud['move']>,
   ): Promise<VmOrderAnswer | undefined> {
     if (!authority.isConfirmed()) return undefined
-    const until = monotonicMs() + ORDER_SETTLE_MS
-    pendingOrders.set(vm.name, { ...order, until })
+    const at = monotonicMs()
+    const { targetId } = vm
+    pendingOrders.set(vm.name, { ...order, targetId, at, until: at + ORDER_SETTLE_MS })
     const res = await send()
     const answer = res.isOk() ? res.value : undefined
     const reason = res.isErr() ? describeError(res.error) : ''
     log.event('vmOrdered', { vm: vm.name, from: vm.pool, ...order, answer, reason })
-    if (answer === 'accepted' && vm.targetId !== '')
-      endedLives.set(vm.targetId, monotonicMs())
     if (answer === 'fenced') authority.lost('the cloud has seen a newer owner')
     // An unanswered order stays pending: it may have been carried out.
     if (answer !== undefined && answer !== 'accepted') pendingOrders.delete(vm.name)
@@ -249,6 +262,10 @@
 
   return {
     report(report) {
+      const known = reports.get(report.service)
+      // A deposed owner may go on reporting for a while.
+      const stale = known !== undefined && known.report.term > report.term
+      if (stale) return { evacuate: [], hurry: [], ended: [] }
       reports.set(report.service, { report, at: monotonicMs() })
       const targetsOf = (names: Iterable<string>): string[] =>
         [...names].flatMap((name) => vms.get(name)?.targetId || [])
