--- a/playground/__tests__/node.spec.ts
+++ b/playground/__tests__/node.spec.ts
@@ -52,6 +52,16 @@
   }
 }
 
+/** The first answer of an address that is about to open. */
+async function firstAnswer(url: string) {
+  for (let tries = 0; tries < 100; tries++) {
+    const res = await request(url).catch(() => undefined)
+    if (res) return res
+    await sleep(100)
+  }
+  throw new Error(`${url} did not open`)
+}
+
 async function untilReady(nodes: NodeProcess[]): Promise<void> {
   for (const node of nodes) {
     for (let tries = 0; tries < 100; tries++) {
@@ -157,6 +167,21 @@
     await platform.close()
   })
 
+  it('says 503 when its settings cannot be used', async (t) => {
+    const { platform, nodes } = await startAll(1)
+    const node = await startNodeProcess(platform, 'n9', 'h1', [
+      '[targets]',
+      'orders = heartbeat',
+    ])
+    const res = await firstAnswer(`http://${node.readiness}/readiness`)
+    t.is(res.statusCode, 503)
+    t.true((await res.body.text()).includes('[targets] orders'))
+    t.is((await request(`http://${node.callers}/one/${jobId(1)}`)).statusCode, 503)
+    t.is(node.child.exitCode, null)
+    await Promise.all([node, ...nodes].map((each) => each.kill()))
+    await platform.close()
+  })
+
   it('carries a wave out, empties before it, and says so', async (t) => {
     const { platform, nodes } = await startAll(2)
     const spec = JSON.stringify({ ms: 300, cpu: 1000 })
--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -35,6 +35,7 @@
   platform: SimPlatform,
   name: string,
   hall: string,
+  moreSettings: string[] = [],
 ): Promise<NodeProcess> {
   const [callers, readiness, nodePort, metricsPort] = await Promise.all([
     freePort(),
@@ -57,6 +58,7 @@
     `address = ${platform.storeAddress}`,
     '[cloud]',
     `address = ${platform.cloudAddress}`,
+    ...moreSettings,
   ]
   writeFileSync(file, settings.join('\n'))
   const child = spawn(process.execPath, [PROGRAM, file], {
--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -14,7 +14,7 @@
 } from '../../platform/index.js'
 import { loadNodeConfig } from '../config/index.js'
 import type { NodeConfig } from '../config/index.js'
-import { createNode, createNodeMetrics } from '../node/index.js'
+import { createNode, createNodeMetrics, serveUnavailable } from '../node/index.js'
 import type { NodeMetrics, NodePlatform } from '../node/index.js'
 import type { Logger } from '../shared/index.js'
 import { EXIT, createFdSink, createLogger } from '../shared/index.js'
@@ -83,7 +83,7 @@
   const cfg = await loadNodeConfig(file)
   if (cfg.isErr()) {
     process.stderr.write(`${cfg.error.message}\n`)
-    process.exitCode = EXIT.usage
+    if (serveUnavailable(file, cfg.error.message) === 0) process.exitCode = EXIT.usage
     return
   }
   const { id, hall } = cfg.value.node
--- a/src/config/__tests__/resolveConfig.spec.ts
+++ b/src/config/__tests__/resolveConfig.spec.ts
@@ -1,7 +1,8 @@
 import { readFileSync } from 'node:fs'
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
-import { allowedKeys, parseConfig, printConfig } from '../index.js'
+import { allowedKeys, parseConfig, parseNodeConfig, printConfig } from '../index.js'
+import { nodeConfigSchema } from '../nodeSchema.js'
 import { configSchema } from '../schema.js'
 
 const GOOD = `
@@ -117,3 +118,62 @@
     }
   })
 })
+
+const NODE = `
+[node]
+id = n1
+hall = h1
+[listen]
+address = 10.0.0.1
+callers = 10.0.0.1:80
+readiness = 10.0.0.1:81
+[store]
+address = 10.0.0.2:90
+[cloud]
+address =
+`
+
+describe('parseNodeConfig', () => {
+  it('fills defaults in, and takes a key without a value for absent', (t) => {
+    const cfg = parseNodeConfig(NODE)._unsafeUnwrap()
+    t.is(cfg.listen.node_port, 7060)
+    t.is(cfg.cloud.address, undefined)
+    t.is(cfg.cloud.move_time, 1500)
+  })
+
+  const cases: [change: [string, string], message: RegExp][] = [
+    [
+      ['[cloud]', '[targets]\norders = heartbeat\n[cloud]'],
+      /\[targets\] orders: only 'call'/,
+    ],
+    [
+      ['address = 10.0.0.2:90', 'address = 10.0.0.2:90\nform = log'],
+      /\[store\] form: only/,
+    ],
+    [
+      ['[cloud]', '[contracts]\nin_force = base,magic\n[cloud]'],
+      /\[contracts\] in_force/,
+    ],
+    [['10.0.0.2:90', 'store.example:90'], /\[store\] address: 'store.example:90' is not/],
+    [['id = n1', ''], /\[node\] id: is required/],
+    [['hall = h1', 'hall = h1\nhal = h2'], /\[node\] hal: unknown key/],
+  ]
+  for (const [[from, to], message] of cases) {
+    it(`names the mistake in '${to.replaceAll('\n', ' ')}'`, (t) => {
+      const res = parseNodeConfig(NODE.replace(from, to), 'f.ini')
+      t.regex(res._unsafeUnwrapErr().message, message)
+      t.regex(res._unsafeUnwrapErr().message, /^f\.ini: /)
+    })
+  }
+})
+
+describe('docs/node-config.md', () => {
+  it('describes every key of every section', (t) => {
+    const page = readFileSync('docs/node-config.md', 'utf8')
+    for (const section of Object.keys(nodeConfigSchema.shape)) {
+      const part = page.split(`## [${section}]`)[1]?.split('\n## ')[0] ?? ''
+      const listed = [...part.matchAll(/^\| `(\w+)` +\|/gm)].map(([, key]) => key!)
+      t.deepEqual(listed.sort(), allowedKeys(section, nodeConfigSchema).sort(), section)
+    }
+  })
+})
--- /dev/null
+++ b/src/directory/__tests__/configurationHolder.spec.ts
@@ -0,0 +1,79 @@
+import { createRowTable } from '../../../playground/sim/rowTable.js'
+import { describe, it } from '../../../test/describe.js'
+import { platformDocuments } from '../../../platform/index.js'
+import { createMemoryLogger, sleep } from '../../shared/index.js'
+import { createConfigurationHolder } from '../index.js'
+
+const KEY = { table: 'op', part: '', key: 'config' }
+
+const configuration = (version: number, prefixes: string[]): string =>
+  JSON.stringify({
+    version,
+    routes: prefixes.map((prefix) => ({
+      name: `r${prefix}`,
+      host: 'h.example',
+      path_prefix: prefix,
+      service: 's',
+    })),
+    services: [{ name: 's' }],
+  })
+
+function start() {
+  const table = createRowTable()
+  const holder = createConfigurationHolder({
+    store: table.forNode('n'),
+    documents: platformDocuments.operator,
+    log: createMemoryLogger(),
+  })
+  return { table, holder }
+}
+
+describe('createConfigurationHolder', () => {
+  it('puts a new configuration in force at once', async (t) => {
+    const { table, holder } = start()
+    table.put(KEY, configuration(1, ['/a/']))
+    await sleep(300)
+    t.is(holder.current()?.version, 1)
+    table.put(KEY, configuration(5, ['/a/', '/b/']))
+    await sleep(50)
+    t.is(holder.current()?.version, 5)
+    await holder.stop()
+  })
+
+  it('never goes back, and keeps what it has when a document is wrong', async (t) => {
+    const { table, holder } = start()
+    table.put(KEY, configuration(5, ['/a/']))
+    await sleep(300)
+    table.put(KEY, configuration(4, ['/b/']))
+    table.put(KEY, '{"version":9}')
+    table.put(KEY, 'no json')
+    await sleep(100)
+    t.is(holder.current()?.version, 5)
+    await holder.stop()
+  })
+
+  it('reads afresh when the history is gone', async (t) => {
+    const { table, holder } = start()
+    table.put(KEY, configuration(1, ['/a/']))
+    await sleep(300)
+    table.faults.down = true
+    await sleep(1500)
+    table.put(KEY, configuration(2, ['/a/']))
+    table.compact()
+    table.faults.down = false
+    await sleep(900)
+    t.is(holder.current()?.version, 2)
+    await holder.stop()
+  })
+
+  it('matches the longest prefix', async (t) => {
+    const { table, holder } = start()
+    table.put(KEY, configuration(1, ['/a/', '/a/b/']))
+    await sleep(300)
+    t.is(holder.match('h.example', '/a/b/1')?.pathPrefix, '/a/b/')
+    t.is(holder.match('h.example', '/a/c')?.pathPrefix, '/a/')
+    t.is(holder.match('h.example', '/c')?.pathPrefix, undefined)
+    t.is(holder.match('other.example', '/a/'), undefined)
+    await holder.stop()
+  })
+})
--- /dev/null
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -0,0 +1,148 @@
+import fc from 'fast-check'
+import { describe, it } from '../../../test/describe.js'
+import { QUEUE, makeJob } from '../../../test/jobRig.js'
+import { createJobBook } from '../../jobs/index.js'
+import type { JobSpec } from '../../jobs/index.js'
+import { planStarts } from '../planner.js'
+import { createRoom, needOf } from '../room.js'
+import { createRunTimes } from '../runTimes.js'
+import type { TargetAgent } from '../targetAgent.js'
+import { compareUrgency, urgencyOf } from '../urgency.js'
+
+function fakeAgent(
+  id: string,
+  cpu: number,
+  labels = ['r1-1'],
+  usable = true,
+): TargetAgent {
+  const capacity = { cpu, memMb: 100_000, gpu: 0 }
+  return {
+    target: {
+      id,
+      service: 's',
+      address: id,
+      hall: 'h',
+      draining: false,
+      capacity,
+      labels,
+    },
+    placements: new Map(),
+    room: createRoom(capacity),
+    isUsable: () => usable,
+  } as unknown as TargetAgent
+}
+
+function readyOf(jobs: JobSpec[]) {
+  const book = createJobBook({
+    rulesOf: () => ({ maxAttempts: 1 }),
+    now: () => 0,
+    wallMs: () => 0,
+    changed: () => undefined,
+    dropped: () => undefined,
+    wake: () => undefined,
+    ended: () => undefined,
+  })
+  for (const job of jobs) book.add(job)
+  return book.ready
+}
+
+const plan = (jobs: JobSpec[], agents: TargetAgent[], avoided = '') =>
+  planStarts({
+    ready: readyOf(jobs),
+    agents,
+    urgencyOf: (job) => urgencyOf(job, QUEUE, createRunTimes(), 0),
+    allows: () => true,
+    avoids: ({ target }) => target.id === avoided,
+  })
+
+describe('planStarts', () => {
+  it('never goes beyond the room of a target', (t) => {
+    const counts = fc.array(
+      fc.record({
+        count: fc.integer({ min: 1, max: 9 }),
+        cpu: fc.integer({ min: 0, max: 3000 }),
+      }),
+      { maxLength: 12 },
+    )
+    fc.assert(
+      fc.property(
+        counts,
+        fc.array(fc.integer({ min: 0, max: 6000 }), { maxLength: 5 }),
+        (steps, rooms) => {
+          const jobs = steps.map(({ count, cpu }) => makeJob({ cpu }, [{ count, cpu }]))
+          const agents = rooms.map((cpu, index) => fakeAgent(`t${index}`, cpu))
+          const { starts } = plan(jobs, agents)
+          for (const agent of agents) {
+            const here = starts.filter((start) => start.agent === agent)
+            const used = here.reduce((sum, { task }) => sum + needOf(task.step).cpu, 0)
+            if (used > agent.room.capacity.cpu) return false
+          }
+          return new Set(starts.map(({ task }) => task)).size === starts.length
+        },
+      ),
+    )
+    t.pass()
+  })
+
+  it('keeps to label, spread and unusable targets', (t) => {
+    const agents = [
+      fakeAgent('t1', 9000, ['r1-1', 'x']),
+      fakeAgent('t2', 9000),
+      fakeAgent('t3', 9000, ['r1-1', 'x'], false),
+    ]
+    const labelled = plan([makeJob({ cpu: 10 }, [{ count: 3, label: 'x' }])], agents)
+    t.deepEqual(
+      labelled.starts.map(({ agent }) => agent.target.id),
+      ['t1', 't1', 't1'],
+    )
+    const spread = plan([makeJob({ cpu: 10 }, [{ count: 3, maxPerTarget: 1 }])], agents)
+    t.deepEqual(spread.starts.map(({ agent }) => agent.target.id).sort(), ['t1', 't2'])
+    t.is(spread.waiting.size, 1)
+  })
+
+  it('prefers the rack of the data, and suspects only where nothing else fits', (t) => {
+    const agents = [fakeAgent('t1', 2000, ['r1-1']), fakeAgent('t2', 2000, ['r1-2'])]
+    const near = plan([makeJob({ cpu: 900 }, [{ count: 2, dataRack: 'r1-2' }])], agents)
+    t.deepEqual(
+      near.starts.map(({ agent }) => agent.target.id),
+      ['t2', 't2'],
+    )
+    const avoided = plan([makeJob({ cpu: 1500 }, [{ count: 2 }])], agents, 't1')
+    t.deepEqual(
+      avoided.starts.map(({ agent }) => agent.target.id),
+      ['t2', 't1'],
+    )
+  })
+
+  it('starts a gang whole or not at all, in one rack where it asks for that', (t) => {
+    const agents = [
+      fakeAgent('t1', 1000, ['r1-1']),
+      fakeAgent('t2', 1000, ['r1-2']),
+      fakeAgent('t3', 1000, ['r1-2']),
+    ]
+    const gang = (count: number) =>
+      makeJob({ cpu: 1000 }, [{ count, gang: true, sameRack: true }])
+    t.deepEqual(
+      plan([gang(2)], agents).starts.map(({ agent }) => agent.target.id),
+      ['t2', 't3'],
+    )
+    t.is(plan([gang(3)], agents).starts.length, 3)
+    t.is(plan([gang(4)], agents).starts.length, 0)
+  })
+})
+
+describe('compareUrgency', () => {
+  it('puts what can be in time before what is late, and that before what is useless', (t) => {
+    const base = { priority: 0, deadline: 5 }
+    const order = [
+      { ...base, standing: 'useless' as const, deadline: 1 },
+      { ...base, standing: 'timely' as const },
+      { ...base, standing: 'late' as const, deadline: 2 },
+      { ...base, standing: 'timely' as const, priority: 1 },
+    ].sort(compareUrgency)
+    t.deepEqual(
+      order.map(({ standing }) => standing),
+      ['timely', 'late', 'useless', 'timely'],
+    )
+  })
+})
--- /dev/null
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -0,0 +1,192 @@
+import { ok } from 'neverthrow'
+import { createRowTable } from '../../../playground/sim/rowTable.js'
+import { describe, it } from '../../../test/describe.js'
+import type { ConfigurationHolder } from '../../directory/index.js'
+import type { Authority } from '../../ownership/index.js'
+import type { Documents, Vm, VmCloud, Wave } from '../../ports/index.js'
+import { createMemoryLogger, sleep } from '../../shared/index.js'
+import { createFleetOwner } from '../index.js'
+import type { FleetOwner, ServiceReport, TargetLoad } from '../index.js'
+
+const EPOCH = { table: 'epochs', part: '~fleet', key: 'epoch' }
+
+const vmOf = (number: number, pool: string): Vm => ({
+  name: `m${number}`,
+  pool,
+  state: 'up',
+  hall: 'h1',
+  labels: [],
+  capacity: { cpu: 10_000, memMb: 1000, gpu: 0 },
+  targetId: `i${number}`,
+})
+
+const load = (id: string, runs: number, evacuating: boolean): TargetLoad => ({
+  id,
+  runs,
+  lasting: 0,
+  evacuating,
+  usedCpu: 0,
+})
+
+const reportOf = (
+  service: string,
+  neededCpu: number,
+  targets: TargetLoad[],
+  term = 1,
+): ServiceReport => ({ service, term, neededCpu, minTargets: 1, targets })
+
+function startFleet(vms: Vm[], waves: Wave[] = []) {
+  const table = createRowTable()
+  const version = table.put(EPOCH, '1')
+  const orders: { kind: string; vm: string; pool?: string }[] = []
+  const state = { confirmed: true, apply: true }
+  const cloud: VmCloud = {
+    list: async () => ok(vms.map((vm) => ({ ...vm }))),
+    async move(name, pool) {
+      orders.push({ kind: 'move', vm: name, pool })
+      const vm = vms.find((each) => each.name === name)!
+      if (state.apply) Object.assign(vm, { state: 'moving', pool, targetId: '' })
+      return ok('accepted')
+    },
+    async maintain(name) {
+      orders.push({ kind: 'maintain', vm: name })
+      const vm = vms.find((each) => each.name === name)!
+      if (state.apply) Object.assign(vm, { state: 'maintenance', targetId: '' })
+      return ok('accepted')
+    },
+  }
+  const authority: Authority = {
+    service: '~fleet',
+    term: 1,
+    predecessorMayLive: false,
+    epoch: () => ({ ...EPOCH, version }),
+    mayOrder: () => state.confirmed,
+    isConfirmed: () => state.confirmed,
+    lost: () => undefined,
+  }
+  const services = new Map(
+    ['a', 'b', 'idle'].map((name) => [
+      name,
+      { name, guardsCapacity: true, spare: name === 'idle' },
+    ]),
+  )
+  const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 }
+  const configuration = {
+    current: () => ({ version: 1, queues: [], services, limits }),
+    waves: () => waves,
+  } as unknown as ConfigurationHolder
+  const documents = {
+    waveStatus: {
+      row: (id: number) => ({ table: 'status', part: '', key: String(id) }),
+      encode: (text: string) => text,
+    },
+  } as unknown as Documents
+  const fleet = createFleetOwner({
+    store: table.forNode('n'),
+    cloud,
+    configuration,
+    documents,
+    authority,
+    holder: 'n',
+    moveMs: 100,
+    maintenanceMs: 100,
+    log: createMemoryLogger(),
+  })
+  const statusOf = (id: number) =>
+    table.get({ table: 'status', part: '', key: String(id) })?.value
+  return { fleet, orders, state, statusOf }
+}
+
+/** Reports every 50 ms for a while, as the answers ask for. */
+async function reportFor(
+  fleet: FleetOwner,
+  ms: number,
+  make: (evacuate: string[]) => ServiceReport[],
+): Promise<void> {
+  let evacuate: string[] = []
+  for (let passed = 0; passed < ms; passed += 50) {
+    for (const report of make(evacuate)) evacuate = fleet.report(report).evacuate
+    await sleep(50)
+  }
+}
+
+describe('createFleetOwner', () => {
+  it('gives a spare VM to a service that lacks one', async (t) => {
+    const { fleet, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'idle')])
+    await reportFor(fleet, 600, () => [reportOf('a', 15_000, [load('i1', 3, false)])])
+    t.deepEqual(orders, [{ kind: 'move', vm: 'm2', pool: 'a' }])
+    await fleet.stop(false)
+  })
+
+  it('moves an idle VM of another service only once that is closed for new tasks', async (t) => {
+    const { fleet, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'b'), vmOf(3, 'b')])
+    const reports = (closed: boolean) => [
+      reportOf('a', 15_000, [load('i1', 3, false)]),
+      reportOf('b', 2000, [load('i2', 1, false), load('i3', 0, closed)]),
+    ]
+    await reportFor(fleet, 500, () => reports(false))
+    t.deepEqual(orders, [])
+    t.deepEqual(fleet.report(reports(false)[1]!).evacuate, ['i3'])
+    await reportFor(fleet, 300, () => reports(true))
+    t.deepEqual(orders, [{ kind: 'move', vm: 'm3', pool: 'a' }])
+    await fleet.stop(false)
+  })
+
+  // Found on fk-aktiv trouble-1: a second order for maintenance that had been done.
+  it('does not call a life over that an accepted order has not ended', async (t) => {
+    const wave = { id: 1, vms: ['m1'], durationMs: 10_000, maxDown: 1 }
+    const { fleet, orders, state } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')], [wave])
+    state.apply = false
+    const make = () => [reportOf('a', 2000, [load('i1', 0, true), load('i2', 1, false)])]
+    await reportFor(fleet, 500, make)
+    t.true(orders.some(({ kind }) => kind === 'maintain'))
+    t.deepEqual(fleet.report(make()[0]!).ended, [])
+    await fleet.stop(false)
+  })
+
+  it('tells of a life that the list shows to be over after an order', async (t) => {
+    const wave = { id: 1, vms: ['m1'], durationMs: 10_000, maxDown: 1 }
+    const { fleet, statusOf } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')], [wave])
+    const make = () => [reportOf('a', 2000, [load('i1', 0, true), load('i2', 1, false)])]
+    await reportFor(fleet, 900, make)
+    t.deepEqual(fleet.report(make()[0]!).ended, ['i1'])
+    t.is(statusOf(1), 'completed')
+    await fleet.stop(false)
+  })
+
+  it('maintains no VM that is in use, and no more at once than allowed', async (t) => {
+    const names = ['m1', 'm2', 'm3']
+    const wave = { id: 1, vms: names, durationMs: 10_000, maxDown: 1 }
+    const vms = [1, 2, 3].map((number) => vmOf(number, 'a'))
+    const { fleet, orders, statusOf } = startFleet(vms, [wave])
+    await reportFor(fleet, 700, () => [
+      reportOf('a', 2000, [
+        load('i1', 1, true),
+        load('i2', 0, true),
+        load('i3', 0, true),
+      ]),
+    ])
+    t.is(orders.filter(({ kind }) => kind === 'maintain').length, 1)
+    t.false(orders.some(({ vm }) => vm === 'm1'))
+    t.is(statusOf(1), 'running')
+    await fleet.stop(false)
+  })
+
+  it('gives no order while its ownership is not confirmed', async (t) => {
+    const { fleet, orders, state } = startFleet([vmOf(1, 'a'), vmOf(2, 'idle')])
+    state.confirmed = false
+    await reportFor(fleet, 500, () => [reportOf('a', 15_000, [load('i1', 3, false)])])
+    t.deepEqual(orders, [])
+    await fleet.stop(false)
+  })
+
+  it('passes over reports of a deposed owner', async (t) => {
+    const { fleet, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'idle')])
+    await reportFor(fleet, 500, () => [
+      reportOf('a', 2000, [load('i1', 1, false)], 2),
+      reportOf('a', 90_000, [load('i1', 0, true)], 1),
+    ])
+    t.deepEqual(orders, [])
+    await fleet.stop(false)
+  })
+})
