refactor(node): services of a node by concern

Cause: nodeServices.ts held thirteen services, their types, the table of owners and the start of owners in 400 lines. The header of ownedNames says what the code does. Order, needs and stops of the services stay.

--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,3 +1,4 @@
 /** `rillshunt-node`: everything that runs on an entry VM of the platform. */
 export * from './nodeServices.js'
 export * from './nodeMetrics.js'
+export type { NodePlatform } from './serviceMap.js'
--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -8,6 +8,7 @@
 /** Upper bounds in seconds: calls take some ms, jobs some seconds. */
 const BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32]
 
+/** The metrics of one node. */
 export interface NodeMetrics {
   registry: Registry
   /** Notes a call to an outside service. */
@@ -16,9 +17,11 @@
   watch(log: Logger): Logger
 }
 
+/** A field as a number; 0 when it is absent. */
 const numberOf = (fields: EventFields, name: string): number => Number(fields[name] ?? 0)
 
-export function createNodeMetrics(): NodeMetrics {
+/** Registers the instruments in a registry of their own. */
+function createInstruments() {
   const registry = new Registry()
   const registers = [registry]
   const events = new Counter({
@@ -59,6 +62,12 @@
     labelNames: ['kind'],
     registers,
   })
+  return { registry, events, calls, bytes, waits, jobs, runEnds }
+}
+
+/** Creates the metrics, all at zero. */
+export function createNodeMetrics(): NodeMetrics {
+  const { registry, events, calls, bytes, waits, jobs, runEnds } = createInstruments()
 
   /** What an event means for a metric, beyond being counted. */
   const HANDLERS: Partial<Record<EventName, (fields: EventFields) => void>> = {
--- /dev/null
+++ b/src/node/ownerServices.ts
@@ -0,0 +1,129 @@
+/** Services by which a node owns services, and reaches the owners on other nodes. */
+import { nanoid } from 'nanoid'
+import type { NodeConfig } from '../config/index.js'
+import type { ConfigurationHolder } from '../directory/index.js'
+import { createOwnerCalls, listenForNodes, ownerRoutes } from '../front/index.js'
+import type { OwnerCalls } from '../front/index.js'
+import { defineService } from '../kernel/index.js'
+import { FLEET, createNodeRegistry, createOwnership } from '../ownership/index.js'
+import { createStopController, sleep } from '../shared/index.js'
+import { REPORT_MS } from '../vms/index.js'
+import { closeServer } from './closeServer.js'
+import { createOwnerTable } from './ownerTable.js'
+import type { OwnerTable } from './ownerTable.js'
+import { startOwner } from './startOwner.js'
+
+/** Length of the name of a life of a node, in characters: 60 random bits. */
+const LIFE_LENGTH = 10
+
+/** The owners that run here. */
+export const ownersService = () =>
+  defineService({ name: 'owners', needs: [], start: async () => createOwnerTable() })
+
+/** This node's row, and those of the other nodes. */
+export const registryService = (cfg: NodeConfig) =>
+  defineService({
+    name: 'registry',
+    needs: ['nodePlatform', 'nodeState', 'owners'],
+    async start({ get, log }) {
+      const state = get('nodeState')
+      return createNodeRegistry({
+        store: get('nodePlatform').store,
+        id: cfg.node.id,
+        life: nanoid(LIFE_LENGTH),
+        hall: cfg.node.hall,
+        address: `${cfg.listen.address}:${cfg.listen.node_port}`,
+        owns: () => get('owners').names(),
+        leaving: () => state.leaving,
+        log,
+      })
+    },
+    stop: (registry) => registry.stop(),
+  })
+
+/** Every service but the spare ones needs an owner, and so does the fleet of VMs. */
+function ownedNames(configuration: ConfigurationHolder, hasCloud: boolean): string[] {
+  const services = configuration.current()?.services.values() ?? []
+  const names = [...services].filter(({ spare }) => !spare).map(({ name }) => name)
+  if (names.length > 0 && hasCloud) names.push(FLEET)
+  return names.sort()
+}
+
+/** Claims services and runs their owners. */
+export const ownershipService = (cfg: NodeConfig) =>
+  defineService({
+    name: 'ownership',
+    needs: [
+      'nodePlatform',
+      'nodeState',
+      'registry',
+      'configuration',
+      'targetList',
+      'owners',
+    ],
+    async start({ get, log }) {
+      const platform = get('nodePlatform')
+      const configuration = get('configuration')
+      const targets = get('targetList')
+      const owners = get('owners')
+      const parts = { cfg, platform, configuration, targets, owners, log }
+      return createOwnership({
+        store: platform.store,
+        registry: get('registry'),
+        names: () => ownedNames(configuration, platform.cloud !== undefined),
+        start: (authority) => startOwner(parts, authority),
+        log,
+      })
+    },
+    stop: (ownership) => ownership.stop(),
+  })
+
+/** Calls to owners on other nodes, and the port where those call here. */
+export const ownerCallsService = (cfg: NodeConfig) =>
+  defineService({
+    name: 'ownerCalls',
+    needs: ['registry', 'owners'],
+    async start({ get, log }) {
+      const { local } = get('owners')
+      const calls = createOwnerCalls({ registry: get('registry'), local, log })
+      const { address, node_port: port } = cfg.listen
+      const server = await listenForNodes(address, port, ownerRoutes(local))
+      return { ...calls, server }
+    },
+    async stop({ server, close }) {
+      close()
+      closeServer(server)
+    },
+  })
+
+/** Reports for every service of this node, until stopped. */
+function startReports(owners: OwnerTable, calls: OwnerCalls) {
+  const stopping = createStopController()
+  const reportOne = async (service: string): Promise<void> => {
+    const owner = owners.local.service(service)
+    const answer = owner && (await calls.reportToFleet(owner.report()))
+    if (answer) owner.evacuate(answer)
+  }
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await Promise.all(owners.names().map(reportOne))
+      await sleep(REPORT_MS, stopping.signal)
+    }
+  }
+  const task = run()
+  return {
+    async stop() {
+      stopping.abort()
+      await task
+    },
+  }
+}
+
+/** Tells the owner of the fleet about the services of this node, one task for all. */
+export const reportsService = () =>
+  defineService({
+    name: 'reports',
+    needs: ['owners', 'ownerCalls'],
+    start: async ({ get }) => startReports(get('owners'), get('ownerCalls')),
+    stop: (reports) => reports.stop(),
+  })
--- /dev/null
+++ b/src/node/ownerTable.ts
@@ -0,0 +1,34 @@
+/** The owners that run on this node. */
+import type { LocalOwners } from '../front/index.js'
+import type { ServiceOwner } from '../scheduler/index.js'
+import type { FleetOwner } from '../vms/index.js'
+
+/** Owners that run on this node, by service. */
+export interface OwnerTable {
+  local: LocalOwners
+  setFleet(owner: FleetOwner | undefined): void
+  /** Names that this node claims, also while it still takes over. */
+  names(): string[]
+  claim(service: string): void
+  release(service: string): void
+  add(owner: ServiceOwner): void
+  remove(owner: ServiceOwner): void
+}
+
+/** Makes a table without owners. */
+export function createOwnerTable(): OwnerTable {
+  const owners = new Map<string, ServiceOwner>()
+  const claimed = new Set<string>()
+  let fleet: FleetOwner | undefined
+  return {
+    local: { service: (name) => owners.get(name), fleet: () => fleet },
+    setFleet: (owner) => void (fleet = owner),
+    names: () => [...claimed],
+    claim: (service) => void claimed.add(service),
+    release: (service) => void claimed.delete(service),
+    add: (owner) => void owners.set(owner.service, owner),
+    remove(owner) {
+      if (owners.get(owner.service) === owner) owners.delete(owner.service)
+    },
+  }
+}
--- /dev/null
+++ b/src/node/serviceMap.ts
@@ -0,0 +1,52 @@
+/** Types of the services of a node, by their names for the kernel. */
+import type { Server } from 'node:http'
+import type { ConfigurationHolder, TargetList } from '../directory/index.js'
+import type { JobService, OwnerCalls } from '../front/index.js'
+import type { NodeRegistry, Ownership } from '../ownership/index.js'
+import type {
+  Advice,
+  Documents,
+  RowStore,
+  TargetOrders,
+  VmCloud,
+} from '../ports/index.js'
+import type { OwnerTable } from './ownerTable.js'
+
+/** What the adapter to a platform provides. */
+export interface NodePlatform {
+  store: RowStore
+  orders: TargetOrders
+  cloud: VmCloud | undefined
+  advice: Advice | undefined
+  documents: Documents
+  /** Opens the address for callers. */
+  openCallers(jobs: JobService, maxBodyBytes: () => number): Promise<Server>
+  /** Opens the address where the platform asks whether the node is ready. */
+  openReadiness(notReady: () => string | undefined): Promise<Server>
+  /** Opens the address for metrics. */
+  openMetrics(): Promise<Server>
+  close(): void
+}
+
+/** Whether the node stops; set once and never taken back. */
+export interface NodeState {
+  leaving: boolean
+}
+
+declare module '../kernel/kernel.js' {
+  interface ServiceMap {
+    nodePlatform: NodePlatform
+    nodeState: NodeState
+    configuration: ConfigurationHolder
+    registry: NodeRegistry
+    targetList: TargetList
+    ownership: Ownership
+    owners: OwnerTable
+    ownerCalls: OwnerCalls & { server: Server }
+    reports: { stop(): Promise<void> }
+    metricsFace: { server: Server | undefined }
+    callers: { server: Server }
+    readiness: { server: Server }
+    departure: { depart(): Promise<void> }
+  }
+}
--- /dev/null
+++ b/src/node/startOwner.ts
@@ -0,0 +1,81 @@
+/** Starts what runs for a name that this node owns: the fleet's owner or a service's. */
+import type { NodeConfig } from '../config/index.js'
+import type { ConfigurationHolder, TargetList } from '../directory/index.js'
+import { FLEET } from '../ownership/index.js'
+import type { Authority, Owner } from '../ownership/index.js'
+import { createServiceOwner } from '../scheduler/index.js'
+import { KernelError } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import { createFleetOwner } from '../vms/index.js'
+import type { OwnerTable } from './ownerTable.js'
+import type { NodePlatform } from './serviceMap.js'
+
+/** What owners of either kind work with. */
+export interface OwnerParts {
+  cfg: NodeConfig
+  platform: NodePlatform
+  configuration: ConfigurationHolder
+  targets: TargetList
+  owners: OwnerTable
+  log: Logger
+}
+
+async function startFleet(parts: OwnerParts, authority: Authority): Promise<Owner> {
+  const { cfg, platform, configuration, owners, log } = parts
+  const { store, cloud, documents } = platform
+  if (!cloud) throw new KernelError('no cloud is configured')
+  const fleet = createFleetOwner({
+    store,
+    cloud,
+    configuration,
+    documents,
+    authority,
+    holder: cfg.node.id,
+    moveMs: cfg.cloud.move_time,
+    maintenanceMs: cfg.cloud.maintenance_time,
+    log,
+  })
+  owners.setFleet(fleet)
+  return {
+    async stop(handOver) {
+      owners.setFleet(undefined)
+      owners.release(FLEET)
+      await fleet.stop(handOver)
+    },
+  }
+}
+
+async function startService(parts: OwnerParts, authority: Authority): Promise<Owner> {
+  const { platform, configuration, targets, owners, log } = parts
+  const { store, orders, cloud, advice, documents } = platform
+  await targets.ready
+  const owner = await createServiceOwner({
+    store,
+    orders,
+    cloud,
+    advice,
+    documents,
+    configuration,
+    targets,
+    authority,
+    log,
+  })
+  owners.add(owner)
+  return {
+    async stop(handOver) {
+      owners.remove(owner)
+      owners.release(authority.service)
+      await owner.stop(handOver)
+    },
+  }
+}
+
+/** Starts the owner that an authority is for. */
+export async function startOwner(
+  parts: OwnerParts,
+  authority: Authority,
+): Promise<Owner> {
+  parts.owners.claim(authority.service)
+  const start = authority.service === FLEET ? startFleet : startService
+  return start(parts, authority)
+}
