--- a/src/vms/constants.ts
+++ b/src/vms/constants.ts
@@ -25,3 +25,7 @@
 export const WAVE_TARGET = 0.75
 /** Time to empty a VM in use and to maintain it, in ms: measured 3 to 6 s on calm days. */
 export const EMPTY_AND_MAINTAIN_MS = 6000
+/** Time after an order within which the list must show it, in ms. */
+export const ORDER_SETTLE_MS = 1500
+/** Time for which owners are told of a life that has ended, in ms: many reports. */
+export const TELL_ENDED_MS = 5000
--- a/src/vms/peakHold.ts
+++ b/src/vms/peakHold.ts
@@ -1,15 +1,18 @@
 /** Remembers the highest of the values of the last while, by name. */
 
+/** Peaks of the last while, by name. */
 export interface PeakHold {
   /** Notes a value and returns the peak. */
   note(name: string, value: number, now: number): number
 }
 
+/** A value with its time. */
 interface Sample {
   at: number
   value: number
 }
 
+/** Creates a memory that holds each value for `holdMs`. */
 export function createPeakHold(holdMs: number): PeakHold {
   const samples = new Map<string, Sample[]>()
   return {
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -9,6 +9,7 @@
   pool: string
 }
 
+/** What a plan rests on. */
 export interface PoolInput {
   vms: readonly Vm[]
   /** Fresh reports by service; a service without one is left as it is. */
@@ -27,14 +28,8 @@
   keptBy(service: string, needed: number): number
 }
 
-export interface PoolPlan {
-  moves: PlannedMove[]
-  /** VMs needed less VMs there, by pool; negative for a surplus. */
-  gaps: Map<string, number>
-}
-
 /** VMs that a service needs by its report. */
-export function neededVms(report: ServiceReport, cpuPerVm: number): number {
+function neededVms(report: ServiceReport, cpuPerVm: number): number {
   if (cpuPerVm <= 0) return report.minTargets
   const byLoad = Math.ceil(report.neededCpu / (cpuPerVm * PLANNED_USE))
   return Math.max(1, report.minTargets, byLoad)
@@ -48,24 +43,20 @@
   return sizes.length === 0 ? 0 : sizes.reduce((sum, cpu) => sum + cpu, 0) / sizes.length
 }
 
-/** Plans moves: needs are met from spare VMs, then from idle VMs of other pools. */
-export function planPools(input: PoolInput): PoolPlan {
-  const { vms, reports, sparePool, movingTo, emptying, ordered } = input
-  const cpuPerVm = cpuPerVmOf(vms)
-  const poolOf = (vm: Vm): string => movingTo.get(vm.name) ?? vm.pool
-  const free = (vm: Vm): boolean =>
-    vm.state === 'up' && !emptying.has(vm.name) && !ordered.has(vm.name)
+/** Missing VMs by pool; negative for a surplus. */
+type Gaps = Map<string, number>
 
-  const loads = new Map<string, TargetLoad>()
-  const gaps = new Map<string, number>()
-  /** The same against what a service keeps for its next peak. */
-  const keepGaps = new Map<string, number>()
-  for (const [service, report] of reports) {
-    for (const load of report.targets) loads.set(load.id, load)
+/** Gaps against what the services need now, and against what they keep for a peak. */
+function countGaps(input: PoolInput): { gaps: Gaps; keepGaps: Gaps } {
+  const { vms, movingTo, emptying } = input
+  const cpuPerVm = cpuPerVmOf(vms)
+  const gaps: Gaps = new Map()
+  const keepGaps: Gaps = new Map()
+  for (const [service, report] of input.reports) {
     // One that is being emptied or maintained cannot take what the service needs.
     const there = vms.filter(
       (vm) =>
-        poolOf(vm) === service &&
+        (movingTo.get(vm.name) ?? vm.pool) === service &&
         (vm.state === 'up' || vm.state === 'moving') &&
         !emptying.has(vm.name),
     )
@@ -73,58 +64,71 @@
     gaps.set(service, needed - there.length)
     keepGaps.set(service, input.keptBy(service, needed) - there.length)
   }
+  return { gaps, keepGaps }
+}
 
-  const spare = vms.filter((vm) => vm.pool === sparePool && free(vm))
+/** VMs that may move: spare ones, and idle ones of the services. */
+function findMovable(input: PoolInput): { spare: Vm[]; idle: Vm[] } {
+  const { vms, reports, sparePool, emptying, ordered } = input
+  const targets = [...reports.values()].flatMap((report) => report.targets)
+  const loads = new Map(targets.map((load) => [load.id, load]))
+  const evacuating = (vm: Vm): number => Number(loads.get(vm.targetId)?.evacuating)
+  const free = vms.filter(
+    (vm) => vm.state === 'up' && !emptying.has(vm.name) && !ordered.has(vm.name),
+  )
+  const spare = free.filter((vm) => vm.pool === sparePool)
   // VMs that are being emptied already come first, so that the choice stays the same.
-  const idle = vms
-    .filter((vm) => reports.has(vm.pool) && free(vm) && isIdle(loads.get(vm.targetId)))
-    .sort(
-      (a, b) =>
-        Number(loads.get(b.targetId)?.evacuating) -
-        Number(loads.get(a.targetId)?.evacuating),
-    )
+  const idle = free
+    .filter((vm) => reports.has(vm.pool) && isIdle(loads.get(vm.targetId)))
+    .sort((a, b) => evacuating(b) - evacuating(a))
+  return { spare, idle }
+}
+
+function removeFrom(list: Vm[], vm: Vm): void {
+  const at = list.indexOf(vm)
+  if (at >= 0) list.splice(at, 1)
+}
+
+/** Plans moves: needs are met from spare VMs, then from idle VMs of other pools. */
+export function planPools(input: PoolInput): PlannedMove[] {
+  const { sparePool, fitsPool } = input
+  const { gaps, keepGaps } = countGaps(input)
+  const { spare, idle } = findMovable(input)
   const moves: PlannedMove[] = []
+
+  const change = (pool: string, by: number): void => {
+    for (const each of [gaps, keepGaps]) {
+      const gap = each.get(pool)
+      if (gap !== undefined) each.set(pool, gap + by)
+    }
+  }
   const move = (vm: Vm, pool: string): void => {
     moves.push({ vm, pool })
-    for (const list of [spare, idle]) {
-      const at = list.indexOf(vm)
-      if (at >= 0) list.splice(at, 1)
-    }
-    for (const [name, change] of [
-      [pool, -1],
-      [vm.pool, 1],
-    ] as const) {
-      for (const each of [gaps, keepGaps]) {
-        const gap = each.get(name)
-        if (gap !== undefined) each.set(name, gap + change)
-      }
-    }
+    removeFrom(spare, vm)
+    removeFrom(idle, vm)
+    change(pool, -1)
+    change(vm.pool, 1)
   }
+  const isSurplus = (vm: Vm): boolean => (gaps.get(vm.pool) ?? 0) < 0
+  const findFor = (service: string): Vm | undefined =>
+    spare.find((vm) => fitsPool(vm, service)) ??
+    idle.find((vm) => vm.pool !== service && isSurplus(vm) && fitsPool(vm, service))
 
   const wanting = [...gaps].filter(([, gap]) => gap > 0).sort((a, b) => b[1] - a[1])
   for (const [service] of wanting) {
     while ((gaps.get(service) ?? 0) > 0) {
-      const vm =
-        spare.find((each) => input.fitsPool(each, service)) ??
-        idle.find(
-          (each) =>
-            each.pool !== service &&
-            (gaps.get(each.pool) ?? 0) < 0 &&
-            input.fitsPool(each, service),
-        )
+      const vm = findFor(service)
       if (!vm) break
       move(vm, service)
     }
   }
-  if (sparePool === undefined) return { moves, gaps }
+  if (sparePool === undefined) return moves
   for (const [service] of keepGaps) {
     while ((keepGaps.get(service) ?? 0) < 0) {
-      const vm = idle.find(
-        (each) => each.pool === service && input.fitsPool(each, sparePool),
-      )
+      const vm = idle.find((each) => each.pool === service && fitsPool(each, sparePool))
       if (!vm) break
       move(vm, sparePool)
     }
   }
-  return { moves, gaps }
+  return moves
 }
--- /dev/null
+++ b/src/vms/reportBook.ts
@@ -0,0 +1,35 @@
+/** The last report of each service, as long as it is fresh. */
+import { monotonicMs } from '../shared/index.js'
+import { REPORT_STALE_MS } from './constants.js'
+import type { ServiceReport, TargetLoad } from './types.js'
+
+/** Reports by service. */
+export interface ReportBook {
+  take(report: ServiceReport): void
+  /** Reports that are recent enough to act on. */
+  fresh(): Map<string, ServiceReport>
+  /** Targets of the fresh reports, by id. */
+  loads(): Map<string, TargetLoad>
+}
+
+/** Creates an empty book. */
+export function createReportBook(): ReportBook {
+  const reports = new Map<string, { report: ServiceReport; at: number }>()
+
+  function fresh(): Map<string, ServiceReport> {
+    const found = new Map<string, ServiceReport>()
+    for (const [service, { report, at }] of reports) {
+      if (monotonicMs() - at < REPORT_STALE_MS) found.set(service, report)
+    }
+    return found
+  }
+
+  return {
+    take: (report) => void reports.set(report.service, { report, at: monotonicMs() }),
+    fresh,
+    loads() {
+      const loads = [...fresh().values()].flatMap(({ targets }) => targets)
+      return new Map(loads.map((load) => [load.id, load]))
+    },
+  }
+}
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -21,13 +21,16 @@
 /** One wave as this owner carries it out. */
 export interface WaveProgress {
   wave: Wave
+  /** VMs whose maintenance was ordered. */
   begun: Set<string>
   /** Steady time at which this owner first saw it, in ms. */
   seenAt: number
   status: 'new' | 'running' | 'completed'
+  /** Whether `begun` says more than the row. */
   dirty: boolean
 }
 
+/** The waves that this owner has seen. */
 export interface WaveBook {
   /** Waves that are not completed. */
   active(): WaveProgress[]
@@ -35,11 +38,13 @@
   update(waves: Wave[]): Promise<void>
   /** VMs of a wave that are there and have not begun. */
   pending(progress: WaveProgress, vms: ReadonlyMap<string, Vm>): Vm[]
+  /** Notes that a VM's maintenance was ordered. */
   markBegun(progress: WaveProgress, vm: string): void
   /** Writes what changed, and the status that the operators read. */
   save(vms: ReadonlyMap<string, Vm>): Promise<void>
 }
 
+/** Creates an empty book; rows are read as waves are asked for. */
 export function createWaveBook(opts: {
   store: RowStore
   authority: Authority
