--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -2,3 +2,4 @@
 export * from './nodeServices.js'
 export * from './nodeMetrics.js'
 export * from './unavailable.js'
+export type { NodePlatform } from './serviceMap.js'
--- /dev/null
+++ b/src/vms/reportBook.ts
@@ -0,0 +1,41 @@
+/** The last report of each service, as long as it is fresh. */
+import { monotonicMs } from '../shared/index.js'
+import { REPORT_STALE_MS } from './constants.js'
+import type { ServiceReport, TargetLoad } from './types.js'
+
+/** Reports by service. */
+export interface ReportBook {
+  /** False for a report of an owner that has been deposed, which may go on for a while. */
+  take(report: ServiceReport): boolean
+  /** Reports that are recent enough to act on. */
+  fresh(): Map<string, ServiceReport>
+  /** Targets of the fresh reports, by id. */
+  loads(): Map<string, TargetLoad>
+}
+
+/** Creates an empty book. */
+export function createReportBook(): ReportBook {
+  const reports = new Map<string, { report: ServiceReport; at: number }>()
+
+  function fresh(): Map<string, ServiceReport> {
+    const found = new Map<string, ServiceReport>()
+    for (const [service, { report, at }] of reports) {
+      if (monotonicMs() - at < REPORT_STALE_MS) found.set(service, report)
+    }
+    return found
+  }
+
+  return {
+    take(report) {
+      const known = reports.get(report.service)
+      if (known && known.report.term > report.term) return false
+      reports.set(report.service, { report, at: monotonicMs() })
+      return true
+    },
+    fresh,
+    loads() {
+      const loads = [...fresh().values()].flatMap(({ targets }) => targets)
+      return new Map(loads.map((load) => [load.id, load]))
+    },
+  }
+}
