--- a/src/scheduler/__tests__/serviceOwner.spec.ts
+++ b/src/scheduler/__tests__/serviceOwner.spec.ts
@@ -199,6 +199,23 @@
     await rig.stop()
   })
 
+  // Found by a hunt: jobs that came while the store was away were cancelled meanwhile.
+  it('starts nothing of a job that was cancelled before it was taken on', async (t) => {
+    const rig = createJobRig()
+    rig.addTarget('t1')
+    const owner = await rig.own()
+    await sleep(200)
+    owner.confirmed = false
+    const job = makeJob({ ms: 60, cpu: 900 })
+    rig.submit(owner, job)
+    owner.cancel(job.id)
+    owner.confirmed = true
+    t.true(await rig.settled([job], 3000))
+    t.is(rig.outcomeOf(job), 'cancelled')
+    t.deepEqual(rig.ledger.entries, [])
+    await rig.stop()
+  })
+
   it('moves lasting tasks off a target that drains', async (t) => {
     const rig = createJobRig()
     rig.addTarget('t1')
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -99,6 +99,8 @@
   const goneLives = new Set<string>()
   /** Jobs that came while the ownership was not confirmed. */
   const offered = new Map<string, JobSpec>()
+  /** Jobs that were cancelled before they came; of any service, so some never do. */
+  const cancelledEarly = new Set<string>()
   let planned = false
   let gateOpen = false
 
@@ -202,19 +204,26 @@
       onRow(_part, key, value) {
         if (value === undefined) return
         const entry = decodeIntake(key, value)
-        if (entry.kind === 'cancel') book.cancel(entry.id)
+        if (entry.kind === 'cancel') cancel(entry.id)
         if (entry.kind === 'job' && entry.job.service === service) offer(entry.job)
       },
       async onGap() {
         const all = await readIntake(store, service, log)
         if (all.isErr()) return undefined
         for (const job of all.value.jobs) offer(job)
-        for (const id of all.value.cancels) book.cancel(id)
+        for (const id of all.value.cancels) cancel(id)
         return all.value.version
       },
     })
   }
 
+  /** A request to cancel may come before the job that it is for; false in that case. */
+  function cancel(id: string): boolean {
+    if (book.cancel(id)) return true
+    cancelledEarly.add(id)
+    return false
+  }
+
   /**
    * Takes a new job on. Out of touch with the store it waits: a successor may have it,
    * and does not wait for this owner with jobs that came after the takeover.
@@ -226,6 +235,7 @@
       return
     }
     demand.arrived(book.add(job), monotonicMs())
+    if (cancelledEarly.delete(job.id)) book.cancel(job.id)
     log.event('jobTaken', { job: job.id, queue: job.queue, service })
     wake()
   }
@@ -424,7 +434,7 @@
   return {
     service,
     offer,
-    cancel: (id) => book.cancel(id) !== undefined,
+    cancel,
     status(id) {
       const job = book.jobs.get(id)
       return job && statusOf(job)
