--- a/src/node/startOwner.ts
+++ b/src/node/startOwner.ts
@@ -31,8 +31,6 @@
     documents,
     authority,
     holder: cfg.node.id,
-    moveMs: cfg.cloud.move_time,
-    maintenanceMs: cfg.cloud.maintenance_time,
     log,
   })
   owners.setFleet(fleet)
--- /dev/null
+++ b/src/ownership/authority.ts
@@ -0,0 +1,62 @@
+/** The right to act for a service, and what is started with it. */
+import type { RowCondition } from '../ports/index.js'
+import { GRACE_MS, NODE_LEASE_MS } from './constants.js'
+import { epochKey } from './epochRow.js'
+import type { EpochRow } from './epochRow.js'
+
+/** The right to act for a service. */
+export interface Authority {
+  readonly service: string
+  readonly term: number
+  /** Whether the predecessor may still be acting, out of touch with the store. */
+  readonly predecessorMayLive: boolean
+  /** Condition that every durable write of the owner carries. */
+  epoch(): RowCondition
+  /** Whether orders may be given now. Asked right before each of them. */
+  mayOrder(): boolean
+  /** Whether the lease is confirmed, not only in its grace time. */
+  isConfirmed(): boolean
+  /** Tells that a write was refused because the epoch has changed. */
+  lost(reason: string): void
+}
+
+/** What runs while a service is owned. */
+export interface Owner {
+  /** Ends it; `handOver` when another node takes over in a planned way. */
+  stop(handOver: boolean): Promise<void>
+}
+
+/** A service that this node owns. */
+export interface Held {
+  /** Undefined while it starts. */
+  owner: Owner | undefined
+  /** Version of the epoch row. */
+  version: number
+  row: EpochRow
+  /** Steady time up to which the ownership was seen to hold, in ms. */
+  confirmedAt: number
+  /** Whether the epoch row is being written to see that it still holds. */
+  confirming: boolean
+  lost: boolean
+}
+
+/** The authority over a service, as long as it is held. */
+export function authorityOf(opts: {
+  service: string
+  held: Held
+  predecessorMayLive: boolean
+  now(): number
+  lost(reason: string): void
+}): Authority {
+  const { service, held, predecessorMayLive, now, lost } = opts
+  const leaseEndsAt = (): number => held.confirmedAt + NODE_LEASE_MS
+  return {
+    service,
+    term: held.row.term,
+    predecessorMayLive,
+    epoch: () => ({ ...epochKey(service), version: held.version }),
+    mayOrder: () => !held.lost && now() < leaseEndsAt() + GRACE_MS,
+    isConfirmed: () => !held.lost && now() < leaseEndsAt(),
+    lost,
+  }
+}
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -2,7 +2,6 @@
  * The nodes of this installation, by rows that each renews. Whether a node is alive is
  * judged by its row standing still for a lease time on our own steady clock.
  */
-import { z } from 'zod'
 import type { RowKey, RowStore } from '../ports/index.js'
 import {
   createStopController,
@@ -21,28 +20,8 @@
   STORE_RETRY_MS,
   TAKEOVER_MARGIN_MS,
 } from './constants.js'
-
-/** One row per node; the part is empty. */
-export const NODES_TABLE = 'nodes'
-const NODES_PART = ''
-
-const nodeSchema = z.object({
-  /** Changes at each start of the process. */
-  life: z.string(),
-  /** Where other nodes reach it. */
-  address: z.string(),
-  hall: z.string(),
-  /** Services that it owns. */
-  owns: z.array(z.string()),
-  /** It stops soon and takes nothing on. */
-  leaving: z.boolean(),
-})
-export type NodeRow = z.infer<typeof nodeSchema>
-
-/** Reads a node's row; undefined when it has the wrong shape. */
-export function decodeNode(value: string): NodeRow | undefined {
-  return nodeSchema.safeParse(JSON.parse(value)).data
-}
+import { NODES_PART, NODES_TABLE, decodeNode } from './nodeRow.js'
+import type { NodeRow } from './nodeRow.js'
 
 /** A node as last seen. */
 export interface Member extends NodeRow {
@@ -52,8 +31,9 @@
   seenAt: number
 }
 
+/** This node's row, kept fresh, and the rows of the others. */
 export interface NodeRegistry {
-  readonly self: { id: string; life: string; hall: string }
+  readonly self: { id: string; life: string }
   members(): Member[]
   /** Whether a node's row has stood still for longer than its lease. */
   isLapsed(member: Member): boolean
@@ -61,8 +41,6 @@
   candidates(): Member[]
   /** The live node that says it owns the service. */
   ownerOf(service: string): Member | undefined
-  /** Steady time up to which our own lease runs, in ms. */
-  leaseEndsAt(): number
   /** Writes our row now, because what it says has changed. */
   announce(): Promise<void>
   /** Whether the store answered lately. */
@@ -79,6 +57,7 @@
   stop(): Promise<void>
 }
 
+/** What a node says of itself, and where. */
 export interface NodeRegistryOptions {
   store: RowStore
   id: string
@@ -94,7 +73,7 @@
 
 /** Starts renewing this node's row and watching the others. */
 export function createNodeRegistry(opts: NodeRegistryOptions): NodeRegistry {
-  const { store, id, life, hall, log } = opts
+  const { store, id, life, log } = opts
   const now = opts.now ?? monotonicMs
   const stopping = createStopController()
   const members = new Map<string, Member>()
@@ -113,28 +92,29 @@
     log.event(up ? 'platformBack' : 'platformDown', { reason })
   }
 
+  /** Version of this node's row, 0 for none; undefined when the store did not answer. */
+  async function readOwnVersion(): Promise<number | undefined> {
+    const range = { from: id, until: `${id}\u0000` }
+    const found = await store.read(NODES_TABLE, NODES_PART, range)
+    if (found.isOk()) return found.value.rows[0]?.version ?? 0
+    noteConnection(false, describeError(found.error))
+    return undefined
+  }
+
+  /** Writes this node's row once; false when that was not done, or is not known. */
   async function write(): Promise<boolean> {
     const sentAt = now()
     const row: NodeRow = {
       life,
       address: opts.address,
-      hall,
+      hall: opts.hall,
       owns: opts.owns(),
       leaving: opts.leaving(),
     }
-    if (ownVersion === undefined) {
-      const found = await store.read(NODES_TABLE, NODES_PART, {
-        from: id,
-        until: `${id}\u0000`,
-      })
-      if (found.isErr()) {
-        noteConnection(false, describeError(found.error))
-        return false
-      }
-      ownVersion = found.value.rows[0]?.version ?? 0
-    }
+    const version = ownVersion ?? (await readOwnVersion())
+    if (version === undefined) return false
     const res = await store.commit({
-      conditions: [{ ...ownKey, version: ownVersion }],
+      conditions: [{ ...ownKey, version }],
       puts: [{ ...ownKey, value: JSON.stringify(row) }],
       removals: [],
     })
@@ -165,6 +145,7 @@
     return done
   }
 
+  /** Takes a row of any node; one of the same version changes nothing. */
   function note(row: { key: string; value: string; version: number }): void {
     const known = members.get(row.key)
     if (known?.version === row.version) return
@@ -175,6 +156,7 @@
     members.set(row.key, { ...node, id: row.key, version, seenAt: now() })
   }
 
+  /** Reads the rows of all nodes. */
   async function poll(): Promise<boolean> {
     const sentAt = now()
     const res = await store.read(NODES_TABLE, NODES_PART)
@@ -192,6 +174,7 @@
     return true
   }
 
+  /** Removes the row of one node that has long been silent. */
   async function forgetDead(): Promise<void> {
     const dead = [...members.values()].find(
       (each) => each.id !== id && polledAt - each.seenAt > FORGET_NODE_MS,
@@ -224,7 +207,7 @@
     polledAt - member.seenAt > NODE_LEASE_MS + TAKEOVER_MARGIN_MS
 
   const registry: NodeRegistry = {
-    self: { id, life, hall },
+    self: { id, life },
     members: () => [...members.values()],
     isLapsed,
     candidates: () =>
@@ -235,7 +218,6 @@
       [...members.values()].find(
         (each) => each.owns.includes(service) && !isLapsed(each),
       ),
-    leaseEndsAt: () => renewedAt + NODE_LEASE_MS,
     announce: async () => void (await renew()),
     isConnected: () => connected && now() - renewedAt < NODE_LEASE_MS,
     onRenewed: (listener) => void listeners.push(listener),
--- /dev/null
+++ b/src/ownership/nodeRow.ts
@@ -0,0 +1,26 @@
+/** Rows of nodes: what each node says of itself. */
+import { z } from 'zod'
+
+/** One row per node; the part is empty. */
+export const NODES_TABLE = 'nodes'
+/** Part of every row of a node. */
+export const NODES_PART = ''
+
+const nodeSchema = z.object({
+  /** Changes at each start of the process. */
+  life: z.string(),
+  /** Where other nodes reach it. */
+  address: z.string(),
+  hall: z.string(),
+  /** Services that it owns. */
+  owns: z.array(z.string()),
+  /** It stops soon and takes nothing on. */
+  leaving: z.boolean(),
+})
+/** What a node's row says. */
+export type NodeRow = z.infer<typeof nodeSchema>
+
+/** Reads a node's row; undefined when it has the wrong shape. */
+export function decodeNode(value: string): NodeRow | undefined {
+  return nodeSchema.safeParse(JSON.parse(value)).data
+}
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -45,9 +45,6 @@
   authority: Authority
   /** Names this node to the cloud. */
   holder: string
-  /** Time that a VM is away for a move or for maintenance, in ms. */
-  moveMs: number
-  maintenanceMs: number
   log: Logger
 }
 
