refactor(front): jobs in the store, answers to nodes and progress rows apart

Constants and schemas that only their module reads are no longer exported. Doc comments on exported items.

--- a/src/cli/base.ts
+++ b/src/cli/base.ts
@@ -9,6 +9,7 @@
 import { createTableStore } from '../table/index.js'
 import type { TableStore } from '../table/index.js'
 
+/** Longest wait for the platform, in ms: a person waits for the answer. */
 const CALL_TIMEOUT_MS = 5000
 
 /** An end of a command with a message and an exit code. */
@@ -117,6 +118,7 @@
   }
 }
 
+/** Borders of a table, all left out. */
 const BORDERS = [
   'top',
   'top-mid',
--- a/src/cli/nodeCommands.ts
+++ b/src/cli/nodeCommands.ts
@@ -10,10 +10,11 @@
   PROGRESS_TABLE,
   decodeIntake,
   decodeProgress,
+  storedStatus,
 } from '../jobs/index.js'
 import type { JobSpec, JobStatus, Progress } from '../jobs/index.js'
 import { EPOCH_TABLE, NODES_TABLE, decodeEpoch, decodeNode } from '../ownership/index.js'
-import type { RowStore, StoredRow } from '../ports/index.js'
+import type { RowStore, StoredRow, Vm } from '../ports/index.js'
 import { EXIT } from '../shared/index.js'
 import { WAVES_TABLE, decodeWaveRow } from '../vms/index.js'
 import { OutputCommand, need } from './base.js'
@@ -26,6 +27,12 @@
   status: JobStatus
 }
 
+/** The address that an option or else a variable gives; undefined when it is none. */
+function addressFrom(option: string | undefined, variable: string): string | undefined {
+  const address = option ?? process.env[variable]
+  return address !== undefined && /^[\d.]+:\d+$/.test(address) ? address : undefined
+}
+
 /** Base of commands that read the store of the nodes. */
 abstract class StoreCommand extends OutputCommand {
   address = Option.String('--store', {
@@ -35,8 +42,8 @@
   abstract run(store: RowStore): Promise<number>
 
   override async execute(): Promise<number> {
-    const address = this.address ?? process.env['RILLSHUNT_STORE']
-    if (address === undefined || !/^[\d.]+:\d+$/.test(address)) {
+    const address = addressFrom(this.address, 'RILLSHUNT_STORE')
+    if (address === undefined) {
       return this.fail('name the store by --store IP:PORT or RILLSHUNT_STORE', EXIT.usage)
     }
     const store = createStoreClient({ address })
@@ -50,6 +57,7 @@
   }
 }
 
+/** All rows of a table, part by part. */
 async function rowsOf(store: RowStore, table: string): Promise<StoredRow[]> {
   const rows: StoredRow[] = []
   for (const part of need(await store.parts(table))) {
@@ -58,12 +66,7 @@
   return rows
 }
 
-function statusOf(cancelled: boolean, progress: Progress | undefined): JobStatus {
-  if (progress?.outcome) return progress.outcome
-  if (cancelled) return 'cancelled'
-  return progress ? 'running' : 'queued'
-}
-
+/** Every accepted job, with its progress and state. */
 async function readJobs(store: RowStore): Promise<ListedJob[]> {
   const progress = new Map<string, Progress>()
   for (const row of await rowsOf(store, PROGRESS_TABLE)) {
@@ -80,7 +83,7 @@
     if (entry.kind !== 'job') return []
     const known = progress.get(entry.id)
     const cancelled = cancels.has(entry.id)
-    const status = statusOf(cancelled, known)
+    const status = storedStatus(cancelled, known)
     return { job: entry.job, cancelled, progress: known, status }
   })
 }
@@ -113,6 +116,17 @@
   }
 }
 
+/** What a progress row says of a step of the first repetition. */
+function countStep(progress: Progress | undefined, index: number, tasks: number) {
+  const done = progress?.done[`0.${index}`] ?? []
+  const whole = done === 'all' || progress?.outcome === 'completed'
+  const prefix = `0.${index}.`
+  const failedRuns = Object.entries(progress?.failedRuns ?? {})
+    .filter(([task]) => task.startsWith(prefix))
+    .reduce((sum, [, runs]) => sum + runs.length, 0)
+  return { done: whole ? tasks : done.length, failedRuns }
+}
+
 /** `node explain JOB` */
 export class NodeExplain extends StoreCommand {
   static override paths = [['node', 'explain']]
@@ -125,15 +139,9 @@
     const found = (await readJobs(store)).find(({ job }) => job.id === this.id)
     if (!found) return this.fail(`no job ${this.id} is in the store`, EXIT.failed)
     const { job, progress, status } = found
-    const lines = job.steps.map((step, index) => {
-      const done = progress?.done[`0.${index}`] ?? []
-      const count =
-        done === 'all' || progress?.outcome === 'completed' ? step.count : done.length
-      const prefix = `0.${index}.`
-      const failed = Object.entries(progress?.failedRuns ?? {})
-        .filter(([task]) => task.startsWith(prefix))
-        .reduce((sum, [, runs]) => sum + runs.length, 0)
-      return [index, step.after.join(',') || '-', step.count, count, failed]
+    const lines = job.steps.map(({ after, count }, index) => {
+      const known = countStep(progress, index, count)
+      return [index, after.join(',') || '-', count, known.done, known.failedRuns]
     })
     const head = ['step', 'after', 'tasks', 'done', 'failed runs']
     this.print(found, () =>
@@ -205,6 +213,16 @@
   }
 }
 
+/** VMs of each pool, and how many of them are up. */
+function sumByPool(vms: Vm[]) {
+  const names = [...new Set(vms.map(({ pool }) => pool))].sort()
+  return names.map((pool) => {
+    const members = vms.filter((vm) => vm.pool === pool)
+    const up = members.filter(({ state }) => state === 'up').length
+    return { pool, vms: members.length, up }
+  })
+}
+
 /** `node vms` */
 export class NodeVms extends OutputCommand {
   static override paths = [['node', 'vms']]
@@ -217,23 +235,15 @@
   byPool = Option.Boolean('--pools', false, { description: 'only the sums by pool' })
 
   override async execute(): Promise<number> {
-    const address = this.address ?? process.env['RILLSHUNT_CLOUD']
-    if (address === undefined || !/^[\d.]+:\d+$/.test(address)) {
+    const address = addressFrom(this.address, 'RILLSHUNT_CLOUD')
+    if (address === undefined) {
       return this.fail('name the cloud by --cloud IP:PORT or RILLSHUNT_CLOUD', EXIT.usage)
     }
     const cloud = createCloudClient({ address })
     try {
       const vms = need(await cloud.list())
-      const names = [...new Set(vms.map(({ pool }) => pool))].sort()
-      const pools = names.map((pool) => {
-        const members = vms.filter((vm) => vm.pool === pool)
-        return {
-          pool,
-          vms: members.length,
-          up: members.filter((vm) => vm.state === 'up').length,
-        }
-      })
       if (this.byPool) {
+        const pools = sumByPool(vms)
         const lines = pools.map(({ pool, vms: count, up }) => [pool, count, up])
         this.print(pools, () => this.grid(['pool', 'VMs', 'up'], lines))
         return EXIT.ok
--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -1,26 +1,25 @@
 /** Calls to the owner of a service, on this node or on another. */
-import { Agent, createServer } from 'node:http'
-import type { Server } from 'node:http'
+import { Agent } from 'node:http'
 import { createClient } from '@connectrpc/connect'
-import type { Client, ConnectRouter } from '@connectrpc/connect'
-import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node'
+import type { Client } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
 import { NodeService } from '../peer/gen/node_pb.js'
-import { jobSchema } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
 import { FLEET } from '../ownership/index.js'
 import type { NodeRegistry } from '../ownership/index.js'
-import type { ServiceOwner } from '../scheduler/index.js'
 import { describeError } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import { fleetAnswerSchema, serviceReportSchema } from '../vms/index.js'
-import type { FleetAnswer, FleetOwner, ServiceReport } from '../vms/index.js'
+import { fleetAnswerSchema } from '../vms/index.js'
+import type { FleetAnswer, ServiceReport } from '../vms/index.js'
+import { MAX_MESSAGE_BYTES } from './ownerRoutes.js'
+import type { LocalOwners } from './ownerRoutes.js'
 
 /** Longest wait for another node, in ms; then the store answers instead. */
 const PEER_TIMEOUT_MS = 400
-/** Largest message, in bytes: a job of many steps with its text. */
-const MAX_MESSAGE_BYTES = 1024 * 1024
 
+/** Calls to owners, wherever they run. */
 export interface OwnerCalls {
+  /** Tells of a new job; its loss costs only time. */
   offer(job: JobSpec): void
   cancel(service: string, id: string): void
   /** Undefined when the owner does not answer or does not know the job. */
@@ -31,12 +30,7 @@
   close(): void
 }
 
-/** Finds owners on this node. */
-export interface LocalOwners {
-  service(name: string): ServiceOwner | undefined
-  fleet(): FleetOwner | undefined
-}
-
+/** Creates the calls; connections are opened as they are needed. */
 export function createOwnerCalls(opts: {
   registry: NodeRegistry
   local: LocalOwners
@@ -122,49 +116,3 @@
     close: () => agent.destroy(),
   }
 }
-
-/** Answers other nodes about the services that this node owns. */
-export function ownerRoutes(local: LocalOwners): (router: ConnectRouter) => void {
-  return (router) =>
-    router.service(NodeService, {
-      offer(req) {
-        const owner = local.service(req.service)
-        const job = jobSchema.safeParse(JSON.parse(req.job))
-        if (!owner || !job.success) return { taken: false }
-        owner.offer(job.data)
-        return { taken: true }
-      },
-      cancel(req) {
-        return { taken: local.service(req.service)?.cancel(req.id) ?? false }
-      },
-      status(req) {
-        return { status: local.service(req.service)?.status(req.id) ?? '' }
-      },
-      fleetReport(req) {
-        const report = serviceReportSchema.safeParse(JSON.parse(req.report))
-        const fleet = local.fleet()
-        if (!fleet || !report.success) return { taken: false, answer: '' }
-        return { taken: true, answer: JSON.stringify(fleet.report(report.data)) }
-      },
-      waiting(req) {
-        const owner = local.service(req.service)
-        return { known: owner !== undefined, waiting: owner?.waiting(req.queue) ?? 0 }
-      },
-    })
-}
-
-/** Opens the port for other nodes. Rejects when it cannot be opened. */
-export async function listenForNodes(
-  host: string,
-  port: number,
-  routes: (router: ConnectRouter) => void,
-): Promise<Server> {
-  const server = createServer(
-    connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES }),
-  )
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
-  return server
-}
--- /dev/null
+++ b/src/front/ownerRoutes.ts
@@ -0,0 +1,65 @@
+/** Answers to other nodes about the services that this node owns. */
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import type { ConnectRouter } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import { jobSchema } from '../jobs/index.js'
+import { NodeService } from '../peer/gen/node_pb.js'
+import type { ServiceOwner } from '../scheduler/index.js'
+import { serviceReportSchema } from '../vms/index.js'
+import type { FleetOwner } from '../vms/index.js'
+
+/** Largest message, in bytes: a job of many steps with its text. */
+export const MAX_MESSAGE_BYTES = 1024 * 1024
+
+/** Finds owners on this node. */
+export interface LocalOwners {
+  service(name: string): ServiceOwner | undefined
+  fleet(): FleetOwner | undefined
+}
+
+/** Answers other nodes about the services that this node owns. */
+export function ownerRoutes(local: LocalOwners): (router: ConnectRouter) => void {
+  return (router) =>
+    router.service(NodeService, {
+      offer(req) {
+        const owner = local.service(req.service)
+        const job = jobSchema.safeParse(JSON.parse(req.job))
+        if (!owner || !job.success) return { taken: false }
+        owner.offer(job.data)
+        return { taken: true }
+      },
+      cancel(req) {
+        return { taken: local.service(req.service)?.cancel(req.id) ?? false }
+      },
+      status(req) {
+        return { status: local.service(req.service)?.status(req.id) ?? '' }
+      },
+      fleetReport(req) {
+        const report = serviceReportSchema.safeParse(JSON.parse(req.report))
+        const fleet = local.fleet()
+        if (!fleet || !report.success) return { taken: false, answer: '' }
+        return { taken: true, answer: JSON.stringify(fleet.report(report.data)) }
+      },
+      waiting(req) {
+        const owner = local.service(req.service)
+        return { known: owner !== undefined, waiting: owner?.waiting(req.queue) ?? 0 }
+      },
+    })
+}
+
+/** Opens the port for other nodes. Rejects when it cannot be opened. */
+export async function listenForNodes(
+  host: string,
+  port: number,
+  routes: (router: ConnectRouter) => void,
+): Promise<Server> {
+  const server = createServer(
+    connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES }),
+  )
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return server
+}
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -2,4 +2,5 @@
 export * from './schema.js'
 export * from './records.js'
 export * from './job.js'
+export * from './progress.js'
 export * from './jobBook.js'
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -4,18 +4,13 @@
  * written, `dropped` that a run must be stopped.
  */
 import type { ReportedEnd, RunEndKind } from '../ports/index.js'
-import {
-  createJob,
-  findTask,
-  isUnblocked,
-  jobIdOf,
-  restoreProgress,
-  tasksOf,
-} from './job.js'
+import { createJob, findTask, isUnblocked, jobIdOf, tasksOf } from './job.js'
 import type { Job, JobRules, Occurrence, Step, Task } from './job.js'
+import { restoreProgress } from './progress.js'
 import type { Progress } from './records.js'
 import type { JobOutcome, JobSpec } from './schema.js'
 
+/** What the book asks, and whom it tells. */
 export interface JobBookOptions {
   /** Attempts of a queue's tasks, as configured now. */
   rulesOf(queue: string): JobRules
@@ -33,19 +28,23 @@
   ended(job: Job, outcome: JobOutcome, cause: string): void
 }
 
+/** The jobs of one service. */
 export interface JobBook {
   readonly jobs: ReadonlyMap<string, Job>
   /** Tasks that may start now, in no order. */
   ready: ReadonlySet<Task>
+  /** Takes a job on; one that is known stays as it is. */
   add(
     spec: JobSpec,
     opts?: { progress?: Progress; version?: number; gated?: boolean },
   ): Job
+  /** Undefined when the job is not known. */
   cancel(id: string): Job | undefined
   /** Tells that the runs of the previous owner are known. */
   openGate(): void
   /** Marks occurrences whose due time has come; returns ms until the next one. */
   markDue(): number | undefined
+  /** A start was ordered. */
   place(task: Task, targetId: string, run: number): void
   /** A start did not take place; the task may start again. */
   unplace(task: Task): void
@@ -59,6 +58,7 @@
   task(name: string): Task | undefined
 }
 
+/** Creates an empty book. */
 export function createJobBook(opts: JobBookOptions): JobBook {
   const jobs = new Map<string, Job>()
   const ready = new Set<Task>()
--- /dev/null
+++ b/src/jobs/progress.ts
@@ -0,0 +1,60 @@
+/** The progress row of a job: written from its state, and its state from it. */
+import { isStepDone } from './job.js'
+import type { Job, Step } from './job.js'
+import type { Progress } from './records.js'
+
+/** The progress row of a job. */
+export function encodeProgress(job: Job): string {
+  const progress: Progress = { done: {}, failedRuns: {}, checkpoints: {} }
+  if (job.outcome) progress.outcome = job.outcome
+  if (job.endedAtMs !== undefined) progress.endedAtMs = job.endedAtMs
+  // A finished job needs no details: nothing of it is started again.
+  if (job.outcome) return JSON.stringify(progress)
+  for (const occurrence of job.occurrences) {
+    for (const step of occurrence.steps) addStepProgress(progress, step)
+  }
+  return JSON.stringify(progress)
+}
+
+function addStepProgress(progress: Progress, step: Step): void {
+  const stepName = `${step.occurrence}.${step.index}`
+  if (isStepDone(step)) progress.done[stepName] = 'all'
+  else if (step.doneCount > 0) {
+    const done = step.tasks.filter(({ phase }) => phase === 'done')
+    progress.done[stepName] = done.map(({ index }) => index)
+  }
+  for (const task of step.tasks) {
+    const name = `${stepName}.${task.index}`
+    if (task.failedRuns.size > 0) progress.failedRuns[name] = [...task.failedRuns]
+    const idle = task.phase === 'ready' || task.phase === 'blocked'
+    if (idle && task.checkpoint !== '') progress.checkpoints[name] = task.checkpoint
+  }
+}
+
+/** Brings a new job's state to what a progress row says. */
+export function restoreProgress(job: Job, progress: Progress): void {
+  job.outcome = progress.outcome
+  job.durableOutcome = progress.outcome
+  job.endedAtMs = progress.endedAtMs
+  for (const occurrence of job.occurrences) {
+    for (const step of occurrence.steps) restoreStep(progress, step)
+    occurrence.openSteps = occurrence.steps.filter((step) => !isStepDone(step)).length
+  }
+  job.openOccurrences = job.occurrences.filter(({ openSteps }) => openSteps > 0).length
+  job.begun ||= Object.keys(progress.done).length > 0
+}
+
+function restoreStep(progress: Progress, step: Step): void {
+  const stepName = `${step.occurrence}.${step.index}`
+  const done = progress.done[stepName]
+  for (const task of step.tasks) {
+    const name = `${stepName}.${task.index}`
+    task.failedRuns = new Set(progress.failedRuns[name])
+    task.run = Math.max(0, ...task.failedRuns)
+    task.checkpoint = progress.checkpoints[name] ?? ''
+    if (done === 'all' || done?.includes(task.index)) {
+      task.phase = 'done'
+      step.doneCount++
+    }
+  }
+}
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod'
 import type { RowKey } from '../ports/index.js'
 import { jobSchema, outcomeSchema } from './schema.js'
-import type { JobSpec } from './schema.js'
+import type { JobSpec, JobStatus } from './schema.js'
 
 /** Accepted jobs and requests to cancel them; the part is the queue. */
 export const INTAKE_TABLE = 'intake'
@@ -14,16 +14,19 @@
 /** Ends the key of a request to cancel; sorts right behind the job's own key. */
 const CANCEL_SUFFIX = '.cancel'
 
+/** Where a job's intake row lies. */
 export const intakeKey = (queue: string, id: string): RowKey => ({
   table: INTAKE_TABLE,
   part: queue,
   key: id,
 })
+/** Where the request to cancel a job lies. */
 export const cancelKey = (queue: string, id: string): RowKey => ({
   table: INTAKE_TABLE,
   part: queue,
   key: id + CANCEL_SUFFIX,
 })
+/** Where a job's progress row lies. */
 export const progressKey = (service: string, id: string): RowKey => ({
   table: PROGRESS_TABLE,
   part: service,
@@ -36,6 +39,7 @@
   | { kind: 'cancel'; id: string }
   | { kind: 'invalid'; id: string; reason: string }
 
+/** The intake row of a job. */
 export function encodeJob(job: JobSpec): string {
   return JSON.stringify(job)
 }
@@ -51,7 +55,7 @@
 }
 
 /** Progress of one job. Tasks are named by `OCCURRENCE.STEP.INDEX`. */
-export const progressSchema = z.object({
+const progressSchema = z.object({
   /** Done tasks by `OCCURRENCE.STEP`; `all` when the whole step is done. */
   done: z.record(z.string(), z.union([z.literal('all'), z.array(z.number())])),
   /** Numbers of failed runs by task: counted once, however often an end is reported. */
@@ -62,6 +66,7 @@
   /** When the outcome was reached, by the wall clock of the owner; for clearing rows. */
   endedAtMs: z.number().optional(),
 })
+/** What a progress row says. */
 export type Progress = z.infer<typeof progressSchema>
 
 /** Reads a progress row; undefined when it has the wrong shape. */
@@ -70,6 +75,16 @@
   return parsed.success ? parsed.data : undefined
 }
 
+/** State of a job by its rows alone. */
+export function storedStatus(
+  cancelled: boolean,
+  progress: Progress | undefined,
+): JobStatus {
+  if (progress?.outcome) return progress.outcome
+  if (cancelled) return 'cancelled'
+  return progress ? 'running' : 'queued'
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text)
--- a/src/jobs/schema.ts
+++ b/src/jobs/schema.ts
@@ -2,14 +2,14 @@
 import { z } from 'zod'
 
 /** Largest number of tasks of one job over all steps: keeps one caller from filling a node. */
-export const MAX_TASKS_PER_JOB = 20_000
+const MAX_TASKS_PER_JOB = 20_000
 /** Largest number of steps of one job. */
-export const MAX_STEPS = 200
+const MAX_STEPS = 200
 /** Longest text that a job may pass to its tasks, in bytes. */
-export const MAX_SPEC_BYTES = 4000
+const MAX_SPEC_BYTES = 4000
 
 /** One step: `count` equal tasks. */
-export const stepSchema = z.object({
+const stepSchema = z.object({
   count: z.number().int().min(1).max(MAX_TASKS_PER_JOB),
   /** Thousandths of a core that a task asks for. */
   cpu: z.number().int().min(0).default(0),
@@ -43,6 +43,7 @@
   /** Tasks of a lasting step that may be away at the same time through our doing. */
   mayMiss: z.number().int().min(0).optional(),
 })
+/** One step of a job. */
 export type StepSpec = z.infer<typeof stepSchema>
 
 /** An accepted job. */
@@ -62,6 +63,7 @@
   /** When it was accepted, by the wall clock of the accepting node. */
   acceptedAtMs: z.number().default(0),
 })
+/** An accepted job. */
 export type JobSpec = z.infer<typeof jobSchema>
 
 /** State of a job as callers see it. */
@@ -69,6 +71,7 @@
 
 /** Final states; none of them changes again. */
 export const outcomeSchema = z.enum(['completed', 'failed', 'cancelled'])
+/** A final state. */
 export type JobOutcome = z.infer<typeof outcomeSchema>
 
 /** Says what is wrong with a job, or undefined when it can be accepted. */
