--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -8,8 +8,10 @@
 import type { SimPlatform } from './wireServer.js'
 
 const HOST = '127.0.0.1'
+/** The built program. */
 const PROGRAM = 'dist/src/bin/node.js'
 
+/** A node in a process of its own. */
 export interface NodeProcess {
   name: string
   /** Where callers come in. */
--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -29,6 +29,7 @@
   random: () => number
 }
 
+/** The rows, and the store as the nodes see it. */
 export interface RowTable {
   faults: StoreFaults
   /** The store as one node sees it. */
@@ -45,6 +46,7 @@
 const textOf = ({ table, part, key }: RowKey): string =>
   JSON.stringify([table, part, key])
 
+/** Creates an empty table without faults. */
 export function createRowTable(): RowTable {
   const rows = new Map<string, StoredRow>()
   let history: RowChange[] = []
--- /dev/null
+++ b/playground/sim/simFleet.ts
@@ -0,0 +1,125 @@
+/** VMs of the stand-in platform, and the lives of targets that run on them. */
+import type { Resources, RowKey } from '../../src/ports/index.js'
+import type { RowTable } from './rowTable.js'
+import { createSimTarget } from './simTarget.js'
+import type { RunLedger, SimTarget } from './simTarget.js'
+import { HOST } from './wire.js'
+
+/** A VM of the stand-in, with the life that runs on it. */
+export interface SimVm {
+  name: string
+  pool: string
+  state: 'up' | 'moving' | 'upkeep' | 'down'
+  hall: string
+  labels: string[]
+  capacity: Resources
+  target: SimTarget | undefined
+  port: number
+}
+
+/** A VM that had its maintenance in a wave. */
+export interface Maintained {
+  vm: string
+  wave: number
+}
+
+/** The VMs, and what happens to them. */
+export interface SimFleet {
+  vms: SimVm[]
+  maintained: Maintained[]
+  /** Adds a VM on which nothing runs yet. */
+  add(pool: string, hall: string, capacity: Resources): SimVm
+  /** Writes the row of the target on a VM. */
+  beat(vm: SimVm): void
+  /** Starts a new life on a VM. */
+  begin(vm: SimVm): void
+  /** Ends the life on a VM. */
+  end(vm: SimVm): void
+  /** Ends the life on a VM, and starts the next one in `pool` after a while. */
+  takeAway(vm: SimVm, state: SimVm['state'], pool: string): void
+  close(): void
+}
+
+/** Creates a fleet without VMs. */
+export function createSimFleet(opts: {
+  table: RowTable
+  ledger: RunLedger
+  /** Time that a move or maintenance takes, in ms. */
+  awayMs: number
+}): SimFleet {
+  const { table, ledger } = opts
+  const vms: SimVm[] = []
+  const timers = new Set<NodeJS.Timeout>()
+  let lives = 0
+
+  const rowOf = (id: string): RowKey => ({ table: 'servers', part: '', key: id })
+
+  const beat = (vm: SimVm): void => {
+    const { target, capacity } = vm
+    if (!target || vm.state !== 'up') return
+    const value = {
+      service: vm.pool,
+      address: `${HOST}:${vm.port}`,
+      zone: vm.hall,
+      state: 'ready',
+      labels: vm.labels,
+      capacity: { cpu: capacity.cpu, mem_mb: capacity.memMb, gpu: capacity.gpu },
+    }
+    table.put(rowOf(target.id), JSON.stringify(value))
+  }
+
+  const begin = (vm: SimVm): void => {
+    lives++
+    const id = `i-${lives.toString(16).padStart(8, '0')}`
+    vm.target = createSimTarget({ id, capacity: vm.capacity, ledger })
+    vm.state = 'up'
+    beat(vm)
+  }
+
+  const end = (vm: SimVm): void => {
+    if (!vm.target) return
+    vm.target.crash()
+    table.remove(rowOf(vm.target.id))
+    vm.target = undefined
+  }
+
+  return {
+    vms,
+    maintained: [],
+    add(pool, hall, capacity) {
+      const number = vms.length + 1
+      const name = `m-${number}`
+      const labels = ['a', `r1-${Math.ceil(number / 4)}`]
+      const target = undefined
+      const vm: SimVm = {
+        name,
+        pool,
+        state: 'up',
+        hall,
+        labels,
+        capacity,
+        target,
+        port: 0,
+      }
+      vms.push(vm)
+      return vm
+    },
+    beat,
+    begin,
+    end,
+    takeAway(vm, state, pool) {
+      end(vm)
+      vm.state = state
+      vm.pool = pool
+      const timer = setTimeout(() => {
+        timers.delete(timer)
+        begin(vm)
+      }, opts.awayMs)
+      timers.add(timer)
+    },
+    close() {
+      for (const timer of timers) clearTimeout(timer)
+      for (const vm of vms) vm.target?.crash()
+    },
+  }
+}
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -45,8 +45,10 @@
   hangs: boolean
 }
 
+/** Word of a target on a start order. */
 export type StartVerdict = 'accepted' | 'fence' | 'old' | 'late' | 'room'
 
+/** A run that is present. */
 interface ActiveRun {
   task: string
   run: number
@@ -56,6 +58,7 @@
   percent: number
 }
 
+/** One life of a target. */
 export interface SimTarget {
   readonly id: string
   faults: TargetFaults
@@ -83,6 +86,7 @@
   crash(): void
 }
 
+/** Starts a life without runs. */
 export function createSimTarget(opts: {
   id: string
   capacity: Resources
--- /dev/null
+++ b/playground/sim/storeHandlers.ts
@@ -0,0 +1,78 @@
+/** The store of the stand-in platform in the platform's wire format. */
+import type { RowKey, RowStore } from '../../src/ports/index.js'
+import { sleep } from '../../src/shared/index.js'
+import type { Body, Handler, Reply } from './wire.js'
+
+/** Time after which an unanswered call is cut, in ms: longer than any client waits. */
+const UNANSWERED_MS = 5000
+
+const encode = (text: string): string => Buffer.from(text, 'utf8').toString('base64')
+const decode = (text: string): string => Buffer.from(text, 'base64').toString('utf8')
+const toKey = (row: Body): RowKey => ({
+  table: String(row.table),
+  part: String(row.part ?? ''),
+  key: String(row.private_key),
+})
+const fromRow = (row: RowKey & { value?: string | undefined; version: number }) => ({
+  table: row.table,
+  part: row.part,
+  private_key: row.key,
+  ver: row.version,
+  ...(row.value === undefined ? { gone: true } : { value: encode(row.value) }),
+})
+
+/** Answers for the store; a refused call gets 503 and an unanswered one nothing in time. */
+export function storeHandlers(store: RowStore): Record<string, Handler> {
+  const failed = async (failure: string): Promise<Reply> => {
+    if (failure === 'compacted') return [410]
+    if (failure === 'refused') return [503]
+    await sleep(UNANSWERED_MS)
+    return [500]
+  }
+  return {
+    async 'POST /rows-tx'({ body }) {
+      const conditions = (body.expected_revision ?? []) as Body[]
+      const res = await store.commit({
+        conditions: conditions.map((row) => ({
+          ...toKey(row),
+          version: Number(row.ver),
+        })),
+        puts: ((body.put ?? []) as Body[]).map((row) => ({
+          ...toKey(row),
+          value: decode(String(row.value)),
+        })),
+        removals: ((body.remove ?? []) as Body[]).map(toKey),
+      })
+      if (res.isErr()) return failed(res.error.failure)
+      if (!res.value.committed) return [412, { rows: res.value.current.map(fromRow) }]
+      return [200, { ver: res.value.version, now_ms: Math.floor(performance.now()) }]
+    },
+    async 'GET /rows-get'({ query }) {
+      const from = query.get('from') ?? ''
+      const until = query.get('target_version')
+      const range = { from, ...(until !== null && { until }) }
+      const res = await store.read(
+        query.get('table') ?? '',
+        query.get('part') ?? '',
+        range,
+      )
+      if (res.isErr()) return failed(res.error.failure)
+      const limit = Number(query.get('limit') ?? 500)
+      const rows = res.value.rows.slice(0, limit).map(fromRow)
+      return [200, { rows, more: res.value.rows.length > limit, ver: res.value.version }]
+    },
+    async 'GET /rows-parts'({ query }) {
+      const res = await store.parts(query.get('table') ?? '')
+      if (res.isErr()) return failed(res.error.failure)
+      const after = query.get('after_revision') ?? ''
+      return [200, { parts: res.value.filter((part) => part > after), more: false }]
+    },
+    async 'GET /rows-feed'({ query }) {
+      const after = Number(query.get('after_revision'))
+      const wait = Number(query.get('wait_ms') ?? 0)
+      const res = await store.changes(query.get('table') ?? '', after, wait)
+      if (res.isErr()) return failed(res.error.failure)
+      return [200, { rows: res.value.changes.map(fromRow), ver: res.value.version }]
+    },
+  }
+}
--- /dev/null
+++ b/playground/sim/targetHandlers.ts
@@ -0,0 +1,66 @@
+/** Targets of the stand-in platform in the platform's wire format. */
+import type { SimVm } from './simFleet.js'
+import type { SimTarget } from './simTarget.js'
+import type { Body, Handler, Reply } from './wire.js'
+
+/** Answers for the target that runs on a VM now. */
+export function targetHandlers(vm: SimVm): Record<string, Handler> {
+  const guarded =
+    (handler: (target: SimTarget, body: Body) => Reply | Promise<Reply>): Handler =>
+    ({ body, headers }) => {
+      const { target } = vm
+      if (!target || headers['rillshunt-expected-instance'] !== target.id) return [421]
+      return handler(target, body)
+    }
+  return {
+    'POST /run-start': guarded((target, body) => {
+      const verdict = target.start({
+        task: String(body.task),
+        run: Number(body.run),
+        spec: String(body.spec ?? ''),
+        untilMs: Number(body.until_ms),
+        token: Number(body.fencing_token ?? 0),
+        saved: String(body.saved ?? ''),
+      })
+      const clock = { clock_ms: target.clockMs() }
+      return verdict === 'accepted' ? [200, clock] : [409, { ...clock, reason: verdict }]
+    }),
+    'POST /run-stop': guarded((target, body) => {
+      const done = target.stop(
+        String(body.task),
+        Number(body.run),
+        Number(body.fencing_token),
+      )
+      return [done ? 200 : 409, { clock_ms: target.clockMs() }]
+    }),
+    'POST /pace': guarded((target, body) => {
+      const { task, run, percent, fencing_token: token } = body
+      const done = target.pace(String(task), Number(run), Number(percent), Number(token))
+      return [done ? 200 : 409, { clock_ms: target.clockMs() }]
+    }),
+    'POST /hold': guarded(async (target, body) => {
+      const token = Number(body.fencing_token ?? 0)
+      const lastSeen = Number(body.last_seen ?? 0)
+      const untilMs = body.until_ms === undefined ? undefined : Number(body.until_ms)
+      target.hold({ token, lastSeen, untilMs })
+      await target.waitForEnd(Number(body.wait_ms ?? 0))
+      const report = target.hold({ token, lastSeen, untilMs })
+      if (!report) return [409, { clock_ms: target.clockMs(), reason: 'fence' }]
+      const running = report.runs.map((run) => [
+        run.task,
+        run.run,
+        run.checkpoint,
+        run.percent,
+        run.load,
+      ])
+      const ended = report.ends.map((end) => [
+        end.seq,
+        end.task,
+        end.run,
+        end.kind,
+        end.checkpoint,
+      ])
+      return [200, { clock_ms: target.clockMs(), running, ended }]
+    }),
+  }
+}
--- /dev/null
+++ b/playground/sim/wire.ts
@@ -0,0 +1,54 @@
+/** HTTP servers of the stand-in platform, by tables of handlers. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** Where all servers of the stand-in listen. */
+export const HOST = '127.0.0.1'
+
+/** Body of a request. */
+export type Body = Record<string, unknown>
+/** Status and body of an answer. */
+export type Reply = [status: number, body?: unknown]
+/** Answers one kind of request. */
+export type Handler = (req: {
+  body: Body
+  query: URLSearchParams
+  headers: IncomingMessage['headers']
+}) => Reply | Promise<Reply>
+
+async function readBody(req: IncomingMessage): Promise<Body> {
+  const chunks: Buffer[] = []
+  for await (const chunk of req) chunks.push(chunk as Buffer)
+  const text = Buffer.concat(chunks).toString('utf8')
+  return text === '' ? {} : (JSON.parse(text) as Body)
+}
+
+async function answer(
+  handlers: Record<string, Handler>,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const url = new URL(req.url ?? '/', 'http://platform')
+  const handler = handlers[`${req.method} ${url.pathname}`]
+  const body = await readBody(req)
+  const [status, reply] = handler
+    ? await handler({ body, query: url.searchParams, headers: req.headers })
+    : [404]
+  res.statusCode = status
+  res.setHeader('content-type', 'application/json')
+  res.end(reply === undefined ? '' : JSON.stringify(reply))
+}
+
+/** Opens a server on a free port unless one is named. */
+export async function listen(
+  handlers: Record<string, Handler>,
+  port = 0,
+): Promise<Server> {
+  const server = createServer((req, res) => void answer(handlers, req, res))
+  await new Promise<void>((resolve) => server.listen(port, HOST, resolve))
+  return server
+}
+
+/** Port on which a server listens. */
+export const portOf = (server: Server): number => (server.address() as AddressInfo).port
