refactor(shared): doc comments on exported items of directory, sharing, log

Cause: several exported items said nothing of themselves; a constant of fdSink stood below its use. Change: comments, and the constant at the top.

--- a/src/directory/configurationHolder.ts
+++ b/src/directory/configurationHolder.ts
@@ -11,6 +11,7 @@
  */
 const WAIT_MS = 1200
 
+/** Configuration and waves, as last accepted. */
 export interface ConfigurationHolder {
   current(): Configuration | undefined
   waves(): Wave[]
@@ -23,6 +24,7 @@
   stop(): Promise<void>
 }
 
+/** Starts following what the operators write. */
 export function createConfigurationHolder(opts: {
   store: RowStore
   documents: Documents['operator']
--- a/src/directory/rowMirror.ts
+++ b/src/directory/rowMirror.ts
@@ -15,6 +15,7 @@
 /** Pause after a failed read, in ms; jittered. */
 const RETRY_MS = 200
 
+/** A copy that follows its table until it is stopped. */
 export interface RowMirror {
   /** Resolves once the first full read is done. */
   ready: Promise<void>
@@ -23,6 +24,7 @@
   stop(): Promise<void>
 }
 
+/** What is copied, how often, and whom it tells. */
 export interface RowMirrorOptions {
   store: RowStore
   table: string
@@ -43,6 +45,7 @@
   onGap?(): Promise<number | undefined>
 }
 
+/** Starts copying. */
 export function createRowMirror(opts: RowMirrorOptions): RowMirror {
   const { store, table, part, log } = opts
   const stopping = createStopController()
--- a/src/directory/targetList.ts
+++ b/src/directory/targetList.ts
@@ -7,6 +7,7 @@
 /** Pause between two reads, in ms: a draining target must be known well within 2 s. */
 const POLL_MS = 350
 
+/** The targets that are listed now. */
 export interface TargetList {
   ready: Promise<void>
   byId(): ReadonlyMap<string, Target>
@@ -16,6 +17,7 @@
   stop(): Promise<void>
 }
 
+/** Starts following the list of targets. */
 export function createTargetList(opts: {
   store: RowStore
   documents: Documents['targets']
--- a/src/shared/eventLimit.ts
+++ b/src/shared/eventLimit.ts
@@ -6,17 +6,20 @@
 /** Lines of one kind at once. */
 const BURST = 600
 
+/** Bound on lines by kind. */
 export interface EventLimit {
   /** Whether a line of the kind may be written; `leftOut` are those before it that were not. */
   take(name: string): { allowed: boolean; leftOut: number }
 }
 
+/** Lines of one kind that may be written now. */
 interface Bucket {
   tokens: number
   filledAt: number
   leftOut: number
 }
 
+/** Creates a bound with all kinds at their full burst. */
 export function createEventLimit(now: () => number = monotonicMs): EventLimit {
   const buckets = new Map<string, Bucket>()
   return {
--- a/src/shared/fdSink.ts
+++ b/src/shared/fdSink.ts
@@ -7,7 +7,10 @@
 
 /** Text that may wait for the reader, in characters. */
 const MAX_WAITING = 1024 * 1024
+/** Pause before a full pipe is tried again, in ms. */
+const RETRY_MS = 20
 
+/** Creates a stream that accepts text at once and writes it as the reader takes it. */
 export function createFdSink(fd: number): Writable {
   let waiting = ''
   let dropped = 0
@@ -53,6 +56,3 @@
     },
   })
 }
-
-/** Pause before a full pipe is tried again, in ms. */
-const RETRY_MS = 20
--- a/src/sharing/pacer.ts
+++ b/src/sharing/pacer.ts
@@ -25,11 +25,14 @@
   load: number
 }
 
+/** A pace to order for one run. */
 export interface PaceOrder {
   name: string
+  /** Share of its speed, from 0 to 100. */
   percent: number
 }
 
+/** The pace of the fillers on one target. */
 export interface Pacer {
   /** Takes a report; returns the orders to give. */
   step(runs: readonly SharedRun[], now: number): PaceOrder[]
