--- a/src/scheduler/__tests__/serviceOwner.spec.ts
+++ b/src/scheduler/__tests__/serviceOwner.spec.ts
@@ -91,8 +91,13 @@
       t.true(await rig.settled(jobs, 5000))
       t.is(findBrokenPromise(rig.ledger), undefined)
       t.is(rig.ledger.entries.filter(({ what }) => what === 'start').length, 40)
+      // The former owner learns of it at its next write or start, not before.
+      const late = makeJob({ ms: 20, cpu: 400 })
+      rig.submit(first, late)
+      t.true(await rig.settled([late], 5000))
       t.truthy(first.lostBecause)
       t.is(second.lostBecause, undefined)
+      t.is(findBrokenPromise(rig.ledger), undefined)
       await rig.stop()
     })
 
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod'
 import type { RowKey, RowStore, StoredRow } from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
-import { describeError, jittered, sleep } from '../shared/index.js'
+import { describeError, jittered, sleep, parseJson } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
 
@@ -22,7 +22,7 @@
 }
 
 export function decodeRosterEntry(row: StoredRow): RosterEntry | undefined {
-  const parsed = entrySchema.safeParse(JSON.parse(row.value))
+  const parsed = entrySchema.safeParse(parseJson(row.value))
   return parsed.success ? { id: row.key, address: parsed.data.address } : undefined
 }
 
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -61,3 +61,12 @@
 export function jittered(ms: number): number {
   return ms * (1 - JITTER / 2 + Math.random() * JITTER)
 }
+
+/** Parsed JSON, or undefined: the schema check that follows reports it as misshapen. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod'
 import type { Documents, RowKey, RowStore, Vm, Wave } from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
-import { describeError, monotonicMs } from '../shared/index.js'
+import { describeError, monotonicMs, parseJson } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 
 /** Progress of waves; the part is the fleet's. */
@@ -15,7 +15,7 @@
 
 /** Reads the row of a wave; undefined when it has the wrong shape. */
 export function decodeWaveRow(value: string): z.infer<typeof waveRowSchema> | undefined {
-  return waveRowSchema.safeParse(JSON.parse(value)).data
+  return waveRowSchema.safeParse(parseJson(value)).data
 }
 
 /** One wave as this owner carries it out. */
