fix(scheduler): an owner whose renewal is fenced knows that it is deposed

Cause: a target's refusal of a renewal for an old token was taken for a target that does not answer, so a former owner with nothing to write went on in its grace time. Seen by the test 'keeps what runs, and repeats nothing that was done', which failed beside load at the line that asks whether the former owner knows. Change: such a refusal is told apart by the adapter and ends the ownership.

--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -84,7 +84,7 @@
       }))
       if (res.isErr()) return err(res.error)
       const { clockMs, report } = res.value
-      if (!report) return err(orderError('notDone', 'fenced'))
+      if (!report) return err(orderError('fenced', 'a higher token was seen'))
       return ok({ clockMs, ...report })
     },
     close: () => undefined,
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -74,8 +74,11 @@
   | { accepted: true; clockMs: number }
   | { accepted: false; clockMs: number; reason: StartRefusal }
 
-/** What is known after an order. `gone`: another life answers at the address. */
-export type OrderFailure = 'notDone' | 'unanswered' | 'gone'
+/**
+ * What is known after an order. `gone`: another life answers at the address. `fenced`: the
+ * target has seen a higher token and did nothing.
+ */
+export type OrderFailure = 'notDone' | 'unanswered' | 'gone' | 'fenced'
 
 export interface OrderError {
   failure: OrderFailure
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -298,6 +298,11 @@
     for (const placement of [...placements.values()]) vanish(placement, 'lease is over')
   }
 
+  /** A newer owner has been here, unless it was only our own newer token. */
+  function noteFenced(sentToken: number): void {
+    if (sentToken === token()) authority.lost('a target has seen a newer owner')
+  }
+
   async function syncOnce(waitMs: number): Promise<boolean> {
     const sentToken = token()
     // A silent target may get a lease that we never hear of: it is not extended, so that
@@ -307,6 +312,7 @@
     const res = await link.sync(order)
     if (gone || stopping.signal.aborted) return false
     if (res.isOk()) applyReport(res.value, sentToken)
+    else if (res.error.failure === 'fenced') noteFenced(sentToken)
     else noteFailure(res.error)
     return res.isOk()
   }
