refactor(scheduler): drop a parameter that nobody reads

Cause: the job book said whether a change was urgent and the progress writer ignored it; a comment promised that completed jobs wait less, which they do not. Change: the parameter and the promise are gone.

--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -18,8 +18,8 @@
   now(): number
   /** Wall clock, in ms since 1970. */
   wallMs(): number
-  /** A job's progress has changed; `urgent` when callers wait for it. */
-  changed(job: Job, urgent: boolean): void
+  /** A job's progress has changed. */
+  changed(job: Job): void
   /** A placed run of the task is not wanted any more. */
   dropped(task: Task): void
   /** Something may be startable. */
@@ -94,7 +94,7 @@
       if (task.phase === 'placed') opts.dropped(task)
     }
     opts.ended(job, outcome, cause)
-    opts.changed(job, true)
+    opts.changed(job)
   }
 
   const markDone = (task: Task): void => {
@@ -211,7 +211,7 @@
       if (end.kind === 'done' && !task.step.spec.lasting) {
         if (task.phase === 'placed' && task.targetId !== targetId) opts.dropped(task)
         END_HANDLERS.done(task)
-        opts.changed(task.step.job, false)
+        opts.changed(task.step.job)
         return task
       }
       const present = task.phase === 'placed' && task.targetId === targetId
@@ -219,7 +219,7 @@
       if (end.kind === 'failed') countFailure(task, end.run)
       if (task.step.job.outcome) return task
       if (present && end.run === task.run) END_HANDLERS[end.kind](task)
-      opts.changed(task.step.job, false)
+      opts.changed(task.step.job)
       opts.wake()
       return task
     },
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -20,7 +20,7 @@
 export const ACK_WAIT_MS = 400
 /** Ends that a target lists at most in one answer. */
 export const MAX_LISTED_ENDS = 500
-/** Time for which ends gather before they are written; completed jobs wait no longer. */
+/** Time for which ends gather before they are written. */
 export const FLUSH_DELAY_MS = 40
 /** Jobs per write: one condition and one put each, of the store's 100, and the epoch. */
 export const JOBS_PER_WRITE = 45
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -18,8 +18,8 @@
 }
 
 export interface ProgressWriter {
-  /** @param urgent whether a caller waits for it. */
-  mark(job: Job, urgent: boolean): void
+  /** Has the job's progress written soon. */
+  mark(job: Job): void
   addSource(source: AckSource): void
   removeSource(source: AckSource): void
   /** Resolves after the next write that includes everything noted so far, or `ms`. */
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -138,7 +138,7 @@
     },
     now: monotonicMs,
     wallMs: Date.now,
-    changed: (job, urgent) => progress.mark(job, urgent),
+    changed: progress.mark,
     dropped: (task) => agents.get(task.targetId ?? '')?.stop(task.name),
     wake,
     ended: (job, outcome, cause) =>
