fix(vms): act only on the newest report, and only on targets that are still closed

Cause: the process test of a killed owner failed now and then with a second run of a task. The fleet's owner moved VMs with runs on them: an answer that no longer named a target let its service start tasks there, while the last report still said 'closed and empty'; a slow report could also come after a newer one, and a new owner of a service did not know what its predecessor had reported. Ruled out: a double run of the product; the first run died with its VM.

Change: a target counts as closed only if the answer to that report names it; reports carry a sequence; a new owner starts nothing before the fleet's owner has answered it once, for 2 s at most. The stand-in's ledger notes runs that die with a VM, and the process tests allow none.

--- a/playground/__tests__/node.spec.ts
+++ b/playground/__tests__/node.spec.ts
@@ -4,6 +4,7 @@
 import { sleep } from '../../src/shared/index.js'
 import { startNodeProcess } from '../sim/nodeProcess.js'
 import type { NodeProcess } from '../sim/nodeProcess.js'
+import type { SimPlatform } from '../sim/wireServer.js'
 import { startSimPlatform } from '../sim/wireServer.js'
 
 const HOST_NAME = 'q.example'
@@ -75,6 +76,12 @@
   }
 }
 
+/** Runs that died under orders to move or maintain their VM. */
+const killedRuns = ({ ledger }: SimPlatform): string[] =>
+  ledger.entries.flatMap(({ what, task, target }) =>
+    what === 'killed' ? `${task} on ${target}` : [],
+  )
+
 async function startAll(count: number) {
   const platform = await startSimPlatform({
     pools: { one: 3, idle: 2 },
@@ -133,6 +140,7 @@
     }
     t.is(states.size, total)
     t.is(findBrokenPromise(platform.ledger), undefined)
+    t.deepEqual(killedRuns(platform), [])
     await Promise.all(alive().map((node) => node.kill()))
     await platform.close()
   })
@@ -198,6 +206,7 @@
     t.is(platform.waveStatus(1), 'completed')
     t.deepEqual(platform.maintained.map(({ vm }) => vm).sort(), ['m-1', 'm-2', 'm-4'])
     t.is(findBrokenPromise(platform.ledger), undefined)
+    t.deepEqual(killedRuns(platform), [])
     await Promise.all(nodes.map((node) => node.kill('SIGTERM')))
     await platform.close()
   })
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -24,7 +24,8 @@
   /** Starts and ends in the order in which they happened. */
   entries: {
     at: number
-    what: 'start' | RunEndKind
+    /** `killed`: the target's life ended with the run on it. */
+    what: 'start' | 'killed' | RunEndKind
     task: string
     run: number
     target: string
@@ -117,7 +118,11 @@
 
   const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + 1000
 
-  const note = (what: 'start' | RunEndKind, task: string, run: number): void => {
+  const note = (
+    what: 'start' | 'killed' | RunEndKind,
+    task: string,
+    run: number,
+  ): void => {
     ledger.entries.push({ at: monotonicMs(), what, task, run, target: id })
   }
 
@@ -218,7 +223,10 @@
     crash() {
       dead = true
       clearTimeout(leaseTimer)
-      for (const active of runs.values()) clearTimeout(active.timer)
+      for (const active of runs.values()) {
+        clearTimeout(active.timer)
+        note('killed', active.task, active.run)
+      }
       runs.clear()
       faults.silent = true
     },
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -38,9 +38,9 @@
       },
       fleetReport(req) {
         const report = serviceReportSchema.safeParse(parseJson(req.report))
-        const fleet = local.fleet()
-        if (!fleet || !report.success) return { taken: false, answer: '' }
-        return { taken: true, answer: JSON.stringify(fleet.report(report.data)) }
+        const answer = report.success ? local.fleet()?.report(report.data) : undefined
+        if (!answer) return { taken: false, answer: '' }
+        return { taken: true, answer: JSON.stringify(answer) }
       },
       waiting(req) {
         const owner = local.service(req.service)
--- a/src/scheduler/__tests__/serviceOwner.spec.ts
+++ b/src/scheduler/__tests__/serviceOwner.spec.ts
@@ -7,6 +7,9 @@
   throw new Error('not used in this test')
 }
 
+/** Answer of the fleet's owner that closes nothing. */
+const NOTHING_TO_EMPTY = { evacuate: [], hurry: [], ended: [] }
+
 describe('createServiceOwner', () => {
   it('runs steps in their order and makes outcomes durable', async (t) => {
     const rig = createJobRig()
@@ -101,6 +104,21 @@
       await rig.stop()
     })
 
+    // A VM that the former owner had closed and emptied may be moved at any moment.
+    it('starts nothing before the owner of the fleet has heard of it', async (t) => {
+      const rig = createJobRig()
+      rig.addTarget('t1')
+      rig.cloud = { list: async () => ok([]), move: unused, maintain: unused }
+      const owner = await rig.own()
+      const job = makeJob({ ms: 20, cpu: 400 })
+      rig.submit(owner, job)
+      await sleep(400)
+      t.deepEqual(rig.ledger.entries, [])
+      owner.evacuate(NOTHING_TO_EMPTY)
+      t.true(await rig.settled([job], 1000))
+      await rig.stop()
+    })
+
     it('waits for the leases of a target that it cannot hear', async (t) => {
       const rig = createJobRig()
       const cut = rig.addTarget('t1')
@@ -150,7 +168,10 @@
     silent.crash()
     rig.addTarget('t2')
     await sleep(7500)
-    t.is(rig.ledger.entries.length, 1)
+    t.deepEqual(
+      rig.ledger.entries.map(({ what }) => what),
+      ['start', 'killed'],
+    )
     owner.confirmed = true
     await sleep(700)
     t.is(rig.ledger.entries.at(-1)?.target, 't2')
@@ -162,6 +183,7 @@
     const lost = rig.addTarget('t1')
     rig.cloud = { list: async () => ok([]), move: unused, maintain: unused }
     const owner = await rig.own()
+    owner.evacuate(NOTHING_TO_EMPTY)
     rig.submit(owner, makeJob({ ms: 0, cpu: 400 }, [{ count: 1 }]))
     await sleep(300)
     lost.crash()
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -40,3 +40,9 @@
 export const HOUSEKEEPING_MS = 250
 /** Rows of finished jobs are kept this long: the platform asks for 120 s, and some. */
 export const KEEP_FINISHED_MS = 180_000
+/**
+ * Longest wait of a new owner for the first answer of the fleet's owner, in ms: until then
+ * that one may act on the predecessor's last report, which counts for 1.5 s and may have
+ * been on its way for 0.4 s.
+ */
+export const FLEET_ANSWER_WAIT_MS = 2000
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -32,6 +32,7 @@
 
 export function createDemandMeter(runTimes: RunTimes): DemandMeter {
   const arrivals = createArrivalMeter()
+  let sequence = 0
 
   return {
     arrived(job, now) {
@@ -53,9 +54,11 @@
         }
       }
       const steady = Math.max(sum.running, arrivals.expectedCpu(now))
+      sequence++
       return {
         service,
         term,
+        sequence,
         neededCpu: sum.lasting + steady + sum.backlog / CLEAR_BACKLOG_MS,
         minTargets,
         targets: agents.map(loadOf),
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -34,6 +34,7 @@
 import type { Logger } from '../shared/index.js'
 import {
   CLOCK_SKEW,
+  FLEET_ANSWER_WAIT_MS,
   FLUSH_RETRY_MS,
   HOUSEKEEPING_MS,
   INTAKE_POLL_MS,
@@ -103,6 +104,8 @@
   const cancelledEarly = new Set<string>()
   let planned = false
   let gateOpen = false
+  let fleetAnswered = false
+  const startedAt = monotonicMs()
 
   const inheritedLeaseMs =
     (authority.predecessorMayLive ? GRACE_MS : 0) +
@@ -307,8 +310,18 @@
     return !hasPolicy(step) || tickets.find(step, agent) !== undefined
   }
 
+  /**
+   * Whether VMs may be moved because the predecessor reported them closed and empty, and
+   * the fleet's owner has not heard of us yet.
+   */
+  const mayLoseVms = (): boolean =>
+    opts.cloud !== undefined &&
+    !fleetAnswered &&
+    monotonicMs() - startedAt < FLEET_ANSWER_WAIT_MS
+
   function plan(): void {
     if (stopping.signal.aborted || !authority.mayOrder()) return
+    if (mayLoseVms()) return
     if (!gateOpen && [...agents.values()].every((agent) => agent.isSettled())) {
       gateOpen = true
       log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
@@ -345,6 +358,7 @@
   }
 
   function evacuate({ evacuate: ids, hurry, ended }: FleetAnswer): void {
+    fleetAnswered = true
     for (const agent of [...agents.values()]) {
       const { id } = agent.target
       if (ended.includes(id)) {
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -8,6 +8,7 @@
 import { createFleetOwner } from '../index.js'
 import type { FleetOwner, ServiceReport, TargetLoad } from '../index.js'
 
+let sequence = 0
 const EPOCH = { table: 'epochs', part: '~fleet', key: 'epoch' }
 
 const vmOf = (number: number, pool: string): Vm => ({
@@ -33,9 +34,12 @@
   neededCpu: number,
   targets: TargetLoad[],
   term = 1,
-): ServiceReport => ({ service, term, neededCpu, minTargets: 1, targets })
+): ServiceReport => {
+  sequence++
+  return { service, term, sequence, neededCpu, minTargets: 1, targets }
+}
 
-function startFleet(vms: Vm[], waves: Wave[] = []) {
+function startFleet(vms: Vm[], waves: Wave[] = [], sparePool = 'idle') {
   const table = createRowTable()
   const version = table.put(EPOCH, '1')
   const orders: { kind: string; vm: string; pool?: string }[] = []
@@ -67,7 +71,7 @@
   const services = new Map(
     ['a', 'b', 'idle'].map((name) => [
       name,
-      { name, guardsCapacity: true, spare: name === 'idle' },
+      { name, guardsCapacity: true, spare: name === sparePool },
     ]),
   )
   const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 }
@@ -103,7 +107,8 @@
 ): Promise<void> {
   let evacuate: string[] = []
   for (let passed = 0; passed < ms; passed += 50) {
-    for (const report of make(evacuate)) evacuate = fleet.report(report).evacuate
+    for (const report of make(evacuate))
+      evacuate = fleet.report(report)?.evacuate ?? evacuate
     await sleep(50)
   }
 }
@@ -124,7 +129,7 @@
     ]
     await reportFor(fleet, 500, () => reports(false))
     t.deepEqual(orders, [])
-    t.deepEqual(fleet.report(reports(false)[1]!).evacuate, ['i3'])
+    t.deepEqual(fleet.report(reports(false)[1]!)?.evacuate, ['i3'])
     await reportFor(fleet, 300, () => reports(true))
     t.deepEqual(orders, [{ kind: 'move', vm: 'm3', pool: 'a' }])
     await fleet.stop(false)
@@ -138,7 +143,7 @@
     const make = () => [reportOf('a', 2000, [load('i1', 0, true), load('i2', 1, false)])]
     await reportFor(fleet, 500, make)
     t.true(orders.some(({ kind }) => kind === 'maintain'))
-    t.deepEqual(fleet.report(make()[0]!).ended, [])
+    t.deepEqual(fleet.report(make()[0]!)?.ended, [])
     await fleet.stop(false)
   })
 
@@ -147,7 +152,7 @@
     const { fleet, statusOf } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')], [wave])
     const make = () => [reportOf('a', 2000, [load('i1', 0, true), load('i2', 1, false)])]
     await reportFor(fleet, 900, make)
-    t.deepEqual(fleet.report(make()[0]!).ended, ['i1'])
+    t.deepEqual(fleet.report(make()[0]!)?.ended, ['i1'])
     t.is(statusOf(1), 'completed')
     await fleet.stop(false)
   })
@@ -170,6 +175,42 @@
     await fleet.stop(false)
   })
 
+  // Found by the process test of a killed owner: VMs were moved with runs on them.
+  describe('a report that says that a target is closed', () => {
+    const vms = () => [vmOf(1, 'a'), vmOf(2, 'b'), vmOf(3, 'b')]
+    const wanting = (cpu: number) => reportOf('a', cpu, [load('i1', 3, false)])
+    const closed = () => reportOf('b', 2000, [load('i2', 1, false), load('i3', 0, true)])
+
+    it('counts no more once the answer has opened the target', async (t) => {
+      const { fleet, orders } = startFleet(vms(), [], '')
+      await reportFor(fleet, 300, () => [
+        wanting(15_000),
+        reportOf('b', 2000, [load('i2', 1, false), load('i3', 0, false)]),
+      ])
+      fleet.report(wanting(2000))
+      await sleep(250)
+      t.deepEqual(fleet.report(closed())?.evacuate, [])
+      fleet.report(wanting(15_000))
+      await sleep(250)
+      t.deepEqual(orders, [])
+      await fleet.stop(false)
+    })
+
+    it('counts no more once a newer one has come', async (t) => {
+      const { fleet, orders } = startFleet(vms(), [], '')
+      await reportFor(fleet, 300, () => [
+        wanting(15_000),
+        reportOf('b', 2000, [load('i2', 1, false), load('i3', 0, false)]),
+      ])
+      const late = closed()
+      fleet.report(reportOf('b', 2000, [load('i2', 1, false), load('i3', 1, true)]))
+      t.is(fleet.report(late), undefined)
+      await sleep(250)
+      t.deepEqual(orders, [])
+      await fleet.stop(false)
+    })
+  })
+
   it('gives no order while its ownership is not confirmed', async (t) => {
     const { fleet, orders, state } = startFleet([vmOf(1, 'a'), vmOf(2, 'idle')])
     state.confirmed = false
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -32,8 +32,11 @@
 
 /** The owner of the fleet, while it runs. */
 export interface FleetOwner extends Owner {
-  /** Takes a service's report; the answer says which targets to empty. */
-  report(report: ServiceReport): FleetAnswer
+  /**
+   * Takes a service's report; the answer says which targets to empty, and thereby opens
+   * all others. Undefined for a report that is not the newest.
+   */
+  report(report: ServiceReport): FleetAnswer | undefined
 }
 
 /** What the owner of the fleet works with. */
@@ -139,9 +142,15 @@
 
   return {
     report(report) {
-      if (!reports.take(report)) return { evacuate: [], hurry: [], ended: [] }
+      const evacuate = targetsOf([...emptying, ...reserved, ...orders.pending.keys()])
+      // The answer opens what it does not name: its owner may start tasks there at once.
+      const targets = report.targets.map((load) => ({
+        ...load,
+        evacuating: load.evacuating && evacuate.includes(load.id),
+      }))
+      if (!reports.take({ ...report, targets })) return undefined
       return {
-        evacuate: targetsOf([...emptying, ...reserved, ...orders.pending.keys()]),
+        evacuate,
         hurry: targetsOf([...hurried].filter((name) => emptying.has(name))),
         ended: orders.endedLives(),
       }
--- a/src/vms/reportBook.ts
+++ b/src/vms/reportBook.ts
@@ -5,7 +5,10 @@
 
 /** Reports by service. */
 export interface ReportBook {
-  /** False for a report of an owner that has been deposed, which may go on for a while. */
+  /**
+   * False for a report that is not the newest of its service: an owner that has been
+   * deposed may go on for a while, and a slow call may come after newer ones.
+   */
   take(report: ServiceReport): boolean
   /** Reports that are recent enough to act on. */
   fresh(): Map<string, ServiceReport>
@@ -13,6 +16,10 @@
   loads(): Map<string, TargetLoad>
 }
 
+const isNewer = (report: ServiceReport, known: ServiceReport): boolean =>
+  report.term > known.term ||
+  (report.term === known.term && report.sequence > known.sequence)
+
 /** Creates an empty book. */
 export function createReportBook(): ReportBook {
   const reports = new Map<string, { report: ServiceReport; at: number }>()
@@ -28,7 +35,7 @@
   return {
     take(report) {
       const known = reports.get(report.service)
-      if (known && known.report.term > report.term) return false
+      if (known && !isNewer(report, known.report)) return false
       reports.set(report.service, { report, at: monotonicMs() })
       return true
     },
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -19,6 +19,8 @@
 export const serviceReportSchema = z.object({
   service: z.string(),
   term: z.number(),
+  /** Rises with each report of one owner: a call that was slow may come after newer ones. */
+  sequence: z.number(),
   /** Thousandths of a core that its tasks need, now and soon. */
   neededCpu: z.number(),
   /** Least number of targets on which its lasting steps fit. */
