refactor(config): drop four settings that nothing reads

Longest lease, time of a stop, of a move and of maintenance were checked and never used: leases last 6 s whatever a target grants, and moves are followed by the list.

--- a/src/config/__tests__/resolveConfig.spec.ts
+++ b/src/config/__tests__/resolveConfig.spec.ts
@@ -138,7 +138,7 @@
     const cfg = parseNodeConfig(NODE)._unsafeUnwrap()
     t.is(cfg.listen.node_port, 7060)
     t.is(cfg.cloud.address, undefined)
-    t.is(cfg.cloud.move_time, 1500)
+    t.is(cfg.targets.orders, 'call')
   })
 
   const cases: [change: [string, string], message: RegExp][] = [
--- a/src/config/nodeSchema.ts
+++ b/src/config/nodeSchema.ts
@@ -1,13 +1,6 @@
 /** Settings of `rillshunt-node`; `docs/config.md` lists every key. */
 import { z } from 'zod'
-import {
-  duration,
-  identifier,
-  ipNumber,
-  port,
-  socketAddress,
-  wordList,
-} from './values.js'
+import { identifier, ipNumber, port, socketAddress, wordList } from './values.js'
 
 const section = <T extends z.ZodRawShape>(shape: T) => z.strictObject(shape)
 
@@ -56,18 +49,10 @@
   targets: section({
     /** How orders reach targets; only `call` is implemented. @default 'call' */
     orders: z.literal('call', { error: "only 'call' is implemented" }).prefault('call'),
-    /** Longest lease that a target grants. @default '10s' */
-    longest_lease: duration().prefault('10s'),
-    /** Longest time that a stop takes. @default '1s' */
-    stop_time: duration().prefault('1s'),
   }),
   cloud: section({
     /** Where VMs are controlled; without it pools and waves are left alone. */
     address: socketAddress().optional(),
-    /** Time that a VM is away when it changes pool. @default '1500ms' */
-    move_time: duration().prefault('1500ms'),
-    /** Time that a VM is away for maintenance. @default '2s' */
-    maintenance_time: duration().prefault('2s'),
   }),
   advice: section({
     /** Where the advice service answers; needed only by queues that have a policy. */
