fix(scheduler): a takeover misses no job of a queue that comes while it reads

Cause: the version to continue from was taken after the queues had been listed, so the first job of a queue whose row came in between was in neither. Ruled out: the history gap, which reads everything again. Change: the version is read before the list.

--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -34,13 +34,15 @@
   service: string,
   log: Logger,
 ): Promise<Result<Intake, PlatformError>> {
+  // From before the queues are listed, so that a queue that comes meanwhile is a change.
+  const before = await store.read(INTAKE_TABLE, '')
+  if (before.isErr()) return err(before.error)
   const parts = await store.parts(INTAKE_TABLE)
   if (parts.isErr()) return err(parts.error)
-  const intake: Intake = { jobs: [], cancels: [], version: Infinity }
+  const intake: Intake = { jobs: [], cancels: [], version: before.value.version }
   for (const part of parts.value) {
     const rows = await store.read(INTAKE_TABLE, part)
     if (rows.isErr()) return err(rows.error)
-    intake.version = Math.min(intake.version, rows.value.version)
     for (const row of rows.value.rows) {
       const entry = decodeIntake(row.key, row.value)
       if (entry.kind === 'cancel') intake.cancels.push(entry.id)
@@ -49,10 +51,7 @@
       else if (entry.job.service === service) intake.jobs.push(entry.job)
     }
   }
-  if (intake.version !== Infinity) return ok(intake)
-  // No queue has rows yet: any read tells the newest version.
-  const any = await store.read(INTAKE_TABLE, '')
-  return any.map(({ version }) => ({ ...intake, version }))
+  return ok(intake)
 }
 
 /** Reads progress and roster first under the new epoch, then the intake. */
