fix(ownership): a part of the store for each node's row, followed by changes

Ruled out: the relay, which met the same queue at each peer. Change: part and key of a node's row are its id; the rows are followed by the table's changes, read whole at first and after a gap; a claim reads the holder's row once more.

--- a/src/ownership/__tests__/ownership.spec.ts
+++ b/src/ownership/__tests__/ownership.spec.ts
@@ -117,9 +117,9 @@
     const table = createRowTable()
     const nodes = ['n1', 'n2'].map((id) => startNode(table, id))
     const row = { life: 'gone', address: 'x:1', hall: 'h1', owns: ['a'], leaving: false }
-    table.put({ table: 'nodes', part: '', key: 'n0' }, JSON.stringify(row))
+    table.put({ table: 'nodes', part: 'n0', key: 'n0' }, JSON.stringify(row))
     await sleep(FORGET_NODE_MS + 2000)
-    t.is(table.get({ table: 'nodes', part: '', key: 'n0' }), undefined)
+    t.is(table.get({ table: 'nodes', part: 'n0', key: 'n0' }), undefined)
     await Promise.all(nodes.map((node) => node.stop()))
   })
 
@@ -159,6 +159,31 @@
     await Promise.all(nodes.map((node) => node.stop()))
   })
 
+  it('sees every node again after the history of the store is gone', async (t) => {
+    const table = createRowTable()
+    const nodes = ['n1', 'n2', 'n3'].map((id) => startNode(table, id))
+    await sleep(1500)
+    for (let round = 0; round < 6; round++) {
+      table.compact()
+      await sleep(500)
+    }
+    for (const { registry } of nodes) {
+      const seen = registry.candidates().map(({ id }) => id)
+      t.deepEqual(seen, ['n1', 'n2', 'n3'])
+    }
+    await nodes[2]!.stop()
+    table.remove({ table: 'nodes', part: 'n3', key: 'n3' })
+    await sleep(1200)
+    t.deepEqual(
+      nodes[0]!.registry
+        .members()
+        .map(({ id }) => id)
+        .sort(),
+      ['n1', 'n2'],
+    )
+    await Promise.all(nodes.slice(0, 2).map((node) => node.stop()))
+  })
+
   it('hands services over in a planned stop', async (t) => {
     const table = createRowTable()
     const nodes = ['n1', 'n2'].map((id) => startNode(table, id))
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -2,7 +2,7 @@
  * The nodes of this installation, by rows that each renews. Whether a node is alive is
  * judged by its row standing still for a lease time on our own steady clock.
  */
-import type { RowKey, RowStore } from '../ports/index.js'
+import type { RowStore } from '../ports/index.js'
 import {
   createStopController,
   describeError,
@@ -23,8 +23,9 @@
   STORE_RETRY_MS,
   TAKEOVER_MARGIN_MS,
 } from './constants.js'
-import { NODES_PART, NODES_TABLE, decodeNode } from './nodeRow.js'
+import { NODES_TABLE, decodeNode } from './nodeRow.js'
 import type { NodeRow } from './nodeRow.js'
+import { createNodeRowFollower, nodeKey } from './nodeRowFollower.js'
 
 /** A node as last seen. */
 export interface Member extends NodeRow {
@@ -57,6 +58,8 @@
   refresh(): Promise<boolean>
   /** The same soon: somebody was not found where the rows said. */
   refreshSoon(): void
+  /** Reads the row of one node now; false when the store did not answer. */
+  reread(id: string): Promise<boolean>
   /** Time since the rows of the others were first read, in ms. */
   knownForMs(): number
   stop(): Promise<void>
@@ -83,7 +86,8 @@
   const stopping = createStopController()
   const members = new Map<string, Member>()
   const listeners: ((sentAt: number, lapsed: boolean) => void)[] = []
-  const ownKey: RowKey = { table: NODES_TABLE, part: NODES_PART, key: id }
+  const ownKey = nodeKey(id)
+  const follower = createNodeRowFollower(store)
   let ownVersion: number | undefined
   let renewedAt = -Infinity
   let polledAt = -Infinity
@@ -102,9 +106,8 @@
 
   /** Version of this node's row, 0 for none; undefined when the store did not answer. */
   async function readOwnVersion(): Promise<number | undefined> {
-    const range = { from: id, until: `${id}\u0000` }
-    const found = await store.read(NODES_TABLE, NODES_PART, range)
-    if (found.isOk()) return found.value.rows[0]?.version ?? 0
+    const found = await follower.readOne(id)
+    if (found.isOk()) return found.value?.version ?? 0
     noteConnection(false, describeError(found.error))
     return undefined
   }
@@ -153,10 +156,11 @@
     return done
   }
 
-  /** Takes a row of any node; one of the same version changes nothing. */
-  function note(row: { key: string; value: string; version: number }): void {
+  /** Takes a row of any node. Readings overtake each other: one that is not newer is none. */
+  function note(row: { key: string; value: string | undefined; version: number }): void {
     const known = members.get(row.key)
-    if (known?.version === row.version) return
+    if (known && known.version >= row.version) return
+    if (row.value === undefined) return void members.delete(row.key)
     const node = decodeNode(row.value)
     if (!node) return log.event('rowInvalid', { table: NODES_TABLE, key: row.key })
     if (!known) log.event('nodeSeen', { seen: row.key, life: node.life })
@@ -168,15 +172,18 @@
   async function poll(): Promise<boolean> {
     const sentAt = now()
     pollSentAt = sentAt
-    const res = await store.read(NODES_TABLE, NODES_PART)
+    const res = await follower.read()
     if (res.isErr()) {
       noteConnection(false, describeError(res.error))
       return false
     }
     noteConnection(true, 'nodes read')
-    const keys = new Set(res.value.rows.map(({ key }) => key))
-    for (const key of members.keys()) if (!keys.has(key)) members.delete(key)
-    for (const row of res.value.rows) note(row)
+    const { complete, rows } = res.value
+    const keys = new Set(rows.map(({ key }) => key))
+    if (complete) {
+      for (const key of members.keys()) if (!keys.has(key)) members.delete(key)
+    }
+    for (const row of rows) note(row)
     if (sentAt - polledAt > READ_GAP_MS && polledAt > -Infinity) steadySince = sentAt
     polledAt = Math.max(polledAt, sentAt)
     firstPolledAt ??= now()
@@ -190,7 +197,7 @@
       (each) => each.id !== id && polledAt - each.seenAt > FORGET_NODE_MS,
     )
     if (!dead) return
-    const key = { table: NODES_TABLE, part: NODES_PART, key: dead.id }
+    const key = nodeKey(dead.id)
     const conditions = [{ ...key, version: dead.version }]
     const res = await store.commit({ conditions, puts: [], removals: [key] })
     if (res.isErr()) log.event('platformDown', { reason: describeError(res.error) })
@@ -234,6 +241,12 @@
     isConnected: () => connected && now() - renewedAt < NODE_LEASE_MS,
     onRenewed: (listener) => void listeners.push(listener),
     refresh: poll,
+    async reread(other) {
+      const row = await follower.readOne(other)
+      if (row.isErr()) return false
+      if (row.value) note(row.value)
+      return true
+    },
     refreshSoon: () => void (now() - pollSentAt > REFRESH_MS && poll()),
     knownForMs: () => (firstPolledAt === undefined ? 0 : now() - firstPolledAt),
     async stop() {
--- a/src/ownership/nodeRow.ts
+++ b/src/ownership/nodeRow.ts
@@ -2,10 +2,8 @@
 import { z } from 'zod'
 import { parseJson } from '../shared/index.js'
 
-/** One row per node; the part is empty. */
+/** One row per node; part and key are the node's id. */
 export const NODES_TABLE = 'nodes'
-/** Part of every row of a node. */
-export const NODES_PART = ''
 
 const nodeSchema = z.object({
   /** Changes at each start of the process. */
--- /dev/null
+++ b/src/ownership/nodeRowFollower.ts
@@ -0,0 +1,73 @@
+/**
+ * Follows the rows of all nodes: a full reading first, then only what has changed. Each
+ * node's row is a part of its own, because a part takes its writes one after another: in
+ * one common part a slow store would not keep up with the renewals.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { RowChange, RowKey, RowStore, StoredRow } from '../ports/index.js'
+import type { PlatformError } from '../shared/index.js'
+import { NODES_TABLE } from './nodeRow.js'
+
+/** What a reading brought. */
+export interface NodeRowReading {
+  /** Whether `rows` are all there are; otherwise they are what has changed. */
+  complete: boolean
+  rows: RowChange[]
+}
+
+/** Reads the rows of nodes. */
+export interface NodeRowFollower {
+  /** All rows at first and after a gap in the history, then the changes. */
+  read(): Promise<Result<NodeRowReading, PlatformError>>
+  /** The row of one node as it is now; undefined when there is none. */
+  readOne(id: string): Promise<Result<StoredRow | undefined, PlatformError>>
+}
+
+/** Where the row of a node lies. */
+export const nodeKey = (id: string): RowKey => ({ table: NODES_TABLE, part: id, key: id })
+
+/** Creates a follower that has read nothing yet. */
+export function createNodeRowFollower(store: RowStore): NodeRowFollower {
+  /** Version to continue from; undefined asks for a full reading. */
+  let version: number | undefined
+
+  async function readAll(): Promise<Result<NodeRowReading, PlatformError>> {
+    // From before the parts are listed, so that a part that comes meanwhile is a change.
+    const before = await store.read(NODES_TABLE, '')
+    if (before.isErr()) return err(before.error)
+    const parts = await store.parts(NODES_TABLE)
+    if (parts.isErr()) return err(parts.error)
+    const found = await Promise.all(
+      parts.value.map((part) => store.read(NODES_TABLE, part)),
+    )
+    const rows: RowChange[] = []
+    for (const each of found) {
+      if (each.isErr()) return err(each.error)
+      rows.push(...each.value.rows)
+    }
+    version = before.value.version
+    return ok({ complete: true, rows })
+  }
+
+  async function readChanges(
+    after: number,
+  ): Promise<Result<NodeRowReading, PlatformError>> {
+    const res = await store.changes(NODES_TABLE, after, 0)
+    if (res.isOk()) {
+      version = Math.max(version ?? 0, res.value.version)
+      return ok({ complete: false, rows: res.value.changes })
+    }
+    if (res.error.failure !== 'compacted') return err(res.error)
+    return readAll()
+  }
+
+  return {
+    read: () => (version === undefined ? readAll() : readChanges(version)),
+    async readOne(id) {
+      const { table, part } = nodeKey(id)
+      const res = await store.read(table, part)
+      return res.map(({ rows }) => rows[0])
+    },
+  }
+}
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -86,6 +86,8 @@
       return log.event('claimFailed', { service, reason: describeError(found.error) })
     const stored = found.value.rows[0]
     const before = stored && decodeEpoch(stored.value)
+    // Its row may have been renewed since the changes were read.
+    if (before && before.node !== '' && !(await registry.reread(before.node))) return
     const unownedMs = now() - (unownedSince.get(service) ?? now())
     if (before && !isHolderGone(registry, before, service, unownedMs)) return
     const sentAt = now()
