refactor(scheduler): parts of the service's owner in modules of their own

Cause: one function of 400 lines held the intake, the targets, the starts, the takeover and the clearing of rows. Order of effects and log events are the same.

--- a/src/scheduler/evacuation.ts
+++ b/src/scheduler/evacuation.ts
@@ -5,6 +5,7 @@
 import type { Step, Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import type { FleetAnswer } from '../vms/types.js'
 import type { Placement, TargetAgent } from './targetAgent.js'
 
 /**
@@ -35,6 +36,30 @@
   }
 }
 
+/**
+ * Empties the targets that the fleet's owner names, and no other.
+ * @param agents all targets of the service at this moment
+ */
+export function followFleetAnswer(
+  { evacuate, hurry, ended }: FleetAnswer,
+  agents: () => TargetAgent[],
+  log: Logger,
+): void {
+  for (const agent of agents()) {
+    const { id } = agent.target
+    if (ended.includes(id)) {
+      agent.markGone('its VM was moved or maintained')
+      continue
+    }
+    const wanted = evacuate.includes(id)
+    if (wanted !== agent.evacuating) {
+      agent.evacuating = wanted
+      log.event('evacuating', { target: id, wanted, runs: agent.placements.size })
+    }
+    if (wanted) moveTasksAway({ agent, agents: agents(), hurry: hurry.includes(id), log })
+  }
+}
+
 /** Whether a lasting task has somewhere to go, and its step can spare it meanwhile. */
 function mayMove(task: Task, agent: TargetAgent, agents: TargetAgent[]): boolean {
   if (!agents.some((other) => other !== agent && canTake(other, task.step))) return false
--- /dev/null
+++ b/src/scheduler/leavingTargets.ts
@@ -0,0 +1,45 @@
+/**
+ * Targets that leave: those that drain, and those that the list does not show any more.
+ * Their tasks go elsewhere, and their agents are closed once nothing is left there.
+ */
+import type { TargetList } from '../directory/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import { LIST_RETURN_MS } from './constants.js'
+import { moveTasksAway } from './evacuation.js'
+import type { TargetAgent } from './targetAgent.js'
+
+/** What the look at leaving targets works with. */
+export interface LeavingTargetsOptions {
+  targets: TargetList
+  /** All targets of the service. */
+  agents: TargetAgent[]
+  log: Logger
+}
+
+/** Targets off the list whose tasks are all over need no agent any more. */
+export function closeLapsed({ targets, agents }: LeavingTargetsOptions): void {
+  const listed = targets.byId()
+  for (const agent of agents) {
+    if (listed.has(agent.target.id) || agent.placements.size > 0) continue
+    if (agent.isSettled() && !agent.isAnswering())
+      agent.markGone('off the list and silent')
+  }
+}
+
+/** What runs on a leaving target dies with it: it goes elsewhere before. */
+export function emptyLeaving({ targets, agents, log }: LeavingTargetsOptions): void {
+  for (const agent of agents) {
+    const leaves = agent.target.draining || isGoneFromList(agent, targets)
+    if (leaves && agent.isAnswering()) moveTasksAway({ agent, agents, hurry: true, log })
+  }
+}
+
+/**
+ * Whether the target has left without a word. After an outage of the store the list
+ * says so only once those that live have had the time to come back.
+ */
+function isGoneFromList(agent: TargetAgent, targets: TargetList): boolean {
+  const steadyMs = monotonicMs() - targets.steadySince()
+  return !agent.listed && steadyMs > LIST_RETURN_MS
+}
--- /dev/null
+++ b/src/scheduler/newJobs.ts
@@ -0,0 +1,110 @@
+/**
+ * Takes new jobs on: those that callers hand in, and those that only the rows of the
+ * intake tell of. A job waits while the ownership is not confirmed, and a request to
+ * cancel is kept until its job comes.
+ */
+import { createRowMirror } from '../directory/index.js'
+import type { RowMirror } from '../directory/index.js'
+import { INTAKE_TABLE, decodeIntake } from '../jobs/index.js'
+import type { JobBook, JobSpec } from '../jobs/index.js'
+import type { Authority } from '../ownership/index.js'
+import type { RowStore } from '../ports/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import { INTAKE_POLL_MS } from './constants.js'
+import type { DemandMeter } from './demand.js'
+import { readIntake } from './takeover.js'
+
+/** New jobs of one service. */
+export interface NewJobs {
+  /** Takes on a job whose row is durable. */
+  offer(job: JobSpec): void
+  /** False when the job is not known yet; it is cancelled when it comes. */
+  cancel(id: string): boolean
+  /** Takes on the jobs that came while the ownership was not confirmed. */
+  takeOffered(): void
+  /** Follows the intake from the version on. */
+  follow(version: number): RowMirror
+}
+
+/** What the taking on of new jobs works with. */
+export interface NewJobsOptions {
+  store: RowStore
+  service: string
+  authority: Authority
+  book: JobBook
+  demand: DemandMeter
+  log: Logger
+  /** A job has been taken on. */
+  taken(): void
+}
+
+/** Creates the intake of one owner; nothing is followed yet. */
+export function createNewJobs(opts: NewJobsOptions): NewJobs {
+  const { store, service, authority, book, demand, log } = opts
+  /** Jobs that came while the ownership was not confirmed. */
+  const offered = new Map<string, JobSpec>()
+  /** Jobs that were cancelled before they came; of any service, so some never do. */
+  const cancelledEarly = new Set<string>()
+
+  /**
+   * Takes a new job on. Out of touch with the store it waits: a successor may have it,
+   * and does not wait for this owner with jobs that came after the takeover.
+   */
+  function offer(job: JobSpec): void {
+    if (book.jobs.has(job.id)) return
+    if (!authority.isConfirmed()) {
+      offered.set(job.id, job)
+      return
+    }
+    demand.arrived(book.add(job), monotonicMs())
+    if (cancelledEarly.delete(job.id)) book.cancel(job.id)
+    log.event('jobTaken', { job: job.id, queue: job.queue, service })
+    opts.taken()
+  }
+
+  /** A request to cancel may come before the job that it is for; false in that case. */
+  function cancel(id: string): boolean {
+    if (book.cancel(id)) return true
+    cancelledEarly.add(id)
+    return false
+  }
+
+  function applyRow(key: string, value: string | undefined): void {
+    if (value === undefined) return
+    const entry = decodeIntake(key, value)
+    if (entry.kind === 'cancel') cancel(entry.id)
+    if (entry.kind === 'job' && entry.job.service === service) offer(entry.job)
+  }
+
+  /** Reads the whole intake again; the version to continue from, undefined on failure. */
+  async function readAgain(): Promise<number | undefined> {
+    const all = await readIntake(store, service, log)
+    if (all.isErr()) return undefined
+    for (const job of all.value.jobs) offer(job)
+    for (const id of all.value.cancels) cancel(id)
+    return all.value.version
+  }
+
+  return {
+    offer,
+    cancel,
+    takeOffered() {
+      if (!authority.isConfirmed()) return
+      for (const job of offered.values()) offer(job)
+      offered.clear()
+    },
+    follow: (version) =>
+      createRowMirror({
+        store,
+        table: INTAKE_TABLE,
+        part: undefined,
+        after: version,
+        waitMs: 0,
+        pauseMs: INTAKE_POLL_MS,
+        log,
+        onRow: (_part, key, value) => applyRow(key, value),
+        onGap: readAgain,
+      }),
+  }
+}
--- /dev/null
+++ b/src/scheduler/starter.ts
@@ -0,0 +1,72 @@
+/** Starts ready tasks on targets that may have them, with a ticket where a queue needs one. */
+import type { ConfigurationHolder } from '../directory/index.js'
+import type { JobBook, Step } from '../jobs/index.js'
+import type { Authority } from '../ownership/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import { RUNS_PER_TERM } from './constants.js'
+import type { Health } from './health.js'
+import { planStarts } from './planner.js'
+import type { Roster } from './roster.js'
+import type { RunTimes } from './runTimes.js'
+import type { TargetAgent } from './targetAgent.js'
+import type { Tickets } from './tickets.js'
+import { urgencyOf } from './urgency.js'
+
+/** What the starter works with. */
+export interface StarterOptions {
+  authority: Authority
+  configuration: ConfigurationHolder
+  book: JobBook
+  roster: Roster
+  runTimes: RunTimes
+  health: Health
+  tickets: Tickets
+  log: Logger
+}
+
+/** Starts what may start now on the agents given. */
+export type Starter = (agents: TargetAgent[]) => void
+
+/** Creates the starter of one owner. */
+export function createStarter(opts: StarterOptions): Starter {
+  const { authority, configuration, book, roster, runTimes, health, tickets, log } = opts
+  const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
+
+  const hasPolicy = (step: Step): boolean =>
+    configuration.queue(step.job.spec.queue)?.advice !== undefined
+
+  function allows(agent: TargetAgent, step: Step): boolean {
+    if (!roster.has(agent.target.id)) return false
+    // A lasting task may find no other target; a suspect one is better than none.
+    if (!step.spec.lasting && !health.allows(agent)) return false
+    return !hasPolicy(step) || tickets.find(step, agent) !== undefined
+  }
+
+  const ticketFor = (step: Step, agent: TargetAgent): string =>
+    hasPolicy(step) ? (tickets.find(step, agent) ?? '') : ''
+
+  return (agents) => {
+    if (book.ready.size === 0) return
+    const now = monotonicMs()
+    const { starts, waiting } = planStarts({
+      ready: book.ready,
+      agents,
+      urgencyOf: (job) =>
+        urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
+      allows,
+      avoids: (agent) => !health.allows(agent),
+    })
+    for (const step of waiting) if (hasPolicy(step)) tickets.want(step, agents)
+    for (const { task, agent } of starts) {
+      const run = Math.max(task.run + 1, firstRun)
+      agent.start(task, run, ticketFor(task.step, agent))
+      log.event('taskPlaced', {
+        task: task.name,
+        run,
+        target: agent.target.id,
+        waitedMs: Math.round(monotonicMs() - task.readySince),
+      })
+    }
+  }
+}
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -1,4 +1,4 @@
-/** Reads everything that a new owner of a service must know from the store. */
+/** Reads everything that a new owner of a service must know from the store, and adopts it. */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { RowStore } from '../ports/index.js'
@@ -8,9 +8,11 @@
   decodeIntake,
   decodeProgress,
 } from '../jobs/index.js'
-import type { JobSpec, Progress } from '../jobs/index.js'
-import type { PlatformError } from '../shared/index.js'
-import type { Logger } from '../shared/index.js'
+import type { JobBook, JobSpec, Progress } from '../jobs/index.js'
+import type { Authority } from '../ownership/index.js'
+import { describeError, jittered, sleep } from '../shared/index.js'
+import type { Logger, PlatformError } from '../shared/index.js'
+import { FLUSH_RETRY_MS } from './constants.js'
 import { ROSTER_TABLE, decodeRosterEntry } from './roster.js'
 import type { RosterEntry } from './roster.js'
 
@@ -23,6 +25,7 @@
   version: number
 }
 
+/** What a predecessor has left in the store. */
 export interface Inherited extends Intake {
   progress: Map<string, { progress: Progress; version: number }>
   roster: RosterEntry[]
@@ -56,7 +59,7 @@
 }
 
 /** Reads progress and roster first under the new epoch, then the intake. */
-export async function readInherited(
+async function readInherited(
   store: RowStore,
   service: string,
   log: Logger,
@@ -75,3 +78,31 @@
   const intake = await readIntake(store, service, log)
   return intake.map((each) => ({ ...each, progress, roster: entries }))
 }
+
+/** Reads until it is done; nothing when the ownership ends before. */
+export async function readInheritedUntilDone(opts: {
+  store: RowStore
+  authority: Authority
+  log: Logger
+  signal: AbortSignal
+}): Promise<Inherited> {
+  const { store, authority, log, signal } = opts
+  const { service } = authority
+  for (;;) {
+    const res = await readInherited(store, service, log)
+    if (res.isOk()) return res.value
+    log.event('takeoverWaits', { service, reason: describeError(res.error) })
+    if (signal.aborted || !authority.mayOrder()) {
+      return { jobs: [], cancels: [], version: 0, progress: new Map(), roster: [] }
+    }
+    await sleep(jittered(FLUSH_RETRY_MS), signal)
+  }
+}
+
+/** Adds the predecessor's jobs; their tasks wait until its targets have been heard. */
+export function adoptJobs(book: JobBook, inherited: Inherited): void {
+  for (const job of inherited.jobs) {
+    book.add(job, { ...inherited.progress.get(job.id), gated: true })
+  }
+  for (const id of inherited.cancels) book.cancel(id)
+}
--- /dev/null
+++ b/src/scheduler/targetFollower.ts
@@ -0,0 +1,134 @@
+/**
+ * Keeps one agent for each target of a service: opens it when the list of targets or the
+ * predecessor's roster names the target, and closes it when all on the target is dead.
+ */
+import type { TargetList } from '../directory/index.js'
+import type { JobBook } from '../jobs/index.js'
+import { GRACE_MS } from '../ownership/index.js'
+import type { Authority } from '../ownership/index.js'
+import type { Target, TargetOrders } from '../ports/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import { CLOCK_SKEW, LEASE_MARGIN_MS, TASK_LEASE_MS } from './constants.js'
+import type { Health } from './health.js'
+import type { ProgressWriter } from './progressWriter.js'
+import type { Roster, RosterEntry } from './roster.js'
+import type { RunTimes } from './runTimes.js'
+import { createTargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './targetAgent.js'
+import type { Tickets } from './tickets.js'
+
+/** Follows the targets of one service. */
+export interface TargetFollower {
+  /** Opens agents for the targets of the predecessor's roster, not listed until they are. */
+  inherit(entries: RosterEntry[]): void
+  /** Follows the list: opens agents for new targets, notes those that leave. */
+  follow(): void
+}
+
+/** What the follower works with. */
+export interface TargetFollowerOptions {
+  /** Agents by id of their target; the follower adds and removes. */
+  agents: Map<string, TargetAgent>
+  targets: TargetList
+  orders: TargetOrders
+  authority: Authority
+  book: JobBook
+  progress: ProgressWriter
+  roster: Roster
+  runTimes: RunTimes
+  health: Health
+  tickets: Tickets
+  log: Logger
+  /** Room, state or reports of a target have changed. */
+  changed(): void
+}
+
+/** Creates the follower; it opens nothing yet. */
+export function createTargetFollower(opts: TargetFollowerOptions): TargetFollower {
+  const { agents, targets, authority, roster, health, log } = opts
+  const { service } = authority
+  /** Lives that are over, while the list still shows them. */
+  const goneLives = new Set<string>()
+
+  /** Time that unknown runs of the predecessor may last, in ms. */
+  const inheritedLeaseMs =
+    (authority.predecessorMayLive ? GRACE_MS : 0) +
+    TASK_LEASE_MS * (1 + CLOCK_SKEW) +
+    LEASE_MARGIN_MS
+
+  function forget(agent: TargetAgent): void {
+    const { id } = agent.target
+    agents.delete(id)
+    goneLives.add(id)
+    health.forget(agent)
+    roster.remove(id)
+    void agent.close()
+  }
+
+  function open(target: Target): TargetAgent {
+    const agent = createTargetAgent({
+      target,
+      link: opts.orders.open(target),
+      book: opts.book,
+      authority,
+      progress: opts.progress,
+      inheritedLeaseMs: roster.has(target.id) ? inheritedLeaseMs : 0,
+      log,
+      changed: opts.changed,
+      ticketRefused: (step, id) => opts.tickets.drop(step, id),
+      ended(each, task, kind) {
+        if (kind === 'done') opts.runTimes.note(task, monotonicMs() - task.startedAt)
+        health.noteEnd(each, task, kind)
+      },
+      failed: () => undefined,
+      gone: forget,
+    })
+    agents.set(target.id, agent)
+    return agent
+  }
+
+  function followListed(target: Target): void {
+    const agent = agents.get(target.id)
+    if (agent) {
+      agent.update(target)
+      agent.listed = true
+    } else if (!target.draining && !goneLives.has(target.id)) {
+      open(target)
+      roster.add(target)
+    }
+  }
+
+  function noteUnlisted(agent: TargetAgent): void {
+    agent.listed = false
+    log.event('targetUnlisted', {
+      target: agent.target.id,
+      runs: agent.placements.size,
+      listSteadyMs: Math.round(monotonicMs() - targets.steadySince()),
+    })
+  }
+
+  return {
+    inherit(entries) {
+      for (const { id, address } of entries)
+        open(unlistedTarget(id, address, service)).listed = false
+    },
+    follow() {
+      const listed = targets.byId()
+      for (const target of listed.values()) {
+        if (target.service === service) followListed(target)
+      }
+      for (const id of goneLives) if (!listed.has(id)) goneLives.delete(id)
+      for (const agent of agents.values()) {
+        if (agent.listed && !listed.has(agent.target.id)) noteUnlisted(agent)
+      }
+      opts.changed()
+    },
+  }
+}
+
+/** A target that only the roster names; nothing is known of its size. */
+function unlistedTarget(id: string, address: string, service: string): Target {
+  const capacity = { cpu: 0, memMb: 0, gpu: 0 }
+  return { id, service, address, hall: '', draining: false, capacity, labels: [] }
+}
