refactor(scheduler): lease, runs and orders of a target in modules of their own

Cause: one function of 400 lines held the clock, the view of the runs, the orders and the long poll of a target. Change: targetLease, targetRuns and orderSender; the agent keeps the long poll and the target's state. An option that only got an empty function is gone.

--- a/src/scheduler/evacuation.ts
+++ b/src/scheduler/evacuation.ts
@@ -6,7 +6,8 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { FleetAnswer } from '../vms/types.js'
-import type { Placement, TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './targetAgent.js'
+import type { Placement } from './targetRuns.js'
 
 /**
  * Time for which a task must have been at work again before the next one of its step is
--- a/src/scheduler/health.ts
+++ b/src/scheduler/health.ts
@@ -7,7 +7,8 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { RunTimes } from './runTimes.js'
-import type { Placement, TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './targetAgent.js'
+import type { Placement } from './targetRuns.js'
 
 /** Ends of a target that are looked at, and how long they count, in ms. */
 const RECENT_ENDS = 10
--- /dev/null
+++ b/src/scheduler/orderSender.ts
@@ -0,0 +1,151 @@
+/**
+ * Sends the orders for one target, one after another, so that a stop never overtakes its
+ * start, and notes what became of each start.
+ */
+import type { JobBook, Task } from '../jobs/index.js'
+import type { Authority } from '../ownership/index.js'
+import type { OrderError, StartRefusal, TargetLink } from '../ports/index.js'
+import type { Logger } from '../shared/index.js'
+import { FULL_PAUSE_MS, REFUSED_PAUSE_MS } from './constants.js'
+import type { TargetLease } from './targetLease.js'
+import type { Placement, TargetRuns } from './targetRuns.js'
+
+/** Orders for one target; each is sent when those before it have been answered. */
+export interface OrderSender {
+  start(task: Task, placement: Placement, ticket: string): void
+  stop(name: string, run: number): void
+  pace(placement: Placement, percent: number): void
+  /** Resolves when what was ordered so far is over. */
+  idle(): Promise<void>
+}
+
+/** What the sender works with. */
+export interface OrderSenderOptions {
+  targetId: string
+  link: TargetLink
+  book: JobBook
+  authority: Authority
+  runs: TargetRuns
+  lease: TargetLease
+  /** Once it fires, orders that wait are not sent any more. */
+  signal: AbortSignal
+  log: Logger
+  /** The token that orders carry now. */
+  token(): number
+  /** The target should get nothing new for so long, in ms. */
+  pause(ms: number): void
+  /** An order has failed in a way that speaks against the target. */
+  failed(error: OrderError): void
+  /** A start went unanswered; resolves once the target refuses it if it comes late. */
+  fenceUnanswered(): Promise<void>
+  /** The target did not accept the ticket of a task's step. */
+  ticketRefused(task: Task): void
+  /** Room or state have changed. */
+  changed(): void
+}
+
+/** Creates the sender of one target. */
+export function createOrderSender(opts: OrderSenderOptions): OrderSender {
+  const { targetId, link, book, authority, runs, lease, token, log } = opts
+  let orders: Promise<void> = Promise.resolve()
+
+  const enqueue = (order: () => Promise<void>): void => {
+    orders = orders.then(async () => {
+      if (!opts.signal.aborted) await order()
+    })
+  }
+
+  const startRefused: Record<StartRefusal, (task: Task) => void> = {
+    fenced: () => authority.lost('a target has seen a newer owner'),
+    superseded: () => undefined,
+    expired: () => undefined,
+    full: () => opts.pause(FULL_PAUSE_MS),
+    ticket: (task) => opts.ticketRefused(task),
+  }
+
+  async function sendStart(
+    task: Task,
+    placement: Placement,
+    ticket: string,
+  ): Promise<void> {
+    const { name, run } = placement
+    const wanted = runs.placements.get(name) === placement && !task.step.job.outcome
+    const leaseUntilMs = wanted && authority.mayOrder() ? lease.extend() : undefined
+    if (leaseUntilMs === undefined || !wanted) {
+      runs.remove(placement)
+      if (task.run === run) book.unplace(task)
+      return
+    }
+    const { spec } = task.step.job.spec
+    const sentToken = token()
+    const order = { task: name, run, spec, leaseUntilMs, token: sentToken, ticket }
+    const res = await link.start({ ...order, checkpoint: task.checkpoint })
+    if (runs.placements.get(name) !== placement) return
+    if (res.isErr()) return startFailed(task, placement, res.error)
+    lease.noteClock(res.value.clockMs)
+    if (!res.value.accepted)
+      return noteRefusal(task, placement, res.value.reason, sentToken)
+    if (placement.state === 'starting') placement.state = 'running'
+    placement.confirmedClock = res.value.clockMs
+  }
+
+  function noteRefusal(
+    task: Task,
+    placement: Placement,
+    reason: StartRefusal,
+    sentToken: number,
+  ): void {
+    const { name, run } = placement
+    log.event('startRefused', { task: name, run, target: targetId, reason })
+    runs.remove(placement)
+    book.unplace(task)
+    // A refusal for a lower token than ours is only the answer to our own newer one.
+    if (reason !== 'fenced' || sentToken === token()) startRefused[reason](task)
+    opts.changed()
+  }
+
+  async function startFailed(
+    task: Task,
+    placement: Placement,
+    error: OrderError,
+  ): Promise<void> {
+    const { name, run } = placement
+    log.event('startFailed', { task: name, run, target: targetId, ...failureOf(error) })
+    opts.pause(REFUSED_PAUSE_MS)
+    if (error.failure === 'unanswered') {
+      placement.state = 'unsure'
+      return opts.fenceUnanswered()
+    }
+    if (error.failure === 'notDone') {
+      runs.remove(placement)
+      book.unplace(task)
+    }
+    opts.failed(error)
+    opts.changed()
+  }
+
+  async function sendStop(name: string, run: number): Promise<void> {
+    if (!authority.mayOrder()) return
+    const res = await link.stop(name, run, token())
+    if (res.isOk()) return
+    log.event('stopFailed', { task: name, target: targetId, ...failureOf(res.error) })
+    opts.failed(res.error)
+  }
+
+  async function sendPace({ name, run }: Placement, percent: number): Promise<void> {
+    if (!authority.mayOrder()) return
+    const res = await link.pace(name, run, percent, token())
+    if (res.isErr()) opts.failed(res.error)
+  }
+
+  return {
+    start: (task, placement, ticket) => enqueue(() => sendStart(task, placement, ticket)),
+    stop: (name, run) => enqueue(() => sendStop(name, run)),
+    pace: (placement, percent) => enqueue(() => sendPace(placement, percent)),
+    idle: () => orders,
+  }
+}
+
+function failureOf(error: OrderError): { failure: string; reason: string } {
+  return { failure: error.failure, reason: error.reason }
+}
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -81,7 +81,6 @@
         if (kind === 'done') opts.runTimes.note(task, monotonicMs() - task.startedAt)
         health.noteEnd(each, task, kind)
       },
-      failed: () => undefined,
       gone: forget,
     })
     agents.set(target.id, agent)
--- /dev/null
+++ b/src/scheduler/targetLease.ts
@@ -0,0 +1,43 @@
+/**
+ * Lease of everything that runs on one target. It is given on the target's clock, which
+ * is estimated from its answers; when it is over for certain is counted on our own.
+ */
+import { monotonicMs } from '../shared/index.js'
+import { CLOCK_SKEW, LEASE_MARGIN_MS, SYNC_WAIT_MS, TASK_LEASE_MS } from './constants.js'
+
+/** The lease of one target. */
+export interface TargetLease {
+  /** Takes note of the target's clock, as an answer tells it. */
+  noteClock(clockMs: number): void
+  /** End of a lease that begins now, on the target's clock; undefined before it is known. */
+  extend(): number | undefined
+  /** Whether every lease that was given is over, also on a clock that is slow. */
+  isOver(): boolean
+}
+
+/**
+ * Creates the lease.
+ * @param inheritedMs time that unknown runs of the predecessor may last
+ */
+export function createTargetLease(inheritedMs: number): TargetLease {
+  let clock: { clockMs: number; at: number } | undefined
+  let overAt = monotonicMs() + inheritedMs
+
+  return {
+    noteClock(clockMs) {
+      const now = monotonicMs()
+      const expected = clock ? clock.clockMs + (now - clock.at) : -Infinity
+      if (clockMs >= expected || now - (clock?.at ?? 0) > SYNC_WAIT_MS) {
+        clock = { clockMs, at: now }
+      }
+    },
+    extend() {
+      if (!clock) return undefined
+      const now = monotonicMs()
+      const lasts = TASK_LEASE_MS * (1 + CLOCK_SKEW) + LEASE_MARGIN_MS
+      overAt = Math.max(overAt, now + lasts)
+      return Math.floor(clock.clockMs + (now - clock.at) + TASK_LEASE_MS)
+    },
+    isOver: () => monotonicMs() >= overAt,
+  }
+}
--- /dev/null
+++ b/src/scheduler/targetRuns.ts
@@ -0,0 +1,207 @@
+/**
+ * The view of what runs on one target: what was ordered there, corrected by what the
+ * target reports. Ends go on to the job book, runs of the predecessor are adopted, and
+ * runs that a report should list and does not are given up.
+ */
+import type { JobBook, Task } from '../jobs/index.js'
+import type { Authority } from '../ownership/index.js'
+import type { ReportedRun, Target, TargetReport } from '../ports/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import type { SharedRun } from '../sharing/index.js'
+import { MAX_LISTED_ENDS } from './constants.js'
+import { createRoom } from './room.js'
+import type { Room } from './room.js'
+
+/** What is known of a run on the target. */
+export interface Placement {
+  task: Task | undefined
+  name: string
+  run: number
+  state: 'starting' | 'running' | 'unsure' | 'stopping'
+  /** Target's clock when it confirmed the start, in ms. */
+  confirmedClock: number
+  /** Under this token or a newer one, an absent run was never started. */
+  fencedBy: number
+  percent: number
+  /** Steady time of the report that said so, in ms; 0 before the first. */
+  reportedAt: number
+  load: number
+  checkpoint: string
+}
+
+/** What runs on one target. */
+export interface TargetRuns {
+  readonly placements: ReadonlyMap<string, Placement>
+  readonly room: Room
+  /** Highest number of an end that has been passed on. */
+  endsSeen(): number
+  add(task: Task, run: number, state: Placement['state']): Placement
+  remove(placement: Placement): void
+  /** Takes a report, which answers a call that carried the token. */
+  apply(report: TargetReport, reportToken: number): void
+  /** Notes that starts without an answer are refused under the token. */
+  fence(token: number): void
+  /** Gives up every run that is left. */
+  giveUpAll(reason: string): void
+  /** Runs that share the target, for the pacer. */
+  shared(): SharedRun[]
+}
+
+/** What the view of one target works with. */
+export interface TargetRunsOptions {
+  target: Target
+  book: JobBook
+  authority: Authority
+  log: Logger
+  /** The target has a run that is not wanted. */
+  unwanted(name: string, run: number): void
+  /** A run has ended. */
+  ended(task: Task, kind: string): void
+}
+
+/** Creates the view; it is empty until something is added or reported. */
+export function createTargetRuns(opts: TargetRunsOptions): TargetRuns {
+  const { book, authority, log } = opts
+  const { id: targetId, capacity } = opts.target
+  const placements = new Map<string, Placement>()
+  const room = createRoom(capacity)
+  let endsSeen = 0
+
+  function add(task: Task, run: number, state: Placement['state']): Placement {
+    const placement = createPlacement(task, run, state)
+    placements.set(task.name, placement)
+    room.take(task.step)
+    return placement
+  }
+
+  function remove(placement: Placement): void {
+    if (placements.get(placement.name) !== placement) return
+    placements.delete(placement.name)
+    if (placement.task) room.give(placement.task.step)
+  }
+
+  /** A run is over without an end being listed. */
+  function giveUp(placement: Placement, reason: string): void {
+    remove(placement)
+    const { task, name, run } = placement
+    log.event('runVanished', { task: name, run, target: targetId, reason })
+    if (task?.targetId !== targetId) return
+    if (placement.checkpoint !== '') task.checkpoint = placement.checkpoint
+    book.runVanished(task)
+  }
+
+  function applyEnds(report: TargetReport): void {
+    for (const end of [...report.ends].sort((a, b) => a.seq - b.seq)) {
+      if (end.seq <= endsSeen) continue
+      endsSeen = end.seq
+      const placement = placements.get(end.task)
+      if (placement && placement.run <= end.run) remove(placement)
+      const task = book.applyEnd(targetId, end)
+      const { task: name, run, kind } = end
+      log.event('runEnded', { task: name, run, target: targetId, kind })
+      if (task) opts.ended(task, kind)
+    }
+  }
+
+  /** A run that we did not order: of our predecessor, or an order done late. */
+  function adopt({ task: name, run }: ReportedRun): void {
+    const task = book.task(name)
+    const wanted = task && (task.phase === 'ready' || task.phase === 'blocked')
+    if (task && wanted && !task.step.job.outcome) {
+      const placement = add(task, run, 'running')
+      placement.confirmedClock = Infinity
+      book.place(task, targetId, Math.max(task.run, run))
+      log.event('runAdopted', { task: name, run, target: targetId })
+      return
+    }
+    log.event('runUnwanted', { task: name, run, target: targetId })
+    opts.unwanted(name, run)
+  }
+
+  /** An adopted run counts as confirmed at the time of the next report that shows it. */
+  function confirmAdopted(report: TargetReport): void {
+    for (const run of report.runs) {
+      const placement = placements.get(run.task)
+      if (placement?.confirmedClock === Infinity)
+        placement.confirmedClock = report.clockMs
+    }
+  }
+
+  function applyPresent(report: TargetReport): void {
+    for (const run of report.runs) {
+      const placement = placements.get(run.task)
+      if (!placement) adopt(run)
+      else if (placement.run === run.run) updatePlacement(placement, run)
+    }
+  }
+
+  /** Gives up runs that are not listed, where that shows that they are over. */
+  function applyAbsent(report: TargetReport, reportToken: number): void {
+    // Ends that did not fit into the report may be those of the runs that are missing.
+    if (report.ends.length >= MAX_LISTED_ENDS) return
+    const reported = new Set(report.runs.map(({ task }) => task))
+    for (const placement of [...placements.values()]) {
+      if (reported.has(placement.name)) continue
+      const fenced = placement.state === 'unsure' && reportToken >= placement.fencedBy
+      const confirmed = placement.confirmedClock > 0
+      if (fenced) giveUp(placement, 'never started')
+      else if (confirmed && report.clockMs > placement.confirmedClock) {
+        if (authority.isConfirmed()) giveUp(placement, 'not listed any more')
+      }
+    }
+  }
+
+  return {
+    placements,
+    room,
+    endsSeen: () => endsSeen,
+    add,
+    remove,
+    apply(report, reportToken) {
+      confirmAdopted(report)
+      applyEnds(report)
+      applyPresent(report)
+      applyAbsent(report, reportToken)
+    },
+    fence(token) {
+      for (const placement of placements.values()) {
+        if (placement.state === 'unsure')
+          placement.fencedBy = Math.min(placement.fencedBy, token)
+      }
+    },
+    giveUpAll(reason) {
+      for (const placement of [...placements.values()]) giveUp(placement, reason)
+    },
+    shared: () => [...placements.values()].flatMap(sharedRun),
+  }
+}
+
+function createPlacement(task: Task, run: number, state: Placement['state']): Placement {
+  return {
+    task,
+    name: task.name,
+    run,
+    state,
+    confirmedClock: 0,
+    fencedBy: Infinity,
+    percent: 0,
+    reportedAt: 0,
+    load: 0,
+    checkpoint: '',
+  }
+}
+
+function updatePlacement(placement: Placement, run: ReportedRun): void {
+  placement.percent = run.percent
+  placement.reportedAt = monotonicMs()
+  placement.load = run.load
+  placement.checkpoint = run.checkpoint
+  if (placement.state === 'unsure') placement.state = 'running'
+}
+
+function sharedRun({ name, task, state, load }: Placement): SharedRun[] {
+  if (!task || state !== 'running') return []
+  const { tailMs, fills } = task.step.spec
+  return [{ name, tailMs, fills, load }]
+}
