--- a/src/node/startOwner.ts
+++ b/src/node/startOwner.ts
@@ -47,14 +47,13 @@
 
 async function startService(parts: OwnerParts, authority: Authority): Promise<Owner> {
   const { platform, store, configuration, targets, owners, log } = parts
-  const { orders, cloud, advice, documents } = platform
+  const { orders, cloud, advice } = platform
   await targets.ready
   const owner = await createServiceOwner({
     store,
     orders,
     cloud,
     advice,
-    documents,
     configuration,
     targets,
     authority,
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -2,13 +2,7 @@
  * Owner of one service: takes the jobs over from the store, keeps one agent per target,
  * and starts what may start. Everything that it decides rests on the job book.
  */
-import type {
-  Advice,
-  Documents,
-  RowStore,
-  TargetOrders,
-  VmCloud,
-} from '../ports/index.js'
+import type { Advice, RowStore, TargetOrders, VmCloud } from '../ports/index.js'
 import type { ConfigurationHolder, TargetList } from '../directory/index.js'
 import { createJobBook, statusOf } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
@@ -57,7 +51,6 @@
   cloud: VmCloud | undefined
   /** Undefined where no advice service is configured. */
   advice: Advice | undefined
-  documents: Documents
   configuration: ConfigurationHolder
   targets: TargetList
   authority: Authority
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -1,5 +1,5 @@
 /** A store, targets and a configuration, for tests of owners without any wire. */
-import type { Documents, Queue, Target, VmCloud } from '../src/ports/index.js'
+import type { Queue, Target, VmCloud } from '../src/ports/index.js'
 import type { ConfigurationHolder, TargetList } from '../src/directory/index.js'
 import {
   jobSchema,
@@ -32,22 +32,6 @@
 }
 export const CAPACITY = { cpu: 4000, memMb: 10_000, gpu: 0 }
 
-const unused = (): never => {
-  throw new Error('not used in this test')
-}
-
-const DOCUMENTS: Documents = {
-  targets: { table: 'targets', decode: unused },
-  operator: {
-    table: 'operator',
-    configurationKey: 'configuration',
-    decodeConfiguration: unused,
-    isWave: () => false,
-    decodeWave: unused,
-  },
-  waveStatus: { row: unused, encode: unused },
-}
-
 const EPOCH = { table: 'epochs', part: SERVICE, key: 'epoch' }
 
 let nextId = 0
@@ -192,7 +176,6 @@
         orders: createSimOrders(targets),
         cloud: rig.cloud,
         advice: undefined,
-        documents: DOCUMENTS,
         configuration,
         targets: targetList,
         authority,
