--- a/src/front/storedJobs.ts
+++ b/src/front/storedJobs.ts
@@ -8,6 +8,7 @@
   storedStatus,
 } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
+import { keyRange } from '../ports/index.js'
 import type { Queue, RowStore } from '../ports/index.js'
 import { describeError } from '../shared/index.js'
 
@@ -40,8 +41,8 @@
   id: string,
 ): Promise<Answer<StoredJob>> {
   const { table, part, key } = intakeKey(queue.name, id)
-  const until = `${cancelKey(queue.name, id).key}\u0000`
-  const rows = await store.read(table, part, { from: key, until })
+  const range = keyRange(key, cancelKey(queue.name, id).key)
+  const rows = await store.read(table, part, range)
   if (rows.isErr()) return unavailable(describeError(rows.error))
   const entries = rows.value.rows.map((row) => decodeIntake(row.key, row.value))
   const found = entries.find((entry) => entry.kind === 'job')
@@ -60,7 +61,7 @@
   if (found.kind !== 'ok') return found
   const { job, cancelled } = found.value
   const { table, part, key } = progressKey(job.service, id)
-  const rows = await store.read(table, part, { from: key, until: `${key}\u0000` })
+  const rows = await store.read(table, part, keyRange(key))
   if (rows.isErr()) return unavailable(describeError(rows.error))
   const row = rows.value.rows[0]
   const progress = row && decodeProgress(row.value)
--- a/src/ports/rowStore.ts
+++ b/src/ports/rowStore.ts
@@ -59,6 +59,13 @@
   until?: string
 }
 
+/** The range of the keys from `first` to `last`, both included; of one key without `last`. */
+export function keyRange(first: string, last = first): Required<RowRange> {
+  // No key lies between one and the same with the lowest character behind it.
+  return { from: first, until: `${last}\u0000` }
+}
+
+/** Answer of the store; what an error means for the effect stands in its `failure`. */
 export type StoreResult<T> = Promise<Result<T, PlatformError>>
 
 /** The store. Every call ends within the adapter's time limit. */
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -3,6 +3,7 @@
  * neither forgets nor repeats any of them.
  */
 import { z } from 'zod'
+import { keyRange } from '../ports/index.js'
 import type { Documents, RowKey, RowStore, Vm, Wave } from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
 import { describeError, monotonicMs, parseJson } from '../shared/index.js'
@@ -62,7 +63,7 @@
 
   async function load(wave: Wave): Promise<void> {
     const { table, part, key } = rowKey(wave.id)
-    const rows = await store.read(table, part, { from: key, until: `${key}\u0000` })
+    const rows = await store.read(table, part, keyRange(key))
     if (rows.isErr()) {
       return log.event('waveNotRead', {
         wave: wave.id,
