--- a/src/storeAccess/constants.ts
+++ b/src/storeAccess/constants.ts
@@ -17,5 +17,5 @@
 export const FIND_PAUSE_MS = 400
 /** A peer does not wait for changes on our behalf; we wait so long before we ask. */
 export const RELAYED_POLL_MS = 300
-/** Time between two looks whether a peer was found, in ms: less than a round trip. */
+/** Time between two looks whether a peer was found: less than a round trip. */
 export const FIND_STEP_MS = 3
--- a/src/storeAccess/storeAccess.ts
+++ b/src/storeAccess/storeAccess.ts
@@ -3,7 +3,7 @@
  * reached from here, is called through a peer, which makes the same call. Only what has
  * taken no effect for certain is passed on, so no call is ever made twice.
  */
-import type { RowStore } from '../ports/index.js'
+import type { RowStore, StoreResult } from '../ports/index.js'
 import { sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createCircuitBreaker } from './circuitBreaker.js'
@@ -37,9 +37,10 @@
   let relay: StoreRelay | undefined
   let relaying = false
 
-  const noteRelaying = (now: boolean, reason: string): void => {
-    if (now !== relaying) log.event(now ? 'storeRelayed' : 'storeDirect', { reason })
-    relaying = now
+  const noteRelaying = (relays: boolean, reason: string): void => {
+    if (relays !== relaying)
+      log.event(relays ? 'storeRelayed' : 'storeDirect', { reason })
+    relaying = relays
   }
 
   /** Whether the call has taken no effect and a peer may get through with it. */
@@ -48,14 +49,8 @@
     return call.method !== 'commit' || answer.error.failure !== 'unknown'
   }
 
-  async function run(call: StoreCall, waitMs = 0): Promise<StoreAnswer> {
-    const answer = await breaker.run(
-      () =>
-        call.method === 'changes'
-          ? direct.changes(call.table, call.after, waitMs)
-          : makeStoreCall(direct, call),
-      waitMs,
-    )
+  async function run(call: StoreCall, waitMs: number): Promise<StoreAnswer> {
+    const answer = await breaker.run(() => makeStoreCall(direct, call, waitMs), waitMs)
     if (answer.isOk()) noteRelaying(false, 'the store answers this node')
     if (!relay || !isWorthRelaying(call, answer)) return answer
     if (waitMs > 0) await sleep(Math.min(waitMs, RELAYED_POLL_MS))
@@ -65,19 +60,21 @@
     return relayed
   }
 
+  /** The same with the type of the call's answer, which the caller must know. */
+  const runAs = <T>(call: StoreCall, waitMs = 0): StoreResult<T> =>
+    run(call, waitMs) as StoreResult<T>
+
   return {
     store: {
-      commit: (tx) => run({ method: 'commit', tx }) as ReturnType<RowStore['commit']>,
-      read: (table, part, range) =>
-        run({ method: 'read', table, part, range }) as ReturnType<RowStore['read']>,
-      parts: (table) => run({ method: 'parts', table }) as ReturnType<RowStore['parts']>,
+      commit: (tx) => runAs({ method: 'commit', tx }),
+      read: (table, part, range) => runAs({ method: 'read', table, part, range }),
+      parts: (table) => runAs({ method: 'parts', table }),
       changes: (table, after, waitMs) =>
-        run({ method: 'changes', table, after }, waitMs) as ReturnType<
-          RowStore['changes']
-        >,
+        runAs({ method: 'changes', table, after }, waitMs),
     },
-    callForPeer: (call) => breaker.run(() => makeStoreCall(direct, call)),
-    relayThrough: (each) => void (relay = each),
+    // It does not wait for changes: a peer's connection is not held up.
+    callForPeer: (call) => breaker.run(() => makeStoreCall(direct, call, 0)),
+    relayThrough: (given) => void (relay = given),
     stop: () => breaker.stop(),
   }
 }
--- a/src/storeAccess/storeCall.ts
+++ b/src/storeAccess/storeCall.ts
@@ -2,8 +2,9 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { z } from 'zod'
-import type { RowStore } from '../ports/index.js'
+import type { RowRange, RowStore } from '../ports/index.js'
 import { PlatformError } from '../shared/index.js'
+import type { ErrorPlace, PlatformFailure } from '../shared/index.js'
 
 const keyShape = { table: z.string(), part: z.string(), key: z.string() }
 
@@ -29,11 +30,14 @@
 /** One call of the store. */
 export type StoreCall = z.infer<typeof storeCallSchema>
 
-/** Answer to any call; which one it is follows from the call. */
-export type StoreAnswer = Result<unknown, PlatformError>
+/** Answer to a call; the call tells what a value is, if it is not known from elsewhere. */
+export type StoreAnswer<T = unknown> = Result<T, PlatformError>
+
+/** A small read, which shows whether the store answers. */
+export const PROBE: StoreCall = { method: 'read', table: 'probe', part: '' }
 
 /** Answer to a call as it is passed between nodes. */
-export const storeAnswerSchema = z.union([
+const storeAnswerSchema = z.union([
   z.object({ value: z.unknown() }),
   z.object({
     failure: z.enum(['refused', 'unreachable', 'unknown', 'compacted']),
@@ -41,17 +45,34 @@
   }),
 ])
 
-/** Makes the call. A read of changes does not wait: a peer's connection is not held up. */
-export function makeStoreCall(store: RowStore, call: StoreCall): Promise<StoreAnswer> {
-  const handlers = {
-    commit: (each: StoreCall & { method: 'commit' }) => store.commit(each.tx),
-    read: (each: StoreCall & { method: 'read' }) =>
-      store.read(each.table, each.part, each.range as Parameters<RowStore['read']>[2]),
-    parts: (each: StoreCall & { method: 'parts' }) => store.parts(each.table),
-    changes: (each: StoreCall & { method: 'changes' }) =>
-      store.changes(each.table, each.after, 0),
+/**
+ * Makes the call.
+ * @param waitMs time that the store may wait for changes before it answers
+ */
+export function makeStoreCall(
+  store: RowStore,
+  call: StoreCall,
+  waitMs: number,
+): Promise<StoreAnswer> {
+  switch (call.method) {
+    case 'commit':
+      return store.commit(call.tx)
+    case 'read':
+      return store.read(call.table, call.part, call.range as RowRange | undefined)
+    case 'parts':
+      return store.parts(call.table)
+    case 'changes':
+      return store.changes(call.table, call.after, waitMs)
   }
-  return handlers[call.method](call as never)
+}
+
+/** The answer to a call that failed. */
+export function failedAnswer(
+  failure: PlatformFailure,
+  reason: string,
+  place: ErrorPlace,
+): StoreAnswer<never> {
+  return err(new PlatformError(reason, { props: { ...place, failure } }))
 }
 
 /** The answer as text for another node. */
@@ -63,15 +84,15 @@
   )
 }
 
-/** The answer of another node; an unreadable one says nothing about the call's effect. */
-export function decodeAnswer(value: unknown, peer: string): StoreAnswer {
-  const step = 'store.relay'
+/**
+ * The answer of another node; an unreadable one says nothing about the call's effect.
+ * @param place where the call was made, for errors
+ */
+export function decodeAnswer(value: unknown, place: ErrorPlace): StoreAnswer {
   const answer = storeAnswerSchema.safeParse(value)
   if (!answer.success) {
-    const props = { step, peer, failure: 'unknown' as const }
-    return err(new PlatformError('answer of a peer has the wrong shape', { props }))
+    return failedAnswer('unknown', 'answer of a peer has the wrong shape', place)
   }
   if ('value' in answer.data) return ok(answer.data.value)
-  const { failure, reason } = answer.data
-  return err(new PlatformError(reason, { props: { step, peer, failure } }))
+  return failedAnswer(answer.data.failure, answer.data.reason, place)
 }
