refactor(node): reports to the fleet's owner and the relay in modules of their own

Cause: ownerServices held, beside the kernel's services, what two of them do. Change: fleetReports and storeRelay.

--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -8,17 +8,13 @@
   listenForNodes,
   ownerRoutes,
 } from '../front/index.js'
-import type { OwnerCalls } from '../front/index.js'
 import { defineService } from '../kernel/index.js'
 import { FLEET, createNodeRegistry, createOwnership } from '../ownership/index.js'
-import type { NodeRegistry } from '../ownership/index.js'
-import { createPeerRelay } from '../storeAccess/index.js'
-import { createStopController, sleep } from '../shared/index.js'
-import { NOTHING_TO_EMPTY, REPORT_MS } from '../vms/index.js'
 import { closeServer } from './closeServer.js'
+import { startFleetReports } from './fleetReports.js'
 import { createOwnerTable } from './ownerTable.js'
-import type { OwnerTable } from './ownerTable.js'
 import { startOwner } from './startOwner.js'
+import { createStoreRelay } from './storeRelay.js'
 
 /** Length of the name of a life of a node, in characters: 60 random bits. */
 const LIFE_LENGTH = 10
@@ -87,22 +83,7 @@
     stop: (ownership) => ownership.stop(),
   })
 
-/** Peers that are asked at once who of them reaches the store. */
-const RELAY_CANDIDATES = 6
-
-/** Addresses of some other nodes, in another order each time. */
-function somePeers(registry: NodeRegistry): string[] {
-  const others = registry
-    .members()
-    .filter(({ id, leaving }) => id !== registry.self.id && !leaving)
-    .map(({ address }) => ({ address, order: Math.random() }))
-  return others
-    .sort((a, b) => a.order - b.order)
-    .slice(0, RELAY_CANDIDATES)
-    .map(({ address }) => address)
-}
-
-/** Calls to owners on other nodes, and the port where those call here. */
+/** Calls to other nodes, among them those of the store, and the port where they call here. */
 export const ownerCallsService = (cfg: NodeConfig) =>
   defineService({
     name: 'ownerCalls',
@@ -115,15 +96,7 @@
       const calls = createOwnerCalls({ registry, local, clients, log })
       const { address, node_port: port } = cfg.listen
       const server = await listenForNodes(address, port, ownerRoutes(local, access))
-      const relay = createPeerRelay({
-        peers: () => somePeers(registry),
-        async send(peer, call, timeoutMs) {
-          const res = await clients.at(peer).storeCall({ call }, { timeoutMs })
-          return res.answer
-        },
-        log,
-      })
-      access.relayThrough(relay)
+      access.relayThrough(createStoreRelay(registry, clients, log))
       return { ...calls, server, clients }
     },
     async stop({ server, clients }) {
@@ -132,37 +105,11 @@
     },
   })
 
-/** Reports for every service of this node, until stopped. */
-function startReports(owners: OwnerTable, calls: OwnerCalls) {
-  const stopping = createStopController()
-  const reportOne = async (service: string): Promise<void> => {
-    const owner = owners.local.service(service)
-    if (!owner) return
-    // The next owner of the fleet begins without reports, so it can act on none.
-    if (!calls.hasFleetOwner()) return owner.evacuate(NOTHING_TO_EMPTY)
-    const answer = await calls.reportToFleet(owner.report())
-    if (answer) owner.evacuate(answer)
-  }
-  async function run(): Promise<void> {
-    while (!stopping.signal.aborted) {
-      await Promise.all(owners.names().map(reportOne))
-      await sleep(REPORT_MS, stopping.signal)
-    }
-  }
-  const task = run()
-  return {
-    async stop() {
-      stopping.abort()
-      await task
-    },
-  }
-}
-
 /** Tells the owner of the fleet about the services of this node, one task for all. */
 export const reportsService = () =>
   defineService({
     name: 'reports',
     needs: ['owners', 'ownerCalls'],
-    start: async ({ get }) => startReports(get('owners'), get('ownerCalls')),
+    start: async ({ get }) => startFleetReports(get('owners'), get('ownerCalls')),
     stop: (reports) => reports.stop(),
   })
--- a/src/node/serviceMap.ts
+++ b/src/node/serviceMap.ts
@@ -11,6 +11,7 @@
   VmCloud,
 } from '../ports/index.js'
 import type { StoreAccess } from '../storeAccess/index.js'
+import type { FleetReports } from './fleetReports.js'
 import type { OwnerTable } from './ownerTable.js'
 
 /** What the adapter to a platform provides. */
@@ -45,7 +46,7 @@
     ownership: Ownership
     owners: OwnerTable
     ownerCalls: OwnerCalls & { server: Server; clients: NodeClients }
-    reports: { stop(): Promise<void> }
+    reports: FleetReports
     metricsFace: { server: Server | undefined }
     callers: { server: Server }
     readiness: { server: Server }
