--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -16,9 +16,11 @@
 export interface OwnerCalls {
   /** Tells of a new job; its loss costs only time. */
   offer(job: JobSpec): void
+  /** Tells of a request to cancel; its loss costs only time. */
   cancel(service: string, id: string): void
   /** Undefined when the owner does not answer or does not know the job. */
   status(service: string, id: string): Promise<JobStatus | undefined>
+  /** Jobs of the queue that have not begun; undefined when the owner does not answer. */
   waiting(service: string, queue: string): Promise<number | undefined>
   /** Whether some live node owns the fleet. */
   hasFleetOwner(): boolean
@@ -26,7 +28,7 @@
   reportToFleet(report: ServiceReport): Promise<FleetAnswer | undefined>
 }
 
-/** Creates the calls. */
+/** Creates the calls; owners on this node are called directly. */
 export function createOwnerCalls(opts: {
   registry: NodeRegistry
   local: LocalOwners
@@ -35,14 +37,23 @@
 }): OwnerCalls {
   const { registry, local, clients, log } = opts
 
-  const clientFor = (service: string): NodeClient | undefined => {
+  /** The live node that owns the name; where none is known, the registry looks again soon. */
+  const ownerOf = (service: string): ReturnType<NodeRegistry['ownerOf']> => {
     const owner = registry.ownerOf(service)
     if (!owner) registry.refreshSoon()
+    return owner
+  }
+
+  const clientFor = (service: string): NodeClient | undefined => {
+    const owner = ownerOf(service)
     if (!owner || owner.id === registry.self.id) return undefined
     return clients.at(owner.address)
   }
 
-  /** A call whose loss costs only time: the owner reads the store as well. */
+  /**
+   * Calls the owner on another node; undefined when none is known or the call fails. That
+   * costs only time: owners read the store, and reports are repeated.
+   */
   async function ask<T>(
     step: string,
     service: string,
@@ -88,11 +99,7 @@
       )
       return res?.known ? res.waiting : undefined
     },
-    hasFleetOwner() {
-      if (local.fleet() || registry.ownerOf(FLEET)) return true
-      registry.refreshSoon()
-      return false
-    },
+    hasFleetOwner: () => local.fleet() !== undefined || ownerOf(FLEET) !== undefined,
     async reportToFleet(report) {
       const fleet = local.fleet()
       if (fleet) return fleet.report(report)
