--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -147,12 +147,7 @@
   return {
     report(report) {
       const evacuate = targetsOf([...emptying, ...reserved, ...orders.pending.keys()])
-      // The answer opens what it does not name: its owner may start tasks there at once.
-      const targets = report.targets.map((load) => ({
-        ...load,
-        evacuating: load.evacuating && evacuate.includes(load.id),
-      }))
-      if (!reports.take({ ...report, targets })) return undefined
+      if (!reports.take(openOthers(report, evacuate))) return undefined
       return {
         evacuate,
         hurry: targetsOf([...hurried].filter((name) => emptying.has(name))),
@@ -165,3 +160,15 @@
     },
   }
 }
+
+/**
+ * The report as it is once its owner has the answer, which opens what it does not name:
+ * the owner may start tasks there at once.
+ */
+function openOthers(report: ServiceReport, closed: string[]): ServiceReport {
+  const targets = report.targets.map((load) => ({
+    ...load,
+    evacuating: load.evacuating && closed.includes(load.id),
+  }))
+  return { ...report, targets }
+}
--- a/src/vms/reportBook.ts
+++ b/src/vms/reportBook.ts
@@ -1,4 +1,4 @@
-/** The last report of each service, as long as it is fresh. */
+/** The newest report of each service, as long as it is fresh. */
 import { monotonicMs } from '../shared/index.js'
 import { REPORT_STALE_MS } from './constants.js'
 import type { ServiceReport, TargetLoad } from './types.js'
@@ -10,8 +10,12 @@
    * deposed may go on for a while, and a slow call may come after newer ones.
    */
   take(report: ServiceReport): boolean
-  /** Reports that are recent enough to act on. */
-  fresh(): Map<string, ServiceReport>
+  /**
+   * Reports that are recent enough to act on, by service.
+   * @param maxAgeMs oldest report that counts
+   * @default REPORT_STALE_MS
+   */
+  fresh(maxAgeMs?: number): Map<string, ServiceReport>
   /**
    * Targets of the fresh reports, by id.
    * @param maxAgeMs oldest report that counts
@@ -20,12 +24,14 @@
   loads(maxAgeMs?: number): Map<string, TargetLoad>
 }
 
+/** Whether a report comes after a known one: of a later owner, or later of the same one. */
 const isNewer = (report: ServiceReport, known: ServiceReport): boolean =>
   report.term > known.term ||
   (report.term === known.term && report.sequence > known.sequence)
 
 /** Creates an empty book. */
 export function createReportBook(): ReportBook {
+  /** With the steady time at which it came, in ms. */
   const reports = new Map<string, { report: ServiceReport; at: number }>()
 
   function fresh(maxAgeMs = REPORT_STALE_MS): Map<string, ServiceReport> {
@@ -43,7 +49,7 @@
       reports.set(report.service, { report, at: monotonicMs() })
       return true
     },
-    fresh: () => fresh(),
+    fresh,
     loads(maxAgeMs) {
       const loads = [...fresh(maxAgeMs).values()].flatMap(({ targets }) => targets)
       return new Map(loads.map((load) => [load.id, load]))
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -13,11 +13,13 @@
   /** Thousandths of a core in use. */
   usedCpu: z.number(),
 })
+/** One target of a service, as its owner sees it. */
 export type TargetLoad = z.infer<typeof targetLoadSchema>
 
-/** State of a service. */
+/** State of a service, as its owner reports it. */
 export const serviceReportSchema = z.object({
   service: z.string(),
+  /** Term of its owner: reports of a later owner count more. */
   term: z.number(),
   /** Rises with each report of one owner: a call that was slow may come after newer ones. */
   sequence: z.number(),
@@ -27,9 +29,10 @@
   minTargets: z.number(),
   targets: z.array(targetLoadSchema),
 })
+/** State of a service, as its owner reports it. */
 export type ServiceReport = z.infer<typeof serviceReportSchema>
 
-/** Answer of the fleet's owner. */
+/** Answer of the fleet's owner to a report. */
 export const fleetAnswerSchema = z.object({
   /** Targets that get no new tasks, because their VM is wanted elsewhere. */
   evacuate: z.array(z.string()),
@@ -38,6 +41,7 @@
   /** Lives that an accepted order of ours has ended. */
   ended: z.array(z.string()),
 })
+/** Answer of the fleet's owner to a report. */
 export type FleetAnswer = z.infer<typeof fleetAnswerSchema>
 
 /** The answer that empties nothing and opens everything. */
