refactor(scheduler): doc comments on the owner and the agent; one type for ledger events

Cause: members without a word on what they mean; a union spelled twice. Comments and a type only, no code changes.

--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -19,13 +19,15 @@
   fail?: boolean
 }
 
+/** What became of a run; `killed`: the target's life ended with the run on it. */
+export type LedgerEvent = 'start' | 'killed' | RunEndKind
+
 /** Everything that the targets of a test have done, for its checks. */
 export interface RunLedger {
   /** Starts and ends in the order in which they happened. */
   entries: {
     at: number
-    /** `killed`: the target's life ended with the run on it. */
-    what: 'start' | 'killed' | RunEndKind
+    what: LedgerEvent
     task: string
     run: number
     target: string
@@ -118,11 +120,7 @@
 
   const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + 1000
 
-  const note = (
-    what: 'start' | 'killed' | RunEndKind,
-    task: string,
-    run: number,
-  ): void => {
+  const note = (what: LedgerEvent, task: string, run: number): void => {
     ledger.entries.push({ at: monotonicMs(), what, task, run, target: id })
   }
 
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -34,8 +34,11 @@
   offer(job: JobSpec): void
   /** False when the job is not known here. */
   cancel(id: string): boolean
+  /** Undefined when the job is not known here. */
   status(id: string): JobStatus | undefined
+  /** Jobs of the queue none of whose tasks has begun. */
   waiting(queue: string): number
+  /** The targets of the service, as they are at this moment. */
   agents(): TargetAgent[]
   /** State for the owner of the fleet. */
   report(): ServiceReport
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -27,6 +27,7 @@
 /** What an owner does with one target. */
 export interface TargetAgent {
   readonly target: Target
+  /** What runs on it, by name of the task, as far as is known. */
   readonly placements: ReadonlyMap<string, Placement>
   readonly room: Room
   /** Whether its state is known and it takes orders now. */
@@ -39,9 +40,12 @@
   evacuating: boolean
   /** Whether the list of targets shows it; no new starts while it does not. */
   listed: boolean
+  /** Takes what the list says of it now. */
   update(target: Target): void
+  /** Places the task there and orders its start. */
   start(task: Task, run: number, ticket: string): void
   stop(name: string): void
+  /** Orders how much of its usual speed a task that fills in may have, in percent. */
   pace(name: string, percent: number): void
   /** Every run on it is known to be dead. */
   markGone(reason: string): void
