--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -71,12 +71,18 @@
   }
 
   function applyRow(key: string, value: string | undefined): void {
-    if (value === undefined) return
+    if (value === undefined) return forgetRow(key)
     const entry = decodeIntake(key, value)
     if (entry.kind === 'cancel') cancel(entry.id)
     if (entry.kind === 'job' && entry.job.service === service) offer(entry.job)
   }
 
+  /** A request whose row has been cleared is for no job that may still come. */
+  function forgetRow(key: string): void {
+    const entry = decodeIntake(key, '')
+    if (entry.kind === 'cancel') cancelledEarly.delete(entry.id)
+  }
+
   /** Reads the whole intake again; the version to continue from, undefined on failure. */
   async function readAgain(): Promise<number | undefined> {
     const all = await readIntake(store, service, log)
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -27,14 +27,16 @@
 
 /** Carries out one step of every wave, and writes what has changed. */
 export async function advanceWaves(opts: WaveStepOptions, asked: Wave[]): Promise<void> {
-  const { waves, emptying } = opts
+  const { waves, emptying, hurried } = opts
   await waves.update(asked)
   for (const progress of waves.active()) await advanceWave(opts, progress)
-  for (const name of [...emptying]) {
+  for (const name of [...emptying, ...hurried]) {
     const wanted = waves.active().some(({ wave, begun }) => {
       return wave.vms.includes(name) && !begun.has(name)
     })
-    if (!wanted) emptying.delete(name)
+    if (wanted) continue
+    emptying.delete(name)
+    hurried.delete(name)
   }
   await waves.save(opts.look().vms)
 }
