--- a/src/scheduler/runTimes.ts
+++ b/src/scheduler/runTimes.ts
@@ -29,7 +29,7 @@
 export function createRunTimes(): RunTimes {
   /** Average of run time by queue, and of its ratio to the guess. */
   const means = new Map<string, number>()
-  const counts = new Map<string, number>()
+  const runCounts = new Map<string, number>()
 
   const meanOf = (step: Step): number =>
     means.get(step.job.spec.queue) ?? (step.spec.estimateMs || UNKNOWN_MS)
@@ -53,11 +53,11 @@
   return {
     note(task, ranMs) {
       const { queue } = task.step.job.spec
-      counts.set(queue, (counts.get(queue) ?? 0) + 1)
+      runCounts.set(queue, (runCounts.get(queue) ?? 0) + 1)
       const before = means.get(queue) ?? ranMs
       means.set(queue, before + (ranMs - before) * WEIGHT)
     },
-    knows: (step) => (counts.get(step.job.spec.queue) ?? 0) >= ENOUGH_RUNS,
+    knows: (step) => (runCounts.get(step.job.spec.queue) ?? 0) >= ENOUGH_RUNS,
     meanOf,
     chainOf: (job) => longest(job, () => true),
     remainingOf: (job) => longest(job, (step) => step.doneCount < step.tasks.length),
