fix(node): serve under contracts that are not known, and outlive wrong settings

Cause: a deployment whose list of contracts names 'health' was refused by the check of the settings; the node answered 503 to everything, and SIGHUP ended it, because its handler was installed only after the settings had been read.

--- a/playground/__tests__/node.spec.ts
+++ b/playground/__tests__/node.spec.ts
@@ -1,3 +1,4 @@
+import { readFileSync, writeFileSync } from 'node:fs'
 import { request } from 'undici'
 import { describe, it } from '../../test/describe.js'
 import { findBrokenPromise } from '../../test/jobRig.js'
@@ -190,6 +191,37 @@
     await platform.close()
   })
 
+  it('lives through reloads of wrong settings and serves with the right ones', async (t) => {
+    const { platform, nodes } = await startAll(1)
+    const wrong = ['[targets]', 'orders = heartbeat']
+    const node = await startNodeProcess(platform, 'n9', 'h1', wrong)
+    await firstAnswer(`http://${node.readiness}/readiness`)
+    const rejections = () => node.output().split('"settingsRejected"').length - 1
+    node.child.kill('SIGHUP')
+    while (rejections() < 1) await sleep(20)
+    t.is(node.child.exitCode, null)
+    const text = readFileSync(node.settingsFile, 'utf8')
+    writeFileSync(node.settingsFile, text.replace('heartbeat', 'call'))
+    node.child.kill('SIGHUP')
+    await untilReady([node])
+    const job = { spec: '{}', steps: [{ count: 1, cpu: 100, estimated_ms: 10 }] }
+    t.is((await call(node, 'POST', `/one/${jobId(1)}`, job)).status, 200)
+    await Promise.all([node, ...nodes].map((each) => each.kill()))
+    await platform.close()
+  })
+
+  it('serves under a contract that it does not know, and says so', async (t) => {
+    const { platform, nodes } = await startAll(1)
+    const contracts = ['[contracts]', 'in_force = base,health,sched,magic']
+    const node = await startNodeProcess(platform, 'n9', 'h1', contracts)
+    await untilReady([node])
+    const job = { spec: '{}', steps: [{ count: 1, cpu: 100, estimated_ms: 10 }] }
+    t.is((await call(node, 'POST', `/one/${jobId(1)}`, job)).status, 200)
+    t.regex(node.output(), /"level":"error".*"contractsUnknown".*\["magic"\]/)
+    await Promise.all([node, ...nodes].map((each) => each.kill()))
+    await platform.close()
+  })
+
   it('carries a wave out, empties before it, and says so', async (t) => {
     const { platform, nodes } = await startAll(2)
     const spec = JSON.stringify({ ms: 300, cpu: 1000 })
--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -18,6 +18,8 @@
   callers: string
   readiness: string
   child: ChildProcess
+  /** Its settings; it reads them again at SIGHUP. */
+  settingsFile: string
   /** Everything that it wrote. */
   output(): string
   /** Ends it at once; resolves when it is gone. */
@@ -76,6 +78,7 @@
     callers: `${HOST}:${callers}`,
     readiness: `${HOST}:${readiness}`,
     child,
+    settingsFile: file,
     output: () => output,
     async kill(signal = 'SIGKILL') {
       child.kill(signal)
--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -12,9 +12,9 @@
   openFace,
   platformDocuments,
 } from '../../platform/index.js'
-import { loadNodeConfig } from '../config/index.js'
+import { loadNodeConfig, unknownContracts } from '../config/index.js'
 import type { NodeConfig } from '../config/index.js'
-import { createNode, createNodeMetrics, serveUnavailable } from '../node/index.js'
+import { createNode, createNodeMetrics, waitForSettings } from '../node/index.js'
 import type { NodeMetrics, NodePlatform } from '../node/index.js'
 import type { Logger } from '../shared/index.js'
 import { EXIT, createFdSink, createLogger } from '../shared/index.js'
@@ -73,34 +73,25 @@
   log.event('settingsReloaded', { file, takesEffectAtStart: changed })
 }
 
-async function main(): Promise<void> {
-  const file = process.argv[2] ?? process.env[SETTINGS_VARIABLE]
-  if (file === undefined) {
-    process.stderr.write(`usage: rillshunt-node FILE, or ${SETTINGS_VARIABLE}=FILE\n`)
-    process.exitCode = EXIT.usage
-    return
-  }
-  const cfg = await loadNodeConfig(file)
-  if (cfg.isErr()) {
-    process.stderr.write(`${cfg.error.message}\n`)
-    if (serveUnavailable(file, cfg.error.message) === 0) process.exitCode = EXIT.usage
-    return
-  }
-  const { id, hall } = cfg.value.node
-  const { level } = cfg.value.log
+/** Runs the node until it is told to stop. */
+async function run(file: string, cfg: NodeConfig, reloads: Reloads): Promise<void> {
+  const { id, hall } = cfg.node
+  const { level } = cfg.log
   const stream = createFdSink(process.stdout.fd)
   const metrics = createNodeMetrics()
   const log = metrics.watch(
     createLogger({ level, bounded: true, stream, base: { node: id, hall } }),
   )
-  const kernel = createNode(cfg.value, createPlatform(cfg.value, metrics), log)
+  const contracts = unknownContracts(cfg)
+  if (contracts.length > 0) log.event('contractsUnknown', { contracts })
+  const kernel = createNode(cfg, createPlatform(cfg, metrics), log)
   process.once('SIGTERM', () => {
     void kernel
       .stop()
       .then(() => log.close())
       .then(() => process.exit(EXIT.ok))
   })
-  process.on('SIGHUP', () => void reload(file, cfg.value, log))
+  reloads.handler = () => void reload(file, cfg, log)
   process.on('uncaughtException', (cause) =>
     log.event('unexpectedError', { reason: cause.stack ?? String(cause) }),
   )
@@ -110,4 +101,33 @@
   process.exit(EXIT.failed)
 }
 
+/** Waits until the file can be used, then runs the node. */
+function runOnceUsable(file: string, reason: string, reloads: Reloads): void {
+  const log = createLogger({ level: 'info', stream: createFdSink(process.stdout.fd) })
+  const wait = waitForSettings(file, reason, log)
+  if (!wait.serves) process.exit(EXIT.usage)
+  reloads.handler = () => void wait.retry().then((cfg) => cfg && run(file, cfg, reloads))
+}
+
+/** What happens when the settings file is said to have changed. */
+interface Reloads {
+  handler(): void
+}
+
+async function main(): Promise<void> {
+  const reloads: Reloads = { handler: () => undefined }
+  // From the beginning: without a handler the signal would end the process.
+  process.on('SIGHUP', () => reloads.handler())
+  const file = process.argv[2] ?? process.env[SETTINGS_VARIABLE]
+  if (file === undefined) {
+    process.stderr.write(`usage: rillshunt-node FILE, or ${SETTINGS_VARIABLE}=FILE\n`)
+    process.exitCode = EXIT.usage
+    return
+  }
+  const cfg = await loadNodeConfig(file)
+  if (cfg.isOk()) return run(file, cfg.value, reloads)
+  process.stderr.write(`${cfg.error.message}\n`)
+  runOnceUsable(file, cfg.error.message, reloads)
+}
+
 void main()
--- a/src/config/nodeSchema.ts
+++ b/src/config/nodeSchema.ts
@@ -1,22 +1,26 @@
 /** Settings of `rillshunt-node`; `docs/config.md` lists every key. */
 import { z } from 'zod'
-import { identifier, ipNumber, port, socketAddress, wordList } from './values.js'
+import { identifier, identifierList, ipNumber, port, socketAddress } from './values.js'
 
 const section = <T extends z.ZodRawShape>(shape: T) => z.strictObject(shape)
 
-/** Contracts of the platform that this version implements. */
-const KNOWN_CONTRACTS = [
+/**
+ * Contracts of the platform that this version implements. `health` asks nothing of a node:
+ * what targets do with their tasks says more than what they answer of themselves.
+ */
+const KNOWN_CONTRACTS: readonly string[] = [
   'base',
   'drain',
   'config',
   'cost',
   'recover',
+  'health',
   'sched',
   'platform',
   'advice',
   'upkeep',
   'sharing',
-] as const
+]
 
 /** The whole of the settings. */
 export const nodeConfigSchema = z.strictObject({
@@ -60,7 +64,7 @@
   }),
   contracts: section({
     /** Contracts of the platform in force. @default the known ones */
-    in_force: wordList(KNOWN_CONTRACTS).prefault(KNOWN_CONTRACTS.join(',')),
+    in_force: identifierList().prefault(KNOWN_CONTRACTS.join(',')),
   }),
   log: section({
     /** Lowest level that is written: error, warn, info or debug. @default 'info' */
@@ -70,3 +74,8 @@
 
 /** Settings as the program uses them: durations in ms. */
 export type NodeConfig = z.output<typeof nodeConfigSchema>
+
+/** Contracts in force that this version does not know; the node serves the others. */
+export function unknownContracts(cfg: NodeConfig): string[] {
+  return cfg.contracts.in_force.filter((name) => !KNOWN_CONTRACTS.includes(name))
+}
--- a/src/config/values.ts
+++ b/src/config/values.ts
@@ -72,10 +72,12 @@
     isIP(text) ? text : undefined,
   )
 
+const IDENTIFIER = /^[a-z0-9](?:[a-z0-9-]{0,62})$/i
+
 /** The name of a node, data hall or region. */
 export const identifier = () =>
   parsed('a name of letters, digits and dashes, at most 63 long', (text) =>
-    /^[a-z0-9](?:[a-z0-9-]{0,62})$/i.test(text) ? text : undefined,
+    IDENTIFIER.test(text) ? text : undefined,
   )
 
 /** An HTTP address by IP number. */
@@ -119,9 +121,9 @@
     return `${host}:${portText}`
   })
 
-/** A list of known words, separated by commas. */
-export const wordList = <T extends string>(known: readonly T[]) =>
-  parsed(`a list of ${known.join(', ')}`, (text) => {
-    const words = text.split(',').map((word) => word.trim())
-    return words.every((word) => known.includes(word as T)) ? (words as T[]) : undefined
+/** A list of names, separated by commas. */
+export const identifierList = () =>
+  parsed('a list of names, such as base,drain', (text) => {
+    const names = text.split(',').map((name) => name.trim())
+    return names.every((name) => IDENTIFIER.test(name)) ? names : undefined
   })
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -132,6 +132,11 @@
     'error',
     'settings file cannot be used; the old settings stay',
   ),
+  contractsUnknown: spec(
+    'RS-8046',
+    'error',
+    'contracts are in force that this version does not know; the others are served',
+  ),
   metricsNotServed: spec('RS-8045', 'warn', 'metrics cannot be served'),
   peerMessageRefused: spec('RS-6003', 'warn', 'message of a peer refused'),
 } as const satisfies Record<string, EventSpec>
