revert(vms): VMs of targets that are not usable count as supply again

Hypothesis: four VMs of a dark rack counted as room while seven others were parked and tasks waited 1.6 s, so supply should count only targets that answer, work well and stay, and none should come from a hall that is not reached. Conclusion: reverted; more VMs asked for in a cut are missing elsewhere.

--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -16,11 +16,7 @@
     ended: () => undefined,
   })
   const runTimes = createRunTimes()
-  const demand = createDemandMeter({
-    runTimes,
-    isTimely: () => isTimely,
-    isWell: () => true,
-  })
+  const demand = createDemandMeter({ runTimes, isTimely: () => isTimely })
   const add = (number: number, acceptedAtMs: number) =>
     book.add(
       jobSchema.parse({
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -10,11 +10,6 @@
 
 /** Time in which waiting work should be done: about that of one more VM's coming, in ms. */
 const CLEAR_BACKLOG_MS = 1500
-/**
- * A target that has been silent for so long is not counted on, in ms. A single order that
- * goes unanswered is no reason to bring another VM.
- */
-const SILENT_MS = 1000
 /** Growth of the need since the last report that is told at once, as a share of it. */
 const TELL_GROWTH = 0.15
 
@@ -61,10 +56,8 @@
   runTimes: RunTimes
   /** Whether the job can still meet its objective. */
   isTimely(job: Job, now: number): boolean
-  /** Whether the target works well. */
-  isWell(agent: TargetAgent): boolean
 }): DemandMeter {
-  const { runTimes, isTimely, isWell } = opts
+  const { runTimes, isTimely } = opts
   const arrivals = new Map<string, ArrivalMeter>()
   let sequence = 0
   let reportedCpu = 0
@@ -131,7 +124,7 @@
         neededCpu: cpu,
         timelyCpu,
         minTargets,
-        targets: agents.map((agent) => loadOf(agent, isWell(agent))),
+        targets: agents.map(loadOf),
       }
     },
   }
@@ -149,7 +142,7 @@
   }
 }
 
-function loadOf(agent: TargetAgent, isWell: boolean): TargetLoad {
+function loadOf(agent: TargetAgent): TargetLoad {
   const placements = [...agent.placements.values()]
   const lasting = placements.filter(({ task }) => task?.step.spec.lasting).length
   const { capacity, free } = agent.room
@@ -158,7 +151,6 @@
     // What runs on a target that does not answer, or has not yet, is not known.
     runs: agent.isAnswering() ? placements.length : Math.max(1, placements.length),
     lasting,
-    usable: isWell && !agent.target.draining && agent.silentMs() < SILENT_MS,
     evacuating: agent.evacuating,
     usedCpu: capacity.cpu - free.cpu,
   }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -120,7 +120,6 @@
       const queue = configuration.queue(job.spec.queue)
       return urgencyOf(job, queue, runTimes, now).standing === 'timely'
     },
-    isWell: (agent) => health.allows(agent),
   })
   const health = createHealth({ runTimes, agentCount: () => agents.size, log })
   const tickets = createTickets({ advice: opts.advice, log, changed: wake })
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -36,8 +36,6 @@
   isSettled(): boolean
   /** Whether it last answered. */
   isAnswering(): boolean
-  /** Time for which calls have gone unanswered, in ms; 0 while they are answered. */
-  silentMs(): number
   /** No new starts while true: it is being emptied on purpose. */
   evacuating: boolean
   /** Whether the list of targets shows it; no new starts while it does not. */
@@ -88,7 +86,6 @@
   let ackedSeq = 0
   let heard = false
   let answering = true
-  let silentSince = 0
   let gone = false
   let pausedUntil = 0
 
@@ -162,10 +159,7 @@
 
   function noteFailure(error: OrderError): void {
     if (error.failure === 'gone') return markGone(error.reason)
-    if (answering) {
-      silentSince = monotonicMs()
-      log.event('targetSilent', { target: targetId, reason: error.reason })
-    }
+    if (answering) log.event('targetSilent', { target: targetId, reason: error.reason })
     answering = false
   }
 
@@ -238,7 +232,6 @@
       authority.mayOrder(),
     isSettled: () => heard || gone || lease.isOver(),
     isAnswering: () => answering && heard && !gone,
-    silentMs: () => (answering ? 0 : monotonicMs() - silentSince),
     update(next) {
       if (next.draining && !target.draining) {
         log.event('targetDraining', { target: targetId })
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -26,7 +26,6 @@
   id,
   runs,
   lasting: 0,
-  usable: true,
   evacuating,
   usedCpu: 0,
 })
--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -6,11 +6,11 @@
 
 const VM_CPU = 10_000
 
-const vmOf = (number: number, pool: string, hall = 'h1'): Vm => ({
+const vmOf = (number: number, pool: string): Vm => ({
   name: `m${number}`,
   pool,
   state: 'up',
-  hall,
+  hall: 'h1',
   labels: [],
   capacity: { cpu: VM_CPU, memMb: 1000, gpu: 0 },
   targetId: `i${number}`,
@@ -20,7 +20,6 @@
   id: `i${number}`,
   runs: 0,
   lasting: 0,
-  usable: true,
   evacuating: false,
   usedCpu: 0,
   ...load,
@@ -106,28 +105,4 @@
     ]
     t.deepEqual(movesOf(inputOf(spare, reports)), ['m3 b'])
   })
-
-  describe('where targets of a service are not usable', () => {
-    const need = { cpu: 17_000, timelyCpu: 17_000 }
-    const dark = (number: number) => loadOf(number, { usable: false, runs: 3 })
-
-    // Found with a rack that went dark: its VMs counted as room, and others were parked.
-    it('brings others in their place', (t) => {
-      const four = [vmOf(1, 'a'), vmOf(2, 'a'), vmOf(3, 'idle'), vmOf(4, 'idle')]
-      const reports = [reportOf('a', need, [loadOf(1), dark(2)])]
-      t.deepEqual(movesOf(inputOf(four, reports)), ['m3 a'])
-    })
-
-    it('takes none from a hall that its owner does not reach', (t) => {
-      const five = [
-        vmOf(1, 'a'),
-        vmOf(2, 'a', 'h2'),
-        vmOf(3, 'a', 'h2'),
-        vmOf(4, 'idle', 'h2'),
-        vmOf(5, 'idle', 'h3'),
-      ]
-      const reports = [reportOf('a', need, [loadOf(1), dark(2), dark(3)])]
-      t.deepEqual(movesOf(inputOf(five, reports)), ['m5 a'])
-    })
-  })
 })
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -56,32 +56,17 @@
   kept: Gaps
 }
 
-type Loads = ReadonlyMap<string, TargetLoad>
-
-function loadsOf(reports: PoolInput['reports']): Loads {
-  const targets = [...reports.values()].flatMap((report) => report.targets)
-  return new Map(targets.map((load) => [load.id, load]))
-}
-
-/**
- * Whether the VM serves its pool, or will soon. Four VMs of a dark rack that counted as
- * room had seven others parked while tasks waited 1.6 s.
- */
-function isSupply(vm: Vm, input: PoolInput, loads: Loads): boolean {
-  // One that is being emptied or maintained cannot take what the service needs.
-  if (input.emptying.has(vm.name)) return false
-  if (vm.state === 'moving' || input.movingTo.has(vm.name)) return true
-  return vm.state === 'up' && (loads.get(vm.targetId)?.usable ?? true)
-}
-
-function countGaps(input: PoolInput, loads: Loads): AllGaps {
-  const { vms, movingTo } = input
+function countGaps(input: PoolInput): AllGaps {
+  const { vms, movingTo, emptying } = input
   const cpuPerVm = cpuPerVmOf(vms)
   const gaps: AllGaps = { timely: new Map(), now: new Map(), kept: new Map() }
-  const supply = vms.filter((vm) => isSupply(vm, input, loads))
   for (const [service, report] of input.reports) {
-    const there = supply.filter(
-      (vm) => (movingTo.get(vm.name) ?? vm.pool) === service,
+    // One that is being emptied or maintained cannot take what the service needs.
+    const there = vms.filter(
+      (vm) =>
+        (movingTo.get(vm.name) ?? vm.pool) === service &&
+        (vm.state === 'up' || vm.state === 'moving') &&
+        !emptying.has(vm.name),
     ).length
     const needed = neededVms(report, report.neededCpu, cpuPerVm)
     gaps.timely.set(service, neededVms(report, report.timelyCpu, cpuPerVm) - there)
@@ -91,24 +76,6 @@
   return gaps
 }
 
-/** Targets in a hall of which none is usable, from which on the hall counts as cut off. */
-const ENOUGH_DEAD = 2
-
-/**
- * Halls that the owner of a service seems not to reach: none of its targets there is
- * usable. A VM from there would not help it.
- */
-function deadHalls(report: ServiceReport, vms: readonly Vm[]): Set<string> {
-  const hallOf = new Map(vms.map((vm) => [vm.targetId, vm.hall]))
-  const dead = new Map<string, number>()
-  for (const { id, usable } of report.targets) {
-    const hall = hallOf.get(id)
-    if (hall === undefined) continue
-    dead.set(hall, usable ? -Infinity : (dead.get(hall) ?? 0) + 1)
-  }
-  return new Set([...dead.keys()].filter((hall) => dead.get(hall)! >= ENOUGH_DEAD))
-}
-
 /** VMs that may move, the best ones first. */
 interface Movable {
   spare: Vm[]
@@ -117,8 +84,10 @@
   passing: Vm[]
 }
 
-function findMovable(input: PoolInput, loads: Loads): Movable {
+function findMovable(input: PoolInput): Movable {
   const { vms, reports, sparePool, emptying, ordered } = input
+  const targets = [...reports.values()].flatMap((report) => report.targets)
+  const loads = new Map(targets.map((load) => [load.id, load]))
   const loadOf = (vm: Vm): TargetLoad | undefined => loads.get(vm.targetId)
   // VMs that are being emptied already come first, so that the choice stays the same.
   const byProgress = (a: Vm, b: Vm): number =>
@@ -146,9 +115,8 @@
  */
 export function planPools(input: PoolInput): PlannedMove[] {
   const { sparePool, fitsPool } = input
-  const loads = loadsOf(input.reports)
-  const gaps = countGaps(input, loads)
-  const movable = findMovable(input, loads)
+  const gaps = countGaps(input)
+  const movable = findMovable(input)
   const moves: PlannedMove[] = []
 
   const change = (pool: string, by: number): void => {
@@ -165,17 +133,22 @@
   }
   /** Fills the gaps from the lists, in their order, without opening others. */
   const fill = (wanted: Gaps, donors: Vm[][]): void => {
-    const canGive = (vm: Vm, service: string): boolean =>
-      vm.pool !== service &&
-      (vm.pool === sparePool || (wanted.get(vm.pool) ?? 0) < 0) &&
-      fitsPool(vm, service)
+    const findFor = (service: string): Vm | undefined => {
+      for (const list of donors) {
+        const found = list.find(
+          (vm) =>
+            vm.pool !== service &&
+            (vm.pool === sparePool || (wanted.get(vm.pool) ?? 0) < 0) &&
+            fitsPool(vm, service),
+        )
+        if (found) return found
+      }
+      return undefined
+    }
     const wanting = [...wanted].filter(([, gap]) => gap > 0).sort((a, b) => b[1] - a[1])
     for (const [service] of wanting) {
-      const dead = deadHalls(input.reports.get(service)!, input.vms)
       while ((wanted.get(service) ?? 0) > 0) {
-        const vm = donors
-          .flat()
-          .find((each) => !dead.has(each.hall) && canGive(each, service))
+        const vm = findFor(service)
         if (!vm) break
         move(vm, service)
       }
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -8,8 +8,6 @@
   runs: z.number(),
   /** Runs of lasting steps among them. */
   lasting: z.number(),
-  /** Whether it answers, works well and stays; its owner may start tasks there. */
-  usable: z.boolean(),
   /** Whether its owner starts nothing new there, as we asked. */
   evacuating: z.boolean(),
   /** Thousandths of a core in use. */
