--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -72,7 +72,7 @@
   const emptying = new Set<string>()
   /** VMs whose tasks do not hold up their wave any more. */
   const hurried = new Set<string>()
-  /** Idle VMs that will move once their service starts nothing new there. */
+  /** VMs that will move once they are empty and their service starts nothing new there. */
   let reserved = new Set<string>()
   let vms = new Map<string, Vm>()
   let listedAt = -Infinity
