--- a/src/directory/targetList.ts
+++ b/src/directory/targetList.ts
@@ -6,8 +6,8 @@
 
 /**
  * Time that the store may wait for a change, in ms: a draining target must be known well
- * within 2 s. A VM that has moved is heard of as soon as it is back, 0.18 s earlier than by
- * asking at this interval (median of 110 moves).
+ * within 2 s. A VM that has moved is heard of as soon as it is back, 1.52 s after its order;
+ * 1.69 s by asking at this interval (medians of 96 and 107 moves on a calm day).
  */
 const WAIT_MS = 350
 
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -20,8 +20,9 @@
 const LIFE_LENGTH = 10
 
 /**
- * Link with which an owner of a busy service is not held up, in Mbit/s: its orders and
- * their answers took up to 10 Mbit/s at a peak of 70 jobs a second.
+ * Link with which an owner of a busy service is not held up, in Mbit/s. An estimate: 900
+ * tasks a second, each about 1.5 kB for its order, the answer and its end, take 11 Mbit/s;
+ * the rest is for bursts.
  */
 const OWNER_LINK_MBPS = 40
 
--- a/src/ownership/nodeRow.ts
+++ b/src/ownership/nodeRow.ts
@@ -12,8 +12,9 @@
   address: z.string(),
   hall: z.string(),
   /**
-   * What it can carry as an owner, 1 for a whole core with a link that does not bind. A
-   * node of 0.3 cores that owned a queue at its peak started a third of its jobs.
+   * What it can carry as an owner, 1 for a whole core with a link that does not bind. Of 43
+   * unequal nodes one that was picked by its name started 61 tasks for the 125 jobs, of
+   * about 13 tasks each, of its queue's first four seconds.
    */
   room: z.number().positive().default(1),
   /** Services that it owns. */
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -10,7 +10,10 @@
 
 /** Time in which waiting work should be done: about that of one more VM's coming, in ms. */
 const CLEAR_BACKLOG_MS = 1500
-/** Growth of the need since the last report that is told at once, as a share of it. */
+/**
+ * Growth of the need since the last report that is told at once, as a share of it: about
+ * one VM of the seven that a small service has. Saves up to 0.15 s, the usual pause.
+ */
 const TELL_GROWTH = 0.15
 
 /** Follows arriving work and sums up what jobs ask for. */
--- a/src/vms/constants.ts
+++ b/src/vms/constants.ts
@@ -2,7 +2,10 @@
 
 /** Time between two rounds of decisions while no report comes. */
 export const ROUND_MS = 100
-/** Shortest time between two rounds: reports of several services come together. */
+/**
+ * Shortest time between two rounds: a sixth of the time between two reports of a service,
+ * so that reports of several services that come together make one round.
+ */
 export const MIN_ROUND_MS = 25
 /** Time between two reports of a service's owner. */
 export const REPORT_MS = 150
