fix(build): keep everything that the build makes under its output folder

The settings for the run that compiles code were written to the system's folder for temporary files and stayed there; the run has a limit of 20 s now.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,8 +3,7 @@
  * and keeps the code that V8 compiles for a start beside it.
  */
 import { spawnSync } from 'node:child_process'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { tmpdir } from 'node:os'
+import { rmSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { build } from 'esbuild'
 
@@ -18,6 +17,8 @@
 }
 /** Flags of the program in deploy/system.toml: V8 takes compiled code only under the same. */
 const V8_FLAGS = ['--max-old-space-size=200']
+/** Longest time that the program may take to write its compiled code, in ms. */
+const RUN_LIMIT_MS = 20_000
 /** Settings of a node that reaches nothing. */
 const SETTINGS = `
 [node]
@@ -50,10 +51,12 @@
 
 const cache = join(outdir, 'rillshunt-node.cache')
 rmSync(cache, { force: true })
-const settings = join(mkdtempSync(join(tmpdir(), 'rillshunt-')), 'node.ini')
+const settings = join(outdir, 'cache.ini')
 writeFileSync(settings, SETTINGS)
 const args = [...V8_FLAGS, join(outdir, 'rillshunt-node.cjs'), settings]
 const env = { ...process.env, RILLSHUNT_WRITE_CODE_CACHE: cache }
-const res = spawnSync(process.execPath, args, { env, stdio: ['ignore', 'ignore', 2] })
+const stdio = ['ignore', 'ignore', 'inherit']
+const res = spawnSync(process.execPath, args, { env, stdio, timeout: RUN_LIMIT_MS })
+rmSync(settings)
 if (res.status !== 0)
   process.stderr.write('no compiled code is kept; starts are slower\n')
