fix(scheduler): a job waits until a target has said that a run of it has begun

A job counted as begun when its first start was ordered, whatever became of the order, and a job that came while the ownership was not confirmed was counted nowhere. Change: begun is what a target has said, by accepting the start, reporting the run or listing its end; offered jobs count as waiting.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -54,6 +54,7 @@
   spec: JobSpec
   occurrences: Occurrence[]
   openOccurrences: number
+  /** Whether a run of a task has begun, as a target has said; an order alone is no run. */
   begun: boolean
   cancelRequested: boolean
   outcome: JobOutcome | undefined
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -46,6 +46,8 @@
   markDue(): number | undefined
   /** A start was ordered. */
   place(task: Task, targetId: string, run: number): void
+  /** A target has said that a run of the task has begun. */
+  noteBegun(task: Task): void
   /** A start did not take place; the task may start again. */
   unplace(task: Task): void
   /** Takes note of a reported end. Returns the task when it was its present run. */
@@ -198,8 +200,8 @@
       task.targetId = targetId
       task.run = run
       task.startedAt = opts.now()
-      task.step.job.begun = true
     },
+    noteBegun: (task) => void (task.step.job.begun = true),
     unplace(task) {
       if (task.phase === 'placed' && !task.step.job.outcome) makeReady(task)
     },
@@ -207,6 +209,7 @@
       const task = book.task(end.task)
       if (!task || task.step.job.outcome || task.phase === 'done') return undefined
       task.run = Math.max(task.run, end.run)
+      book.noteBegun(task)
       // A run that ended done counts even when another run of the task was placed since.
       if (end.kind === 'done' && !task.step.spec.lasting) {
         if (task.phase === 'placed' && task.targetId !== targetId) opts.dropped(task)
--- a/src/scheduler/__tests__/serviceOwner.spec.ts
+++ b/src/scheduler/__tests__/serviceOwner.spec.ts
@@ -1,6 +1,6 @@
 import { ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
-import { createJobRig, findBrokenPromise, makeJob } from '../../../test/jobRig.js'
+import { QUEUE, createJobRig, findBrokenPromise, makeJob } from '../../../test/jobRig.js'
 import { sleep } from '../../shared/index.js'
 import { NOTHING_TO_EMPTY } from '../../vms/index.js'
 
@@ -32,6 +32,37 @@
     await rig.stop()
   })
 
+  // Found on a day whose callers were told that no job waited while five had waited for 5 s.
+  describe('jobs that wait', () => {
+    it('include those whose start has only been ordered', async (t) => {
+      const rig = createJobRig()
+      const target = rig.addTarget('t1')
+      const owner = await rig.own()
+      const first = makeJob({ ms: 20, cpu: 1000 }, [{ count: 1 }])
+      rig.submit(owner, first)
+      t.true(await rig.settled([first], 3000))
+      target.faults.silent = true
+      rig.submit(owner, makeJob({ ms: 20, cpu: 1000 }, [{ count: 1 }]))
+      await sleep(300)
+      t.is(owner.waiting(QUEUE.name), 1)
+      await rig.stop()
+    })
+
+    it('include those that came while the ownership was not confirmed', async (t) => {
+      const rig = createJobRig()
+      rig.addTarget('t1')
+      const owner = await rig.own()
+      owner.confirmed = false
+      const job = makeJob({ ms: 20, cpu: 1000 }, [{ count: 1 }])
+      rig.submit(owner, job)
+      t.is(owner.waiting(QUEUE.name), 1)
+      owner.confirmed = true
+      t.true(await rig.settled([job], 3000))
+      t.is(owner.waiting(QUEUE.name), 0)
+      await rig.stop()
+    })
+  })
+
   it('fails a job whose task failed as often as allowed, and not before', async (t) => {
     const rig = createJobRig()
     rig.addTarget('t1')
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -23,6 +23,8 @@
   cancel(id: string): boolean
   /** Takes on the jobs that came while the ownership was not confirmed. */
   takeOffered(): void
+  /** Jobs of a queue that came while it was not; the book does not have them yet. */
+  offeredOf(queue: string): number
   /** Follows the intake from the version on. */
   follow(version: number): RowMirror
 }
@@ -100,6 +102,10 @@
       for (const job of offered.values()) offer(job)
       offered.clear()
     },
+    offeredOf(queue) {
+      const waiting = [...offered.values()].filter(({ id }) => !book.jobs.has(id))
+      return waiting.filter((job) => job.queue === queue).length
+    },
     follow: (version) =>
       createRowMirror({
         store,
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -85,6 +85,7 @@
     lease.noteClock(res.value.clockMs)
     if (!res.value.accepted)
       return noteRefusal(task, placement, res.value.reason, sentToken)
+    book.noteBegun(task)
     if (placement.state === 'starting') placement.state = 'running'
     placement.confirmedClock = res.value.clockMs
   }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -236,7 +236,7 @@
       const job = book.jobs.get(id)
       return job && statusOf(job)
     },
-    waiting: (queue) => book.waiting(queue),
+    waiting: (queue) => book.waiting(queue) + newJobs.offeredOf(queue),
     agents: allAgents,
     report: () =>
       demand.report(service, authority.term, book.jobs, allAgents(), monotonicMs()),
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -112,6 +112,7 @@
       const placement = add(task, run, 'running')
       placement.confirmedClock = Infinity
       book.place(task, targetId, Math.max(task.run, run))
+      book.noteBegun(task)
       log.event('runAdopted', { task: name, run, target: targetId })
       return
     }
@@ -133,6 +134,7 @@
       const placement = placements.get(run.task)
       if (!placement) adopt(run)
       else if (placement.run === run.run) updatePlacement(placement, run)
+      if (placement?.task) book.noteBegun(placement.task)
     }
   }
 
