--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -1,20 +1,13 @@
 import { describe, it } from '../../../test/describe.js'
-import { createJobBook, jobSchema } from '../../jobs/index.js'
+import { createStillBook } from '../../../test/fixtures.js'
+import { jobSchema } from '../../jobs/index.js'
 import { createDemandMeter } from '../demand.js'
 import { createRunTimes } from '../runTimes.js'
 
 const STEP = { count: 4, cpu: 1000, estimateMs: 1000 }
 
 function startMeter(isTimely = true) {
-  const book = createJobBook({
-    rulesOf: () => ({ maxAttempts: 2 }),
-    now: () => 0,
-    wallMs: () => 0,
-    changed: () => undefined,
-    dropped: () => undefined,
-    wake: () => undefined,
-    ended: () => undefined,
-  })
+  const book = createStillBook()
   const runTimes = createRunTimes()
   const demand = createDemandMeter({ runTimes, isTimely: () => isTimely })
   const add = (number: number, acceptedAtMs: number) =>
--- a/src/scheduler/__tests__/planner.spec.ts
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
+import { createStillBook } from '../../../test/fixtures.js'
 import { QUEUE, makeJob } from '../../../test/jobRig.js'
-import { createJobBook } from '../../jobs/index.js'
 import type { JobSpec } from '../../jobs/index.js'
 import { planStarts } from '../planner.js'
 import { createRoom, needOf } from '../room.js'
@@ -33,15 +33,7 @@
 }
 
 function readyOf(jobs: JobSpec[]) {
-  const book = createJobBook({
-    rulesOf: () => ({ maxAttempts: 1 }),
-    now: () => 0,
-    wallMs: () => 0,
-    changed: () => undefined,
-    dropped: () => undefined,
-    wake: () => undefined,
-    ended: () => undefined,
-  })
+  const book = createStillBook()
   for (const job of jobs) book.add(job)
   return book.ready
 }
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -1,6 +1,7 @@
 import { ok } from 'neverthrow'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
+import { vmOf } from '../../../test/fixtures.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
 import type { Authority } from '../../ownership/index.js'
 import { ORDER_IN_FLIGHT_MS } from '../../ports/index.js'
@@ -12,16 +13,6 @@
 let sequence = 0
 const EPOCH = { table: 'epochs', part: '~fleet', key: 'epoch' }
 
-const vmOf = (number: number, pool: string): Vm => ({
-  name: `m${number}`,
-  pool,
-  state: 'up',
-  hall: 'h1',
-  labels: [],
-  capacity: { cpu: 10_000, memMb: 1000, gpu: 0 },
-  targetId: `i${number}`,
-})
-
 const load = (id: string, runs: number, evacuating: boolean): TargetLoad => ({
   id,
   runs,
--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -1,21 +1,10 @@
 import { describe, it } from '../../../test/describe.js'
+import { VM_CPU, vmOf } from '../../../test/fixtures.js'
 import type { Vm } from '../../ports/index.js'
 import { planPools } from '../poolPlanner.js'
 import type { PoolInput } from '../poolPlanner.js'
 import type { ServiceReport, TargetLoad } from '../types.js'
 
-const VM_CPU = 10_000
-
-const vmOf = (number: number, pool: string): Vm => ({
-  name: `m${number}`,
-  pool,
-  state: 'up',
-  hall: 'h1',
-  labels: [],
-  capacity: { cpu: VM_CPU, memMb: 1000, gpu: 0 },
-  targetId: `i${number}`,
-})
-
 const loadOf = (number: number, load: Partial<TargetLoad> = {}): TargetLoad => ({
   id: `i${number}`,
   runs: 0,
