test: node processes that end or serve nothing on what they do not know

Cause: each boundary takes the unknown for a reason to end. Adds what the tests need to see it (hook for unread parts, two events); the behaviour is unchanged.

--- a/playground/__tests__/node.spec.ts
+++ b/playground/__tests__/node.spec.ts
@@ -178,10 +178,9 @@
 
   it('says 503 when its settings cannot be used', async (t) => {
     const { platform, nodes } = await startAll(1)
-    const node = await startNodeProcess(platform, 'n9', 'h1', [
-      '[targets]',
-      'orders = heartbeat',
-    ])
+    const node = await startNodeProcess(platform, 'n9', 'h1', {
+      moreSettings: ['[targets]', 'orders = heartbeat'],
+    })
     const res = await firstAnswer(`http://${node.readiness}/readiness`)
     t.is(res.statusCode, 503)
     t.true((await res.body.text()).includes('[targets] orders'))
@@ -194,7 +193,7 @@
   it('lives through reloads of wrong settings and serves with the right ones', async (t) => {
     const { platform, nodes } = await startAll(1)
     const wrong = ['[targets]', 'orders = heartbeat']
-    const node = await startNodeProcess(platform, 'n9', 'h1', wrong)
+    const node = await startNodeProcess(platform, 'n9', 'h1', { moreSettings: wrong })
     await firstAnswer(`http://${node.readiness}/readiness`)
     const rejections = () => node.output().split('"settingsRejected"').length - 1
     node.child.kill('SIGHUP')
@@ -213,7 +212,9 @@
   it('serves under a contract that it does not know, and says so', async (t) => {
     const { platform, nodes } = await startAll(1)
     const contracts = ['[contracts]', 'in_force = base,health,sched,magic']
-    const node = await startNodeProcess(platform, 'n9', 'h1', contracts)
+    const node = await startNodeProcess(platform, 'n9', 'h1', {
+      moreSettings: contracts,
+    })
     await untilReady([node])
     const job = { spec: '{}', steps: [{ count: 1, cpu: 100, estimated_ms: 10 }] }
     t.is((await call(node, 'POST', `/one/${jobId(1)}`, job)).status, 200)
--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -11,6 +11,25 @@
 /** The built program. */
 const PROGRAM = 'dist/src/bin/node.js'
 
+/** How a node is started, where a test asks for something else than usual. */
+export interface NodeProcessOptions {
+  /**
+   * Lines of settings after the usual ones.
+   * @default none
+   */
+  moreSettings?: string[]
+  /**
+   * Arguments of Node.js, the program last.
+   * @default the built program
+   */
+  program?: string[]
+  /**
+   * Called with the settings file and the address for callers right before the start.
+   * @default nothing is done
+   */
+  prepare?(file: string, callers: string): void | Promise<void>
+}
+
 /** A node in a process of its own. */
 export interface NodeProcess {
   name: string
@@ -39,8 +58,9 @@
   platform: SimPlatform,
   name: string,
   hall: string,
-  moreSettings: string[] = [],
+  opts: NodeProcessOptions = {},
 ): Promise<NodeProcess> {
+  const { moreSettings = [], program = [PROGRAM] } = opts
   const [callers, readiness, nodePort, metricsPort] = await Promise.all([
     freePort(),
     freePort(),
@@ -65,7 +85,8 @@
     ...moreSettings,
   ]
   writeFileSync(file, settings.join('\n'))
-  const child = spawn(process.execPath, [PROGRAM, file], {
+  await opts.prepare?.(file, `${HOST}:${callers}`)
+  const child = spawn(process.execPath, [...program, file], {
     stdio: ['ignore', 'pipe', 'pipe'],
   })
   let output = ''
--- a/src/ports/configuration.ts
+++ b/src/ports/configuration.ts
@@ -32,6 +32,8 @@
   queues: Queue[]
   services: Map<string, ServicePool>
   limits: { headerBytes: number; bodyBytes: number; headerMs: number; idleMs: number }
+  /** What of it could not be read and is left out, one message each. */
+  unread: string[]
 }
 
 /** A wave of maintenance: each VM once, at most `maxDown` at a time. */
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -55,8 +55,9 @@
   ends: ReportedEnd[]
 }
 
-/** Why a target refused a start. */
-export type StartRefusal = 'fenced' | 'superseded' | 'expired' | 'full' | 'ticket'
+/** Why a target refused a start; `other` for a reason that this version does not know. */
+export type StartRefusal =
+  'fenced' | 'superseded' | 'expired' | 'full' | 'ticket' | 'other'
 
 /** A start order. */
 export interface StartOrder {
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -60,6 +60,7 @@
     superseded: () => undefined,
     expired: () => undefined,
     full: () => opts.pause(FULL_PAUSE_MS),
+    other: () => opts.pause(REFUSED_PAUSE_MS),
     ticket: (task) => opts.ticketRefused(task),
   }
 
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -141,6 +141,16 @@
     'error',
     'contracts are in force that this version does not know; the others are served',
   ),
+  settingsIgnored: spec(
+    'RS-8047',
+    'warn',
+    'settings say more than this version knows; the rest is used',
+  ),
+  answerUnread: spec(
+    'RS-4004',
+    'error',
+    'part of an answer could not be read and is left out',
+  ),
   metricsNotServed: spec('RS-8045', 'warn', 'metrics cannot be served'),
   peerMessageRefused: spec('RS-6003', 'warn', 'message of a peer refused'),
 } as const satisfies Record<string, EventSpec>
