fix: a node lives on through signals, settings and words that it does not expect

Cause: each boundary of the process took the unknown for a reason to end or to serve nothing. Signals are held before the code is loaded (a reload in the first 0.3 s ended the process; now only while Node.js itself starts), a second stop leaves the first alone, a start that fails is tried again, a settings file that is wrong or missing is read again. What settings, routes, VMs, reports, refusals and tickets say beyond what is known is left out alone and logged; an epoch row that cannot be read is not written over.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -47,6 +47,7 @@
 await build({
   ...shared,
   entryPoints: { 'rillshunt-node': 'scripts/cachedStart.ts' },
+  bundle: true,
 })
 
 const cache = join(outdir, 'rillshunt-node.cache')
--- a/scripts/cachedStart.ts
+++ b/scripts/cachedStart.ts
@@ -7,6 +7,10 @@
 import { createRequire } from 'node:module'
 import { dirname, join } from 'node:path'
 import { Script } from 'node:vm'
+import { holdSignals } from '../src/bin/signals.js'
+
+// From the beginning: reading and compiling the bundle takes most of a start.
+holdSignals()
 
 /** Names the file to write compiled code to; set only by the build. */
 const WRITE_VARIABLE = 'RILLSHUNT_WRITE_CODE_CACHE'
--- /dev/null
+++ b/src/bin/nodeProgram.ts
@@ -0,0 +1,150 @@
+/** The program of a node: settings, signals, and the kernel that is started until it runs. */
+import { isDeepStrictEqual } from 'node:util'
+import {
+  createAdviceClient,
+  createCloudClient,
+  createJobFace,
+  createMetricsFace,
+  createOrdersClient,
+  createReadinessFace,
+  createStoreClient,
+  openFace,
+  platformDocuments,
+} from '../../platform/index.js'
+import { loadNodeConfig, unknownContracts } from '../config/index.js'
+import type { LoadedNodeConfig, NodeConfig } from '../config/index.js'
+import type { Kernel } from '../kernel/index.js'
+import { createNode, createNodeMetrics, waitForSettings } from '../node/index.js'
+import type { NodeMetrics, NodePlatform } from '../node/index.js'
+import type { Logger } from '../shared/index.js'
+import { EXIT, createFdSink, createLogger, sleep } from '../shared/index.js'
+import type { Signals } from './signals.js'
+
+/** Variable that holds the path of the settings. */
+const SETTINGS_VARIABLE = 'RILLSHUNT_BOOT'
+/**
+ * Pause before a start that failed is tried again, in ms. A port may be in use by what
+ * ran here before; the process does not end for it, since a platform that starts it again
+ * does so with less knowledge and no sooner.
+ */
+const START_RETRY_MS = 500
+
+function createPlatform(
+  cfg: NodeConfig,
+  metrics: NodeMetrics,
+  log: Logger,
+): NodePlatform {
+  const onTraffic = metrics.noteCall
+  const onUnread = (step: string, reason: string): void =>
+    log.event('answerUnread', { step, reason })
+  const store = createStoreClient({ address: cfg.store.address, onTraffic })
+  const { address: cloudAddress } = cfg.cloud
+  const cloud = cloudAddress
+    ? createCloudClient({ address: cloudAddress, onTraffic, onUnread })
+    : undefined
+  const { address: adviceAddress } = cfg.advice
+  const advice = adviceAddress
+    ? createAdviceClient({ address: adviceAddress, onTraffic })
+    : undefined
+  return {
+    store,
+    orders: createOrdersClient({ onTraffic, onUnread }),
+    cloud,
+    advice,
+    documents: platformDocuments,
+    openCallers: (jobs, maxBodyBytes) =>
+      openFace(createJobFace(jobs, maxBodyBytes), cfg.listen.callers),
+    openReadiness: (notReady) =>
+      openFace(createReadinessFace(notReady), cfg.listen.readiness),
+    openMetrics: () =>
+      openFace(
+        createMetricsFace(() => metrics.registry.metrics()),
+        `${cfg.listen.address}:${cfg.listen.metrics_port}`,
+      ),
+    close() {
+      store.close()
+      cloud?.close()
+      advice?.close()
+    },
+  }
+}
+
+/** Says what of the settings is not used, and which contracts are not known. */
+function logUnknown({ cfg, ignored }: LoadedNodeConfig, log: Logger): void {
+  if (ignored.length > 0) log.event('settingsIgnored', { ignored })
+  const contracts = unknownContracts(cfg)
+  if (contracts.length > 0) log.event('contractsUnknown', { contracts })
+}
+
+/**
+ * Reads the settings again. What they say of addresses takes effect with the next start;
+ * a difference is logged, so that nobody waits for it.
+ */
+async function reload(file: string, cfg: NodeConfig, log: Logger): Promise<void> {
+  const next = await loadNodeConfig(file)
+  if (next.isErr()) return log.event('settingsRejected', { reason: next.error.message })
+  logUnknown(next.value, log)
+  const changed = Object.keys(cfg).filter(
+    (name) =>
+      !isDeepStrictEqual(
+        cfg[name as keyof NodeConfig],
+        next.value.cfg[name as keyof NodeConfig],
+      ),
+  )
+  log.event('settingsReloaded', { file, takesEffectAtStart: changed })
+}
+
+/** Runs the node until it is told to stop; a start that fails is tried again. */
+async function runNode(
+  file: string,
+  loaded: LoadedNodeConfig,
+  signals: Signals,
+): Promise<void> {
+  const { cfg } = loaded
+  const { id, hall } = cfg.node
+  const { level } = cfg.log
+  const stream = createFdSink(process.stdout.fd)
+  const metrics = createNodeMetrics()
+  const log = metrics.watch(
+    createLogger({ level, bounded: true, stream, base: { node: id, hall } }),
+  )
+  process.on('uncaughtException', (cause) =>
+    log.event('unexpectedError', { reason: cause.stack ?? String(cause) }),
+  )
+  logUnknown(loaded, log)
+  let kernel: Kernel | undefined
+  let stop: Promise<void> | undefined
+  // Asked again, it goes on with the stop that is under way: the process that ended at a
+  // second SIGTERM cut off 2.5 s of its planned stop.
+  signals.handle('SIGTERM', () => {
+    stop ??= (async () => {
+      await kernel?.stop()
+      await log.close()
+      process.exit(EXIT.ok)
+    })()
+  })
+  signals.handle('SIGHUP', () => void reload(file, cfg, log))
+  while (!stop) {
+    kernel = createNode(cfg, createPlatform(cfg, metrics, log), log)
+    const started = await kernel.start()
+    if (started.isOk()) return
+    await sleep(START_RETRY_MS)
+  }
+}
+
+/** Reads the settings, waits for them if need be, and runs the node. */
+export async function runNodeProgram(signals: Signals): Promise<void> {
+  signals.handle('SIGTERM', () => process.exit(EXIT.ok))
+  const file = process.argv[2] ?? process.env[SETTINGS_VARIABLE]
+  if (file === undefined) {
+    process.stderr.write(`usage: rillshunt-node FILE, or ${SETTINGS_VARIABLE}=FILE\n`)
+    process.exit(EXIT.usage)
+  }
+  const loaded = await loadNodeConfig(file)
+  if (loaded.isOk()) return runNode(file, loaded.value, signals)
+  process.stderr.write(`${loaded.error.message}\n`)
+  const log = createLogger({ level: 'info', stream: createFdSink(process.stdout.fd) })
+  const wait = waitForSettings(file, loaded.error.message, log)
+  signals.handle('SIGHUP', wait.retry)
+  await runNode(file, await wait.settings, signals)
+}
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -1,5 +1,13 @@
 /** INI settings: schema, defaults, checks. */
-export * from './resolveConfig.js'
+export {
+  allowedKeys,
+  loadConfig,
+  parseConfig,
+  printConfig,
+  resolveConfig,
+} from './resolveConfig.js'
+export { loadNodeConfig, parseNodeConfig } from './nodeConfig.js'
+export type { LoadedNodeConfig } from './nodeConfig.js'
 export type { ResolvedConfig, UserConfig } from './schema.js'
 export type { PeerAddress } from './values.js'
 export type { NodeConfig } from './nodeSchema.js'
--- /dev/null
+++ b/src/config/nodeConfig.ts
@@ -0,0 +1,72 @@
+/**
+ * Settings of `rillshunt-node`. The platform fills them in and may say more than this
+ * version knows; what is not known is left out and named, because a node that refuses to
+ * serve for it fails on every VM at once.
+ */
+import { parse } from 'ini'
+import type { Result } from 'neverthrow'
+import type { z } from 'zod'
+import type { ConfigError } from '../shared/index.js'
+import { HINTS, nodeConfigSchema } from './nodeSchema.js'
+import type { NodeConfig } from './nodeSchema.js'
+import { INLINE_SOURCE, loadSettings, resolveSections } from './resolveConfig.js'
+import type { Sections } from './resolveConfig.js'
+
+/** Settings of a node, and what of their file is not used. */
+export interface LoadedNodeConfig {
+  cfg: NodeConfig
+  /** Sections and keys, one message each. */
+  ignored: string[]
+}
+
+/** Settings sorted into those that are used and the names of the others. */
+interface Sorted {
+  used: Sections
+  ignored: string[]
+}
+
+/** Why a value is not used; undefined when it is. */
+function whyIgnored(section: string, key: string, value: unknown): string | undefined {
+  const shape: z.ZodRawShape = nodeConfigSchema.shape[section as keyof NodeConfig].shape
+  const schema = shape[key] as z.ZodType | undefined
+  if (!schema) return 'unknown key'
+  if (!HINTS[section]?.includes(key)) return undefined
+  const res = schema.safeParse(value)
+  return res.success ? undefined : res.error.issues[0]?.message
+}
+
+function sortOut(user: Record<string, unknown>): Sorted {
+  const sorted: Sorted = { used: {}, ignored: [] }
+  for (const [section, keys] of Object.entries(user)) {
+    if (typeof keys !== 'object' || keys === null) {
+      sorted.ignored.push(`${section}: stands before any section`)
+      continue
+    }
+    if (!Object.hasOwn(nodeConfigSchema.shape, section)) {
+      sorted.ignored.push(`[${section}]: unknown section`)
+      continue
+    }
+    const used: Record<string, unknown> = {}
+    for (const [key, value] of Object.entries(keys)) {
+      const reason = whyIgnored(section, key, value)
+      if (reason === undefined) used[key] = value
+      else sorted.ignored.push(`[${section}] ${key}: ${reason}`)
+    }
+    sorted.used[section] = used
+  }
+  return sorted
+}
+
+/** Reads settings from INI text; keys without a value count as absent. */
+export function parseNodeConfig(
+  text: string,
+  source: string = INLINE_SOURCE,
+): Result<LoadedNodeConfig, ConfigError> {
+  const filled = text.replace(/^[a-z_]+ *= *$/gm, '')
+  const { used, ignored } = sortOut(parse(filled))
+  const cfg = resolveSections(nodeConfigSchema, used, source)
+  return cfg.map((each) => ({ cfg: each, ignored }))
+}
+
+/** Reads settings from an INI file. */
+export const loadNodeConfig = (file: string) => loadSettings(file, parseNodeConfig)
--- a/src/config/nodeSchema.ts
+++ b/src/config/nodeSchema.ts
@@ -1,9 +1,9 @@
 /** Settings of `rillshunt-node`; `docs/config.md` lists every key. */
 import { z } from 'zod'
 import {
-  identifier,
   identifierList,
   ipNumber,
+  nodeName,
   port,
   positive,
   socketAddress,
@@ -33,11 +33,11 @@
 export const nodeConfigSchema = z.strictObject({
   node: section({
     /** Unique name of the node. Required. */
-    id: identifier(),
+    id: nodeName(),
     /** Data hall that it stands in. Required. */
-    hall: identifier(),
+    hall: nodeName(),
     /** Changes nothing by itself; printed in every log line. @default 'entry' */
-    role: identifier().prefault('entry'),
+    role: nodeName().prefault('entry'),
     /** Cores that it may use; stronger nodes own services first. @default 1 */
     cpu_share: positive().prefault('1'),
     /** Bandwidth of its link, in Mbit/s. @default 1000 */
@@ -83,6 +83,17 @@
   }),
 })
 
+/**
+ * Keys without which a node can serve: one that cannot be read gets its default, and the
+ * log says so. An address or a way to speak that cannot be used stops a node, rightly.
+ */
+export const HINTS: Record<string, readonly string[]> = {
+  node: ['role', 'cpu_share', 'link_mbps'],
+  listen: ['metrics_port'],
+  contracts: ['in_force'],
+  log: ['level'],
+}
+
 /** Settings as the program uses them: durations in ms. */
 export type NodeConfig = z.output<typeof nodeConfigSchema>
 
--- a/src/config/resolveConfig.ts
+++ b/src/config/resolveConfig.ts
@@ -7,17 +7,15 @@
 import { ConfigError, describeError } from '../shared/index.js'
 import { configSchema } from './schema.js'
 import type { ResolvedConfig, UserConfig } from './schema.js'
-import { nodeConfigSchema } from './nodeSchema.js'
-import type { NodeConfig } from './nodeSchema.js'
 
 /** Name in messages for settings that come from no file. */
-const INLINE_SOURCE = 'settings'
+export const INLINE_SOURCE = 'settings'
 
 /** Settings as a file holds them: sections of keys with text. */
-type Sections = Record<string, Record<string, unknown>>
+export type Sections = Record<string, Record<string, unknown>>
 
 /** Checks settings of any program; the errors name section and key. */
-function resolveSections<S extends z.ZodObject>(
+export function resolveSections<S extends z.ZodObject>(
   schema: S,
   user: Sections,
   source: string,
@@ -60,16 +58,8 @@
   return parseSections(configSchema, text, source)
 }
 
-/** Reads settings of `rillshunt-node` from INI text; keys without a value count as absent. */
-export function parseNodeConfig(
-  text: string,
-  source: string = INLINE_SOURCE,
-): Result<NodeConfig, ConfigError> {
-  const filled = text.replace(/^[a-z_]+ *= *$/gm, '')
-  return parseSections(nodeConfigSchema, filled, source)
-}
-
-async function load<T>(
+/** Reads a file with settings; the error names the file. */
+export async function loadSettings<T>(
   file: string,
   read: (text: string, source: string) => Result<T, ConfigError>,
 ): Promise<Result<T, ConfigError>> {
@@ -81,10 +71,7 @@
 }
 
 /** Reads settings from an INI file. */
-export const loadConfig = (file: string) => load(file, parseConfig)
-
-/** Reads settings of `rillshunt-node` from an INI file. */
-export const loadNodeConfig = (file: string) => load(file, parseNodeConfig)
+export const loadConfig = (file: string) => loadSettings(file, parseConfig)
 
 /** Prints resolved settings as INI: durations in ms, sizes in bytes, ready to be read again. */
 export function printConfig(cfg: ResolvedConfig): string {
--- a/src/config/values.ts
+++ b/src/config/values.ts
@@ -87,6 +87,15 @@
     IDENTIFIER.test(text) ? text : undefined,
   )
 
+/** Bytes of a name at most: it is a key of the store, which takes 200. */
+const MAX_NODE_NAME = 150
+
+/** The name that the platform gives to a node or a data hall: printable, without blanks. */
+export const nodeName = () =>
+  parsed(`a printable name without blanks, at most ${MAX_NODE_NAME} long`, (text) =>
+    /^[!-~]+$/.test(text) && text.length <= MAX_NODE_NAME ? text : undefined,
+  )
+
 /** An HTTP address by IP number. */
 export const httpUrl = () =>
   parsed('an http URL by IP number, such as http://10.1.0.4:7000', (text) => {
--- a/src/directory/configurationHolder.ts
+++ b/src/directory/configurationHolder.ts
@@ -45,6 +45,12 @@
       previous: current?.version,
       queues: next.queues.length,
     })
+    const { unread } = next
+    if (unread.length > 0)
+      log.event('rowInvalid', {
+        key: documents.configurationKey,
+        reason: unread.join('; '),
+      })
     current = next
     byName = new Map(next.queues.map((queue) => [queue.name, queue]))
     byHost = new Map()
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -32,7 +32,7 @@
 export type QueueMatch =
   | { kind: 'found'; queue: Queue; rest: string }
   | { kind: 'unknown' }
-  /** No configuration, or too old a one to deny a queue. */
+  /** No configuration, or one that is too old or too little of it was read to deny a queue. */
   | { kind: 'notReady'; retryAfterMs: number }
 
 /** What became of a job that a caller handed in. */
@@ -138,8 +138,10 @@
       const queue = configuration.match(host, path)
       if (queue)
         return { kind: 'found', queue, rest: path.slice(queue.pathPrefix.length) }
+      const current = configuration.current()
       const stale = monotonicMs() - configuration.freshAt() > CONFIGURATION_STALE_MS
-      if (!configuration.current() || stale) {
+      // The queue may be among what could not be read: its callers are not told that it is none.
+      if (!current || stale || current.unread.length > 0) {
         return { kind: 'notReady', retryAfterMs: RETRY_AFTER_MS }
       }
       return { kind: 'unknown' }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -91,6 +91,7 @@
       const ordered = sortByNeeds(definitions)
       if (ordered.isErr()) return err(ordered.error)
       for (const definition of ordered.value) {
+        if (stopping) return err(new KernelError('stopped while it was starting'))
         try {
           await startOne(definition)
         } catch (cause) {
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -10,6 +10,7 @@
 } from '../front/index.js'
 import { defineService } from '../kernel/index.js'
 import { FLEET, createNodeRegistry, createOwnership } from '../ownership/index.js'
+import type { ServicePool } from '../ports/index.js'
 import { closeServer } from './closeServer.js'
 import { startFleetReports } from './fleetReports.js'
 import { createOwnerTable } from './ownerTable.js'
@@ -58,8 +59,11 @@
 
 /** Every service but the spare ones needs an owner, and so does the fleet of VMs. */
 function ownedNames(configuration: ConfigurationHolder, hasCloud: boolean): string[] {
-  const services = configuration.current()?.services.values() ?? []
-  const names = [...services].filter(({ spare }) => !spare).map(({ name }) => name)
+  const { services = new Map<string, ServicePool>(), queues = [] } =
+    configuration.current() ?? {}
+  // A queue whose service is not listed, or could not be read, has jobs to run all the same.
+  const all = new Set([...services.keys(), ...queues.map(({ service }) => service)])
+  const names = [...all].filter((name) => !services.get(name)?.spare)
   if (names.length > 0 && hasCloud) names.push(FLEET)
   return names.sort()
 }
--- a/src/node/unavailable.ts
+++ b/src/node/unavailable.ts
@@ -1,47 +1,58 @@
 /**
  * What a node does whose settings cannot be used: it says 503 where callers and the
- * platform ask, as far as the file names these addresses, and reads the file again when
- * it is told to, instead of ending in a loop.
+ * platform ask, as far as the file names these addresses, and reads the file again until
+ * it can be used, instead of ending in a loop.
  */
 import { readFileSync } from 'node:fs'
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import { parse } from 'ini'
 import { loadNodeConfig } from '../config/index.js'
-import type { NodeConfig } from '../config/index.js'
+import type { LoadedNodeConfig } from '../config/index.js'
+import { createStopController, describeError, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { closeServer } from './closeServer.js'
 
 /** When callers should come back, in seconds: somebody has to mend the settings. */
 const RETRY_AFTER_S = 30
+/** Time between two readings of the file, in ms: it may change without a signal. */
+const READ_AGAIN_MS = 1000
 
 /** Waits for settings that can be used. */
 export interface SettingsWait {
-  /** Whether an address was found at which callers are told that nothing is served. */
-  readonly serves: boolean
-  /** Reads the file again; the settings once they can be used, from then on undefined. */
-  retry(): Promise<NodeConfig | undefined>
+  /** Resolves once the file can be used. */
+  readonly settings: Promise<LoadedNodeConfig>
+  /** Reads the file again now. */
+  retry(): void
 }
 
 /** Says 503 at the addresses of the file until it can be used. */
 export function waitForSettings(file: string, reason: string, log: Logger): SettingsWait {
-  const servers = listenAddresses(file, log).map((each) => serve503(each, reason, log))
-  let done = false
-  return {
-    serves: servers.length > 0,
-    async retry() {
+  let pause = createStopController()
+  let lastReason = reason
+  log.event('settingsRejected', { file, reason })
+
+  async function wait(): Promise<LoadedNodeConfig> {
+    let servers: Server[] = []
+    for (;;) {
+      if (servers.length === 0)
+        servers = listenAddresses(file).map((each) => serve503(each, reason, log))
+      await sleep(READ_AGAIN_MS, pause.signal)
+      const asked = pause.signal.aborted
+      if (asked) pause = createStopController()
       const next = await loadNodeConfig(file)
-      if (done) return undefined
-      if (next.isErr()) {
-        log.event('settingsRejected', { file, reason: next.error.message })
-        return undefined
+      if (next.isOk()) {
+        for (const server of servers) closeServer(server)
+        log.event('settingsReloaded', { file })
+        return next.value
       }
-      done = true
-      for (const server of servers) closeServer(server)
-      log.event('settingsReloaded', { file })
-      return next.value
-    },
+      const { message } = next.error
+      if (asked || message !== lastReason)
+        log.event('settingsRejected', { file, reason: message })
+      lastReason = message
+    }
   }
+  return { settings: wait(), retry: () => pause.abort() }
 }
 
 function serve503(address: string, reason: string, log: Logger): Server {
@@ -52,12 +63,13 @@
     res.end(`${JSON.stringify({ error: reason })}\n`)
   })
   server.on('error', (cause) =>
-    log.event('unexpectedError', { address, reason: cause.message }),
+    log.event('unexpectedError', { address, reason: describeError(cause) }),
   )
   return server.listen(Number(address.slice(colon + 1)), address.slice(0, colon))
 }
 
-function listenAddresses(file: string, log: Logger): string[] {
+/** Addresses that the file names; none when it cannot be read, which is logged as rejected. */
+function listenAddresses(file: string): string[] {
   try {
     const { listen = {} } = parse(readFileSync(file, 'utf8')) as {
       listen?: Record<string, unknown>
@@ -65,8 +77,7 @@
     return [listen['callers'], listen['readiness']].filter(
       (each): each is string => typeof each === 'string' && /^[\d.]+:\d+$/.test(each),
     )
-  } catch (cause) {
-    log.event('settingsRejected', { file, reason: (cause as Error).message })
+  } catch {
     return []
   }
 }
--- a/src/ownership/__tests__/ownership.spec.ts
+++ b/src/ownership/__tests__/ownership.spec.ts
@@ -76,6 +76,17 @@
     await Promise.all(nodes.map((node) => node.stop()))
   })
 
+  // A term that is lower than the last one would be fenced by every target.
+  it('leaves a service alone whose last term it cannot read', async (t) => {
+    const table = createRowTable()
+    table.put({ table: 'epochs', part: 'a', key: 'epoch' }, '{"holder":"n9","term":"12"}')
+    const node = startNode(table, 'n1')
+    await sleep(1500)
+    t.deepEqual([...node.authorities.keys()].sort(), ['b', 'c', 'd'])
+    t.true(node.log.events.some(({ name }) => name === 'rowInvalid'))
+    await node.stop()
+  })
+
   // Found on scale-2: a node that was cut off took the fleet back as soon as it was back,
   // on rows that it had read before the cut.
   it('leaves services alone that were taken over while it was cut off', async (t) => {
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -86,6 +86,9 @@
       return log.event('claimFailed', { service, reason: describeError(found.error) })
     const stored = found.value.rows[0]
     const before = stored && decodeEpoch(stored.value)
+    // Without its term, ours would not be the higher one, and targets would fence us.
+    if (stored && !before)
+      return log.event('rowInvalid', { table: EPOCH_TABLE, key: service })
     // Its row may have been renewed since the changes were read.
     if (before && before.node !== '' && !(await registry.reread(before.node))) return
     const unownedMs = now() - (unownedSince.get(service) ?? now())
--- a/src/programs/main.ts
+++ b/src/programs/main.ts
@@ -52,7 +52,8 @@
         .then(() => log.close())
         .then(resolve)
     }
-    process.once('SIGTERM', stop)
+    // A second SIGTERM leaves the stop alone; a second SIGINT is somebody who will not wait.
+    process.on('SIGTERM', stop)
     process.once('SIGINT', stop)
   })
 }
