--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -33,6 +33,8 @@
   readonly service: string
   /** Takes on a job whose row is durable. */
   offer(job: JobSpec): void
+  /** A job was refused because the store cannot be used; its caller comes back. */
+  expect(job: JobSpec): void
   /** False when the job is not known here. */
   cancel(id: string): boolean
   /** Undefined when the job is not known here. */
@@ -236,6 +238,7 @@
   return {
     service,
     offer: newJobs.offer,
+    expect: () => undefined,
     cancel: newJobs.cancel,
     status(id) {
       const job = book.jobs.get(id)
