--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -20,6 +20,8 @@
   down: boolean
   /** Nodes whose calls are refused; compared with the name given to `forNode`. */
   refusedNodes: Set<string>
+  /** Parts that refuse their calls; feeds of changes go on. */
+  refusedParts: Set<string>
   /** Breaks the connection of every call, which is not done. */
   broken: boolean
   /** Time that every call takes, in ms. */
@@ -59,6 +61,7 @@
     down: false,
     broken: false,
     refusedNodes: new Set(),
+    refusedParts: new Set(),
     delayMs: 0,
     lostShare: 0,
     lateMs: 0,
@@ -100,16 +103,18 @@
     err(new PlatformError(reason, { props: { step, peer: 'sim', failure } }))
 
   /** The failure of a call that is not done; undefined when it is. */
-  const failureOf = (node: string, step: string) => {
+  const failureOf = (node: string, step: string, part?: string) => {
     if (faults.broken) return failed(step, 'unknown', 'connection reset')
-    const refused = faults.down || faults.refusedNodes.has(node)
+    const isPartDown = part !== undefined && faults.refusedParts.has(part)
+    const refused = faults.down || isPartDown || faults.refusedNodes.has(node)
     return refused ? failed(step, 'refused', 'store is down') : undefined
   }
 
   const forNode = (node: string): RowStore => ({
     async commit(tx) {
       await sleep(faults.delayMs)
-      const failure = failureOf(node, 'store.commit')
+      const [entry] = [...tx.conditions, ...tx.puts, ...tx.removals]
+      const failure = failureOf(node, 'store.commit', entry?.part)
       if (failure) return failure
       if (faults.random() < faults.lostShare) {
         if (faults.lateMs === 0) apply(tx)
@@ -120,7 +125,7 @@
     },
     async read(table, part, range = {}) {
       await sleep(faults.delayMs)
-      const failure = failureOf(node, 'store.read')
+      const failure = failureOf(node, 'store.read', part)
       if (failure) return failure
       const found = [...rows.values()]
         .filter((row) => row.table === table && row.part === part)
