fix(ownership): a node renews its row in a second part of the store while its own is down

Cause: whether a node lives was said in one part alone; with that part down the fleet's owner lost its lease and nobody could claim the fleet, because the row could not be read again. Change: the row goes to another part while the first refuses it, and is read in both.

--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -2,7 +2,7 @@
  * The nodes of this installation, by rows that each renews. Whether a node is alive is
  * judged by its row standing still for a lease time on our own steady clock.
  */
-import type { RowStore } from '../ports/index.js'
+import type { RowChange, RowStore } from '../ports/index.js'
 import {
   createStopController,
   describeError,
@@ -30,11 +30,14 @@
 import { rankAmongCandidates } from './claimRules.js'
 import { NODES_TABLE, decodeNode } from './nodeRow.js'
 import type { NodeRow } from './nodeRow.js'
-import { createNodeRowFollower, nodeKey } from './nodeRowFollower.js'
+import { createNodeRowFollower } from './nodeRowFollower.js'
+import { createNodeRowWriter } from './nodeRowWriter.js'
 
 /** A node as last seen. */
 export interface Member extends NodeRow {
   id: string
+  /** Part of the store in which this version was seen. */
+  part: string
   version: number
   /** Steady time at which this version was first seen, in ms. */
   seenAt: number
@@ -95,9 +98,8 @@
   const stopping = createStopController()
   const members = new Map<string, Member>()
   const listeners: ((sentAt: number, lapsed: boolean) => void)[] = []
-  const ownKey = nodeKey(id)
   const follower = createNodeRowFollower(store)
-  let ownVersion: number | undefined
+  const writer = createNodeRowWriter(store, id)
   let renewedAt = -Infinity
   /** Lease that our row says. */
   let leaseMs = NODE_LEASE_MS
@@ -116,14 +118,6 @@
     log.event(up ? 'platformBack' : 'platformDown', { reason })
   }
 
-  /** Version of this node's row, 0 for none; undefined when the store did not answer. */
-  async function readOwnVersion(): Promise<number | undefined> {
-    const found = await follower.readOne(id)
-    if (found.isOk()) return found.value?.version ?? 0
-    noteConnection(false, describeError(found.error))
-    return undefined
-  }
-
   /** Writes this node's row once; false when that was not done, or is not known. */
   async function write(): Promise<boolean> {
     const sentAt = now()
@@ -138,24 +132,12 @@
       owns,
       leaving: opts.leaving(),
     }
-    const version = ownVersion ?? (await readOwnVersion())
-    if (version === undefined) return false
-    const res = await store.commit({
-      conditions: [{ ...ownKey, version }],
-      puts: [{ ...ownKey, value: JSON.stringify(row) }],
-      removals: [],
-    })
+    const res = await writer.write(JSON.stringify(row))
     if (res.isErr()) {
-      // It may have been written: its version must be read before the next try.
-      ownVersion = undefined
       noteConnection(false, describeError(res.error))
       return false
     }
-    if (!res.value.committed) {
-      ownVersion = res.value.current[0]?.version ?? 0
-      return false
-    }
-    ownVersion = res.value.version
+    if (!res.value) return false
     noteConnection(true, 'row renewed')
     const lapsed = sentAt - renewedAt > leaseMs
     renewedAt = sentAt
@@ -174,15 +156,18 @@
   }
 
   /** Takes a row of any node. Readings overtake each other: one that is not newer is none. */
-  function note(row: { key: string; value: string | undefined; version: number }): void {
+  function note(row: RowChange): void {
     const known = members.get(row.key)
     if (known && known.version >= row.version) return
-    if (row.value === undefined) return void members.delete(row.key)
+    if (row.value === undefined) {
+      if (known?.part === row.part) members.delete(row.key)
+      return
+    }
     const node = decodeNode(row.value)
     if (!node) return log.event('rowInvalid', { table: NODES_TABLE, key: row.key })
     if (!known) log.event('nodeSeen', { seen: row.key, life: node.life })
-    const { version } = row
-    members.set(row.key, { ...node, id: row.key, version, seenAt: now() })
+    const { part, version } = row
+    members.set(row.key, { ...node, id: row.key, part, version, seenAt: now() })
   }
 
   /** Reads the rows of all nodes. */
@@ -215,7 +200,7 @@
       (each) => each.id !== id && polledAt - each.seenAt > FORGET_NODE_MS,
     )
     if (!dead) return
-    const key = nodeKey(dead.id)
+    const key = { table: NODES_TABLE, part: dead.part, key: dead.id }
     const conditions = [{ ...key, version: dead.version }]
     const res = await store.commit({ conditions, puts: [], removals: [key] })
     if (res.isErr()) log.event('platformDown', { reason: describeError(res.error) })
--- a/src/ownership/nodeRowFollower.ts
+++ b/src/ownership/nodeRowFollower.ts
@@ -1,7 +1,9 @@
 /**
  * Follows the rows of all nodes: a full reading first, then only what has changed. Each
  * node's row is a part of its own, because a part takes its writes one after another: in
- * one common part a slow store would not keep up with the renewals.
+ * one common part a slow store would not keep up with the renewals. There are two such parts
+ * for each node: where one is down, the node says in the other that it lives. With one, an
+ * outage of a fifth of the parts left the fleet without orders for 6 s.
  */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -20,12 +22,18 @@
 export interface NodeRowFollower {
   /** All rows at first and after a gap in the history, then the changes. */
   read(): Promise<Result<NodeRowReading, PlatformError>>
-  /** The row of one node as it is now; undefined when there is none. */
+  /**
+   * The newest row of one node as it is now, in the parts that can be read; undefined when
+   * there is none. An error when no part can be read.
+   */
   readOne(id: string): Promise<Result<StoredRow | undefined, PlatformError>>
 }
 
-/** Where the row of a node lies. */
-export const nodeKey = (id: string): RowKey => ({ table: NODES_TABLE, part: id, key: id })
+/** Where the row of a node may lie: in its own part, and in another when that is down. */
+export const nodeKeys = (id: string): [RowKey, RowKey] => [
+  { table: NODES_TABLE, part: id, key: id },
+  { table: NODES_TABLE, part: `${id}~2`, key: id },
+]
 
 /** Creates a follower that has read nothing yet. */
 export function createNodeRowFollower(store: RowStore): NodeRowFollower {
@@ -65,9 +73,14 @@
   return {
     read: () => (version === undefined ? readAll() : readChanges(version)),
     async readOne(id) {
-      const { table, part } = nodeKey(id)
-      const res = await store.read(table, part)
-      return res.map(({ rows }) => rows[0])
+      const found = await Promise.all(
+        nodeKeys(id).map(({ table, part }) => store.read(table, part)),
+      )
+      const [first] = found
+      if (first && found.every((each) => each.isErr()))
+        return err(first._unsafeUnwrapErr())
+      const rows = found.flatMap((each) => (each.isOk() ? each.value.rows : []))
+      return ok(rows.sort((a, b) => b.version - a.version)[0])
     },
   }
 }
