--- a/src/ownership/__tests__/idleNodes.spec.ts
+++ b/src/ownership/__tests__/idleNodes.spec.ts
@@ -8,10 +8,9 @@
  */
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
+import { startOwnerNode } from '../../../test/ownerNodes.js'
 import type { RowStore } from '../../ports/index.js'
-import { createMemoryLogger, sleep } from '../../shared/index.js'
-import { createNodeRegistry, createOwnership } from '../index.js'
-import type { Authority } from '../index.js'
+import { sleep } from '../../shared/index.js'
 
 const NODES = 32
 const SERVICES = ['a', 'b', 'c', 'd']
@@ -46,40 +45,14 @@
   const nodes = Array.from({ length: NODES }, (_, each) => {
     const id = `n${String(each + 1).padStart(2, '0')}`
     const { store, calls } = counting(table.forNode(id))
-    const log = createMemoryLogger()
-    const held = new Map<string, Authority>()
-    const registry = createNodeRegistry({
-      store,
-      id,
-      life: `${id}-1`,
-      hall: hallOf(each),
-      address: `${id}:1`,
-      room: 1,
-      owns: () => [...held.keys()],
-      leaving: () => false,
-      log,
-    })
-    const ownership = createOwnership({
-      store,
-      registry,
-      names: () => SERVICES,
-      async start(authority) {
-        held.set(authority.service, authority)
-        return { stop: async () => void held.delete(authority.service) }
-      },
-      log,
-    })
-    const stop = async () => {
-      await ownership.stop()
-      await registry.stop()
-    }
-    return { id, calls, held, registry, stop }
+    const node = startOwnerNode({ id, store, services: SERVICES, hall: hallOf(each) })
+    return { ...node, calls }
   })
   return { table, nodes }
 }
 
 const ownerOf = (nodes: ReturnType<typeof startSite>['nodes'], service: string) =>
-  nodes.find(({ held }) => held.get(service)?.isConfirmed())
+  nodes.find(({ authorities }) => authorities.get(service)?.isConfirmed())
 
 describe('nodes that own nothing', () => {
   it('call the store seldom, and an owner is missed all the same', async (t) => {
@@ -88,7 +61,7 @@
     const before = new Map(nodes.map((node) => [node.id, node.calls()]))
     await sleep(3000)
     const perSecond = nodes
-      .filter(({ held }) => held.size === 0)
+      .filter(({ authorities }) => authorities.size === 0)
       .map((node) => (node.calls() - before.get(node.id)!) / 3)
       .sort((a, b) => a - b)
     const median = perSecond[Math.floor(perSecond.length / 2)]!
@@ -99,7 +72,7 @@
     table.faults.refusedNodes.add(owner.id)
     const lostAt = performance.now()
     const isTaken = () =>
-      nodes.some((node) => node !== owner && node.held.get('a')?.isConfirmed())
+      nodes.some((node) => node !== owner && node.authorities.get('a')?.isConfirmed())
     while (!isTaken() && performance.now() - lostAt < 15_000) await sleep(20)
     t.true(isTaken())
     t.log(`taken over after ${Math.round(performance.now() - lostAt)} ms`)
--- a/src/ownership/__tests__/ownership.spec.ts
+++ b/src/ownership/__tests__/ownership.spec.ts
@@ -1,56 +1,17 @@
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import type { RowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
-import { createMemoryLogger, sleep } from '../../shared/index.js'
-import {
-  FORGET_NODE_MS,
-  NODE_LEASE_MS,
-  createNodeRegistry,
-  createOwnership,
-} from '../index.js'
-import type { Authority } from '../index.js'
+import { startOwnerNode } from '../../../test/ownerNodes.js'
+import type { OwnerNode } from '../../../test/ownerNodes.js'
+import { sleep } from '../../shared/index.js'
+import { FORGET_NODE_MS, NODE_LEASE_MS } from '../index.js'
 
 const SERVICES = ['a', 'b', 'c', 'd']
 
-function startNode(table: RowTable, id: string, room = 1) {
-  const store = table.forNode(id)
-  const log = createMemoryLogger()
-  const authorities = new Map<string, Authority>()
-  const registry = createNodeRegistry({
-    store,
-    id,
-    life: `${id}-1`,
-    hall: 'h1',
-    address: `${id}:1`,
-    room,
-    owns: () => [...authorities.keys()],
-    leaving: () => false,
-    log,
-  })
-  const ownership = createOwnership({
-    store,
-    registry,
-    names: () => SERVICES,
-    async start(authority) {
-      authorities.set(authority.service, authority)
-      return { stop: async () => void authorities.delete(authority.service) }
-    },
-    log,
-  })
-  return {
-    id,
-    log,
-    authorities,
-    registry,
-    ownership,
-    async stop() {
-      await ownership.stop()
-      await registry.stop()
-    },
-  }
-}
+const startNode = (table: RowTable, id: string, room = 1): OwnerNode =>
+  startOwnerNode({ id, store: table.forNode(id), services: SERVICES, room })
 
-const ownersOf = (nodes: ReturnType<typeof startNode>[], service: string): string[] =>
+const ownersOf = (nodes: OwnerNode[], service: string): string[] =>
   nodes
     .filter(({ authorities }) => authorities.get(service)?.isConfirmed())
     .map(({ id }) => id)
