--- a/src/ownership/claimRules.ts
+++ b/src/ownership/claimRules.ts
@@ -19,8 +19,8 @@
  * Candidates for one more service, the best first: those that own least for their room,
  * equal ones by name. Owners that stand side by side are meant to: a turn needs its owner, the
  * fleet's owner and the cloud at once, and with owners spread over three data halls any cut
- * takes one of them. Spread, a day with a cut was worth 0.23, 0.24, 0.25 and 0.35 in four plays;
- * by name 0.29, 0.30, 0.30 and 0.34.
+ * takes one of them. Spread, a day with a cut was worth 0.23, 0.24, 0.25, 0.34 and 0.35 in
+ * five plays, two of them with too little served; by name 0.29, 0.30, 0.30 and 0.34, none.
  */
 function inOrder({ candidates, counts }: Shares): Member[] {
   const loadOf = (each: Member): number => ((counts.get(each.id) ?? 0) + 1) / each.room
