--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -73,19 +73,20 @@
   }
 
   const timeout = { timeoutMs: PEER_TIMEOUT_MS }
+
+  /** Tells the owner of a job's service of the job. */
+  function tell(what: 'offer' | 'expect', job: JobSpec): void {
+    const owner = local.service(job.service)
+    if (owner) return owner[what](job)
+    const req = { service: job.service, job: JSON.stringify(job) }
+    void ask<{ taken: boolean }>(what, job.service, (client) =>
+      client[what](req, timeout),
+    )
+  }
+
   return {
-    offer(job) {
-      const owner = local.service(job.service)
-      if (owner) return owner.offer(job)
-      const req = { service: job.service, job: JSON.stringify(job) }
-      void ask('offer', job.service, (client) => client.offer(req, timeout))
-    },
-    expect(job) {
-      const owner = local.service(job.service)
-      if (owner) return owner.expect(job)
-      const req = { service: job.service, job: JSON.stringify(job) }
-      void ask('expect', job.service, (client) => client.expect(req, timeout))
-    },
+    offer: (job) => tell('offer', job),
+    expect: (job) => tell('expect', job),
     cancel(service, id) {
       const owner = local.service(service)
       if (owner) return void owner.cancel(id)
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -4,6 +4,7 @@
 import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { jobSchema } from '../jobs/index.js'
+import type { JobSpec } from '../jobs/index.js'
 import { NodeService } from '../peer/gen/node_pb.js'
 import type { ServiceOwner } from '../scheduler/index.js'
 import { serviceReportSchema } from '../vms/index.js'
@@ -26,22 +27,22 @@
   local: LocalOwners,
   access: StoreAccess,
 ): (router: ConnectRouter) => void {
+  /** Hands a job to the owner of its service, if that runs here and the job can be read. */
+  function tell(
+    req: { service: string; job: string },
+    use: (owner: ServiceOwner, job: JobSpec) => void,
+  ): { taken: boolean } {
+    const owner = local.service(req.service)
+    const job = jobSchema.safeParse(parseJson(req.job))
+    if (!owner || !job.success) return { taken: false }
+    use(owner, job.data)
+    return { taken: true }
+  }
+
   return (router) =>
     router.service(NodeService, {
-      offer(req) {
-        const owner = local.service(req.service)
-        const job = jobSchema.safeParse(parseJson(req.job))
-        if (!owner || !job.success) return { taken: false }
-        owner.offer(job.data)
-        return { taken: true }
-      },
-      expect(req) {
-        const owner = local.service(req.service)
-        const job = jobSchema.safeParse(parseJson(req.job))
-        if (!owner || !job.success) return { taken: false }
-        owner.expect(job.data)
-        return { taken: true }
-      },
+      offer: (req) => tell(req, (owner, job) => owner.offer(job)),
+      expect: (req) => tell(req, (owner, job) => owner.expect(job)),
       cancel(req) {
         return { taken: local.service(req.service)?.cancel(req.id) ?? false }
       },
--- a/src/ownership/claimRules.ts
+++ b/src/ownership/claimRules.ts
@@ -9,20 +9,16 @@
   return owner !== undefined && owner.id !== registry.self.id
 }
 
-/** Services that nodes own, as far as they have been dealt out. */
-interface Shares {
-  candidates: Member[]
-  counts: Map<string, number>
-}
-
 /**
  * Candidates for one more service, the best first: those that own least for their room,
- * equal ones by name. Owners that stand side by side are meant to: a turn needs its owner, the
+ * equal ones by name.
+ *
+ * Owners that stand side by side are meant to: a turn needs its owner, the
  * fleet's owner and the cloud at once, and with owners spread over three data halls any cut
  * takes one of them. Spread, a day with a cut was worth 0.23, 0.24, 0.25, 0.34 and 0.35 in
  * five plays, two of them with too little served; by name 0.29, 0.30, 0.30 and 0.34, none.
  */
-function inOrder({ candidates, counts }: Shares): Member[] {
+function inOrder(candidates: Member[], counts: Map<string, number>): Member[] {
   const loadOf = (each: Member): number => ((counts.get(each.id) ?? 0) + 1) / each.room
   return [...candidates].sort((a, b) => loadOf(a) - loadOf(b))
 }
@@ -44,12 +40,11 @@
   if (candidates.find((each) => each.id === id)?.life !== life) return undefined
   const counts = new Map(candidates.map((each) => [each.id, each.owns.length]))
   counts.set(id, ownCount)
-  const shares = { candidates, counts }
   for (let earlier = 0; earlier < place; earlier++) {
-    const first = inOrder(shares)[0]
+    const first = inOrder(candidates, counts)[0]
     if (first) counts.set(first.id, (counts.get(first.id) ?? 0) + 1)
   }
-  return inOrder(shares).findIndex((each) => each.id === id)
+  return inOrder(candidates, counts).findIndex((each) => each.id === id)
 }
 
 /**
