fix(ownership): a row counts as read again only where no part's answer was lost

Cause: with the row of a node in four parts, an unanswered read of one of them was passed over like a part that is down, though the row may have been renewed there; with one part it was an error.

--- a/src/ownership/__tests__/partialOutage.spec.ts
+++ b/src/ownership/__tests__/partialOutage.spec.ts
@@ -9,10 +9,12 @@
  * nodes each 0.15 s about their own row, followed by `RS-4002` about the rows of the others;
  * `RS-7001` of the fleet 0.08 s after the parts are back.
  */
+import { err } from 'neverthrow'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
-import { createMemoryLogger, sleep } from '../../shared/index.js'
+import { PlatformError, createMemoryLogger, sleep } from '../../shared/index.js'
 import { NODE_LEASE_MS, createNodeRegistry } from '../index.js'
+import { createNodeRowFollower } from '../nodeRowFollower.js'
 
 function startNodes(count: number) {
   const table = createRowTable()
@@ -77,6 +79,22 @@
     await stop()
   })
 
+  // An answer that was lost says nothing of the part: the row may have been renewed there.
+  it('is not taken for read when the answer of one part was lost', async (t) => {
+    const { table, stop } = startNodes(1)
+    await sleep(600)
+    const store = table.forNode('n2')
+    const lost = new PlatformError('no answer', {
+      props: { step: 'store.read', peer: 'sim', failure: 'unknown' as const },
+    })
+    const follower = createNodeRowFollower({
+      ...store,
+      read: async (name, part) => (part === 'n1' ? err(lost) : store.read(name, part)),
+    })
+    t.true((await follower.readOne('n1')).isErr())
+    await stop()
+  })
+
   it('is missed after its lease when it is gone as well', async (t) => {
     const { table, nodes, stop } = startNodes(2)
     await sleep(600)
--- a/src/ownership/nodeRowFollower.ts
+++ b/src/ownership/nodeRowFollower.ts
@@ -25,7 +25,7 @@
   read(): Promise<Result<NodeRowReading, PlatformError>>
   /**
    * The newest row of one node as it is now, in the parts that can be read; undefined when
-   * there is none. An error when no part can be read.
+   * there is none. An error when no part can be read, or the answer of one was lost.
    */
   readOne(id: string): Promise<Result<StoredRow | undefined, PlatformError>>
 }
@@ -82,9 +82,11 @@
       const found = await Promise.all(
         nodeKeys(id).map(({ table, part }) => store.read(table, part)),
       )
-      const [first] = found
-      if (first && found.every((each) => each.isErr()))
-        return err(first._unsafeUnwrapErr())
+      const errors = found.flatMap((each) => (each.isErr() ? [each.error] : []))
+      // A part that refuses us is down; in one whose answer was lost the row may be newer.
+      const lost = errors.find(({ failure }) => failure !== 'refused')
+      const [first] = errors
+      if (lost ?? (first && errors.length === found.length)) return err(lost ?? first!)
       const rows = found.flatMap((each) => (each.isOk() ? each.value.rows : []))
       return ok(rows.sort((a, b) => b.version - a.version)[0])
     },
