perf(front): questions to an owner gather while a call to it is under way

Cause: on a twin with 18 weak nodes 3,300 calls between nodes went unanswered within 400 ms in 75 s (1,969 of them state questions, 450 offers of new jobs); the owners were pegged by processor time, and each such call costs both ends about 0.8 ms (profile of an owner: 15 % of its time for 60 calls a second).

Change: one call 'ask' carries all that gathered for a node while the last one was under way. An owner that owns the service no more says so, and the rows of the nodes are read again.

A bench of a node's processor time comes with it: npm run bench -- node.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,6 +11,7 @@
   capacity: () => import('./capacity.js'),
   soak: () => import('./soak.js'),
   requests: () => import('./requests.js'),
+  node: () => import('./node.js'),
 }
 
 const [name = ''] = process.argv.slice(2)
--- /dev/null
+++ b/bench/node.ts
@@ -0,0 +1,214 @@
+/**
+ * Processor time and traffic of a node: of one that owns nothing among many others, and of
+ * an owner for each task, state question and target. The node is the real program; store,
+ * VMs and targets are the stand-in, in this process.
+ */
+import { readFileSync } from 'node:fs'
+import { request } from 'undici'
+import { startNodeProcess } from '../playground/sim/nodeProcess.js'
+import type { NodeProcess } from '../playground/sim/nodeProcess.js'
+import { startSimPlatform } from '../playground/sim/wireServer.js'
+import type { SimPlatform } from '../playground/sim/wireServer.js'
+import { NODES_TABLE } from '../src/ownership/index.js'
+import { sleep } from '../src/shared/index.js'
+
+const QUEUE_HOST = 'q.example'
+const CLOCK_TICKS_PER_S = 100
+/** Other nodes that an idle node is measured among. */
+const MEMBER_COUNTS = [30, 100, 300]
+/** Time between two renewals of a member that owns nothing, in ms. */
+const MEMBER_PACE_MS = 1000
+/** Time over which a node is measured, in ms. */
+const MEASURED_MS = 10_000
+/** Time before the measurement, in ms: starts are over and code is compiled. */
+const SETTLED_MS = 5000
+/** Load of an owner: jobs a second of one step, state questions a job. */
+const JOBS_PER_S = 15
+const TASKS_PER_JOB = 8
+const QUESTIONS_PER_JOB = 3
+const TARGETS = 40
+
+const configuration = {
+  version: 1,
+  routes: [
+    {
+      name: 'queue',
+      host: QUEUE_HOST,
+      path_prefix: '/q/',
+      kind: 'unsafe',
+      timeout_ms: 3000,
+      target_latency_ms: 600,
+      priority: 0,
+      service: 'one',
+      max_attempts: 3,
+      stretch: 1.6,
+    },
+  ],
+  services: [
+    { name: 'one', admission_check: true, spare: false },
+    { name: 'idle', admission_check: true, spare: true },
+  ],
+  limits: { max_body_bytes: 20_000 },
+}
+
+/** Processor time that a process has used, in ms. */
+function cpuMs({ child }: NodeProcess): number {
+  const fields = readFileSync(`/proc/${child.pid}/stat`, 'utf8')
+    .split(') ')[1]!
+    .split(' ')
+  return ((Number(fields[11]) + Number(fields[12])) * 1000) / CLOCK_TICKS_PER_S
+}
+
+async function untilReady(node: NodeProcess): Promise<void> {
+  for (;;) {
+    const res = await request(`http://${node.readiness}/readiness`).catch(() => undefined)
+    await res?.body.dump()
+    if (res?.statusCode === 200) return
+    await sleep(50)
+  }
+}
+
+/** Sum of a counter in the metrics of a node. */
+async function bytesOf(metrics: string): Promise<number> {
+  const res = await request(metrics)
+  const text = await res.body.text()
+  return text
+    .split('\n')
+    .filter((line) => line.startsWith('rillshunt_call_bytes_total{'))
+    .reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0)
+}
+
+/** Renews the rows of members that take nothing on, until it is stopped. */
+function renewMembers({ table }: SimPlatform, count: number): NodeJS.Timeout {
+  let next = 0
+  const perTick = Math.ceil(count / 20)
+  return setInterval(() => {
+    for (let each = 0; each < perTick; each++) {
+      const id = `member-${next++ % count}`
+      const row = {
+        life: 'abcdefghij',
+        address: '10.0.0.1:7060',
+        hall: 'h1',
+        room: 0.3,
+        leaseMs: 3500,
+        owns: [],
+        leaving: true,
+      }
+      table.put({ table: NODES_TABLE, part: id, key: id }, JSON.stringify(row))
+    }
+  }, MEMBER_PACE_MS / 20)
+}
+
+const startPlatform = (): Promise<SimPlatform> =>
+  startSimPlatform({
+    pools: { one: TARGETS, idle: 2 },
+    halls: ['h1', 'h2'],
+    capacity: { cpu: 32_000, memMb: 128_000, gpu: 0 },
+    awayMs: 300,
+  })
+
+interface Measured {
+  /** Processor time, in ms a second. */
+  cpuMsPerS: number
+  /** Bodies of calls, in bytes a second. */
+  bytesPerS: number
+}
+
+async function measure(node: NodeProcess): Promise<Measured> {
+  const seconds = MEASURED_MS / 1000
+  const cpuBefore = cpuMs(node)
+  const bytesBefore = await bytesOf(node.metrics)
+  await sleep(MEASURED_MS)
+  const bytes = (await bytesOf(node.metrics)) - bytesBefore
+  return { cpuMsPerS: (cpuMs(node) - cpuBefore) / seconds, bytesPerS: bytes / seconds }
+}
+
+/** A node that owns nothing, because another one owns all, among members. */
+async function idleNode(members: number): Promise<Measured> {
+  const platform = await startPlatform()
+  platform.putConfiguration(configuration)
+  const timer = renewMembers(platform, members)
+  const owner = await startNodeProcess(platform, 'a-owner', 'h1')
+  await untilReady(owner)
+  await sleep(SETTLED_MS / 2)
+  const idle = await startNodeProcess(platform, 'b-idle', 'h2')
+  await untilReady(idle)
+  await sleep(SETTLED_MS)
+  const measured = await measure(idle)
+  await idle.kill()
+  await owner.kill()
+  clearInterval(timer)
+  await platform.close()
+  return measured
+}
+
+/** Hands jobs in at a steady rate and asks for their states. */
+async function load(node: NodeProcess, ms: number): Promise<void> {
+  const headers = { host: QUEUE_HOST, 'content-type': 'application/json' }
+  const spec = JSON.stringify({ ms: 300, cpu: 1000 })
+  const steps = [{ count: TASKS_PER_JOB, cpu: 1000, estimated_ms: 300 }]
+  const body = JSON.stringify({ spec, steps })
+  const endsAt = performance.now() + ms
+  const calls: Promise<unknown>[] = []
+  for (let number = 0; performance.now() < endsAt; number++) {
+    const id = Math.floor(Math.random() * 2 ** 48)
+      .toString(16)
+      .padStart(16, '0')
+    const url = `http://${node.callers}/q/${id}`
+    const send = (method: 'GET' | 'POST') =>
+      request(url, { method, headers, body: method === 'POST' ? body : null }).then(
+        (res) => res.body.dump(),
+      )
+    calls.push(
+      send('POST').then(async () => {
+        for (let each = 0; each < QUESTIONS_PER_JOB; each++) {
+          await sleep(200)
+          await send('GET')
+        }
+      }),
+    )
+    await sleep(1000 / JOBS_PER_S)
+  }
+  await Promise.all(calls)
+}
+
+/** An owner under load; callers use another node, so that each question is a call. */
+async function ownerNode(profileDir: string | undefined): Promise<object> {
+  const platform = await startPlatform()
+  platform.putConfiguration(configuration)
+  const profile = profileDir ? ['--cpu-prof', `--cpu-prof-dir=${profileDir}`] : []
+  const owner = await startNodeProcess(platform, 'a-owner', 'h1', {
+    program: [...profile, 'dist/src/bin/node.js'],
+  })
+  await untilReady(owner)
+  await sleep(SETTLED_MS / 2)
+  const front = await startNodeProcess(platform, 'b-front', 'h2')
+  await untilReady(front)
+  await load(front, SETTLED_MS)
+  const quietBefore = cpuMs(owner)
+  await sleep(3000)
+  const quiet = (cpuMs(owner) - quietBefore) / 3
+  const doneBefore = platform.ledger.entries.filter(({ what }) => what === 'done').length
+  const [measured] = await Promise.all([measure(owner), load(front, MEASURED_MS)])
+  const done =
+    platform.ledger.entries.filter(({ what }) => what === 'done').length - doneBefore
+  const tasksPerS = done / (MEASURED_MS / 1000)
+  await owner.kill('SIGTERM')
+  await front.kill()
+  await platform.close()
+  const cpuMsPerTask = (measured.cpuMsPerS - quiet) / tasksPerS
+  return { ...measured, quietCpuMsPerS: quiet, tasksPerS, cpuMsPerTask }
+}
+
+/** Prints and returns both. */
+export default async function nodeBench(): Promise<object> {
+  const idle: Record<number, Measured> = {}
+  if (process.env['ONLY'] !== 'owner')
+    for (const members of MEMBER_COUNTS) {
+      idle[members] = await idleNode(members)
+      console.log(`idle node among ${members} members`, idle[members])
+    }
+  const owner = await ownerNode(process.env['CPU_PROFILE_DIR'])
+  console.log('owner', owner)
+  return { idle, owner }
+}
--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -36,6 +36,8 @@
   /** Where callers come in. */
   callers: string
   readiness: string
+  /** Where its metrics are read. */
+  metrics: string
   child: ChildProcess
   /** Its settings; it reads them again at SIGHUP. */
   settingsFile: string
@@ -98,6 +100,7 @@
     name,
     callers: `${HOST}:${callers}`,
     readiness: `${HOST}:${readiness}`,
+    metrics: `http://${HOST}:${metricsPort}/metrics`,
     child,
     settingsFile: file,
     output: () => output,
--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -6,11 +6,14 @@
 import type { Logger } from '../shared/index.js'
 import { fleetAnswerSchema } from '../vms/index.js'
 import type { FleetAnswer, ServiceReport } from '../vms/index.js'
-import type { NodeClient, NodeClients } from './nodeClients.js'
+import type { Answer } from '../peer/gen/node_pb.js'
+import type { NodeClients } from './nodeClients.js'
 import type { LocalOwners } from './ownerRoutes.js'
+import { createQuestionBatches } from './questionBatches.js'
+import type { NewQuestion } from './questionBatches.js'
 
-/** Longest wait for another node, in ms; then the store answers instead. */
-const PEER_TIMEOUT_MS = 400
+/** Longest wait for the owner of the fleet, in ms; the next report follows soon. */
+const REPORT_TIMEOUT_MS = 400
 
 /** Calls to owners, wherever they run. */
 export interface OwnerCalls {
@@ -46,42 +49,48 @@
     return owner
   }
 
-  const clientFor = (service: string): NodeClient | undefined => {
+  const batches = createQuestionBatches(async (address, questions, timeoutMs) => {
+    const res = await clients.at(address).ask({ questions }, { timeoutMs })
+    return res.answers
+  })
+
+  /** Address of the owner when that is another node. */
+  function addressFor(service: string): string | undefined {
     const owner = ownerOf(service)
-    if (!owner || owner.id === registry.self.id) return undefined
-    return clients.at(owner.address)
+    return owner && owner.id !== registry.self.id ? owner.address : undefined
+  }
+
+  /** Notes that a call to an owner failed; the rows may name another one by now. */
+  function noteLost(step: string, service: string, reason: string): void {
+    log.event('peerLost', { step, service, reason })
+    registry.refreshSoon()
   }
 
   /**
-   * Calls the owner on another node; undefined when none is known or the call fails. That
-   * costs only time: owners read the store, and reports are repeated.
+   * Asks the owner on another node; undefined when none is known, the call fails or it is
+   * the owner no more. That costs only time: owners read the store.
    */
-  async function ask<T>(
-    step: string,
+  async function ask(
     service: string,
-    call: (client: NodeClient) => Promise<T>,
-  ): Promise<T | undefined> {
-    const client = clientFor(service)
-    if (!client) return undefined
-    try {
-      return await call(client)
-    } catch (cause) {
-      log.event('peerLost', { step, service, reason: describeError(cause) })
-      registry.refreshSoon()
+    about: NewQuestion['about'],
+  ): Promise<Answer | undefined> {
+    const address = addressFor(service)
+    if (address === undefined) return undefined
+    const answer = await batches.ask(address, { service, about })
+    if (answer.isErr()) {
+      noteLost(about.case ?? '', service, describeError(answer.error))
       return undefined
     }
+    if (answer.value.owns) return answer.value
+    registry.refreshSoon()
+    return undefined
   }
 
-  const timeout = { timeoutMs: PEER_TIMEOUT_MS }
-
   /** Tells the owner of a job's service of the job. */
   function tell(what: 'offer' | 'expect', job: JobSpec): void {
     const owner = local.service(job.service)
     if (owner) return owner[what](job)
-    const req = { service: job.service, job: JSON.stringify(job) }
-    void ask<{ taken: boolean }>(what, job.service, (client) =>
-      client[what](req, timeout),
-    )
+    void ask(job.service, { case: what, value: JSON.stringify(job) })
   }
 
   return {
@@ -90,32 +99,29 @@
     cancel(service, id) {
       const owner = local.service(service)
       if (owner) return void owner.cancel(id)
-      void ask('cancel', service, (client) => client.cancel({ service, id }, timeout))
+      void ask(service, { case: 'cancel', value: id })
     },
     async status(service, id) {
       const owner = local.service(service)
       if (owner) return owner.status(id)
-      const res = await ask('status', service, (client) =>
-        client.status({ service, id }, timeout),
-      )
-      return res && res.status !== '' ? (res.status as JobStatus) : undefined
+      const answer = await ask(service, { case: 'status', value: id })
+      return answer && answer.status !== '' ? (answer.status as JobStatus) : undefined
     },
     async waiting(service, queue) {
       const owner = local.service(service)
       if (owner) return owner.waiting(queue)
-      const res = await ask('waiting', service, (client) =>
-        client.waiting({ service, queue }, timeout),
-      )
-      return res?.known ? res.waiting : undefined
+      return (await ask(service, { case: 'waiting', value: queue }))?.waiting
     },
     hasFleetOwner: () => local.fleet() !== undefined || ownerOf(FLEET) !== undefined,
     async reportToFleet(report) {
       const fleet = local.fleet()
       if (fleet) return fleet.report(report)
-      const req = { report: JSON.stringify(report) }
-      const res = await ask('reportToFleet', FLEET, (client) =>
-        client.fleetReport(req, timeout),
-      )
+      const address = addressFor(FLEET)
+      if (address === undefined) return undefined
+      const res = await clients
+        .at(address)
+        .fleetReport({ report: JSON.stringify(report) }, { timeoutMs: REPORT_TIMEOUT_MS })
+        .catch((cause: unknown) => noteLost('reportToFleet', FLEET, describeError(cause)))
       if (!res?.taken) return undefined
       const answer = fleetAnswerSchema.safeParse(parseJson(res.answer))
       return answer.success ? answer.data : undefined
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -6,6 +6,7 @@
 import { jobSchema } from '../jobs/index.js'
 import type { JobSpec } from '../jobs/index.js'
 import { NodeService } from '../peer/gen/node_pb.js'
+import type { Answer, Question } from '../peer/gen/node_pb.js'
 import type { ServiceOwner } from '../scheduler/index.js'
 import { serviceReportSchema } from '../vms/index.js'
 import type { FleetOwner } from '../vms/index.js'
@@ -22,33 +23,47 @@
   fleet(): FleetOwner | undefined
 }
 
+/** What an answer says beyond that this node owns the service. */
+type AnswerFields = Partial<Pick<Answer, 'status' | 'waiting'>>
+
+/** Hands a job to the owner; one that cannot be read comes from the store instead. */
+function withJob(text: string, use: (job: JobSpec) => void): AnswerFields {
+  const job = jobSchema.safeParse(parseJson(text))
+  if (job.success) use(job.data)
+  return {}
+}
+
+/** What an owner answers, by what it is asked about. */
+const ANSWERS: Record<
+  NonNullable<Question['about']['case']>,
+  (owner: ServiceOwner, text: string) => AnswerFields
+> = {
+  offer: (owner, text) => withJob(text, (job) => owner.offer(job)),
+  expect: (owner, text) => withJob(text, (job) => owner.expect(job)),
+  cancel(owner, id) {
+    owner.cancel(id)
+    return {}
+  },
+  status: (owner, id) => ({ status: owner.status(id) ?? '' }),
+  waiting: (owner, queue) => ({ waiting: owner.waiting(queue) }),
+}
+
+function answer(local: LocalOwners, { service, about }: Question) {
+  const owner = local.service(service)
+  if (!owner || about.case === undefined) return { owns: false }
+  return { owns: true, ...ANSWERS[about.case](owner, about.value) }
+}
+
 /** Answers other nodes about the services that this node owns, and calls the store for them. */
 export function ownerRoutes(
   local: LocalOwners,
   access: StoreAccess,
 ): (router: ConnectRouter) => void {
-  /** Hands a job to the owner of its service, if that runs here and the job can be read. */
-  function tell(
-    req: { service: string; job: string },
-    use: (owner: ServiceOwner, job: JobSpec) => void,
-  ): { taken: boolean } {
-    const owner = local.service(req.service)
-    const job = jobSchema.safeParse(parseJson(req.job))
-    if (!owner || !job.success) return { taken: false }
-    use(owner, job.data)
-    return { taken: true }
-  }
-
   return (router) =>
     router.service(NodeService, {
-      offer: (req) => tell(req, (owner, job) => owner.offer(job)),
-      expect: (req) => tell(req, (owner, job) => owner.expect(job)),
-      cancel(req) {
-        return { taken: local.service(req.service)?.cancel(req.id) ?? false }
-      },
-      status(req) {
-        return { status: local.service(req.service)?.status(req.id) ?? '' }
-      },
+      ask: ({ questions }) => ({
+        answers: questions.map((each) => answer(local, each)),
+      }),
       fleetReport(req) {
         const report = serviceReportSchema.safeParse(parseJson(req.report))
         const answer = report.success ? local.fleet()?.report(report.data) : undefined
@@ -58,10 +73,6 @@
       async storeCall(req) {
         return { answer: await answerPeerCall(access, req.call) }
       },
-      waiting(req) {
-        const owner = local.service(req.service)
-        return { known: owner !== undefined, waiting: owner?.waiting(req.queue) ?? 0 }
-      },
     })
 }
 
