fix(storeAccess): silence counts while we can hear, and bytes of an answer are no silence

Cause: a page that took longer than 1.5 s on a thin link was thrown away and asked for again; with no whole answer for 0.8 s the store was held silent, calls went through peers whose links were as full, and the lease ran out. A processor that is late reads late, too: what had arrived was not read before the timer told of silence.

Change: calls end after silence, not after a time; each byte of an answer is a sign of life, for its call and for the store. Orders to the cloud keep their hard limit, on which the next owner of the fleet relies.

--- a/src/node/serviceMap.ts
+++ b/src/node/serviceMap.ts
@@ -6,7 +6,7 @@
 import type {
   Advice,
   Documents,
-  RowStore,
+  ObservedRowStore,
   TargetOrders,
   VmCloud,
 } from '../ports/index.js'
@@ -16,7 +16,7 @@
 
 /** What the adapter to a platform provides. */
 export interface NodePlatform {
-  store: RowStore
+  store: ObservedRowStore
   orders: TargetOrders
   cloud: VmCloud | undefined
   advice: Advice | undefined
--- a/src/ports/rowStore.ts
+++ b/src/ports/rowStore.ts
@@ -68,7 +68,7 @@
 /** Answer of the store; what an error means for the effect stands in its `failure`. */
 export type StoreResult<T> = Promise<Result<T, PlatformError>>
 
-/** The store. Every call ends within the adapter's time limit. */
+/** The store. A call ends when nothing was heard of it for the adapter's time limit. */
 export interface RowStore {
   commit(tx: RowTransaction): StoreResult<RowCommit>
   read(table: string, part: string, range?: RowRange): StoreResult<RowSnapshot>
@@ -76,3 +76,9 @@
   /** Waits up to `waitMs` for a change. Fails as `compacted` when history is gone. */
   changes(table: string, after: number, waitMs: number): StoreResult<RowChanges>
 }
+
+/** A store that tells of each sign of life. */
+export interface ObservedRowStore extends RowStore {
+  /** Calls the listener when bytes of an answer come, also before it is whole. */
+  onBytes(listener: () => void): void
+}
--- a/src/storeAccess/__tests__/storeAccess.spec.ts
+++ b/src/storeAccess/__tests__/storeAccess.spec.ts
@@ -67,6 +67,24 @@
     })
   })
 
+  describe('store whose answer takes long on our own link', () => {
+    it('is not held silent while bytes of it come', async (t) => {
+      const table = createRowTable()
+      table.faults.delayMs = 400
+      const log = createMemoryLogger()
+      let noteBytes = (): void => undefined
+      const onBytes = (listener: () => void): void => void (noteBytes = listener)
+      const direct = { ...table.forNode('a'), onBytes }
+      const access = createStoreAccess({ direct, log, ...TIMES })
+      const read = access.store.read('rows', 'p')
+      await sleep(20)
+      noteBytes()
+      t.true((await read).isOk())
+      t.deepEqual(log.events, [])
+      access.stop()
+    })
+  })
+
   it('fails fast, with nothing done, where no peer reaches the store either', async (t) => {
     const { table, storeOf } = startNodes(t, ['a', 'b', 'c'])
     table.faults.down = true
--- a/src/storeAccess/circuitBreaker.ts
+++ b/src/storeAccess/circuitBreaker.ts
@@ -4,7 +4,13 @@
  * under way at a silent store are given up at once.
  */
 import type { RowStore } from '../ports/index.js'
-import { createStopController, jittered, monotonicMs, sleep } from '../shared/index.js'
+import {
+  createStopController,
+  jittered,
+  monotonicMs,
+  sleep,
+  watchSilence,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { BROKEN_WAIT_MS, PROBE_MS, SILENT_MS } from './constants.js'
 import { PROBE, failedAnswer, makeStoreCall } from './storeCall.js'
@@ -14,6 +20,8 @@
 export interface CircuitBreaker {
   /** Makes a call; `waitMs` is the time that the store may take on purpose. */
   run(call: () => Promise<StoreAnswer>, waitMs?: number): Promise<StoreAnswer>
+  /** Bytes came from the store: it is not silent, however long its answer takes. */
+  noteBytes(): void
   stop(): void
 }
 
@@ -52,6 +60,8 @@
   const stopping = createStopController()
   const pending = new Set<Pending>()
   let answeredAt = -Infinity
+  /** When something last came from the store, be it a part of an answer. */
+  let heardAt = -Infinity
   /** Since when no calls are let through; undefined while they are. */
   let openSince: number | undefined
   let openReason = ''
@@ -101,6 +111,7 @@
 
   const noteAnswer = (sentAt: number): void => {
     answeredAt = monotonicMs()
+    heardAt = answeredAt
     // An answer to a call from before the silence may have been under way for long.
     if (openSince !== undefined && sentAt >= openSince) close()
   }
@@ -120,11 +131,11 @@
   function send(call: () => Promise<StoreAnswer>, waitMs: number): Promise<StoreAnswer> {
     return new Promise((resolve) => {
       const sentAt = monotonicMs()
-      const timer = setTimeout(() => {
-        if (answeredAt < sentAt) open(SILENT)
-      }, silentMs + waitMs)
+      const silence = watchSilence(silentMs + waitMs, () => {
+        if (heardAt < sentAt) open(SILENT)
+      })
       const finish = (answer: StoreAnswer): void => {
-        clearTimeout(timer)
+        silence.stop()
         pending.delete(each)
         resolve(answer)
       }
@@ -147,6 +158,7 @@
       if (openSince === undefined) return send(call, waitMs)
       return failedAnswer('unreachable', `not sent: ${openReason}`, STORE_PLACE)
     },
+    noteBytes: () => void (heardAt = monotonicMs()),
     stop: () => stopping.abort(),
   }
 }
--- a/src/storeAccess/storeAccess.ts
+++ b/src/storeAccess/storeAccess.ts
@@ -3,7 +3,7 @@
  * reached from here, is called through a peer, which makes the same call. Only what has
  * taken no effect for certain is passed on, so no call is ever made twice.
  */
-import type { RowStore, StoreResult } from '../ports/index.js'
+import type { ObservedRowStore, RowStore, StoreResult } from '../ports/index.js'
 import { sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createCircuitBreaker } from './circuitBreaker.js'
@@ -27,13 +27,14 @@
 
 /** Creates the access; until a relay is given, calls go to the store only. */
 export function createStoreAccess(opts: {
-  direct: RowStore
+  direct: RowStore & Partial<ObservedRowStore>
   log: Logger
   silentMs?: number
   probeMs?: number
 }): StoreAccess {
   const { direct, log } = opts
   const breaker = createCircuitBreaker({ ...opts, store: direct })
+  direct.onBytes?.(breaker.noteBytes)
   let relay: StoreRelay | undefined
   let relaying = false
 
