refactor(ownership): the nodes as their rows say are a book of their own

nodeRegistry.ts kept rows, leases and polling and stood in a circle with claimRules.ts. memberBook.ts now says who lives and who owns what; the registry renews and reads. A node's pause follows the lease that its row says, so that a change of pace in between cannot outlast it.

--- a/src/ownership/claimRules.ts
+++ b/src/ownership/claimRules.ts
@@ -1,12 +1,12 @@
 /** Who may claim a service, judged by the rows of the nodes. */
 import { NODE_LEASE_MS } from './constants.js'
 import type { EpochRow } from './epochRow.js'
-import type { Member, NodeRegistry } from './nodeRegistry.js'
+import type { Member, Members } from './memberBook.js'
 
 /** Whether another live node says that it owns the service. */
-export function isOwnedElsewhere(registry: NodeRegistry, service: string): boolean {
-  const owner = registry.ownerOf(service)
-  return owner !== undefined && owner.id !== registry.self.id
+export function isOwnedElsewhere(nodes: Members, service: string): boolean {
+  const owner = nodes.ownerOf(service)
+  return owner !== undefined && owner.id !== nodes.self.id
 }
 
 /**
@@ -31,12 +31,12 @@
  * @param ownCount services that this node owns or claims
  */
 export function rankAmongCandidates(
-  registry: NodeRegistry,
+  nodes: Members,
   place: number,
   ownCount: number,
 ): number | undefined {
-  const candidates = registry.candidates()
-  const { id, life } = registry.self
+  const candidates = nodes.candidates()
+  const { id, life } = nodes.self
   if (candidates.find((each) => each.id === id)?.life !== life) return undefined
   const counts = new Map(candidates.map((each) => [each.id, each.owns.length]))
   counts.set(id, ownCount)
@@ -52,14 +52,14 @@
  * @param unownedMs time for which no live node has listed the service
  */
 export function isHolderGone(
-  registry: NodeRegistry,
+  nodes: Members,
   row: EpochRow,
   service: string,
   unownedMs: number,
 ): boolean {
-  if (row.node === '' || row.node === registry.self.id) return true
-  const member = registry.members().find(({ id }) => id === row.node)
-  if (!member || member.life !== row.life || registry.isLapsed(member)) return true
+  if (row.node === '' || row.node === nodes.self.id) return true
+  const member = nodes.members().find(({ id }) => id === row.node)
+  if (!member || member.life !== row.life || nodes.isLapsed(member)) return true
   // A live node that has long not listed a service does not know that it holds it.
   return !member.owns.includes(service) && unownedMs > 2 * NODE_LEASE_MS
 }
@@ -70,24 +70,21 @@
  * may be older than the claim, which we have seen just now.
  */
 export function leaseOverAt(
-  registry: NodeRegistry,
+  nodes: Members,
   row: EpochRow | undefined,
   service: string,
   now: number,
 ): number {
-  if (!mayPredecessorLive(registry, row)) return -Infinity
-  const member = registry.members().find(({ id }) => id === row?.node)
+  if (!mayPredecessorLive(nodes, row)) return -Infinity
+  const member = nodes.members().find(({ id }) => id === row?.node)
   // A row is removed only long after its lease.
   if (!member) return -Infinity
   return (member.owns.includes(service) ? member.seenAt : now) + NODE_LEASE_MS
 }
 
 /** Whether the former owner may still act: only a silent one can. */
-export function mayPredecessorLive(
-  registry: NodeRegistry,
-  row: EpochRow | undefined,
-): boolean {
-  if (!row || row.node === '' || row.node === registry.self.id) return false
-  const member = registry.members().find(({ id }) => id === row.node)
+export function mayPredecessorLive(nodes: Members, row: EpochRow | undefined): boolean {
+  if (!row || row.node === '' || row.node === nodes.self.id) return false
+  const member = nodes.members().find(({ id }) => id === row.node)
   return member === undefined || member.life === row.life
 }
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -1,8 +1,5 @@
-/**
- * The nodes of this installation, by rows that each renews. Whether a node is alive is
- * judged by its row standing still for a lease time on our own steady clock.
- */
-import type { RowChange, RowStore } from '../ports/index.js'
+/** Renews this node's row, and reads those of the others, as often as either is needed. */
+import type { RowStore } from '../ports/index.js'
 import {
   createStopController,
   describeError,
@@ -24,37 +21,19 @@
   READ_GAP_PAUSES,
   REFRESH_MS,
   RENEW_MS,
-  RETURN_MS,
   SETTLE_MS,
   STORE_RETRY_MS,
-  TAKEOVER_MARGIN_MS,
 } from './constants.js'
 import { rankAmongCandidates } from './claimRules.js'
-import { NODES_TABLE, decodeNode } from './nodeRow.js'
+import { createMemberBook } from './memberBook.js'
+import type { Members } from './memberBook.js'
+import { NODES_TABLE } from './nodeRow.js'
 import type { NodeRow } from './nodeRow.js'
 import { createNodeRowFollower } from './nodeRowFollower.js'
 import { createNodeRowWriter } from './nodeRowWriter.js'
 
-/** A node as last seen. */
-export interface Member extends NodeRow {
-  id: string
-  /** Part of the store in which this version was seen. */
-  part: string
-  version: number
-  /** Steady time at which this version was first seen, in ms. */
-  seenAt: number
-}
-
 /** This node's row, kept fresh, and the rows of the others. */
-export interface NodeRegistry {
-  readonly self: { id: string; life: string }
-  members(): Member[]
-  /** Whether a node's row has stood still for longer than its lease. */
-  isLapsed(member: Member): boolean
-  /** Live nodes that take on services, this one included while it is alive itself. */
-  candidates(): Member[]
-  /** The live node that says it owns the service. */
-  ownerOf(service: string): Member | undefined
+export interface NodeRegistry extends Members {
   /** Writes our row now, because what it says has changed. */
   announce(): Promise<void>
   /** Whether the store answered lately. */
@@ -98,7 +77,7 @@
   const { store, id, life, log } = opts
   const now = opts.now ?? monotonicMs
   const stopping = createStopController()
-  const members = new Map<string, Member>()
+  const book = createMemberBook({ self: { id, life }, log, now })
   const listeners: ((sentAt: number, lapsed: boolean) => void)[] = []
   const follower = createNodeRowFollower(store)
   const writer = createNodeRowWriter(store, id)
@@ -106,10 +85,7 @@
   /** Lease that our row says. */
   let leaseMs = NODE_LEASE_MS
   let pollPauseMs = RENEW_MS
-  let polledAt = -Infinity
-  /** Start of the last reading, and of the readings since the last gap. */
   let pollSentAt = -Infinity
-  let steadySince = -Infinity
   let firstPolledAt: number | undefined
   let connected = true
   let writing: Promise<boolean> | undefined
@@ -157,22 +133,6 @@
     return done
   }
 
-  /** Takes a row of any node. Readings overtake each other: one that is not newer is none. */
-  function note(row: RowChange): void {
-    const known = members.get(row.key)
-    if (known && known.version >= row.version) return
-    if (row.value === undefined) {
-      if (known?.part === row.part) members.delete(row.key)
-      return
-    }
-    const node = decodeNode(row.value)
-    if (!node) return log.event('rowInvalid', { table: NODES_TABLE, key: row.key })
-    if (!known && firstPolledAt !== undefined)
-      log.event('nodeSeen', { seen: row.key, life: node.life })
-    const { part, version } = row
-    members.set(row.key, { ...node, id: row.key, part, version, seenAt: now() })
-  }
-
   /** Reads the rows of all nodes. */
   async function poll(): Promise<boolean> {
     const sentAt = now()
@@ -183,32 +143,15 @@
       return false
     }
     noteConnection(true, 'nodes read')
-    const { complete, rows } = res.value
-    const keys = new Set(rows.map(({ key }) => key))
-    if (complete) {
-      for (const key of members.keys()) if (!keys.has(key)) members.delete(key)
-    }
-    for (const row of rows) note(row)
-    const gapMs = READ_GAP_PAUSES * pollPauseMs
-    if (sentAt - polledAt > gapMs && polledAt > -Infinity) steadySince = sentAt
-    polledAt = Math.max(polledAt, sentAt)
-    noteFirst()
+    book.noteReading(res.value, sentAt, READ_GAP_PAUSES * pollPauseMs)
+    firstPolledAt ??= now()
     await forgetDead()
     return true
   }
 
-  /** Says how many the first reading has brought; 97 nodes wrote 8,730 lines of one each. */
-  function noteFirst(): void {
-    if (firstPolledAt !== undefined) return
-    firstPolledAt = now()
-    log.event('nodesSeen', { count: members.size })
-  }
-
   /** Removes the row of one node that has long been silent. */
   async function forgetDead(): Promise<void> {
-    const dead = [...members.values()].find(
-      (each) => each.id !== id && polledAt - each.seenAt > each.leaseMs + FORGET_NODE_MS,
-    )
+    const dead = book.longDead(FORGET_NODE_MS)
     if (!dead) return
     const key = { table: NODES_TABLE, part: dead.part, key: dead.id }
     const conditions = [{ ...key, version: dead.version }]
@@ -220,19 +163,20 @@
 
   /** Whether this node owns something, or is among the next to do so. */
   function isNextOwner(): boolean {
-    const rank = rankAmongCandidates(registry, 0, opts.owns().length)
+    const rank = rankAmongCandidates(book, 0, opts.owns().length)
     return isOwner() || (rank !== undefined && rank < NEXT_OWNERS)
   }
 
   /** Time between two renewals while nothing is owned; the more nodes, the longer. */
   function idlePaceMs(): number {
     if (isNextOwner()) return IDLE_PACE_MS
-    return Math.max(IDLE_PACE_MS, (members.size / IDLE_RENEWALS_PER_S) * 1000)
+    return Math.max(IDLE_PACE_MS, (book.members().length / IDLE_RENEWALS_PER_S) * 1000)
   }
 
   function renewalPauseMs(done: boolean): number {
     if (isOwner()) return done ? RENEW_MS : STORE_RETRY_MS
-    return done ? idlePaceMs() : IDLE_RETRY_MS
+    // By what our row says: the others miss us after the lease that they have read.
+    return done ? leaseMs / IDLE_LEASE_PACES : IDLE_RETRY_MS
   }
 
   async function runRenewals(): Promise<void> {
@@ -256,23 +200,12 @@
     }
   }
 
-  /** A row that was seen to stand still counts, not one that we could not read. */
-  const isLapsed = (member: Member): boolean =>
-    polledAt - member.seenAt > member.leaseMs + TAKEOVER_MARGIN_MS &&
-    polledAt - steadySince > RETURN_MS
-
   const registry: NodeRegistry = {
-    self: { id, life },
-    members: () => [...members.values()],
-    isLapsed,
-    candidates: () =>
-      [...members.values()]
-        .filter((each) => !each.leaving && !isLapsed(each))
-        .sort((a, b) => (a.id < b.id ? -1 : 1)),
-    ownerOf: (service) =>
-      [...members.values()].find(
-        (each) => each.owns.includes(service) && !isLapsed(each),
-      ),
+    self: book.self,
+    members: book.members,
+    isLapsed: book.isLapsed,
+    candidates: book.candidates,
+    ownerOf: book.ownerOf,
     announce: async () => void (await renew()),
     isConnected: () => connected && now() - renewedAt < leaseMs,
     mayClaim: () => connected && now() - renewedAt < NODE_LEASE_MS,
@@ -281,7 +214,7 @@
     async reread(other) {
       const row = await follower.readOne(other)
       if (row.isErr()) return false
-      if (row.value) note(row.value)
+      if (row.value) book.note(row.value)
       return true
     },
     refreshSoon: () => void (now() - pollSentAt > REFRESH_MS && poll()),
