fix(front): a question goes to the next owner where the rows turn out to be old

Cause: nodes that own nothing look at the others' rows every 2.5 s. After a start, or a change of an owner, an offer went nowhere, and the job waited for the owner's look at the store, up to 1 s.

Change: where no owner is known, or the known one does not answer or owns the service no more, the rows are read and the next owner is asked.

--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -45,48 +45,54 @@
 }): OwnerCalls {
   const { registry, local, clients, log } = opts
 
-  /** The live node that owns the name; where none is known, the registry looks again soon. */
-  const ownerOf = (service: string): ReturnType<NodeRegistry['ownerOf']> => {
-    const owner = registry.ownerOf(service)
-    if (!owner) registry.refreshSoon()
-    return owner
-  }
-
   const batches = createQuestionBatches(async (address, questions, timeoutMs) => {
     const res = await clients.at(address).ask({ questions }, { timeoutMs })
     return res.answers
   })
 
-  /** Address of the owner when that is another node. */
+  /** Address of the owner when that is another node, as far as the rows say. */
   function addressFor(service: string): string | undefined {
-    const owner = ownerOf(service)
+    const owner = registry.ownerOf(service)
     return owner && owner.id !== registry.self.id ? owner.address : undefined
   }
 
   /** Notes that a call to an owner failed; the rows may name another one by now. */
   function noteLost(step: string, service: string, reason: string): void {
     log.event('peerLost', { step, service, reason })
-    registry.refreshSoon()
+    void registry.refreshSoon()
   }
 
   /**
-   * Asks the owner on another node; undefined when none is known, the call fails or it is
-   * the owner no more. That costs only time: owners read the store.
+   * Asks the owner on another node; undefined when the call fails or it is the owner no more.
+   * That costs only time: owners read the store.
+   */
+  async function askAt(
+    address: string,
+    service: string,
+    about: NewQuestion['about'],
+  ): Promise<Answer | undefined> {
+    const answer = await batches.ask(address, { service, about })
+    if (answer.isErr()) noteLost(about.case ?? '', service, describeError(answer.error))
+    return answer.isOk() && answer.value.owns ? answer.value : undefined
+  }
+
+  /**
+   * Asks the owner on another node, and the next one where the rows turn out to be old: most
+   * nodes look at them every 2.5 s, and a job that is not offered waits for the owner's look
+   * at the store, up to a second.
    */
   async function ask(
     service: string,
     about: NewQuestion['about'],
   ): Promise<Answer | undefined> {
     const address = addressFor(service)
-    if (address === undefined) return undefined
-    const answer = await batches.ask(address, { service, about })
-    if (answer.isErr()) {
-      noteLost(about.case ?? '', service, describeError(answer.error))
-      return undefined
-    }
-    if (answer.value.owns) return answer.value
-    registry.refreshSoon()
-    return undefined
+    const answer =
+      address === undefined ? undefined : await askAt(address, service, about)
+    if (answer || registry.ownerOf(service)?.id === registry.self.id) return answer
+    await registry.refreshSoon()
+    const next = addressFor(service)
+    if (next === undefined || next === address) return undefined
+    return askAt(next, service, about)
   }
 
   return {
@@ -117,7 +123,8 @@
       if (owner) return owner.waiting(queue)
       return (await ask(service, { case: 'waiting', value: queue }))?.waiting
     },
-    hasFleetOwner: () => local.fleet() !== undefined || ownerOf(FLEET) !== undefined,
+    hasFleetOwner: () =>
+      local.fleet() !== undefined || registry.ownerOf(FLEET) !== undefined,
     async reportToFleet(report) {
       const fleet = local.fleet()
       if (fleet) return fleet.report(report)
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -47,8 +47,11 @@
   onRenewed(listener: (sentAt: number, lapsed: boolean) => void): void
   /** Reads the rows of the other nodes now; false when the store did not answer. */
   refresh(): Promise<boolean>
-  /** The same soon: somebody was not found where the rows said. */
-  refreshSoon(): void
+  /**
+   * The same unless it was done just now: somebody was not found where the rows said.
+   * Resolves when it is done.
+   */
+  refreshSoon(): Promise<void>
   /** Reads the row of one node now; false when the store did not answer. */
   reread(id: string): Promise<boolean>
   /** Time since the rows of the others were first read, in ms. */
@@ -89,6 +92,7 @@
   let firstPolledAt: number | undefined
   let connected = true
   let writing: Promise<boolean> | undefined
+  let refreshing: Promise<boolean> | undefined
 
   const noteConnection = (up: boolean, reason: string): void => {
     if (up === connected) return
@@ -149,6 +153,12 @@
     return true
   }
 
+  async function refreshSoon(): Promise<void> {
+    if (!refreshing && now() - pollSentAt <= REFRESH_MS) return
+    refreshing ??= poll().finally(() => (refreshing = undefined))
+    await refreshing
+  }
+
   /** Removes the row of one node that has long been silent. */
   async function forgetDead(): Promise<void> {
     const dead = book.longDead(FORGET_NODE_MS)
@@ -217,7 +227,7 @@
       if (row.value) book.note(row.value)
       return true
     },
-    refreshSoon: () => void (now() - pollSentAt > REFRESH_MS && poll()),
+    refreshSoon,
     knownForMs: () => (firstPolledAt === undefined ? 0 : now() - firstPolledAt),
     async stop() {
       stopping.abort()
