--- a/bench/node.ts
+++ b/bench/node.ts
@@ -7,6 +7,7 @@
 import { request } from 'undici'
 import { startNodeProcess } from '../playground/sim/nodeProcess.js'
 import type { NodeProcess } from '../playground/sim/nodeProcess.js'
+import { ONE_QUEUE, QUEUE_HOST, QUEUE_PATH } from '../playground/sim/oneQueue.js'
 import { startSimPlatform } from '../playground/sim/wireServer.js'
 import type { SimPlatform } from '../playground/sim/wireServer.js'
 import {
@@ -17,7 +18,6 @@
 } from '../src/ownership/index.js'
 import { sleep } from '../src/shared/index.js'
 
-const QUEUE_HOST = 'q.example'
 const CLOCK_TICKS_PER_S = 100
 /** Other nodes that an idle node is measured among. */
 const MEMBER_COUNTS = [30, 100, 300]
@@ -33,29 +33,6 @@
 const QUESTIONS_PER_JOB = 3
 const TARGETS = 40
 
-const configuration = {
-  version: 1,
-  routes: [
-    {
-      name: 'queue',
-      host: QUEUE_HOST,
-      path_prefix: '/q/',
-      kind: 'unsafe',
-      timeout_ms: 3000,
-      target_latency_ms: 600,
-      priority: 0,
-      service: 'one',
-      max_attempts: 3,
-      stretch: 1.6,
-    },
-  ],
-  services: [
-    { name: 'one', admission_check: true, spare: false },
-    { name: 'idle', admission_check: true, spare: true },
-  ],
-  limits: { max_body_bytes: 20_000 },
-}
-
 /** Processor time that a process has used, in ms. */
 function cpuMs({ child }: NodeProcess): number {
   const fields = readFileSync(`/proc/${child.pid}/stat`, 'utf8')
@@ -132,7 +109,7 @@
 /** A node that owns nothing, because another one owns all, among members. */
 async function idleNode(members: number): Promise<Measured> {
   const platform = await startPlatform()
-  platform.putConfiguration(configuration)
+  platform.putConfiguration(ONE_QUEUE)
   const timer = renewMembers(platform, members)
   const owner = await startNodeProcess(platform, 'a-owner', 'h1')
   await untilReady(owner)
@@ -160,7 +137,7 @@
     const id = Math.floor(Math.random() * 2 ** 48)
       .toString(16)
       .padStart(16, '0')
-    const url = `http://${node.callers}/q/${id}`
+    const url = `http://${node.callers}${QUEUE_PATH}${id}`
     const send = (method: 'GET' | 'POST') =>
       request(url, { method, headers, body: method === 'POST' ? body : null }).then(
         (res) => res.body.dump(),
@@ -181,7 +158,7 @@
 /** An owner under load; callers use another node, so that each question is a call. */
 async function ownerNode(profileDir: string | undefined): Promise<object> {
   const platform = await startPlatform()
-  platform.putConfiguration(configuration)
+  platform.putConfiguration(ONE_QUEUE)
   const profile = profileDir ? ['--cpu-prof', `--cpu-prof-dir=${profileDir}`] : []
   const owner = await startNodeProcess(platform, 'a-owner', 'h1', {
     program: [...profile, 'dist/src/bin/node.js'],
--- a/playground/__tests__/node.spec.ts
+++ b/playground/__tests__/node.spec.ts
@@ -5,33 +5,10 @@
 import { sleep } from '../../src/shared/index.js'
 import { startNodeProcess } from '../sim/nodeProcess.js'
 import type { NodeProcess } from '../sim/nodeProcess.js'
+import { ONE_QUEUE, QUEUE_HOST } from '../sim/oneQueue.js'
 import type { SimPlatform } from '../sim/wireServer.js'
 import { startSimPlatform } from '../sim/wireServer.js'
 
-const HOST_NAME = 'q.example'
-const CONFIGURATION = {
-  version: 3,
-  routes: [
-    {
-      name: 'r-one',
-      host: HOST_NAME,
-      path_prefix: '/one/',
-      kind: 'unsafe',
-      timeout_ms: 3000,
-      target_latency_ms: 600,
-      priority: 0,
-      service: 'one',
-      max_attempts: 3,
-      stretch: 1.6,
-    },
-  ],
-  services: [
-    { name: 'one', admission_check: true, spare: false },
-    { name: 'idle', admission_check: true, spare: true },
-  ],
-  limits: { max_body_bytes: 20_000 },
-}
-
 const jobId = (number: number): string => number.toString(16).padStart(16, '0')
 
 async function call(
@@ -40,7 +17,7 @@
   path: string,
   body?: unknown,
 ) {
-  const headers = { host: HOST_NAME, 'content-type': 'application/json' }
+  const headers = { host: QUEUE_HOST, 'content-type': 'application/json' }
   const res = await request(`http://${node.callers}${path}`, {
     method,
     headers,
@@ -90,7 +67,7 @@
     capacity: { cpu: 8000, memMb: 32_000, gpu: 0 },
     awayMs: 300,
   })
-  platform.putConfiguration(CONFIGURATION)
+  platform.putConfiguration(ONE_QUEUE)
   const names = Array.from({ length: count }, (_, each) => `n${each + 1}`)
   const nodes = await Promise.all(
     names.map((name, each) => startNodeProcess(platform, name, `h${(each % 2) + 1}`)),
--- a/playground/__tests__/thinLink.spec.ts
+++ b/playground/__tests__/thinLink.spec.ts
@@ -15,6 +15,7 @@
 import { sleep } from '../../src/shared/index.js'
 import { startNodeProcess } from '../sim/nodeProcess.js'
 import type { NodeProcess } from '../sim/nodeProcess.js'
+import { ONE_QUEUE, QUEUE_NAME, QUEUE_SERVICE } from '../sim/oneQueue.js'
 import { openThinLink } from '../sim/thinLink.js'
 import { startSimPlatform } from '../sim/wireServer.js'
 import type { SimPlatform } from '../sim/wireServer.js'
@@ -22,36 +23,13 @@
 /** Longest wait for something that a busy machine does late, in ms. */
 const PATIENCE_MS = 40_000
 const LINK_MBPS = 1.4
-const QUEUE_HOST = 'q.example'
-const configuration = {
-  version: 1,
-  routes: [
-    {
-      name: 'queue',
-      host: QUEUE_HOST,
-      path_prefix: '/q/',
-      kind: 'unsafe',
-      timeout_ms: 3000,
-      target_latency_ms: 600,
-      priority: 0,
-      service: 'one',
-      max_attempts: 3,
-      stretch: 1.6,
-    },
-  ],
-  services: [
-    { name: 'one', admission_check: true, spare: false },
-    { name: 'idle', admission_check: true, spare: true },
-  ],
-  limits: { max_body_bytes: 20_000 },
-}
 
 /** A job with a text of the largest usual size. */
 const jobOf = (number: number) =>
   jobSchema.parse({
     id: number.toString(16).padStart(16, '0'),
-    queue: 'queue',
-    service: 'one',
+    queue: QUEUE_NAME,
+    service: QUEUE_SERVICE,
     spec: JSON.stringify({ ms: 20, cpu: 100, note: 'x'.repeat(3500) }),
     steps: [{ count: 1, cpu: 100, estimateMs: 20 }],
     acceptedAtMs: Date.now(),
@@ -79,12 +57,12 @@
     capacity: { cpu: 8000, memMb: 32_000, gpu: 0 },
     awayMs: 300,
   })
-  platform.putConfiguration(configuration)
+  platform.putConfiguration(ONE_QUEUE)
   return platform
 }
 
 const isOver = ({ table }: SimPlatform, number: number): boolean =>
-  table.get(endedKey('queue', jobOf(number).id)) !== undefined
+  table.get(endedKey(QUEUE_NAME, jobOf(number).id)) !== undefined
 
 describe('a node behind a thin link', () => {
   it('takes over what is open, however much a page weighs', async (t) => {
@@ -93,7 +71,7 @@
     const count = 480
     for (let number = 1; number <= count; number++) {
       const job = jobOf(number)
-      platform.table.put(intakeKey('queue', job.id), encodeJob(job))
+      platform.table.put(intakeKey(QUEUE_NAME, job.id), encodeJob(job))
     }
     const link = await openThinLink(platform.storeAddress, LINK_MBPS)
     const thin = { ...platform, storeAddress: link.address }
@@ -115,13 +93,13 @@
     const count = 200
     for (let number = 1; number <= count; number++) {
       const job = jobOf(number)
-      platform.table.put(intakeKey('queue', job.id), encodeJob(job))
+      platform.table.put(intakeKey(QUEUE_NAME, job.id), encodeJob(job))
     }
     const numbers = Array.from({ length: count }, (_, each) => each + 1)
     t.true(await until(() => numbers.every((number) => isOver(platform, number))))
     await before.kill()
     const open = jobOf(count + 1)
-    platform.table.put(intakeKey('queue', open.id), encodeJob(open))
+    platform.table.put(intakeKey(QUEUE_NAME, open.id), encodeJob(open))
     const link = await openThinLink(platform.storeAddress, LINK_MBPS)
     const node = await startNodeProcess(
       { ...platform, storeAddress: link.address },
