--- a/src/scheduler/finishedJobs.ts
+++ b/src/scheduler/finishedJobs.ts
@@ -67,14 +67,24 @@
   )
 }
 
-function endedOf({ spec, outcome, endedAtMs }: Job): EndedJob {
+/** A job that is over, with the row that is kept of it. */
+interface Finished {
+  id: string
+  queue: string
+  ended: EndedJob
+}
+
+/** Undefined while the outcome is not durable. */
+function finishedOf({ spec, durableOutcome, endedAtMs }: Job): Finished | undefined {
+  if (!durableOutcome) return undefined
+  const { id, queue, service, steps, acceptedAtMs } = spec
+  const tasks = steps.reduce((sum, { count }) => sum + count, 0)
+  // A predecessor's row may not say when the job ended: it is then kept from now on.
+  const times = { acceptedAtMs, endedAtMs: endedAtMs ?? Date.now() }
   return {
-    queue: spec.queue,
-    service: spec.service,
-    outcome: outcome ?? 'failed',
-    tasks: spec.steps.reduce((sum, { count }) => sum + count, 0),
-    acceptedAtMs: spec.acceptedAtMs,
-    endedAtMs: endedAtMs ?? Date.now(),
+    id,
+    queue,
+    ended: { queue, service, outcome: durableOutcome, tasks, ...times },
   }
 }
 
@@ -84,11 +94,11 @@
   const stopping = createStopController()
   const startedAt = monotonicMs()
   /** Jobs whose rows are still in the intake, by part of the store. */
-  const toMove = new Map<string, Waiting<Job>[]>()
+  const toMove = new Map<string, Waiting<Finished>[]>()
   /** Jobs whose progress rows are not needed any more. */
   let toDrop: Waiting<string>[] = []
   /** Jobs of this owner whose rows have moved, the first to end first. */
-  const moved: Job[] = []
+  const moved: Finished[] = []
   /** Parts in which predecessors may have left rows; undefined before they are listed. */
   let inheritedParts: string[] | undefined
 
@@ -111,11 +121,11 @@
     if (!fullest) return
     const [part, group] = fullest
     const jobs = group.slice(0, MOVES_PER_WRITE).map(({ each }) => each)
-    const puts = jobs.map((job) => ({
-      ...endedKey(job.spec.queue, job.spec.id),
-      value: encodeEnded(endedOf(job)),
+    const puts = jobs.map(({ queue, id, ended }) => ({
+      ...endedKey(queue, id),
+      value: encodeEnded(ended),
     }))
-    const removals = jobs.flatMap(({ spec: { queue, id } }) => [
+    const removals = jobs.flatMap(({ queue, id }) => [
       intakeKey(queue, id),
       cancelKey(queue, id),
     ])
@@ -124,7 +134,7 @@
     if (group.length === 0) toMove.delete(part)
     moved.push(...jobs)
     const since = monotonicMs()
-    toDrop.push(...jobs.map(({ spec }) => ({ each: spec.id, since })))
+    toDrop.push(...jobs.map(({ id }) => ({ each: id, since })))
   }
 
   /**
@@ -142,8 +152,8 @@
   /** Forgets the first job that nobody asks for any more. */
   async function clearOldest(): Promise<void> {
     const [oldest] = moved
-    if (!oldest || !isOutdated(oldest.endedAtMs ?? Date.now())) return
-    const { queue, id } = oldest.spec
+    if (!oldest || !isOutdated(oldest.ended.endedAtMs)) return
+    const { queue, id } = oldest
     if (!(await commit([], [endedKey(queue, id)]))) return
     moved.shift()
     book.remove(id)
@@ -184,9 +194,11 @@
 
   return {
     add(job) {
-      const { part } = intakeKey(job.spec.queue, job.spec.id)
+      const finished = finishedOf(job)
+      if (!finished) return
+      const { part } = intakeKey(finished.queue, finished.id)
       const group = toMove.get(part) ?? []
-      group.push({ each: job, since: monotonicMs() })
+      group.push({ each: finished, since: monotonicMs() })
       toMove.set(part, group)
     },
     addLeftover(ids) {
