--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -124,7 +124,11 @@
   taskPaced: spec('RS-8029', 'info', 'task that fills in is paced'),
   progressNotWritten: spec('RS-8030', 'warn', 'progress could not be written yet'),
   rosterNotWritten: spec('RS-8031', 'warn', 'targets in use could not be written yet'),
-  rowsNotCleared: spec('RS-8032', 'warn', 'rows of a finished job could not be removed'),
+  rowsNotCleared: spec(
+    'RS-8032',
+    'warn',
+    'rows of finished jobs could not be moved or removed',
+  ),
   configurationInForce: spec('RS-8040', 'info', 'configuration in force on this node'),
   mirrorStale: spec('RS-8041', 'warn', 'copy of a table cannot be brought up to date'),
   mirrorFresh: spec('RS-8042', 'info', 'copy of a table is up to date again'),
