--- a/src/scheduler/finishedJobs.ts
+++ b/src/scheduler/finishedJobs.ts
@@ -21,7 +21,7 @@
   monotonicMs,
   sleep,
 } from '../shared/index.js'
-import type { Logger } from '../shared/index.js'
+import type { Logger, PlatformError } from '../shared/index.js'
 import {
   FINISHED_PER_WRITE,
   FINISHED_STEP_MS,
@@ -102,15 +102,21 @@
   /** Parts in which predecessors may have left rows; undefined before they are listed. */
   let inheritedParts: string[] | undefined
 
-  /** Makes a change that is right whoever makes it, and at any time; false on failure. */
+  /** What could not be done is tried again at a later step. */
+  const noteFailure = (error: PlatformError): void =>
+    log.event('rowsNotCleared', { service, reason: describeError(error) })
+
+  /**
+   * Makes a change that is right whoever makes it, and at any time: the jobs are over. False
+   * when it was not made, or is not known to be.
+   */
   async function commit(
     puts: (RowKey & { value: string })[],
     removals: RowKey[],
     conditions = [] as ReturnType<Authority['epoch']>[],
   ): Promise<boolean> {
     const res = await store.commit({ conditions, puts, removals })
-    if (res.isErr())
-      log.event('rowsNotCleared', { service, reason: describeError(res.error) })
+    if (res.isErr()) noteFailure(res.error)
     return res.isOk() && res.value.committed
   }
 
@@ -164,13 +170,13 @@
     if (monotonicMs() - startedAt < KEEP_FINISHED_MS) return
     if (!inheritedParts) {
       const parts = await store.parts(ENDED_TABLE)
-      if (parts.isErr()) return
+      if (parts.isErr()) return noteFailure(parts.error)
       inheritedParts = parts.value
     }
     const part = inheritedParts[0]
     if (part === undefined) return
     const rows = await store.read(ENDED_TABLE, part)
-    if (rows.isErr()) return
+    if (rows.isErr()) return noteFailure(rows.error)
     const outdated = rows.value.rows.filter(({ value }) => {
       const ended = decodeEnded(value)
       return ended === undefined || isOutdated(ended.endedAtMs)
