--- a/src/entry/chooser.ts
+++ b/src/entry/chooser.ts
@@ -1,6 +1,6 @@
 /**
  * Choosing a target: a lookup table of policies. `twoChoices` is the one in use; the
- * others are baselines for the bench (docs/measurements.md has the comparison).
+ * others are baselines to compare it with (docs/measurements.md has the comparison).
  */
 import { monotonicMs } from '../shared/index.js'
 import { MAX_EXCLUDED_SHARE } from './constants.js'
--- a/src/ownership/constants.ts
+++ b/src/ownership/constants.ts
@@ -11,7 +11,7 @@
 /**
  * Shortest time between two renewals of a node that owns nothing, and between two looks at the
  * others of one that is not among the next to own something, in ms: nobody waits for it, and
- * a call to an owner that fails makes it look at once. On a site of 44 nodes, of which five own
+ * a call to an owner that fails makes it look at once. With 44 nodes, of which five own
  * something, all nodes at the pace of owners made 68,107 calls in 82 s.
  */
 export const IDLE_PACE_MS = 1000
--- a/src/scheduler/__tests__/finishedJobs.spec.ts
+++ b/src/scheduler/__tests__/finishedJobs.spec.ts
@@ -41,8 +41,8 @@
   return { jobs, offered }
 }
 
-/** A rig with an owner under which one job has ended and moved. */
-async function startWithEnded() {
+/** A rig with an owner under which one job has ended, a moment ago. */
+async function startWithSettled() {
   const rig = createJobRig()
   rig.addTarget('t1')
   const owner = await rig.own()
@@ -50,8 +50,14 @@
   rig.submit(owner, job)
   const { version } = rig.table.get(intakeKey(job.queue, job.id))!
   await rig.settled([job], 3000)
+  return { rig, owner, job, version }
+}
+
+/** The same once the rows of the job have moved. */
+async function startWithEnded() {
+  const started = await startWithSettled()
   await sleep(MOVED_MS)
-  return { rig, job, version }
+  return started
 }
 
 describe('rows of finished jobs', () => {
@@ -103,12 +109,7 @@
   })
 
   it('are moved by the next owner when theirs had no time for it', async (t) => {
-    const rig = createJobRig()
-    rig.addTarget('t1')
-    const owner = await rig.own()
-    const job = makeJob({ ms: 20, cpu: 400 })
-    rig.submit(owner, job)
-    await rig.settled([job], 3000)
+    const { rig, owner, job } = await startWithSettled()
     owner.live = false
     await rig.own()
     await sleep(MOVED_MS)
@@ -130,12 +131,7 @@
   })
 
   it('stay while the store refuses, and move when it is back', async (t) => {
-    const rig = createJobRig()
-    rig.addTarget('t1')
-    const owner = await rig.own()
-    const job = makeJob({ ms: 20, cpu: 400 })
-    rig.submit(owner, job)
-    await rig.settled([job], 3000)
+    const { rig, job } = await startWithSettled()
     rig.table.faults.refusedParts.add(intakeKey(job.queue, job.id).part)
     await sleep(MOVED_MS)
     t.is(rig.table.rows(INTAKE_TABLE).length, 1)
