fix(scheduler): suspicion makes no job stand still, and runs are moved only where there is room

Cause: evidence against targets was weighed without asking what else there is. A pool of one or two targets could lose all it had for 5 to 20 s; a run was stopped to be done elsewhere without an elsewhere; speed was judged by the mean of the queue alone, so that tasks that are long by nature were stopped on target after target, each of which came under suspicion. Change: health.ts becomes the face of suspicion.ts (ends), badRuns.ts (speed) and suspectPolicy.ts (which tasks a suspect gets). - A job that has run nothing for 1.5 s has one task tried on a target under suspicion; where others are sound, not with its last attempt. A run that was begun under suspicion and done ends it. The bound on the share of excluded targets goes, for it guarded against the standstill. - A failure is no evidence where the step was never done and has failed where others are done; a suspicion that rested on it is taken back. The task goes rather to a target where it has not failed. - A slow run is compared with its step elsewhere and with others on the target. It is moved at most twice, and like one that stands still only where a sound target has room now. - On trial a target gets one task in a plan; two of one plan got through before.

--- a/bench/plans.ts
+++ b/bench/plans.ts
@@ -46,7 +46,9 @@
       agents,
       urgencyOf: (job) => urgencyOf(job, QUEUE, runTimes, 0),
       policy: OPEN_POLICY,
-      avoids: () => false,
+      penaltyOf: () => 0,
+      mayTry: () => false,
+      planned: () => undefined,
       isSpecial: () => looksAtAll,
     })
   plan()
--- a/src/scheduler/__tests__/standingJobs.spec.ts
+++ b/src/scheduler/__tests__/standingJobs.spec.ts
@@ -206,4 +206,20 @@
     t.deepEqual(rig.suspects(), [])
     for (const job of sound) t.is(rig.outcomeOf(job), 'completed')
   })
+
+  it('have another VM asked for, where a target fails all it starts', async (t) => {
+    const rig = startRig(t)
+    const bad = rig.addTarget('t1')
+    rig.addTarget('t2')
+    const owner = await rig.own()
+    await sleep(200)
+    bad.faults.failsAll = true
+    await bringUnderSuspicion(rig, owner)
+    t.deepEqual(rig.suspects(), ['t1'])
+    const { targets } = owner.report()
+    t.deepEqual(
+      targets.filter(({ suspect }) => suspect).map(({ id }) => id),
+      ['t1'],
+    )
+  })
 })
--- /dev/null
+++ b/src/scheduler/badRuns.ts
@@ -0,0 +1,220 @@
+/**
+ * Finds runs that stand still or crawl, and says whose fault it is: the target's, where other
+ * runs are slow there too or the same step gets on elsewhere; the job's, where its tasks
+ * are long by nature.
+ */
+import type { Step, Task } from '../jobs/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { RunTimes } from './runTimes.js'
+import type { Suspicion } from './suspicion.js'
+import type { TargetAgent } from './targetAgent.js'
+import type { Placement } from './targetRuns.js'
+
+/** A task whose percent stands still for so long hangs, in ms: two long polls. */
+const STALL_MS = 2300
+/** Moves of one task after which the time above is not doubled any more. */
+const MAX_DOUBLINGS = 3
+/** A task is slow when it has got on by less than this part of what is usual. */
+const SLOW_PACE = 0.3
+/** A task that has got so far, in percent, is left to end. */
+const NEARLY_DONE = 95
+/** A target on which others get on by this part of what is usual is not slow. */
+const USUAL_PACE = 0.5
+/** A step is faster elsewhere when it gets on so many times as fast there. */
+const FASTER = 2
+/** Nothing is said of a task's speed before it has run so long, in ms. */
+const SPEED_AFTER_MS = 1200
+/** Slow tasks at the same time that bring a target under suspicion. */
+const SUSPECT_SLOW = 2
+/** A task is moved so often for being slow: each move throws away what it has done. */
+const MAX_SLOW_MOVES = 2
+/** Time for which the speed of a run that is done speaks for its target, in ms. */
+const RECENT_MS = 8000
+/** Runs done that are kept for each target. */
+const RECENT_RUNS = 10
+
+/** A run that would be done sooner elsewhere. */
+export interface BadRun {
+  agent: TargetAgent
+  placement: Placement
+  task: Task
+}
+
+/** The runs of one service that are looked at. */
+export interface BadRuns {
+  /** Notes a run that was done; returns whether it was slow. */
+  noteDone(agent: TargetAgent, task: Task): boolean
+  /** Looks at what runs; brings targets under suspicion and returns runs to move. */
+  sweep(agents: TargetAgent[]): BadRun[]
+  /** A run was stopped to be done elsewhere. */
+  noteMoved(run: BadRun): void
+  forget(agent: TargetAgent): void
+}
+
+/** A run that has gone on for long enough to say something. */
+interface Pace {
+  step: Step
+  agent: TargetAgent
+  /** How fast it gets on; 1 is usual for its queue. */
+  pace: number
+  at: number
+}
+
+type Verdict = 'target' | 'job' | 'unclear'
+
+interface Progress {
+  percent: number
+  since: number
+}
+
+/** Creates a look at runs, without any history. */
+export function createBadRuns(runTimes: RunTimes, suspicion: Suspicion): BadRuns {
+  const progress = new WeakMap<Placement, Progress>()
+  const moves = new WeakMap<Task, number>()
+  /** Targets on which a step was slow or stood still. */
+  const badOn = new WeakMap<Step, Set<TargetAgent>>()
+  /** Steps whose tasks are slow by nature. */
+  const longSteps = new WeakSet<Step>()
+  const done = new Map<TargetAgent, Pace[]>()
+
+  const movesOf = (task: Task): number => moves.get(task) ?? 0
+
+  /** Counted between reports: without news nothing is said. */
+  function isStalled(placement: Placement, task: Task): boolean {
+    const { percent, reportedAt } = placement
+    const before = progress.get(placement)
+    if (before?.percent !== percent) {
+      progress.set(placement, { percent, since: reportedAt })
+      return false
+    }
+    const limitMs = STALL_MS * 2 ** Math.min(MAX_DOUBLINGS, movesOf(task))
+    return reportedAt - before.since > limitMs
+  }
+
+  /** How fast a run gets on; undefined before that can be said. */
+  function paceOf(agent: TargetAgent, placement: Placement): Pace | undefined {
+    const { task, state, reportedAt, percent } = placement
+    if (!task || state !== 'running' || !isJudged(task.step)) return undefined
+    const ranMs = reportedAt - task.startedAt
+    if (ranMs < SPEED_AFTER_MS || !runTimes.knows(task.step)) return undefined
+    const pace = (percent * runTimes.meanOf(task.step)) / (100 * ranMs)
+    return { step: task.step, agent, pace, at: reportedAt }
+  }
+
+  const pacesOn = (agent: TargetAgent): Pace[] =>
+    [...agent.placements.values()].flatMap((placement) => paceOf(agent, placement) ?? [])
+
+  const recentlyDone = (agent: TargetAgent): Pace[] =>
+    (done.get(agent) ?? []).filter(({ at }) => monotonicMs() - at < RECENT_MS)
+
+  /**
+   * Whose fault it is that a step is slow on a target. Without anything to compare it with,
+   * a second target on which it is slow too speaks for the job.
+   */
+  function judge({ step, pace, agent }: Pace, all: Pace[]): Verdict {
+    if (longSteps.has(step)) return 'job'
+    const elsewhere = all.filter((each) => each.step === step && each.agent !== agent)
+    if (elsewhere.some((each) => each.pace >= pace * FASTER)) return 'target'
+    const others = all.filter(
+      (each) =>
+        each.agent === agent && each.step.job !== step.job && !longSteps.has(each.step),
+    )
+    if (others.length > 0) return medianOf(others) >= USUAL_PACE ? 'job' : 'target'
+    const alsoBadOn = [...(badOn.get(step) ?? [])].some((other) => other !== agent)
+    return elsewhere.length > 0 || alsoBadOn ? 'job' : 'unclear'
+  }
+
+  function noteBad(step: Step, agent: TargetAgent): void {
+    badOn.set(step, (badOn.get(step) ?? new Set()).add(agent))
+  }
+
+  /** Whether the rest takes longer than the whole would elsewhere, and its way there. */
+  function isSlowerThanAnew({ step, pace }: Pace, percent: number): boolean {
+    const leftMs =
+      ((100 - percent) / 100) * (runTimes.meanOf(step) / Math.max(pace, 1e-3))
+    return leftMs > 2 * runTimes.meanOf(step)
+  }
+
+  /** Runs on one target that are slow through no fault of their own. */
+  function slowRuns(agent: TargetAgent, all: Pace[]): BadRun[] {
+    const found: BadRun[] = []
+    for (const placement of agent.placements.values()) {
+      const { task, percent } = placement
+      const own = paceOf(agent, placement)
+      if (!task || !own || own.pace >= SLOW_PACE || percent >= NEARLY_DONE) continue
+      if (!isSlowerThanAnew(own, percent)) continue
+      const verdict = judge(own, all)
+      noteBad(task.step, agent)
+      if (verdict === 'job') longSteps.add(task.step)
+      else found.push({ agent, placement, task })
+    }
+    return found
+  }
+
+  function stalledRuns(agent: TargetAgent, all: Pace[]): BadRun[] {
+    const found: BadRun[] = []
+    for (const placement of agent.placements.values()) {
+      const { task, state, reportedAt } = placement
+      if (!task || state !== 'running' || reportedAt === 0) continue
+      if (!isJudged(task.step) || !isStalled(placement, task)) continue
+      if (!hangsByItself(task.step, agent, all)) found.push({ agent, placement, task })
+      noteBad(task.step, agent)
+    }
+    return found
+  }
+
+  /** Whether a step stands still on a second target while others get on there. */
+  function hangsByItself(step: Step, agent: TargetAgent, all: Pace[]): boolean {
+    const alsoBadOn = [...(badOn.get(step) ?? [])].some((other) => other !== agent)
+    const others = all.filter(
+      (each) => each.agent === agent && each.step.job !== step.job,
+    )
+    return alsoBadOn && others.length > 0 && medianOf(others) >= USUAL_PACE
+  }
+
+  function sweepOne(agent: TargetAgent, all: Pace[]): BadRun[] {
+    const stalled = stalledRuns(agent, all)
+    const slow = slowRuns(agent, all).filter(
+      (run) => !stalled.some(({ placement }) => placement === run.placement),
+    )
+    const stepsOf = (runs: BadRun[]): Step[] => runs.map(({ task }) => task.step)
+    if (stalled.length > 0)
+      suspicion.exclude(agent, 'tasks stand still', stepsOf(stalled))
+    else if (slow.length >= SUSPECT_SLOW)
+      suspicion.exclude(agent, 'tasks are slow', stepsOf(slow))
+    if (suspicion.standingOf(agent) !== 'suspect') return stalled
+    return [...stalled, ...slow.filter(({ task }) => movesOf(task) < MAX_SLOW_MOVES)]
+  }
+
+  return {
+    noteDone(agent, task) {
+      const { step } = task
+      if (!isJudged(step) || !runTimes.knows(step)) return false
+      const at = monotonicMs()
+      const pace = runTimes.meanOf(step) / Math.max(1, at - task.startedAt)
+      const recent = [...recentlyDone(agent), { step, agent, pace, at }]
+      done.set(agent, recent.slice(-RECENT_RUNS))
+      return pace < SLOW_PACE
+    },
+    sweep(agents) {
+      const answering = agents.filter((agent) => agent.isAnswering())
+      const all = answering.flatMap((agent) => [
+        ...pacesOn(agent),
+        ...recentlyDone(agent),
+      ])
+      const found = answering.flatMap((agent) => sweepOne(agent, all))
+      suspicion.pardon((step) => longSteps.has(step))
+      return found
+    },
+    noteMoved: ({ task }) => void moves.set(task, movesOf(task) + 1),
+    forget: (agent) => void done.delete(agent),
+  }
+}
+
+/** Whether a run of the step can be judged by how far it gets: it ends by itself, alone. */
+const isJudged = ({ spec }: Step): boolean => !spec.lasting && !spec.gang && !spec.fills
+
+function medianOf(paces: Pace[]): number {
+  const sorted = paces.map(({ pace }) => pace).sort((a, b) => a - b)
+  return sorted[Math.floor(sorted.length / 2)] ?? 0
+}
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -62,8 +62,10 @@
   runTimes: RunTimes
   /** Whether the job can still meet its objective. */
   isTimely(job: Job, now: number): boolean
+  /** Whether evidence keeps tasks off the target. */
+  isSuspect(agent: TargetAgent): boolean
 }): DemandMeter {
-  const { runTimes, isTimely } = opts
+  const { runTimes, isTimely, isSuspect } = opts
   const arrivals = new Map<string, ArrivalMeter>()
   let sequence = 0
   let reportedCpu = 0
@@ -142,7 +144,10 @@
         neededCpu: cpu,
         timelyCpu,
         minTargets,
-        targets: agents.map(loadOf),
+        targets: agents.map((agent) => ({
+          ...loadOf(agent),
+          suspect: isSuspect(agent),
+        })),
       }
     },
   }
@@ -183,7 +188,7 @@
   }
 }
 
-function loadOf(agent: TargetAgent): TargetLoad {
+function loadOf(agent: TargetAgent): Omit<TargetLoad, 'suspect'> {
   const placements = [...agent.placements.values()]
   const lasting = placements.filter(({ task }) => task?.step.spec.lasting).length
   const { capacity, free } = agent.room
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -22,10 +22,14 @@
   urgencyOf(job: Job): Urgency
   /** What keeps a step from a target beyond the room there. */
   policy: PlacementPolicy
-  /** Whether it is taken only where no other target can be. */
-  avoids(agent: TargetAgent): boolean
+  /** How much rather the task should go elsewhere; 0 where nothing speaks against it. */
+  penaltyOf(agent: TargetAgent, task: Task): number
   /** Whether `policy` may differ between this step and another one of the same needs. */
   isSpecial(step: Step): boolean
+  /** Whether `policy` lets the step go where others of the same needs may not. */
+  mayTry(step: Step): boolean
+  /** A task of the step has been planned there. */
+  planned(agent: TargetAgent, step: Step): void
 }
 
 export interface Plan {
@@ -82,7 +86,7 @@
 }
 
 /** More than any other difference between targets. */
-const AVOID_COST = 1e12
+const PENALTY_COST = 1e12
 
 /** Smaller is better: near the data, lasting tasks spread, others packed. */
 function costOf(draft: Draft, step: Step): number {
@@ -92,12 +96,13 @@
   return far + draft.free.cpu
 }
 
-function choose(drafts: Draft[], step: Step, input: PlanInput): Draft | undefined {
+function choose(drafts: Draft[], task: Task, input: PlanInput): Draft | undefined {
+  const { step } = task
   let best: Draft | undefined
   let bestCost = Infinity
   for (const draft of drafts) {
     if (stepHoldOf(draft, step, input.policy) !== undefined) continue
-    const cost = costOf(draft, step) + (input.avoids(draft.agent) ? AVOID_COST : 0)
+    const cost = costOf(draft, step) + input.penaltyOf(draft.agent, task) * PENALTY_COST
     if (cost < bestCost) {
       best = draft
       bestCost = cost
@@ -116,7 +121,7 @@
 function kindOf(step: Step, input: PlanInput): string | undefined {
   const { label, lasting, maxPerTarget } = step.spec
   if (maxPerTarget > 0 || input.isSpecial(step)) return undefined
-  return `${lasting} ${label}`
+  return `${lasting} ${label} ${input.mayTry(step)}`
 }
 
 const needsAsMuch = (need: Resources, other: Resources): boolean =>
@@ -130,15 +135,16 @@
  */
 function chooseOnce(
   drafts: Draft[],
-  step: Step,
+  task: Task,
   input: PlanInput,
   failed: Failed,
 ): Draft | undefined {
+  const { step } = task
   const kind = kindOf(step, input)
   const need = needOf(step)
   const known = kind === undefined ? undefined : failed.get(kind)
   if (known?.some((other) => needsAsMuch(need, other))) return undefined
-  const draft = choose(drafts, step, input)
+  const draft = choose(drafts, task, input)
   if (draft || kind === undefined) return draft
   if (known) known.push(need)
   else failed.set(kind, [need])
@@ -157,7 +163,7 @@
     const copies = group.map(copyDraft)
     const starts: PlannedStart[] = []
     for (const task of members) {
-      const draft = choose(copies, step, input)
+      const draft = choose(copies, task, input)
       if (!draft) break
       take(draft, step)
       starts.push({ task, agent: draft.agent })
@@ -165,7 +171,9 @@
     if (starts.length < members.length) continue
     for (const { agent } of starts) {
       const draft = drafts.find((each) => each.agent === agent)
-      if (draft) take(draft, step)
+      if (!draft) continue
+      take(draft, step)
+      input.planned(agent, step)
     }
     return starts
   }
@@ -199,14 +207,38 @@
       continue
     }
     for (const task of steps.get(step) ?? []) {
-      const draft = chooseOnce(drafts, step, input, failed)
+      const draft = chooseOnce(drafts, task, input, failed)
       if (!draft) {
         plan.waiting.add(step)
         break
       }
       take(draft, step)
+      input.planned(draft.agent, step)
       plan.starts.push({ task, agent: draft.agent })
     }
   }
   return plan
 }
+
+/** Room on targets that are left, as runs are taken off others for them. */
+export interface RoomElsewhere {
+  /** Takes room for one more task of the step on another target; false where there is none. */
+  claim(step: Step, from: TargetAgent): boolean
+}
+
+/** Counts the room on the targets given, for runs that come from any target. */
+export function createRoomElsewhere(
+  agents: readonly TargetAgent[],
+  policy: PlacementPolicy,
+): RoomElsewhere {
+  const drafts = agents.filter((agent) => agent.isUsable()).map(createDraft)
+  return {
+    claim(step, from) {
+      const draft = drafts.find(
+        (each) => each.agent !== from && stepHoldOf(each, step, policy) === undefined,
+      )
+      if (draft) take(draft, step)
+      return draft !== undefined
+    },
+  }
+}
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -18,6 +18,7 @@
 import { closeLapsed, emptyLeaving } from './leavingTargets.js'
 import { createLifeCheck } from './lifeCheck.js'
 import { createNewJobs } from './newJobs.js'
+import { createRoomElsewhere } from './planner.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
 import { createRunTimes } from './runTimes.js'
@@ -128,14 +129,15 @@
 
   const finished = createFinishedJobs({ store, service, authority, book, log })
   const runTimes = createRunTimes()
+  const health = createHealth({ runTimes, log })
   const demand = createDemandMeter({
     runTimes,
+    isSuspect: (agent) => health.standingOf(agent) !== 'sound',
     isTimely(job, now) {
       const queue = configuration.queue(job.spec.queue)
       return urgencyOf(job, queue, runTimes, now).standing === 'timely'
     },
   })
-  const health = createHealth({ runTimes, agentCount: () => agents.size, log })
   const tickets = createTickets({ advice: opts.advice, log, changed: wake })
   const lifeCheck = createLifeCheck(opts.cloud, log)
   const newJobs = createNewJobs({
@@ -170,9 +172,10 @@
     log,
   }
   const starter = createStarter(shared)
+  const isSound = (agent: TargetAgent): boolean => health.standingOf(agent) === 'sound'
   const waitWatch = createWaitWatch({
     book,
-    policy: starter.policy,
+    policyNow: starter.policyNow,
     suspectUntil: health.excludedUntil,
     log,
   })
@@ -224,14 +227,22 @@
     starter.start(allAgents())
   }
 
-  /** Stops runs that stand still or crawl; they start again elsewhere. */
+  /** Stops runs that stand still or crawl, where another target has room for them now. */
   function moveBadRuns(): void {
-    for (const { agent, placement } of health.sweep(allAgents())) {
+    const all = allAgents()
+    const bad = health.sweep(all)
+    if (bad.length === 0) return
+    const room = createRoomElsewhere(all.filter(isSound), starter.policyNow(all))
+    for (const run of bad) {
+      const { agent, placement, task } = run
+      if (placement.state !== 'running' || !room.claim(task.step, agent)) continue
       log.event('runMoved', {
         task: placement.name,
         target: agent.target.id,
         percent: placement.percent,
+        ranMs: Math.round(monotonicMs() - task.startedAt),
       })
+      health.noteMoved(run)
       agent.stop(placement.name)
     }
   }
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -10,6 +10,8 @@
 import { planStarts } from './planner.js'
 import type { Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
+import { createSuspectRound } from './suspectPolicy.js'
+import type { SuspectRound } from './suspectPolicy.js'
 import type { TargetAgent } from './targetAgent.js'
 import type { Tickets } from './tickets.js'
 import { urgencyOf } from './urgency.js'
@@ -26,9 +28,10 @@
   log: Logger
 }
 
-/** Starts tasks, by the policy that it keeps to. */
+/** Starts tasks. */
 export interface Starter {
-  readonly policy: PlacementPolicy
+  /** What it keeps to at this moment. */
+  policyNow(agents: readonly TargetAgent[]): PlacementPolicy
   /** Starts what may start now on the agents given. */
   start(agents: TargetAgent[]): void
 }
@@ -41,13 +44,20 @@
   const hasPolicy = (step: Step): boolean =>
     configuration.queue(step.job.spec.queue)?.advice !== undefined
 
-  const policy: PlacementPolicy = {
+  const beginRound = (agents: readonly TargetAgent[], now: number): SuspectRound =>
+    createSuspectRound({
+      health,
+      agents,
+      now,
+      maxAttemptsOf: (job) => configuration.queue(job.spec.queue)?.maxAttempts ?? 1,
+    })
+
+  const policyOf = ({ isSuspect }: SuspectRound): PlacementPolicy => ({
     isRostered: (agent) => roster.has(agent.target.id),
-    // A lasting task may find no other target; a suspect one is better than none.
-    isSuspect: (agent, step) => !step.spec.lasting && !health.allows(agent),
+    isSuspect,
     lacksTicket: (agent, step) =>
       hasPolicy(step) && tickets.find(step, agent) === undefined,
-  }
+  })
 
   const ticketFor = (step: Step, agent: TargetAgent): string =>
     hasPolicy(step) ? (tickets.find(step, agent) ?? '') : ''
@@ -55,14 +65,17 @@
   function start(agents: TargetAgent[]): void {
     if (book.ready.size === 0) return
     const now = monotonicMs()
+    const round = beginRound(agents, now)
     const { starts, waiting } = planStarts({
       ready: book.ready,
       agents,
       urgencyOf: (job) =>
         urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
-      policy,
-      avoids: (agent) => !health.allows(agent),
+      policy: policyOf(round),
+      penaltyOf: health.penaltyOf,
       isSpecial: hasPolicy,
+      mayTry: round.mayTry,
+      planned: round.planned,
     })
     for (const step of waiting) if (hasPolicy(step)) tickets.want(step, agents)
     for (const { task, agent } of starts) {
@@ -77,5 +90,5 @@
     }
   }
 
-  return { policy, start }
+  return { policyNow: (agents) => policyOf(beginRound(agents, monotonicMs())), start }
 }
--- /dev/null
+++ b/src/scheduler/suspicion.ts
@@ -0,0 +1,205 @@
+/**
+ * Suspicion against targets that answer well and work badly. Evidence keeps tasks off a
+ * target for a while; then it gets one task at a time, until one ends well. A failure that
+ * comes from the caller's job is no evidence.
+ */
+import type { Step, Task } from '../jobs/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import type { TargetAgent } from './targetAgent.js'
+
+/** Ends of a target that are looked at, and how long they count, in ms. */
+const RECENT_ENDS = 10
+const RECENT_MS = 8000
+/** Failed runs, of so many jobs, that bring a target under suspicion. */
+const SUSPECT_FAILURES = 2
+const SUSPECT_JOBS = 2
+/** Share of its ends that must have failed; above it, jobs alone do not explain it. */
+const SUSPECT_SHARE = 0.5
+/** Time without new tasks, in ms; doubled each time the trial fails. */
+const EXCLUDE_MS = 5000
+const MAX_EXCLUDE_MS = 20_000
+
+/**
+ * `sound`: nothing speaks against it. `trial`: it gets one task at a time. `suspect`: it gets
+ * nothing but a task of a job that has nowhere else to go.
+ */
+export type Standing = 'sound' | 'trial' | 'suspect'
+
+/** What a target did to come under suspicion. */
+export type Offence =
+  'tasks of several jobs fail' | 'trial failed' | 'tasks stand still' | 'tasks are slow'
+
+/** The evidence against the targets of one service. */
+export interface Suspicion {
+  /**
+   * Notes that a run was done or failed.
+   * @param wasSlow whether it took so much longer than usual that it speaks for nothing
+   */
+  noteEnd(agent: TargetAgent, task: Task, failed: boolean, wasSlow: boolean): void
+  /** Keeps tasks off the target; `steps` are those that speak against it. */
+  exclude(agent: TargetAgent, offence: Offence, steps: Step[]): void
+  /** The step is the cause itself: what rests on it alone is taken back. */
+  pardon(isCause: (step: Step) => boolean): void
+  standingOf(agent: TargetAgent): Standing
+  /** Steady time up to which it is kept off, in ms; in the past where it is not. */
+  excludedUntil(agent: TargetAgent): number
+  /** Whether a run of the task has failed there. */
+  hasFailedOn(agent: TargetAgent, task: Task): boolean
+  forget(agent: TargetAgent): void
+}
+
+interface End {
+  at: number
+  step: Step
+  failed: boolean
+}
+
+interface TargetRecord {
+  ends: End[]
+  /** Steps that spoke against it when it was excluded. */
+  basis: Step[]
+  excludedAt: number
+  excludedUntil: number
+  excludeMs: number
+  /** After an exclusion it gets one task at a time until one ends well. */
+  onTrial: boolean
+}
+
+/** How the runs of a step have ended. */
+interface StepRecord {
+  anyDone: boolean
+  failedOn: Set<TargetAgent>
+}
+
+/** Creates a book without evidence. */
+export function createSuspicion(log: Logger): Suspicion {
+  const records = new Map<TargetAgent, TargetRecord>()
+  const steps = new WeakMap<Step, StepRecord>()
+  const failures = new WeakMap<Task, Set<TargetAgent>>()
+
+  function recordOf(agent: TargetAgent): TargetRecord {
+    const known = records.get(agent)
+    if (known) return known
+    const record: TargetRecord = {
+      ends: [],
+      basis: [],
+      excludedAt: -Infinity,
+      excludedUntil: -Infinity,
+      excludeMs: EXCLUDE_MS,
+      onTrial: false,
+    }
+    records.set(agent, record)
+    return record
+  }
+
+  function stepRecordOf(step: Step): StepRecord {
+    const known = steps.get(step)
+    if (known) return known
+    const record = { anyDone: false, failedOn: new Set<TargetAgent>() }
+    steps.set(step, record)
+    return record
+  }
+
+  /** Whether steps that can be done are done there, as far as is known. */
+  function isProven(agent: TargetAgent): boolean {
+    const ends = records.get(agent)?.ends ?? []
+    const telling = ends.filter(({ step }) => stepRecordOf(step).anyDone)
+    const done = telling.filter(({ failed }) => !failed).length
+    return done > 0 && done * 2 >= telling.length
+  }
+
+  /** Whether a step fails by itself: it was never done, and failed where others are done. */
+  function isOwnFault(step: Step, agent: TargetAgent): boolean {
+    const { anyDone, failedOn } = stepRecordOf(step)
+    if (anyDone) return false
+    return [...failedOn].some((other) => other !== agent && isProven(other))
+  }
+
+  function exclude(agent: TargetAgent, offence: Offence, basis: Step[]): void {
+    const record = recordOf(agent)
+    const now = monotonicMs()
+    if (record.excludedUntil > now) return
+    record.basis = basis
+    record.excludedAt = now
+    record.excludedUntil = now + record.excludeMs
+    record.excludeMs = Math.min(MAX_EXCLUDE_MS, record.excludeMs * 2)
+    record.onTrial = true
+    record.ends = []
+    log.event('targetSuspect', {
+      target: agent.target.id,
+      reason: offence,
+      forMs: Math.round(record.excludedUntil - now),
+      jobs: [...new Set(basis.map(({ job }) => job.spec.id))].join(' '),
+    })
+  }
+
+  function trust(agent: TargetAgent, record: TargetRecord, reason: string): void {
+    record.onTrial = false
+    record.excludedUntil = -Infinity
+    log.event('targetTrusted', { target: agent.target.id, reason })
+  }
+
+  /** A run that began under suspicion and ended well says that the target is well again. */
+  function noteDone(agent: TargetAgent, { startedAt }: Task): void {
+    const record = recordOf(agent)
+    if (!record.onTrial || startedAt < record.excludedAt) return
+    record.excludeMs = EXCLUDE_MS
+    trust(agent, record, 'a task was done there')
+  }
+
+  function noteFailure(agent: TargetAgent, step: Step): void {
+    const record = recordOf(agent)
+    if (isOwnFault(step, agent)) return
+    if (record.onTrial && record.excludedUntil <= monotonicMs())
+      return exclude(agent, 'trial failed', [step])
+    const failed = record.ends.filter((end) => end.failed && !isOwnFault(end.step, agent))
+    const jobs = new Set(failed.map((end) => end.step.job))
+    const enough = failed.length >= SUSPECT_FAILURES && jobs.size >= SUSPECT_JOBS
+    const mostly = failed.length >= record.ends.length * SUSPECT_SHARE
+    if (!enough || !mostly) return
+    exclude(
+      agent,
+      'tasks of several jobs fail',
+      failed.map((end) => end.step),
+    )
+  }
+
+  function pardon(isCause: (step: Step, agent: TargetAgent) => boolean): void {
+    for (const [agent, record] of records) {
+      if (!record.onTrial || record.basis.length === 0) continue
+      record.basis = record.basis.filter((step) => !isCause(step, agent))
+      if (record.basis.length === 0) trust(agent, record, 'its tasks were the cause')
+    }
+  }
+
+  return {
+    noteEnd(agent, task, failed, wasSlow) {
+      const { step } = task
+      const record = recordOf(agent)
+      const now = monotonicMs()
+      record.ends = [...record.ends, { at: now, step, failed }]
+        .filter(({ at }) => now - at < RECENT_MS)
+        .slice(-RECENT_ENDS)
+      if (!failed) {
+        stepRecordOf(step).anyDone = true
+        if (!wasSlow) noteDone(agent, task)
+        return
+      }
+      stepRecordOf(step).failedOn.add(agent)
+      failures.set(task, (failures.get(task) ?? new Set()).add(agent))
+      noteFailure(agent, step)
+      pardon(isOwnFault)
+    },
+    exclude,
+    pardon,
+    standingOf(agent) {
+      const record = records.get(agent)
+      if (!record?.onTrial) return 'sound'
+      return record.excludedUntil > monotonicMs() ? 'suspect' : 'trial'
+    },
+    excludedUntil: (agent) => records.get(agent)?.excludedUntil ?? -Infinity,
+    hasFailedOn: (agent, task) => failures.get(task)?.has(agent) ?? false,
+    forget: (agent) => void records.delete(agent),
+  }
+}
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -46,7 +46,8 @@
 /** What the watch works with. */
 export interface WaitWatchOptions {
   book: JobBook
-  policy: PlacementPolicy
+  /** What keeps tasks from these targets at this moment, beyond the room there. */
+  policyNow(agents: readonly TargetAgent[]): PlacementPolicy
   /** Steady time up to which evidence keeps tasks off a target, in ms. */
   suspectUntil(agent: TargetAgent): number
   log: Logger
@@ -54,7 +55,7 @@
 
 /** Creates a watch that has told nothing. */
 export function createWaitWatch(opts: WaitWatchOptions): WaitWatch {
-  const { book, policy, log } = opts
+  const { book, log } = opts
   const toldAt = new WeakMap<Job, number>()
 
   const endOf = (agent: TargetAgent, hold: Hold | undefined): number => {
@@ -67,6 +68,7 @@
     if (!task) return undefined
     const { step } = task
     const now = monotonicMs()
+    const policy = opts.policyNow(agents)
     const holds: Wait['holds'] = job.gated ? { takeover: agents.length } : {}
     let endsAt = Infinity
     for (const agent of job.gated ? [] : agents) {
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -19,6 +19,7 @@
   lasting: 0,
   evacuating,
   usedCpu: 0,
+  suspect: false,
 })
 
 const reportOf = (
--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -11,6 +11,7 @@
   lasting: 0,
   evacuating: false,
   usedCpu: 0,
+  suspect: false,
   ...load,
 })
 
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -12,6 +12,8 @@
   evacuating: z.boolean(),
   /** Thousandths of a core in use. */
   usedCpu: z.number(),
+  /** Whether it works so badly that its owner keeps tasks off it. */
+  suspect: z.boolean().default(false),
 })
 /** One target of a service, as its owner sees it. */
 export type TargetLoad = z.infer<typeof targetLoadSchema>
