feat(scheduler): says until when an inherited job waits for silent targets

Change: the hold counts the targets that are not settled and gives the end of their leases. Result: waitWatch.spec, one more test. The wait itself stays: what ran on those targets is not known.

--- a/src/scheduler/__tests__/waitWatch.spec.ts
+++ b/src/scheduler/__tests__/waitWatch.spec.ts
@@ -72,4 +72,21 @@
     t.truthy(await firstLine(rig, 'jobStalled'))
     await rig.stop()
   })
+
+  it('says until when an inherited job waits for a target that is silent', async (t) => {
+    const rig = createJobRig()
+    rig.addTarget('t1')
+    const silent = rig.addTarget('t2')
+    const first = await rig.own()
+    await sleep(300)
+    first.live = false
+    silent.faults.silent = true
+    const job = makeJob({ ms: 20, cpu: 100 })
+    rig.submit(first, job)
+    await rig.own()
+    const line = await firstLine(rig, 'taskWaits')
+    t.like(line, { job: job.id, hold: 'takeover', targets: '{"takeover":1}' })
+    t.true(Number(line?.['endsInMs']) > 0)
+    await rig.stop()
+  })
 })
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -49,6 +49,8 @@
   pausedUntil(): number
   /** Whether it has been heard by this owner, or everything on it is surely dead. */
   isSettled(): boolean
+  /** Steady time by which it is settled at the latest, in ms, unless its lease is extended. */
+  settledBy(): number
   /** Whether it last answered. */
   isAnswering(): boolean
   /** No new starts while true: it is being emptied on purpose. */
@@ -251,6 +253,7 @@
     hold: () => HOLDS.find(({ holds }) => holds())?.hold,
     isUsable: () => agent.hold() === undefined,
     pausedUntil: () => pausedUntil,
+    settledBy: lease.overAt,
     isSettled: () => heard || gone || lease.isOver(),
     isAnswering: () => answering && heard && !gone,
     update(next) {
--- a/src/scheduler/targetLease.ts
+++ b/src/scheduler/targetLease.ts
@@ -13,6 +13,8 @@
   extend(): number | undefined
   /** Whether every lease that was given is over, also on a clock that is slow. */
   isOver(): boolean
+  /** Steady time at which that is so, in ms. */
+  overAt(): number
 }
 
 /**
@@ -39,5 +41,6 @@
       return Math.floor(clock.clockMs + (now - clock.at) + TASK_LEASE_MS)
     },
     isOver: () => monotonicMs() >= overAt,
+    overAt: () => overAt,
   }
 }
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -63,20 +63,25 @@
     return hold === 'suspect' ? opts.suspectUntil(agent) : Infinity
   }
 
-  function explain(job: Job, agents: TargetAgent[]): Wait | undefined {
-    const task = waitingTaskOf(job)
-    if (!task) return undefined
-    const { step } = task
-    const now = monotonicMs()
+  /** What keeps a task from the targets, one by one. */
+  function holdsOn(step: Step, agents: TargetAgent[]): FoundHolds {
     const policy = opts.policyNow(agents)
-    const holds: Wait['holds'] = job.gated ? { takeover: agents.length } : {}
-    let endsAt = Infinity
-    for (const agent of job.gated ? [] : agents) {
+    const found: FoundHolds = { holds: {}, endsAt: Infinity }
+    for (const agent of agents) {
       const hold = holdOf(agent, step, policy)
       if (hold === undefined) continue
-      holds[hold] = (holds[hold] ?? 0) + 1
-      endsAt = Math.min(endsAt, endOf(agent, hold))
+      found.holds[hold] = (found.holds[hold] ?? 0) + 1
+      found.endsAt = Math.min(found.endsAt, endOf(agent, hold))
     }
+    return found
+  }
+
+  function explain(job: Job, agents: TargetAgent[]): Wait | undefined {
+    const task = waitingTaskOf(job)
+    if (!task) return undefined
+    const now = monotonicMs()
+    const { step } = task
+    const { holds, endsAt } = job.gated ? gateOf(agents) : holdsOn(step, agents)
     return {
       task,
       waitedMs: now - waitsSince(task),
@@ -122,6 +127,19 @@
   }
 }
 
+/** Rules that hold a task, by count of targets, and the steady time when one ends, in ms. */
+interface FoundHolds {
+  holds: Wait['holds']
+  endsAt: number
+}
+
+/** An inherited job waits until the last target that may run something of it is settled. */
+function gateOf(agents: TargetAgent[]): FoundHolds {
+  const unsettled = agents.filter((agent) => !agent.isSettled())
+  const endsAt = Math.max(-Infinity, ...unsettled.map((agent) => agent.settledBy()))
+  return { holds: { takeover: unsettled.length }, endsAt }
+}
+
 /** Whether the targets that live have so much to do that a wait is a turn in a queue. */
 function isBusy(agents: TargetAgent[]): boolean {
   let used = 0
