fix(directory): an entry of another writer names no target to use

Cause: every state but `draining` was taken for ready, no field was checked beyond its type, and an entry that turned unreadable left its old text in use. An address such as `10.0.0.1:70000` threw where no step expected it, which ended the target's task. Bytes that are no text were read with replacement characters, and one row of the wrong shape made a whole page of the store unreadable. One entry with another service set the owners of two services against each other on one target, for good.

--- a/src/bin/nodeProgram.ts
+++ b/src/bin/nodeProgram.ts
@@ -37,7 +37,7 @@
   const onTraffic = metrics.noteCall
   const onUnread = (step: string, reason: string): void =>
     log.event('answerUnread', { step, reason })
-  const store = createStoreClient({ address: cfg.store.address, onTraffic })
+  const store = createStoreClient({ address: cfg.store.address, onTraffic, onUnread })
   const { address: cloudAddress } = cfg.cloud
   const cloud = cloudAddress
     ? createCloudClient({ address: cloudAddress, onTraffic, onUnread })
--- /dev/null
+++ b/src/directory/__tests__/targetList.spec.ts
@@ -0,0 +1,109 @@
+import { createRowTable } from '../../../playground/sim/rowTable.js'
+import { describe, it } from '../../../test/describe.js'
+import { platformDocuments } from '../../../platform/index.js'
+import { createMemoryLogger, sleep } from '../../shared/index.js'
+import { createTargetList } from '../index.js'
+
+/** Time in which the list follows a change, with some to spare, in ms. */
+const FOLLOWS_MS = 500
+
+const entry = (more: object = {}): string =>
+  JSON.stringify({
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    state: 'ready',
+    labels: [],
+    capacity: { cpu: 1000, mem_mb: 100, gpu: 0 },
+    ...more,
+  })
+
+async function start(texts: Record<string, string>) {
+  const table = createRowTable()
+  const log = createMemoryLogger()
+  const put = (id: string, text: string) =>
+    table.put({ table: 'servers', part: '', key: id }, text)
+  for (const [id, text] of Object.entries(texts)) put(id, text)
+  const list = createTargetList({
+    store: table.forNode('n'),
+    documents: platformDocuments.targets,
+    log,
+  })
+  await list.ready
+  const linesOf = (name: string) => log.events.filter((each) => each.name === name)
+  return { table, put, list, linesOf, ids: () => [...list.byId().keys()].sort() }
+}
+
+describe('createTargetList', () => {
+  it('holds the targets that it can read beside entries that it cannot', async (t) => {
+    const { list, ids } = await start({
+      a: entry(),
+      b: 'no JSON',
+      c: entry({ state: 'warming' }),
+      d: entry({ state: 'draining' }),
+    })
+    t.deepEqual(ids(), ['a', 'd'])
+    await list.stop()
+  })
+
+  // It kept the old text, and its owner went on starting tasks by it.
+  it('uses no target further whose entry cannot be read, until it can be again', async (t) => {
+    const { put, list, ids } = await start({ a: entry(), b: entry() })
+    for (const wrong of ['', '{}', entry({ address: 'x' }), entry({ state: 'off' })]) {
+      put('a', wrong)
+      await sleep(FOLLOWS_MS)
+      t.deepEqual(ids(), ['b'], wrong)
+      t.not(list.unreadableSince('a'), undefined)
+      put('a', entry())
+      await sleep(FOLLOWS_MS)
+      t.deepEqual(ids(), ['a', 'b'])
+      t.is(list.unreadableSince('a'), undefined)
+    }
+    await list.stop()
+  })
+
+  it('tells of such an entry once, however often it is written', async (t) => {
+    const { put, list, linesOf } = await start({ a: entry() })
+    for (let beat = 0; beat < 5; beat++) {
+      put('a', entry({ state: 'off', sequence: beat }))
+      await sleep(FOLLOWS_MS / 2)
+    }
+    t.is(linesOf('rowInvalid').length, 1)
+    put('a', entry())
+    await sleep(FOLLOWS_MS)
+    t.is(linesOf('rowMended').length, 1)
+    put('a', JSON.stringify({ text: 'x'.repeat(1 << 20) }))
+    await sleep(FOLLOWS_MS)
+    t.is(linesOf('rowInvalid').length, 2)
+    for (const { fields } of linesOf('rowInvalid'))
+      t.true(JSON.stringify(fields).length < 700)
+    await list.stop()
+  })
+
+  it('forgets what it noted of an entry that is removed', async (t) => {
+    const { table, list, ids, linesOf } = await start({ a: 'no JSON' })
+    table.remove({ table: 'servers', part: '', key: 'a' })
+    await sleep(FOLLOWS_MS)
+    t.deepEqual(ids(), [])
+    t.is(list.unreadableSince('a'), undefined)
+    t.is(linesOf('rowMended').length, 1)
+    await list.stop()
+  })
+
+  // The owners of two services called one target, and each deposed the other in turn.
+  it('believes no single entry that a life has another service or address', async (t) => {
+    const { put, list, ids } = await start({ a: entry(), b: entry() })
+    for (const other of [{ service: 'other' }, { address: '10.0.0.9:81' }]) {
+      put('a', entry(other))
+      await sleep(FOLLOWS_MS)
+      t.deepEqual(ids(), ['b'])
+      put('a', entry())
+      await sleep(FOLLOWS_MS)
+      put('a', entry({ sequence: 2 }))
+      await sleep(FOLLOWS_MS)
+      t.deepEqual(ids(), ['a', 'b'])
+      t.is(list.byId().get('a')?.service, 's')
+    }
+    await list.stop()
+  })
+})
--- a/src/directory/targetList.ts
+++ b/src/directory/targetList.ts
@@ -1,6 +1,6 @@
 /** The list of targets, as the targets themselves keep it in the store. */
 import type { Documents, RowStore, Target } from '../ports/index.js'
-import { describeError } from '../shared/index.js'
+import { createUnreadRows, monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createRowMirror } from './rowMirror.js'
 
@@ -24,6 +24,11 @@
   freshAt(): number
   /** Steady time since which the list has been read without a gap, in ms. */
   steadySince(): number
+  /**
+   * Steady time since which the entry of a target cannot be read, in ms; undefined for one
+   * that can be read, or that is not there.
+   */
+  unreadableSince(id: string): number | undefined
   subscribe(listener: () => void): () => void
   stop(): Promise<void>
 }
@@ -35,7 +40,51 @@
   log: Logger
 }): TargetList {
   const targets = new Map<string, Target>()
+  /** Entries that cannot be read, with the steady time of the first such writing, in ms. */
+  const unreadable = new Map<string, number>()
+  /** Service and address of each life, as last written. */
+  const identities = new Map<string, string>()
+  const unread = createUnreadRows(opts.log, opts.documents.table)
   const listeners = new Set<() => void>()
+
+  /**
+   * Whether the entry speaks of the life that was listed before. No life changes its service
+   * or its address: of an entry that says so only the second writing in agreement counts.
+   * Followed at once, one such entry set the owners of two services against each other on
+   * one target, and each deposed the other in turn.
+   */
+  function isSameLife({ id, service, address }: Target): boolean {
+    const known = identities.get(id)
+    const identity = `${service} ${address}`
+    identities.set(id, identity)
+    return known === undefined || known === identity
+  }
+
+  function forget(id: string): void {
+    targets.delete(id)
+    unreadable.delete(id)
+    identities.delete(id)
+    unread.clear(id)
+  }
+
+  /** What an entry said before it could not be read is not used further. */
+  function leaveOut(id: string, reason: string): void {
+    targets.delete(id)
+    if (!unreadable.has(id)) unreadable.set(id, monotonicMs())
+    unread.note(id, reason)
+  }
+
+  function readEntry(id: string, value: string): void {
+    const target = opts.documents.decode(id, value)
+    if (target.isErr()) return leaveOut(id, target.error.message)
+    if (!isSameLife(target.value)) {
+      return leaveOut(id, 'a life that is known with another service or address')
+    }
+    unreadable.delete(id)
+    unread.clear(id)
+    targets.set(id, target.value)
+  }
+
   const mirror = createRowMirror({
     store: opts.store,
     table: opts.documents.table,
@@ -44,10 +93,8 @@
     pauseMs: PAUSE_MS,
     log: opts.log,
     onRow(_part, id, value) {
-      if (value === undefined) return void targets.delete(id)
-      const target = opts.documents.decode(id, value)
-      if (target.isOk()) targets.set(id, target.value)
-      else opts.log.event('rowInvalid', { key: id, reason: describeError(target.error) })
+      if (value === undefined) forget(id)
+      else readEntry(id, value)
     },
     onBatch() {
       for (const listener of listeners) listener()
@@ -58,6 +105,7 @@
     byId: () => targets,
     freshAt: mirror.freshAt,
     steadySince: mirror.steadySince,
+    unreadableSince: (id) => unreadable.get(id),
     subscribe(listener) {
       listeners.add(listener)
       return () => void listeners.delete(listener)
--- a/src/scheduler/leavingTargets.ts
+++ b/src/scheduler/leavingTargets.ts
@@ -18,10 +18,9 @@
 }
 
 /** Targets off the list whose tasks are all over need no agent any more. */
-export function closeLapsed({ targets, agents }: LeavingTargetsOptions): void {
-  const listed = targets.byId()
+export function closeLapsed({ agents }: Pick<LeavingTargetsOptions, 'agents'>): void {
   for (const agent of agents) {
-    if (listed.has(agent.target.id) || agent.placements.size > 0) continue
+    if (agent.listed || agent.placements.size > 0) continue
     if (agent.isSettled() && !agent.isAnswering())
       agent.markGone('off the list and silent')
   }
@@ -37,9 +36,11 @@
 
 /**
  * Whether the target has left without a word. After an outage of the store the list
- * says so only once those that live have had the time to come back.
+ * says so only once those that live have had the time to come back; an entry that cannot be
+ * read is often written anew, by the target itself, at its next heartbeat.
  */
 function isGoneFromList(agent: TargetAgent, targets: TargetList): boolean {
-  const steadyMs = monotonicMs() - targets.steadySince()
-  return !agent.listed && steadyMs > LIST_RETURN_MS
+  const unreadableSince = targets.unreadableSince(agent.target.id) ?? -Infinity
+  const since = Math.max(targets.steadySince(), unreadableSince)
+  return !agent.listed && monotonicMs() - since > LIST_RETURN_MS
 }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -232,7 +232,7 @@
   async function runHousekeeping(): Promise<void> {
     while (!stopping.signal.aborted) {
       book.markDue()
-      closeLapsed({ targets, agents: allAgents(), log })
+      closeLapsed({ agents: allAgents() })
       newJobs.takeOffered()
       emptyLeaving({ targets, agents: allAgents(), log })
       moveBadRuns()
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -236,7 +236,8 @@
       if (next.draining && !target.draining) {
         log.event('targetDraining', { target: targetId })
       }
-      target = next
+      // The link keeps the address that it was opened with.
+      target = { ...next, address: target.address }
       room.resize(next.capacity)
     },
     start(task, runNumber, ticket) {
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -48,8 +48,8 @@
 export function createTargetFollower(opts: TargetFollowerOptions): TargetFollower {
   const { agents, targets, authority, roster, health, log } = opts
   const { service } = authority
-  /** Lives that are over, while the list still shows them. */
-  const goneLives = new Set<string>()
+  /** Lives that are over, with the address that said so, while the list still shows them. */
+  const goneLives = new Map<string, string>()
 
   /** Time that unknown runs of the predecessor may last, in ms. */
   const inheritedLeaseMs =
@@ -58,14 +58,27 @@
     LEASE_MARGIN_MS
 
   function forget(agent: TargetAgent): void {
-    const { id } = agent.target
+    const { id, address } = agent.target
     agents.delete(id)
-    goneLives.add(id)
+    goneLives.set(id, address)
     health.forget(agent)
     roster.remove(id)
     void agent.close()
   }
 
+  /** Whether it is called at an address that the list has corrected, and nothing is there. */
+  function isMisplaced(agent: TargetAgent, { address }: Target): boolean {
+    const { target, placements } = agent
+    return target.address !== address && !agent.isAnswering() && placements.size === 0
+  }
+
+  /** Closes an agent that has nothing to do; the life may well be alive elsewhere. */
+  function closeMisplaced(agent: TargetAgent): void {
+    agents.delete(agent.target.id)
+    health.forget(agent)
+    void agent.close()
+  }
+
   function open(target: Target): TargetAgent {
     const agent = createTargetAgent({
       target,
@@ -88,11 +101,13 @@
   }
 
   function followListed(target: Target): void {
+    const known = agents.get(target.id)
+    if (known && isMisplaced(known, target)) closeMisplaced(known)
     const agent = agents.get(target.id)
     if (agent) {
       agent.update(target)
       agent.listed = true
-    } else if (!target.draining && !goneLives.has(target.id)) {
+    } else if (!target.draining && goneLives.get(target.id) !== target.address) {
       open(target)
       roster.add(target)
     }
@@ -107,6 +122,10 @@
     })
   }
 
+  /** Whether the list has an entry of the life, be it one that cannot be read. */
+  const isShown = (id: string): boolean =>
+    targets.byId().has(id) || targets.unreadableSince(id) !== undefined
+
   return {
     inherit(entries) {
       for (const { id, address } of entries)
@@ -117,9 +136,13 @@
       for (const target of listed.values()) {
         if (target.service === service) followListed(target)
       }
-      for (const id of goneLives) if (!listed.has(id)) goneLives.delete(id)
+      for (const id of goneLives.keys()) if (!isShown(id)) goneLives.delete(id)
       for (const agent of agents.values()) {
-        if (agent.listed && !listed.has(agent.target.id)) noteUnlisted(agent)
+        const entry = listed.get(agent.target.id)
+        if (agent.listed && entry?.service !== service) noteUnlisted(agent)
+        // Its own owner must not be fenced by our calls.
+        const isOthers = entry !== undefined && entry.service !== service
+        if (isOthers && agent.placements.size === 0) closeMisplaced(agent)
       }
       opts.changed()
     },
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -45,6 +45,11 @@
   platformDown: spec('RS-4001', 'warn', 'platform cannot be reached'),
   platformBack: spec('RS-4002', 'info', 'platform answers again'),
   rowInvalid: spec('RS-4003', 'error', 'a row or answer has the wrong shape'),
+  rowMended: spec(
+    'RS-4005',
+    'info',
+    'a row that had the wrong shape can be read, or is gone',
+  ),
   leaseTaken: spec('RS-5001', 'info', 'lease of the hall taken'),
   leaseLost: spec('RS-5002', 'warn', 'lease of the hall lost'),
   leaseReleased: spec('RS-5003', 'info', 'lease of the hall given up in a planned stop'),
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -70,3 +70,9 @@
     return undefined
   }
 }
+
+/** The text, or its beginning and its whole length when it is longer than that. */
+export function cutText(text: string, maxLength: number): string {
+  if (text.length <= maxLength) return text
+  return `${text.slice(0, maxLength)}… (${text.length} characters)`
+}
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -114,6 +114,7 @@
     byId: () => listed,
     freshAt: () => performance.now(),
     steadySince: () => rig.listSteadySince,
+    unreadableSince: () => undefined,
     subscribe(listener) {
       listeners.add(listener)
       return () => void listeners.delete(listener)
