fix(scheduler): a job is neither lost nor doubled by a row that cannot be read

Cause: an intake row of the wrong shape counted as absent, so that callers were told 410 and its progress was removed; progress of the wrong shape counted as none, so that a new owner ran finished tasks again and callers were told `queued`; a roster row of the wrong shape was dropped, so that inherited tasks started while the former runs lived; an ended row of the wrong shape was removed. A job row with a billion repetitions, or the id of another job, was taken on as it was.

Change: such a job is held (src/scheduler/heldJobs.ts): nothing of it starts, what runs goes on, its ends are kept, until its rows can be read again, its progress is removed by hand, or it is cancelled. A roster row without an address makes inherited tasks wait out the lease. The intake takes only what a caller could have handed in, under its own key; 200,000 tasks over all repetitions at most (297 bytes each, measured).

--- a/src/cli/nodeCommands.ts
+++ b/src/cli/nodeCommands.ts
@@ -86,7 +86,7 @@
     if (decoded) progress.set(row.key, decoded)
   }
   const entries = (await rowsOf(store, INTAKE_TABLE)).map((row) =>
-    decodeIntake(row.key, row.value),
+    decodeIntake(row, row.value),
   )
   const cancels = new Set(
     entries.flatMap((each) => (each.kind === 'cancel' ? each.id : [])),
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -4,19 +4,30 @@
  */
 import type { ConfigurationHolder } from '../directory/index.js'
 import {
+  ENDED_TABLE,
+  INTAKE_TABLE,
   cancelKey,
+  decodeEnded,
+  decodeIntake,
   describeJobProblem,
   encodeJob,
   endedKey,
   intakeKey,
 } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
-import type { Queue, RowCommit, RowStore } from '../ports/index.js'
-import { describeError, jittered, monotonicMs, sleep } from '../shared/index.js'
+import type { Queue, RowCommit, RowStore, StoredRow } from '../ports/index.js'
+import {
+  createUnreadRows,
+  describeError,
+  jittered,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { OwnerCalls } from './ownerCalls.js'
 import {
   RETRY_AFTER_MS,
+  UNREADABLE,
   findStoredJob,
   readStoredStatus,
   unavailable,
@@ -79,9 +90,33 @@
   return commit.current.find(({ value }) => value === encodeJob(job))?.version
 }
 
+/** Whether a row that stood in the way of a new one says that the job is kept. */
+function isKept(row: StoredRow): boolean {
+  if (row.table === ENDED_TABLE) return decodeEnded(row.value) !== undefined
+  return decodeIntake(row, row.value).kind === 'job'
+}
+
 /** Creates the service; it keeps nothing of its own. */
 export function createJobService(opts: JobServiceOptions): JobService {
   const { store, configuration, owners, log } = opts
+  const unread = createUnreadRows(log, INTAKE_TABLE)
+
+  /**
+   * Whether the job is kept, by the rows that stood in the way of its own. Where none of them
+   * can be read its owner may know it; otherwise the caller is to ask again.
+   */
+  async function isKnown(rows: StoredRow[], { service, id }: JobSpec): Promise<boolean> {
+    if (rows.some(isKept)) return true
+    unread.note(id, UNREADABLE)
+    return (await owners.status(service, id)) !== undefined
+  }
+
+  /** The answer, and a line when it is for want of a row that can be read. */
+  function told<T>(id: string, answer: Answer<T>): Answer<T> {
+    const isUnread = answer.kind === 'unavailable' && answer.reason === UNREADABLE
+    if (isUnread) unread.note(id, UNREADABLE)
+    return answer
+  }
 
   /**
    * Writes a job's row. A write that went unanswered is repeated: its condition lets only
@@ -129,17 +164,21 @@
       return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS, reason }
     }
     const { committed } = res.value
+    const rowVersion = versionOfRow(res.value, job)
+    const others = res.value.committed ? [] : res.value.current
+    if (rowVersion === undefined && !(await isKnown(others, job))) {
+      return { kind: 'uncertain', reason: UNREADABLE }
+    }
     const { version } = configuration.current() ?? {}
     const fields = { job: id, queue: name, service, configuration: version }
     log.event('jobAccepted', { ...fields, again: !committed })
-    const rowVersion = versionOfRow(res.value, job)
     if (rowVersion !== undefined) owners.offer(job, rowVersion)
     return { kind: 'accepted' }
   }
 
   async function cancel(queue: Queue, id: string): Promise<Answer<undefined>> {
     for (;;) {
-      const found = await findStoredJob(store, queue, id)
+      const found = told(id, await findStoredJob(store, queue, id))
       if (found.kind !== 'ok') return found
       const { service, cancelled, outcome, version } = found.value
       if (outcome) return { kind: 'ok', value: undefined }
@@ -178,7 +217,7 @@
       const known = await owners.status(queue.service, id)
       const answer: Answer<JobStatus> = known
         ? { kind: 'ok', value: known }
-        : await readStoredStatus(store, queue, id)
+        : told(id, await readStoredStatus(store, queue, id))
       log.event('jobAnswered', { job: id, fromOwner: known !== undefined, ...answer })
       return answer
     },
--- a/src/front/storedJobs.ts
+++ b/src/front/storedJobs.ts
@@ -17,6 +17,9 @@
 /** When a refused caller should come back, in ms: about one renewal of a connection. */
 export const RETRY_AFTER_MS = 1000
 
+/** Why nothing is said of a job that is there: it is neither lost nor over for certain. */
+export const UNREADABLE = 'the row of the job cannot be read'
+
 /** An answer about a job or a queue. */
 export type Answer<T> =
   | { kind: 'ok'; value: T }
@@ -52,7 +55,7 @@
   const row = rows.value.rows[0]
   if (!row) return { kind: 'unknownJob' }
   const ended = decodeEnded(row.value)
-  if (!ended) return unavailable('the row of the job cannot be read')
+  if (!ended) return unavailable(UNREADABLE)
   const { service, outcome } = ended
   const cancelled = outcome === 'cancelled'
   return { kind: 'ok', value: { service, cancelled, version: 0, outcome } }
@@ -65,16 +68,21 @@
   id: string,
 ): Promise<Answer<StoredJob>> {
   const { table, part, key } = intakeKey(queue.name, id)
-  const range = keyRange(key, cancelKey(queue.name, id).key)
+  const cancel = cancelKey(queue.name, id)
+  const range = keyRange(key, cancel.key)
   const rows = await store.read(table, part, range)
   if (rows.isErr()) return unavailable(describeError(rows.error))
-  const entries = rows.value.rows.map((row) => decodeIntake(row.key, row.value))
-  const at = entries.findIndex((entry) => entry.kind === 'job')
-  const found = entries[at]
-  if (found?.kind !== 'job') return findEndedJob(store, queue, id)
-  const cancelled = entries.some((entry) => entry.kind === 'cancel')
-  const { version } = rows.value.rows[at]!
-  const { service } = found.job
+  const row = rows.value.rows.find((each) => each.key === key)
+  if (!row) return findEndedJob(store, queue, id)
+  const entry = decodeIntake(row, row.value)
+  if (entry.kind !== 'job') {
+    // Another writer may have put it beside the row of a job that is over.
+    const ended = await findEndedJob(store, queue, id)
+    return ended.kind === 'unknownJob' ? unavailable(UNREADABLE) : ended
+  }
+  const cancelled = rows.value.rows.some((each) => each.key === cancel.key)
+  const { version } = row
+  const { service } = entry.job
   return { kind: 'ok', value: { service, cancelled, version, outcome: undefined } }
 }
 
@@ -93,5 +101,7 @@
   if (rows.isErr()) return unavailable(describeError(rows.error))
   const row = rows.value.rows[0]
   const progress = row && decodeProgress(row.value)
+  // It may hold an outcome, which no other answer may contradict.
+  if (row && !progress) return unavailable(UNREADABLE)
   return { kind: 'ok', value: storedStatus(cancelled, progress) }
 }
--- /dev/null
+++ b/src/jobs/__tests__/rows.spec.ts
@@ -0,0 +1,83 @@
+/** Rows of jobs that no node of ours has written, or that were cut or mixed up since. */
+import fc from 'fast-check'
+import { describe, it } from '../../../test/describe.js'
+import { makeJob } from '../../../test/jobRig.js'
+import {
+  cancelKey,
+  createJob,
+  decodeEnded,
+  decodeIntake,
+  decodeProgress,
+  encodeJob,
+  intakeKey,
+  restoreProgress,
+} from '../index.js'
+
+const JOB = makeJob({ ms: 10 }, [{ count: 2 }, { count: 1, after: [0] }])
+const KEY = intakeKey(JOB.queue, JOB.id)
+const kindOf = (change: object, key = KEY): string =>
+  decodeIntake(key, JSON.stringify({ ...JOB, ...change })).kind
+
+describe('row of the intake', () => {
+  it('is read as it was written', (t) => {
+    t.deepEqual(decodeIntake(KEY, encodeJob(JOB)), { kind: 'job', id: JOB.id, job: JOB })
+    t.is(decodeIntake(cancelKey(JOB.queue, JOB.id), 'anything').kind, 'cancel')
+  })
+
+  const step = JOB.steps[0]!
+  const wrong: [what: string, change: object][] = [
+    ['a job of another id', { id: '00000000000000ff' }],
+    ['a job of another queue', { queue: 'other' }],
+    ['an id with a dot', { id: 'a.b' }],
+    ['no steps', { steps: [] }],
+    ['steps that wait for later ones', { steps: [{ ...step, after: [0] }] }],
+    // An owner that takes it on runs out of memory, and so does each of its successors.
+    ['a billion repetitions', { repetitions: 1e9 }],
+    ['millions of tasks', { steps: Array(200).fill({ ...step, count: 20_000 }) }],
+    ['half a task', { steps: [{ ...step, count: 0.5 }] }],
+    ['a text of a megabyte', { spec: 'x'.repeat(1 << 20) }],
+  ]
+  for (const [what, change] of wrong) {
+    it(`is no job with ${what}`, (t) => void t.is(kindOf(change), 'invalid'))
+  }
+
+  it('is no job in the part of another', (t) => {
+    t.is(kindOf({}, { ...KEY, part: 'queue/x' }), 'invalid')
+  })
+})
+
+describe('rows of jobs', () => {
+  it('never throw, nor make a job larger than it is, whatever their text', (t) => {
+    const text = fc.oneof(
+      fc.json(),
+      fc.string(),
+      fc.constant(encodeJob(JOB).slice(0, 60)),
+    )
+    fc.assert(
+      fc.property(text, (value) => {
+        decodeIntake(KEY, value)
+        decodeEnded(value)
+        decodeProgress(value)
+      }),
+    )
+    t.pass()
+  })
+
+  // Spread into the arguments of one call, so many numbers ended the takeover.
+  it('restore no progress that names more failed runs than there can be', (t) => {
+    const runs = Array.from({ length: 200_000 }, (_, run) => run)
+    const value = { done: {}, failedRuns: { '0.0.0': runs }, checkpoints: {} }
+    t.is(decodeProgress(JSON.stringify(value)), undefined)
+    const few = { ...value, failedRuns: { '0.0.0': runs.slice(0, 5), '7.7.7': [1] } }
+    const job = createJob(JOB, 0)
+    restoreProgress(job, decodeProgress(JSON.stringify(few))!)
+    t.is(job.occurrences[0]?.steps[0]?.tasks[0]?.failedRuns.size, 5)
+  })
+
+  it('hold no run that is no whole number', (t) => {
+    for (const run of [1e300, -1, 0.5, '1']) {
+      const value = { done: {}, failedRuns: { '0.0.0': [run] }, checkpoints: {} }
+      t.is(decodeProgress(JSON.stringify(value)), undefined)
+    }
+  })
+})
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -45,8 +45,14 @@
   ): Job
   /** Undefined when the job is not known. */
   cancel(id: string): Job | undefined
-  /** Tells that the runs of the previous owner are known. */
-  openGate(): void
+  /** Tells that the runs of the previous owner are known: of all jobs, or of one. */
+  openGate(only?: Job): void
+  /** Keeps the ends of a job that is there and cannot be taken on, until it is added. */
+  hold(id: string): void
+  /** The job is not waited for any more; returns the ends that were kept. */
+  release(id: string): HeldEnd[]
+  /** Whether the task is of a job that is held. */
+  isHeld(task: string): boolean
   /** Marks occurrences whose due time has come; returns ms until the next one. */
   markDue(): number | undefined
   /** A start was ordered. */
@@ -65,12 +71,20 @@
   task(name: string): Task | undefined
 }
 
+/** An end of a task whose job is not in the book yet. */
+interface HeldEnd {
+  targetId: string
+  end: ReportedEnd
+}
+
 /** Creates an empty book. */
 export function createJobBook(opts: JobBookOptions): JobBook {
   const jobs = new Map<string, Job>()
   const open = new Set<Job>()
   const ready = new Set<Task>()
   const timed = new Set<Job>()
+  /** Ends of jobs that are held, by id of the job. */
+  const held = new Map<string, HeldEnd[]>()
 
   const makeReady = (task: Task): void => {
     task.phase = 'ready'
@@ -167,6 +181,7 @@
       open.add(job)
       timed.add(job)
       book.markDue()
+      for (const { targetId, end } of book.release(spec.id)) book.applyEnd(targetId, end)
       return job
     },
     cancel(id) {
@@ -176,8 +191,8 @@
       finish(job, 'cancelled', 'cancelled by the caller')
       return job
     },
-    openGate() {
-      for (const job of jobs.values()) {
+    openGate(only) {
+      for (const job of only ? [only] : jobs.values()) {
         if (!job.gated) continue
         job.gated = false
         if (job.outcome) continue
@@ -185,6 +200,15 @@
       }
       opts.wake()
     },
+    hold(id) {
+      if (!jobs.has(id) && !held.has(id)) held.set(id, [])
+    },
+    release(id) {
+      const ends = held.get(id) ?? []
+      held.delete(id)
+      return ends
+    },
+    isHeld: (task) => held.has(jobIdOf(task)),
     markDue() {
       let next: number | undefined
       for (const job of timed) {
@@ -215,6 +239,7 @@
       if (task.phase === 'placed' && !task.step.job.outcome) makeReady(task)
     },
     applyEnd(targetId, end) {
+      held.get(jobIdOf(end.task))?.push({ targetId, end })
       const task = book.task(end.task)
       if (!task || task.step.job.outcome || task.phase === 'done') return undefined
       task.run = Math.max(task.run, end.run)
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -2,9 +2,11 @@
  * Rows of jobs in the store. An intake row, one per job, is written by the entry that
  * accepts it; a progress row by the owner of the job's service.
  */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
 import { z } from 'zod'
 import type { RowKey } from '../ports/index.js'
-import { jobSchema, outcomeSchema } from './schema.js'
+import { describeJobProblem, jobSchema, outcomeSchema } from './schema.js'
 import type { JobSpec, JobStatus } from './schema.js'
 import { parseJson } from '../shared/index.js'
 
@@ -58,6 +60,9 @@
   key: id,
 })
 
+/** Where a row lies within its table. */
+type PartAndKey = Pick<RowKey, 'part' | 'key'>
+
 /** What a row of the intake table says. */
 export type IntakeRow =
   | { kind: 'job'; id: string; job: JobSpec }
@@ -69,14 +74,32 @@
   return JSON.stringify(job)
 }
 
-/** Reads a row of the intake table. */
-export function decodeIntake(key: string, value: string): IntakeRow {
+/** The job that a row brings; the error says why it is none. */
+function decodeJob(row: PartAndKey, value: string): Result<JobSpec, string> {
+  const json = parseJson(value)
+  if (json === undefined) return err('not JSON')
+  const parsed = jobSchema.safeParse(json)
+  if (!parsed.success) return err(z.prettifyError(parsed.error))
+  const { id, queue } = parsed.data
+  if (id !== row.key || intakePart(queue, id) !== row.part)
+    return err('a job of another row')
+  const problem = describeJobProblem(parsed.data)
+  return problem === undefined ? ok(parsed.data) : err(problem)
+}
+
+/**
+ * Reads a row of the intake table. What no caller could have handed in is not a job: taken
+ * on, it would end its owner, or run beside the job whose id it bears.
+ */
+export function decodeIntake(row: PartAndKey, value: string): IntakeRow {
+  const { key } = row
   if (key.endsWith(CANCEL_SUFFIX)) {
     return { kind: 'cancel', id: key.slice(0, -CANCEL_SUFFIX.length) }
   }
-  const parsed = jobSchema.safeParse(parseJson(value))
-  if (parsed.success) return { kind: 'job', id: key, job: parsed.data }
-  return { kind: 'invalid', id: key, reason: z.prettifyError(parsed.error) }
+  return decodeJob(row, value).match<IntakeRow>(
+    (job) => ({ kind: 'job', id: key, job }),
+    (reason) => ({ kind: 'invalid', id: key, reason }),
+  )
 }
 
 /** What is kept of a job that is over. */
@@ -102,12 +125,15 @@
   return endedSchema.safeParse(parseJson(value)).data
 }
 
+/** Most failed runs of one task in a row: far more than any queue allows attempts. */
+const MAX_FAILED_RUNS = 10_000
+
 /** Progress of one job. Tasks are named by `OCCURRENCE.STEP.INDEX`. */
 const progressSchema = z.object({
   /** Done tasks by `OCCURRENCE.STEP`; `all` when the whole step is done. */
-  done: z.record(z.string(), z.union([z.literal('all'), z.array(z.number())])),
+  done: z.record(z.string(), z.union([z.literal('all'), z.array(z.int().min(0))])),
   /** Numbers of failed runs by task: counted once, however often an end is reported. */
-  failedRuns: z.record(z.string(), z.array(z.number())),
+  failedRuns: z.record(z.string(), z.array(z.int().min(0)).max(MAX_FAILED_RUNS)),
   /** Checkpoints of tasks that are not running, by task. */
   checkpoints: z.record(z.string(), z.string()),
   outcome: outcomeSchema.optional(),
--- a/src/jobs/schema.ts
+++ b/src/jobs/schema.ts
@@ -1,8 +1,14 @@
 /** What a caller hands in: a job of steps, each of equal tasks. */
 import { z } from 'zod'
+import { idSchema } from '../shared/index.js'
 
 /** Largest number of tasks of one job over all steps: keeps one caller from filling a node. */
 const MAX_TASKS_PER_JOB = 20_000
+/**
+ * Largest number of tasks over all repetitions: an owner keeps each of them in memory, about
+ * 0.3 kB each, and a job of more would end each owner in turn.
+ */
+const MAX_TASKS_OF_ALL_TIMES = 200_000
 /** Largest number of steps of one job. */
 const MAX_STEPS = 200
 /** Longest text that a job may pass to its tasks, in bytes. */
@@ -46,9 +52,12 @@
 /** One step of a job. */
 export type StepSpec = z.infer<typeof stepSchema>
 
+/** Names of tasks begin with the job's id and a dot. */
+const jobIdSchema = idSchema.regex(/^[^.]+$/, 'an id has no dot')
+
 /** An accepted job. */
 export const jobSchema = z.object({
-  id: z.string(),
+  id: jobIdSchema,
   queue: z.string(),
   /** Service whose targets run it, as configured when it was accepted. */
   service: z.string(),
@@ -84,6 +93,9 @@
     tasks += step.count
   }
   if (tasks > MAX_TASKS_PER_JOB) return `more than ${MAX_TASKS_PER_JOB} tasks`
+  if (tasks * job.repetitions > MAX_TASKS_OF_ALL_TIMES) {
+    return `more than ${MAX_TASKS_OF_ALL_TIMES} tasks over all repetitions`
+  }
   if (Buffer.byteLength(job.spec) > MAX_SPEC_BYTES) {
     return `spec is longer than ${MAX_SPEC_BYTES} bytes`
   }
--- a/src/scheduler/__tests__/takeover.spec.ts
+++ b/src/scheduler/__tests__/takeover.spec.ts
@@ -4,9 +4,16 @@
 import { INTAKE_TABLE, encodeJob, intakeKey } from '../../jobs/index.js'
 import type { RowStore } from '../../ports/index.js'
 import type { Authority } from '../../ownership/index.js'
-import { createMemoryLogger, createStopController, sleep } from '../../shared/index.js'
+import {
+  createMemoryLogger,
+  createStopController,
+  createUnreadRows,
+  sleep,
+} from '../../shared/index.js'
 import { createIntakeReading, readInheritedUntilDone } from '../takeover.js'
 
+const startUnread = () => createUnreadRows(createMemoryLogger(), INTAKE_TABLE)
+
 describe('createIntakeReading', () => {
   // A queue without rows is no part of the table: its first job makes it one.
   const cases: [name: string, queues: string[]][] = [
@@ -30,7 +37,7 @@
           return parts
         },
       }
-      const reading = createIntakeReading(store, SERVICE, createMemoryLogger())
+      const reading = createIntakeReading(store, SERVICE, startUnread())
       const intake = (await reading.next())._unsafeUnwrap()
       const changes = await direct.changes(INTAKE_TABLE, intake.version, 0)
       const later = changes._unsafeUnwrap().changes.map(({ key }) => key)
@@ -53,7 +60,7 @@
         return direct.read(name, part, range)
       },
     }
-    const reading = createIntakeReading(store, SERVICE, createMemoryLogger())
+    const reading = createIntakeReading(store, SERVICE, startUnread())
     t.true((await reading.next()).isErr())
     table.faults.refusedParts.clear()
     const intake = (await reading.next())._unsafeUnwrap()
@@ -79,7 +86,13 @@
     const { signal } = createStopController()
     const log = createMemoryLogger()
     const store = table.forNode('n')
-    const inherited = readInheritedUntilDone({ store, authority, log, signal })
+    const inherited = readInheritedUntilDone({
+      store,
+      authority,
+      log,
+      unread: startUnread(),
+      signal,
+    })
     return { table, job, state, inherited }
   }
 
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -32,6 +32,10 @@
 export const REFUSED_PAUSE_MS = 600
 /** Time between two looks at new jobs that no entry told us about. */
 export const INTAKE_POLL_MS = 1000
+/** Time between two looks at jobs that are held because a row of theirs cannot be read. */
+export const HELD_LOOK_MS = 1000
+/** Held jobs that a look reads at most: one read each, of the thousands a second of all nodes. */
+export const HELD_READS = 10
 /** Run numbers that each new owner leaves unused, for starts that it does not know of. */
 export const RUNS_PER_TERM = 1000
 /** Raised within one term when an order went unanswered. */
--- a/src/scheduler/finishedJobs.ts
+++ b/src/scheduler/finishedJobs.ts
@@ -17,6 +17,7 @@
 import type { RowKey, RowStore } from '../ports/index.js'
 import {
   createStopController,
+  createUnreadRows,
   describeError,
   monotonicMs,
   sleep,
@@ -93,6 +94,7 @@
   const { store, service, authority, book, log } = opts
   const stopping = createStopController()
   const startedAt = monotonicMs()
+  const unread = createUnreadRows(log, ENDED_TABLE)
   /** Jobs whose rows are still in the intake, by part of the store. */
   const toMove = new Map<string, Waiting<Finished>[]>()
   /** Jobs whose progress rows are not needed any more. */
@@ -177,9 +179,11 @@
     if (part === undefined) return
     const rows = await store.read(ENDED_TABLE, part)
     if (rows.isErr()) return noteFailure(rows.error)
-    const outdated = rows.value.rows.filter(({ value }) => {
+    const outdated = rows.value.rows.filter(({ key, value }) => {
       const ended = decodeEnded(value)
-      return ended === undefined || isOutdated(ended.endedAtMs)
+      // Its age is not known: a caller may still ask, and is not told that there is no job.
+      if (!ended) unread.note(key, 'it stays until it is removed by hand')
+      return ended !== undefined && isOutdated(ended.endedAtMs)
     })
     const some = outdated.slice(0, REMOVALS_PER_WRITE)
     if (some.length > 0 && !(await commit([], some))) return
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -10,9 +10,10 @@
 import type { Authority } from '../ownership/index.js'
 import type { RowStore } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
-import type { Logger } from '../shared/index.js'
+import type { Logger, UnreadRows } from '../shared/index.js'
 import { INTAKE_POLL_MS } from './constants.js'
 import type { DemandMeter } from './demand.js'
+import type { HeldJobs } from './heldJobs.js'
 import { createIntakeReading } from './takeover.js'
 
 /**
@@ -53,6 +54,9 @@
   authority: Authority
   book: JobBook
   demand: DemandMeter
+  held: HeldJobs
+  /** Rows of the intake that cannot be read. */
+  unread: UnreadRows
   log: Logger
   /** A job has been taken on. */
   taken(): void
@@ -62,7 +66,7 @@
 
 /** Creates the intake of one owner; nothing is followed yet. */
 export function createNewJobs(opts: NewJobsOptions): NewJobs {
-  const { store, service, authority, book, demand, log } = opts
+  const { store, service, authority, book, demand, held, unread, log } = opts
   /** Jobs that came while the ownership was not confirmed. */
   const offered = new Map<string, JobSpec>()
   /** Jobs that were cancelled before they came; of any service, so some never do. */
@@ -77,7 +81,7 @@
    * and does not wait for this owner with jobs that came after the takeover.
    */
   function take(job: JobSpec): void {
-    if (book.jobs.has(job.id)) return
+    if (book.jobs.has(job.id) || held.learn(job)) return
     if (!authority.isConfirmed()) {
       offered.set(job.id, job)
       return
@@ -107,27 +111,32 @@
 
   /** A request to cancel may come before the job that it is for; false in that case. */
   function cancel(id: string): boolean {
-    if (book.cancel(id)) return true
+    if (held.cancel(id) || book.cancel(id)) return true
     cancelledEarly.add(id)
     return false
   }
 
-  function applyRow(key: string, value: string | undefined): void {
-    if (value === undefined) return forgetRow(key)
-    const entry = decodeIntake(key, value)
-    if (entry.kind === 'cancel') cancel(entry.id)
-    if (entry.kind === 'job' && entry.job.service === service) take(entry.job)
+  function applyRow(part: string, key: string, value: string | undefined): void {
+    if (value === undefined) return forgetRow(part, key)
+    const entry = decodeIntake({ part, key }, value)
+    if (entry.kind === 'cancel') return void cancel(entry.id)
+    // A job that is in the book goes on: its row does not change once it is written.
+    if (entry.kind === 'invalid') return unread.note(key, entry.reason)
+    unread.clear(key)
+    if (entry.job.service === service) take(entry.job)
   }
 
   /** A request whose row has been cleared is for no job that may still come. */
-  function forgetRow(key: string): void {
-    const entry = decodeIntake(key, '')
-    if (entry.kind === 'cancel') cancelledEarly.delete(entry.id)
+  function forgetRow(part: string, key: string): void {
+    const entry = decodeIntake({ part, key }, '')
+    if (entry.kind === 'cancel') return void cancelledEarly.delete(entry.id)
+    unread.clear(key)
+    held.drop(entry.id)
   }
 
   /** Reads the whole intake again; the version to continue from, undefined on failure. */
   async function readAgain(): Promise<number | undefined> {
-    const all = await createIntakeReading(store, service, log).next()
+    const all = await createIntakeReading(store, service, unread).next()
     if (all.isErr()) return undefined
     for (const job of all.value.jobs) take(job)
     for (const id of all.value.cancels) cancel(id)
@@ -159,7 +168,7 @@
         waitMs: 0,
         pauseMs: INTAKE_POLL_MS,
         log,
-        onRow: (_part, key, value) => applyRow(key, value),
+        onRow: applyRow,
         onGap: readAgain,
       })
     },
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -6,7 +6,13 @@
 import { z } from 'zod'
 import type { RowKey, RowStore, StoredRow } from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
-import { describeError, jittered, sleep, parseJson } from '../shared/index.js'
+import {
+  addressSchema,
+  describeError,
+  jittered,
+  parseJson,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
 
@@ -14,16 +20,24 @@
 /** Rows per write, of the store's 100 with the epoch's condition. */
 const MAX_BATCH = 90
 
-const entrySchema = z.object({ address: z.string() })
+const entrySchema = z.object({ address: addressSchema })
 
+/** A target that tasks may be started on. */
 export interface RosterEntry {
   id: string
   address: string
 }
 
-export function decodeRosterEntry(row: StoredRow): RosterEntry | undefined {
-  const parsed = entrySchema.safeParse(parseJson(row.value))
-  return parsed.success ? { id: row.key, address: parsed.data.address } : undefined
+/** A target that a predecessor may have started tasks on. */
+export interface InheritedEntry {
+  id: string
+  /** Undefined where the row cannot be read: its key alone says that tasks may run there. */
+  address: string | undefined
+}
+
+export function decodeRosterEntry({ key, value }: StoredRow): InheritedEntry {
+  const parsed = entrySchema.safeParse(parseJson(value))
+  return { id: key, address: parsed.data?.address }
 }
 
 export interface Roster {
@@ -32,19 +46,23 @@
   add(entry: RosterEntry): void
   /** Its tasks are known to be dead. */
   remove(id: string): void
+  /** Removes inherited rows that cannot be read: whatever ran on their targets is over. */
+  removeUnread(): void
   stop(): void
 }
 
 export function createRoster(opts: {
   store: RowStore
   authority: Authority
-  entries: RosterEntry[]
+  entries: InheritedEntry[]
   log: Logger
   /** Entries have become durable. */
   added(): void
 }): Roster {
   const { store, authority, log } = opts
-  const durable = new Set(opts.entries.map(({ id }) => id))
+  const isRead = ({ address }: InheritedEntry): boolean => address !== undefined
+  const durable = new Set(opts.entries.filter(isRead).map(({ id }) => id))
+  const unread = opts.entries.filter((each) => !isRead(each)).map(({ id }) => id)
   const adding = new Map<string, RosterEntry>()
   const removing = new Set<string>()
   let running = false
@@ -110,6 +128,12 @@
       removing.add(id)
       void run()
     },
+    removeUnread() {
+      for (const id of unread.splice(0)) {
+        if (!durable.has(id) && !adding.has(id)) removing.add(id)
+      }
+      void run()
+    },
     stop: () => void (stopped = true),
   }
 }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -4,10 +4,15 @@
  */
 import type { Advice, RowStore, TargetOrders, VmCloud } from '../ports/index.js'
 import type { ConfigurationHolder, TargetList } from '../directory/index.js'
-import { createJobBook, statusOf } from '../jobs/index.js'
+import { INTAKE_TABLE, createJobBook, statusOf } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
 import type { Authority, Owner } from '../ownership/index.js'
-import { createStopController, monotonicMs, sleep } from '../shared/index.js'
+import {
+  createStopController,
+  createUnreadRows,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { FleetAnswer, ServiceReport } from '../vms/types.js'
 import { FLEET_ANSWER_WAIT_MS, HOUSEKEEPING_MS, PLAN_GAP_MS } from './constants.js'
@@ -16,6 +21,7 @@
 import { createFinishedJobs } from './finishedJobs.js'
 import { createHealth } from './health.js'
 import { closeLapsed, emptyLeaving } from './leavingTargets.js'
+import { createHeldJobs } from './heldJobs.js'
 import { createLifeCheck } from './lifeCheck.js'
 import { createNewJobs } from './newJobs.js'
 import { createProgressWriter } from './progressWriter.js'
@@ -137,12 +143,17 @@
   const health = createHealth({ runTimes, agentCount: () => agents.size, log })
   const tickets = createTickets({ advice: opts.advice, log, changed: wake })
   const lifeCheck = createLifeCheck(opts.cloud, log)
+  const unread = createUnreadRows(log, INTAKE_TABLE)
+  const isGateOpen = (): boolean => gateOpen
+  const held = createHeldJobs({ store, service, authority, book, log, isGateOpen })
   const newJobs = createNewJobs({
     store,
     service,
     authority,
     book,
     demand,
+    held,
+    unread,
     log,
     taken: wake,
     arrived() {
@@ -150,7 +161,13 @@
     },
   })
   const { signal } = stopping
-  const inherited = await readInheritedUntilDone({ store, authority, log, signal })
+  const inherited = await readInheritedUntilDone({
+    store,
+    authority,
+    log,
+    unread,
+    signal,
+  })
   const roster = createRoster({
     store,
     authority,
@@ -177,7 +194,7 @@
     progress,
     changed: wake,
   })
-  adoptJobs(book, inherited)
+  adoptJobs(book, held, inherited)
   for (const job of book.jobs.values()) if (job.durableOutcome) finished.add(job)
   finished.addLeftover(leftoverProgress(inherited))
   demand.inherited(book.jobs, monotonicMs(), Date.now())
@@ -204,8 +221,9 @@
 
   /** Lets inherited tasks start once every target of the predecessor has been settled. */
   function openGateOnceSettled(): void {
-    if (gateOpen || !allAgents().every((agent) => agent.isSettled())) return
+    if (gateOpen || !follower.isSettled()) return
     gateOpen = true
+    roster.removeUnread()
     log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
     book.openGate()
   }
@@ -266,7 +284,7 @@
       roster.stop()
       await progress.stop(handOver)
       await Promise.all(allAgents().map((agent) => agent.close()))
-      await Promise.all([intake.stop(), housekeeping, finished.stop()])
+      await Promise.all([intake.stop(), housekeeping, finished.stop(), held.stop()])
     },
   }
 }
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -10,11 +10,12 @@
 } from '../jobs/index.js'
 import type { JobBook, JobSpec, Progress } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import { describeError, jittered, sleep } from '../shared/index.js'
-import type { Logger, PlatformError } from '../shared/index.js'
+import { createUnreadRows, describeError, jittered, sleep } from '../shared/index.js'
+import type { Logger, PlatformError, UnreadRows } from '../shared/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
+import type { HeldJobs } from './heldJobs.js'
 import { ROSTER_TABLE, decodeRosterEntry } from './roster.js'
-import type { RosterEntry } from './roster.js'
+import type { InheritedEntry } from './roster.js'
 
 /**
  * Parts that are read at the same time. Each takes a connection to the store, whose answers
@@ -27,6 +28,8 @@
   jobs: JobSpec[]
   /** Ids of jobs to cancel, of whichever service. */
   cancels: string[]
+  /** Ids of jobs, of whichever service, whose rows cannot be read. */
+  unread: string[]
   /**
    * Version to continue from. A job whose row was written before and is not among the jobs
    * is over.
@@ -37,7 +40,9 @@
 /** What a predecessor has left in the store. */
 export interface Inherited extends Intake {
   progress: Map<string, { progress: Progress; version: number }>
-  roster: RosterEntry[]
+  /** Ids of jobs whose progress cannot be read. */
+  progressUnread: Set<string>
+  roster: InheritedEntry[]
 }
 
 /** A reading that keeps what it has read, so that a try after a failure goes on from there. */
@@ -45,21 +50,36 @@
   next(): Promise<Result<T, PlatformError>>
 }
 
+/** What an owner knows that has lost its service before it had read anything. */
+const NOTHING_INHERITED: Inherited = {
+  jobs: [],
+  cancels: [],
+  unread: [],
+  version: 0,
+  progress: new Map(),
+  progressUnread: new Set(),
+  roster: [],
+}
+
 /** Reads the intake of all queues; later changes come after `version`. */
 export function createIntakeReading(
   store: RowStore,
   service: string,
-  log: Logger,
+  unread: UnreadRows,
 ): Reading<Intake> {
-  const intake: Intake = { jobs: [], cancels: [], version: 0 }
+  const intake: Intake = { jobs: [], cancels: [], unread: [], version: 0 }
   let left: string[] | undefined
 
   function addRow(row: StoredRow): void {
-    const entry = decodeIntake(row.key, row.value)
-    if (entry.kind === 'cancel') intake.cancels.push(entry.id)
-    else if (entry.kind === 'invalid')
-      log.event('rowInvalid', { key: row.key, reason: entry.reason })
-    else if (entry.job.service === service) intake.jobs.push(entry.job)
+    const entry = decodeIntake(row, row.value)
+    if (entry.kind === 'cancel') return void intake.cancels.push(entry.id)
+    if (entry.kind === 'job') {
+      unread.clear(row.key)
+      if (entry.job.service === service) intake.jobs.push(entry.job)
+      return
+    }
+    unread.note(row.key, entry.reason)
+    intake.unread.push(entry.id)
   }
 
   async function listParts(): Promise<Result<string[], PlatformError>> {
@@ -114,28 +134,37 @@
   }
 }
 
+/** The progress of jobs, and the ids of those whose row cannot be read. */
+type InheritedProgress = Pick<Inherited, 'progress' | 'progressUnread'>
+
 async function readProgress(
   store: RowStore,
   service: string,
   log: Logger,
-): Promise<Result<Inherited['progress'], PlatformError>> {
+): Promise<Result<InheritedProgress, PlatformError>> {
   const rows = await store.read(PROGRESS_TABLE, service)
   if (rows.isErr()) return err(rows.error)
+  const unread = createUnreadRows(log, PROGRESS_TABLE)
   const progress: Inherited['progress'] = new Map()
-  for (const row of rows.value.rows) {
-    const decoded = decodeProgress(row.value)
-    if (decoded) progress.set(row.key, { progress: decoded, version: row.version })
-    else log.event('rowInvalid', { table: PROGRESS_TABLE, key: row.key })
+  const progressUnread = new Set<string>()
+  for (const { key, value, version } of rows.value.rows) {
+    const decoded = decodeProgress(value)
+    if (decoded) {
+      progress.set(key, { progress: decoded, version })
+      continue
+    }
+    progressUnread.add(key)
+    unread.note(key, 'its job is held until the row can be read or is removed')
   }
-  return ok(progress)
+  return ok({ progress, progressUnread })
 }
 
 async function readRoster(
   store: RowStore,
   service: string,
-): Promise<Result<RosterEntry[], PlatformError>> {
+): Promise<Result<InheritedEntry[], PlatformError>> {
   const roster = await store.read(ROSTER_TABLE, service)
-  return roster.map(({ rows }) => rows.flatMap((row) => decodeRosterEntry(row) ?? []))
+  return roster.map(({ rows }) => rows.map(decodeRosterEntry))
 }
 
 /** Reads progress and roster first under the new epoch, then the intake. */
@@ -143,10 +172,11 @@
   store: RowStore,
   service: string,
   log: Logger,
+  unread: UnreadRows,
 ): Reading<Inherited> {
   const progress = once(() => readProgress(store, service, log))
   const roster = once(() => readRoster(store, service))
-  const intake = createIntakeReading(store, service, log)
+  const intake = createIntakeReading(store, service, unread)
   return {
     async next() {
       const known = await progress()
@@ -156,7 +186,7 @@
       const jobs = await intake.next()
       return jobs.map((each) => ({
         ...each,
-        progress: known.value,
+        ...known.value,
         roster: entries.value,
       }))
     },
@@ -173,32 +203,40 @@
   store: RowStore
   authority: Authority
   log: Logger
+  /** Rows of the intake that cannot be read. */
+  unread: UnreadRows
   signal: AbortSignal
 }): Promise<Inherited> {
-  const { store, authority, log, signal } = opts
+  const { store, authority, log, unread, signal } = opts
   const { service } = authority
-  const reading = createInheritedReading(store, service, log)
+  const reading = createInheritedReading(store, service, log, unread)
   for (;;) {
     const res = await reading.next()
     if (res.isOk()) return res.value
     log.event('takeoverWaits', { service, reason: describeError(res.error) })
     if (signal.aborted || authority.isLost()) {
-      return { jobs: [], cancels: [], version: 0, progress: new Map(), roster: [] }
+      return NOTHING_INHERITED
     }
     await sleep(jittered(FLUSH_RETRY_MS), signal)
   }
 }
 
-/** Adds the predecessor's jobs; their tasks wait until its targets have been heard. */
-export function adoptJobs(book: JobBook, inherited: Inherited): void {
-  for (const job of inherited.jobs) {
-    book.add(job, { ...inherited.progress.get(job.id), gated: true })
+/**
+ * Adds the predecessor's jobs; their tasks wait until its targets have been heard. A job
+ * without its progress would run anew what is done: it is held.
+ */
+export function adoptJobs(book: JobBook, held: HeldJobs, inherited: Inherited): void {
+  const { jobs, progress, progressUnread, unread } = inherited
+  for (const id of unread) held.hold(id)
+  for (const job of jobs) {
+    if (progressUnread.has(job.id)) held.hold(job.id, job)
+    else book.add(job, { ...progress.get(job.id), gated: true })
   }
-  for (const id of inherited.cancels) book.cancel(id)
+  for (const id of inherited.cancels) if (!held.cancel(id)) book.cancel(id)
 }
 
 /** Ids of progress rows whose jobs have left the intake, so that nobody needs them. */
-export function leftoverProgress({ jobs, progress }: Inherited): string[] {
-  const open = new Set(jobs.map(({ id }) => id))
+export function leftoverProgress({ jobs, unread, progress }: Inherited): string[] {
+  const open = new Set([...jobs.map(({ id }) => id), ...unread])
   return [...progress.keys()].filter((id) => !open.has(id))
 }
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -12,7 +12,8 @@
 import { CLOCK_SKEW, LEASE_MARGIN_MS, TASK_LEASE_MS } from './constants.js'
 import type { Health } from './health.js'
 import type { ProgressWriter } from './progressWriter.js'
-import type { Roster, RosterEntry } from './roster.js'
+import { ROSTER_TABLE } from './roster.js'
+import type { InheritedEntry, Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
 import { createTargetAgent } from './targetAgent.js'
 import type { TargetAgent } from './targetAgent.js'
@@ -21,7 +22,9 @@
 /** Follows the targets of one service. */
 export interface TargetFollower {
   /** Opens agents for the targets of the predecessor's roster, not listed until they are. */
-  inherit(entries: RosterEntry[]): void
+  inherit(entries: InheritedEntry[]): void
+  /** Whether all that the predecessor may have started is known, or over for certain. */
+  isSettled(): boolean
   /** Follows the list: opens agents for new targets, notes those that leave. */
   follow(): void
 }
@@ -51,6 +54,11 @@
   /** Lives that are over, with the address that said so, while the list still shows them. */
   const goneLives = new Map<string, string>()
 
+  /** Targets of the predecessor's roster. */
+  const inherited = new Set<string>()
+  /** Steady time at which all is over on its targets that nobody can name, in ms. */
+  let namelessOverAt = -Infinity
+
   /** Time that unknown runs of the predecessor may last, in ms. */
   const inheritedLeaseMs =
     (authority.predecessorMayLive ? GRACE_MS : 0) +
@@ -79,6 +87,22 @@
     void agent.close()
   }
 
+  /** Whether runs of the predecessor, or of a closed agent of ours, may be there. */
+  const mayHaveRuns = (id: string): boolean => inherited.has(id) || roster.has(id)
+
+  /** Opens the agent of a target that the roster names, by its address or by the list's. */
+  function openInherited({ id, address }: InheritedEntry): void {
+    inherited.add(id)
+    const found = address ?? targets.byId().get(id)?.address
+    if (found !== undefined) {
+      open(unlistedTarget(id, found, service)).listed = false
+      return
+    }
+    namelessOverAt = monotonicMs() + inheritedLeaseMs
+    const reason = 'inherited tasks wait until what may run there is over'
+    log.event('rowInvalid', { table: ROSTER_TABLE, key: id, reason })
+  }
+
   function open(target: Target): TargetAgent {
     const agent = createTargetAgent({
       target,
@@ -86,7 +110,7 @@
       book: opts.book,
       authority,
       progress: opts.progress,
-      inheritedLeaseMs: roster.has(target.id) ? inheritedLeaseMs : 0,
+      inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
       changed: opts.changed,
       ticketRefused: (step, id) => opts.tickets.drop(step, id),
@@ -127,10 +151,10 @@
     targets.byId().has(id) || targets.unreadableSince(id) !== undefined
 
   return {
-    inherit(entries) {
-      for (const { id, address } of entries)
-        open(unlistedTarget(id, address, service)).listed = false
-    },
+    inherit: (entries) => entries.forEach(openInherited),
+    isSettled: () =>
+      monotonicMs() >= namelessOverAt &&
+      [...agents.values()].every((agent) => agent.isSettled()),
     follow() {
       const listed = targets.byId()
       for (const target of listed.values()) {
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -106,6 +106,8 @@
 
   /** A run that we did not order: of our predecessor, or an order done late. */
   function adopt({ task: name, run }: ReportedRun): void {
+    // Whether it is wanted is known once its job can be read; it goes on till then.
+    if (book.isHeld(name)) return
     const task = book.task(name)
     const wanted = task && (task.phase === 'ready' || task.phase === 'blocked')
     if (task && wanted && !task.step.job.outcome) {
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -100,6 +100,7 @@
     'info',
     'job was refused for want of the store; its work is expected',
   ),
+  jobHeld: spec('RS-8060', 'error', 'job waits: its progress cannot be read'),
   jobEnded: spec('RS-8004', 'info', 'job has reached its outcome'),
   jobSettled: spec('RS-8005', 'info', 'outcome of the job is durable'),
   jobCancelled: spec('RS-8006', 'info', 'request to cancel a job is durable'),
