fix(ownership): rows of nodes, epochs, waves and operators are told of once, and bounded

Cause: an epoch row that could not be read wrote a line at each claim (7 a second), a node's row one at each of its renewals; a wave's row that could not be read was taken for empty without a word; an address or a lease beyond all sense was taken from a node's row, and a reason could be as long as the document.

Change: one line for each row and change, cut short (createUnreadRows); node rows need an address that can be called and a lease of 10 min at most; terms are whole numbers.

--- a/src/directory/configurationHolder.ts
+++ b/src/directory/configurationHolder.ts
@@ -1,6 +1,6 @@
 /** The configuration in force on this node, and the waves that the operators ask for. */
 import type { Configuration, Documents, Queue, RowStore, Wave } from '../ports/index.js'
-import { describeError } from '../shared/index.js'
+import { createUnreadRows } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createRowMirror } from './rowMirror.js'
 
@@ -33,6 +33,7 @@
   const { documents, log } = opts
   const listeners: (() => void)[] = []
   const waves = new Map<string, Wave>()
+  const unread = createUnreadRows(log, documents.table)
   let current: Configuration | undefined
   let byHost = new Map<string, Queue[]>()
   let byName = new Map<string, Queue>()
@@ -45,12 +46,9 @@
       previous: current?.version,
       queues: next.queues.length,
     })
-    const { unread } = next
-    if (unread.length > 0)
-      log.event('rowInvalid', {
-        key: documents.configurationKey,
-        reason: unread.join('; '),
-      })
+    if (next.unread.length > 0) {
+      unread.note(documents.configurationKey, next.unread.join('; '))
+    } else unread.clear(documents.configurationKey)
     current = next
     byName = new Map(next.queues.map((queue) => [queue.name, queue]))
     byHost = new Map()
@@ -66,10 +64,15 @@
   }
 
   const readWave = (key: string, value: string | undefined): void => {
-    if (value === undefined) return void waves.delete(key)
+    if (value === undefined) {
+      unread.clear(key)
+      return void waves.delete(key)
+    }
     const wave = documents.decodeWave(value)
-    if (wave.isOk()) waves.set(key, wave.value)
-    else log.event('rowInvalid', { key, reason: describeError(wave.error) })
+    // What was asked for stays asked for: only a row that can be read changes it.
+    if (wave.isErr()) return unread.note(key, wave.error.message)
+    unread.clear(key)
+    waves.set(key, wave.value)
   }
 
   const mirror = createRowMirror({
@@ -84,7 +87,7 @@
       if (key !== documents.configurationKey || value === undefined) return
       const next = documents.decodeConfiguration(value)
       if (next.isOk()) adopt(next.value)
-      else log.event('rowInvalid', { key, reason: describeError(next.error) })
+      else unread.note(key, next.error.message)
     },
     onBatch() {
       for (const listener of listeners) listener()
--- a/src/ownership/epochRow.ts
+++ b/src/ownership/epochRow.ts
@@ -12,7 +12,7 @@
   node: z.string(),
   life: z.string(),
   /** Rises with each owner; fences the orders of earlier ones. */
-  term: z.number(),
+  term: z.int().min(0),
 })
 /** What an epoch row says. */
 export type EpochRow = z.infer<typeof epochSchema>
--- a/src/ownership/memberBook.ts
+++ b/src/ownership/memberBook.ts
@@ -3,6 +3,7 @@
  * longer than its lease, on our own steady clock, does not.
  */
 import type { RowChange } from '../ports/index.js'
+import { createUnreadRows } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { RETURN_MS, TAKEOVER_MARGIN_MS } from './constants.js'
 import { NODES_TABLE, decodeNode } from './nodeRow.js'
@@ -53,6 +54,7 @@
 }): MemberBook {
   const { self, log, now } = opts
   const members = new Map<string, Member>()
+  const unread = createUnreadRows(log, NODES_TABLE)
   /** Start of the last reading, and of the first one since the last gap. */
   let readAt = -Infinity
   let steadySince = -Infinity
@@ -66,11 +68,14 @@
     const known = members.get(row.key)
     if (known && known.version >= row.version) return
     if (row.value === undefined) {
+      unread.clear(row.key)
       if (known?.part === row.part) members.delete(row.key)
       return
     }
     const node = decodeNode(row.value)
-    if (!node) return log.event('rowInvalid', { table: NODES_TABLE, key: row.key })
+    // A node that lives writes its row anew within its lease.
+    if (!node) return unread.note(row.key, 'counts as not renewed')
+    unread.clear(row.key)
     if (!known && readAt > -Infinity)
       log.event('nodeSeen', { seen: row.key, life: node.life })
     const { part, version } = row
--- a/src/ownership/nodeRow.ts
+++ b/src/ownership/nodeRow.ts
@@ -1,16 +1,19 @@
 /** Rows of nodes: what each node says of itself. */
 import { z } from 'zod'
-import { parseJson } from '../shared/index.js'
+import { addressSchema, parseJson } from '../shared/index.js'
 import { NODE_LEASE_MS } from './constants.js'
 
 /** One row per node; part and key are the node's id. */
 export const NODES_TABLE = 'nodes'
 
+/** Longest lease that a row may claim, in ms: that of one node among 4,000 that own nothing. */
+const MAX_LEASE_MS = 600_000
+
 const nodeSchema = z.object({
   /** Changes at each start of the process. */
   life: z.string(),
   /** Where other nodes reach it. */
-  address: z.string(),
+  address: addressSchema,
   hall: z.string(),
   /**
    * What it can carry as an owner, 1 for a whole core with a link that does not bind. Of 43
@@ -19,7 +22,7 @@
    */
   room: z.number().positive().default(1),
   /** Time for which it counts as alive after this row was written, in ms. */
-  leaseMs: z.number().positive().default(NODE_LEASE_MS),
+  leaseMs: z.number().positive().max(MAX_LEASE_MS).default(NODE_LEASE_MS),
   /** Services that it owns. */
   owns: z.array(z.string()),
   /** It stops soon and takes nothing on. */
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -6,6 +6,7 @@
 import type { RowStore } from '../ports/index.js'
 import {
   createStopController,
+  createUnreadRows,
   describeError,
   jittered,
   monotonicMs,
@@ -65,6 +66,7 @@
   const claiming = new Set<string>()
   /** Versions of the epoch rows of others, with the steady times at which they were first read. */
   const epochsSeen = new Map<string, { version: number; at: number }>()
+  const unread = createUnreadRows(log, EPOCH_TABLE)
   const { id, life } = registry.self
   let releasing = false
 
@@ -98,8 +100,8 @@
     const stored = found.value.rows[0]
     const before = stored && decodeEpoch(stored.value)
     // Without its term, ours would not be the higher one, and targets would fence us.
-    if (stored && !before)
-      return log.event('rowInvalid', { table: EPOCH_TABLE, key: service })
+    if (stored && !before) return unread.note(service, 'nobody may own the service')
+    unread.clear(service)
     // Its row may have been renewed since the changes were read.
     if (before && before.node !== '' && !(await registry.reread(before.node))) return
     const unownedMs =
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -6,7 +6,12 @@
 import { keyRange } from '../ports/index.js'
 import type { Documents, RowKey, RowStore, Vm, Wave } from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
-import { describeError, monotonicMs, parseJson } from '../shared/index.js'
+import {
+  createUnreadRows,
+  describeError,
+  monotonicMs,
+  parseJson,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 
 /** Progress of waves; the part is the fleet's. */
@@ -54,6 +59,7 @@
 }): WaveBook {
   const { store, authority, status, log } = opts
   const waves = new Map<number, WaveProgress>()
+  const unread = createUnreadRows(log, WAVES_TABLE)
 
   const rowKey = (id: number): RowKey => ({
     table: WAVES_TABLE,
@@ -71,7 +77,10 @@
       })
     }
     const row = rows.value.rows[0]
-    const begun = new Set(row && decodeWaveRow(row.value)?.begun)
+    const known = row && decodeWaveRow(row.value)
+    // Asked again, the cloud does what it has done already at once: no VM is left out.
+    if (row && !known) unread.note(row.key, 'its VMs are ordered again')
+    const begun = new Set(known?.begun)
     const seenAt = monotonicMs()
     waves.set(wave.id, { wave, begun, seenAt, status: 'new', dirty: false })
     log.event('waveSeen', { wave: wave.id, vms: wave.vms.length, begun: begun.size })
