fix(scheduler): a step is long by nature only where others get on as usual

Change: a step as slow elsewhere speaks for the job only if other jobs get on there as usual; else nothing is known, and a run is moved once.

--- a/src/scheduler/badRuns.ts
+++ b/src/scheduler/badRuns.ts
@@ -26,8 +26,11 @@
 const SPEED_AFTER_MS = 1200
 /** Slow tasks at the same time that bring a target under suspicion. */
 const SUSPECT_SLOW = 2
-/** A task is moved so often for being slow: each move throws away what it has done. */
-const MAX_SLOW_MOVES = 2
+/**
+ * A task is moved so often for being slow, by whose fault that is: each move throws away what
+ * it has done, and one whose fault is not known tells by being slow again.
+ */
+const MAX_SLOW_MOVES: Record<Verdict, number> = { target: 2, unclear: 1, job: 0 }
 /** Time for which the speed of a run that is done speaks for its target, in ms. */
 const RECENT_MS = 8000
 /** Runs done that are kept for each target. */
@@ -60,8 +63,13 @@
   at: number
 }
 
+/** Whose fault it is that a run is slow. */
 type Verdict = 'target' | 'job' | 'unclear'
 
+interface SlowRun extends BadRun {
+  verdict: Verdict
+}
+
 interface Progress {
   percent: number
   since: number
@@ -107,21 +115,30 @@
   const recentlyDone = (agent: TargetAgent): Pace[] =>
     (done.get(agent) ?? []).filter(({ at }) => monotonicMs() - at < RECENT_MS)
 
-  /**
-   * Whose fault it is that a step is slow on a target. Without anything to compare it with,
-   * a second target on which it is slow too speaks for the job.
-   */
+  /** How other jobs, that are not long by nature, get on there. */
+  const othersOn = (agent: TargetAgent, step: Step, all: Pace[]): Pace[] =>
+    all.filter(
+      (each) =>
+        each.agent === agent && each.step.job !== step.job && !longSteps.has(each.step),
+    )
+
+  const isUsualFor = (others: Pace[]): boolean =>
+    others.length > 0 && medianOf(others) >= USUAL_PACE
+
+  /** Whether the step is as bad on another target, where other jobs get on as usual. */
+  const isBadWhereOthersAreNot = (step: Step, agent: TargetAgent, all: Pace[]): boolean =>
+    [...(badOn.get(step) ?? [])].some(
+      (other) => other !== agent && isUsualFor(othersOn(other, step, all)),
+    )
+
+  /** Whose fault it is that a step is slow on a target. */
   function judge({ step, pace, agent }: Pace, all: Pace[]): Verdict {
     if (longSteps.has(step)) return 'job'
     const elsewhere = all.filter((each) => each.step === step && each.agent !== agent)
     if (elsewhere.some((each) => each.pace >= pace * FASTER)) return 'target'
-    const others = all.filter(
-      (each) =>
-        each.agent === agent && each.step.job !== step.job && !longSteps.has(each.step),
-    )
-    if (others.length > 0) return medianOf(others) >= USUAL_PACE ? 'job' : 'target'
-    const alsoBadOn = [...(badOn.get(step) ?? [])].some((other) => other !== agent)
-    return elsewhere.length > 0 || alsoBadOn ? 'job' : 'unclear'
+    const others = othersOn(agent, step, all)
+    if (others.length > 0) return isUsualFor(others) ? 'job' : 'target'
+    return isBadWhereOthersAreNot(step, agent, all) ? 'job' : 'unclear'
   }
 
   function noteBad(step: Step, agent: TargetAgent): void {
@@ -136,8 +153,8 @@
   }
 
   /** Runs on one target that are slow through no fault of their own. */
-  function slowRuns(agent: TargetAgent, all: Pace[]): BadRun[] {
-    const found: BadRun[] = []
+  function slowRuns(agent: TargetAgent, all: Pace[]): SlowRun[] {
+    const found: SlowRun[] = []
     for (const placement of agent.placements.values()) {
       const { task, percent } = placement
       const own = paceOf(agent, placement)
@@ -146,7 +163,7 @@
       const verdict = judge(own, all)
       noteBad(task.step, agent)
       if (verdict === 'job') longSteps.add(task.step)
-      else found.push({ agent, placement, task })
+      else found.push({ agent, placement, task, verdict })
     }
     return found
   }
@@ -164,13 +181,8 @@
   }
 
   /** Whether a step stands still on a second target while others get on there. */
-  function hangsByItself(step: Step, agent: TargetAgent, all: Pace[]): boolean {
-    const alsoBadOn = [...(badOn.get(step) ?? [])].some((other) => other !== agent)
-    const others = all.filter(
-      (each) => each.agent === agent && each.step.job !== step.job,
-    )
-    return alsoBadOn && others.length > 0 && medianOf(others) >= USUAL_PACE
-  }
+  const hangsByItself = (step: Step, agent: TargetAgent, all: Pace[]): boolean =>
+    isUsualFor(othersOn(agent, step, all)) && isBadWhereOthersAreNot(step, agent, all)
 
   function sweepOne(agent: TargetAgent, all: Pace[]): BadRun[] {
     const stalled = stalledRuns(agent, all)
@@ -183,7 +195,10 @@
     else if (slow.length >= SUSPECT_SLOW)
       suspicion.exclude(agent, 'tasks are slow', stepsOf(slow))
     if (suspicion.standingOf(agent) !== 'suspect') return stalled
-    return [...stalled, ...slow.filter(({ task }) => movesOf(task) < MAX_SLOW_MOVES)]
+    const movable = slow.filter(
+      ({ task, verdict }) => movesOf(task) < MAX_SLOW_MOVES[verdict],
+    )
+    return [...stalled, ...movable]
   }
 
   return {
