feat(vms): a VM that works badly is no supply, and is exchanged

Cause: a target under suspicion counted as one that its service could use, so that no VM was asked for in its place, and it stayed in its pool for as long as it failed. Change: reports say which targets are under suspicion. Their VMs do not count in the gaps of the pools; idle ones go to a service that misses a VM, or to the spare pool, where the next move gives them a new life. The last VM of a pool stays until another has come. Result: four tests of the planner, which fail without the change.

--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -95,4 +95,38 @@
     ]
     t.deepEqual(movesOf(inputOf(spare, reports)), ['m3 b'])
   })
+
+  describe('VMs that work badly', () => {
+    const ONE_VM = { cpu: 0.8 * VM_CPU, timelyCpu: 0.8 * VM_CPU }
+    const TWO_VMS = { cpu: 1.6 * VM_CPU, timelyCpu: 1.6 * VM_CPU }
+    const bad = loadOf(1, { suspect: true })
+
+    it('do not count as supply: another one comes, and the bad one goes', (t) => {
+      const pool = [vmOf(1, 'a'), vmOf(5, 'a'), vmOf(3, 'idle')]
+      const movesFor = (need: typeof ONE_VM) =>
+        movesOf(inputOf(pool, [reportOf('a', need, [bad, loadOf(5)])]))
+      t.deepEqual(movesFor(TWO_VMS), ['m3 a', 'm1 idle'])
+      t.deepEqual(movesFor(ONE_VM), ['m1 idle'])
+    })
+
+    it('stay while something runs there', (t) => {
+      const busy = loadOf(1, { suspect: true, runs: 1 })
+      const pool = [vmOf(1, 'a'), vmOf(5, 'a')]
+      t.deepEqual(movesOf(inputOf(pool, [reportOf('a', ONE_VM, [busy, loadOf(5)])])), [])
+    })
+
+    it('stay where they are the last of their pool', (t) => {
+      const pool = [vmOf(1, 'a'), vmOf(3, 'idle')]
+      t.deepEqual(movesOf(inputOf(pool, [reportOf('a', ONE_VM, [bad])])), ['m3 a'])
+    })
+
+    it('go to another service that misses one, where none is spare', (t) => {
+      const pool = [vmOf(1, 'a'), vmOf(5, 'a'), vmOf(2, 'b')]
+      const reports = [
+        reportOf('a', ONE_VM, [bad, loadOf(5)]),
+        reportOf('b', { ...TWO_VMS, timelyCpu: 0 }, [loadOf(2, { runs: 1 })]),
+      ]
+      t.deepEqual(movesOf(inputOf(pool, reports)), ['m1 b'])
+    })
+  })
 })
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -56,17 +56,27 @@
   kept: Gaps
 }
 
-function countGaps(input: PoolInput): AllGaps {
+/** Loads that the services have reported, by target. */
+type Loads = ReadonlyMap<string, TargetLoad>
+
+const loadsOf = ({ reports }: PoolInput): Loads => {
+  const targets = [...reports.values()].flatMap((report) => report.targets)
+  return new Map(targets.map((load) => [load.id, load]))
+}
+
+function countGaps(input: PoolInput, loads: Loads): AllGaps {
   const { vms, movingTo, emptying } = input
   const cpuPerVm = cpuPerVmOf(vms)
   const gaps: AllGaps = { timely: new Map(), now: new Map(), kept: new Map() }
   for (const [service, report] of input.reports) {
-    // One that is being emptied or maintained cannot take what the service needs.
+    // One that is being emptied or maintained cannot take what the service needs, nor can
+    // one that works so badly that its owner keeps tasks off it.
     const there = vms.filter(
       (vm) =>
         (movingTo.get(vm.name) ?? vm.pool) === service &&
         (vm.state === 'up' || vm.state === 'moving') &&
-        !emptying.has(vm.name),
+        !emptying.has(vm.name) &&
+        !loads.get(vm.targetId)?.suspect,
     ).length
     const needed = neededVms(report, report.neededCpu, cpuPerVm)
     gaps.timely.set(service, neededVms(report, report.timelyCpu, cpuPerVm) - there)
@@ -82,12 +92,12 @@
   idle: Vm[]
   /** Those with tasks that end by themselves: they are closed now and move once idle. */
   passing: Vm[]
+  /** Idle ones that work badly: a move gives them a new life. */
+  suspect: Vm[]
 }
 
-function findMovable(input: PoolInput): Movable {
+function findMovable(input: PoolInput, loads: Loads): Movable {
   const { vms, reports, sparePool, emptying, ordered } = input
-  const targets = [...reports.values()].flatMap((report) => report.targets)
-  const loads = new Map(targets.map((load) => [load.id, load]))
   const loadOf = (vm: Vm): TargetLoad | undefined => loads.get(vm.targetId)
   // VMs that are being emptied already come first, so that the choice stays the same.
   const byProgress = (a: Vm, b: Vm): number =>
@@ -97,10 +107,12 @@
     (vm) => vm.state === 'up' && !emptying.has(vm.name) && !ordered.has(vm.name),
   )
   const used = free.filter((vm) => reports.has(vm.pool) && loadOf(vm)).sort(byProgress)
+  const sound = used.filter((vm) => !loadOf(vm)?.suspect)
   return {
     spare: free.filter((vm) => vm.pool === sparePool),
-    idle: used.filter((vm) => isIdle(loadOf(vm))),
-    passing: used.filter((vm) => !isIdle(loadOf(vm)) && loadOf(vm)?.lasting === 0),
+    idle: sound.filter((vm) => isIdle(loadOf(vm))),
+    suspect: used.filter((vm) => loadOf(vm)?.suspect && isIdle(loadOf(vm))),
+    passing: sound.filter((vm) => !isIdle(loadOf(vm)) && loadOf(vm)?.lasting === 0),
   }
 }
 
@@ -115,8 +127,9 @@
  */
 export function planPools(input: PoolInput): PlannedMove[] {
   const { sparePool, fitsPool } = input
-  const gaps = countGaps(input)
-  const movable = findMovable(input)
+  const loads = loadsOf(input)
+  const gaps = countGaps(input, loads)
+  const movable = findMovable(input, loads)
   const moves: PlannedMove[] = []
 
   const change = (pool: string, by: number): void => {
@@ -129,7 +142,7 @@
     moves.push({ vm, pool })
     for (const list of Object.values(movable) as Vm[][]) removeFrom(list, vm)
     change(pool, -1)
-    change(vm.pool, 1)
+    if (!loads.get(vm.targetId)?.suspect) change(vm.pool, 1)
   }
   /** Fills the gaps from the lists, in their order, without opening others. */
   const fill = (wanted: Gaps, donors: Vm[][]): void => {
@@ -138,7 +151,9 @@
         const found = list.find(
           (vm) =>
             vm.pool !== service &&
-            (vm.pool === sparePool || (wanted.get(vm.pool) ?? 0) < 0) &&
+            (list === movable.suspect ||
+              vm.pool === sparePool ||
+              (wanted.get(vm.pool) ?? 0) < 0) &&
             fitsPool(vm, service),
         )
         if (found) return found
@@ -155,9 +170,20 @@
     }
   }
 
-  fill(gaps.timely, [movable.spare, movable.idle, movable.passing])
-  fill(gaps.now, [movable.spare, movable.idle])
+  fill(gaps.timely, [movable.spare, movable.idle, movable.suspect, movable.passing])
+  fill(gaps.now, [movable.spare, movable.idle, movable.suspect])
   if (sparePool === undefined) return moves
+  // A VM that works badly leaves even where it is missed, and comes back as a new life; the
+  // last one of a pool stays until another has come, for it is better than none.
+  for (const vm of [...movable.suspect]) {
+    const left = input.vms.filter(
+      (each) =>
+        each.pool === vm.pool &&
+        each.state === 'up' &&
+        !moves.some((other) => other.vm === each),
+    )
+    if (left.length > 1 && fitsPool(vm, sparePool)) move(vm, sparePool)
+  }
   for (const [service] of gaps.kept) {
     while ((gaps.kept.get(service) ?? 0) < 0) {
       const vm = movable.idle.find(
