--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -17,8 +17,9 @@
   watch(log: Logger): Logger
 }
 
-/** A field as a number; 0 when it is absent. */
-const numberOf = (fields: EventFields, name: string): number => Number(fields[name] ?? 0)
+/** A field in ms as seconds; 0 when it is absent. */
+const secondsOf = (fields: EventFields, name: string): number =>
+  Number(fields[name] ?? 0) / 1000
 
 /** Registers the instruments in a registry of their own. */
 function createInstruments() {
@@ -49,6 +50,19 @@
     buckets: BUCKETS_S,
     registers,
   })
+  const intake = new Histogram({
+    name: 'rillshunt_intake_late_seconds',
+    help: 'time from accepting a job to its owner taking it on, by how it heard of it',
+    labelNames: ['from'],
+    buckets: BUCKETS_S,
+    registers,
+  })
+  const late = new Histogram({
+    name: 'rillshunt_process_late_seconds',
+    help: 'long delays of the process, each the longest of a second',
+    buckets: BUCKETS_S,
+    registers,
+  })
   const jobs = new Histogram({
     name: 'rillshunt_job_seconds',
     help: 'time from taking a job on to its durable outcome, by outcome',
@@ -62,22 +76,23 @@
     labelNames: ['kind'],
     registers,
   })
-  return { registry, events, calls, bytes, waits, jobs, runEnds }
+  return { registry, events, calls, bytes, waits, intake, late, jobs, runEnds }
 }
 
 /** Creates the metrics, all at zero. */
 export function createNodeMetrics(): NodeMetrics {
-  const { registry, events, calls, bytes, waits, jobs, runEnds } = createInstruments()
+  const { registry, events, calls, bytes, waits, intake, late, jobs, runEnds } =
+    createInstruments()
 
   /** What an event means for a metric, beyond being counted. */
   const HANDLERS: Partial<Record<EventName, (fields: EventFields) => void>> = {
-    taskPlaced: (fields) => waits.observe(numberOf(fields, 'waitedMs') / 1000),
+    taskPlaced: (fields) => waits.observe(secondsOf(fields, 'waitedMs')),
+    jobTaken: (fields) =>
+      intake.observe({ from: String(fields['from']) }, secondsOf(fields, 'lateMs')),
+    processLate: (fields) => late.observe(secondsOf(fields, 'lateMs')),
     runEnded: (fields) => runEnds.inc({ kind: String(fields['kind']) }),
     jobSettled: (fields) =>
-      jobs.observe(
-        { outcome: String(fields['outcome']) },
-        numberOf(fields, 'tookMs') / 1000,
-      ),
+      jobs.observe({ outcome: String(fields['outcome']) }, secondsOf(fields, 'tookMs')),
   }
 
   const watch = (log: Logger): Logger => ({
--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -19,6 +19,7 @@
 import type { NodePlatform } from './serviceMap.js'
 import {
   configurationService,
+  latenessService,
   platformService,
   stateService,
   storeAccessService,
@@ -30,6 +31,7 @@
   return createKernel(
     [
       platformService(platform),
+      latenessService(),
       storeAccessService(),
       stateService(),
       ownersService(),
--- a/src/node/sourceServices.ts
+++ b/src/node/sourceServices.ts
@@ -5,6 +5,7 @@
   createTargetSource,
 } from '../directory/index.js'
 import { defineService } from '../kernel/index.js'
+import { watchLateness } from '../shared/index.js'
 import { createStoreAccess } from '../storeAccess/index.js'
 import type { NodePlatform } from './serviceMap.js'
 
@@ -31,6 +32,15 @@
 export const stateService = () =>
   defineService({ name: 'nodeState', needs: [], start: async () => ({ leaving: false }) })
 
+/** How late this process runs. */
+export const latenessService = () =>
+  defineService({
+    name: 'lateness',
+    needs: [],
+    start: async ({ log }) => watchLateness(log),
+    stop: async (lateness) => lateness.stop(),
+  })
+
 /** The configuration and the waves of the operators. */
 export const configurationService = () =>
   defineService({
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -27,6 +27,9 @@
   for (const id of ids) return void ids.delete(id)
 }
 
+/** How the owner heard of something: at once from the entry, or by its rows in the store. */
+type Source = 'told' | 'read'
+
 /** New jobs of one service. */
 export interface NewJobs {
   /**
@@ -64,7 +67,7 @@
 export function createNewJobs(opts: NewJobsOptions): NewJobs {
   const { store, service, authority, book, demand, log } = opts
   /** Jobs that came while the ownership was not confirmed. */
-  const offered = new Map<string, JobSpec>()
+  const offered = new Map<string, { job: JobSpec; from: Source }>()
   /** Jobs that were cancelled before they came; of any service, so some never do. */
   const cancelledEarly = new Set<string>()
   /** Up to here all open jobs were read when the service was taken over. */
@@ -76,16 +79,17 @@
    * Takes a new job on. Out of touch with the store it waits: a successor may have it,
    * and does not wait for this owner with jobs that came after the takeover.
    */
-  function take(job: JobSpec): void {
+  function take(job: JobSpec, from: Source): void {
     if (book.jobs.has(job.id)) return
     if (!authority.isConfirmed()) {
-      offered.set(job.id, job)
+      offered.set(job.id, { job, from })
       return
     }
     const taken = book.add(job)
     if (!expected.delete(job.id)) demand.arrived(taken, monotonicMs())
     if (cancelledEarly.delete(job.id)) book.cancel(job.id)
-    log.event('jobTaken', { job: job.id, queue: job.queue, service })
+    const lateMs = Math.max(0, Date.now() - job.acceptedAtMs)
+    log.event('jobTaken', { job: job.id, queue: job.queue, service, from, lateMs })
     opts.taken()
     opts.arrived()
   }
@@ -106,17 +110,22 @@
   }
 
   /** A request to cancel may come before the job that it is for; false in that case. */
-  function cancel(id: string): boolean {
-    if (book.cancel(id)) return true
-    cancelledEarly.add(id)
-    return false
+  function cancel(id: string, from: Source): boolean {
+    const known = book.jobs.get(id)
+    if (!known) {
+      cancelledEarly.add(id)
+      return false
+    }
+    if (!known.cancelRequested) log.event('cancelTaken', { job: id, from })
+    book.cancel(id)
+    return true
   }
 
   function applyRow(key: string, value: string | undefined): void {
     if (value === undefined) return forgetRow(key)
     const entry = decodeIntake(key, value)
-    if (entry.kind === 'cancel') cancel(entry.id)
-    if (entry.kind === 'job' && entry.job.service === service) take(entry.job)
+    if (entry.kind === 'cancel') cancel(entry.id, 'read')
+    if (entry.kind === 'job' && entry.job.service === service) take(entry.job, 'read')
   }
 
   /** A request whose row has been cleared is for no job that may still come. */
@@ -127,26 +136,32 @@
 
   /** Reads the whole intake again; the version to continue from, undefined on failure. */
   async function readAgain(): Promise<number | undefined> {
+    const beganAt = monotonicMs()
     const all = await createIntakeReading(store, service, log).next()
     if (all.isErr()) return undefined
-    for (const job of all.value.jobs) take(job)
-    for (const id of all.value.cancels) cancel(id)
-    return all.value.version
+    const { jobs, cancels, version } = all.value
+    for (const job of jobs) take(job, 'read')
+    for (const id of cancels) cancel(id, 'read')
+    const tookMs = Math.round(monotonicMs() - beganAt)
+    const counts = { jobs: jobs.length, cancels: cancels.length }
+    log.event('intakeRead', { service, tookMs, ...counts })
+    return version
   }
 
   return {
     offer(job, rowVersion) {
-      if (rowVersion > takeoverVersion) take(job)
+      if (rowVersion > takeoverVersion) take(job, 'told')
     },
     expect,
-    cancel,
+    cancel: (id) => cancel(id, 'told'),
     takeOffered() {
       if (!authority.isConfirmed()) return
-      for (const job of offered.values()) take(job)
+      for (const { job, from } of offered.values()) take(job, from)
       offered.clear()
     },
     offeredOf(queue) {
-      const waiting = [...offered.values()].filter(({ id }) => !book.jobs.has(id))
+      const jobs = [...offered.values()].map(({ job }) => job)
+      const waiting = jobs.filter(({ id }) => !book.jobs.has(id))
       return waiting.filter((job) => job.queue === queue).length
     },
     follow(version) {
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -5,11 +5,15 @@
 import type { JobBook, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import type { OrderError, StartRefusal, TargetLink } from '../ports/index.js'
+import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { FULL_PAUSE_MS, REFUSED_PAUSE_MS } from './constants.js'
 import type { TargetLease } from './targetLease.js'
 import type { Placement, TargetRuns } from './targetRuns.js'
 
+/** An order that waited longer for its turn is told, in ms: a few answers of a sound target. */
+const TOLD_WAIT_MS = 300
+
 /** Orders for one target; each is sent when those before it have been answered. */
 export interface OrderSender {
   start(task: Task, placement: Placement, ticket: string): void
@@ -49,9 +53,18 @@
   const { targetId, link, book, authority, runs, lease, token, log } = opts
   let orders: Promise<void> = Promise.resolve()
 
-  const enqueue = (order: () => Promise<void>): void => {
+  const enqueue = (
+    order: 'start' | 'stop' | 'pace',
+    task: string,
+    send: () => Promise<void>,
+  ): void => {
+    const queuedAt = monotonicMs()
     orders = orders.then(async () => {
-      if (!opts.signal.aborted) await order()
+      if (opts.signal.aborted) return
+      const waitedMs = Math.round(monotonicMs() - queuedAt)
+      if (waitedMs > TOLD_WAIT_MS)
+        log.event('orderLate', { order, task, target: targetId, waitedMs })
+      await send()
     })
   }
 
@@ -141,9 +154,11 @@
   }
 
   return {
-    start: (task, placement, ticket) => enqueue(() => sendStart(task, placement, ticket)),
-    stop: (name, run) => enqueue(() => sendStop(name, run)),
-    pace: (placement, percent) => enqueue(() => sendPace(placement, percent)),
+    start: (task, placement, ticket) =>
+      enqueue('start', task.name, () => sendStart(task, placement, ticket)),
+    stop: (name, run) => enqueue('stop', name, () => sendStop(name, run)),
+    pace: (placement, percent) =>
+      enqueue('pace', placement.name, () => sendPace(placement, percent)),
     idle: () => orders,
   }
 }
