fix(scheduler): an owner hears of what is new while it reads the intake whole

When the store forgot its history, the owner read 64 parts of the intake, four at a time, before it looked at any change: for 14 s on a node whose processor was full it heard of no job and no cancel from the store, and started tasks of jobs cancelled 5 s before. Now the changes are followed from the version before the reading, which goes on beside them, hands on each part as it comes, the parts of its own queues first, and keeps what it has after a failure. A mirror goes on at once after a gap instead of after its pause, twice.

--- a/src/directory/rowMirror.ts
+++ b/src/directory/rowMirror.ts
@@ -59,6 +59,8 @@
   let freshAt = -Infinity
   let steadySince = Infinity
   let failing = false
+  /** The next read follows at once: this one has only found out from where to go on. */
+  let goesOn = false
   let markReady: () => void = () => undefined
   const ready = new Promise<void>((resolve) => (markReady = resolve))
 
@@ -76,7 +78,8 @@
   async function readAll(): Promise<boolean> {
     if (part === undefined) {
       version = await opts.onGap?.()
-      return version !== undefined
+      goesOn = version !== undefined
+      return goesOn
     }
     const res = await store.read(table, part)
     if (res.isErr()) {
@@ -95,9 +98,10 @@
   async function readChanges(after: number): Promise<boolean> {
     const res = await store.changes(table, after, opts.waitMs)
     if (res.isErr()) {
-      if (res.error.failure === 'compacted') version = undefined
       noteFailure(describeError(res.error))
-      return res.error.failure === 'compacted'
+      goesOn = res.error.failure === 'compacted'
+      if (goesOn) version = undefined
+      return goesOn
     }
     version = res.value.version
     for (const change of res.value.changes) {
@@ -112,6 +116,7 @@
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       const sentAt = monotonicMs()
+      goesOn = false
       const done = version === undefined ? await readAll() : await readChanges(version)
       if (done) {
         if (sentAt - freshAt > GAP_MS) steadySince = sentAt
@@ -119,7 +124,7 @@
         if (failing && version !== undefined) log.event('mirrorFresh', { table })
         failing = false
       }
-      await sleep(done ? opts.pauseMs : jittered(RETRY_MS), stopping.signal)
+      if (!goesOn) await sleep(done ? opts.pauseMs : jittered(RETRY_MS), stopping.signal)
     }
   }
   const task = run()
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -33,6 +33,9 @@
   return `${queue}/${last % INTAKE_PARTS}`
 }
 
+/** The queue whose jobs lie in a part of the intake. */
+export const queueOfPart = (part: string): string => part.slice(0, part.lastIndexOf('/'))
+
 /** Where a job's intake row lies. */
 export const intakeKey = (queue: string, id: string): RowKey => ({
   table: INTAKE_TABLE,
--- /dev/null
+++ b/src/scheduler/__tests__/lateOwner.spec.ts
@@ -0,0 +1,108 @@
+/**
+ * What users saw: tasks of jobs whose cancelling had been acknowledged 5 s before were started,
+ * and new jobs waited 5 s and more while targets had room.
+ * Order of events: a queue's turn fills the processor of its service's owner; the store forgets
+ * its history; the owner reads the whole intake, 64 parts four at a time, and each call waits
+ * for a turn of the late process; what is accepted or cancelled meanwhile is not looked at, and
+ * the entries' own words are given up after 0.4 s, so none is heard.
+ * Cause: the look at what is new waited for the look at all that is old, and was the only one
+ * that could not be lost.
+ * Evidence: jobs accepted and taken on by second (45 and 2), RS-8041 of the intake at 3.8 s and
+ * 24 jobs taken on in one moment at 8.5 s, the median cancel heard of after 9.7 s.
+ */
+import { describe, it } from '../../../test/describe.js'
+import { createJobRig, makeJob } from '../../../test/jobRig.js'
+import type { JobRig, RigOwner } from '../../../test/jobRig.js'
+import { cancelKey, encodeJob, intakeKey } from '../../jobs/index.js'
+import { sleep } from '../../shared/index.js'
+
+/** Time of a call of the store as a late process sees it, in ms. */
+const CALL_MS = 250
+/** Other queues with open jobs; each makes parts that a whole reading goes through. */
+const OTHER_QUEUES = 8
+const PARTS = 8
+/** Time within which the owner knows what the store has, in ms: the platform allows 3 s. */
+const KNOWN_MS = 2500
+
+function fillIntake({ table }: JobRig): void {
+  for (let queue = 0; queue < OTHER_QUEUES; queue++) {
+    for (let part = 0; part < PARTS; part++) {
+      const job = makeJob({ ms: 100 }, undefined, { service: 'other' })
+      const row = { ...job, id: `${job.id}${part}`, queue: `other-${queue}` }
+      table.put(intakeKey(row.queue, row.id), encodeJob(row))
+    }
+  }
+}
+
+async function until(check: () => boolean, ms: number): Promise<boolean> {
+  const endsAt = performance.now() + ms
+  while (!check() && performance.now() < endsAt) await sleep(20)
+  return check()
+}
+
+/** The store forgets its history, which has something new. */
+function forgetHistory({ table }: JobRig): void {
+  table.put({ table: 'any', part: '', key: 'row' }, 'new')
+  table.compact()
+}
+
+/** An owner whose store has just forgotten its history, and whose entries are not heard. */
+async function withLateOwner(
+  use: (rig: JobRig, owner: RigOwner) => Promise<void>,
+): Promise<void> {
+  const rig = createJobRig()
+  rig.addTarget('t1')
+  fillIntake(rig)
+  const owner = await rig.own()
+  rig.table.faults.delayMs = CALL_MS
+  try {
+    await use(rig, owner)
+  } finally {
+    await rig.stop()
+  }
+}
+
+describe('owner whose store has forgotten its history', () => {
+  it('stops what is cancelled while it reads the intake', async (t) => {
+    await withLateOwner(async (rig, owner) => {
+      const job = makeJob({ ms: 20_000, cpu: 1000 }, [{ count: 2 }])
+      rig.submit(owner, job)
+      const { entries } = rig.ledger
+      t.true(await until(() => entries.length === 2, KNOWN_MS))
+      rig.table.put(cancelKey(job.queue, job.id), '{}')
+      forgetHistory(rig)
+      t.true(await until(() => entries.length === 4, KNOWN_MS))
+      t.deepEqual(
+        entries.slice(2).map(({ what }) => what),
+        ['stopped', 'stopped'],
+      )
+    })
+  })
+
+  it('starts what is accepted while it reads the intake', async (t) => {
+    await withLateOwner(async (rig) => {
+      forgetHistory(rig)
+      await sleep(1200)
+      const job = makeJob({ ms: 20_000, cpu: 1000 }, [{ count: 2 }], { queue: 'a' })
+      rig.table.put(intakeKey(job.queue, job.id), encodeJob(job))
+      t.true(await until(() => rig.ledger.entries.length === 2, KNOWN_MS))
+    })
+  })
+
+  it('finds what came with the history that was lost, also after failed calls', async (t) => {
+    await withLateOwner(async (rig) => {
+      const { table, ledger, log } = rig
+      const job = makeJob({ ms: 20_000, cpu: 1000 }, [{ count: 2 }])
+      const key = intakeKey(job.queue, job.id)
+      table.put(key, encodeJob(job))
+      forgetHistory(rig)
+      table.faults.delayMs = 0
+      table.faults.refusedParts.add(key.part)
+      await sleep(1200)
+      t.is(ledger.entries.length, 0)
+      table.faults.refusedParts.clear()
+      t.true(await until(() => ledger.entries.length === 2, KNOWN_MS))
+      t.is(log.events.filter(({ name }) => name === 'intakeRead').length, 1)
+    })
+  })
+})
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -9,11 +9,12 @@
 import type { JobBook, JobSpec } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import type { RowStore } from '../ports/index.js'
-import { monotonicMs } from '../shared/index.js'
+import { createStopController, jittered, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import { INTAKE_POLL_MS } from './constants.js'
+import { FLUSH_RETRY_MS, INTAKE_POLL_MS } from './constants.js'
 import type { DemandMeter } from './demand.js'
-import { createIntakeReading } from './takeover.js'
+import { createPartsReading, intakeVersion } from './takeover.js'
+import type { IntakeHandler } from './takeover.js'
 
 /**
  * Refused jobs that are remembered at most; callers that come back within seconds are some
@@ -72,6 +73,8 @@
   const cancelledEarly = new Set<string>()
   /** Up to here all open jobs were read when the service was taken over. */
   let takeoverVersion = 0
+  /** Ends the whole reading that is under way. */
+  let wholeReading: AbortController | undefined
   /** Jobs that were refused and have not come yet; their arrival is noted. */
   const expected = new Set<string>()
 
@@ -134,18 +137,44 @@
     if (entry.kind === 'cancel') cancelledEarly.delete(entry.id)
   }
 
-  /** Reads the whole intake again; the version to continue from, undefined on failure. */
-  async function readAgain(): Promise<number | undefined> {
+  /**
+   * Reads the whole intake again beside the changes that come meanwhile, and goes on until it
+   * is done. Read before the changes, the parts of a busy store kept an owner from hearing of
+   * what was accepted and cancelled for 16 s.
+   */
+  async function readWhole(signal: AbortSignal): Promise<void> {
     const beganAt = monotonicMs()
-    const all = await createIntakeReading(store, service, log).next()
-    if (all.isErr()) return undefined
-    const { jobs, cancels, version } = all.value
-    for (const job of jobs) take(job, 'read')
-    for (const id of cancels) cancel(id, 'read')
+    let jobs = 0
+    let cancels = 0
+    const handler: IntakeHandler = {
+      job(job) {
+        jobs++
+        take(job, 'read')
+      },
+      cancel(id) {
+        cancels++
+        cancel(id, 'read')
+      },
+    }
+    // Most jobs of the service are of queues that brought it some before.
+    const first = new Set([...book.jobs.values()].map(({ spec }) => spec.queue))
+    const reading = createPartsReading({ store, service, log, first, handler })
+    while (!signal.aborted && (await reading.next()).isErr())
+      await sleep(jittered(FLUSH_RETRY_MS), signal)
+    if (signal.aborted) return
     const tookMs = Math.round(monotonicMs() - beganAt)
-    const counts = { jobs: jobs.length, cancels: cancels.length }
-    log.event('intakeRead', { service, tookMs, ...counts })
-    return version
+    log.event('intakeRead', { service, tookMs, jobs, cancels })
+  }
+
+  /** Begins a whole reading; the version to follow the changes from, undefined on failure. */
+  async function readAgain(): Promise<number | undefined> {
+    const version = await intakeVersion(store)
+    if (version.isErr()) return undefined
+    // What an earlier reading has still to read, this one reads.
+    wholeReading?.abort()
+    wholeReading = createStopController()
+    void readWhole(wholeReading.signal)
+    return version.value
   }
 
   return {
@@ -166,7 +195,7 @@
     },
     follow(version) {
       takeoverVersion = version
-      return createRowMirror({
+      const mirror = createRowMirror({
         store,
         table: INTAKE_TABLE,
         part: undefined,
@@ -177,6 +206,14 @@
         onRow: (_part, key, value) => applyRow(key, value),
         onGap: readAgain,
       })
+      return {
+        ...mirror,
+        async stop() {
+          wholeReading?.abort()
+          await mirror.stop()
+          wholeReading?.abort()
+        },
+      }
     },
   }
 }
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -7,6 +7,7 @@
   PROGRESS_TABLE,
   decodeIntake,
   decodeProgress,
+  queueOfPart,
 } from '../jobs/index.js'
 import type { JobBook, JobSpec, Progress } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
@@ -45,29 +46,55 @@
   next(): Promise<Result<T, PlatformError>>
 }
 
-/** Reads the intake of all queues; later changes come after `version`. */
-export function createIntakeReading(
+/** The value of a reading that is made at most once. */
+function once<T>(
+  read: () => Promise<Result<T, PlatformError>>,
+): () => Promise<Result<T, PlatformError>> {
+  let known: Result<T, PlatformError> | undefined
+  return async () => {
+    const res = known ?? (await read())
+    if (res.isOk()) known = res
+    return res
+  }
+}
+
+/** What is done with the rows of the intake that concern a service, as they are read. */
+export interface IntakeHandler {
+  job(job: JobSpec): void
+  /** A job of whichever service is to be cancelled. */
+  cancel(id: string): void
+}
+
+/** Version of the store now: what is written later is a change after it. */
+export async function intakeVersion(
   store: RowStore,
-  service: string,
-  log: Logger,
-): Reading<Intake> {
-  const intake: Intake = { jobs: [], cancels: [], version: 0 }
+): Promise<Result<number, PlatformError>> {
+  // No rows lie in this part, so that the answer is short.
+  const res = await store.read(INTAKE_TABLE, '')
+  return res.map(({ version }) => version)
+}
+
+/** A reading of the rows of all queues. */
+export interface PartsReadingOptions {
+  store: RowStore
+  service: string
+  log: Logger
+  /** Queues whose parts are read first. */
+  first: ReadonlySet<string>
+  handler: IntakeHandler
+}
+
+/** Reads the rows of all queues, and hands on what it reads part by part. */
+export function createPartsReading(opts: PartsReadingOptions): Reading<void> {
+  const { store, service, log, first, handler } = opts
   let left: string[] | undefined
 
   function addRow(row: StoredRow): void {
     const entry = decodeIntake(row.key, row.value)
-    if (entry.kind === 'cancel') intake.cancels.push(entry.id)
+    if (entry.kind === 'cancel') handler.cancel(entry.id)
     else if (entry.kind === 'invalid')
       log.event('rowInvalid', { key: row.key, reason: entry.reason })
-    else if (entry.job.service === service) intake.jobs.push(entry.job)
-  }
-
-  async function listParts(): Promise<Result<string[], PlatformError>> {
-    // From before the queues are listed, so that a queue that comes meanwhile is a change.
-    const before = await store.read(INTAKE_TABLE, '')
-    if (before.isErr()) return err(before.error)
-    intake.version = before.value.version
-    return store.parts(INTAKE_TABLE)
+    else if (entry.job.service === service) handler.job(entry.job)
   }
 
   /** Reads some of the parts that are left, which become fewer by those that were read. */
@@ -89,28 +116,44 @@
   return {
     async next() {
       if (!left) {
-        const parts = await listParts()
+        const parts = await store.parts(INTAKE_TABLE)
         if (parts.isErr()) return err(parts.error)
-        left = [...parts.value]
+        const isFirst = (part: string): boolean => first.has(queueOfPart(part))
+        const others = parts.value.filter((part) => !isFirst(part))
+        left = [...parts.value.filter(isFirst), ...others]
       }
       while (left.length > 0) {
         const read = await readSome(left)
         if (read.isErr()) return err(read.error)
       }
-      return ok(intake)
+      return ok(undefined)
     },
   }
 }
 
-/** The value of a reading that is made at most once. */
-function once<T>(
-  read: () => Promise<Result<T, PlatformError>>,
-): () => Promise<Result<T, PlatformError>> {
-  let known: Result<T, PlatformError> | undefined
-  return async () => {
-    const res = known ?? (await read())
-    if (res.isOk()) known = res
-    return res
+/** Reads the intake of all queues; later changes come after `version`. */
+export function createIntakeReading(
+  store: RowStore,
+  service: string,
+  log: Logger,
+): Reading<Intake> {
+  const jobs: JobSpec[] = []
+  const cancels: string[] = []
+  // From before the queues are listed, so that a queue that comes meanwhile is a change.
+  const before = once(() => intakeVersion(store))
+  const handler: IntakeHandler = {
+    job: (job) => void jobs.push(job),
+    cancel: (id) => void cancels.push(id),
+  }
+  const first = new Set<string>()
+  const parts = createPartsReading({ store, service, log, first, handler })
+  return {
+    async next() {
+      const version = await before()
+      if (version.isErr()) return err(version.error)
+      const read = await parts.next()
+      return read.map(() => ({ jobs, cancels, version: version.value }))
+    },
   }
 }
 
