fix(front): owners are told of jobs and cancels until they have answered

An entry told an owner of a job or a cancel once, in a call that it gave up after 0.4 s. News now has 2.5 s, a line of its own beside the questions of callers, and is told again until it is answered, for 8 s. A node that did not answer is asked no states for a second; the store answers them. Three of the four new tests fail on the code before. The spec of the batches only passes the patience that was a constant before.

--- a/src/front/__tests__/ownerCalls.spec.ts
+++ b/src/front/__tests__/ownerCalls.spec.ts
@@ -67,3 +67,78 @@
     t.deepEqual([asked, looks()], [[], 0])
   })
 })
+
+/**
+ * What users saw: jobs that were cancelled went on, and new jobs were not begun, while their
+ * owner's targets had room.
+ * Order of events: the owner's processor is full, so that it answers after 0.4 s and more; each
+ * call of an entry is given up before, and what it carried is told by nobody any more.
+ * Cause: news was told once, within the time that a caller's question may take.
+ * Evidence: 94 questions unanswered in two seconds, of 45 jobs accepted in them 2 taken on.
+ */
+describe('news for an owner that answers late', () => {
+  /** An owner that hears nothing of its first calls, and the times that they were given. */
+  function startLate(lostCalls: number) {
+    const heard: string[] = []
+    const patience: Record<string, number[]> = {}
+    let calls = 0
+    const registry = {
+      self: { id: 'self', life: 'l' },
+      ownerOf: () => ({ id: 'owner', address: 'owner' }),
+      refreshSoon: async () => undefined,
+    } as unknown as NodeRegistry
+    const clients = {
+      at: () => ({
+        async ask(
+          { questions }: { questions: { about: { case: string; value: string } }[] },
+          { timeoutMs }: { timeoutMs: number },
+        ) {
+          for (const { about } of questions) (patience[about.case] ??= []).push(timeoutMs)
+          if (++calls <= lostCalls) throw new Error('no answer in time')
+          for (const { about } of questions) heard.push(about.case)
+          return {
+            answers: questions.map(() => ({ owns: true, status: '', waiting: 0 })),
+          }
+        },
+      }),
+    } as unknown as NodeClients
+    const local = { service: () => undefined, fleet: () => undefined }
+    const log = createMemoryLogger()
+    const calling = createOwnerCalls({ registry, local, clients, log })
+    return { calling, heard, patience, calls: () => calls }
+  }
+
+  it('is told until the owner has answered', async (t) => {
+    const { calling, heard } = startLate(3)
+    calling.cancel('svc', 'a')
+    calling.offer(makeJob({}), 1)
+    await sleep(3000)
+    t.deepEqual(heard.sort(), ['cancel', 'offer'])
+  })
+
+  it('has more time than the question of a caller who waits', async (t) => {
+    const { calling, patience } = startLate(0)
+    calling.cancel('svc', 'a')
+    await calling.status('svc', 'b')
+    t.true(patience['cancel']![0]! >= 2000)
+    t.true(patience['status']![0]! < 1000)
+  })
+
+  it('does not wait for a question that is under way', async (t) => {
+    const { calling, heard } = startLate(0)
+    void calling.status('svc', 'b')
+    calling.cancel('svc', 'a')
+    await sleep(5)
+    t.deepEqual(heard, ['status', 'cancel'])
+  })
+
+  it('spares such an owner questions that the store can answer', async (t) => {
+    const { calling, calls } = startLate(1)
+    t.is(await calling.status('svc', 'a'), undefined)
+    await Promise.all(['b', 'c', 'd'].map((id) => calling.status('svc', id)))
+    t.is(calls(), 1)
+    await sleep(1100)
+    await calling.status('svc', 'e')
+    t.is(calls(), 2)
+  })
+})
--- a/src/front/__tests__/questionBatches.spec.ts
+++ b/src/front/__tests__/questionBatches.spec.ts
@@ -4,6 +4,8 @@
 import type { NewQuestion } from '../questionBatches.js'
 
 const ADDRESS = '10.0.0.1:7060'
+/** Longest wait for an answer, in ms. */
+const PATIENCE_MS = 400
 
 const statusOf = (id: string): NewQuestion => ({
   service: 'one',
@@ -24,7 +26,7 @@
         fail: () => reject(new Error('no answer in time')),
       })
     })
-  })
+  }, PATIENCE_MS)
   const ask = async (id: string): Promise<string> => {
     const answer = await batches.ask(ADDRESS, statusOf(id))
     return answer.isOk() ? answer.value.status : 'failed'
@@ -50,7 +52,7 @@
       const batches = createQuestionBatches((address) => {
         addresses.push(address)
         return new Promise(() => undefined)
-      })
+      }, PATIENCE_MS)
       void batches.ask('n1', statusOf('a'))
       void batches.ask('n2', statusOf('b'))
       t.deepEqual(addresses, ['n1', 'n2'])
--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -2,7 +2,13 @@
 import type { JobSpec, JobStatus } from '../jobs/index.js'
 import { FLEET } from '../ownership/index.js'
 import type { NodeRegistry } from '../ownership/index.js'
-import { describeError, parseJson } from '../shared/index.js'
+import {
+  describeError,
+  jittered,
+  monotonicMs,
+  parseJson,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { fleetAnswerSchema } from '../vms/index.js'
 import type { FleetAnswer, ServiceReport } from '../vms/index.js'
@@ -10,21 +16,40 @@
 import type { NodeClients } from './nodeClients.js'
 import type { LocalOwners, OfferedJob } from './ownerRoutes.js'
 import { createQuestionBatches } from './questionBatches.js'
-import type { NewQuestion } from './questionBatches.js'
+import type { NewQuestion, QuestionBatches } from './questionBatches.js'
 
 /** Longest wait for the owner of the fleet, in ms; the next report follows soon. */
 const REPORT_TIMEOUT_MS = 400
+/**
+ * Longest wait for the answer to a question, in ms; then the store answers the caller instead,
+ * of whose 3 s enough is left.
+ */
+const QUESTION_PATIENCE_MS = 400
+/**
+ * The same for news, which nobody waits for. A node that is late reads a call and its end in one
+ * turn, and what was given up then has been read for nothing.
+ */
+const NEWS_PATIENCE_MS = 2500
+/** Pause before news that was not answered is told again, in ms; jittered, and doubled each time. */
+const NEWS_RETRY_MS = 250
+/** News is told again for so long, in ms: by then the owner has seen it in the store many times. */
+const NEWS_KEPT_MS = 8000
+/**
+ * Time for which a node that did not answer a question is asked none that the store can answer,
+ * in ms: each costs it about 1 ms, and a node that is late has none to spare.
+ */
+const REST_MS = 1000
 
 /** Calls to owners, wherever they run. */
 export interface OwnerCalls {
   /**
-   * Tells of a new job; its loss costs only time.
+   * Tells of a new job until the owner has answered; its loss costs only time.
    * @param rowVersion version of the job's row
    */
   offer(job: JobSpec, rowVersion: number): void
   /** Tells of a job that was refused for an outage of the store; its loss costs only time. */
   expect(job: JobSpec): void
-  /** Tells of a request to cancel; its loss costs only time. */
+  /** Tells of a request to cancel until the owner has answered; its loss costs only time. */
   cancel(service: string, id: string): void
   /** Undefined when the owner does not answer or does not know the job. */
   status(service: string, id: string): Promise<JobStatus | undefined>
@@ -45,10 +70,18 @@
 }): OwnerCalls {
   const { registry, local, clients, log } = opts
 
-  const batches = createQuestionBatches(async (address, questions, timeoutMs) => {
+  const send = async (
+    address: string,
+    questions: NewQuestion[],
+    timeoutMs: number,
+  ): Promise<Answer[]> => {
     const res = await clients.at(address).ask({ questions }, { timeoutMs })
     return res.answers
-  })
+  }
+  const questions = createQuestionBatches(send, QUESTION_PATIENCE_MS)
+  const news = createQuestionBatches(send, NEWS_PATIENCE_MS)
+  /** Steady times until which nodes that did not answer are spared. */
+  const restUntil = new Map<string, number>()
 
   /** Address of the owner when that is another node, as far as the rows say. */
   function addressFor(service: string): string | undefined {
@@ -67,12 +100,16 @@
    * That costs only time: owners read the store.
    */
   async function askAt(
+    batches: QuestionBatches,
     address: string,
     service: string,
     about: NewQuestion['about'],
   ): Promise<Answer | undefined> {
     const answer = await batches.ask(address, { service, about })
-    if (answer.isErr()) noteLost(about.case ?? '', service, describeError(answer.error))
+    if (answer.isErr()) {
+      restUntil.set(address, monotonicMs() + REST_MS)
+      noteLost(about.case ?? '', service, describeError(answer.error))
+    }
     return answer.isOk() && answer.value.owns ? answer.value : undefined
   }
 
@@ -82,17 +119,38 @@
    * at the store, up to a second.
    */
   async function ask(
+    batches: QuestionBatches,
     service: string,
     about: NewQuestion['about'],
   ): Promise<Answer | undefined> {
     const address = addressFor(service)
     const answer =
-      address === undefined ? undefined : await askAt(address, service, about)
+      address === undefined ? undefined : await askAt(batches, address, service, about)
     if (answer || registry.ownerOf(service)?.id === registry.self.id) return answer
     await registry.refreshSoon()
     const next = addressFor(service)
     if (next === undefined || next === address) return undefined
-    return askAt(next, service, about)
+    return askAt(batches, next, service, about)
+  }
+
+  /**
+   * Tells until the owner has answered. Without an owner elsewhere nobody need be told: the
+   * next one reads the store first.
+   */
+  async function tell(service: string, about: NewQuestion['about']): Promise<void> {
+    const endsAt = monotonicMs() + NEWS_KEPT_MS
+    for (let pauseMs = NEWS_RETRY_MS; ; pauseMs *= 2) {
+      const answer = await ask(news, service, about)
+      if (answer || monotonicMs() + pauseMs > endsAt) return
+      await sleep(jittered(pauseMs))
+      if (addressFor(service) === undefined) return
+    }
+  }
+
+  /** Whether the owner is on a node that did not answer a moment ago. */
+  function isResting(service: string): boolean {
+    const address = addressFor(service)
+    return address !== undefined && monotonicMs() < (restUntil.get(address) ?? 0)
   }
 
   return {
@@ -100,28 +158,29 @@
       const owner = local.service(job.service)
       if (owner) return owner.offer(job, rowVersion)
       const offer: OfferedJob = { job, rowVersion }
-      void ask(job.service, { case: 'offer', value: JSON.stringify(offer) })
+      void tell(job.service, { case: 'offer', value: JSON.stringify(offer) })
     },
     expect(job) {
       const owner = local.service(job.service)
       if (owner) return owner.expect(job)
-      void ask(job.service, { case: 'expect', value: JSON.stringify(job) })
+      void ask(news, job.service, { case: 'expect', value: JSON.stringify(job) })
     },
     cancel(service, id) {
       const owner = local.service(service)
       if (owner) return void owner.cancel(id)
-      void ask(service, { case: 'cancel', value: id })
+      void tell(service, { case: 'cancel', value: id })
     },
     async status(service, id) {
       const owner = local.service(service)
       if (owner) return owner.status(id)
-      const answer = await ask(service, { case: 'status', value: id })
+      if (isResting(service)) return undefined
+      const answer = await ask(questions, service, { case: 'status', value: id })
       return answer && answer.status !== '' ? (answer.status as JobStatus) : undefined
     },
     async waiting(service, queue) {
       const owner = local.service(service)
       if (owner) return owner.waiting(queue)
-      return (await ask(service, { case: 'waiting', value: queue }))?.waiting
+      return (await ask(questions, service, { case: 'waiting', value: queue }))?.waiting
     },
     hasFleetOwner: () =>
       local.fleet() !== undefined || registry.ownerOf(FLEET) !== undefined,
--- a/src/front/questionBatches.ts
+++ b/src/front/questionBatches.ts
@@ -14,11 +14,6 @@
 
 /** Names the call in errors. */
 const STEP = 'node.ask'
-/**
- * Longest wait for a node's answer, and for the call to begin, in ms; then the store answers
- * a caller instead, of whose 3 s enough is left.
- */
-const PEER_TIMEOUT_MS = 400
 /** Questions that one call carries at most: a few ms of the other node's time. */
 const QUESTIONS_PER_CALL = 200
 /** Bytes of text that one call carries at most: half of the largest message. */
@@ -60,6 +55,7 @@
 /**
  * Creates the gathering; nothing is sent before the first question.
  * @param send calls a node; rejects when it does not answer in time
+ * @param patienceMs longest wait for an answer, and for the call to begin
  */
 export function createQuestionBatches(
   send: (
@@ -67,6 +63,7 @@
     questions: NewQuestion[],
     timeoutMs: number,
   ) => Promise<Answer[]>,
+  patienceMs: number,
 ): QuestionBatches {
   const lines = new Map<string, Line>()
 
@@ -78,7 +75,7 @@
   async function sendBatch(address: string, batch: Pending[]): Promise<void> {
     try {
       const questions = batch.map(({ question }) => question)
-      const answers = await send(address, questions, PEER_TIMEOUT_MS)
+      const answers = await send(address, questions, patienceMs)
       for (const [index, each] of batch.entries()) {
         const answer = answers[index]
         each.settle(answer ? ok(answer) : failed(address, 'an answer is missing'))
@@ -89,9 +86,9 @@
     }
   }
 
-  /** Fails what has waited so long that its caller is better served by the store. */
+  /** Fails what has waited so long that its caller has no more time for it. */
   function failOld(address: string, line: Line): void {
-    const oldest = monotonicMs() - PEER_TIMEOUT_MS
+    const oldest = monotonicMs() - patienceMs
     const old = line.waiting.filter(({ askedAt }) => askedAt < oldest)
     if (old.length === 0) return
     line.waiting = line.waiting.filter(({ askedAt }) => askedAt >= oldest)
