--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -9,12 +9,13 @@
 import type { JobBook, JobSpec } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import type { RowStore } from '../ports/index.js'
-import { monotonicMs } from '../shared/index.js'
+import { createStopController, jittered, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger, UnreadRows } from '../shared/index.js'
-import { INTAKE_POLL_MS } from './constants.js'
+import { FLUSH_RETRY_MS, INTAKE_POLL_MS } from './constants.js'
 import type { DemandMeter } from './demand.js'
 import type { HeldJobs } from './heldJobs.js'
-import { createIntakeReading } from './takeover.js'
+import { createPartsReading, intakeVersion } from './takeover.js'
+import type { IntakeHandler } from './takeover.js'
 
 /**
  * Refused jobs that are remembered at most; callers that come back within seconds are some
@@ -28,6 +29,9 @@
   for (const id of ids) return void ids.delete(id)
 }
 
+/** How the owner heard of something: at once from the entry, or by its rows in the store. */
+type Source = 'told' | 'read'
+
 /** New jobs of one service. */
 export interface NewJobs {
   /**
@@ -68,11 +72,13 @@
 export function createNewJobs(opts: NewJobsOptions): NewJobs {
   const { store, service, authority, book, demand, held, unread, log } = opts
   /** Jobs that came while the ownership was not confirmed. */
-  const offered = new Map<string, JobSpec>()
+  const offered = new Map<string, { job: JobSpec; from: Source }>()
   /** Jobs that were cancelled before they came; of any service, so some never do. */
   const cancelledEarly = new Set<string>()
   /** Up to here all open jobs were read when the service was taken over. */
   let takeoverVersion = 0
+  /** Ends the whole reading that is under way. */
+  let wholeReading: AbortController | undefined
   /** Jobs that were refused and have not come yet; their arrival is noted. */
   const expected = new Set<string>()
 
@@ -80,16 +86,17 @@
    * Takes a new job on. Out of touch with the store it waits: a successor may have it,
    * and does not wait for this owner with jobs that came after the takeover.
    */
-  function take(job: JobSpec): void {
+  function take(job: JobSpec, from: Source): void {
     if (book.jobs.has(job.id) || held.learn(job)) return
     if (!authority.isConfirmed()) {
-      offered.set(job.id, job)
+      offered.set(job.id, { job, from })
       return
     }
     const taken = book.add(job)
     if (!expected.delete(job.id)) demand.arrived(taken, monotonicMs())
     if (cancelledEarly.delete(job.id)) book.cancel(job.id)
-    log.event('jobTaken', { job: job.id, queue: job.queue, service })
+    const lateMs = Math.max(0, Date.now() - job.acceptedAtMs)
+    log.event('jobTaken', { job: job.id, queue: job.queue, service, from, lateMs })
     opts.taken()
     opts.arrived()
   }
@@ -110,20 +117,26 @@
   }
 
   /** A request to cancel may come before the job that it is for; false in that case. */
-  function cancel(id: string): boolean {
-    if (held.cancel(id) || book.cancel(id)) return true
-    cancelledEarly.add(id)
-    return false
+  function cancel(id: string, from: Source): boolean {
+    if (held.cancel(id)) return true
+    const known = book.jobs.get(id)
+    if (!known) {
+      cancelledEarly.add(id)
+      return false
+    }
+    if (!known.cancelRequested) log.event('cancelTaken', { job: id, from })
+    book.cancel(id)
+    return true
   }
 
   function applyRow(part: string, key: string, value: string | undefined): void {
     if (value === undefined) return forgetRow(part, key)
     const entry = decodeIntake({ part, key }, value)
-    if (entry.kind === 'cancel') return void cancel(entry.id)
+    if (entry.kind === 'cancel') return void cancel(entry.id, 'read')
     // A job that is in the book goes on: its row does not change once it is written.
     if (entry.kind === 'invalid') return unread.note(key, entry.reason)
     unread.clear(key)
-    if (entry.job.service === service) take(entry.job)
+    if (entry.job.service === service) take(entry.job, 'read')
   }
 
   /** A request whose row has been cleared is for no job that may still come. */
@@ -134,33 +147,66 @@
     held.drop(entry.id)
   }
 
-  /** Reads the whole intake again; the version to continue from, undefined on failure. */
+  /**
+   * Reads the whole intake again beside the changes that come meanwhile, and goes on until it
+   * is done. Read before the changes, the parts of a busy store kept an owner from hearing of
+   * what was accepted and cancelled for 16 s.
+   */
+  async function readWhole(signal: AbortSignal): Promise<void> {
+    const beganAt = monotonicMs()
+    let jobs = 0
+    let cancels = 0
+    const handler: IntakeHandler = {
+      job(job) {
+        jobs++
+        take(job, 'read')
+      },
+      cancel(id) {
+        cancels++
+        cancel(id, 'read')
+      },
+      unreadable: () => undefined,
+    }
+    // Most jobs of the service are of queues that brought it some before.
+    const first = new Set([...book.jobs.values()].map(({ spec }) => spec.queue))
+    const reading = createPartsReading({ store, service, unread, first, handler })
+    while (!signal.aborted && (await reading.next()).isErr())
+      await sleep(jittered(FLUSH_RETRY_MS), signal)
+    if (signal.aborted) return
+    const tookMs = Math.round(monotonicMs() - beganAt)
+    log.event('intakeRead', { service, tookMs, jobs, cancels })
+  }
+
+  /** Begins a whole reading; the version to follow the changes from, undefined on failure. */
   async function readAgain(): Promise<number | undefined> {
-    const all = await createIntakeReading(store, service, unread).next()
-    if (all.isErr()) return undefined
-    for (const job of all.value.jobs) take(job)
-    for (const id of all.value.cancels) cancel(id)
-    return all.value.version
+    const version = await intakeVersion(store)
+    if (version.isErr()) return undefined
+    // What an earlier reading has still to read, this one reads.
+    wholeReading?.abort()
+    wholeReading = createStopController()
+    void readWhole(wholeReading.signal)
+    return version.value
   }
 
   return {
     offer(job, rowVersion) {
-      if (rowVersion > takeoverVersion) take(job)
+      if (rowVersion > takeoverVersion) take(job, 'told')
     },
     expect,
-    cancel,
+    cancel: (id) => cancel(id, 'told'),
     takeOffered() {
       if (!authority.isConfirmed()) return
-      for (const job of offered.values()) take(job)
+      for (const { job, from } of offered.values()) take(job, from)
       offered.clear()
     },
     offeredOf(queue) {
-      const waiting = [...offered.values()].filter(({ id }) => !book.jobs.has(id))
+      const jobs = [...offered.values()].map(({ job }) => job)
+      const waiting = jobs.filter(({ id }) => !book.jobs.has(id))
       return waiting.filter((job) => job.queue === queue).length
     },
     follow(version) {
       takeoverVersion = version
-      return createRowMirror({
+      const mirror = createRowMirror({
         store,
         table: INTAKE_TABLE,
         part: undefined,
@@ -171,6 +217,14 @@
         onRow: applyRow,
         onGap: readAgain,
       })
+      return {
+        ...mirror,
+        async stop() {
+          wholeReading?.abort()
+          await mirror.stop()
+          wholeReading?.abort()
+        },
+      }
     },
   }
 }
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -7,6 +7,7 @@
   PROGRESS_TABLE,
   decodeIntake,
   decodeProgress,
+  queueOfPart,
 } from '../jobs/index.js'
 import type { JobBook, JobSpec, Progress } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
@@ -61,33 +62,61 @@
   roster: [],
 }
 
-/** Reads the intake of all queues; later changes come after `version`. */
-export function createIntakeReading(
+/** The value of a reading that is made at most once. */
+function once<T>(
+  read: () => Promise<Result<T, PlatformError>>,
+): () => Promise<Result<T, PlatformError>> {
+  let known: Result<T, PlatformError> | undefined
+  return async () => {
+    const res = known ?? (await read())
+    if (res.isOk()) known = res
+    return res
+  }
+}
+
+/** What is done with the rows of the intake that concern a service, as they are read. */
+export interface IntakeHandler {
+  job(job: JobSpec): void
+  /** A job of whichever service is to be cancelled. */
+  cancel(id: string): void
+  /** The row of a job, of whichever service, cannot be read. */
+  unreadable(id: string): void
+}
+
+/** Version of the store now: what is written later is a change after it. */
+export async function intakeVersion(
   store: RowStore,
-  service: string,
-  unread: UnreadRows,
-): Reading<Intake> {
-  const intake: Intake = { jobs: [], cancels: [], unread: [], version: 0 }
+): Promise<Result<number, PlatformError>> {
+  // No rows lie in this part, so that the answer is short.
+  const res = await store.read(INTAKE_TABLE, '')
+  return res.map(({ version }) => version)
+}
+
+/** A reading of the rows of all queues. */
+export interface PartsReadingOptions {
+  store: RowStore
+  service: string
+  unread: UnreadRows
+  /** Queues whose parts are read first. */
+  first: ReadonlySet<string>
+  handler: IntakeHandler
+}
+
+/** Reads the rows of all queues, and hands on what it reads part by part. */
+export function createPartsReading(opts: PartsReadingOptions): Reading<void> {
+  const { store, service, unread, first, handler } = opts
   let left: string[] | undefined
 
   function addRow(row: StoredRow): void {
     const entry = decodeIntake(row, row.value)
-    if (entry.kind === 'cancel') return void intake.cancels.push(entry.id)
+    if (entry.kind === 'cancel') return handler.cancel(entry.id)
     if (entry.kind === 'job') {
       unread.clear(row.key)
-      if (entry.job.service === service) intake.jobs.push(entry.job)
+      if (entry.job.service === service) handler.job(entry.job)
       return
     }
     unread.note(row.key, entry.reason)
-    intake.unread.push(entry.id)
-  }
-
-  async function listParts(): Promise<Result<string[], PlatformError>> {
-    // From before the queues are listed, so that a queue that comes meanwhile is a change.
-    const before = await store.read(INTAKE_TABLE, '')
-    if (before.isErr()) return err(before.error)
-    intake.version = before.value.version
-    return store.parts(INTAKE_TABLE)
+    handler.unreadable(entry.id)
   }
 
   /** Reads some of the parts that are left, which become fewer by those that were read. */
@@ -109,28 +138,51 @@
   return {
     async next() {
       if (!left) {
-        const parts = await listParts()
+        const parts = await store.parts(INTAKE_TABLE)
         if (parts.isErr()) return err(parts.error)
-        left = [...parts.value]
+        const isFirst = (part: string): boolean => first.has(queueOfPart(part))
+        const others = parts.value.filter((part) => !isFirst(part))
+        left = [...parts.value.filter(isFirst), ...others]
       }
       while (left.length > 0) {
         const read = await readSome(left)
         if (read.isErr()) return err(read.error)
       }
-      return ok(intake)
+      return ok(undefined)
     },
   }
 }
 
-/** The value of a reading that is made at most once. */
-function once<T>(
-  read: () => Promise<Result<T, PlatformError>>,
-): () => Promise<Result<T, PlatformError>> {
-  let known: Result<T, PlatformError> | undefined
-  return async () => {
-    const res = known ?? (await read())
-    if (res.isOk()) known = res
-    return res
+/** Reads the intake of all queues; later changes come after `version`. */
+export function createIntakeReading(
+  store: RowStore,
+  service: string,
+  unread: UnreadRows,
+): Reading<Intake> {
+  const jobs: JobSpec[] = []
+  const cancels: string[] = []
+  const unreadIds: string[] = []
+  // From before the queues are listed, so that a queue that comes meanwhile is a change.
+  const before = once(() => intakeVersion(store))
+  const handler: IntakeHandler = {
+    job: (job) => void jobs.push(job),
+    cancel: (id) => void cancels.push(id),
+    unreadable: (id) => void unreadIds.push(id),
+  }
+  const first = new Set<string>()
+  const parts = createPartsReading({ store, service, unread, first, handler })
+  return {
+    async next() {
+      const version = await before()
+      if (version.isErr()) return err(version.error)
+      const read = await parts.next()
+      return read.map(() => ({
+        jobs,
+        cancels,
+        unread: unreadIds,
+        version: version.value,
+      }))
+    },
   }
 }
 
