fix(vms): targets closed for orders that cannot be given are opened

Change: while the ownership is not confirmed only targets with an order under way are named. A report that was answered so counts as open, so no order can follow from it.

--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -164,6 +164,30 @@
     await fleet.stop(false)
   })
 
+  // A pool of one target, which was to be emptied for its VM, ran nothing for 6.2 s although it
+  // was free: the store was slow, the fleet's owner could give no order and made no new plan,
+  // and its answers named the targets of the last one all the while.
+  it('opens what it has closed for orders that it cannot give', async (t) => {
+    const { fleet, orders, state } = startFleet([
+      vmOf(1, 'a'),
+      vmOf(2, 'b'),
+      vmOf(3, 'b'),
+    ])
+    const reports = (closed: boolean) => [
+      reportOf('a', 15_000, [load('i1', 3, false)]),
+      reportOf('b', 2000, [load('i2', 1, false), load('i3', 0, closed)]),
+    ]
+    await reportFor(fleet, 300, () => reports(false))
+    t.deepEqual(fleet.report(reports(false)[1]!)?.evacuate, ['i3'])
+    state.confirmed = false
+    t.deepEqual(fleet.report(reports(true)[1]!)?.evacuate, [])
+    state.confirmed = true
+    // The report that said that the target is closed counts no more: it has been opened.
+    await sleep(300)
+    t.deepEqual(orders, [])
+    await fleet.stop(false)
+  })
+
   // Found on fk-aktiv trouble-1: a second order for maintenance that had been done.
   it('does not call a life over that an accepted order has not ended', async (t) => {
     const wave = { id: 1, vms: ['m1'], durationMs: 10_000, maxDown: 1 }
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -202,9 +202,18 @@
   const targetsOf = (names: Iterable<string>): string[] =>
     [...names].flatMap((name) => vms.get(name)?.targetId || [])
 
+  /**
+   * VMs that are kept closed for an order. Those of a plan are opened while no order can be
+   * given: a service whose only target was one of them ran nothing for 6.2 s of an outage.
+   */
+  function closedVms(): Iterable<string> {
+    const ordered = orders.pending.keys()
+    return authority.isConfirmed() ? [...emptying, ...reserved, ...ordered] : ordered
+  }
+
   return {
     report(report) {
-      const evacuate = targetsOf([...emptying, ...reserved, ...orders.pending.keys()])
+      const evacuate = targetsOf(closedVms())
       if (!reports.take(openOthers(report, evacuate))) return undefined
       reported = true
       endWait()
