feat(bench): how long each job of a run stood still, from its logs

Cause: a job with a ready task and nothing running shows only where it ends up late. Change: npm run standstill -- LOG prints for each job the longest wait with a ready task and nothing running, how long of that a target of its service stood empty, and what taskWaits and jobStalled said meanwhile. Lost lines make no standstill. The reader of logs shared with npm run account takes the last of two lines that were cut into one.

--- a/bench/account/readLog.ts
+++ b/bench/account/readLog.ts
@@ -1,7 +1,7 @@
 /** Reads the structured logs of all nodes of a run, in whatever order they come. */
 import { z } from 'zod'
 
-/** What the account reads of a log line; which fields there are depends on the event. */
+/** What the readers of logs use of a line; which fields there are depends on the event. */
 const lineSchema = z.object({
   timestamp: z.iso.datetime(),
   name: z.string(),
@@ -9,6 +9,9 @@
   service: z.string().optional(),
   job: z.string().optional(),
   task: z.string().optional(),
+  target: z.string().optional(),
+  wanted: z.boolean().optional(),
+  forMs: z.number().optional(),
   queue: z.string().optional(),
   waitedMs: z.number().optional(),
   vm: z.string().optional(),
@@ -29,8 +32,8 @@
 /** The events of a text, sorted by time; what is not a line of ours is passed over. */
 export function readLog(text: string): LogEvent[] {
   const events = text.split('\n').flatMap((line): LogEvent[] => {
-    // Lines may carry the time and the node's name in front.
-    const brace = line.indexOf('{')
+    // Lines may carry the time and the node's name in front, and the rest of a cut line.
+    const brace = Math.max(line.lastIndexOf('{"timestamp"'), line.indexOf('{'))
     if (brace < 0) return []
     const parsed = lineSchema.safeParse(parseOrUndefined(line.slice(brace)))
     if (!parsed.success) return []
--- /dev/null
+++ b/bench/standstill/__tests__/standstill.spec.ts
@@ -0,0 +1,174 @@
+import { describe, it } from '../../../test/describe.js'
+import { readLog } from '../../account/readLog.js'
+import { findStandstills } from '../findStandstills.js'
+
+const START = Date.UTC(2026, 0, 1)
+
+const lineAt = (seconds: number, name: string, fields: object): string =>
+  JSON.stringify({
+    timestamp: new Date(START + seconds * 1000).toISOString(),
+    name,
+    node: 'n1',
+    ...fields,
+  })
+const taken = (seconds: number, job: string): string =>
+  lineAt(seconds, 'jobTaken', { job, service: 'a' })
+const placed = (seconds: number, task: string, target: string, waitedMs = 0): string =>
+  lineAt(seconds, 'taskPlaced', { task, target, waitedMs })
+const ended = (seconds: number, task: string, target: string, kind: string): string =>
+  lineAt(seconds, 'runEnded', { task, target, kind })
+
+const findAll = (...lines: string[]) => findStandstills(readLog(lines.join('\n')))
+const find = (...lines: string[]) => findAll(...lines).standstills
+
+describe('findStandstills', () => {
+  describe('of one job', () => {
+    it('finds the wait between a failed run and the next one', (t) => {
+      const [found] = find(
+        taken(0, 'j1'),
+        placed(0.1, 'j1.0.0.0', 'v1', 100),
+        ended(1, 'j1.0.0.0', 'v1', 'failed'),
+        placed(21, 'j1.0.0.0', 'v1', 20_000),
+        ended(22, 'j1.0.0.0', 'v1', 'done'),
+        lineAt(22, 'jobEnded', { job: 'j1' }),
+      )
+      t.is(found?.ms, 20_000)
+      t.is(found?.withRoomMs, 20_000)
+      t.false(found?.unfinished)
+    })
+
+    it('counts no time in which another task of it ran', (t) => {
+      const [found] = find(
+        taken(0, 'j1'),
+        placed(0, 'j1.0.0.0', 'v1'),
+        placed(0, 'j1.0.0.1', 'v1'),
+        ended(1, 'j1.0.0.0', 'v1', 'failed'),
+        ended(4, 'j1.0.0.1', 'v1', 'done'),
+        placed(6, 'j1.0.0.0', 'v1', 5000),
+      )
+      t.is(found?.ms, 2000)
+    })
+
+    it('counts no time in which no task was ready', (t) => {
+      const found = find(
+        taken(0, 'j1'),
+        placed(0, 'j1.0.0.0', 'v1'),
+        ended(1, 'j1.0.0.0', 'v1', 'done'),
+        placed(9, 'j1.1.0.0', 'v1', 500),
+      )
+      t.is(found[0]?.ms, 500)
+    })
+
+    it('shows a job that stands still to the end', (t) => {
+      const [found] = find(
+        taken(0, 'j1'),
+        placed(0, 'j1.0.0.0', 'v1'),
+        ended(1, 'j1.0.0.0', 'v1', 'stopped'),
+        lineAt(17, 'targetHeard', { target: 'v2' }),
+      )
+      t.is(found?.ms, 16_000)
+      t.true(found?.unfinished)
+    })
+
+    it('names a job of which nothing more is known', (t) => {
+      const { standstills, unseen } = findAll(
+        taken(0, 'j1'),
+        lineAt(30, 'targetHeard', { target: 'v1' }),
+      )
+      t.deepEqual(standstills, [])
+      t.deepEqual(unseen, ['j1'])
+    })
+
+    it('takes a run whose start is lost for one that ran', (t) => {
+      const found = find(
+        taken(0, 'j1'),
+        ended(5, 'j1.0.0.0', 'v1', 'done'),
+        lineAt(5, 'jobEnded', { job: 'j1' }),
+      )
+      t.deepEqual(found, [])
+    })
+
+    it('knows at the end of a takeover which inherited runs are no more', (t) => {
+      const [found] = find(
+        taken(0, 'j1'),
+        placed(0, 'j1.0.0.0', 'v1'),
+        lineAt(5, 'ownershipTaken', { service: 'a' }),
+        lineAt(6, 'takeoverDone', { service: 'a' }),
+        placed(9, 'j1.0.0.0', 'v2', 1000),
+      )
+      t.is(found?.ms, 3000)
+    })
+  })
+
+  describe('room', () => {
+    it('is there while a usable target runs nothing that ends by itself', (t) => {
+      const [found] = find(
+        taken(0, 'j1'),
+        taken(0, 'j2'),
+        placed(0, 'j1.0.0.0', 'v1'),
+        placed(0, 'j2.0.0.0', 'v1'),
+        ended(1, 'j1.0.0.0', 'v1', 'failed'),
+        ended(3, 'j2.0.0.0', 'v1', 'done'),
+        lineAt(3, 'jobEnded', { job: 'j2' }),
+        lineAt(5, 'evacuating', { target: 'v1', wanted: true }),
+        placed(9, 'j1.0.0.0', 'v2', 8000),
+      )
+      t.is(found?.ms, 8000)
+      t.is(found?.withRoomMs, 2000)
+    })
+
+    it('is there beside a task that lasts', (t) => {
+      const [found] = find(
+        taken(0, 'j1'),
+        taken(0, 'j2'),
+        placed(0, 'j1.0.0.0', 'v1'),
+        placed(0, 'j2.0.0.0', 'v1'),
+        ended(10, 'j1.0.0.0', 'v1', 'failed'),
+        placed(14, 'j1.0.0.0', 'v1', 4000),
+        ended(40, 'j2.0.0.0', 'v1', 'stopped'),
+      )
+      t.is(found?.withRoomMs, 4000)
+    })
+  })
+
+  describe('reasons', () => {
+    it('are those that the owner gave meanwhile for this job', (t) => {
+      const [found] = find(
+        taken(0, 'j1'),
+        placed(0, 'j1.0.0.0', 'v1'),
+        ended(1, 'j1.0.0.0', 'v1', 'failed'),
+        lineAt(2, 'taskWaits', { job: 'j1', reason: 'suspect' }),
+        lineAt(3, 'taskWaits', { job: 'j1', reason: 'suspect' }),
+        lineAt(3, 'jobStalled', { job: 'j1' }),
+        lineAt(3, 'taskWaits', { job: 'j2', reason: 'no room' }),
+        placed(4, 'j1.0.0.0', 'v1', 3000),
+      )
+      t.deepEqual(
+        [...(found?.reasons ?? [])],
+        [
+          ['taskWaits: suspect', 2],
+          ['jobStalled', 1],
+        ],
+      )
+    })
+  })
+
+  it('puts those with the most room first', (t) => {
+    const found = find(
+      taken(0, 'j1'),
+      taken(0, 'j2'),
+      placed(0, 'j1.0.0.0', 'v1'),
+      placed(4, 'j2.0.0.0', 'v1', 4000),
+      ended(5, 'j1.0.0.0', 'v1', 'failed'),
+      ended(5, 'j2.0.0.0', 'v1', 'done'),
+      placed(7, 'j1.0.0.0', 'v1', 2000),
+    )
+    t.deepEqual(
+      found.map(({ job, ms, withRoomMs }) => [job, ms, withRoomMs]),
+      [
+        ['j1', 2000, 2000],
+        ['j2', 4000, 0],
+      ],
+    )
+  })
+})
--- /dev/null
+++ b/bench/standstill/followRoom.ts
@@ -0,0 +1,101 @@
+/** When a target of each service stood empty, as far as logs tell. Pure. */
+import type { LogEvent } from '../account/readLog.js'
+import { jobOf } from './followJobs.js'
+import { joinSpans, type Span, withoutSpans } from './spans.js'
+
+/** What runs longer is a task that lasts, and leaves most of its target free; in ms. */
+const LASTING_MS = 25_000
+
+interface SeenTarget {
+  service: string | undefined
+  /** Since when it answers and isn't leaving; undefined while it can't be used. */
+  usableSince: number | undefined
+  usable: Span[]
+  busy: Span[]
+  running: Map<string, number>
+  /** When a run was last seen to start. */
+  lastStart: number
+}
+
+/**
+ * Logs name no capacity, so only a target without any task that ends by itself counts as
+ * room. It counts from its first task on, since only that tells its service.
+ */
+export function followRoom(events: LogEvent[]): Map<string, Span[]> {
+  const serviceOf = new Map<string, string>()
+  for (const { job, service } of events) if (job && service) serviceOf.set(job, service)
+  const targets = followTargets(events, serviceOf)
+
+  const room = new Map<string, Span[]>()
+  for (const { service, usable, busy } of targets) {
+    if (service === undefined) continue
+    const short = busy.filter(({ from, until }) => until - from < LASTING_MS)
+    const empty = withoutSpans(joinSpans(usable), joinSpans(short))
+    room.set(service, [...(room.get(service) ?? []), ...empty])
+  }
+  return new Map([...room].map(([service, spans]) => [service, joinSpans(spans)]))
+}
+
+function followTargets(
+  events: LogEvent[],
+  serviceOf: Map<string, string>,
+): Iterable<SeenTarget> {
+  const targets = new Map<string, SeenTarget>()
+  const logEnd = events.at(-1)?.at ?? 0
+
+  const close = (target: SeenTarget, until: number): void => {
+    if (target.usableSince === undefined) return
+    target.usable.push({ from: target.usableSince, until })
+    target.usableSince = undefined
+  }
+  const start = (target: SeenTarget, { task = '', at }: LogEvent): void => {
+    target.service ??= serviceOf.get(jobOf(task))
+    target.running.set(task, at)
+    target.usableSince ??= at
+    target.lastStart = at
+  }
+  const end = (target: SeenTarget, { task = '', at }: LogEvent): void => {
+    // The line of its start may be lost: others of the same moment are known.
+    const from = target.running.get(task) ?? target.lastStart
+    target.busy.push({ from, until: at })
+    target.running.delete(task)
+  }
+  const endUsable = (target: SeenTarget, { at }: LogEvent): void => close(target, at)
+
+  const HANDLERS: Record<string, (target: SeenTarget, event: LogEvent) => void> = {
+    taskPlaced: start,
+    runAdopted: start,
+    runEnded: end,
+    runVanished: end,
+    startRefused: end,
+    targetSilent: endUsable,
+    targetGone: endUsable,
+    targetUnlisted: endUsable,
+    targetDraining: endUsable,
+    evacuating(target, { wanted = true, at }) {
+      if (wanted) close(target, at)
+      else target.usableSince ??= at
+    },
+  }
+  for (const event of events) {
+    const handler = HANDLERS[event.name]
+    if (!handler || event.target === undefined) continue
+    const target = targets.get(event.target) ?? openTarget(event.at)
+    targets.set(event.target, target)
+    handler(target, event)
+  }
+  for (const target of targets.values()) {
+    close(target, logEnd)
+    for (const from of target.running.values()) target.busy.push({ from, until: logEnd })
+  }
+  return targets.values()
+}
+
+const openTarget = (at: number): SeenTarget => ({
+  service: undefined,
+  usableSince: undefined,
+  usable: [],
+  busy: [],
+  running: new Map(),
+  lastStart: at,
+})
--- /dev/null
+++ b/bench/standstill/main.ts
@@ -0,0 +1,41 @@
+/** `npm run standstill -- LOG [COUNT]`: the jobs that stood still longest, from the logs of all nodes. */
+import { readFileSync } from 'node:fs'
+import Table from 'cli-table3'
+import { readLog } from '../account/readLog.js'
+import { findStandstills } from './findStandstills.js'
+
+/** Jobs that are shown unless the caller says otherwise. */
+const SHOWN = 10
+
+const [file, count = String(SHOWN)] = process.argv.slice(2)
+if (file === undefined) {
+  console.error('Usage: npm run standstill -- LOG [COUNT]')
+  process.exit(2)
+}
+const events = readLog(readFileSync(file, 'utf8'))
+const start = events.find(({ name }) => name === 'jobTaken')?.at ?? 0
+const { standstills, unseen } = findStandstills(events)
+const seconds = (ms: number): string => (ms / 1000).toFixed(1)
+
+const rows = new Table({
+  head: ['job', 'service', 'from s', 'stood still s', 'with room s', 'open', 'said'],
+})
+for (const each of standstills.slice(0, Number(count))) {
+  const said = [...each.reasons].map(([reason, times]) => `${times} x ${reason}`)
+  rows.push([
+    each.job,
+    each.service,
+    seconds(each.from - start),
+    seconds(each.ms),
+    seconds(each.withRoomMs),
+    each.unfinished ? 'yes' : '',
+    said.join(', '),
+  ])
+}
+console.log(rows.toString())
+const longest = Math.max(0, ...standstills.map(({ ms }) => ms))
+const stalled = events.filter(({ name }) => name === 'jobStalled').length
+const withRoom = standstills[0]?.withRoomMs ?? 0
+console.log(`longest ${seconds(longest)} s, with room ${seconds(withRoom)} s`)
+console.log(`${stalled} x jobStalled`)
+if (unseen.length > 0) console.log(`no run and no end in the logs: ${unseen.join(' ')}`)
