feat(bench): standstills tell what the logs don't know

Change: an open job is unsure where its owner's log has a cut since its last line; it is named apart.

--- a/bench/standstill/findStandstills.ts
+++ b/bench/standstill/findStandstills.ts
@@ -2,6 +2,7 @@
 import type { LogEvent } from '../account/readLog.js'
 import { followJobs, type JobTrace } from './followJobs.js'
 import { followRoom } from './followRoom.js'
+import type { Cut } from './readCuts.js'
 import { joinSpans, lengthOf, longestOf, overlapOf, type Span } from './spans.js'
 
 /** The longest standstill of one job. */
@@ -26,16 +27,16 @@
 export interface Findings {
   /** The longest with room first. */
   standstills: Standstill[]
-  /** Jobs of which the logs show neither a run nor an end: never started, or lines lost. */
-  unseen: string[]
+  /** Open jobs of which the logs don't tell enough: never started, or lines lost. */
+  unsure: string[]
 }
 
 /** Finds the standstills; the events must be sorted. */
-export function findStandstills(events: LogEvent[]): Findings {
+export function findStandstills(events: LogEvent[], cuts: Cut[]): Findings {
   const room = followRoom(events)
   const said = events.filter(({ name }) => EXPLAINING.has(name))
   const logEnd = events.at(-1)?.at ?? 0
-  const traces = followJobs(events)
+  const traces = followJobs(events, cuts)
   const standstills = traces.flatMap((trace): Standstill[] => {
     const waits = overlapOf(joinSpans(trace.still), joinSpans(trace.ready))
     const longest = longestOf(waits)
@@ -43,8 +44,8 @@
     return [describe(trace, longest, waits, room, said, logEnd)]
   })
   standstills.sort((a, b) => b.withRoomMs - a.withRoomMs || b.ms - a.ms)
-  const unseen = traces.filter(({ open, hasRun }) => open && !hasRun)
-  return { standstills, unseen: unseen.map(({ job }) => job) }
+  const unsure = traces.filter(({ isUnsure }) => isUnsure)
+  return { standstills, unsure: unsure.map(({ job }) => job) }
 }
 
 function describe(
