fix(bench): a takeover ends only runs whose end can't have been cut from the log

Cause: a run whose end was cut from the log seemed to run until the next takeover, and its finished job to stand still from there on.

--- a/bench/standstill/followJobs.ts
+++ b/bench/standstill/followJobs.ts
@@ -40,6 +40,9 @@
   const claimedAt = new Map<string, number>()
   const logEnd = events.at(-1)?.at ?? 0
 
+  const hasCut = (node: string, from: number, until: number): boolean =>
+    cuts.some((cut) => cut.node === node && cut.at >= from && cut.at <= until)
+
   function endRun(job: OpenJob, task: string, end: LogEvent): void {
     const { at, node } = end
     job.node = node
@@ -89,9 +92,11 @@
       job.node = node
       startRun(job, task, at)
     },
-    runAdopted({ task = '', at }) {
+    runAdopted({ task = '', at, node }) {
       const job = jobs.get(jobOf(task))
-      if (job?.open) startRun(job, task, at)
+      if (!job?.open) return
+      job.node = node
+      startRun(job, task, at)
     },
     runEnded: endTask,
     runVanished: endTask,
@@ -102,12 +107,15 @@
     },
     ownershipTaken: ({ service = '', at }) => void claimedAt.set(service, at),
     takeoverDone(event) {
-      const { service = '' } = event
-      // Every inherited run is known now: what was not found has ended unseen.
+      const { service = '', node, at: until } = event
+      const from = claimedAt.get(service) ?? 0
+      if (hasCut(node, from, until)) return
+      // Every inherited run is known now, and what was not found has ended unseen.
       for (const job of jobs.values()) {
         if (!job.open || job.service !== service) continue
         for (const [task, startedAt] of job.running) {
-          if (startedAt < (claimedAt.get(service) ?? 0)) endRun(job, task, event)
+          const isGone = startedAt < from && !hasCut(job.node, startedAt, from)
+          if (isGone) endRun(job, task, event)
         }
       }
     },
