feat(soak): a randomized soak runs the node program under drawn faults

Nodes are processes behind links of their own; clients keep their connections until a node is gone. Checked while it runs: what callers are shown, each start and end at the targets, and for every job the time for which it stands still with room in calm.

--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -9,7 +9,7 @@
 
 const HOST = '127.0.0.1'
 /** The built program. */
-const PROGRAM = 'dist/src/bin/node.js'
+export const NODE_PROGRAM = 'dist/src/bin/node.js'
 
 /** How a node is started, where a test asks for something else than usual. */
 export interface NodeProcessOptions {
@@ -55,14 +55,22 @@
   return port
 }
 
-/** Starts a node; it is ready once its readiness address says so. */
-export async function startNodeProcess(
-  platform: SimPlatform,
+/** Where a node listens, and the file that says so. */
+export interface NodeSettings {
+  callers: string
+  readiness: string
+  /** Where its metrics are read. */
+  metrics: string
+  file: string
+}
+
+/** Writes the settings of a node that listens on free ports. */
+export async function writeNodeSettings(
+  platform: { storeAddress: string; cloudAddress?: string | undefined },
   name: string,
   hall: string,
-  opts: NodeProcessOptions = {},
-): Promise<NodeProcess> {
-  const { moreSettings = [], program = [PROGRAM] } = opts
+  moreSettings: string[] = [],
+): Promise<NodeSettings> {
   const [callers, readiness, nodePort, metricsPort] = await Promise.all([
     freePort(),
     freePort(),
@@ -82,12 +90,29 @@
     `metrics_port = ${metricsPort}`,
     '[store]',
     `address = ${platform.storeAddress}`,
-    '[cloud]',
-    `address = ${platform.cloudAddress}`,
+    ...(platform.cloudAddress ? ['[cloud]', `address = ${platform.cloudAddress}`] : []),
     ...moreSettings,
   ]
   writeFileSync(file, settings.join('\n'))
-  await opts.prepare?.(file, `${HOST}:${callers}`)
+  return {
+    callers: `${HOST}:${callers}`,
+    readiness: `${HOST}:${readiness}`,
+    metrics: `http://${HOST}:${metricsPort}/metrics`,
+    file,
+  }
+}
+
+/** Starts a node; it is ready once its readiness address says so. */
+export async function startNodeProcess(
+  platform: SimPlatform,
+  name: string,
+  hall: string,
+  opts: NodeProcessOptions = {},
+): Promise<NodeProcess> {
+  const { moreSettings = [], program = [NODE_PROGRAM] } = opts
+  const settings = await writeNodeSettings(platform, name, hall, moreSettings)
+  const { file, ...addresses } = settings
+  await opts.prepare?.(file, settings.callers)
   const child = spawn(process.execPath, [...program, file], {
     stdio: ['ignore', 'pipe', 'pipe'],
   })
@@ -98,9 +123,7 @@
   const ended = new Promise<void>((resolve) => child.once('exit', () => resolve()))
   return {
     name,
-    callers: `${HOST}:${callers}`,
-    readiness: `${HOST}:${readiness}`,
-    metrics: `http://${HOST}:${metricsPort}/metrics`,
+    ...addresses,
     child,
     settingsFile: file,
     output: () => output,
--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -42,6 +42,8 @@
   remove(key: RowKey): void
   get(key: RowKey): StoredRow | undefined
   rows(table: string): StoredRow[]
+  /** All parts that hold rows. */
+  parts(): string[]
   /** Forgets the history, so that followers must read afresh. */
   compact(): void
   version(): number
@@ -172,6 +174,7 @@
     },
     get: (key) => rows.get(textOf(key)),
     rows: (table) => [...rows.values()].filter((row) => row.table === table),
+    parts: () => [...new Set([...rows.values()].map(({ part }) => part))].sort(),
     compact() {
       history = []
       compactedAt = version
--- a/playground/sim/simFleet.ts
+++ b/playground/sim/simFleet.ts
@@ -5,6 +5,9 @@
 import type { RunLedger, SimTarget } from './simTarget.js'
 import { HOST } from './wire.js'
 
+/** What the list of targets shows of a VM; `none`: its entry is not written. */
+export type Listing = 'ready' | 'draining' | 'none'
+
 /** A VM of the stand-in, with the life that runs on it. */
 export interface SimVm {
   name: string
@@ -14,6 +17,7 @@
   labels: string[]
   capacity: Resources
   target: SimTarget | undefined
+  listing: Listing
   port: number
 }
 
@@ -31,6 +35,8 @@
   add(pool: string, hall: string, capacity: Resources): SimVm
   /** Writes the row of the target on a VM. */
   beat(vm: SimVm): void
+  /** Changes what the list shows of a VM, at once. */
+  list(vm: SimVm, listing: Listing): void
   /** Starts a new life on a VM. */
   begin(vm: SimVm): void
   /** Ends the life on a VM. */
@@ -56,12 +62,12 @@
 
   const beat = (vm: SimVm): void => {
     const { target, capacity } = vm
-    if (!target || vm.state !== 'up') return
+    if (!target || vm.state !== 'up' || vm.listing === 'none') return
     const value = {
       service: vm.pool,
       address: `${HOST}:${vm.port}`,
       zone: vm.hall,
-      state: 'ready',
+      state: vm.listing,
       labels: vm.labels,
       capacity: { cpu: capacity.cpu, mem_mb: capacity.memMb, gpu: capacity.gpu },
     }
@@ -73,6 +79,7 @@
     const id = `i-${lives.toString(16).padStart(8, '0')}`
     vm.target = createSimTarget({ id, capacity: vm.capacity, ledger })
     vm.state = 'up'
+    vm.listing = 'ready'
     beat(vm)
   }
 
@@ -99,12 +106,18 @@
         labels,
         capacity,
         target,
+        listing: 'ready',
         port: 0,
       }
       vms.push(vm)
       return vm
     },
     beat,
+    list(vm, listing) {
+      vm.listing = listing
+      if (listing === 'none' && vm.target) table.remove(rowOf(vm.target.id))
+      else beat(vm)
+    },
     begin,
     end,
     takeAway(vm, state, pool) {
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -11,6 +11,9 @@
 } from '../../src/ports/index.js'
 import { monotonicMs } from '../../src/shared/index.js'
 
+/** Run time of a task whose spec names none, in ms. */
+const DEFAULT_TASK_MS = 10
+
 /** What a task does, by its spec. */
 export interface SimTaskSpec {
   /** Run time in ms; 0 for a task that lasts. */
@@ -22,16 +25,24 @@
 /** What became of a run; `killed`: the target's life ended with the run on it. */
 export type LedgerEvent = 'start' | 'killed' | RunEndKind
 
+/** One thing that a target has done. */
+export interface LedgerEntry<What = LedgerEvent> {
+  at: number
+  what: What
+  task: string
+  run: number
+  target: string
+}
+
+/** What a watcher sees; `noted`: the owner has acknowledged the end of a run. */
+export type WatchedEntry = LedgerEntry<LedgerEvent | 'noted'>
+
 /** Everything that the targets of a test have done, for its checks. */
 export interface RunLedger {
   /** Starts and ends in the order in which they happened. */
-  entries: {
-    at: number
-    what: LedgerEvent
-    task: string
-    run: number
-    target: string
-  }[]
+  entries: LedgerEntry[]
+  /** Told of each entry and of each acknowledged end when it happens. */
+  watch?(entry: WatchedEntry): void
 }
 
 /** What goes wrong. Each field can be changed at any time. */
@@ -44,8 +55,10 @@
   lateMs: number
   /** Every task fails at once. */
   failsAll: boolean
-  /** Tasks do not get on. */
+  /** Tasks that start now never get on. */
   hangs: boolean
+  /** Tasks that start now take so many times as long. */
+  slowBy: number
   /** How far its tasks say that they are, in percent; undefined for what is true. */
   percent: number | undefined
 }
@@ -61,6 +74,9 @@
   timer: NodeJS.Timeout | undefined
   saved: string
   percent: number
+  startedAt: number
+  /** Time that it takes, in ms; undefined when it does not get on by itself. */
+  takesMs: number | undefined
 }
 
 /** One life of a target. */
@@ -118,13 +134,32 @@
     lateMs: 0,
     failsAll: false,
     hangs: false,
+    slowBy: 1,
     percent: undefined,
   }
 
   const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + 1000
 
   const note = (what: LedgerEvent, task: string, run: number): void => {
-    ledger.entries.push({ at: monotonicMs(), what, task, run, target: id })
+    const entry = { at: monotonicMs(), what, task, run, target: id }
+    ledger.entries.push(entry)
+    ledger.watch?.(entry)
+  }
+
+  const forgetEnds = (lastSeen: number): void => {
+    for (const { seq, task, run } of ends) {
+      if (seq > lastSeen) continue
+      ledger.watch?.({ at: monotonicMs(), what: 'noted', task, run, target: id })
+    }
+    ends = ends.filter(({ seq }) => seq > lastSeen)
+  }
+
+  /** How far a run says that it is; a task that lasts says its pace. */
+  function percentOf({ spec, percent, startedAt, takesMs }: ActiveRun): number {
+    if (faults.percent !== undefined) return faults.percent
+    if (spec.ms === 0) return percent
+    if (takesMs === undefined) return 0
+    return Math.min(99, Math.floor((100 * (monotonicMs() - startedAt)) / takesMs))
   }
 
   function end(active: ActiveRun, kind: RunEndKind): void {
@@ -168,6 +203,7 @@
       if (present || run <= (lastRun.get(task) ?? 0)) return 'old'
       if (untilMs <= clockMs()) return 'late'
       if (usedCpu + (parsed.cpu ?? 0) > opts.capacity.cpu) return 'room'
+      const isStuck = parsed.ms === 0 || faults.hangs
       const active: ActiveRun = {
         task,
         run,
@@ -175,13 +211,15 @@
         timer: undefined,
         saved,
         percent: 100,
+        startedAt: monotonicMs(),
+        takesMs: isStuck ? undefined : (parsed.ms ?? DEFAULT_TASK_MS) * faults.slowBy,
       }
       runs.set(task, active)
       usedCpu += parsed.cpu ?? 0
       note('start', task, run)
       const kind = parsed.fail || faults.failsAll ? 'failed' : 'done'
-      if (parsed.ms !== 0 && !faults.hangs) {
-        active.timer = setTimeout(() => end(active, kind), parsed.ms ?? 10)
+      if (active.takesMs !== undefined) {
+        active.timer = setTimeout(() => end(active, kind), active.takesMs)
         active.timer.unref()
       }
       return 'accepted'
@@ -201,12 +239,12 @@
     hold({ token, lastSeen, untilMs }) {
       if (isFenced(token)) return undefined
       if (untilMs !== undefined) extend(untilMs)
-      ends = ends.filter((each) => each.seq > lastSeen)
-      const present = [...runs.values()].map(({ task, run, saved, percent }) => ({
-        task,
-        run,
-        checkpoint: saved,
-        percent: faults.percent ?? percent,
+      forgetEnds(lastSeen)
+      const present = [...runs.values()].map((active) => ({
+        task: active.task,
+        run: active.run,
+        checkpoint: active.saved,
+        percent: percentOf(active),
         load: 0,
       }))
       return { runs: present, ends: [...ends] }
--- a/playground/sim/wireServer.ts
+++ b/playground/sim/wireServer.ts
@@ -9,7 +9,7 @@
 import { createRowTable } from './rowTable.js'
 import type { RowTable } from './rowTable.js'
 import { createSimFleet } from './simFleet.js'
-import type { Maintained, SimVm } from './simFleet.js'
+import type { Listing, Maintained, SimVm } from './simFleet.js'
 import type { RunLedger } from './simTarget.js'
 import { storeHandlers } from './storeHandlers.js'
 import { targetHandlers } from './targetHandlers.js'
@@ -32,6 +32,10 @@
   waveStatus(id: number): string | undefined
   /** Ends the life on a VM without a word. */
   crash(vm: SimVm): void
+  /** Starts a new life on a VM that crashed. */
+  revive(vm: SimVm): void
+  /** Changes what the list of targets shows of a VM. */
+  list(vm: SimVm, listing: Listing): void
   close(): Promise<void>
 }
 
@@ -91,6 +95,8 @@
       fleet.end(vm)
       vm.state = 'down'
     },
+    revive: fleet.begin,
+    list: fleet.list,
     async close() {
       clearInterval(heartbeats)
       fleet.close()
--- /dev/null
+++ b/playground/soak/nodes.ts
@@ -0,0 +1,128 @@
+/** Nodes of a run: processes that are paused, stopped, killed and started again. */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { closeSync, openSync } from 'node:fs'
+import { join } from 'node:path'
+import { Pool, request } from 'undici'
+import { sleep } from '../../src/shared/index.js'
+import { NODE_PROGRAM, writeNodeSettings } from '../sim/nodeProcess.js'
+import type { SimPlatform } from '../sim/wireServer.js'
+import { openFaultLink } from './faultLink.js'
+import type { FaultLink } from './faultLink.js'
+
+/** Time that the platform leaves a process that it stops before it kills it, in ms. */
+const GRACE_MS = 6000
+/** Longest wait for a node to become ready, in ms. */
+const READY_MS = 30_000
+/** Longest wait of a client for an answer, in ms. */
+export const DEADLINE_MS = 3000
+/** Connections that clients keep to a node. */
+const CONNECTIONS = 6
+
+/** A node, over all of its processes. */
+export interface SoakNode {
+  name: string
+  /** Connections of the clients; they are used for as long as they are open. */
+  clients: Pool
+  storeLink: FaultLink
+  isUp(): boolean
+  /** Whether it was told to stop and is not gone yet. */
+  isStopping(): boolean
+  start(): void
+  signal(signal: NodeJS.Signals): void
+  kill(): Promise<void>
+  /** Asks it to stop, as often as told, and kills it when it takes too long. */
+  stop(times: number): Promise<void>
+  untilReady(): Promise<boolean>
+  close(): Promise<void>
+}
+
+/** Starts a node behind a link of its own to the store. */
+export async function startSoakNode(opts: {
+  platform: SimPlatform
+  name: string
+  hall: string
+  withCloud: boolean
+  dir: string
+  /** A process that nobody ended is gone. */
+  onOwnEnd(name: string, reason: string): void
+}): Promise<SoakNode> {
+  const { platform, name, dir } = opts
+  const storeLink = await openFaultLink(Number(platform.storeAddress.split(':')[1]))
+  const addresses = {
+    storeAddress: storeLink.address,
+    cloudAddress: opts.withCloud ? platform.cloudAddress : undefined,
+  }
+  const settings = await writeNodeSettings(addresses, name, opts.hall)
+  const clients = new Pool(`http://${settings.callers}`, {
+    connections: CONNECTIONS,
+    headersTimeout: DEADLINE_MS,
+    bodyTimeout: DEADLINE_MS,
+  })
+  let child: ChildProcess | undefined
+  let gone = Promise.resolve()
+  let endAsked = false
+
+  function start(): void {
+    const log = openSync(join(dir, `${name}.log`), 'a')
+    const started = spawn(process.execPath, [NODE_PROGRAM, settings.file], {
+      stdio: ['ignore', log, log],
+    })
+    closeSync(log)
+    child = started
+    endAsked = false
+    gone = new Promise((resolve) =>
+      started.once('exit', (code, signal) => {
+        child = undefined
+        if (!endAsked) opts.onOwnEnd(name, `code ${code}, signal ${signal}`)
+        resolve()
+      }),
+    )
+  }
+
+  async function kill(): Promise<void> {
+    endAsked = true
+    child?.kill('SIGKILL')
+    await gone
+  }
+
+  start()
+  return {
+    name,
+    clients,
+    storeLink,
+    isUp: () => child !== undefined,
+    isStopping: () => child !== undefined && endAsked,
+    start() {
+      if (!child) start()
+    },
+    signal: (signal) => void child?.kill(signal),
+    kill,
+    async stop(times) {
+      endAsked = true
+      for (let each = 0; each < times; each++) {
+        child?.kill('SIGTERM')
+        await sleep(20)
+      }
+      const late = setTimeout(() => child?.kill('SIGKILL'), GRACE_MS)
+      await gone
+      clearTimeout(late)
+    },
+    async untilReady() {
+      const endsAt = performance.now() + READY_MS
+      while (performance.now() < endsAt) {
+        const url = `http://${settings.readiness}/readiness`
+        const res = await request(url).catch(() => undefined)
+        await res?.body.dump()
+        if (res?.statusCode === 200) return true
+        await sleep(100)
+      }
+      return false
+    },
+    async close() {
+      await kill()
+      storeLink.close()
+      await clients.destroy()
+    },
+  }
+}
