--- a/playground/soak/calm.ts
+++ b/playground/soak/calm.ts
@@ -1,8 +1,8 @@
-/** Knows whether a node or the store was lately disturbed: promises in time hold in calm. */
+/** Knows whether nodes or the store were lately disturbed: bounds in time hold in calm. */
 
 /** Time without any disturbance after which the system is calm, in ms. */
 const CALM_AFTER_MS = 4000
-/** A timer that is so late shows that the soak's own process stood still, in ms. */
+/** A look that comes so late shows that the soak's own process stood still, in ms. */
 const LATE_MS = 500
 const LOOK_MS = 100
 
@@ -13,18 +13,17 @@
   /** Time since the last disturbance, in ms; 0 while one lasts. */
   calmMs(): number
   isCalm(): boolean
-  /** How often the soak's own process stood still. */
+  /** How often the soak's own process, and all targets with it, stood still. */
   ownStalls(): number
   close(): void
 }
 
-/** Creates the record, with the system calm. */
+/** Creates the record of a system that is calm. */
 export function createCalm(): Calm {
   let active = 0
   let lastAt = -Infinity
   let ownStalls = 0
   let lookedAt = performance.now()
-
   const timer = setInterval(() => {
     const now = performance.now()
     if (now - lookedAt > LOOK_MS + LATE_MS) {
@@ -39,10 +38,7 @@
   return {
     begin() {
       active++
-      let isOver = false
       return () => {
-        if (isOver) return
-        isOver = true
         active--
         lastAt = performance.now()
       }
--- /dev/null
+++ b/playground/soak/faultKinds.ts
@@ -0,0 +1,270 @@
+/** Kinds of faults: what they hit, how long they usually last, and what they do. */
+import { sleep } from '../../src/shared/index.js'
+import type { StoreFaults } from '../sim/rowTable.js'
+import type { SimVm } from '../sim/simFleet.js'
+import type { TargetFaults } from '../sim/simTarget.js'
+import type { SimPlatform } from '../sim/wireServer.js'
+import type { FaultLink } from './faultLink.js'
+import { foreignEntry } from './foreignEntry.js'
+import type { SoakNode } from './nodes.js'
+import type { Fault } from './plan.js'
+import type { WatchedTarget } from './stillWatch.js'
+
+/** A target behind its link. */
+export interface SoakTarget extends WatchedTarget {
+  link: FaultLink
+}
+
+/** What faults act on. */
+export interface FaultContext {
+  platform: SimPlatform
+  nodes: SoakNode[]
+  targets: SoakTarget[]
+  /** Pools of the queues. */
+  pools: string[]
+  /** Targets that drain, with the time of the word in the list. */
+  draining: Map<string, number>
+  /** Where an order to an entry of another writer would arrive. */
+  trapAddress: string
+  changeConfiguration(fault: Fault): void
+}
+
+/** What a fault hits; `planned`: what operators and other programs do. */
+export type FaultGroup = 'node' | 'store' | 'target' | 'pool' | 'planned'
+/** Ends a fault. */
+type Undo = () => unknown
+
+/** One kind of fault. */
+export interface FaultKind {
+  group: FaultGroup
+  /** Usual time from its beginning to its end, in ms. */
+  usualMs: number
+  begin(ctx: FaultContext, fault: Fault): Undo | void
+}
+
+/** Time from the word in the list to the end of a draining target, in ms. */
+const DRAIN_MS = 2500
+/** Time for which the targets that are left in a pool are bad, in ms. */
+const BAD_MS = 2000
+const SHRUNK_MS = 15_000
+
+const pick = <T>(items: readonly T[], { which }: Fault): T => items[which % items.length]!
+
+const onNode = (usualMs: number, act: (node: SoakNode) => Undo | void): FaultKind => ({
+  group: 'node',
+  usualMs,
+  begin: ({ nodes }, fault) => act(pick(nodes, fault)),
+})
+
+/** Faults of the store that are switched on, and how it is without them. */
+type StoreSwitches = Pick<StoreFaults, 'delayMs' | 'down' | 'broken' | 'lostShare'>
+const STORE_WELL: StoreSwitches = { delayMs: 0, down: false, broken: false, lostShare: 0 }
+
+const onStore = (
+  usualMs: number,
+  faultsOf: (level: number) => Partial<StoreFaults>,
+): FaultKind => ({
+  group: 'store',
+  usualMs,
+  begin({ platform: { table } }, { level }) {
+    const faults = faultsOf(level)
+    Object.assign(table.faults, faults)
+    const switched = Object.entries(STORE_WELL).filter(([key]) => key in faults)
+    return () => Object.assign(table.faults, Object.fromEntries(switched))
+  },
+})
+
+type LinkAct = (link: FaultLink, level: number) => Undo | void
+
+const onStoreLink = (usualMs: number, act: LinkAct): FaultKind => ({
+  group: 'store',
+  usualMs,
+  begin: ({ nodes }, fault) => act(pick(nodes, fault).storeLink, fault.level),
+})
+
+const onTargetLink = (usualMs: number, act: LinkAct): FaultKind => ({
+  group: 'target',
+  usualMs,
+  begin: ({ targets }, fault) => act(pick(targets, fault).link, fault.level),
+})
+
+const onTarget = (
+  usualMs: number,
+  act: (vm: SimVm, ctx: FaultContext, fault: Fault) => Undo | void,
+): FaultKind => ({
+  group: 'target',
+  usualMs,
+  begin: (ctx, fault) => act(pick(ctx.targets, fault).vm, ctx, fault),
+})
+
+const onPool = (
+  usualMs: number,
+  act: (vms: SimVm[], ctx: FaultContext, fault: Fault) => Undo | void,
+): FaultKind => ({
+  group: 'pool',
+  usualMs,
+  begin(ctx, fault) {
+    const pool = pick(ctx.pools, fault)
+    const vms = ctx.targets.map(({ vm }) => vm)
+    return act(
+      vms.filter((vm) => vm.pool === pool && vm.state === 'up'),
+      ctx,
+      fault,
+    )
+  },
+})
+
+const planned = (usualMs: number, begin: FaultKind['begin']): FaultKind => ({
+  group: 'planned',
+  usualMs,
+  begin,
+})
+
+const restart = (node: SoakNode): Promise<boolean> => {
+  node.start()
+  return node.untilReady()
+}
+
+const kill = (node: SoakNode): Undo => {
+  void node.kill()
+  return () => restart(node)
+}
+
+const slow: LinkAct = (link, level) => {
+  link.delayMs = Math.round(20 + 400 * level)
+  return () => (link.delayMs = 0)
+}
+
+const cut: LinkAct = (link, level) => {
+  if (level < 0.67) link.cut.add('up')
+  if (level > 0.33) link.cut.add('down')
+  return () => link.cut.clear()
+}
+
+/** Lives of targets work badly for a while. */
+const spoil = (vms: SimVm[], faults: Partial<TargetFaults>): Undo => {
+  const lives = vms.flatMap(({ target }) => target ?? [])
+  for (const life of lives) Object.assign(life.faults, faults)
+  const well = { failsAll: false, hangs: false, slowBy: 1 }
+  return () => lives.forEach((life) => Object.assign(life.faults, well))
+}
+
+const FAILS = { failsAll: true }
+const HANGS = { hangs: true }
+const slowness = ({ level }: Fault) => ({ slowBy: 3 + 12 * level })
+
+const crash = (vms: SimVm[], { platform }: FaultContext): Undo => {
+  const up = vms.filter(({ state }) => state === 'up')
+  up.forEach(platform.crash)
+  return () => up.filter(({ state }) => state === 'down').forEach(platform.revive)
+}
+
+/** Targets that a pool keeps when it shrinks. */
+const keptOf = (vms: SimVm[], { level }: Fault): SimVm[] =>
+  vms.slice(0, level < 0.6 ? 1 : 2)
+
+const shrink = (vms: SimVm[], ctx: FaultContext, fault: Fault): Undo =>
+  crash(vms.slice(keptOf(vms, fault).length), ctx)
+
+/** Lets a target drain, end, and come back as another life. */
+function drain(vm: SimVm, ctx: FaultContext): Undo | void {
+  const life = vm.target
+  if (!life) return
+  ctx.platform.list(vm, 'draining')
+  ctx.draining.set(life.id, performance.now())
+  return async () => {
+    await sleep(DRAIN_MS)
+    if (vm.target === life) await crash([vm], ctx)()
+  }
+}
+
+/** A target's entry goes, or is overwritten with `text`, while its life goes on. */
+function unlist(vm: SimVm, { platform }: FaultContext, text?: string): Undo | void {
+  const life = vm.target
+  if (!life || vm.listing !== 'ready') return
+  platform.list(vm, 'none')
+  if (text !== undefined) {
+    platform.table.put({ table: 'servers', part: '', key: life.id }, text)
+  }
+  return () => {
+    if (vm.target === life && vm.listing === 'none') platform.list(vm, 'ready')
+  }
+}
+
+/** All kinds; the order matters to the plans that seeds give. */
+export const FAULT_KINDS: Record<string, FaultKind> = {
+  nodePause: onNode(3000, (node) => {
+    node.signal('SIGSTOP')
+    return () => node.signal('SIGCONT')
+  }),
+  nodeKill: onNode(1500, kill),
+  nodeAway: onNode(12_000, kill),
+  allNodesKill: {
+    group: 'node',
+    usualMs: 500,
+    begin({ nodes }) {
+      const undos = nodes.map(kill)
+      return () => Promise.all(undos.map((undo) => undo()))
+    },
+  },
+  storeSlow: onStore(3000, (level) => ({ delayMs: 30 + 600 * level })),
+  storeDown: onStore(2500, () => ({ down: true })),
+  storeBroken: onStore(1500, () => ({ broken: true })),
+  storeAnswersLost: onStore(2500, (level) => ({
+    lostShare: 0.1 + 0.4 * level,
+    lateMs: level > 0.5 ? 1500 : 0,
+  })),
+  storeForgets: {
+    group: 'store',
+    usualMs: 100,
+    begin: ({ platform }) => platform.table.compact(),
+  },
+  storePartDown: {
+    group: 'store',
+    usualMs: 3000,
+    begin({ platform: { table } }, fault) {
+      const part = pick(table.parts(), fault)
+      table.faults.refusedParts.add(part)
+      return () => table.faults.refusedParts.delete(part)
+    },
+  },
+  storeLinkSlow: onStoreLink(3000, slow),
+  storeLinkReset: onStoreLink(100, (link) => link.reset()),
+  storeLinkSilent: onStoreLink(100, (link) => link.silence()),
+  storeLinkCut: onStoreLink(3000, cut),
+  targetFails: onTarget(5000, (vm) => spoil([vm], FAILS)),
+  targetHangs: onTarget(4000, (vm) => spoil([vm], HANGS)),
+  targetSlow: onTarget(5000, (vm, _ctx, fault) => spoil([vm], slowness(fault))),
+  targetCrash: onTarget(3000, (vm, ctx) => crash([vm], ctx)),
+  targetDrains: onTarget(1500, drain),
+  targetUnlisted: onTarget(4000, (vm, ctx) => unlist(vm, ctx)),
+  targetLinkSlow: onTargetLink(3000, slow),
+  targetLinkReset: onTargetLink(100, (link) => link.reset()),
+  targetLinkSilent: onTargetLink(100, (link) => link.silence()),
+  targetLinkCut: onTargetLink(2500, cut),
+  poolFails: onPool(2500, (vms) => spoil(vms, FAILS)),
+  poolHangs: onPool(2500, (vms) => spoil(vms, HANGS)),
+  poolSlow: onPool(4000, (vms, _ctx, fault) => spoil(vms, slowness(fault))),
+  poolShrinks: onPool(SHRUNK_MS, shrink),
+  poolShrinksToBad: onPool(SHRUNK_MS, (vms, ctx, fault) => {
+    const well = spoil(keptOf(vms, fault), fault.which % 3 === 0 ? HANGS : FAILS)
+    setTimeout(well, BAD_MS)
+    return shrink(vms, ctx, fault)
+  }),
+  nodeReload: planned(100, ({ nodes }, fault) => pick(nodes, fault).signal('SIGHUP')),
+  nodeStop: planned(1000, ({ nodes }, fault) => {
+    const node = pick(nodes, fault)
+    const gone = node.stop(fault.level < 0.7 ? 1 : 2)
+    return () => gone.then(() => restart(node))
+  }),
+  configurationChanges: planned(100, (ctx, fault) => ctx.changeConfiguration(fault)),
+  foreignEntry: planned(4000, ({ platform, trapAddress, pools }, fault) => {
+    const key = { table: 'servers', part: '', key: `x/${fault.which}.${fault.at}` }
+    platform.table.put(key, foreignEntry(fault, pick(pools, fault), trapAddress))
+    return () => platform.table.remove(key)
+  }),
+  entryOverwritten: planned(3000, (ctx, fault) => {
+    const { vm } = pick(ctx.targets, fault)
+    return unlist(vm, ctx, foreignEntry(fault, vm.pool, ctx.trapAddress))
+  }),
+}
--- a/playground/soak/faultLink.ts
+++ b/playground/soak/faultLink.ts
@@ -15,35 +15,30 @@
   port: number
   /** Bytes are so late, in ms. */
   delayMs: number
-  /** Ways on which bytes are held until they are no longer in this set. */
+  /** Ways on which bytes are held for as long as they stand here. */
   cut: Set<Way>
   /** Breaks all open connections. */
   reset(): void
   /** Nothing passes open connections any more; new ones work. */
   silence(): void
+  /** When something was wrong for the last time; now, while something is. */
+  harmedAt(): number
   close(): void
 }
 
-/** Bytes on their way; without data the connection ends there. */
-interface Piece {
-  dueAt: number
-  data: Buffer | undefined
-}
-
 /** One direction of a connection: order is kept, bytes wait while they must. */
 interface Pipe {
-  push(data: Buffer | undefined): void
+  /** Takes bytes, or the end of the connection. */
+  push(data?: Buffer): void
   flush(): void
   isSilent: boolean
 }
 
 function createPipe(to: Socket, way: Way, link: FaultLink): Pipe {
-  const pieces: Piece[] = []
-  const send = (data: Buffer | undefined): void => {
-    if (to.destroyed) return
-    if (data) to.write(data)
-    else to.end()
-  }
+  const pieces: { dueAt: number; data: Buffer | undefined }[] = []
+  const isDue = (): boolean =>
+    pieces.length > 0 && !link.cut.has(way) && pieces[0]!.dueAt <= performance.now()
+
   const pipe: Pipe = {
     isSilent: false,
     push(data) {
@@ -52,8 +47,10 @@
       pipe.flush()
     },
     flush() {
-      while (pieces[0] && !link.cut.has(way) && pieces[0].dueAt <= performance.now()) {
-        send(pieces.shift()!.data)
+      while (isDue()) {
+        const { data } = pieces.shift()!
+        if (data && !to.destroyed) to.write(data)
+        else to.end()
       }
     },
   }
@@ -64,18 +61,21 @@
 export async function openFaultLink(toPort: number): Promise<FaultLink> {
   const pipes = new Set<Pipe>()
   const sockets = new Set<Socket>()
+  let harmedAt = -Infinity
+  const noteHarm = (): void => void (harmedAt = performance.now())
 
   const join = (from: Socket, to: Socket, way: Way): void => {
     const pipe = createPipe(to, way, link)
     pipes.add(pipe)
     sockets.add(from)
     from.on('data', (data: Buffer) => pipe.push(data))
+    // The close that follows is all that matters.
     from.on('error', () => undefined)
     from.on('close', () => {
       sockets.delete(from)
-      pipe.push(undefined)
-      to.once('close', () => pipes.delete(pipe))
+      pipe.push()
     })
+    to.on('close', () => pipes.delete(pipe))
   }
   const server = createServer((near) => {
     const far = connect(toPort, HOST)
@@ -92,11 +92,17 @@
     delayMs: 0,
     cut: new Set(),
     reset() {
+      noteHarm()
       for (const socket of sockets) socket.resetAndDestroy()
     },
     silence() {
+      noteHarm()
       for (const pipe of pipes) pipe.isSilent = true
     },
+    harmedAt() {
+      if (link.delayMs > 0 || link.cut.size > 0) noteHarm()
+      return harmedAt
+    },
     close() {
       clearInterval(timer)
       server.close()
--- a/playground/soak/nodes.ts
+++ b/playground/soak/nodes.ts
@@ -10,7 +10,7 @@
 import { openFaultLink } from './faultLink.js'
 import type { FaultLink } from './faultLink.js'
 
-/** Time that the platform leaves a process that it stops before it kills it, in ms. */
+/** Time that a process has to stop before it is killed, in ms. */
 const GRACE_MS = 6000
 /** Longest wait for a node to become ready, in ms. */
 const READY_MS = 30_000
@@ -37,7 +37,7 @@
   close(): Promise<void>
 }
 
-/** Starts a node behind a link of its own to the store. */
+/** Starts a node behind a link of its own to the store; its log stands in `dir`. */
 export async function startSoakNode(opts: {
   platform: SimPlatform
   name: string
@@ -49,10 +49,8 @@
 }): Promise<SoakNode> {
   const { platform, name, dir } = opts
   const storeLink = await openFaultLink(Number(platform.storeAddress.split(':')[1]))
-  const addresses = {
-    storeAddress: storeLink.address,
-    cloudAddress: opts.withCloud ? platform.cloudAddress : undefined,
-  }
+  const cloudAddress = opts.withCloud ? platform.cloudAddress : undefined
+  const addresses = { storeAddress: storeLink.address, cloudAddress }
   const settings = await writeNodeSettings(addresses, name, opts.hall)
   const clients = new Pool(`http://${settings.callers}`, {
     connections: CONNECTIONS,
@@ -64,9 +62,11 @@
   let endAsked = false
 
   function start(): void {
+    if (child) return
     const log = openSync(join(dir, `${name}.log`), 'a')
+    const stdio = ['ignore', log, log] as const
     const started = spawn(process.execPath, [NODE_PROGRAM, settings.file], {
-      stdio: ['ignore', log, log],
+      stdio: [...stdio],
     })
     closeSync(log)
     child = started
@@ -86,6 +86,13 @@
     await gone
   }
 
+  async function isReady(): Promise<boolean> {
+    const url = `http://${settings.readiness}/readiness`
+    const res = await request(url).catch(() => undefined)
+    await res?.body.dump()
+    return res?.statusCode === 200
+  }
+
   start()
   return {
     name,
@@ -93,9 +100,7 @@
     storeLink,
     isUp: () => child !== undefined,
     isStopping: () => child !== undefined && endAsked,
-    start() {
-      if (!child) start()
-    },
+    start,
     signal: (signal) => void child?.kill(signal),
     kill,
     async stop(times) {
@@ -111,10 +116,7 @@
     async untilReady() {
       const endsAt = performance.now() + READY_MS
       while (performance.now() < endsAt) {
-        const url = `http://${settings.readiness}/readiness`
-        const res = await request(url).catch(() => undefined)
-        await res?.body.dump()
-        if (res?.statusCode === 200) return true
+        if (await isReady()) return true
         await sleep(100)
       }
       return false
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -3,36 +3,29 @@
 import { join } from 'node:path'
 import { sleep } from '../../src/shared/index.js'
 import { createRandom } from '../random.js'
-import { HOST, listen, portOf } from '../sim/wire.js'
-import { startSimPlatform } from '../sim/wireServer.js'
+import { HOST, portOf } from '../sim/wire.js'
 import { createCalm } from './calm.js'
 import { createClients } from './clients.js'
-import type { SoakQueue } from './clients.js'
-import { openFaultLink } from './faultLink.js'
-import { playFault } from './faults.js'
-import type { FaultContext, SoakTarget } from './faults.js'
 import { startSoakNode } from './nodes.js'
-import type { Fault, SoakPlan } from './plan.js'
+import type { SoakPlan } from './plan.js'
+import { playFault } from './playFault.js'
 import { createRunChecks } from './runChecks.js'
+import { configurationOf, HALLS, linkTargets, openTrap, QUEUES } from './setUp.js'
+import { startPlatform } from './setUp.js'
 import { createStillWatch } from './stillWatch.js'
+import { createTraffic } from './traffic.js'
 
-const QUEUES: SoakQueue[] = [
-  { name: 'r-one', host: 'q.example', path: '/one/', service: 'one', maxAttempts: 3 },
-  { name: 'r-two', host: 'q.example', path: '/two/', service: 'two', maxAttempts: 12 },
-]
-const HALLS = ['h1', 'h2']
 /** Longest time in which all jobs end once all faults are over, in ms. */
 const SETTLE_MS = 30_000
 /** Time between two looks at all jobs, in ms. */
 const LOOK_MS = 50
-/** After a target was harmed, new connections work; nodes need that long to see it, in ms. */
-const HARMED_MS = 2000
+/** The traffic draws other numbers than the plan of the same seed. */
+const TRAFFIC_SEED = 1_000_000
 
-/** A promise that did not hold. */
+/** A promise that did not hold, so many ms after the first job. */
 export interface Failure {
   promise: string
   detail: string
-  /** Ms after the first job. */
   atMs: number
 }
 
@@ -42,91 +35,34 @@
   failures: Failure[]
   faults: number
   jobs: number
-  accepted: number
   runs: number
   longestStillMs: number
   /** How often the soak's own process stood still. */
   ownStalls: number
 }
 
-/** The configuration; routes that no client uses come and go. */
-const configurationOf = (version: number, more: Fault | undefined) => ({
-  version,
-  routes: [
-    ...QUEUES.map(({ name, host, path, service, maxAttempts }) => ({
-      name,
-      host,
-      path_prefix: path,
-      kind: 'unsafe',
-      timeout_ms: 3000 + (more?.forMs ?? 0),
-      target_latency_ms: 600,
-      priority: 0,
-      service,
-      max_attempts: maxAttempts,
-      stretch: 1.6 + (more?.level ?? 0),
-    })),
-    ...Array.from({ length: (more?.which ?? 0) % 5 }, (_, each) => ({
-      name: `r-more-${each}`,
-      host: 'more.example',
-      path_prefix: `/more${each}/`,
-      service: 'one',
-    })),
-  ],
-  services: [
-    { name: 'one', admission_check: true, spare: false },
-    { name: 'two', admission_check: true, spare: false },
-    { name: 'idle', admission_check: true, spare: true },
-  ],
-  limits: { max_body_bytes: 20_000 },
-})
-
-/** Puts a link before each target, with the time of its last harm. */
-async function linkTargets(
-  platform: Awaited<ReturnType<typeof startSimPlatform>>,
-): Promise<SoakTarget[]> {
-  return Promise.all(
-    platform.vms.map(async (vm): Promise<SoakTarget> => {
-      const link = await openFaultLink(vm.port)
-      vm.port = link.port
-      platform.list(vm, 'ready')
-      let harmedAt = -Infinity
-      const noteHarm = (): void => void (harmedAt = performance.now())
-      const { reset, silence } = link
-      link.reset = () => (noteHarm(), reset())
-      link.silence = () => (noteHarm(), silence())
-      const isReachable = (): boolean => {
-        if (link.cut.size > 0 || link.delayMs > 0) noteHarm()
-        return performance.now() - harmedAt > HARMED_MS
-      }
-      return { vm, link, isReachable }
-    }),
-  )
-}
-
-/** Runs a plan; logs of all nodes and all that was seen stand in `dir`. */
+/** Runs a plan; the logs of all nodes and all that was seen stand in `dir`. */
 export async function runSoak(plan: SoakPlan, dir: string): Promise<SoakResult> {
   mkdirSync(dir, { recursive: true })
   writeFileSync(join(dir, 'plan.json'), JSON.stringify(plan, undefined, 2))
   const trace = createWriteStream(join(dir, 'trace.ndjson'))
   const failures: Failure[] = []
   let beganAt = performance.now()
-  const sinceBegin = (): number => Math.round(performance.now() - beganAt)
   const note = (what: string, more: object): void => {
-    const line = { at: new Date().toISOString(), atMs: sinceBegin(), what, ...more }
+    const atMs = Math.round(performance.now() - beganAt)
+    const line = { time: new Date().toISOString(), atMs, what, ...more }
     trace.write(JSON.stringify(line) + '\n')
   }
   const report = (promise: string, detail: string): void => {
-    failures.push({ promise, detail, atMs: sinceBegin() })
+    const atMs = Math.round(performance.now() - beganAt)
+    failures.push({ promise, detail, atMs })
     note('failure', { promise, detail })
   }
 
-  const platform = await startSimPlatform({
-    pools: { one: plan.targets, two: plan.targets, idle: plan.idleVms },
-    halls: HALLS,
-    capacity: { cpu: 8000, memMb: 32_000, gpu: 0 },
-    awayMs: 1500,
-  })
-  const random = createRandom(plan.seed + 1_000_000)
+  const platform = await startPlatform(plan)
+  const targets = await linkTargets(platform)
+  const trap = await openTrap(report)
+  const random = createRandom(plan.seed + TRAFFIC_SEED)
   platform.table.faults.random = random
   const calm = createCalm()
   const unplanned = createCalm()
@@ -138,69 +74,53 @@
     note(what, { task, run, target })
     checks.onTargetEntry(entry)
   }
-  const targets = await linkTargets(platform)
-  const trapped = ({ body }: { body: object }): [number] => {
-    report('order to a foreign entry', JSON.stringify(body))
-    return [503]
-  }
-  const trap = await listen({ 'POST /run-start': trapped, 'POST /hold': trapped })
-  let version = 3
-  platform.putConfiguration(configurationOf(version, undefined))
 
-  const nodes = await Promise.all(
-    Array.from({ length: plan.nodes }, (_, each) =>
-      startSoakNode({
-        platform,
-        name: `n${each + 1}`,
-        hall: HALLS[each % HALLS.length]!,
-        withCloud: plan.idleVms > 0,
-        dir,
-        onOwnEnd: (name, reason) => report('node ended by itself', `${name}: ${reason}`),
-      }),
-    ),
-  )
+  const startNode = (_: unknown, each: number) =>
+    startSoakNode({
+      platform,
+      name: `n${each + 1}`,
+      hall: HALLS[each % HALLS.length]!,
+      withCloud: plan.idleVms > 0,
+      dir,
+      onOwnEnd: (name, reason) => report('node ended by itself', `${name}: ${reason}`),
+    })
+  const nodes = await Promise.all(Array.from({ length: plan.nodes }, startNode))
   const ready = await Promise.all(nodes.map((node) => node.untilReady()))
-  if (ready.includes(false)) report('not ready', 'a node did not become ready')
+  if (ready.includes(false)) report('node not ready', JSON.stringify(ready))
 
-  const ctx: FaultContext = {
+  const clients = createClients({ nodes, checks, calm, unplanned, report, note })
+  const { jobs, draining } = checks
+  const traffic = createTraffic({ random, queues: QUEUES, clients, jobs, plan })
+  const isServed = (): boolean => nodes.some((node) => node.isUp())
+  const watch = createStillWatch({ checks, calm, targets, isServed, report })
+  const looks = setInterval(watch.look, LOOK_MS)
+  const pools = QUEUES.map(({ service }) => service)
+  const trapAddress = `${HOST}:${portOf(trap)}`
+  let version = 1
+  const changeConfiguration = (change: SoakPlan['faults'][number]): void => {
+    version += 1 + (change.which % 7)
+    platform.putConfiguration(configurationOf(version, change))
+  }
+  const ctx = {
     platform,
     nodes,
     targets,
-    pools: QUEUES.map(({ service }) => service),
-    checks,
-    calm,
-    unplanned,
-    trapAddress: `${HOST}:${portOf(trap)}`,
-    changeConfiguration(fault) {
-      version += 1 + (fault.which % 7)
-      platform.putConfiguration(configurationOf(version, fault))
-    },
+    pools,
+    draining,
+    trapAddress,
+    changeConfiguration,
   }
-  const clients = createClients({
-    random,
-    nodes,
-    queues: QUEUES,
-    checks,
-    calm,
-    unplanned,
-    jobsPerSecond: plan.jobsPerSecond,
-    report,
-    note,
-  })
-  const isServed = (): boolean => nodes.some((node) => node.isUp())
-  const watch = createStillWatch({ checks, calm, targets, isServed, report })
-  const looks = setInterval(watch.look, LOOK_MS)
 
   beganAt = performance.now()
   const played = plan.faults.map(async (fault) => {
     await sleep(fault.at)
-    note('fault', fault)
-    await playFault(ctx, fault)
-    note('fault over', fault)
+    note('fault', { fault })
+    await playFault(ctx, { calm, unplanned }, fault)
+    note('fault over', { fault })
   })
-  await clients.work(plan.lengthMs)
+  await traffic.work(plan.lengthMs)
   await Promise.all(played)
-  const left = await clients.settle(SETTLE_MS)
+  const left = await traffic.settle(SETTLE_MS)
   for (const { id } of left) report('accepted job lost', `${id} has no end`)
 
   clearInterval(looks)
@@ -211,13 +131,11 @@
   for (const { link } of targets) link.close()
   trap.close()
   trap.closeAllConnections()
-  const accepted = [...checks.jobs.values()].filter((job) => job.acceptedAt !== undefined)
   const result: SoakResult = {
     seed: plan.seed,
     failures,
     faults: plan.faults.length,
-    jobs: checks.jobs.size,
-    accepted: accepted.length,
+    jobs: jobs.size,
     runs,
     longestStillMs: watch.longestMs(),
     ownStalls: calm.ownStalls(),
--- /dev/null
+++ b/playground/soak/setUp.ts
@@ -0,0 +1,82 @@
+/** The stand-in of the platform as a run of the soak needs it. */
+import { listen } from '../sim/wire.js'
+import type { Handler } from '../sim/wire.js'
+import { startSimPlatform } from '../sim/wireServer.js'
+import type { SimPlatform } from '../sim/wireServer.js'
+import { QUEUE_HOST } from './clients.js'
+import type { SoakTarget } from './faultKinds.js'
+import { openFaultLink } from './faultLink.js'
+import type { SoakQueue } from './jobBook.js'
+import type { Fault, SoakPlan } from './plan.js'
+import type { Report } from './runChecks.js'
+
+/** Halls of nodes and targets. */
+export const HALLS = ['h1', 'h2']
+/** In one queue bad targets end jobs, in the other one jobs outlive them. */
+export const QUEUES: SoakQueue[] = [
+  { name: 'r-one', path: '/one/', service: 'one', maxAttempts: 3 },
+  { name: 'r-two', path: '/two/', service: 'two', maxAttempts: 12 },
+]
+/** Time that nodes have to reach a target again after its link was harmed, in ms. */
+const HARMED_MS = 2000
+
+/** A configuration; changes of it touch time-outs, and routes that no client uses. */
+export function configurationOf(version: number, change?: Fault): object {
+  const { forMs = 0, level = 0, which = 0 } = change ?? {}
+  const routes = QUEUES.map(({ name, path, service, maxAttempts }) => ({
+    name,
+    host: QUEUE_HOST,
+    path_prefix: path,
+    timeout_ms: 3000 + forMs,
+    target_latency_ms: 600,
+    service,
+    max_attempts: maxAttempts,
+    stretch: 1.6 + level,
+  }))
+  const others = Array.from({ length: which % 5 }, (_, each) => ({
+    name: `r-more-${each}`,
+    host: 'more.example',
+    path_prefix: `/more${each}/`,
+    service: QUEUES[0]!.service,
+  }))
+  const services = QUEUES.map(({ service }) => ({ name: service, admission_check: true }))
+  return {
+    version,
+    routes: [...routes, ...others],
+    services: [...services, { name: 'idle', admission_check: true, spare: true }],
+    limits: { max_body_bytes: 20_000 },
+  }
+}
+
+/** Starts the stand-in with the pools of a plan. */
+export async function startPlatform(plan: SoakPlan): Promise<SimPlatform> {
+  const platform = await startSimPlatform({
+    pools: { one: plan.targets, two: plan.targets, idle: plan.idleVms },
+    halls: HALLS,
+    capacity: { cpu: 8000, memMb: 32_000, gpu: 0 },
+    awayMs: 1500,
+  })
+  platform.putConfiguration(configurationOf(1))
+  return platform
+}
+
+/** Puts a link before each target. */
+export const linkTargets = ({ vms, list }: SimPlatform): Promise<SoakTarget[]> =>
+  Promise.all(
+    vms.map(async (vm): Promise<SoakTarget> => {
+      const link = await openFaultLink(vm.port)
+      vm.port = link.port
+      list(vm, 'ready')
+      const isReachable = (): boolean => performance.now() - link.harmedAt() > HARMED_MS
+      return { vm, link, isReachable }
+    }),
+  )
+
+/** Opens the address that entries of other writers name: nothing may be ordered there. */
+export function openTrap(report: Report): ReturnType<typeof listen> {
+  const trapped: Handler = ({ body }) => {
+    report('order to a foreign entry', JSON.stringify(body))
+    return [503]
+  }
+  return listen({ 'POST /run-start': trapped, 'POST /hold': trapped })
+}
--- a/playground/soak/stillWatch.ts
+++ b/playground/soak/stillWatch.ts
@@ -1,25 +1,22 @@
 /**
  * Follows every accepted job for its whole life: a job that may start and has room starts.
- * The incident that it guards against: a job had nothing running for seconds while tasks of
- * it could run, since its owner trusted none of the few targets of the pool.
+ * The fault that it guards against: a job had nothing running for seconds while tasks of it
+ * could run, since its owner trusted none of the few targets of the pool.
  */
 import type { SimVm } from '../sim/simFleet.js'
 import type { Calm } from './calm.js'
-import { isTurnOf } from './jobViews.js'
-import type { JobView, TaskView } from './jobViews.js'
+import { countEnds, isTurnOf } from './jobBook.js'
+import type { JobView, TaskView } from './jobBook.js'
 import type { Report, RunChecks } from './runChecks.js'
 
-/** Longest time for which a job may stand still, in ms; a lasting task has some more. */
+/** Longest time for which a job stands still, in ms; for a task that lasts it is longer. */
 const STILL_MS = 3000
 const LASTING_STILL_MS = 6000
-/** A target counts when it has been of use so long: nodes must have heard of it, in ms. */
+/** A target counts once it has been of use so long, in ms: nodes must have heard of it. */
 const KNOWN_MS = 1000
 /** Room that must be there, as a multiple of the need of the task. */
 const ROOM_FACTOR = 2
-/**
- * A run on a target out of reach may go on until its lease of 6 s is over, and some more for
- * clocks that differ: till then its task must not start again.
- */
+/** A run out of reach may go on so long: a lease of 6 s and the skew of clocks, in ms. */
 const LEASE_MS = 6600
 
 /** A target as the watch sees it. */
@@ -30,7 +27,7 @@
 
 /** The watch. */
 export interface StillWatch {
-  /** Looks at all jobs. */
+  /** Looks at all jobs; to be called all the time. */
   look(): void
   /** Longest time for which a job stood still in calm, in ms. */
   longestMs(): number
@@ -52,14 +49,12 @@
   const reported = new Set<string>()
   let longest = 0
 
-  function lookAtTargets(now: number): void {
-    for (const { vm, isReachable } of targets) {
-      if (!vm.target) continue
-      const { id } = vm.target
-      const isUsable = vm.state === 'up' && vm.listing === 'ready' && isReachable()
-      if (!isUsable) usableSince.delete(id)
-      else if (!usableSince.has(id)) usableSince.set(id, now)
-    }
+  function lookAtTarget({ vm, isReachable }: WatchedTarget, now: number): void {
+    if (!vm.target) return
+    const { id } = vm.target
+    const isUsable = vm.state === 'up' && vm.listing === 'ready' && isReachable()
+    if (!isUsable) usableSince.delete(id)
+    else if (!usableSince.has(id)) usableSince.set(id, now)
   }
 
   const isKnown = (id: string, now: number): boolean =>
@@ -67,66 +62,52 @@
 
   const roomFor = (job: JobView, task: TaskView, now: number): SimVm | undefined =>
     targets.find(({ vm }) => {
-      if (vm.pool !== job.service || !vm.target || !isKnown(vm.target.id, now))
-        return false
-      const free = vm.capacity.cpu - checks.usedCpu(vm.target.id)
+      if (vm.pool !== job.queue.service) return false
+      if (!vm.target || !isKnown(vm.target.id, now)) return false
+      const free = vm.capacity.cpu - (checks.usedCpu.get(vm.target.id) ?? 0)
       return free >= ROOM_FACTOR * job.steps[task.step]!.cpu
     })?.vm
 
-  /** Whether a run of the task may go on as far as a node can know. */
-  const mayRun = ({ active, unheard }: TaskView, now: number): boolean =>
-    active !== undefined ||
-    (unheard !== undefined &&
-      !isKnown(unheard.target, now) &&
-      now - unheard.since < LEASE_MS)
+  /** Whether a run may go on as far as a node can know. */
+  function mayRun({ active, ends }: TaskView, now: number): boolean {
+    if (active) return true
+    const last = ends.at(-1)
+    if (!last || last.isNoted || isKnown(last.target, now)) return false
+    return now - last.at < LEASE_MS
+  }
 
   const mayStart = (job: JobView, task: TaskView, now: number): boolean =>
-    !task.isDone &&
-    (job.isLasting || task.failedNoted < job.maxAttempts) &&
+    isTurnOf(job, task) &&
     !mayRun(task, now) &&
-    isTurnOf(job, task)
+    (job.isLasting ||
+      (countEnds(task, 'done', true) === 0 &&
+        countEnds(task, 'failed', true) < job.queue.maxAttempts))
 
-  function note(key: string, limitMs: number, now: number, detail: () => string): void {
+  /** Where a task of these could run, while none of them runs. */
+  function look(job: JobView, tasks: TaskView[], key: string, now: number): void {
+    const isRunning = tasks.some(({ active }) => active !== undefined)
+    const task = isRunning ? undefined : tasks.find((each) => mayStart(job, each, now))
+    const vm = task && roomFor(job, task, now)
+    if (!vm) return void stillSince.delete(key)
     const since = stillSince.get(key) ?? now
     stillSince.set(key, since)
     longest = Math.max(longest, now - since)
+    const limitMs = job.isLasting ? LASTING_STILL_MS : STILL_MS
     if (now - since <= limitMs || reported.has(key)) return
     reported.add(key)
-    report('stood still', detail())
-  }
-
-  function lookAtTask(job: JobView, task: TaskView, key: string, now: number): boolean {
-    const vm = mayStart(job, task, now) ? roomFor(job, task, now) : undefined
-    if (!vm) return false
-    note(key, job.isLasting ? LASTING_STILL_MS : STILL_MS, now, () => {
-      const faults = JSON.stringify(vm.target?.faults)
-      return `${task.name} could run on ${vm.target?.id} (${vm.name}, ${vm.pool}): ${faults}`
-    })
-    return true
-  }
-
-  function lookAtJob(job: JobView, now: number): void {
-    if (job.isLasting) {
-      for (const task of job.tasks) {
-        if (!lookAtTask(job, task, task.name, now)) stillSince.delete(task.name)
-      }
-      return
-    }
-    const isRunning = job.tasks.some(({ active }) => active !== undefined)
-    const isStill =
-      !isRunning && job.tasks.some((task) => lookAtTask(job, task, job.id, now))
-    if (!isStill) stillSince.delete(job.id)
+    report('stood still', `${task.name} could run on ${vm.target?.id} (${vm.pool})`)
   }
 
   return {
     look() {
       const now = performance.now()
-      lookAtTargets(now)
+      for (const target of targets) lookAtTarget(target, now)
       if (!calm.isCalm() || !opts.isServed()) return stillSince.clear()
       for (const job of checks.jobs.values()) {
-        const isOpen = job.acceptedAt !== undefined && job.outcome === undefined
-        if (isOpen && job.cancelSentAt === undefined) lookAtJob(job, now)
-        else stillSince.delete(job.id)
+        if (job.acceptedAt === undefined || job.outcome !== undefined) continue
+        if (job.cancelSentAt !== undefined) continue
+        if (!job.isLasting) look(job, job.tasks, job.id, now)
+        else for (const task of job.tasks) look(job, [task], task.name, now)
       }
     },
     longestMs: () => Math.round(longest),
