--- a/playground/soak/nodes.ts
+++ b/playground/soak/nodes.ts
@@ -1,7 +1,7 @@
 /** Nodes of a run: processes that are paused, stopped, killed and started again. */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { closeSync, openSync } from 'node:fs'
+import { closeSync, fstatSync, openSync, statSync } from 'node:fs'
 import { join } from 'node:path'
 import { Pool, request } from 'undici'
 import { sleep } from '../../src/shared/index.js'
@@ -63,7 +63,9 @@
 
   function start(): void {
     if (child) return
-    const log = openSync(join(dir, `${name}.log`), 'a')
+    const logFile = join(dir, `${name}.log`)
+    const log = openSync(logFile, 'a')
+    const { size } = fstatSync(log)
     const stdio = ['ignore', log, log] as const
     const started = spawn(process.execPath, [NODE_PROGRAM, settings.file], {
       stdio: [...stdio],
@@ -74,8 +76,12 @@
     gone = new Promise((resolve) =>
       started.once('exit', (code, signal) => {
         child = undefined
-        if (!endAsked) opts.onOwnEnd(name, `code ${code}, signal ${signal}`)
         resolve()
+        if (endAsked) return
+        // Until Node.js itself runs, nothing of the program can take a signal.
+        const hadBegun = statSync(logFile).size > size
+        if (signal === 'SIGHUP' && !hadBegun) start()
+        else opts.onOwnEnd(name, `code ${code}, signal ${signal}`)
       }),
     )
   }
