--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -47,12 +47,25 @@
   kill(signal?: NodeJS.Signals): Promise<void>
 }
 
+/**
+ * Ports below those that the system gives to outgoing connections: a node that is started
+ * again finds its port free. Of 80 nodes on other ports one found its port taken.
+ */
+const FIRST_PORT = 15_000
+const PORTS = 17_000
+
+const canListen = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, HOST, () => server.close(() => resolve(true)))
+  })
+
 async function freePort(): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
-  const { port } = server.address() as { port: number }
-  await new Promise((resolve) => server.close(resolve))
-  return port
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
+    if (await canListen(port)) return port
+  }
 }
 
 /** Where a node listens, and the file that says so. */
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -11,9 +11,6 @@
 } from '../../src/ports/index.js'
 import { monotonicMs } from '../../src/shared/index.js'
 
-/** Run time of a task whose spec names none, in ms. */
-const DEFAULT_TASK_MS = 10
-
 /** What a task does, by its spec. */
 export interface SimTaskSpec {
   /** Run time in ms; 0 for a task that lasts. */
@@ -55,12 +52,12 @@
   lateMs: number
   /** Every task fails at once. */
   failsAll: boolean
-  /** Tasks that start now never get on. */
+  /** Tasks do not get on. */
   hangs: boolean
-  /** Tasks that start now take so many times as long. */
-  slowBy: number
   /** How far its tasks say that they are, in percent; undefined for what is true. */
   percent: number | undefined
+  /** Tasks that are started take so many times as long. */
+  slowness: number
 }
 
 /** Word of a target on a start order. */
@@ -73,10 +70,17 @@
   spec: SimTaskSpec
   timer: NodeJS.Timeout | undefined
   saved: string
-  percent: number
+  /** Share of its speed that was ordered, in percent. */
+  pace: number
   startedAt: number
-  /** Time that it takes, in ms; undefined when it does not get on by itself. */
-  takesMs: number | undefined
+  /** Time that it takes, in ms; Infinity for one that never ends. */
+  takesMs: number
+}
+
+/** How far a run has got, in percent; tasks that last are at work at once. */
+function percentOf({ spec, startedAt, takesMs }: ActiveRun): number {
+  if (spec.ms === 0) return 100
+  return Math.min(100, Math.floor((100 * (monotonicMs() - startedAt)) / takesMs))
 }
 
 /** One life of a target. */
@@ -134,8 +138,8 @@
     lateMs: 0,
     failsAll: false,
     hangs: false,
-    slowBy: 1,
     percent: undefined,
+    slowness: 1,
   }
 
   const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + 1000
@@ -154,14 +158,6 @@
     ends = ends.filter(({ seq }) => seq > lastSeen)
   }
 
-  /** How far a run says that it is; a task that lasts says its pace. */
-  function percentOf({ spec, percent, startedAt, takesMs }: ActiveRun): number {
-    if (faults.percent !== undefined) return faults.percent
-    if (spec.ms === 0) return percent
-    if (takesMs === undefined) return 0
-    return Math.min(99, Math.floor((100 * (monotonicMs() - startedAt)) / takesMs))
-  }
-
   function end(active: ActiveRun, kind: RunEndKind): void {
     if (dead || runs.get(active.task) !== active) return
     clearTimeout(active.timer)
@@ -203,22 +199,21 @@
       if (present || run <= (lastRun.get(task) ?? 0)) return 'old'
       if (untilMs <= clockMs()) return 'late'
       if (usedCpu + (parsed.cpu ?? 0) > opts.capacity.cpu) return 'room'
-      const isStuck = parsed.ms === 0 || faults.hangs
       const active: ActiveRun = {
         task,
         run,
         spec: parsed,
         timer: undefined,
         saved,
-        percent: 100,
+        pace: 100,
         startedAt: monotonicMs(),
-        takesMs: isStuck ? undefined : (parsed.ms ?? DEFAULT_TASK_MS) * faults.slowBy,
+        takesMs: faults.hangs ? Infinity : (parsed.ms ?? 10) * faults.slowness,
       }
       runs.set(task, active)
       usedCpu += parsed.cpu ?? 0
       note('start', task, run)
       const kind = parsed.fail || faults.failsAll ? 'failed' : 'done'
-      if (active.takesMs !== undefined) {
+      if (parsed.ms !== 0 && !faults.hangs) {
         active.timer = setTimeout(() => end(active, kind), active.takesMs)
         active.timer.unref()
       }
@@ -233,7 +228,7 @@
     pace(task, run, percent, token) {
       if (isFenced(token)) return false
       const active = runs.get(task)
-      if (active?.run === run) active.percent = percent
+      if (active?.run === run) active.pace = percent
       return true
     },
     hold({ token, lastSeen, untilMs }) {
@@ -244,7 +239,7 @@
         task: active.task,
         run: active.run,
         checkpoint: active.saved,
-        percent: percentOf(active),
+        percent: faults.percent ?? percentOf(active),
         load: 0,
       }))
       return { runs: present, ends: [...ends] }
--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -145,13 +145,13 @@
 const spoil = (vms: SimVm[], faults: Partial<TargetFaults>): Undo => {
   const lives = vms.flatMap(({ target }) => target ?? [])
   for (const life of lives) Object.assign(life.faults, faults)
-  const well = { failsAll: false, hangs: false, slowBy: 1 }
+  const well = { failsAll: false, hangs: false, slowness: 1 }
   return () => lives.forEach((life) => Object.assign(life.faults, well))
 }
 
 const FAILS = { failsAll: true }
 const HANGS = { hangs: true }
-const slowness = ({ level }: Fault) => ({ slowBy: 3 + 12 * level })
+const slowness = ({ level }: Fault) => ({ slowness: 3 + 12 * level })
 
 const crash = (vms: SimVm[], { platform }: FaultContext): Undo => {
   const up = vms.filter(({ state }) => state === 'up')
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -4,10 +4,15 @@
  */
 import type { Advice, RowStore, TargetOrders, VmCloud } from '../ports/index.js'
 import type { ConfigurationHolder, TargetList } from '../directory/index.js'
-import { createJobBook, statusOf } from '../jobs/index.js'
+import { INTAKE_TABLE, createJobBook, statusOf } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
 import type { Authority, Owner } from '../ownership/index.js'
-import { createStopController, monotonicMs, sleep } from '../shared/index.js'
+import {
+  createStopController,
+  createUnreadRows,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { FleetAnswer, ServiceReport } from '../vms/types.js'
 import { FLEET_ANSWER_WAIT_MS, HOUSEKEEPING_MS, PLAN_GAP_MS } from './constants.js'
@@ -16,8 +21,10 @@
 import { createFinishedJobs } from './finishedJobs.js'
 import { createHealth } from './health.js'
 import { closeLapsed, emptyLeaving } from './leavingTargets.js'
+import { createHeldJobs } from './heldJobs.js'
 import { createLifeCheck } from './lifeCheck.js'
 import { createNewJobs } from './newJobs.js'
+import { createRoomElsewhere } from './planner.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
 import { createRunTimes } from './runTimes.js'
@@ -27,6 +34,7 @@
 import { createTargetFollower } from './targetFollower.js'
 import { createTickets } from './tickets.js'
 import { urgencyOf } from './urgency.js'
+import { createWaitWatch } from './waitWatch.js'
 
 /** The owner of a service, while it runs. */
 export interface ServiceOwner extends Owner {
@@ -127,22 +135,28 @@
 
   const finished = createFinishedJobs({ store, service, authority, book, log })
   const runTimes = createRunTimes()
+  const health = createHealth({ runTimes, log })
   const demand = createDemandMeter({
     runTimes,
+    isSuspect: (agent) => health.standingOf(agent) !== 'sound',
     isTimely(job, now) {
       const queue = configuration.queue(job.spec.queue)
       return urgencyOf(job, queue, runTimes, now).standing === 'timely'
     },
   })
-  const health = createHealth({ runTimes, agentCount: () => agents.size, log })
   const tickets = createTickets({ advice: opts.advice, log, changed: wake })
   const lifeCheck = createLifeCheck(opts.cloud, log)
+  const unread = createUnreadRows(log, INTAKE_TABLE)
+  const isGateOpen = (): boolean => gateOpen
+  const held = createHeldJobs({ store, service, authority, book, log, isGateOpen })
   const newJobs = createNewJobs({
     store,
     service,
     authority,
     book,
     demand,
+    held,
+    unread,
     log,
     taken: wake,
     arrived() {
@@ -150,7 +164,13 @@
     },
   })
   const { signal } = stopping
-  const inherited = await readInheritedUntilDone({ store, authority, log, signal })
+  const inherited = await readInheritedUntilDone({
+    store,
+    authority,
+    log,
+    unread,
+    signal,
+  })
   const roster = createRoster({
     store,
     authority,
@@ -168,7 +188,14 @@
     tickets,
     log,
   }
-  const startTasks = createStarter(shared)
+  const starter = createStarter(shared)
+  const isSound = (agent: TargetAgent): boolean => health.standingOf(agent) === 'sound'
+  const waitWatch = createWaitWatch({
+    book,
+    policyNow: starter.policyNow,
+    suspectUntil: health.excludedUntil,
+    log,
+  })
   const follower = createTargetFollower({
     ...shared,
     agents,
@@ -177,7 +204,7 @@
     progress,
     changed: wake,
   })
-  adoptJobs(book, inherited)
+  adoptJobs(book, held, inherited)
   for (const job of book.jobs.values()) if (job.durableOutcome) finished.add(job)
   finished.addLeftover(leftoverProgress(inherited))
   demand.inherited(book.jobs, monotonicMs(), Date.now())
@@ -204,8 +231,9 @@
 
   /** Lets inherited tasks start once every target of the predecessor has been settled. */
   function openGateOnceSettled(): void {
-    if (gateOpen || !allAgents().every((agent) => agent.isSettled())) return
+    if (gateOpen || !follower.isSettled()) return
     gateOpen = true
+    roster.removeUnread()
     log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
     book.openGate()
   }
@@ -214,17 +242,25 @@
     if (stopping.signal.aborted || !authority.mayOrder()) return
     if (mayLoseVms()) return
     openGateOnceSettled()
-    startTasks(allAgents())
+    starter.start(allAgents())
   }
 
-  /** Stops runs that stand still or crawl; they start again elsewhere. */
+  /** Stops runs that stand still or crawl, where another target has room for them now. */
   function moveBadRuns(): void {
-    for (const { agent, placement } of health.sweep(allAgents())) {
+    const all = allAgents()
+    const bad = health.sweep(all)
+    if (bad.length === 0) return
+    const room = createRoomElsewhere(all.filter(isSound), starter.policyNow(all))
+    for (const run of bad) {
+      const { agent, placement, task } = run
+      if (placement.state !== 'running' || !room.claim(task.step, agent)) continue
       log.event('runMoved', {
         task: placement.name,
         target: agent.target.id,
         percent: placement.percent,
+        ranMs: Math.round(monotonicMs() - task.startedAt),
       })
+      health.noteMoved(run)
       agent.stop(placement.name)
     }
   }
@@ -232,10 +268,11 @@
   async function runHousekeeping(): Promise<void> {
     while (!stopping.signal.aborted) {
       book.markDue()
-      closeLapsed({ targets, agents: allAgents(), log })
+      closeLapsed({ agents: allAgents() })
       newJobs.takeOffered()
       emptyLeaving({ targets, agents: allAgents(), log })
       moveBadRuns()
+      waitWatch.look(allAgents())
       await lifeCheck.run(allAgents())
       wake()
       await sleep(HOUSEKEEPING_MS, stopping.signal)
@@ -266,7 +303,7 @@
       roster.stop()
       await progress.stop(handOver)
       await Promise.all(allAgents().map((agent) => agent.close()))
-      await Promise.all([intake.stop(), housekeeping, finished.stop()])
+      await Promise.all([intake.stop(), housekeeping, finished.stop(), held.stop()])
     },
   }
 }
