--- a/playground/soak/stillWatch.ts
+++ b/playground/soak/stillWatch.ts
@@ -5,7 +5,7 @@
  */
 import type { SimVm } from '../sim/simFleet.js'
 import type { Calm } from './calm.js'
-import { countEnds, isTurnOf } from './jobBook.js'
+import { countEnds, isSpent, isTurnOf } from './jobBook.js'
 import type { JobView, TaskView } from './jobBook.js'
 import type { Report, RunChecks } from './runChecks.js'
 
@@ -79,9 +79,7 @@
   const mayStart = (job: JobView, task: TaskView, now: number): boolean =>
     isTurnOf(job, task) &&
     !mayRun(task, now) &&
-    (job.isLasting ||
-      (countEnds(task, 'done', true) === 0 &&
-        countEnds(task, 'failed', true) < job.queue.maxAttempts))
+    (job.isLasting || countEnds(task, 'done', true) === 0)
 
   /** Where a task of these could run, while none of them runs. */
   function look(job: JobView, tasks: TaskView[], key: string, now: number): void {
@@ -105,7 +103,7 @@
       if (!calm.isCalm() || !opts.isServed()) return stillSince.clear()
       for (const job of checks.jobs.values()) {
         if (job.acceptedAt === undefined || job.outcome !== undefined) continue
-        if (job.cancelSentAt !== undefined) continue
+        if (job.cancelSentAt !== undefined || isSpent(job)) continue
         if (!job.isLasting) look(job, job.tasks, job.id, now)
         else for (const task of job.tasks) look(job, [task], task.name, now)
       }
