--- a/playground/soak/jobBook.ts
+++ b/playground/soak/jobBook.ts
@@ -16,12 +16,13 @@
   after: number[]
 }
 
-/** How a run ended, and whether its owner has acknowledged that. */
+/** How a run ended, and whether its owner was told of that and has acknowledged it. */
 interface EndView {
   what: LedgerEvent
   run: number
   target: string
   at: number
+  isListed: boolean
   isNoted: boolean
 }
 
@@ -80,11 +81,11 @@
   if (what === 'start') {
     task.active = { run, target }
     task.startedAt = at
-  } else if (what === 'noted') {
+  } else if (what === 'listed' || what === 'noted') {
     const end = task.ends.find((each) => each.run === run && each.target === target)
-    if (end) end.isNoted = true
+    if (end) end[what === 'noted' ? 'isNoted' : 'isListed'] = true
   } else {
-    task.ends.push({ what, run, target, at, isNoted: false })
+    task.ends.push({ what, run, target, at, isListed: false, isNoted: false })
     if (task.active?.target === target) task.active = undefined
   }
 }
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -71,7 +71,7 @@
   platform.ledger.watch = (entry) => {
     const { what, task, run, target } = entry
     if (what === 'start') runs++
-    note(what, { task, run, target })
+    if (what !== 'listed') note(what, { task, run, target })
     checks.onTargetEntry(entry)
   }
 
--- a/playground/soak/runChecks.ts
+++ b/playground/soak/runChecks.ts
@@ -75,6 +75,7 @@
       if (!job || !task) return report('ran unasked', `${entry.task} on ${target}`)
       if (what === 'start') check(START_RULES, job, task, entry)
       noteEntry(task, entry)
+      if (what === 'listed') return
       if (what === 'noted') return check(NOTED_RULES, job, task, entry)
       const sign = what === 'start' ? 1 : -1
       const used = usedCpu.get(target) ?? 0
--- a/playground/soak/stillWatch.ts
+++ b/playground/soak/stillWatch.ts
@@ -76,10 +76,17 @@
     return now - last.at < LEASE_MS
   }
 
+  /** Whether the owner may know of an end that its target did not live to have acknowledged. */
+  const mayBeDone = ({ ends }: TaskView, now: number): boolean =>
+    ends.some(
+      ({ what, isListed, target }) =>
+        what === 'done' && isListed && !isKnown(target, now),
+    )
+
   const mayStart = (job: JobView, task: TaskView, now: number): boolean =>
     isTurnOf(job, task) &&
     !mayRun(task, now) &&
-    (job.isLasting || countEnds(task, 'done', true) === 0)
+    (job.isLasting || (countEnds(task, 'done', true) === 0 && !mayBeDone(task, now)))
 
   /** Where a task of these could run, while none of them runs. */
   function look(job: JobView, tasks: TaskView[], key: string, now: number): void {
