--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -22,16 +22,24 @@
 /** What became of a run; `killed`: the target's life ended with the run on it. */
 export type LedgerEvent = 'start' | 'killed' | RunEndKind
 
+/** One thing that a target has done. */
+export interface LedgerEntry<What = LedgerEvent> {
+  at: number
+  what: What
+  task: string
+  run: number
+  target: string
+}
+
+/** What a watcher sees; `listed`, `noted`: the owner was told of an end, has acknowledged it. */
+export type WatchedEntry = LedgerEntry<LedgerEvent | 'listed' | 'noted'>
+
 /** Everything that the targets of a test have done, for its checks. */
 export interface RunLedger {
   /** Starts and ends in the order in which they happened. */
-  entries: {
-    at: number
-    what: LedgerEvent
-    task: string
-    run: number
-    target: string
-  }[]
+  entries: LedgerEntry[]
+  /** Told of each entry and of each acknowledged end when it happens. */
+  watch?(entry: WatchedEntry): void
 }
 
 /** What goes wrong. Each field can be changed at any time. */
@@ -137,7 +145,24 @@
   const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + 1000
 
   const note = (what: LedgerEvent, task: string, run: number): void => {
-    ledger.entries.push({ at: monotonicMs(), what, task, run, target: id })
+    const entry = { at: monotonicMs(), what, task, run, target: id }
+    ledger.entries.push(entry)
+    ledger.watch?.(entry)
+  }
+
+  const watchEnds = (what: 'listed' | 'noted', some: ReportedEnd[]): void => {
+    for (const { task, run } of some) {
+      ledger.watch?.({ at: monotonicMs(), what, task, run, target: id })
+    }
+  }
+
+  const forgetEnds = (lastSeen: number): void => {
+    watchEnds(
+      'noted',
+      ends.filter(({ seq }) => seq <= lastSeen),
+    )
+    ends = ends.filter(({ seq }) => seq > lastSeen)
+    watchEnds('listed', ends)
   }
 
   function end(active: ActiveRun, kind: RunEndKind): void {
@@ -216,7 +241,7 @@
     hold({ token, lastSeen, untilMs }) {
       if (isFenced(token)) return undefined
       if (untilMs !== undefined) extend(untilMs)
-      ends = ends.filter((each) => each.seq > lastSeen)
+      forgetEnds(lastSeen)
       const present = [...runs.values()].map((active) => ({
         task: active.task,
         run: active.run,
--- /dev/null
+++ b/playground/soak/plan.ts
@@ -0,0 +1,110 @@
+/** What happens in a run of the soak: drawn from a seed, or read from a file. */
+import { readFileSync } from 'node:fs'
+import { z } from 'zod'
+import { createRandom, exponential } from '../random.js'
+import type { Random } from '../random.js'
+import { FAULT_KINDS } from './faultKinds.js'
+import type { FaultGroup } from './faultKinds.js'
+
+const faultSchema = z.object({
+  /** Ms after the first job. */
+  at: z.number(),
+  kind: z.string(),
+  /** Which of those that it may hit: an index, taken modulo their number. */
+  which: z.number().int(),
+  forMs: z.number(),
+  /** From 0 to 1: how bad, or which variant. */
+  level: z.number(),
+})
+/** One fault of a run. */
+export type Fault = z.infer<typeof faultSchema>
+
+const planSchema = z.object({
+  seed: z.number().int(),
+  nodes: z.number().int().min(1),
+  /** Targets in each pool of a queue. */
+  targets: z.number().int().min(1),
+  /** VMs in the pool of idle ones; without any, nodes cannot move VMs. */
+  idleVms: z.number().int(),
+  jobsPerSecond: z.number(),
+  /** Share of jobs whose tasks fail on every target. */
+  hopelessShare: z.number(),
+  /** Time in which jobs come and faults begin, in ms. */
+  lengthMs: z.number(),
+  faults: z.array(faultSchema),
+})
+/** All that is decided about a run before it begins. */
+export type SoakPlan = z.infer<typeof planSchema>
+
+/** Mean time between two faults of these groups, in ms. */
+const GAP_MS = { target: 2500, pool: 9000, planned: 5000 } as const
+/** The same of nodes and the store within one series, in ms. */
+const SERIES_GAP_MS = 1200
+/** Series of faults of nodes and the store, and the calm between two, in ms. */
+const SERIES_MS = 7000
+const CALM_MS = 12_000
+/** Each run begins with a calm stretch, in ms. */
+const FIRST_CALM_MS = 6000
+
+function drawFault(random: Random, groups: FaultGroup[], at: number): Fault {
+  const kinds = Object.entries(FAULT_KINDS).filter(([, kind]) =>
+    groups.includes(kind.group),
+  )
+  const [kind, { usualMs }] = kinds[Math.floor(random() * kinds.length)]!
+  const forMs = Math.round(usualMs * (0.4 + 1.6 * random()))
+  const which = Math.floor(random() * 1000)
+  return { at: Math.round(at), kind, which, forMs, level: random() }
+}
+
+/** Faults that come one after the other, each with its own length, so that they overlap. */
+function drawSeries(
+  random: Random,
+  groups: FaultGroup[],
+  gapMs: number,
+  [from, until]: [number, number],
+): Fault[] {
+  const faults: Fault[] = []
+  let at = from + exponential(random, gapMs)
+  while (at < until) {
+    faults.push(drawFault(random, groups, at))
+    at += exponential(random, gapMs)
+  }
+  return faults
+}
+
+/** Series of faults of nodes and the store, with calm between them. */
+function drawStorms(random: Random, lengthMs: number): Fault[] {
+  const faults: Fault[] = []
+  let from = FIRST_CALM_MS
+  while (from < lengthMs) {
+    const until = Math.min(lengthMs, from + SERIES_MS * (0.5 + random()))
+    faults.push(...drawSeries(random, ['node', 'store'], SERIES_GAP_MS, [from, until]))
+    from = until + CALM_MS * (0.7 + 0.6 * random())
+  }
+  return faults
+}
+
+/** Draws the plan of a seed; the same seed gives the same plan. */
+export function drawPlan(seed: number, lengthMs: number): SoakPlan {
+  const random = createRandom(seed)
+  const groups = Object.entries(GAP_MS) as [FaultGroup, number][]
+  return {
+    seed,
+    nodes: 2 + Math.floor(random() * 3),
+    targets: 1 + Math.floor(random() * 4),
+    idleVms: random() < 0.5 ? 0 : 2,
+    jobsPerSecond: 2 + 4 * random(),
+    hopelessShare: 0.04,
+    lengthMs,
+    faults: [
+      ...drawStorms(random, lengthMs),
+      ...groups.flatMap(([group, gapMs]) =>
+        drawSeries(random, [group], gapMs, [1000, lengthMs]),
+      ),
+    ].sort((a, b) => a.at - b.at),
+  }
+}
+
+/** Reads a plan that was kept. */
+export const readPlan = (file: string): SoakPlan =>
+  planSchema.parse(JSON.parse(readFileSync(file, 'utf8')))
--- /dev/null
+++ b/playground/soak/run.ts
@@ -0,0 +1,146 @@
+/** One run of the soak: node processes, a stand-in of the platform, faults, and checks. */
+import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { sleep } from '../../src/shared/index.js'
+import { createRandom } from '../random.js'
+import { HOST, portOf } from '../sim/wire.js'
+import { createCalm } from './calm.js'
+import { createClients } from './clients.js'
+import { startSoakNode } from './nodes.js'
+import type { SoakPlan } from './plan.js'
+import { playFault } from './playFault.js'
+import { createRunChecks } from './runChecks.js'
+import { configurationOf, HALLS, linkTargets, openTrap, QUEUES } from './setUp.js'
+import { startPlatform } from './setUp.js'
+import { createStillWatch } from './stillWatch.js'
+import { createTraffic } from './traffic.js'
+
+/** Longest time in which all jobs end once all faults are over, in ms. */
+const SETTLE_MS = 30_000
+/** Time between two looks at all jobs, in ms. */
+const LOOK_MS = 50
+/** The traffic draws other numbers than the plan of the same seed. */
+const TRAFFIC_SEED = 1_000_000
+
+/** A promise that did not hold, so many ms after the first job. */
+export interface Failure {
+  promise: string
+  detail: string
+  atMs: number
+}
+
+/** What came of a run. */
+export interface SoakResult {
+  seed: number
+  failures: Failure[]
+  faults: number
+  jobs: number
+  runs: number
+  longestStillMs: number
+  /** How often the soak's own process stood still. */
+  ownStalls: number
+}
+
+/** Runs a plan; the logs of all nodes and all that was seen stand in `dir`. */
+export async function runSoak(plan: SoakPlan, dir: string): Promise<SoakResult> {
+  mkdirSync(dir, { recursive: true })
+  writeFileSync(join(dir, 'plan.json'), JSON.stringify(plan, undefined, 2))
+  const trace = createWriteStream(join(dir, 'trace.ndjson'))
+  const failures: Failure[] = []
+  let beganAt = performance.now()
+  const note = (what: string, more: object): void => {
+    const atMs = Math.round(performance.now() - beganAt)
+    const line = { time: new Date().toISOString(), atMs, what, ...more }
+    trace.write(JSON.stringify(line) + '\n')
+  }
+  const report = (promise: string, detail: string): void => {
+    const atMs = Math.round(performance.now() - beganAt)
+    failures.push({ promise, detail, atMs })
+    note('failure', { promise, detail })
+  }
+
+  const platform = await startPlatform(plan)
+  const targets = await linkTargets(platform)
+  const trap = await openTrap(report)
+  const random = createRandom(plan.seed + TRAFFIC_SEED)
+  platform.table.faults.random = random
+  const calm = createCalm()
+  const unplanned = createCalm()
+  const checks = createRunChecks(calm, report)
+  let runs = 0
+  platform.ledger.watch = (entry) => {
+    const { what, task, run, target } = entry
+    if (what === 'start') runs++
+    if (what !== 'listed') note(what, { task, run, target })
+    checks.onTargetEntry(entry)
+  }
+
+  const startNode = (_: unknown, each: number) =>
+    startSoakNode({
+      platform,
+      name: `n${each + 1}`,
+      hall: HALLS[each % HALLS.length]!,
+      withCloud: plan.idleVms > 0,
+      dir,
+      onOwnEnd: (name, reason) => report('node ended by itself', `${name}: ${reason}`),
+    })
+  const nodes = await Promise.all(Array.from({ length: plan.nodes }, startNode))
+  const ready = await Promise.all(nodes.map((node) => node.untilReady()))
+  if (ready.includes(false)) report('node not ready', JSON.stringify(ready))
+
+  const clients = createClients({ nodes, checks, calm, unplanned, report, note })
+  const { jobs, draining } = checks
+  const traffic = createTraffic({ random, queues: QUEUES, clients, jobs, plan })
+  const isServed = (): boolean => nodes.some((node) => node.isUp())
+  const watch = createStillWatch({ checks, calm, targets, isServed, report })
+  const looks = setInterval(watch.look, LOOK_MS)
+  const pools = QUEUES.map(({ service }) => service)
+  const trapAddress = `${HOST}:${portOf(trap)}`
+  let version = 1
+  const changeConfiguration = (change: SoakPlan['faults'][number]): void => {
+    version += 1 + (change.which % 7)
+    platform.putConfiguration(configurationOf(version, change))
+  }
+  const ctx = {
+    platform,
+    nodes,
+    targets,
+    pools,
+    draining,
+    trapAddress,
+    changeConfiguration,
+  }
+
+  beganAt = performance.now()
+  const played = plan.faults.map(async (fault) => {
+    await sleep(fault.at)
+    note('fault', { fault })
+    await playFault(ctx, { calm, unplanned }, fault)
+    note('fault over', { fault })
+  })
+  await traffic.work(plan.lengthMs)
+  await Promise.all(played)
+  const left = await traffic.settle(SETTLE_MS)
+  for (const { id } of left) report('accepted job lost', `${id} has no end`)
+
+  clearInterval(looks)
+  calm.close()
+  unplanned.close()
+  await Promise.all(nodes.map((node) => node.close()))
+  await platform.close()
+  for (const { link } of targets) link.close()
+  trap.close()
+  trap.closeAllConnections()
+  const result: SoakResult = {
+    seed: plan.seed,
+    failures,
+    faults: plan.faults.length,
+    jobs: jobs.size,
+    runs,
+    longestStillMs: watch.longestMs(),
+    ownStalls: calm.ownStalls(),
+  }
+  note('result', result)
+  await new Promise<void>((resolve) => trace.end(resolve))
+  return result
+}
--- /dev/null
+++ b/playground/soak/runChecks.ts
@@ -0,0 +1,85 @@
+/** Checks each start and end, as targets see it, against what nodes promise. */
+import type { WatchedEntry } from '../sim/simTarget.js'
+import type { Calm } from './calm.js'
+import { countEnds, isTurnOf, noteEntry } from './jobBook.js'
+import type { JobView, TaskView } from './jobBook.js'
+
+/** Latest start after the answer to a cancel, in ms; the second one also out of calm. */
+const CANCEL_MS = 3000
+const CANCEL_ROUGH_MS = 10_000
+/** Latest start on a target after its entry said that it drains, in ms. */
+const DRAIN_MS = 2000
+
+/** Says that a promise is broken. */
+export type Report = (promise: string, detail: string) => void
+
+/** The jobs of a run, and the checks of what targets do with them. */
+export interface RunChecks {
+  jobs: Map<string, JobView>
+  /** Targets that drain, with the time of the word in the list. */
+  draining: Map<string, number>
+  /** Processor room taken on each target, in thousandths of a core. */
+  usedCpu: Map<string, number>
+  onTargetEntry(entry: WatchedEntry): void
+}
+
+/** What must not hold when a task starts, or when the word of an end arrives. */
+type Rule = (job: JobView, task: TaskView, at: number, target: string) => boolean
+
+/** Creates the checks without any job. */
+export function createRunChecks(calm: Calm, report: Report): RunChecks {
+  const jobs = new Map<string, JobView>()
+  const draining = new Map<string, number>()
+  const usedCpu = new Map<string, number>()
+
+  const START_RULES: Record<string, Rule> = {
+    'two runs at once': (_job, { active }) => active !== undefined,
+    'ran after its end': ({ isLasting }, task) =>
+      !isLasting && countEnds(task, 'done', true) > 0,
+    'ran before its turn': (job, task) => !isTurnOf(job, task),
+    'ran too often': ({ isLasting, queue }, task) =>
+      !isLasting && countEnds(task, 'failed', true) >= queue.maxAttempts,
+    'rejected job runs': ({ mayBeTaken }) => !mayBeTaken,
+    'started on a draining target': (_job, _task, at, target) =>
+      calm.isCalm() && at - (draining.get(target) ?? Infinity) > DRAIN_MS,
+    'ran after its cancel': ({ cancelAckedAt = Infinity }, _task, at) =>
+      at - cancelAckedAt > (calm.isCalm() ? CANCEL_MS : CANCEL_ROUGH_MS),
+  }
+  /** The word of an end stands for all time: no run may have begun since. */
+  const NOTED_RULES: Record<string, Rule> = {
+    'ran after its end': ({ isLasting }, { ends, startedAt }) =>
+      !isLasting &&
+      ends.some((end) => end.what === 'done' && end.isNoted && end.at < startedAt),
+  }
+
+  function check(
+    rules: Record<string, Rule>,
+    job: JobView,
+    task: TaskView,
+    { at, run, target }: WatchedEntry,
+  ): void {
+    for (const [promise, isBroken] of Object.entries(rules)) {
+      if (!isBroken(job, task, at, target)) continue
+      report(promise, `${task.name} run ${run} on ${target}: ${JSON.stringify(task)}`)
+    }
+  }
+
+  return {
+    jobs,
+    draining,
+    usedCpu,
+    onTargetEntry(entry) {
+      const { what, target } = entry
+      const job = jobs.get(entry.task.split('.')[0]!)
+      const task = job?.tasks.find(({ name }) => name === entry.task)
+      if (!job || !task) return report('ran unasked', `${entry.task} on ${target}`)
+      if (what === 'start') check(START_RULES, job, task, entry)
+      noteEntry(task, entry)
+      if (what === 'listed') return
+      if (what === 'noted') return check(NOTED_RULES, job, task, entry)
+      const sign = what === 'start' ? 1 : -1
+      const used = usedCpu.get(target) ?? 0
+      usedCpu.set(target, used + sign * job.steps[task.step]!.cpu)
+    },
+  }
+}
