fix(scheduler): a run that hangs alone begins anew, and steps that fail by themselves blame no target

Cause, by the soak: in a pool of one target a run that hung was never stopped, for no other target had room (two of 65 jobs without an end after 30 s), and was held against the target again in each look (157 targetSuspect in 45 s). Jobs that fail wherever they run kept the only target under suspicion, and were tried one task each 3 s (three of 64 jobs without an end). Change: a run that stands still begins anew where it is, where others get on there or after 10 s, and accuses its target once. A step that has failed three times where others are done, or on a second target that others are done on, fails by itself: it is no evidence and is not held back. The tasks that a job tries double with each try.

--- a/src/scheduler/__tests__/standingJobs.spec.ts
+++ b/src/scheduler/__tests__/standingJobs.spec.ts
@@ -125,6 +125,23 @@
     })
   })
 
+  // Found by the soak: what hung was the run alone, and two of 65 jobs had no end after 30 s.
+  it('begin anew on the only target when one run of theirs hangs there', async (t) => {
+    const rig = startRig(t)
+    const target = rig.addTarget('t1')
+    const owner = await ownWithRunTimes(rig)
+    target.faults.hangs = true
+    const job = makeJob({ ms: 60, cpu: 400 }, [{ count: 1 }])
+    rig.submit(owner, job)
+    await sleep(300)
+    target.faults.hangs = false
+    for (let each = 0; each < 80 && rig.outcomeOf(job) === undefined; each++) {
+      rig.submit(owner, makeJob({ ms: 60, cpu: 400 }))
+      await sleep(200)
+    }
+    t.is(rig.outcomeOf(job), 'completed')
+  })
+
   describe('whose tasks are long by nature', () => {
     it('are not stopped as slow beside others that get on', async (t) => {
       const rig = startRig(t)
--- a/src/scheduler/badRuns.ts
+++ b/src/scheduler/badRuns.ts
@@ -12,6 +12,11 @@
 
 /** A task whose percent stands still for so long hangs, in ms: two long polls. */
 const STALL_MS = 2300
+/**
+ * A run that hangs with nowhere else to go begins anew where it is after so long, in ms: hanging
+ * may be the run's alone. By then a VM that was asked for would have come (3 s).
+ */
+const ANEW_AFTER_MS = 10_000
 /** Moves of one task after which the time above is not doubled any more. */
 const MAX_DOUBLINGS = 3
 /** A task is slow when it has got on by less than this part of what is usual. */
@@ -41,6 +46,8 @@
   agent: TargetAgent
   placement: Placement
   task: Task
+  /** Whether it is stopped also where no other target has room, to begin anew there. */
+  anywhere: boolean
 }
 
 /** The runs of one service that are looked at. */
@@ -85,18 +92,25 @@
   const longSteps = new WeakSet<Step>()
   const done = new Map<TargetAgent, Pace[]>()
 
+  /** Runs that stood still and have been held against their target, once each. */
+  const accusers = new WeakSet<Placement>()
+
   const movesOf = (task: Task): number => moves.get(task) ?? 0
 
-  /** Counted between reports: without news nothing is said. */
-  function isStalled(placement: Placement, task: Task): boolean {
+  /**
+   * Time for which a run has stood still, in ms; 0 below the limit. Counted between reports:
+   * without news nothing is said.
+   */
+  function stalledMs(placement: Placement, task: Task): number {
     const { percent, reportedAt } = placement
     const before = progress.get(placement)
     if (before?.percent !== percent) {
       progress.set(placement, { percent, since: reportedAt })
-      return false
+      return 0
     }
     const limitMs = STALL_MS * 2 ** Math.min(MAX_DOUBLINGS, movesOf(task))
-    return reportedAt - before.since > limitMs
+    const ms = reportedAt - before.since
+    return ms > limitMs ? ms : 0
   }
 
   /** How fast a run gets on; undefined before that can be said. */
@@ -163,7 +177,7 @@
       const verdict = judge(own, all)
       noteBad(task.step, agent)
       if (verdict === 'job') longSteps.add(task.step)
-      else found.push({ agent, placement, task, verdict })
+      else found.push({ agent, placement, task, verdict, anywhere: false })
     }
     return found
   }
@@ -173,8 +187,12 @@
     for (const placement of agent.placements.values()) {
       const { task, state, reportedAt } = placement
       if (!task || state !== 'running' || reportedAt === 0) continue
-      if (!isJudged(task.step) || !isStalled(placement, task)) continue
-      if (!hangsByItself(task.step, agent, all)) found.push({ agent, placement, task })
+      const ms = isJudged(task.step) ? stalledMs(placement, task) : 0
+      if (ms === 0) continue
+      const othersGetOn = isUsualFor(othersOn(agent, task.step, all))
+      const anywhere = othersGetOn || ms > ANEW_AFTER_MS
+      if (!hangsByItself(task.step, agent, all))
+        found.push({ agent, placement, task, anywhere })
       noteBad(task.step, agent)
     }
     return found
@@ -190,8 +208,10 @@
       (run) => !stalled.some(({ placement }) => placement === run.placement),
     )
     const stepsOf = (runs: BadRun[]): Step[] => runs.map(({ task }) => task.step)
-    if (stalled.length > 0)
-      suspicion.exclude(agent, 'tasks stand still', stepsOf(stalled))
+    const newlyStalled = stalled.filter(({ placement }) => !accusers.has(placement))
+    for (const { placement } of newlyStalled) accusers.add(placement)
+    if (newlyStalled.length > 0)
+      suspicion.exclude(agent, 'tasks stand still', stepsOf(newlyStalled))
     else if (slow.length >= SUSPECT_SLOW)
       suspicion.exclude(agent, 'tasks are slow', stepsOf(slow))
     if (suspicion.standingOf(agent) !== 'suspect') return stalled
--- a/src/scheduler/health.ts
+++ b/src/scheduler/health.ts
@@ -2,7 +2,7 @@
  * What is known of how well targets work: which of them get tasks, and which runs would be
  * done sooner elsewhere.
  */
-import type { Task } from '../jobs/index.js'
+import type { Step, Task } from '../jobs/index.js'
 import type { Logger } from '../shared/index.js'
 import { createBadRuns } from './badRuns.js'
 import type { BadRuns } from './badRuns.js'
@@ -17,6 +17,8 @@
   standingOf(agent: TargetAgent): Standing
   /** Steady time up to which it is kept off, in ms; in the past where it is not. */
   excludedUntil(agent: TargetAgent): number
+  /** Whether the step fails by itself, so that no target is to blame. */
+  failsByItself(step: Step): boolean
   /** How much rather the task should go elsewhere; 0 where nothing speaks against the target. */
   penaltyOf(agent: TargetAgent, task: Task): number
   forget(agent: TargetAgent): void
@@ -41,6 +43,7 @@
     noteEnd: (agent, task, kind) => ENDS[kind]?.(agent, task),
     standingOf: suspicion.standingOf,
     excludedUntil: suspicion.excludedUntil,
+    failsByItself: suspicion.failsByItself,
     penaltyOf: (agent, task) =>
       PENALTIES[suspicion.standingOf(agent)] +
       (suspicion.hasFailedOn(agent, task) ? FAILED_HERE_PENALTY : 0),
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -245,15 +245,16 @@
     starter.start(allAgents())
   }
 
-  /** Stops runs that stand still or crawl, where another target has room for them now. */
+  /** Stops runs that stand still or crawl, where they get on sooner when they begin anew. */
   function moveBadRuns(): void {
     const all = allAgents()
     const bad = health.sweep(all)
     if (bad.length === 0) return
     const room = createRoomElsewhere(all.filter(isSound), starter.policyNow(all))
     for (const run of bad) {
-      const { agent, placement, task } = run
-      if (placement.state !== 'running' || !room.claim(task.step, agent)) continue
+      const { agent, placement, task, anywhere } = run
+      if (placement.state !== 'running') continue
+      if (!room.claim(task.step, agent) && !anywhere) continue
       log.event('runMoved', {
         task: placement.name,
         target: agent.target.id,
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -1,6 +1,6 @@
 /** Starts ready tasks on targets that may have them, with a ticket where a queue needs one. */
 import type { ConfigurationHolder } from '../directory/index.js'
-import type { JobBook, Step } from '../jobs/index.js'
+import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -44,11 +44,14 @@
   const hasPolicy = (step: Step): boolean =>
     configuration.queue(step.job.spec.queue)?.advice !== undefined
 
+  const tries = new WeakMap<Job, number>()
+
   const beginRound = (agents: readonly TargetAgent[], now: number): SuspectRound =>
     createSuspectRound({
       health,
       agents,
       now,
+      tries,
       maxAttemptsOf: (job) => configuration.queue(job.spec.queue)?.maxAttempts ?? 1,
     })
 
--- a/src/scheduler/suspectPolicy.ts
+++ b/src/scheduler/suspectPolicy.ts
@@ -1,7 +1,7 @@
 /**
  * Which tasks a target under suspicion gets. It is kept for jobs that have nowhere else to go:
- * a job that has run nothing for a while gets one task tried there, so that suspicion never
- * makes a job stand still for as long as it lasts.
+ * a job that has run nothing for a while has a task tried there, and more with each further
+ * try, so that suspicion never makes a job stand still for as long as it lasts.
  */
 import type { Job, Step } from '../jobs/index.js'
 import type { Health } from './health.js'
@@ -13,6 +13,11 @@
  * (1.5 s on its way), and does not spend a job's attempts within a second.
  */
 export const TRY_AFTER_MS = 1500
+/**
+ * Doublings of the tasks that a job has tried at once, one more with each try: a job that fails
+ * by itself in a pool without any other target would take minutes to use up its attempts.
+ */
+const MAX_DOUBLINGS = 5
 
 /** Suspects in one round of planning, and what the round has tried on them. */
 export interface SuspectRound {
@@ -29,6 +34,8 @@
   health: Health
   agents: readonly TargetAgent[]
   now: number
+  /** How often a job has been tried, over all rounds. */
+  tries: WeakMap<Job, number>
   /** Attempts that the tasks of a job have. */
   maxAttemptsOf(job: Job): number
 }
@@ -44,7 +51,8 @@
   const anySound = agents.some(
     (agent) => agent.isUsable() && health.standingOf(agent) === 'sound',
   )
-  const tried = new Set<Job>()
+  /** Tasks that the round may still try of the jobs of which it has tried some. */
+  const triesLeft = new Map<Job, number>()
   const onTrial = new Set<TargetAgent>()
 
   /** Whether a failure would end the job, while others could wait for a sound target. */
@@ -53,11 +61,20 @@
 
   function mayTry(step: Step): boolean {
     const { job } = step
-    if (!anySuspect || job.placed > 0 || tried.has(job)) return false
+    // Where no target is to blame, waiting only puts off what its caller is to be told.
+    if (anySuspect && health.failsByItself(step)) return true
+    if (!anySuspect || job.placed > 0 || triesLeft.get(job) === 0) return false
     if (now - idleSinceOf(step) < TRY_AFTER_MS) return false
     return !anySound || !isLastAttempt(step)
   }
 
+  function noteTry(job: Job): void {
+    const before = input.tries.get(job) ?? 0
+    const left = triesLeft.get(job) ?? 2 ** Math.min(MAX_DOUBLINGS, before)
+    if (!triesLeft.has(job)) input.tries.set(job, before + 1)
+    triesLeft.set(job, left - 1)
+  }
+
   return {
     mayTry,
     isSuspect(agent, step) {
@@ -70,7 +87,7 @@
     planned(agent, step) {
       if (step.spec.lasting || health.standingOf(agent) === 'sound') return
       onTrial.add(agent)
-      if (!step.spec.gang) tried.add(step.job)
+      if (!step.spec.gang) noteTry(step.job)
     },
   }
 }
--- a/src/scheduler/suspicion.ts
+++ b/src/scheduler/suspicion.ts
@@ -16,6 +16,11 @@
 const SUSPECT_JOBS = 2
 /** Share of its ends that must have failed; above it, jobs alone do not explain it. */
 const SUSPECT_SHARE = 0.5
+/**
+ * Failures of a step, none of its runs done, that speak for the job even where it has been
+ * tried on one target alone: a pool may have no other.
+ */
+const OWN_FAULT_FAILURES = 3
 /** Time without new tasks, in ms; doubled each time the trial fails. */
 const EXCLUDE_MS = 5000
 const MAX_EXCLUDE_MS = 20_000
@@ -44,6 +49,8 @@
   standingOf(agent: TargetAgent): Standing
   /** Steady time up to which it is kept off, in ms; in the past where it is not. */
   excludedUntil(agent: TargetAgent): number
+  /** Whether the step fails by itself, so that no target is to blame. */
+  failsByItself(step: Step): boolean
   /** Whether a run of the task has failed there. */
   hasFailedOn(agent: TargetAgent, task: Task): boolean
   forget(agent: TargetAgent): void
@@ -69,7 +76,10 @@
 /** How the runs of a step have ended. */
 interface StepRecord {
   anyDone: boolean
+  failures: number
   failedOn: Set<TargetAgent>
+  /** Whether it has once been seen to fail by itself. */
+  ownFault: boolean
 }
 
 /** Creates a book without evidence. */
@@ -96,7 +106,12 @@
   function stepRecordOf(step: Step): StepRecord {
     const known = steps.get(step)
     if (known) return known
-    const record = { anyDone: false, failedOn: new Set<TargetAgent>() }
+    const record: StepRecord = {
+      anyDone: false,
+      failures: 0,
+      failedOn: new Set(),
+      ownFault: false,
+    }
     steps.set(step, record)
     return record
   }
@@ -111,9 +126,13 @@
 
   /** Whether a step fails by itself: it was never done, and failed where others are done. */
   function isOwnFault(step: Step, agent: TargetAgent): boolean {
-    const { anyDone, failedOn } = stepRecordOf(step)
-    if (anyDone) return false
-    return [...failedOn].some((other) => other !== agent && isProven(other))
+    const record = stepRecordOf(step)
+    if (record.anyDone) return false
+    const { failures: count, failedOn } = record
+    record.ownFault ||=
+      (count >= OWN_FAULT_FAILURES && isProven(agent)) ||
+      [...failedOn].some((other) => other !== agent && isProven(other))
+    return record.ownFault
   }
 
   function exclude(agent: TargetAgent, offence: Offence, basis: Step[]): void {
@@ -125,7 +144,6 @@
     record.excludedUntil = now + record.excludeMs
     record.excludeMs = Math.min(MAX_EXCLUDE_MS, record.excludeMs * 2)
     record.onTrial = true
-    record.ends = []
     log.event('targetSuspect', {
       target: agent.target.id,
       reason: offence,
@@ -153,10 +171,11 @@
     if (isOwnFault(step, agent)) return
     if (record.onTrial && record.excludedUntil <= monotonicMs())
       return exclude(agent, 'trial failed', [step])
-    const failed = record.ends.filter((end) => end.failed && !isOwnFault(end.step, agent))
+    const ends = record.ends.filter(({ at }) => at > record.excludedAt)
+    const failed = ends.filter((end) => end.failed && !isOwnFault(end.step, agent))
     const jobs = new Set(failed.map((end) => end.step.job))
     const enough = failed.length >= SUSPECT_FAILURES && jobs.size >= SUSPECT_JOBS
-    const mostly = failed.length >= record.ends.length * SUSPECT_SHARE
+    const mostly = failed.length >= ends.length * SUSPECT_SHARE
     if (!enough || !mostly) return
     exclude(
       agent,
@@ -186,7 +205,9 @@
         if (!wasSlow) noteDone(agent, task)
         return
       }
-      stepRecordOf(step).failedOn.add(agent)
+      const stepRecord = stepRecordOf(step)
+      stepRecord.failures++
+      stepRecord.failedOn.add(agent)
       failures.set(task, (failures.get(task) ?? new Set()).add(agent))
       noteFailure(agent, step)
       pardon(isOwnFault)
@@ -199,6 +220,10 @@
       return record.excludedUntil > monotonicMs() ? 'suspect' : 'trial'
     },
     excludedUntil: (agent) => records.get(agent)?.excludedUntil ?? -Infinity,
+    failsByItself(step) {
+      const record = steps.get(step)
+      return record !== undefined && record.ownFault && !record.anyDone
+    },
     hasFailedOn: (agent, task) => failures.get(task)?.has(agent) ?? false,
     forget: (agent) => void records.delete(agent),
   }
