fix(scheduler): a run stands still by its own measure, and one that hangs by itself begins anew

Cause, by reading: a task whose percent takes longer than 2.3 s was taken for one that hangs, and moved again and again; a run of a step that hangs on a second target where others get on was left for ever. Change: the limit is three times what a percent of the run has taken, where that is longer. A step's own fault keeps its targets from suspicion, no more.

--- /dev/null
+++ b/src/scheduler/__tests__/badRuns.spec.ts
@@ -0,0 +1,102 @@
+/** Runs that stand still or crawl, and whose fault that is. */
+import { describe, it } from '../../../test/describe.js'
+import { createStillBook } from '../../../test/fixtures.js'
+import { makeJob } from '../../../test/jobRig.js'
+import type { Task } from '../../jobs/index.js'
+import { createMemoryLogger } from '../../shared/index.js'
+import { createBadRuns } from '../badRuns.js'
+import { createRunTimes } from '../runTimes.js'
+import { createSuspicion } from '../suspicion.js'
+import type { TargetAgent } from '../targetAgent.js'
+import type { Placement } from '../targetRuns.js'
+
+/** Run time of the queue's tasks, in ms, as far as the owner has seen. */
+const USUAL_MS = 1000
+
+function newTasks(count: number): Task[] {
+  const book = createStillBook()
+  return book.add(makeJob({ cpu: 100 }, [{ count }])).occurrences[0]!.steps[0]!.tasks
+}
+
+/** A target on which tasks have run since 0. */
+function agentWith(id: string, tasks: Task[]): TargetAgent {
+  const placements = new Map<string, Partial<Placement>>()
+  for (const task of tasks) {
+    task.startedAt = 0
+    placements.set(task.name, { task, name: task.name, state: 'running', percent: 0 })
+  }
+  return { target: { id }, placements, isAnswering: () => true } as unknown as TargetAgent
+}
+
+function report(agent: TargetAgent, reportedAt: number, percent: number): void {
+  for (const placement of agent.placements.values())
+    Object.assign(placement, { reportedAt, percent })
+}
+
+function start() {
+  const runTimes = createRunTimes()
+  const suspicion = createSuspicion(createMemoryLogger())
+  for (const task of newTasks(20)) runTimes.note(task, USUAL_MS)
+  return { suspicion, badRuns: createBadRuns(runTimes, suspicion) }
+}
+
+describe('createBadRuns', () => {
+  it('finds a run that stands still, and accuses its target once', (t) => {
+    const { suspicion, badRuns } = start()
+    const agent = agentWith('t1', newTasks(1))
+    report(agent, 1000, 80)
+    t.deepEqual(badRuns.sweep([agent]), [])
+    report(agent, 3400, 80)
+    t.is(badRuns.sweep([agent]).length, 1)
+    t.is(suspicion.standingOf(agent), 'suspect')
+    suspicion.pardon(() => true)
+    t.is(badRuns.sweep([agent]).length, 1)
+    t.is(suspicion.standingOf(agent), 'sound')
+  })
+
+  it('waits as long as a run takes for some percent', (t) => {
+    const { badRuns } = start()
+    const agent = agentWith('t1', newTasks(1))
+    report(agent, 30_000, 3)
+    badRuns.sweep([agent])
+    report(agent, 50_000, 3)
+    t.false(badRuns.sweep([agent]).some(({ anywhere }) => anywhere))
+    report(agent, 61_000, 3)
+    t.true(badRuns.sweep([agent]).some(({ anywhere }) => anywhere))
+  })
+
+  describe('slow run', () => {
+    it('is moved where the same step gets on elsewhere', (t) => {
+      const { suspicion, badRuns } = start()
+      const tasks = newTasks(4)
+      const slow = agentWith('t1', tasks.slice(0, 2))
+      const quick = agentWith('t2', tasks.slice(2))
+      report(slow, 2000, 10)
+      report(quick, 2000, 60)
+      const found = badRuns.sweep([slow, quick])
+      t.deepEqual(new Set(found.map(({ agent }) => agent)), new Set([slow]))
+      t.is(suspicion.standingOf(slow), 'suspect')
+    })
+
+    it('is left where other jobs get on: its tasks are long by nature', (t) => {
+      const { suspicion, badRuns } = start()
+      const long = newTasks(2)
+      const agent = agentWith('t1', [...long, ...newTasks(3)])
+      report(agent, 1300, 90)
+      for (const task of long)
+        Object.assign(agent.placements.get(task.name)!, { percent: 10 })
+      t.deepEqual(badRuns.sweep([agent]), [])
+      t.is(suspicion.standingOf(agent), 'sound')
+    })
+
+    it('is moved once where nothing tells whose fault it is', (t) => {
+      const { badRuns } = start()
+      const agent = agentWith('t1', newTasks(2))
+      report(agent, 2000, 10)
+      const found = badRuns.sweep([agent])
+      t.is(found.length, 2)
+      for (const run of found) badRuns.noteMoved(run)
+      t.deepEqual(badRuns.sweep([agent]), [])
+    })
+  })
+})
--- a/src/scheduler/badRuns.ts
+++ b/src/scheduler/badRuns.ts
@@ -12,6 +12,8 @@
 
 /** A task whose percent stands still for so long hangs, in ms: two long polls. */
 const STALL_MS = 2300
+/** One that takes longer for a percent hangs after so many times as long. */
+const STALL_POINTS = 3
 /**
  * A run that hangs with nowhere else to go begins anew where it is after so long, in ms: hanging
  * may be the run's alone. By then a VM that was asked for would have come (3 s).
@@ -77,6 +79,11 @@
   verdict: Verdict
 }
 
+interface StalledRun extends BadRun {
+  /** Whether the step stands still on a second target where others get on. */
+  ownFault: boolean
+}
+
 interface Progress {
   percent: number
   since: number
@@ -91,7 +98,6 @@
   /** Steps whose tasks are slow by nature. */
   const longSteps = new WeakSet<Step>()
   const done = new Map<TargetAgent, Pace[]>()
-
   /** Runs that stood still and have been held against their target, once each. */
   const accusers = new WeakSet<Placement>()
 
@@ -108,7 +114,9 @@
       progress.set(placement, { percent, since: reportedAt })
       return 0
     }
-    const limitMs = STALL_MS * 2 ** Math.min(MAX_DOUBLINGS, movesOf(task))
+    const pointMs = percent > 0 ? (before.since - task.startedAt) / percent : 0
+    const doubled = 2 ** Math.min(MAX_DOUBLINGS, movesOf(task))
+    const limitMs = Math.max(STALL_MS, STALL_POINTS * pointMs) * doubled
     const ms = reportedAt - before.since
     return ms > limitMs ? ms : 0
   }
@@ -182,33 +190,31 @@
     return found
   }
 
-  function stalledRuns(agent: TargetAgent, all: Pace[]): BadRun[] {
-    const found: BadRun[] = []
+  function stalledRuns(agent: TargetAgent, all: Pace[]): StalledRun[] {
+    const found: StalledRun[] = []
     for (const placement of agent.placements.values()) {
       const { task, state, reportedAt } = placement
       if (!task || state !== 'running' || reportedAt === 0) continue
       const ms = isJudged(task.step) ? stalledMs(placement, task) : 0
       if (ms === 0) continue
       const othersGetOn = isUsualFor(othersOn(agent, task.step, all))
+      const ownFault = othersGetOn && isBadWhereOthersAreNot(task.step, agent, all)
       const anywhere = othersGetOn || ms > ANEW_AFTER_MS
-      if (!hangsByItself(task.step, agent, all))
-        found.push({ agent, placement, task, anywhere })
+      found.push({ agent, placement, task, anywhere, ownFault })
       noteBad(task.step, agent)
     }
     return found
   }
 
-  /** Whether a step stands still on a second target while others get on there. */
-  const hangsByItself = (step: Step, agent: TargetAgent, all: Pace[]): boolean =>
-    isUsualFor(othersOn(agent, step, all)) && isBadWhereOthersAreNot(step, agent, all)
-
   function sweepOne(agent: TargetAgent, all: Pace[]): BadRun[] {
     const stalled = stalledRuns(agent, all)
     const slow = slowRuns(agent, all).filter(
       (run) => !stalled.some(({ placement }) => placement === run.placement),
     )
     const stepsOf = (runs: BadRun[]): Step[] => runs.map(({ task }) => task.step)
-    const newlyStalled = stalled.filter(({ placement }) => !accusers.has(placement))
+    const newlyStalled = stalled.filter(
+      ({ placement, ownFault }) => !ownFault && !accusers.has(placement),
+    )
     for (const { placement } of newlyStalled) accusers.add(placement)
     if (newlyStalled.length > 0)
       suspicion.exclude(agent, 'tasks stand still', stepsOf(newlyStalled))
