test(scheduler): owners beside another writer, as property tests

Two properties over drawn texts and keys (fast-check, FOREIGN_SEED and FOREIGN_RUNS by hand): no start on a target whose entry does not name it, and no job lost or task done twice under a successor whose rows were spoilt. They fail on the code before, with a start on an unreadable entry and with a task that ran again after it was done.

--- /dev/null
+++ b/src/scheduler/__tests__/foreignRows.spec.ts
@@ -0,0 +1,232 @@
+/** An owner beside another writer, who changes rows while it works and before it begins. */
+import fc from 'fast-check'
+import { platformDocuments } from '../../../platform/index.js'
+import { describe, it } from '../../../test/describe.js'
+import { foreignKey, foreignText } from '../../../test/foreignRows.js'
+import {
+  CAPACITY,
+  SERVICE,
+  createJobRig,
+  findBrokenPromise,
+  makeJob,
+} from '../../../test/jobRig.js'
+import type { JobRig } from '../../../test/jobRig.js'
+import { createTargetList } from '../../directory/index.js'
+import { INTAKE_TABLE, PROGRESS_TABLE, intakeKey, progressKey } from '../../jobs/index.js'
+import type { JobSpec } from '../../jobs/index.js'
+import type { RowKey } from '../../ports/index.js'
+import { monotonicMs, sleep } from '../../shared/index.js'
+import { ROSTER_TABLE } from '../roster.js'
+
+const { targets: documents } = platformDocuments
+const TARGETS = ['t1', 't2', 't3']
+/** Time between two entries of a target that nobody disturbs, in ms. */
+const BEAT_MS = 250
+/** Time after which an owner has surely read a changed entry, in ms. */
+const READ_MS = 1000
+
+const addressOf = (id: string): string => `${id}:1`
+const entryOf = (id: string): string =>
+  JSON.stringify({
+    service: SERVICE,
+    address: addressOf(id),
+    zone: 'h1',
+    state: 'ready',
+    labels: ['r1-1'],
+    capacity: { cpu: CAPACITY.cpu, mem_mb: CAPACITY.memMb, gpu: 0 },
+  })
+const entryKey = (id: string): RowKey => ({ table: documents.table, part: '', key: id })
+
+/** Whether an entry names the target to use, by the text alone. */
+function namesTarget(id: string, text: string): boolean {
+  const target = documents.decode(id, text)
+  return target.isOk() && target.value.service === SERVICE && !target.value.draining
+}
+
+/** A rig whose targets write their entries themselves, until it is stopped. */
+async function startWorld() {
+  const rig = createJobRig((store, log) => createTargetList({ store, documents, log }))
+  /** Entries of another writer, with the steady time of the writing. */
+  const disturbed = new Map<string, { text: string; at: number }>()
+  const problems: string[] = []
+  const beat = (): void => {
+    for (const id of TARGETS) {
+      if (!disturbed.has(id)) rig.table.put(entryKey(id), entryOf(id))
+    }
+  }
+  const timer = setInterval(beat, BEAT_MS)
+  for (const id of TARGETS) rig.addTarget(id)
+  beat()
+  await sleep(READ_MS)
+
+  /** Whether a task was started on the target while its entry did not name it. */
+  function check(id: string): void {
+    const each = disturbed.get(id)
+    if (!each || namesTarget(id, each.text)) return
+    const since = each.at + READ_MS
+    const wrong = rig.ledger.entries.find(
+      ({ what, target, at }) => what === 'start' && target === id && at > since,
+    )
+    if (wrong)
+      problems.push(`${wrong.task} on ${id}, listed as ${each.text.slice(0, 200)}`)
+  }
+
+  return {
+    rig,
+    problems,
+    disturb(id: string, text: string) {
+      check(id)
+      disturbed.set(id, { text, at: monotonicMs() })
+      rig.table.put(entryKey(id), text)
+    },
+    leaveAlone(id: string) {
+      check(id)
+      disturbed.delete(id)
+    },
+    stop() {
+      clearInterval(timer)
+      return rig.stop()
+    },
+  }
+}
+
+const submitSome = (rig: JobRig, owner: Awaited<ReturnType<JobRig['own']>>): JobSpec[] =>
+  [0, 1, 2, 3].map((each) => {
+    const steps = each % 2 ? [{ count: 3 }, { count: 2, after: [0] }] : [{ count: 4 }]
+    const job = makeJob({ ms: 60 + each * 50, cpu: 400 }, steps)
+    rig.submit(owner, job)
+    return job
+  })
+
+/** What is wrong at the end, undefined when nothing is. */
+async function judge(rig: JobRig, jobs: JobSpec[]): Promise<string | undefined> {
+  if (!(await rig.settled(jobs, 25_000))) {
+    const open = jobs
+      .filter((job) => rig.outcomeOf(job) === undefined)
+      .map(({ id }) => id)
+    const told = rig.log.events.filter(({ fields }) =>
+      open.some((id) => JSON.stringify(fields).includes(id)),
+    )
+    return `jobs are not settled: ${JSON.stringify({ open, told })}`
+  }
+  const bad = jobs.find((job) => rig.outcomeOf(job) !== 'completed')
+  if (bad) return `${bad.id} ended ${rig.outcomeOf(bad)}`
+  const lines = rig.log.events.filter(({ name }) => name === 'rowInvalid')
+  const long = lines.find(({ fields }) => JSON.stringify(fields).length > 1200)
+  if (long) return `a line of ${JSON.stringify(long).length} characters`
+  return findBrokenPromise(rig.ledger)
+}
+
+/** Entries of targets, and others beside them, one after another. */
+const entrySteps = fc.array(
+  fc.record({
+    target: fc.nat({ max: TARGETS.length - 1 }),
+    text: foreignText(entryOf('t1')),
+    key: foreignKey,
+    waitMs: fc.nat({ max: 1500 }),
+  }),
+  { minLength: 5, maxLength: 9 },
+)
+type EntryStep = typeof entrySteps extends fc.Arbitrary<infer T> ? T : never
+
+async function playEntries(steps: EntryStep): Promise<string | undefined> {
+  const world = await startWorld()
+  const { rig } = world
+  const owner = await rig.own()
+  const jobs = submitSome(rig, owner)
+  for (const { target, text, key, waitMs } of steps) {
+    const id = TARGETS[target]!
+    world.disturb(id, text)
+    if (!TARGETS.includes(key)) rig.table.put(entryKey(key), text)
+    jobs.push(...submitSome(rig, owner))
+    await sleep(waitMs)
+    if (waitMs % 3 > 0) world.leaveAlone(id)
+  }
+  for (const id of TARGETS) world.leaveAlone(id)
+  const problem = world.problems[0] ?? (await judge(rig, jobs))
+  await world.stop()
+  return problem
+}
+
+/** Rows that an owner leaves to its successor, each replaced by a text. */
+const rowSteps = fc.array(
+  fc.record({
+    row: fc.nat({ max: 50 }),
+    text: foreignText('{"done":{},"failedRuns":{},"checkpoints":{}}'),
+    key: foreignKey,
+  }),
+  { minLength: 3, maxLength: 8 },
+)
+type RowStep = typeof rowSteps extends fc.Arbitrary<infer T> ? T : never
+
+/** Spoils rows; returns what puts those back that nobody has written since. */
+function spoil(rig: JobRig, jobs: JobSpec[], steps: RowStep): () => void {
+  const rows = [
+    ...jobs.map((job) => intakeKey(job.queue, job.id)),
+    ...jobs.map((job) => progressKey(SERVICE, job.id)),
+    ...TARGETS.map((key) => ({ table: ROSTER_TABLE, part: SERVICE, key })),
+  ]
+  const before = new Map<RowKey, { value: string; version: number }>()
+  for (const { row, text, key } of steps) {
+    const at = rows[row % rows.length]!
+    const found = rig.table.get(at)
+    // What can be read as progress is progress: of that nobody can tell who wrote it.
+    if (found && !before.has(at) && !/"(done|outcome)":\{/.test(text)) {
+      before.set(at, { value: found.value, version: rig.table.put(at, text) })
+    }
+    for (const table of [INTAKE_TABLE, PROGRESS_TABLE]) {
+      if (!key.endsWith('.cancel'))
+        rig.table.put({ table, part: rows[0]!.part, key }, text)
+    }
+  }
+  return () => {
+    for (const [at, { value, version }] of before) {
+      if (rig.table.get(at)?.version === version) rig.table.put(at, value)
+    }
+  }
+}
+
+async function playRows(steps: RowStep): Promise<string | undefined> {
+  const world = await startWorld()
+  const { rig } = world
+  const first = await rig.own()
+  const jobs = submitSome(rig, first)
+  await sleep(150 + (steps[0]!.row % 5) * 60)
+  first.live = false
+  await first.stop(false)
+  const mend = spoil(rig, jobs, steps)
+  const second = await rig.own()
+  jobs.push(...submitSome(rig, second))
+  await sleep(2500)
+  const early = findBrokenPromise(rig.ledger)
+  mend()
+  const problem = early ?? (await judge(rig, jobs))
+  await world.stop()
+  return problem
+}
+
+/** The steps with their texts cut short. */
+const describeSteps = (steps: { text: string }[]): string =>
+  JSON.stringify(steps.map((step) => ({ ...step, text: step.text.slice(0, 200) })))
+
+/** Seed of the scenarios in CI; others by hand: `FOREIGN_SEED=7 FOREIGN_RUNS=50`. */
+const SEED = Number(process.env['FOREIGN_SEED'] ?? 4111)
+const RUNS = Number(process.env['FOREIGN_RUNS'] ?? 10)
+
+describe('another writer', () => {
+  it('makes no owner use a target that its entry does not name, nor lose a job', async (t) => {
+    const scenarios = fc.sample(entrySteps, { seed: SEED, numRuns: RUNS })
+    const results = await Promise.all(scenarios.map(playEntries))
+    for (const [index, problem] of results.entries()) {
+      t.is(problem, undefined, describeSteps(scenarios[index]!))
+    }
+  })
+
+  it('makes no successor lose a job or do a task twice', async (t) => {
+    const scenarios = fc.sample(rowSteps, { seed: SEED, numRuns: RUNS })
+    const results = await Promise.all(scenarios.map(playRows))
+    for (const [index, problem] of results.entries()) {
+      t.is(problem, undefined, describeSteps(scenarios[index]!))
+    }
+  })
+})
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -131,6 +131,8 @@
     if (agent) {
       agent.update(target)
       agent.listed = true
+      // One whose inherited row could not be read has none that a successor could use.
+      roster.add(target)
     } else if (!target.draining && goneLives.get(target.id) !== target.address) {
       open(target)
       roster.add(target)
--- /dev/null
+++ b/test/foreignRows.ts
@@ -0,0 +1,53 @@
+/** Texts as another writer may put them into rows that the nodes read, for property tests. */
+import fc from 'fast-check'
+
+/** Values that a field may have in place of its own. */
+const value = fc.oneof(
+  fc.constantFrom<unknown>(
+    null,
+    undefined,
+    '',
+    0,
+    -1,
+    1e300,
+    [],
+    {},
+    true,
+    'warming',
+    '10.0.0.1:0',
+    '10.0.0.1:70000',
+    'a/b c',
+    'x'.repeat(20_000),
+  ),
+  fc.jsonValue(),
+)
+
+/** The text of a row, with some of its fields replaced, one more, or the end cut off. */
+const changed = (text: string): fc.Arbitrary<string> => {
+  const row = JSON.parse(text) as Record<string, unknown>
+  const fields = fc.dictionary(fc.constantFrom(...Object.keys(row)), value, {
+    minKeys: 1,
+  })
+  return fc.oneof(
+    fields.map((more) => JSON.stringify({ ...row, ...more })),
+    fc.nat({ max: text.length - 1 }).map((length) => text.slice(0, length)),
+    fc.constant(text.replace(/\d+/, '1e400')),
+  )
+}
+
+/** Anything, or a row of the kind whose text is given, changed. */
+export const foreignText = (text: string): fc.Arbitrary<string> =>
+  fc.oneof(
+    fc.string(),
+    fc.json(),
+    // Bytes that are no text, as the store's client reads them.
+    fc.constant('\uFFFD'),
+    fc.constant('x'.repeat(1 << 20)),
+    { arbitrary: changed(text), weight: 4 },
+  )
+
+/** Keys that no node of ours would write. */
+export const foreignKey: fc.Arbitrary<string> = fc.oneof(
+  fc.string({ minLength: 1, maxLength: 60 }),
+  fc.constantFrom('a/b', 'a b', 'a\nb', '.', '..', '.cancel', '__proto__', '~fleet', 'ä'),
+)
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -1,5 +1,5 @@
 /** A store, targets and a configuration, for tests of owners without any wire. */
-import type { Queue, Target, VmCloud } from '../src/ports/index.js'
+import type { Queue, RowStore, Target, VmCloud } from '../src/ports/index.js'
 import type { ConfigurationHolder, TargetList } from '../src/directory/index.js'
 import {
   jobSchema,
@@ -15,6 +15,7 @@
 import { createServiceOwner } from '../src/scheduler/index.js'
 import type { ServiceOwner } from '../src/scheduler/index.js'
 import { createMemoryLogger, sleep } from '../src/shared/index.js'
+import type { Logger } from '../src/shared/index.js'
 import { createRowTable } from '../playground/sim/rowTable.js'
 import { createSimOrders } from '../playground/sim/simLinks.js'
 import { createSimTarget } from '../playground/sim/simTarget.js'
@@ -90,7 +91,13 @@
   lostBecause: string | undefined
 }
 
-export function createJobRig(): JobRig {
+/**
+ * Creates a rig without targets.
+ * @param makeList follows the list of targets; by default it is what `addTarget` adds
+ */
+export function createJobRig(
+  makeList?: (store: RowStore, log: Logger) => TargetList,
+): JobRig {
   const table = createRowTable()
   const targets = new Map<string, SimTarget>()
   const listed = new Map<string, Target>()
@@ -109,7 +116,7 @@
     subscribe: () => undefined,
     stop: async () => undefined,
   }
-  const targetList: TargetList = {
+  const targetList: TargetList = makeList?.(table.forNode('n'), log) ?? {
     ready: Promise.resolve(),
     byId: () => listed,
     freshAt: () => performance.now(),
@@ -209,6 +216,7 @@
     },
     async stop() {
       await Promise.all(owners.map((owner) => owner.stop(false)))
+      await targetList.stop()
     },
   }
   return rig
