test(playground): nodes in a store that another writer writes into all the time

Some 140 rows and entries of drawn texts in 4 s, among them bytes that are no text, an owner killed meanwhile; then what callers are told of jobs whose rows cannot be read. Both fail on the code before (jobs never completed; 410 in place of 503).

Found by it: a roster row that cannot be read held the tasks of a new owner up for lease and grace, 12.5 s, although no VM had such a life. Once in eight runs the stand-in was called with a body that is no JSON, which ended the test's process; by its first bytes it was a call between nodes, so most likely to a port that a killed node had had. It now answers 400.

--- a/playground/sim/storeHandlers.ts
+++ b/playground/sim/storeHandlers.ts
@@ -6,7 +6,19 @@
 /** Time after which an unanswered call is cut, in ms: longer than any client waits. */
 const UNANSWERED_MS = 5000
 
-const encode = (text: string): string => Buffer.from(text, 'utf8').toString('base64')
+/** A surrogate without its other half, which no text has. */
+const LONE_SURROGATE = /[\uD800-\uDFFF]/u
+/** A byte that no UTF-8 text has. */
+const NO_TEXT = Buffer.from([0xff])
+
+/** Each lone surrogate stands for a byte that is no text, in rows of another writer. */
+function encode(text: string): string {
+  if (!LONE_SURROGATE.test(text)) return Buffer.from(text, 'utf8').toString('base64')
+  const [first, ...more] = text.split(LONE_SURROGATE).map((each) => Buffer.from(each))
+  const bytes = [first!, ...more.flatMap((each) => [NO_TEXT, each])]
+  return Buffer.concat(bytes).toString('base64')
+}
+
 const decode = (text: string): string => Buffer.from(text, 'base64').toString('utf8')
 const toKey = (row: Body): RowKey => ({
   table: String(row.table),
--- a/playground/sim/wire.ts
+++ b/playground/sim/wire.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { parseJson } from '../../src/shared/index.js'
 
 /** Where all servers of the stand-in listen. */
 export const HOST = '127.0.0.1'
@@ -17,7 +18,10 @@
   headers: IncomingMessage['headers']
 }) => Reply | Promise<Reply>
 
-/** The body of a request; undefined when its sender is gone before it is whole. */
+/**
+ * The body of a request; undefined when its sender is gone before it is whole, or when it is
+ * meant for a process that had this port before, such as a node that was killed.
+ */
 async function readBody(req: IncomingMessage): Promise<Body | undefined> {
   const chunks: Buffer[] = []
   try {
@@ -26,7 +30,7 @@
     return undefined
   }
   const text = Buffer.concat(chunks).toString('utf8')
-  return text === '' ? {} : (JSON.parse(text) as Body)
+  return text === '' ? {} : (parseJson(text) as Body | undefined)
 }
 
 async function answer(
@@ -37,7 +41,10 @@
   const url = new URL(req.url ?? '/', 'http://platform')
   const handler = handlers[`${req.method} ${url.pathname}`]
   const body = await readBody(req)
-  if (!body) return
+  if (!body) {
+    res.statusCode = 400
+    return void res.end()
+  }
   const [status, reply] = handler
     ? await handler({ body, query: url.searchParams, headers: req.headers })
     : [404]
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -46,8 +46,6 @@
   add(entry: RosterEntry): void
   /** Its tasks are known to be dead. */
   remove(id: string): void
-  /** Removes inherited rows that cannot be read: whatever ran on their targets is over. */
-  removeUnread(): void
   stop(): void
 }
 
@@ -62,7 +60,9 @@
   const { store, authority, log } = opts
   const isRead = ({ address }: InheritedEntry): boolean => address !== undefined
   const durable = new Set(opts.entries.filter(isRead).map(({ id }) => id))
-  const unread = opts.entries.filter((each) => !isRead(each)).map(({ id }) => id)
+  const unread = new Set(
+    opts.entries.map(({ id }) => id).filter((id) => !durable.has(id)),
+  )
   const adding = new Map<string, RosterEntry>()
   const removing = new Set<string>()
   let running = false
@@ -124,16 +124,11 @@
       void run()
     },
     remove(id) {
-      if (!durable.delete(id)) return
+      const isThere = durable.delete(id) || unread.delete(id)
+      if (!isThere) return
       removing.add(id)
       void run()
     },
-    removeUnread() {
-      for (const id of unread.splice(0)) {
-        if (!durable.has(id) && !adding.has(id)) removing.add(id)
-      }
-      void run()
-    },
     stop: () => void (stopped = true),
   }
 }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -221,9 +221,8 @@
 
   /** Lets inherited tasks start once every target of the predecessor has been settled. */
   function openGateOnceSettled(): void {
-    if (gateOpen || !follower.isSettled()) return
+    if (gateOpen || !allAgents().every((agent) => agent.isSettled())) return
     gateOpen = true
-    roster.removeUnread()
     log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
     book.openGate()
   }
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -162,9 +162,16 @@
 async function readRoster(
   store: RowStore,
   service: string,
+  log: Logger,
 ): Promise<Result<InheritedEntry[], PlatformError>> {
   const roster = await store.read(ROSTER_TABLE, service)
-  return roster.map(({ rows }) => rows.map(decodeRosterEntry))
+  if (roster.isErr()) return err(roster.error)
+  const unread = createUnreadRows(log, ROSTER_TABLE)
+  const entries = roster.value.rows.map(decodeRosterEntry)
+  for (const { id, address } of entries) {
+    if (address === undefined) unread.note(id, 'its target counts as out of reach')
+  }
+  return ok(entries)
 }
 
 /** Reads progress and roster first under the new epoch, then the intake. */
@@ -175,7 +182,7 @@
   unread: UnreadRows,
 ): Reading<Inherited> {
   const progress = once(() => readProgress(store, service, log))
-  const roster = once(() => readRoster(store, service))
+  const roster = once(() => readRoster(store, service, log))
   const intake = createIntakeReading(store, service, unread)
   return {
     async next() {
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -12,7 +12,6 @@
 import { CLOCK_SKEW, LEASE_MARGIN_MS, TASK_LEASE_MS } from './constants.js'
 import type { Health } from './health.js'
 import type { ProgressWriter } from './progressWriter.js'
-import { ROSTER_TABLE } from './roster.js'
 import type { InheritedEntry, Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
 import { createTargetAgent } from './targetAgent.js'
@@ -23,8 +22,6 @@
 export interface TargetFollower {
   /** Opens agents for the targets of the predecessor's roster, not listed until they are. */
   inherit(entries: InheritedEntry[]): void
-  /** Whether all that the predecessor may have started is known, or over for certain. */
-  isSettled(): boolean
   /** Follows the list: opens agents for new targets, notes those that leave. */
   follow(): void
 }
@@ -56,8 +53,6 @@
 
   /** Targets of the predecessor's roster. */
   const inherited = new Set<string>()
-  /** Steady time at which all is over on its targets that nobody can name, in ms. */
-  let namelessOverAt = -Infinity
 
   /** Time that unknown runs of the predecessor may last, in ms. */
   const inheritedLeaseMs =
@@ -90,17 +85,13 @@
   /** Whether runs of the predecessor, or of a closed agent of ours, may be there. */
   const mayHaveRuns = (id: string): boolean => inherited.has(id) || roster.has(id)
 
-  /** Opens the agent of a target that the roster names, by its address or by the list's. */
+  /**
+   * Opens the agent of a target of the roster. Without an address it stays silent, until the
+   * list tells one, no VM has the life any more, or all that may run there is over.
+   */
   function openInherited({ id, address }: InheritedEntry): void {
     inherited.add(id)
-    const found = address ?? targets.byId().get(id)?.address
-    if (found !== undefined) {
-      open(unlistedTarget(id, found, service)).listed = false
-      return
-    }
-    namelessOverAt = monotonicMs() + inheritedLeaseMs
-    const reason = 'inherited tasks wait until what may run there is over'
-    log.event('rowInvalid', { table: ROSTER_TABLE, key: id, reason })
+    open(unlistedTarget(id, address ?? '', service)).listed = false
   }
 
   function open(target: Target): TargetAgent {
@@ -154,9 +145,6 @@
 
   return {
     inherit: (entries) => entries.forEach(openInherited),
-    isSettled: () =>
-      monotonicMs() >= namelessOverAt &&
-      [...agents.values()].every((agent) => agent.isSettled()),
     follow() {
       const listed = targets.byId()
       for (const target of listed.values()) {
