fix(scheduler): an owner writes the row of a job anew that another writer has spoilt

Cause: the owner went on with the job, and its successor could not read it, so that the job was held until somebody mended the row by hand.

Change: what the owner knows better it restores (src/scheduler/rowRestorer.ts): the row of a job never changes, and is written only over the version that cannot be read.

Measured: the test of it fails without the change (row stays as spoilt).

--- a/src/cli/nodeCommands.ts
+++ b/src/cli/nodeCommands.ts
@@ -21,12 +21,15 @@
 import { WAVES_TABLE, decodeWaveRow } from '../vms/index.js'
 import { OutputCommand, need } from './base.js'
 
+/** The state of a job, or that its progress cannot be read: it is held. */
+type ListedStatus = JobStatus | 'unreadable'
+
 /** A job as it is listed. */
 interface ListedJob {
   id: string
   queue: string
   service: string
-  status: JobStatus
+  status: ListedStatus
   tasks: number
   acceptedAtMs: number
 }
@@ -36,7 +39,7 @@
   job: JobSpec
   cancelled: boolean
   progress: Progress | undefined
-  status: JobStatus
+  status: ListedStatus
 }
 
 /** The address that an option or else a variable gives; undefined when it is none. */
@@ -80,10 +83,9 @@
 
 /** Every accepted job that is not over, with its progress and state. */
 async function readOpenJobs(store: RowStore): Promise<OpenJob[]> {
-  const progress = new Map<string, Progress>()
+  const progress = new Map<string, Progress | undefined>()
   for (const row of await rowsOf(store, PROGRESS_TABLE)) {
-    const decoded = decodeProgress(row.value)
-    if (decoded) progress.set(row.key, decoded)
+    progress.set(row.key, decodeProgress(row.value))
   }
   const entries = (await rowsOf(store, INTAKE_TABLE)).map((row) =>
     decodeIntake(row, row.value),
@@ -95,7 +97,8 @@
     if (entry.kind !== 'job') return []
     const known = progress.get(entry.id)
     const cancelled = cancels.has(entry.id)
-    const status = storedStatus(cancelled, known)
+    const isUnread = progress.has(entry.id) && !known
+    const status = isUnread ? 'unreadable' : storedStatus(cancelled, known)
     return { job: entry.job, cancelled, progress: known, status }
   })
 }
--- a/src/scheduler/__tests__/unreadableRows.spec.ts
+++ b/src/scheduler/__tests__/unreadableRows.spec.ts
@@ -131,17 +131,25 @@
     await rig.stop()
   })
 
-  it('does not end a job that its owner knows', async (t) => {
+  // The owner went on with the job, and its successor could not read it.
+  it('is written anew by an owner that knows the job', async (t) => {
     const rig = createJobRig()
     rig.addTarget('t1')
     const owner = await rig.own()
-    const job = makeJob({ ms: 1500, cpu: 400 })
+    const job = makeJob({ ms: 3500, cpu: 400 })
+    const key = intakeKey(job.queue, job.id)
     rig.submit(owner, job)
     await sleep(100)
-    spoil(rig, intakeKey(job.queue, job.id), 'null')
+    for (const text of ['null', '\uFFFD']) {
+      spoil(rig, key, text)
+      await sleep(1500)
+      t.is(rig.table.get(key)?.value, encodeJob(job), text)
+    }
+    t.true(tells(rig, 'rowInvalid', job.id))
+    t.true(tells(rig, 'rowRestored', job.id))
     t.true(await rig.settled([job], 6000))
     t.is(rig.outcomeOf(job), 'completed')
-    t.true(tells(rig, 'rowInvalid', job.id))
+    t.is(findBrokenPromise(rig.ledger), undefined)
     await rig.stop()
   })
 
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -58,6 +58,8 @@
   /** Rows of the intake that cannot be read. */
   unread: UnreadRows
   log: Logger
+  /** The row of a job, which the book may have, cannot be read. */
+  spoilt(id: string): void
   /** A job has been taken on. */
   taken(): void
   /** More is asked of the service than before. */
@@ -120,8 +122,10 @@
     if (value === undefined) return forgetRow(part, key)
     const entry = decodeIntake({ part, key }, value)
     if (entry.kind === 'cancel') return void cancel(entry.id)
-    // A job that is in the book goes on: its row does not change once it is written.
-    if (entry.kind === 'invalid') return unread.note(key, entry.reason)
+    if (entry.kind === 'invalid') {
+      unread.note(key, entry.reason)
+      return opts.spoilt(entry.id)
+    }
     unread.clear(key)
     if (entry.job.service === service) take(entry.job)
   }
--- /dev/null
+++ b/src/scheduler/rowRestorer.ts
@@ -0,0 +1,80 @@
+/**
+ * Writes rows of jobs anew that another writer has spoilt. The owner knows what such a row
+ * said, for it never changes; a successor could not take the job on without it.
+ */
+import { decodeIntake, encodeJob, intakeKey } from '../jobs/index.js'
+import type { Job, JobBook } from '../jobs/index.js'
+import type { Authority } from '../ownership/index.js'
+import { keyRange } from '../ports/index.js'
+import type { RowStore } from '../ports/index.js'
+import { createStopController, describeError, jittered, sleep } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import { FLUSH_RETRY_MS } from './constants.js'
+
+/** Restores rows of the intake until it is stopped. */
+export interface RowRestorer {
+  /** The row of a job cannot be read any more; nothing is done where the job is not known. */
+  restore(id: string): void
+  stop(): Promise<void>
+}
+
+/** What the restoring of rows works with. */
+export interface RowRestorerOptions {
+  store: RowStore
+  authority: Authority
+  book: JobBook
+  log: Logger
+}
+
+/** Starts with nothing to restore. */
+export function createRowRestorer(opts: RowRestorerOptions): RowRestorer {
+  const { store, authority, book, log } = opts
+  const stopping = createStopController()
+  const spoilt = new Set<string>()
+  let running: Promise<void> | undefined
+
+  /** Writes the row over the one that cannot be read, and over no other; true when done. */
+  async function restoreOne({ spec }: Job): Promise<boolean> {
+    const key = intakeKey(spec.queue, spec.id)
+    const found = await store.read(key.table, key.part, keyRange(key.key))
+    if (found.isErr()) return false
+    const row = found.value.rows[0]
+    // A job that is over has no row here any more.
+    if (!row || decodeIntake(row, row.value).kind === 'job') return true
+    const res = await store.commit({
+      conditions: [{ ...key, version: row.version }],
+      puts: [{ ...key, value: encodeJob(spec) }],
+      removals: [],
+    })
+    if (res.isErr()) {
+      const reason = describeError(res.error)
+      log.event('progressNotWritten', { service: spec.service, reason })
+      return false
+    }
+    if (res.value.committed) log.event('rowRestored', { table: key.table, key: key.key })
+    return res.value.committed
+  }
+
+  async function run(): Promise<void> {
+    while (spoilt.size > 0 && !stopping.signal.aborted && !authority.isLost()) {
+      for (const id of [...spoilt]) {
+        const job = book.jobs.get(id)
+        if (!job || (await restoreOne(job))) spoilt.delete(id)
+      }
+      await sleep(jittered(FLUSH_RETRY_MS), stopping.signal)
+    }
+    running = undefined
+  }
+
+  return {
+    restore(id) {
+      if (!book.jobs.has(id)) return
+      spoilt.add(id)
+      running ??= run()
+    },
+    async stop() {
+      stopping.abort()
+      await running
+    },
+  }
+}
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -26,6 +26,7 @@
 import { createNewJobs } from './newJobs.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
+import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
 import { createStarter } from './starter.js'
 import { adoptJobs, leftoverProgress, readInheritedUntilDone } from './takeover.js'
@@ -146,6 +147,7 @@
   const unread = createUnreadRows(log, INTAKE_TABLE)
   const isGateOpen = (): boolean => gateOpen
   const held = createHeldJobs({ store, service, authority, book, log, isGateOpen })
+  const restorer = createRowRestorer({ store, authority, book, log })
   const newJobs = createNewJobs({
     store,
     service,
@@ -155,6 +157,7 @@
     held,
     unread,
     log,
+    spoilt: restorer.restore,
     taken: wake,
     arrived() {
       if (demand.hasGrown(book.open, monotonicMs())) opts.demandGrown()
@@ -283,7 +286,8 @@
       roster.stop()
       await progress.stop(handOver)
       await Promise.all(allAgents().map((agent) => agent.close()))
-      await Promise.all([intake.stop(), housekeeping, finished.stop(), held.stop()])
+      const rows = [intake, finished, held, restorer]
+      await Promise.all([housekeeping, ...rows.map((each) => each.stop())])
     },
   }
 }
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -50,6 +50,11 @@
     'info',
     'a row that had the wrong shape can be read, or is gone',
   ),
+  rowRestored: spec(
+    'RS-4006',
+    'info',
+    'a row that another writer has spoilt is as before',
+  ),
   leaseTaken: spec('RS-5001', 'info', 'lease of the hall taken'),
   leaseLost: spec('RS-5002', 'warn', 'lease of the hall lost'),
   leaseReleased: spec('RS-5003', 'info', 'lease of the hall given up in a planned stop'),
