--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -62,6 +62,8 @@
   /** Rows of the intake that cannot be read. */
   unread: UnreadRows
   log: Logger
+  /** The row of a job, which the book may have, cannot be read. */
+  spoilt(id: string): void
   /** A job has been taken on. */
   taken(): void
   /** More is asked of the service than before. */
@@ -133,8 +135,10 @@
     if (value === undefined) return forgetRow(part, key)
     const entry = decodeIntake({ part, key }, value)
     if (entry.kind === 'cancel') return void cancel(entry.id, 'read')
-    // A job that is in the book goes on: its row does not change once it is written.
-    if (entry.kind === 'invalid') return unread.note(key, entry.reason)
+    if (entry.kind === 'invalid') {
+      unread.note(key, entry.reason)
+      return opts.spoilt(entry.id)
+    }
     unread.clear(key)
     if (entry.job.service === service) take(entry.job, 'read')
   }
@@ -165,7 +169,7 @@
         cancels++
         cancel(id, 'read')
       },
-      unreadable: () => undefined,
+      unreadable: opts.spoilt,
     }
     // Most jobs of the service are of queues that brought it some before.
     const first = new Set([...book.jobs.values()].map(({ spec }) => spec.queue))
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -27,6 +27,7 @@
 import { createRoomElsewhere } from './planner.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
+import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
 import { createStarter } from './starter.js'
 import { adoptJobs, leftoverProgress, readInheritedUntilDone } from './takeover.js'
@@ -149,6 +150,7 @@
   const unread = createUnreadRows(log, INTAKE_TABLE)
   const isGateOpen = (): boolean => gateOpen
   const held = createHeldJobs({ store, service, authority, book, log, isGateOpen })
+  const restorer = createRowRestorer({ store, authority, book, log })
   const newJobs = createNewJobs({
     store,
     service,
@@ -158,6 +160,7 @@
     held,
     unread,
     log,
+    spoilt: restorer.restore,
     taken: wake,
     arrived() {
       if (demand.hasGrown(book.open, monotonicMs())) opts.demandGrown()
@@ -231,9 +234,8 @@
 
   /** Lets inherited tasks start once every target of the predecessor has been settled. */
   function openGateOnceSettled(): void {
-    if (gateOpen || !follower.isSettled()) return
+    if (gateOpen || !allAgents().every((agent) => agent.isSettled())) return
     gateOpen = true
-    roster.removeUnread()
     log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
     book.openGate()
   }
@@ -304,7 +306,8 @@
       roster.stop()
       await progress.stop(handOver)
       await Promise.all(allAgents().map((agent) => agent.close()))
-      await Promise.all([intake.stop(), housekeeping, finished.stop(), held.stop()])
+      const rows = [intake, finished, held, restorer]
+      await Promise.all([housekeeping, ...rows.map((each) => each.stop())])
     },
   }
 }
