--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -27,10 +27,11 @@
   /** Where an order to an entry of another writer would arrive. */
   trapAddress: string
   changeConfiguration(fault: Fault): void
+  orderWave(fault: Fault): void
 }
 
-/** What a fault hits; `planned`: what operators and other programs do. */
-export type FaultGroup = 'node' | 'store' | 'target' | 'pool' | 'planned'
+/** What a fault hits; `planned`: what operators and other programs do; `wave`: maintenance. */
+export type FaultGroup = 'node' | 'store' | 'target' | 'pool' | 'planned' | 'wave'
 /** Ends a fault. */
 type Undo = () => unknown
 
@@ -267,4 +268,9 @@
     const { vm } = pick(ctx.targets, fault)
     return unlist(vm, ctx, foreignEntry(fault, vm.pool, ctx.trapAddress))
   }),
+  waveOrdered: {
+    group: 'wave',
+    usualMs: 100,
+    begin: (ctx, fault) => ctx.orderWave(fault),
+  },
 }
--- a/playground/soak/plan.ts
+++ b/playground/soak/plan.ts
@@ -38,6 +38,9 @@
 
 /** Mean time between two faults of these groups, in ms. */
 const GAP_MS = { target: 2500, pool: 9000, planned: 5000 } as const
+/** Mean time between two waves of maintenance, in ms, and what their draws begin with. */
+const WAVE_GAP_MS = 15_000
+const WAVE_SEED = 2_000_000
 /** The same of nodes and the store within one series, in ms. */
 const SERIES_GAP_MS = 1200
 /** Series of faults of nodes and the store, and the calm between two, in ms. */
@@ -88,11 +91,15 @@
 export function drawPlan(seed: number, lengthMs: number): SoakPlan {
   const random = createRandom(seed)
   const groups = Object.entries(GAP_MS) as [FaultGroup, number][]
+  const nodes = 2 + Math.floor(random() * 3)
+  const targets = 1 + Math.floor(random() * 4)
+  const idleVms = random() < 0.5 ? 0 : 2
+  const waves = createRandom(seed + WAVE_SEED)
   return {
     seed,
-    nodes: 2 + Math.floor(random() * 3),
-    targets: 1 + Math.floor(random() * 4),
-    idleVms: random() < 0.5 ? 0 : 2,
+    nodes,
+    targets,
+    idleVms,
     jobsPerSecond: 2 + 4 * random(),
     hopelessShare: 0.04,
     lengthMs,
@@ -101,6 +108,10 @@
       ...groups.flatMap(([group, gapMs]) =>
         drawSeries(random, [group], gapMs, [1000, lengthMs]),
       ),
+      // Without control of VMs nobody can carry a wave out.
+      ...(idleVms === 0
+        ? []
+        : drawSeries(waves, ['wave'], WAVE_GAP_MS, [1000, lengthMs])),
     ].sort((a, b) => a.at - b.at),
   }
 }
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -14,6 +14,7 @@
 import { startPlatform } from './setUp.js'
 import { createStillWatch } from './stillWatch.js'
 import { createTraffic } from './traffic.js'
+import { createWaves } from './waves.js'
 
 /** Longest time in which all jobs end once all faults are over, in ms. */
 const SETTLE_MS = 30_000
@@ -93,7 +94,6 @@
   const traffic = createTraffic({ random, queues: QUEUES, clients, jobs, plan })
   const isServed = (): boolean => nodes.some((node) => node.isUp())
   const watch = createStillWatch({ checks, calm, targets, isServed, report })
-  const looks = setInterval(watch.look, LOOK_MS)
   const pools = QUEUES.map(({ service }) => service)
   const trapAddress = `${HOST}:${portOf(trap)}`
   let version = 1
@@ -101,6 +101,7 @@
     version += 1 + (change.which % 7)
     platform.putConfiguration(configurationOf(version, change))
   }
+  const waves = createWaves(platform, report)
   const ctx = {
     platform,
     nodes,
@@ -109,8 +110,14 @@
     draining,
     trapAddress,
     changeConfiguration,
+    orderWave: waves.orderWave,
   }
 
+  const looks = setInterval(() => {
+    watch.look()
+    waves.look()
+  }, LOOK_MS)
+
   beganAt = performance.now()
   const played = plan.faults.map(async (fault) => {
     await sleep(fault.at)
@@ -122,6 +129,7 @@
   await Promise.all(played)
   const left = await traffic.settle(SETTLE_MS)
   for (const { id } of left) report('accepted job lost', `${id} has no end`)
+  await waves.settle(SETTLE_MS)
 
   clearInterval(looks)
   calm.close()
--- a/playground/soak/traffic.ts
+++ b/playground/soak/traffic.ts
@@ -17,6 +17,8 @@
 /** Longest pause before a job is sent once more, or cancelled, in ms. */
 const RESEND_MS = 3000
 const CANCEL_MS = 1500
+/** A task that a slow target was given goes on so many times as long, at most. */
+const SLOWEST = 15
 /** Time between two questions for a state, in ms. */
 const QUESTION_MS = 60
 
@@ -24,10 +26,16 @@
 export interface Traffic {
   /** Sends jobs until the time is over, and waits until their callers are done. */
   work(lengthMs: number): Promise<void>
-  /** Asks for all jobs until each has ended or the time is over; returns those left. */
+  /** Asks for all jobs until each has ended or its time is over; returns those left. */
   settle(ms: number): Promise<JobView[]>
 }
 
+/** Time that a job may need by itself: all of its attempts, or one that is slow, in ms. */
+function needMs({ spec, queue }: JobView): number {
+  const { ms, fail } = JSON.parse(spec) as { ms: number; fail: boolean }
+  return ms * (fail ? queue.maxAttempts : SLOWEST)
+}
+
 /** Creates the traffic of a run. */
 export function createTraffic(opts: {
   random: Random
@@ -99,8 +107,10 @@
       await Promise.all(lives)
     },
     async settle(ms) {
-      const endsAt = performance.now() + ms
-      while (open().length > 0 && performance.now() < endsAt) {
+      const since = performance.now()
+      const isInTime = (job: JobView): boolean =>
+        performance.now() - since < ms + needMs(job)
+      while (open().some(isInTime)) {
         for (const job of open()) {
           if (job.isLasting && job.cancelAckedAt === undefined) await clients.cancel(job)
           await clients.ask(job)
--- /dev/null
+++ b/playground/soak/waves.ts
@@ -0,0 +1,67 @@
+/** Waves of maintenance that the operators of a run order. */
+import { sleep } from '../../src/shared/index.js'
+import type { SimPlatform } from '../sim/wireServer.js'
+import type { Fault } from './plan.js'
+import type { Report } from './runChecks.js'
+
+/** Time that a wave is given, in s, and VMs that it names at most. */
+const DURATION_S = 30
+const VMS_PER_WAVE = 3
+/** Time between two looks at the status of a wave, in ms. */
+const LOOK_MS = 200
+
+/** The waves of a run. */
+export interface Waves {
+  orderWave(fault: Fault): void
+  /** Checks that no more VMs are away for a wave than it allows; to be called all the time. */
+  look(): void
+  /** Waits until all waves are said to be completed. */
+  settle(ms: number): Promise<void>
+}
+
+/** Creates the record without any wave. */
+export function createWaves(platform: SimPlatform, report: Report): Waves {
+  const { vms, maintained } = platform
+  const ordered = new Map<number, { names: string[]; maximum: number }>()
+
+  const isCompleted = (id: number): boolean => platform.waveStatus(id) === 'completed'
+
+  const isAway = (name: string, id: number): boolean => {
+    const vm = vms.find((each) => each.name === name)
+    return (
+      vm?.state === 'upkeep' &&
+      maintained.findLast((each) => each.vm === name)?.wave === id
+    )
+  }
+
+  return {
+    orderWave({ which, level }) {
+      const id = ordered.size + 1
+      const names = Array.from(
+        { length: VMS_PER_WAVE },
+        (_, each) => vms[(which + each) % vms.length]!.name,
+      )
+      const wave = { names: [...new Set(names)], maximum: level < 0.7 ? 1 : 2 }
+      ordered.set(id, wave)
+      platform.putWave(id, wave.names, DURATION_S, wave.maximum)
+    },
+    look() {
+      for (const [id, { names, maximum }] of ordered) {
+        const away = names.filter((name) => isAway(name, id))
+        if (away.length > maximum) report('wave too wide', `${id}: ${away}`)
+      }
+    },
+    async settle(ms) {
+      const endsAt = performance.now() + ms
+      for (const [id, { names }] of ordered) {
+        while (!isCompleted(id) && performance.now() < endsAt) await sleep(LOOK_MS)
+        const missed = names.filter(
+          (name) => !maintained.some((each) => each.vm === name && each.wave === id),
+        )
+        if (!isCompleted(id)) report('wave not carried out', `${id}: ${missed}`)
+        else if (missed.length > 0)
+          report('wave said to be completed', `${id}: ${missed}`)
+      }
+    },
+  }
+}
