fix(peer): a process that could not read takes no peer for silent

Cause: who is reached and how long an answer is waited for went by the clock. An event loop that stood still for 1.5 s gave up calls whose answers had arrived, and after 3 s took every peer for silent: owners of request ids counted as away ('nobody stands in'), a planned stop found no heir, a start did not get its memory back ('has started anew'). Requests were refused as unsure and held their places meanwhile, so that others met their deadline. The memory of unrepeatable requests may take 3 s to change hands. The two tests of late reading fail with waits by the clock.

--- /dev/null
+++ b/src/peer/__tests__/lateProcess.spec.ts
@@ -0,0 +1,92 @@
+import { Agent } from 'node:http'
+import { create } from '@bufbuild/protobuf'
+import { Code, ConnectError } from '@connectrpc/connect'
+import { describe, it } from '../../../test/describe.js'
+import { monotonicMs, sleep } from '../../shared/index.js'
+import { NodeReportSchema } from '../gen/peer_pb.js'
+import { callPatiently } from '../patience.js'
+import { makePeer } from '../peerLink.js'
+
+/** Time between two syncs of the peer of these tests, in ms. */
+const INTERVAL_MS = 20
+/** Longer than any silence that is borne here, in ms. */
+const BLOCKED_MS = 400
+
+/** Keeps the process from reading anything for so long. */
+function block(ms: number): void {
+  const endsAt = monotonicMs() + ms
+  while (monotonicMs() < endsAt);
+}
+
+function spokenPeer() {
+  const address = { hall: 'h', host: '127.0.0.1', port: 1, role: 'entry' as const }
+  const peer = makePeer('p', address, INTERVAL_MS, new Agent())
+  peer.hear(create(NodeReportSchema, { node: 'p', hall: 'h' }))
+  return peer
+}
+
+/** A call whose answer has arrived once the process can read again. */
+function answeredMeanwhile(signal: AbortSignal | undefined): Promise<string> {
+  return new Promise((resolve, reject) => {
+    signal?.addEventListener('abort', () => reject(signal.reason as Error))
+    setImmediate(() => resolve('answer'))
+    block(BLOCKED_MS)
+  })
+}
+
+const unanswered = (signal: AbortSignal | undefined) =>
+  new Promise<never>((_resolve, reject) => {
+    signal?.addEventListener('abort', () => reject(signal.reason as Error))
+    if (signal?.aborted) reject(signal.reason as Error)
+  })
+
+describe('a process that could not read for a while', () => {
+  it('does not take its peers for silent', async (t) => {
+    const peer = spokenPeer()
+    block(BLOCKED_MS)
+    t.true(peer.isReached())
+    // What has arrived meanwhile is read after the timers that are due.
+    setImmediate(() => peer.hear(peer.report!))
+    await sleep(0)
+    t.true(peer.isReached())
+    peer.leave()
+  })
+
+  it('takes the answer that has arrived', async (t) => {
+    // From here on timers that are due run before anything is read.
+    await sleep(0)
+    const answer = await callPatiently(50, ({ signal }) => answeredMeanwhile(signal))
+    t.is(answer, 'answer')
+  })
+})
+
+describe('a peer', () => {
+  it('is not reached before it has spoken, nor once it stays silent', async (t) => {
+    const peer = spokenPeer()
+    t.true(peer.isReached())
+    while (peer.isReached()) await sleep(INTERVAL_MS)
+    peer.hear(peer.report!)
+    t.true(peer.isReached())
+    peer.leave()
+    peer.hear(peer.report!)
+    t.false(peer.isReached())
+  })
+
+  it('that does not answer ends the call', async (t) => {
+    const call = callPatiently(50, ({ signal }) => unanswered(signal))
+    const error = await t.throwsAsync(call, { instanceOf: ConnectError })
+    t.is(error.code, Code.DeadlineExceeded)
+  })
+
+  it('is called no longer once this process stops', async (t) => {
+    const stopping = new AbortController()
+    const hour = 3_600_000
+    const run = ({ signal }: { signal?: AbortSignal }) => unanswered(signal)
+    const call = callPatiently(hour, run, stopping.signal)
+    stopping.abort()
+    const error = await t.throwsAsync(call, { instanceOf: ConnectError })
+    t.is(error.code, Code.Canceled)
+    const late = callPatiently(hour, run, stopping.signal)
+    await t.throwsAsync(late, { instanceOf: ConnectError })
+  })
+})
--- a/src/peer/constants.ts
+++ b/src/peer/constants.ts
@@ -20,7 +20,12 @@
 export const REACHED_INTERVALS = 3
 /** Intervals of silence after which the other side of a pair asks too. */
 export const SILENT_INTERVALS = 1.5
-/** Longest wait for an answer, in ms. */
+/** Longest wait for an answer, in ms; time in which this process cannot read is added. */
 export const CALL_TIMEOUT_MS = 1500
+/**
+ * Longest wait while the memory of unrepeatable requests changes hands, in ms: a peer that
+ * is late costs a stop or a start some seconds, a lost memory costs callers ten minutes.
+ */
+export const MEMORY_CALL_TIMEOUT_MS = 3000
 /** A peer that was silent for so long is reported as lost, in ms. */
 export const LOST_AFTER_MS = 5000
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -4,17 +4,11 @@
  */
 import { create } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
-import type { ConnectRouter } from '@connectrpc/connect'
+import type { CallOptions, ConnectRouter } from '@connectrpc/connect'
 import type { ResolvedConfig } from '../config/index.js'
 import type { Allotments, Once, OncePeers } from '../entry/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
-import {
-  createStopController,
-  describeError,
-  jittered,
-  monotonicMs,
-  sleep,
-} from '../shared/index.js'
+import { createStopController, describeError, jittered, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
 import { readPlatformTable } from '../table/index.js'
 import type { TableHolder } from '../table/index.js'
@@ -33,6 +27,7 @@
 import type { Loans, NodeReport } from './gen/peer_pb.js'
 import { decodeLoans, encodeLoans } from './loans.js'
 import { createOncePeers, onceRoutes } from './oncePeers.js'
+import { callPatiently } from './patience.js'
 import { isOverBounds, listenForPeers, makePeer } from './peerLink.js'
 import type { Peer, PeerState } from './peerLink.js'
 import { createSharing } from './sharing.js'
@@ -139,8 +134,7 @@
       })
       throw new ConnectError(`'${report.node}' is no peer of mine`, Code.PermissionDenied)
     }
-    peer.report = report
-    peer.heardAt = monotonicMs()
+    peer.hear(report)
     if (peer.lost) log.event('peerBack', { peer: peer.id, hall: report.hall })
     peer.lost = false
     for (const listener of listeners) listener()
@@ -152,7 +146,7 @@
   async function learnTable(peer: Peer, epoch: number): Promise<void> {
     await readPlatformTable(opts.platform, table)
     if (epoch <= sharing.epoch()) return
-    await call(peer, 'fetchTable', () => sharing.fetchTable(peer.client, callOptions()))
+    await call(peer, 'fetchTable', (options) => sharing.fetchTable(peer.client, options))
   }
 
   function loansFor(peer: string): Loans | undefined {
@@ -165,11 +159,13 @@
     exchange?.loans.receive(peer, decodeLoans(loans))
   }
 
-  const callOptions = () => ({ timeoutMs: CALL_TIMEOUT_MS, signal: stopping.signal })
-
-  async function call(peer: Peer, step: string, run: () => Promise<void>): Promise<void> {
+  async function call(
+    peer: Peer,
+    step: string,
+    run: (options: CallOptions) => Promise<void>,
+  ): Promise<void> {
     try {
-      await run()
+      await callPatiently(CALL_TIMEOUT_MS, run, stopping.signal)
       metrics.peerMessages.inc({ step, result: 'ok' })
     } catch (cause) {
       metrics.peerMessages.inc({ step, result: 'failed' })
@@ -185,9 +181,9 @@
   }
 
   const sync = (peer: Peer) =>
-    call(peer, 'sync', async () => {
+    call(peer, 'sync', async (options) => {
       const message = { report: ownReport(), loans: loansFor(peer.id) }
-      const res = await peer.client.sync(message, callOptions())
+      const res = await peer.client.sync(message, options)
       heard(res.report)
       learnLoans(peer.id, res.loans)
     })
@@ -202,7 +198,9 @@
     while (!stopping.signal.aborted) {
       if (asks || peer.silentForMs() > interval * SILENT_INTERVALS) await sync(peer)
       if (local && rows.revision() === 0) {
-        await call(peer, 'fetchRows', () => sharing.fetchRows(peer.client, callOptions()))
+        await call(peer, 'fetchRows', (options) =>
+          sharing.fetchRows(peer.client, options),
+        )
       }
       await sleep(jittered(interval), stopping.signal)
     }
@@ -212,8 +210,8 @@
     const message = { node: cfg.node.id, epoch: BigInt(epoch) }
     for (const peer of peers.values()) {
       if (Number(peer.report?.epoch ?? 0) >= epoch) continue
-      void call(peer, 'pushHead', async () => {
-        await peer.client.pushHead(message, callOptions())
+      void call(peer, 'pushHead', async (options) => {
+        await peer.client.pushHead(message, options)
       })
     }
   })
@@ -271,6 +269,7 @@
       server.closeAllConnections()
       await closed
       await Promise.all(tasks)
+      for (const peer of peers.values()) peer.leave()
     },
   }
 }
--- a/src/peer/oncePeers.ts
+++ b/src/peer/oncePeers.ts
@@ -5,8 +5,13 @@
 import { z } from 'zod'
 import type { ClaimRecord, Legacy, Once, OncePeers } from '../entry/index.js'
 import { PeerError } from '../shared/index.js'
-import { CALL_TIMEOUT_MS, MAX_CLAIMS_PER_MESSAGE } from './constants.js'
+import {
+  CALL_TIMEOUT_MS,
+  MAX_CLAIMS_PER_MESSAGE,
+  MEMORY_CALL_TIMEOUT_MS,
+} from './constants.js'
 import type { Claim, PeerService } from './gen/peer_pb.js'
+import { callPatiently } from './patience.js'
 
 const stateSchema = z.enum(['running', 'answered', 'unknown'])
 const settleSchema = z.enum(['running', 'answered', 'unknown', 'not-run'])
@@ -18,7 +23,6 @@
   own: string,
   clientOf: (peer: string) => PeerClient | undefined,
 ): OncePeers {
-  const options = () => ({ timeoutMs: CALL_TIMEOUT_MS })
   const client = (peer: string): PeerClient => {
     const found = clientOf(peer)
     if (found) return found
@@ -26,21 +30,31 @@
   }
   return {
     async claim(peer, id, owner, token) {
-      const res = await client(peer).claimId({ node: own, id, owner, token }, options())
+      const res = await callPatiently(CALL_TIMEOUT_MS, (options) =>
+        client(peer).claimId({ node: own, id, owner, token }, options),
+      )
       if (res.verdict === 'first') return { kind: 'first' }
       const { reason, standIn } = res
       if (res.verdict === 'unsure') return { kind: 'unsure', reason, standIn }
       return { kind: 'repeat', state: stateSchema.parse(res.state) }
     },
     async settle(peer, id, state) {
-      await client(peer).settle({ node: own, id, state }, options())
+      await callPatiently(CALL_TIMEOUT_MS, (options) =>
+        client(peer).settle({ node: own, id, state }, options),
+      )
     },
     async collect(peer) {
-      const { claims, complete } = await client(peer).collect({ node: own }, options())
+      const { claims, complete } = await callPatiently(
+        MEMORY_CALL_TIMEOUT_MS,
+        (options) => client(peer).collect({ node: own }, options),
+      )
       return { claims: decodeClaims(claims), complete }
     },
     async handOver(peer, legacy) {
-      await client(peer).handOver({ node: own, ...encodeLegacy(legacy) }, options())
+      const message = { node: own, ...encodeLegacy(legacy) }
+      await callPatiently(MEMORY_CALL_TIMEOUT_MS, (options) =>
+        client(peer).handOver(message, options),
+      )
     },
   }
 }
--- a/src/peer/peerLink.ts
+++ b/src/peer/peerLink.ts
@@ -15,6 +15,7 @@
 } from './constants.js'
 import { PeerService } from './gen/peer_pb.js'
 import type { NodeReport } from './gen/peer_pb.js'
+import { createReach } from './reach.js'
 import type { TrafficMeter } from './traffic.js'
 
 /** What a peer last said, and when. */
@@ -25,15 +26,21 @@
   report: NodeReport | undefined
   /** Ms since the peer last spoke, or since our start when it never did. */
   silentForMs(): number
-  /** Whether it has spoken within a few of its intervals. */
+  /**
+   * Whether it has spoken within a few of its intervals; time in which this process could
+   * not read does not count.
+   */
   isReached(): boolean
 }
 
 /** A peer with what it takes to call it. */
 export interface Peer extends PeerState {
   client: Client<typeof PeerService>
-  heardAt: number
   lost: boolean
+  /** Notes what it says. */
+  hear(report: NodeReport): void
+  /** Ends what is done about it; it counts as not reached from then on. */
+  leave(): void
 }
 
 /** Whether a report has more entries than a sender may name. */
@@ -61,16 +68,22 @@
     useBinaryFormat: true,
     nodeOptions: { agent },
   })
+  const reach = createReach(intervalMs * REACHED_INTERVALS)
+  let heardAt = monotonicMs()
   const peer: Peer = {
     id,
     address,
     report: undefined,
     client: createClient(PeerService, transport),
-    heardAt: monotonicMs(),
     lost: false,
-    silentForMs: () => monotonicMs() - peer.heardAt,
-    isReached: () =>
-      peer.report !== undefined && peer.silentForMs() < intervalMs * REACHED_INTERVALS,
+    silentForMs: () => monotonicMs() - heardAt,
+    isReached: reach.isReached,
+    hear(report) {
+      peer.report = report
+      heardAt = monotonicMs()
+      reach.heard()
+    },
+    leave: reach.stop,
   }
   return peer
 }
