fix(peer,entry): an idle connection is closed by the side that calls

Cause: the ports for peers and for callers closed connections that were idle for 5 s, Node's default, which is also the time between two syncs with another hall. A call that was on its way when the port closed its connection was reset: for peers a claim without an answer, for callers a request of which nothing is known. Late timers widen the gap. Change: peers are called on connections that the caller gives up after 15 s and the port after 60 s; the port for callers keeps them for 75 s, longer than balancers do.

--- a/src/entry/__tests__/entry.spec.ts
+++ b/src/entry/__tests__/entry.spec.ts
@@ -46,6 +46,14 @@
       })
     })
 
+    it('leaves it to the balancer to close an idle connection', async (t) => {
+      const rig = await setUp(t)
+      const reply = await call(rig, '/nothing')
+      const kept = /^timeout=(\d+)$/.exec(String(reply.headers['keep-alive']))
+      // Balancers keep idle connections for 60 s where nothing else is set.
+      t.true(Number(kept?.[1]) > 60)
+    })
+
     it('streams a large body with backpressure, so that it is never held', async (t) => {
       const rig = await setUp(t)
       let letRead = () => {}
--- a/src/entry/constants.ts
+++ b/src/entry/constants.ts
@@ -23,6 +23,12 @@
 export const MAX_IDLE_CONNECTIONS = 32
 /** Time after which an idle connection is closed, in ms. */
 export const IDLE_TIMEOUT_MS = 30_000
+/**
+ * Time after which an idle connection of a caller is closed, in ms. Longer than balancers
+ * keep one (60 s where nothing else is set): closed from here, it would reset a request
+ * that is on its way, and the caller could not know whether that ran.
+ */
+export const KEEP_ALIVE_MS = 75_000
 /** Failures in a row after which a target is excluded. */
 export const EXCLUDE_AFTER_FAILURES = 3
 /** First time of exclusion, in ms; it doubles up to the cap. */
--- a/src/peer/__tests__/lateProcess.spec.ts
+++ b/src/peer/__tests__/lateProcess.spec.ts
@@ -1,11 +1,14 @@
-import { Agent } from 'node:http'
+import { Agent, get } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { create } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
 import { describe, it } from '../../../test/describe.js'
-import { monotonicMs, sleep } from '../../shared/index.js'
+import { resolveConfig } from '../../config/index.js'
+import { createMetrics, monotonicMs, sleep } from '../../shared/index.js'
 import { NodeReportSchema } from '../gen/peer_pb.js'
 import { callPatiently } from '../patience.js'
-import { makePeer } from '../peerLink.js'
+import { listenForPeers, makePeer } from '../peerLink.js'
+import { createMeteredAgent, createTrafficMeter } from '../traffic.js'
 
 /** Time between two syncs of the peer of these tests, in ms. */
 const INTERVAL_MS = 20
@@ -90,3 +93,33 @@
     await t.throwsAsync(late, { instanceOf: ConnectError })
   })
 })
+
+/** Time after which the agent closes an idle connection, in ms; the types leave it out. */
+const idleTimeOf = (agent: Agent) =>
+  (agent as unknown as { options: { timeout: number } }).options.timeout
+
+describe('an idle connection between processes', () => {
+  it('is closed by the side that calls, so that no call meets one that closes', async (t) => {
+    const meter = createTrafficMeter(createMetrics())
+    const agent = createMeteredAgent(meter)
+    const cfg = resolveConfig({
+      node: { id: 'n', hall: 'h' },
+      listen: { peer_port: '0' },
+      platform: { url: 'http://127.0.0.1:1' },
+    })._unsafeUnwrap()
+    const server = await listenForPeers(cfg, () => {}, meter)
+    t.teardown(() => server.close())
+    const { address, port } = server.address() as AddressInfo
+    const hint = await new Promise<string>((resolve, reject) => {
+      const req = get({ host: address, port, agent }, (res) => {
+        res.resume()
+        resolve(String(res.headers['keep-alive']))
+      })
+      req.on('error', reject)
+    })
+    agent.destroy()
+    const keptMs = Number(/^timeout=(\d+)$/.exec(hint)?.[1]) * 1000
+    // Twice as long: a timer of the calling side may be late as well.
+    t.true(keptMs >= 2 * idleTimeOf(agent), hint)
+  })
+})
--- a/src/peer/constants.ts
+++ b/src/peer/constants.ts
@@ -14,6 +14,16 @@
 export const SYNC_INTERVAL_MS = 1000
 /** Time between two syncs with a peer of another hall, in ms. */
 export const REMOTE_SYNC_INTERVAL_MS = 5000
+/**
+ * Time after which the calling side closes an idle connection, in ms: longer than the time
+ * between two syncs, so that each finds one open.
+ */
+export const IDLE_MS = 15_000
+/**
+ * Time after which the other side does, in ms. Closing first, it would reset a call that is
+ * on its way, and the caller could not know whether that had an effect.
+ */
+export const KEEP_ALIVE_MS = 60_000
 /** Time for answers under way at a stop, in ms. */
 export const CLOSE_GRACE_MS = 100
 /** Intervals of silence for which a peer still counts as reached. */
--- a/src/peer/peerLink.ts
+++ b/src/peer/peerLink.ts
@@ -7,6 +7,7 @@
 import type { PeerAddress, ResolvedConfig } from '../config/index.js'
 import { monotonicMs } from '../shared/index.js'
 import {
+  KEEP_ALIVE_MS,
   MAX_LEAVING,
   MAX_LOADS,
   MAX_MESSAGE_BYTES,
@@ -95,7 +96,7 @@
   meter: TrafficMeter,
 ): Promise<Server> {
   const adapter = connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES })
-  const server = createServer(adapter)
+  const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, adapter)
   server.on('connection', meter.track)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/src/peer/traffic.ts
+++ b/src/peer/traffic.ts
@@ -3,6 +3,7 @@
 import { createConnection } from 'node:net'
 import type { NetConnectOpts, Socket } from 'node:net'
 import type { Metrics } from '../shared/index.js'
+import { IDLE_MS } from './constants.js'
 
 /** Counts what sockets carry. */
 export interface TrafficMeter {
@@ -40,7 +41,7 @@
 
 /** A keep-alive agent whose sockets are counted. */
 export function createMeteredAgent(meter: TrafficMeter): Agent {
-  const agent = new Agent({ keepAlive: true })
+  const agent = new Agent({ keepAlive: true, timeout: IDLE_MS })
   const connect = (options: NetConnectOpts): Socket => {
     const socket = createConnection(options)
     meter.track(socket)
