fix(entry): memory of unrepeatable requests that is lost is logged

Cause: a planned stop that could leave its memory with nobody, and a start that was not given it back, said nothing. What showed was refusals as 'unsure' ten minutes long. Measured: tests of both in once.spec; they found no event before.

--- a/src/entry/__tests__/once.spec.ts
+++ b/src/entry/__tests__/once.spec.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
+import { createMemoryLogger } from '../../shared/index.js'
 import { createOnce, ownerOf } from '../once.js'
 import type { EntryPlace, Once, OncePeers } from '../once.js'
 
@@ -23,6 +24,7 @@
   const nodes = new Map<string, Once>()
   const cut = new Set<string>()
   const lives = new Map<string, number>()
+  const log = createMemoryLogger()
   let now = 0
   let loseReplies = false
   let claims = 0
@@ -62,6 +64,7 @@
       isReached: (peer) => nodes.has(peer) && !cut.has(linkOf(id, peer)),
       now: () => now,
       wallSeconds: () => 1_700_000_000 + now / 1000,
+      log,
     })
     nodes.set(id, once)
   }
@@ -69,6 +72,8 @@
 
   return {
     node: (id: string) => nodes.get(id)!,
+    /** Names of the events so far, each once. */
+    events: () => [...new Set(log.events.map(({ name }) => name))],
     kill: boot,
     async stopAndStart(id: string) {
       await nodes.get(id)!.leave()
@@ -227,6 +232,34 @@
     t.is((await world.node('b2').begin(PLAIN, 'other')).kind, 'repeat')
   })
 
+  describe('memory that is lost', () => {
+    it('is logged by the entry that could leave it with nobody', async (t) => {
+      const world = createWorld()
+      world.setLoseReplies(true)
+      await world.node('a1').leave()
+      t.deepEqual(world.events(), ['onceMemoryNotLeft'])
+      const alone = createWorld()
+      alone.cutOff('a1')
+      await alone.node('a1').leave()
+      t.deepEqual(alone.events(), ['onceMemoryNotLeft'])
+    })
+
+    it('is logged by the next life, but not memory that was found', async (t) => {
+      const world = createWorld()
+      await world.stopAndStart('a1')
+      await world.node('a1').recover()
+      t.deepEqual(world.events(), [])
+      world.kill('a1')
+      await world.node('a1').recover()
+      t.deepEqual(world.events(), ['onceMemoryMissing'])
+      const alone = createWorld()
+      alone.cutOff('a1')
+      alone.kill('a1')
+      await alone.node('a1').recover()
+      t.deepEqual(alone.events(), ['onceMemoryNotGiven', 'onceMemoryMissing'])
+    })
+  })
+
   describe('a fresh id', () => {
     it('is granted by whoever stands in for an owner that is being replaced', async (t) => {
       const owner = ownerOf(PLAIN, ENTRIES)
--- a/src/entry/once.ts
+++ b/src/entry/once.ts
@@ -6,6 +6,8 @@
  * may have known, and their requests are not sent. docs/design/once.md states what is
  * promised.
  */
+import { describeError } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
 import { createClaimBook } from './claimBook.js'
 import type { ClaimRecord, ClaimState } from './claimBook.js'
 import { byScore } from './rendezvous.js'
@@ -56,6 +58,7 @@
   now(): number
   /** Time of day in s, for ids that name when they were made. */
   wallSeconds(): number
+  log: Pick<Logger, 'event'>
 }
 
 /** Decides whether unrepeatable requests may be sent. */
@@ -110,7 +113,7 @@
 
 /** Creates the memory of one life. */
 export function createOnce(opts: OnceOptions): Once {
-  const { own, entries, peers, memoryMs, now } = opts
+  const { own, entries, peers, memoryMs, now, log } = opts
   const startedAt = now()
   const startedSeconds = opts.wallSeconds()
   const newBook = () => createClaimBook({ memoryMs, maxRecords: MAX_CLAIMS, now })
@@ -208,6 +211,15 @@
     }
   }
 
+  async function collectFrom(peer: string): Promise<Legacy | undefined> {
+    try {
+      return await peers.collect(peer)
+    } catch (cause) {
+      log.event('onceMemoryNotGiven', { peer, reason: describeError(cause) })
+      return undefined
+    }
+  }
+
   return {
     async begin(id, token) {
       const owner = ownerOf(id, entries)
@@ -230,13 +242,12 @@
     },
     async recover() {
       if (recovered) return
-      const found = await Promise.all(
-        ownHallFirst.map(({ id }) => peers.collect(id).catch(() => undefined)),
-      )
+      const found = await Promise.all(ownHallFirst.map(({ id }) => collectFrom(id)))
       for (const record of found.flatMap((each) => each?.claims ?? [])) {
         if (book.find(record.id) === undefined) book.add(record)
       }
       recovered = found.some((each) => each?.complete)
+      if (!recovered) log.event('onceMemoryMissing')
     },
     async leave() {
       if (left) return
@@ -244,9 +255,14 @@
       const complete = recovered || now() - startedAt >= memoryMs
       // To one peer only: after a lost reply a second one would stand in as well.
       const heir = ownHallFirst.find(({ id }) => opts.isReached(id))
-      if (!heir) return
+      if (!heir) {
+        log.event('onceMemoryNotLeft', { reason: 'no other entry is reached' })
+        return
+      }
       const legacy = { claims: book.records(), complete }
-      await peers.handOver(heir.id, legacy).catch(() => undefined)
+      await peers.handOver(heir.id, legacy).catch((cause) => {
+        log.event('onceMemoryNotLeft', { peer: heir.id, reason: describeError(cause) })
+      })
     },
     answer: {
       claim: decide,
--- a/src/programs/entryServices.ts
+++ b/src/programs/entryServices.ts
@@ -96,7 +96,7 @@
   defineService({
     name: 'once',
     needs: ['platform', 'peers'],
-    async start({ get }) {
+    async start({ get, log }) {
       const { id, hall } = cfg.node
       const peers = get('peers')
       const once = createOnce({
@@ -108,6 +108,7 @@
         isReached: (entry) => isReached(peers, entry),
         now: monotonicMs,
         wallSeconds: () => Date.now() / 1000,
+        log,
       })
       // Before this life claims anything: what was left for it must be taken back first.
       await once.recover()
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -163,6 +163,9 @@
   ),
   metricsNotServed: spec('RS-8045', 'warn', 'metrics cannot be served'),
   peerMessageRefused: spec('RS-6003', 'warn', 'message of a peer refused'),
+  onceMemoryNotLeft: spec('RS-6004', 'warn', 'memory of requests was left with no peer'),
+  onceMemoryNotGiven: spec('RS-6005', 'warn', 'peer was not heard on left memory'),
+  onceMemoryMissing: spec('RS-6006', 'warn', 'memory of requests is not whole'),
 } as const satisfies Record<string, EventSpec>
 
 /** Name of an event in the catalogue. */
