fix(entry): a life that has not asked everyone for its memory grants nothing

Cause: an entry that did not reach, at its start, the peer that held the memory of its former life went on without. It granted dated ids, which that peer could grant too while it stood in; and a later life took that older memory for the newest and granted what the life between had granted. Both ran an unrepeatable request twice. Change: an entry keeps asking, once a second, and is sure of nothing until every other entry has answered, or is off the list and silent for 30 s; who asks for an id meanwhile goes to the stand-in. once.ts gives the reading of ids to requestIds.ts. Two tests of once.spec killed entries without the asking that follows each start; they ask now, and one checks the messages of both states.

--- a/src/entry/__tests__/once.spec.ts
+++ b/src/entry/__tests__/once.spec.ts
@@ -1,8 +1,10 @@
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
 import { createMemoryLogger } from '../../shared/index.js'
-import { createOnce, ownerOf } from '../once.js'
-import type { EntryPlace, Once, OncePeers } from '../once.js'
+import { createOnce } from '../once.js'
+import type { Once, OncePeers } from '../once.js'
+import { ownerOf } from '../requestIds.js'
+import type { EntryPlace } from '../requestIds.js'
 
 const ENTRIES: EntryPlace[] = [
   { id: 'a1', hall: 'a' },
@@ -18,11 +20,15 @@
 /** An id that names no hall, and whose home is hall a. */
 const PLAIN = 'w'
 const MEMORY_MS = 600_000
+/** Ids that were made 100 s after the entries first started. */
+const DATED = 'a.1700000100.z'
+const LATER = 'a.1700000100.y'
 
 /** Entries whose links can be cut and whose memory can be lost. */
 function createWorld() {
   const nodes = new Map<string, Once>()
   const cut = new Set<string>()
+  const gone = new Set<string>()
   const lives = new Map<string, number>()
   const log = createMemoryLogger()
   let now = 0
@@ -62,6 +68,7 @@
       memoryMs: MEMORY_MS,
       firstLife: life === 1,
       isReached: (peer) => nodes.has(peer) && !cut.has(linkOf(id, peer)),
+      isGone: (peer) => gone.has(peer),
       now: () => now,
       wallSeconds: () => 1_700_000_000 + now / 1000,
       log,
@@ -86,6 +93,11 @@
     cutOff(id: string) {
       for (const other of ENTRIES) if (other.id !== id) cut.add(linkOf(id, other.id))
     },
+    /** Mends all links of an entry. */
+    join(id: string) {
+      for (const other of ENTRIES) cut.delete(linkOf(id, other.id))
+    },
+    setGone: (id: string) => gone.add(id),
     setLoseReplies: (lose: boolean) => (loseReplies = lose),
     /** Messages that asked for an id. */
     claims: () => claims,
@@ -210,6 +222,7 @@
     const owner = ownerOf(PLAIN, ENTRIES)
     const world = createWorld()
     world.kill(owner)
+    await world.node(owner).recover()
     const before = world.claims()
     for (let n = 0; n < 20; n++) await world.node('b1').begin(PLAIN, fresh())
     // The owner itself said that it is unsure: one message each, and nobody else is asked.
@@ -218,6 +231,11 @@
     cut.cutOff(owner)
     for (let n = 0; n < 20; n++) await cut.node('b1').begin(PLAIN, fresh())
     t.true(cut.claims() <= ENTRIES.length)
+    const lacking = createWorld()
+    lacking.kill(owner)
+    for (let n = 0; n < 20; n++) await lacking.node('b1').begin(PLAIN, fresh())
+    // The owner may have its memory at any time, so it is asked each time.
+    t.true(lacking.claims() <= 20 + ENTRIES.length)
   })
 
   it('knows a request that asks again after a lost reply', async (t) => {
@@ -255,11 +273,60 @@
       const alone = createWorld()
       alone.cutOff('a1')
       alone.kill('a1')
-      await alone.node('a1').recover()
+      t.false(await alone.node('a1').recover())
+      t.deepEqual(alone.events(), ['onceMemoryNotGiven'])
+      alone.join('a1')
+      t.true(await alone.node('a1').recover())
       t.deepEqual(alone.events(), ['onceMemoryNotGiven', 'onceMemoryMissing'])
     })
   })
 
+  describe('a life that could not ask for its memory', () => {
+    /** An entry whose memory lies with a peer that its next life does not reach. */
+    async function cutFromHeir() {
+      const world = createWorld()
+      const owner = ownerOf(DATED, ENTRIES)
+      await world.node(owner).leave()
+      world.cutOff(owner)
+      world.kill(owner)
+      await world.node(owner).recover()
+      world.advance(100_000)
+      return { world, owner }
+    }
+
+    it('grants nothing that its heir may grant, and leaves that to it', async (t) => {
+      const { world, owner } = await cutFromHeir()
+      const own = world.node(owner).answer.claim(DATED, owner, fresh())
+      t.like(own, { kind: 'unsure', standIn: true })
+      t.is((await world.node('b1').begin(DATED, fresh())).kind, 'first')
+    })
+
+    it('leaves no old memory to a later life for the newest', async (t) => {
+      const { world, owner } = await cutFromHeir()
+      const granted = (await world.node(owner).begin(DATED, fresh())).kind === 'first'
+      world.kill(owner)
+      world.join(owner)
+      await world.node(owner).recover()
+      const again = (await world.node(owner).begin(DATED, fresh())).kind === 'first'
+      t.false(granted && again, 'the request ran twice')
+    })
+
+    it('asks again, and goes on with the memory that it gets', async (t) => {
+      const { world, owner } = await cutFromHeir()
+      t.is((await world.node('b1').begin(DATED, fresh())).kind, 'first')
+      world.join(owner)
+      await world.node(owner).recover()
+      t.is((await world.node(owner).begin(DATED, fresh())).kind, 'repeat')
+      t.is((await world.node(owner).begin(LATER, fresh())).kind, 'first')
+    })
+
+    it('need not ask an entry that is gone', async (t) => {
+      const { world, owner } = await cutFromHeir()
+      for (const { id } of ENTRIES) world.setGone(id)
+      t.is((await world.node(owner).begin(DATED, fresh())).kind, 'first')
+    })
+  })
+
   describe('a fresh id', () => {
     it('is granted by whoever stands in for an owner that is being replaced', async (t) => {
       const owner = ownerOf(PLAIN, ENTRIES)
@@ -305,6 +372,7 @@
     it('that was made after its owner started is granted, but not one from the future', async (t) => {
       const world = createWorld()
       for (const { id } of ENTRIES) world.kill(id)
+      for (const { id } of ENTRIES) await world.node(id).recover()
       world.advance(100_000)
       t.is((await world.node('a1').begin('a.1700000100.z', fresh())).kind, 'first')
       t.is((await world.node('a1').begin('a.1700000200.z', fresh())).kind, 'unsure')
--- a/src/entry/once.ts
+++ b/src/entry/once.ts
@@ -10,7 +10,8 @@
 import type { Logger } from '../shared/index.js'
 import { createClaimBook } from './claimBook.js'
 import type { ClaimRecord, ClaimState } from './claimBook.js'
-import { byScore } from './rendezvous.js'
+import { madeAt, ownerOf } from './requestIds.js'
+import type { EntryPlace } from './requestIds.js'
 
 /** Whether a request may be sent. */
 export type Verdict =
@@ -36,12 +37,6 @@
   handOver(peer: string, legacy: Legacy): Promise<void>
 }
 
-/** One entry, with its hall. */
-export interface EntryPlace {
-  id: string
-  hall: string
-}
-
 /** Options of {@link createOnce}. */
 export interface OnceOptions {
   own: EntryPlace
@@ -54,6 +49,8 @@
   firstLife: boolean
   /** Whether the entry has spoken lately. */
   isReached(entry: string): boolean
+  /** Whether the entry's process is certainly gone, and its memory with it. */
+  isGone(entry: string): boolean
   /** Monotonic clock in ms. */
   now(): number
   /** Time of day in s, for ids that name when they were made. */
@@ -67,8 +64,11 @@
   begin(id: string, token: string): Promise<Verdict>
   /** Notes how a request that had begun ended. */
   end(id: string, state: ClaimState | 'not-run'): Promise<void>
-  /** Takes back what an earlier life left with a peer; call it before any `begin`. */
-  recover(): Promise<void>
+  /**
+   * Takes back what an earlier life left with a peer; call it before any `begin`, and again
+   * until it is done. True once nobody is left to ask.
+   */
+  recover(): Promise<boolean>
   /** Leaves the memory with a peer before a planned stop. */
   leave(): Promise<void>
   /** What peers ask of this entry. */
@@ -91,23 +91,6 @@
  * none dated later than its end and {@link MAX_AHEAD_S}; the rest covers clocks that differ.
  */
 const CLOCK_MARGIN_S = 30
-/** Ids that name their home hall and the time they were made: HALL.SECONDS.RANDOM. */
-const DATED_ID = /^([a-z0-9-]+)\.(\d{9,11})\.[\w-]+$/i
-
-const madeAt = (id: string): number => Number(DATED_ID.exec(id)?.[2] ?? 0)
-
-/** The entry that owns the id; the same wherever the id arrives. */
-export function ownerOf(id: string, entries: readonly EntryPlace[]): string {
-  const halls = [...new Set(entries.map((entry) => entry.hall))]
-  const named = DATED_ID.exec(id)?.[1] ?? ''
-  const home = halls.includes(named) ? named : byScore(halls, id)[0]
-  const inHall = entries.filter((entry) => entry.hall === home)
-  return byScore(
-    inHall.map((entry) => entry.id),
-    id,
-  )[0]!
-}
-
 const unsure = (reason: string): Verdict => ({ kind: 'unsure', reason, standIn: false })
 const away = (reason: string): Verdict => ({ kind: 'unsure', reason, standIn: true })
 
@@ -130,10 +113,19 @@
     .sort((a, b) => Number(a.hall !== own.hall) - Number(b.hall !== own.hall))
   /** Who stands in for an owner, as last found out. */
   const standIns = new Map<string, { by: string | undefined; until: number }>()
+  /**
+   * Entries that may hold the memory of an earlier life. Until each has been asked, one may
+   * stand in for this entry, and a later life may take that memory for the newest.
+   */
+  const unasked = new Set(opts.firstLife ? [] : ownHallFirst.map(({ id }) => id))
+  /** Those of them that did not answer, which is logged once each. */
+  const silent = new Set<string>()
   let recovered = opts.firstLife
   let left = false
 
-  /** Whether an id that is not in the book is new for certain. */
+  const hasAsked = () => recovered || [...unasked].every(opts.isGone)
+
+  /** Whether an id that is not in the book is new for certain, once everyone is asked. */
   function isSure(id: string): boolean {
     if (recovered || now() - startedAt >= memoryMs) return true
     return madeAt(id) > startedSeconds + CLOCK_MARGIN_S
@@ -155,7 +147,10 @@
 
   /** Decides as the owner, or for an owner whose memory is here. */
   function decide(id: string, owner: string, token: string): Verdict {
-    if (owner === own.id) return claim(id, token, book, isSure(id))
+    if (owner === own.id) {
+      if (!hasAsked()) return away('the owner of the id lacks its memory')
+      return claim(id, token, book, isSure(id))
+    }
     const legacy = legacies.get(owner)
     if (!legacy) return away('this entry does not stand in for the owner')
     return claim(id, token, legacy.book, legacy.complete)
@@ -213,9 +208,14 @@
 
   async function collectFrom(peer: string): Promise<Legacy | undefined> {
     try {
-      return await peers.collect(peer)
+      const legacy = await peers.collect(peer)
+      unasked.delete(peer)
+      return legacy
     } catch (cause) {
-      log.event('onceMemoryNotGiven', { peer, reason: describeError(cause) })
+      if (!silent.has(peer)) {
+        log.event('onceMemoryNotGiven', { peer, reason: describeError(cause) })
+      }
+      silent.add(peer)
       return undefined
     }
   }
@@ -241,18 +241,20 @@
       }
     },
     async recover() {
-      if (recovered) return
-      const found = await Promise.all(ownHallFirst.map(({ id }) => collectFrom(id)))
+      if (hasAsked()) return true
+      const found = await Promise.all([...unasked].map(collectFrom))
       for (const record of found.flatMap((each) => each?.claims ?? [])) {
         if (book.find(record.id) === undefined) book.add(record)
       }
       recovered = found.some((each) => each?.complete)
-      if (!recovered) log.event('onceMemoryMissing')
+      const done = hasAsked()
+      if (done && !recovered) log.event('onceMemoryMissing')
+      return done
     },
     async leave() {
       if (left) return
       left = true
-      const complete = recovered || now() - startedAt >= memoryMs
+      const complete = recovered || (hasAsked() && now() - startedAt >= memoryMs)
       // To one peer only: after a lost reply a second one would stand in as well.
       const heir = ownHallFirst.find(({ id }) => opts.isReached(id))
       if (!heir) {
--- a/src/programs/entryServices.ts
+++ b/src/programs/entryServices.ts
@@ -29,6 +29,8 @@
 
 /** Time between two looks at loans, in ms. */
 const LOAN_STEP_MS = 250
+/** Pause before peers that did not answer are asked for left memory again, in ms. */
+const RECOVER_PAUSE_MS = 1000
 /** An entry that is off the list and silent for so long is gone, in ms. */
 const GONE_AFTER_MS = 30_000
 
@@ -95,7 +97,7 @@
 export const onceService = (cfg: ResolvedConfig) =>
   defineService({
     name: 'once',
-    needs: ['platform', 'peers'],
+    needs: ['platform', 'peers', 'view'],
     async start({ get, log }) {
       const { id, hall } = cfg.node
       const peers = get('peers')
@@ -106,15 +108,25 @@
         memoryMs: cfg.requests.once_memory,
         firstLife: await isFirstLife(get('platform'), id),
         isReached: (entry) => isReached(peers, entry),
+        isGone: isGoneBy(peers, get('view')),
         now: monotonicMs,
         wallSeconds: () => Date.now() / 1000,
         log,
       })
       // Before this life claims anything: what was left for it must be taken back first.
-      await once.recover()
+      const stopping = createStopController()
+      let done = await once.recover()
+      const task = (async () => {
+        while (!done && !stopping.signal.aborted) {
+          await sleep(RECOVER_PAUSE_MS, stopping.signal)
+          if (!stopping.signal.aborted) done = await once.recover()
+        }
+      })()
       return {
         ...once,
         async close() {
+          stopping.abort()
+          await task
           // Who is reached decides who may stand in.
           await peers.syncHall()
           await once.leave()
