--- a/src/entry/chooser.ts
+++ b/src/entry/chooser.ts
@@ -1,6 +1,7 @@
 /**
- * Choosing a target: a lookup table of policies. `twoChoices` is the one in use; the
- * others are baselines to compare it with (docs/measurements.md has the comparison).
+ * Choosing a target: a lookup table of policies. `twoChoices` serves: the lighter of two
+ * drawn at random, so that entries with the same old reports do not all send to the same
+ * target. The others leave out a part of it and show what that is worth.
  */
 import { monotonicMs } from '../shared/index.js'
 import { MAX_EXCLUDED_SHARE } from './constants.js'
