--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -5,6 +5,7 @@
 import { Jobs, Pools, Vms, Waves } from './fleetCommands.js'
 import { TableAccept } from './acceptCommand.js'
 import * as nodeCommands from './nodeCommands.js'
+import * as nodeJobCommands from './nodeJobCommands.js'
 import * as draftCommands from './draftCommands.js'
 import * as sheetCommands from './sheetCommands.js'
 import * as statusCommands from './statusCommands.js'
@@ -13,6 +14,7 @@
 export function createCli(): Cli {
   const cli = new Cli({ binaryLabel: 'rillshunt', binaryName: 'rillshunt' })
   const own: CommandClass[] = [
+    ...Object.values(nodeJobCommands),
     ...Object.values(nodeCommands),
     ...Object.values(draftCommands),
     ...Object.values(sheetCommands),
--- /dev/null
+++ b/src/cli/nodeJobCommands.ts
@@ -0,0 +1,156 @@
+/** `rillshunt node jobs` and `explain`: jobs of the nodes, read from the store. */
+import { Option } from 'clipanion'
+import {
+  ENDED_TABLE,
+  INTAKE_TABLE,
+  PROGRESS_TABLE,
+  decodeEnded,
+  decodeIntake,
+  decodeProgress,
+  storedStatus,
+} from '../jobs/index.js'
+import type { JobSpec, JobStatus, Progress } from '../jobs/index.js'
+import type { RowStore } from '../ports/index.js'
+import { EXIT } from '../shared/index.js'
+import { StoreCommand, rowsOf } from './addressed.js'
+
+/** A job as it is listed. */
+interface ListedJob {
+  id: string
+  queue: string
+  service: string
+  status: JobStatus
+  tasks: number
+  acceptedAtMs: number
+}
+
+/** A job that is not over, with what the store knows of it. */
+interface OpenJob {
+  job: JobSpec
+  cancelled: boolean
+  progress: Progress | undefined
+  status: JobStatus
+}
+
+/** Every accepted job that is not over, with its progress and state. */
+async function readOpenJobs(store: RowStore): Promise<OpenJob[]> {
+  const progress = new Map<string, Progress>()
+  for (const row of await rowsOf(store, PROGRESS_TABLE)) {
+    const decoded = decodeProgress(row.value)
+    if (decoded) progress.set(row.key, decoded)
+  }
+  const entries = (await rowsOf(store, INTAKE_TABLE)).map((row) =>
+    decodeIntake(row.key, row.value),
+  )
+  const cancels = new Set(
+    entries.flatMap((each) => (each.kind === 'cancel' ? each.id : [])),
+  )
+  return entries.flatMap((entry) => {
+    if (entry.kind !== 'job') return []
+    const known = progress.get(entry.id)
+    const cancelled = cancels.has(entry.id)
+    const status = storedStatus(cancelled, known)
+    return { job: entry.job, cancelled, progress: known, status }
+  })
+}
+
+/** What is kept of every job that is over. */
+async function readEndedJobs(store: RowStore): Promise<ListedJob[]> {
+  return (await rowsOf(store, ENDED_TABLE)).flatMap((row) => {
+    const ended = decodeEnded(row.value)
+    return ended ? { id: row.key, ...ended, status: ended.outcome } : []
+  })
+}
+
+const listed = ({ job, status }: OpenJob): ListedJob => ({
+  id: job.id,
+  queue: job.queue,
+  service: job.service,
+  status,
+  tasks: job.steps.reduce((sum, { count }) => sum + count, 0),
+  acceptedAtMs: job.acceptedAtMs,
+})
+
+/** `node jobs` */
+export class NodeJobs extends StoreCommand {
+  static override paths = [['node', 'jobs']]
+  static override usage = StoreCommand.Usage({
+    description: 'list accepted jobs with their state',
+  })
+  queue = Option.String('--queue', { description: 'only jobs of this queue' })
+  state = Option.String('--state', { description: 'only jobs in this state' })
+
+  async run(store: RowStore): Promise<number> {
+    // The open ones first: a job that is over meanwhile is then among both, never in none.
+    const open = (await readOpenJobs(store)).map(listed)
+    const ended = await readEndedJobs(store)
+    const byId = new Map([...open, ...ended].map((job) => [job.id, job]))
+    const jobs = [...byId.values()]
+      .filter(({ queue }) => this.queue === undefined || queue === this.queue)
+      .filter(({ status }) => this.state === undefined || status === this.state)
+      .sort((a, b) => a.acceptedAtMs - b.acceptedAtMs)
+    const lines = jobs.map((job) => [
+      job.id,
+      job.queue,
+      job.service,
+      job.status,
+      job.tasks,
+      new Date(job.acceptedAtMs).toISOString(),
+    ])
+    const head = ['job', 'queue', 'service', 'state', 'tasks', 'accepted']
+    this.print(jobs, () => this.grid(head, lines))
+    return EXIT.ok
+  }
+}
+
+/** What a progress row says of a step of the first repetition. */
+function countStep(progress: Progress | undefined, index: number, tasks: number) {
+  const done = progress?.done[`0.${index}`] ?? []
+  const whole = done === 'all' || progress?.outcome === 'completed'
+  const prefix = `0.${index}.`
+  const failedRuns = Object.entries(progress?.failedRuns ?? {})
+    .filter(([task]) => task.startsWith(prefix))
+    .reduce((sum, [, runs]) => sum + runs.length, 0)
+  return { done: whole ? tasks : done.length, failedRuns }
+}
+
+/** `node explain JOB` */
+export class NodeExplain extends StoreCommand {
+  static override paths = [['node', 'explain']]
+  static override usage = StoreCommand.Usage({
+    description: 'what the store knows of one job, step by step',
+  })
+  id = Option.String({ required: true })
+
+  async run(store: RowStore): Promise<number> {
+    const found = (await readOpenJobs(store)).find(({ job }) => job.id === this.id)
+    if (!found) return this.explainEnded(store)
+    const { job, progress, status } = found
+    const lines = job.steps.map(({ after, count }, index) => {
+      const known = countStep(progress, index, count)
+      return [index, after.join(',') || '-', count, known.done, known.failedRuns]
+    })
+    const head = ['step', 'after', 'tasks', 'done', 'failed runs']
+    this.print(found, () =>
+      [
+        `job ${job.id} of queue ${job.queue}: ${status}`,
+        `service ${job.service}, accepted ${new Date(job.acceptedAtMs).toISOString()}`,
+        this.grid(head, lines),
+      ].join('\n'),
+    )
+    return EXIT.ok
+  }
+
+  /** Of a job that is over only its outcome is kept. */
+  private async explainEnded(store: RowStore): Promise<number> {
+    const ended = (await readEndedJobs(store)).find(({ id }) => id === this.id)
+    if (!ended) return this.fail(`no job ${this.id} is in the store`, EXIT.failed)
+    this.print(ended, () =>
+      [
+        `job ${ended.id} of queue ${ended.queue}: ${ended.status}, ${ended.tasks} tasks`,
+        `service ${ended.service}, accepted ${new Date(ended.acceptedAtMs).toISOString()}`,
+      ].join('\n'),
+    )
+    return EXIT.ok
+  }
+}
