refactor(keeper): how operations begin is a file of its own

The rows that begin an operation and the task that carries it to its end share only the operation's type. Change: operationStarts.ts; nothing else is changed, the keeper's tests pass.

--- a/src/keeper/operations.ts
+++ b/src/keeper/operations.ts
@@ -2,7 +2,6 @@
  * Operations on one VM, each written straight down as one task. The VM's row holds the
  * operation until it is finished, so a successor that finds it goes on from there.
  */
-import { waveKey } from '../fleet/index.js'
 import type { Operation, VmRow, WaveRow } from '../fleet/index.js'
 import { newOpId } from '../platform/index.js'
 import type { RowWrite } from '../platform/index.js'
@@ -20,59 +19,6 @@
 const INTERRUPTED = Symbol('interrupted')
 type Step<T = void> = Promise<T | typeof INTERRUPTED>
 
-/** Starts to move a VM to another pool. */
-export function startMove(
-  ctx: KeeperContext,
-  fence: number,
-  state: FleetState,
-  vmId: string,
-  toPool: string,
-): Promise<boolean> {
-  const vm = state.vms.get(vmId)!
-  const operation = newOperation(vm.value, { kind: 'move', toPool })
-  const writes = [evacuateWrite(vm, operation)]
-  return writeUnderLease(ctx, fence, 'startMove', writes, operation.id)
-}
-
-/** Starts to maintain a VM as a step of a wave. */
-export function startMaintenance(
-  ctx: KeeperContext,
-  fence: number,
-  state: FleetState,
-  vmId: string,
-  wave: string,
-): Promise<boolean> {
-  const vm = state.vms.get(vmId)!
-  const operation = newOperation(vm.value, { kind: 'maintain', wave })
-  const row = state.waves.get(wave)
-  const before = row?.value ?? newWaveRow(wave, ctx.hall)
-  const value: WaveRow = { ...before, doing: [...before.doing, vmId] }
-  const writes = [
-    evacuateWrite(vm, operation),
-    { key: waveKey(wave, ctx.hall), version: row?.version ?? 0, value },
-  ]
-  return writeUnderLease(ctx, fence, 'startMaintenance', writes, operation.id)
-}
-
-function newOperation(
-  vm: VmRow,
-  what: Pick<Operation, 'kind' | 'toPool' | 'wave'>,
-): Operation {
-  const id = newOpId(what.kind)
-  return { ...what, id, fromIncarnation: vm.incarnation, services: [] }
-}
-
-/** An empty row of a wave in a hall. */
-export function newWaveRow(wave: string, hall: string): WaveRow {
-  return { wave, hall, done: [], doing: [], halted: '', finished: false }
-}
-
-function evacuateWrite(vm: Versioned<VmRow>, operation: Operation): RowWrite {
-  const { key, version, value } = vm
-  const generation = value.generation + 1
-  return { key, version, value: { ...value, state: 'evacuating', generation, operation } }
-}
-
 function leaveWrite(vm: Versioned<VmRow>, services: string[]): RowWrite {
   const { key, version, value } = vm
   const generation = value.generation + 1
