--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -9,7 +9,7 @@
 
 const HOST = '127.0.0.1'
 /** The built program. */
-const PROGRAM = 'dist/src/bin/node.js'
+export const NODE_PROGRAM = 'dist/src/bin/node.js'
 
 /** How a node is started, where a test asks for something else than usual. */
 export interface NodeProcessOptions {
@@ -47,22 +47,43 @@
   kill(signal?: NodeJS.Signals): Promise<void>
 }
 
+/**
+ * Ports below those that the system gives to outgoing connections: a node that is started
+ * again finds its port free. Of 80 nodes on other ports one found its port taken.
+ */
+const FIRST_PORT = 15_000
+const PORTS = 17_000
+
+const canListen = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, HOST, () => server.close(() => resolve(true)))
+  })
+
 async function freePort(): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
-  const { port } = server.address() as { port: number }
-  await new Promise((resolve) => server.close(resolve))
-  return port
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
+    if (await canListen(port)) return port
+  }
 }
 
-/** Starts a node; it is ready once its readiness address says so. */
-export async function startNodeProcess(
-  platform: SimPlatform,
+/** Where a node listens, and the file that says so. */
+export interface NodeSettings {
+  callers: string
+  readiness: string
+  /** Where its metrics are read. */
+  metrics: string
+  file: string
+}
+
+/** Writes the settings of a node that listens on free ports. */
+export async function writeNodeSettings(
+  platform: { storeAddress: string; cloudAddress?: string | undefined },
   name: string,
   hall: string,
-  opts: NodeProcessOptions = {},
-): Promise<NodeProcess> {
-  const { moreSettings = [], program = [PROGRAM] } = opts
+  moreSettings: string[] = [],
+): Promise<NodeSettings> {
   const [callers, readiness, nodePort, metricsPort] = await Promise.all([
     freePort(),
     freePort(),
@@ -82,12 +103,29 @@
     `metrics_port = ${metricsPort}`,
     '[store]',
     `address = ${platform.storeAddress}`,
-    '[cloud]',
-    `address = ${platform.cloudAddress}`,
+    ...(platform.cloudAddress ? ['[cloud]', `address = ${platform.cloudAddress}`] : []),
     ...moreSettings,
   ]
   writeFileSync(file, settings.join('\n'))
-  await opts.prepare?.(file, `${HOST}:${callers}`)
+  return {
+    callers: `${HOST}:${callers}`,
+    readiness: `${HOST}:${readiness}`,
+    metrics: `http://${HOST}:${metricsPort}/metrics`,
+    file,
+  }
+}
+
+/** Starts a node; it is ready once its readiness address says so. */
+export async function startNodeProcess(
+  platform: SimPlatform,
+  name: string,
+  hall: string,
+  opts: NodeProcessOptions = {},
+): Promise<NodeProcess> {
+  const { moreSettings = [], program = [NODE_PROGRAM] } = opts
+  const settings = await writeNodeSettings(platform, name, hall, moreSettings)
+  const { file, ...addresses } = settings
+  await opts.prepare?.(file, settings.callers)
   const child = spawn(process.execPath, [...program, file], {
     stdio: ['ignore', 'pipe', 'pipe'],
   })
@@ -98,9 +136,7 @@
   const ended = new Promise<void>((resolve) => child.once('exit', () => resolve()))
   return {
     name,
-    callers: `${HOST}:${callers}`,
-    readiness: `${HOST}:${readiness}`,
-    metrics: `http://${HOST}:${metricsPort}/metrics`,
+    ...addresses,
     child,
     settingsFile: file,
     output: () => output,
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -22,16 +22,24 @@
 /** What became of a run; `killed`: the target's life ended with the run on it. */
 export type LedgerEvent = 'start' | 'killed' | RunEndKind
 
+/** One thing that a target has done. */
+export interface LedgerEntry<What = LedgerEvent> {
+  at: number
+  what: What
+  task: string
+  run: number
+  target: string
+}
+
+/** What a watcher sees; `listed`, `noted`: the owner was told of an end, has acknowledged it. */
+export type WatchedEntry = LedgerEntry<LedgerEvent | 'listed' | 'noted'>
+
 /** Everything that the targets of a test have done, for its checks. */
 export interface RunLedger {
   /** Starts and ends in the order in which they happened. */
-  entries: {
-    at: number
-    what: LedgerEvent
-    task: string
-    run: number
-    target: string
-  }[]
+  entries: LedgerEntry[]
+  /** Told of each entry and of each acknowledged end when it happens. */
+  watch?(entry: WatchedEntry): void
 }
 
 /** What goes wrong. Each field can be changed at any time. */
@@ -48,6 +56,8 @@
   hangs: boolean
   /** How far its tasks say that they are, in percent; undefined for what is true. */
   percent: number | undefined
+  /** Tasks that are started take so many times as long. */
+  slowness: number
 }
 
 /** Word of a target on a start order. */
@@ -60,7 +70,17 @@
   spec: SimTaskSpec
   timer: NodeJS.Timeout | undefined
   saved: string
-  percent: number
+  /** Share of its speed that was ordered, in percent. */
+  pace: number
+  startedAt: number
+  /** Time that it takes, in ms; Infinity for one that never ends. */
+  takesMs: number
+}
+
+/** How far a run has got, in percent; tasks that last are at work at once. */
+function percentOf({ spec, startedAt, takesMs }: ActiveRun): number {
+  if (spec.ms === 0) return 100
+  return Math.min(100, Math.floor((100 * (monotonicMs() - startedAt)) / takesMs))
 }
 
 /** One life of a target. */
@@ -119,12 +139,30 @@
     failsAll: false,
     hangs: false,
     percent: undefined,
+    slowness: 1,
   }
 
   const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + 1000
 
   const note = (what: LedgerEvent, task: string, run: number): void => {
-    ledger.entries.push({ at: monotonicMs(), what, task, run, target: id })
+    const entry = { at: monotonicMs(), what, task, run, target: id }
+    ledger.entries.push(entry)
+    ledger.watch?.(entry)
+  }
+
+  const watchEnds = (what: 'listed' | 'noted', some: ReportedEnd[]): void => {
+    for (const { task, run } of some) {
+      ledger.watch?.({ at: monotonicMs(), what, task, run, target: id })
+    }
+  }
+
+  const forgetEnds = (lastSeen: number): void => {
+    watchEnds(
+      'noted',
+      ends.filter(({ seq }) => seq <= lastSeen),
+    )
+    ends = ends.filter(({ seq }) => seq > lastSeen)
+    watchEnds('listed', ends)
   }
 
   function end(active: ActiveRun, kind: RunEndKind): void {
@@ -174,14 +212,16 @@
         spec: parsed,
         timer: undefined,
         saved,
-        percent: 100,
+        pace: 100,
+        startedAt: monotonicMs(),
+        takesMs: faults.hangs ? Infinity : (parsed.ms ?? 10) * faults.slowness,
       }
       runs.set(task, active)
       usedCpu += parsed.cpu ?? 0
       note('start', task, run)
       const kind = parsed.fail || faults.failsAll ? 'failed' : 'done'
       if (parsed.ms !== 0 && !faults.hangs) {
-        active.timer = setTimeout(() => end(active, kind), parsed.ms ?? 10)
+        active.timer = setTimeout(() => end(active, kind), active.takesMs)
         active.timer.unref()
       }
       return 'accepted'
@@ -195,18 +235,18 @@
     pace(task, run, percent, token) {
       if (isFenced(token)) return false
       const active = runs.get(task)
-      if (active?.run === run) active.percent = percent
+      if (active?.run === run) active.pace = percent
       return true
     },
     hold({ token, lastSeen, untilMs }) {
       if (isFenced(token)) return undefined
       if (untilMs !== undefined) extend(untilMs)
-      ends = ends.filter((each) => each.seq > lastSeen)
-      const present = [...runs.values()].map(({ task, run, saved, percent }) => ({
-        task,
-        run,
-        checkpoint: saved,
-        percent: faults.percent ?? percent,
+      forgetEnds(lastSeen)
+      const present = [...runs.values()].map((active) => ({
+        task: active.task,
+        run: active.run,
+        checkpoint: active.saved,
+        percent: faults.percent ?? percentOf(active),
         load: 0,
       }))
       return { runs: present, ends: [...ends] }
--- /dev/null
+++ b/playground/soak/stillWatch.ts
@@ -0,0 +1,120 @@
+/**
+ * Follows every accepted job for its whole life: a job that may start and has room starts.
+ * The fault that it guards against: a job had nothing running for seconds while tasks of it
+ * could run, since its owner trusted none of the few targets of the pool.
+ */
+import type { SimVm } from '../sim/simFleet.js'
+import type { Calm } from './calm.js'
+import { countEnds, isSpent, isTurnOf } from './jobBook.js'
+import type { JobView, TaskView } from './jobBook.js'
+import type { Report, RunChecks } from './runChecks.js'
+
+/** Longest time for which a job stands still, in ms; for a task that lasts it is longer. */
+const STILL_MS = 3000
+const LASTING_STILL_MS = 6000
+/** A target counts once it has been of use so long, in ms: nodes must have heard of it. */
+const KNOWN_MS = 1000
+/** Room that must be there, as a multiple of the need of the task. */
+const ROOM_FACTOR = 2
+/** A run out of reach may go on so long: a lease of 6 s and the skew of clocks, in ms. */
+const LEASE_MS = 6600
+
+/** A target as the watch sees it. */
+export interface WatchedTarget {
+  vm: SimVm
+  isReachable(): boolean
+}
+
+/** The watch. */
+export interface StillWatch {
+  /** Looks at all jobs; to be called all the time. */
+  look(): void
+  /** Longest time for which a job stood still in calm, in ms. */
+  longestMs(): number
+}
+
+/** Creates the watch. */
+export function createStillWatch(opts: {
+  checks: RunChecks
+  calm: Calm
+  targets: WatchedTarget[]
+  isServed(): boolean
+  report: Report
+}): StillWatch {
+  const { checks, calm, targets, report } = opts
+  /** Since when each life of a target is of use. */
+  const usableSince = new Map<string, number>()
+  /** Since when each job, or task that lasts, stands still. */
+  const stillSince = new Map<string, number>()
+  const reported = new Set<string>()
+  let longest = 0
+
+  function lookAtTarget({ vm, isReachable }: WatchedTarget, now: number): void {
+    if (!vm.target) return
+    const { id } = vm.target
+    const isUsable = vm.state === 'up' && vm.listing === 'ready' && isReachable()
+    if (!isUsable) usableSince.delete(id)
+    else if (!usableSince.has(id)) usableSince.set(id, now)
+  }
+
+  const isKnown = (id: string, now: number): boolean =>
+    now - (usableSince.get(id) ?? Infinity) > KNOWN_MS
+
+  const roomFor = (job: JobView, task: TaskView, now: number): SimVm | undefined =>
+    targets.find(({ vm }) => {
+      if (vm.pool !== job.queue.service) return false
+      if (!vm.target || !isKnown(vm.target.id, now)) return false
+      const free = vm.capacity.cpu - (checks.usedCpu.get(vm.target.id) ?? 0)
+      return free >= ROOM_FACTOR * job.steps[task.step]!.cpu
+    })?.vm
+
+  /** Whether a run may go on as far as a node can know. */
+  function mayRun({ active, ends }: TaskView, now: number): boolean {
+    if (active) return true
+    const last = ends.at(-1)
+    if (!last || last.isNoted || isKnown(last.target, now)) return false
+    return now - last.at < LEASE_MS
+  }
+
+  /** Whether the owner may know of an end that its target did not live to have acknowledged. */
+  const mayBeDone = ({ ends }: TaskView, now: number): boolean =>
+    ends.some(
+      ({ what, isListed, target }) =>
+        what === 'done' && isListed && !isKnown(target, now),
+    )
+
+  const mayStart = (job: JobView, task: TaskView, now: number): boolean =>
+    isTurnOf(job, task) &&
+    !mayRun(task, now) &&
+    (job.isLasting || (countEnds(task, 'done', true) === 0 && !mayBeDone(task, now)))
+
+  /** Where a task of these could run, while none of them runs. */
+  function look(job: JobView, tasks: TaskView[], key: string, now: number): void {
+    const isRunning = tasks.some(({ active }) => active !== undefined)
+    const task = isRunning ? undefined : tasks.find((each) => mayStart(job, each, now))
+    const vm = task && roomFor(job, task, now)
+    if (!vm) return void stillSince.delete(key)
+    const since = stillSince.get(key) ?? now
+    stillSince.set(key, since)
+    longest = Math.max(longest, now - since)
+    const limitMs = job.isLasting ? LASTING_STILL_MS : STILL_MS
+    if (now - since <= limitMs || reported.has(key)) return
+    reported.add(key)
+    report('stood still', `${task.name} could run on ${vm.target?.id} (${vm.pool})`)
+  }
+
+  return {
+    look() {
+      const now = performance.now()
+      for (const target of targets) lookAtTarget(target, now)
+      if (!calm.isCalm() || !opts.isServed()) return stillSince.clear()
+      for (const job of checks.jobs.values()) {
+        if (job.acceptedAt === undefined || job.outcome !== undefined) continue
+        if (job.cancelSentAt !== undefined || isSpent(job)) continue
+        if (!job.isLasting) look(job, job.tasks, job.id, now)
+        else for (const task of job.tasks) look(job, [task], task.name, now)
+      }
+    },
+    longestMs: () => Math.round(longest),
+  }
+}
--- a/src/scheduler/__tests__/planner.spec.ts
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -3,6 +3,7 @@
 import { createStillBook } from '../../../test/fixtures.js'
 import { QUEUE, makeJob } from '../../../test/jobRig.js'
 import type { Job, JobSpec } from '../../jobs/index.js'
+import { OPEN_POLICY } from '../placementRules.js'
 import { planStarts } from '../planner.js'
 import { createRoom, needOf } from '../room.js'
 import { createRunTimes } from '../runTimes.js'
@@ -43,9 +44,11 @@
     ready: readyOf(jobs),
     agents,
     urgencyOf: (job) => urgencyOf(job, QUEUE, createRunTimes(), 0),
-    allows: () => true,
-    avoids: ({ target }) => target.id === avoided,
+    policy: OPEN_POLICY,
+    penaltyOf: ({ target }) => (target.id === avoided ? 1 : 0),
     isSpecial: () => false,
+    mayTry: () => false,
+    planned: () => undefined,
   })
 
 describe('planStarts', () => {
@@ -155,8 +158,10 @@
           ready,
           agents,
           urgencyOf: (job: Job) => urgencyOf(job, QUEUE, createRunTimes(), 0),
-          allows: () => true,
-          avoids: () => false,
+          policy: OPEN_POLICY,
+          penaltyOf: () => 0,
+          mayTry: () => false,
+          planned: () => undefined,
         }
         const quick = planStarts({ ...input, isSpecial: () => false })
         const naive = planStarts({ ...input, isSpecial: () => true })
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -2,6 +2,8 @@
 import type { Job, Step, Task } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import type { TargetAgent } from './targetAgent.js'
+import { stepHoldOf } from './placementRules.js'
+import type { PlacementPolicy, PlacementView } from './placementRules.js'
 import { needOf } from './room.js'
 import { compareUrgency } from './urgency.js'
 import type { Urgency } from './urgency.js'
@@ -18,12 +20,16 @@
   ready: Iterable<Task>
   agents: readonly TargetAgent[]
   urgencyOf(job: Job): Urgency
-  /** Whether the target may be used for the step, by evidence and advice. */
-  allows(agent: TargetAgent, step: Step): boolean
-  /** Whether it is taken only where no other target can be. */
-  avoids(agent: TargetAgent): boolean
-  /** Whether `allows` may differ between this step and another one of the same needs. */
+  /** What keeps a step from a target beyond the room there. */
+  policy: PlacementPolicy
+  /** How much rather the task should go elsewhere; 0 where nothing speaks against it. */
+  penaltyOf(agent: TargetAgent, task: Task): number
+  /** Whether `policy` may differ between this step and another one of the same needs. */
   isSpecial(step: Step): boolean
+  /** Whether `policy` lets the step go where others of the same needs may not. */
+  mayTry(step: Step): boolean
+  /** A task of the step has been planned there. */
+  planned(agent: TargetAgent, step: Step): void
 }
 
 export interface Plan {
@@ -38,12 +44,9 @@
 }
 
 /** Room that planned starts of this round take, on top of what the agents count. */
-interface Draft {
-  agent: TargetAgent
-  cpu: number
-  memMb: number
-  gpu: number
-  counts: Map<Step, number>
+interface Draft extends PlacementView {
+  /** Tasks of a step that this round has planned there. */
+  planned: Map<Step, number>
   serving: number
 }
 
@@ -53,50 +56,53 @@
   return count
 }
 
-const createDraft = (agent: TargetAgent): Draft => ({
-  agent,
-  ...agent.room.free,
-  counts: new Map(),
-  serving: countServing(agent),
-})
+function createDraft(agent: TargetAgent): Draft {
+  const planned = new Map<Step, number>()
+  return {
+    agent,
+    free: { ...agent.room.free },
+    planned,
+    countOf: (step) => agent.room.countOf(step) + (planned.get(step) ?? 0),
+    serving: countServing(agent),
+  }
+}
 
-function fits(draft: Draft, step: Step): boolean {
-  const need = needOf(step)
-  if (need.cpu > draft.cpu || need.memMb > draft.memMb || need.gpu > draft.gpu)
-    return false
-  const { label, maxPerTarget } = step.spec
-  if (label !== '' && !draft.agent.target.labels.includes(label)) return false
-  if (maxPerTarget === 0) return true
-  const here = draft.agent.room.countOf(step) + (draft.counts.get(step) ?? 0)
-  return here < maxPerTarget
+/** A draft to try a gang on: what is planned there leaves the first one as it is. */
+function copyDraft(draft: Draft): Draft {
+  const copy = createDraft(draft.agent)
+  Object.assign(copy.free, draft.free)
+  for (const [step, count] of draft.planned) copy.planned.set(step, count)
+  copy.serving = draft.serving
+  return copy
 }
 
 function take(draft: Draft, step: Step): void {
   const need = needOf(step)
-  draft.cpu -= need.cpu
-  draft.memMb -= need.memMb
-  draft.gpu -= need.gpu
-  draft.counts.set(step, (draft.counts.get(step) ?? 0) + 1)
+  draft.free.cpu -= need.cpu
+  draft.free.memMb -= need.memMb
+  draft.free.gpu -= need.gpu
+  draft.planned.set(step, (draft.planned.get(step) ?? 0) + 1)
   if (step.spec.lasting) draft.serving++
 }
 
 /** More than any other difference between targets. */
-const AVOID_COST = 1e12
+const PENALTY_COST = 1e12
 
 /** Smaller is better: near the data, lasting tasks spread, others packed. */
 function costOf(draft: Draft, step: Step): number {
   const { dataRack, lasting } = step.spec
   const far = dataRack !== '' && rackOf(draft.agent) !== dataRack ? 1e9 : 0
-  if (lasting) return far + draft.serving * 1e6 - draft.cpu
-  return far + draft.cpu
+  if (lasting) return far + draft.serving * 1e6 - draft.free.cpu
+  return far + draft.free.cpu
 }
 
-function choose(drafts: Draft[], step: Step, input: PlanInput): Draft | undefined {
+function choose(drafts: Draft[], task: Task, input: PlanInput): Draft | undefined {
+  const { step } = task
   let best: Draft | undefined
   let bestCost = Infinity
   for (const draft of drafts) {
-    if (!fits(draft, step) || !input.allows(draft.agent, step)) continue
-    const cost = costOf(draft, step) + (input.avoids(draft.agent) ? AVOID_COST : 0)
+    if (stepHoldOf(draft, step, input.policy) !== undefined) continue
+    const cost = costOf(draft, step) + input.penaltyOf(draft.agent, task) * PENALTY_COST
     if (cost < bestCost) {
       best = draft
       bestCost = cost
@@ -115,7 +121,7 @@
 function kindOf(step: Step, input: PlanInput): string | undefined {
   const { label, lasting, maxPerTarget } = step.spec
   if (maxPerTarget > 0 || input.isSpecial(step)) return undefined
-  return `${lasting} ${label}`
+  return `${lasting} ${label} ${input.mayTry(step)}`
 }
 
 const needsAsMuch = (need: Resources, other: Resources): boolean =>
@@ -129,15 +135,16 @@
  */
 function chooseOnce(
   drafts: Draft[],
-  step: Step,
+  task: Task,
   input: PlanInput,
   failed: Failed,
 ): Draft | undefined {
+  const { step } = task
   const kind = kindOf(step, input)
   const need = needOf(step)
   const known = kind === undefined ? undefined : failed.get(kind)
   if (known?.some((other) => needsAsMuch(need, other))) return undefined
-  const draft = choose(drafts, step, input)
+  const draft = choose(drafts, task, input)
   if (draft || kind === undefined) return draft
   if (known) known.push(need)
   else failed.set(kind, [need])
@@ -153,10 +160,10 @@
     ? [...racks].map((rack) => drafts.filter(({ agent }) => rackOf(agent) === rack))
     : []
   for (const group of [...groups, drafts]) {
-    const copies = group.map((draft) => ({ ...draft, counts: new Map(draft.counts) }))
+    const copies = group.map(copyDraft)
     const starts: PlannedStart[] = []
     for (const task of members) {
-      const draft = choose(copies, step, input)
+      const draft = choose(copies, task, input)
       if (!draft) break
       take(draft, step)
       starts.push({ task, agent: draft.agent })
@@ -164,7 +171,9 @@
     if (starts.length < members.length) continue
     for (const { agent } of starts) {
       const draft = drafts.find((each) => each.agent === agent)
-      if (draft) take(draft, step)
+      if (!draft) continue
+      take(draft, step)
+      input.planned(agent, step)
     }
     return starts
   }
@@ -198,14 +207,38 @@
       continue
     }
     for (const task of steps.get(step) ?? []) {
-      const draft = chooseOnce(drafts, step, input, failed)
+      const draft = chooseOnce(drafts, task, input, failed)
       if (!draft) {
         plan.waiting.add(step)
         break
       }
       take(draft, step)
+      input.planned(draft.agent, step)
       plan.starts.push({ task, agent: draft.agent })
     }
   }
   return plan
 }
+
+/** Room on targets that are left, as runs are taken off others for them. */
+export interface RoomElsewhere {
+  /** Takes room for one more task of the step on another target; false where there is none. */
+  claim(step: Step, from: TargetAgent): boolean
+}
+
+/** Counts the room on the targets given, for runs that come from any target. */
+export function createRoomElsewhere(
+  agents: readonly TargetAgent[],
+  policy: PlacementPolicy,
+): RoomElsewhere {
+  const drafts = agents.filter((agent) => agent.isUsable()).map(createDraft)
+  return {
+    claim(step, from) {
+      const draft = drafts.find(
+        (each) => each.agent !== from && stepHoldOf(each, step, policy) === undefined,
+      )
+      if (draft) take(draft, step)
+      return draft !== undefined
+    },
+  }
+}
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -1,14 +1,17 @@
 /** Starts ready tasks on targets that may have them, with a ticket where a queue needs one. */
 import type { ConfigurationHolder } from '../directory/index.js'
-import type { JobBook, Step } from '../jobs/index.js'
+import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { RUNS_PER_TERM } from './constants.js'
 import type { Health } from './health.js'
+import type { PlacementPolicy } from './placementRules.js'
 import { planStarts } from './planner.js'
 import type { Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
+import { createSuspectRound } from './suspectPolicy.js'
+import type { SuspectRound } from './suspectPolicy.js'
 import type { TargetAgent } from './targetAgent.js'
 import type { Tickets } from './tickets.js'
 import { urgencyOf } from './urgency.js'
@@ -25,8 +28,13 @@
   log: Logger
 }
 
-/** Starts what may start now on the agents given. */
-export type Starter = (agents: TargetAgent[]) => void
+/** Starts tasks. */
+export interface Starter {
+  /** What it keeps to at this moment. */
+  policyNow(agents: readonly TargetAgent[]): PlacementPolicy
+  /** Starts what may start now on the agents given. */
+  start(agents: TargetAgent[]): void
+}
 
 /** Creates the starter of one owner. */
 export function createStarter(opts: StarterOptions): Starter {
@@ -36,27 +44,41 @@
   const hasPolicy = (step: Step): boolean =>
     configuration.queue(step.job.spec.queue)?.advice !== undefined
 
-  function allows(agent: TargetAgent, step: Step): boolean {
-    if (!roster.has(agent.target.id)) return false
-    // A lasting task may find no other target; a suspect one is better than none.
-    if (!step.spec.lasting && !health.allows(agent)) return false
-    return !hasPolicy(step) || tickets.find(step, agent) !== undefined
-  }
+  const tries = new WeakMap<Job, number>()
+
+  const beginRound = (agents: readonly TargetAgent[], now: number): SuspectRound =>
+    createSuspectRound({
+      health,
+      agents,
+      now,
+      tries,
+      maxAttemptsOf: (job) => configuration.queue(job.spec.queue)?.maxAttempts ?? 1,
+    })
+
+  const policyOf = ({ isSuspect }: SuspectRound): PlacementPolicy => ({
+    isRostered: (agent) => roster.has(agent.target.id),
+    isSuspect,
+    lacksTicket: (agent, step) =>
+      hasPolicy(step) && tickets.find(step, agent) === undefined,
+  })
 
   const ticketFor = (step: Step, agent: TargetAgent): string =>
     hasPolicy(step) ? (tickets.find(step, agent) ?? '') : ''
 
-  return (agents) => {
+  function start(agents: TargetAgent[]): void {
     if (book.ready.size === 0) return
     const now = monotonicMs()
+    const round = beginRound(agents, now)
     const { starts, waiting } = planStarts({
       ready: book.ready,
       agents,
       urgencyOf: (job) =>
         urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
-      allows,
-      avoids: (agent) => !health.allows(agent),
+      policy: policyOf(round),
+      penaltyOf: health.penaltyOf,
       isSpecial: hasPolicy,
+      mayTry: round.mayTry,
+      planned: round.planned,
     })
     for (const step of waiting) if (hasPolicy(step)) tickets.want(step, agents)
     for (const { task, agent } of starts) {
@@ -70,4 +92,6 @@
       })
     }
   }
+
+  return { policyNow: (agents) => policyOf(beginRound(agents, monotonicMs())), start }
 }
--- /dev/null
+++ b/src/scheduler/suspectPolicy.ts
@@ -0,0 +1,99 @@
+/**
+ * Which tasks a target under suspicion gets. It is kept for jobs that have nowhere else to go:
+ * a job that has run nothing for a while has a task tried there, and more with each further
+ * try, so that suspicion never makes a job stand still for as long as it lasts.
+ */
+import type { Job, Step } from '../jobs/index.js'
+import type { Health } from './health.js'
+import type { TargetAgent } from './targetAgent.js'
+
+/**
+ * Time without any run after which a job has a task tried on a target under suspicion, in ms.
+ * A caller notices a standstill of 3 s; half of it leaves time for a VM that has been asked for
+ * (1.5 s on its way), and does not spend a job's attempts within a second.
+ */
+export const TRY_AFTER_MS = 1500
+/**
+ * Doublings of the tasks that a job has tried at once, one more with each try: a job that fails
+ * by itself in a pool without any other target would take minutes to use up its attempts.
+ */
+const MAX_DOUBLINGS = 5
+
+/** Suspects in one round of planning, and what the round has tried on them. */
+export interface SuspectRound {
+  /** Whether evidence keeps the step from the target. */
+  isSuspect(agent: TargetAgent, step: Step): boolean
+  /** Whether the step may go where others may not. */
+  mayTry(step: Step): boolean
+  /** Notes what the round has planned. */
+  planned(agent: TargetAgent, step: Step): void
+}
+
+/** What a round is decided by. */
+export interface SuspectRoundInput {
+  health: Health
+  agents: readonly TargetAgent[]
+  now: number
+  /** How often a job has been tried, over all rounds. */
+  tries: WeakMap<Job, number>
+  /** Attempts that the tasks of a job have. */
+  maxAttemptsOf(job: Job): number
+}
+
+/** Whether a task that ends by itself is on the target. */
+const hasPassing = (agent: TargetAgent): boolean =>
+  [...agent.placements.values()].some(({ task }) => !task?.step.spec.lasting)
+
+/** Begins a round. */
+export function createSuspectRound(input: SuspectRoundInput): SuspectRound {
+  const { health, agents, now } = input
+  const anySuspect = agents.some((agent) => health.standingOf(agent) !== 'sound')
+  const anySound = agents.some(
+    (agent) => agent.isUsable() && health.standingOf(agent) === 'sound',
+  )
+  /** Tasks that the round may still try of the jobs of which it has tried some. */
+  const triesLeft = new Map<Job, number>()
+  const onTrial = new Set<TargetAgent>()
+
+  /** Whether a failure would end the job, while others could wait for a sound target. */
+  const isLastAttempt = ({ tasks, job }: Step): boolean =>
+    tasks.some((task) => task.failedRuns.size + 1 >= input.maxAttemptsOf(job))
+
+  function mayTry(step: Step): boolean {
+    const { job } = step
+    // Where no target is to blame, waiting only puts off what its caller is to be told.
+    if (anySuspect && health.failsByItself(step)) return true
+    if (!anySuspect || job.placed > 0 || triesLeft.get(job) === 0) return false
+    if (now - idleSinceOf(step) < TRY_AFTER_MS) return false
+    return !anySound || !isLastAttempt(step)
+  }
+
+  function noteTry(job: Job): void {
+    const before = input.tries.get(job) ?? 0
+    const left = triesLeft.get(job) ?? 2 ** Math.min(MAX_DOUBLINGS, before)
+    if (!triesLeft.has(job)) input.tries.set(job, before + 1)
+    triesLeft.set(job, left - 1)
+  }
+
+  return {
+    mayTry,
+    isSuspect(agent, step) {
+      // A lasting task may find no other target; a suspect one is better than none.
+      if (step.spec.lasting) return false
+      const standing = health.standingOf(agent)
+      if (standing === 'sound' || mayTry(step)) return false
+      return standing === 'suspect' || onTrial.has(agent) || hasPassing(agent)
+    },
+    planned(agent, step) {
+      if (step.spec.lasting || health.standingOf(agent) === 'sound') return
+      onTrial.add(agent)
+      if (!step.spec.gang) noteTry(step.job)
+    },
+  }
+}
+
+/** Since when the step could run and its job runs nothing. */
+const idleSinceOf = ({ job, tasks }: Step): number => {
+  const firstReady = tasks.find(({ phase }) => phase === 'ready')
+  return Math.max(job.idleSince, firstReady?.readySince ?? 0)
+}
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -12,7 +12,8 @@
 import { CLOCK_SKEW, LEASE_MARGIN_MS, TASK_LEASE_MS } from './constants.js'
 import type { Health } from './health.js'
 import type { ProgressWriter } from './progressWriter.js'
-import type { Roster, RosterEntry } from './roster.js'
+import { ROSTER_TABLE } from './roster.js'
+import type { InheritedEntry, Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
 import { createTargetAgent } from './targetAgent.js'
 import type { TargetAgent } from './targetAgent.js'
@@ -21,7 +22,9 @@
 /** Follows the targets of one service. */
 export interface TargetFollower {
   /** Opens agents for the targets of the predecessor's roster, not listed until they are. */
-  inherit(entries: RosterEntry[]): void
+  inherit(entries: InheritedEntry[]): void
+  /** Whether all that the predecessor may have started is known, or over for certain. */
+  isSettled(): boolean
   /** Follows the list: opens agents for new targets, notes those that leave. */
   follow(): void
 }
@@ -48,8 +51,13 @@
 export function createTargetFollower(opts: TargetFollowerOptions): TargetFollower {
   const { agents, targets, authority, roster, health, log } = opts
   const { service } = authority
-  /** Lives that are over, while the list still shows them. */
-  const goneLives = new Set<string>()
+  /** Lives that are over, with the address that said so, while the list still shows them. */
+  const goneLives = new Map<string, string>()
+
+  /** Targets of the predecessor's roster. */
+  const inherited = new Set<string>()
+  /** Steady time at which all is over on its targets that nobody can name, in ms. */
+  let namelessOverAt = -Infinity
 
   /** Time that unknown runs of the predecessor may last, in ms. */
   const inheritedLeaseMs =
@@ -58,14 +66,43 @@
     LEASE_MARGIN_MS
 
   function forget(agent: TargetAgent): void {
-    const { id } = agent.target
+    const { id, address } = agent.target
     agents.delete(id)
-    goneLives.add(id)
+    goneLives.set(id, address)
     health.forget(agent)
     roster.remove(id)
     void agent.close()
   }
 
+  /** Whether it is called at an address that the list has corrected, and nothing is there. */
+  function isMisplaced(agent: TargetAgent, { address }: Target): boolean {
+    const { target, placements } = agent
+    return target.address !== address && !agent.isAnswering() && placements.size === 0
+  }
+
+  /** Closes an agent that has nothing to do; the life may well be alive elsewhere. */
+  function closeMisplaced(agent: TargetAgent): void {
+    agents.delete(agent.target.id)
+    health.forget(agent)
+    void agent.close()
+  }
+
+  /** Whether runs of the predecessor, or of a closed agent of ours, may be there. */
+  const mayHaveRuns = (id: string): boolean => inherited.has(id) || roster.has(id)
+
+  /** Opens the agent of a target that the roster names, by its address or by the list's. */
+  function openInherited({ id, address }: InheritedEntry): void {
+    inherited.add(id)
+    const found = address ?? targets.byId().get(id)?.address
+    if (found !== undefined) {
+      open(unlistedTarget(id, found, service)).listed = false
+      return
+    }
+    namelessOverAt = monotonicMs() + inheritedLeaseMs
+    const reason = 'inherited tasks wait until what may run there is over'
+    log.event('rowInvalid', { table: ROSTER_TABLE, key: id, reason })
+  }
+
   function open(target: Target): TargetAgent {
     const agent = createTargetAgent({
       target,
@@ -73,7 +110,7 @@
       book: opts.book,
       authority,
       progress: opts.progress,
-      inheritedLeaseMs: roster.has(target.id) ? inheritedLeaseMs : 0,
+      inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
       changed: opts.changed,
       ticketRefused: (step, id) => opts.tickets.drop(step, id),
@@ -88,11 +125,13 @@
   }
 
   function followListed(target: Target): void {
+    const known = agents.get(target.id)
+    if (known && isMisplaced(known, target)) closeMisplaced(known)
     const agent = agents.get(target.id)
     if (agent) {
       agent.update(target)
       agent.listed = true
-    } else if (!target.draining && !goneLives.has(target.id)) {
+    } else if (!target.draining && goneLives.get(target.id) !== target.address) {
       open(target)
       roster.add(target)
     }
@@ -107,19 +146,27 @@
     })
   }
 
+  /** Whether the list has an entry of the life, be it one that cannot be read. */
+  const isShown = (id: string): boolean =>
+    targets.byId().has(id) || targets.unreadableSince(id) !== undefined
+
   return {
-    inherit(entries) {
-      for (const { id, address } of entries)
-        open(unlistedTarget(id, address, service)).listed = false
-    },
+    inherit: (entries) => entries.forEach(openInherited),
+    isSettled: () =>
+      monotonicMs() >= namelessOverAt &&
+      [...agents.values()].every((agent) => agent.isSettled()),
     follow() {
       const listed = targets.byId()
       for (const target of listed.values()) {
         if (target.service === service) followListed(target)
       }
-      for (const id of goneLives) if (!listed.has(id)) goneLives.delete(id)
+      for (const id of goneLives.keys()) if (!isShown(id)) goneLives.delete(id)
       for (const agent of agents.values()) {
-        if (agent.listed && !listed.has(agent.target.id)) noteUnlisted(agent)
+        const entry = listed.get(agent.target.id)
+        if (agent.listed && entry?.service !== service) noteUnlisted(agent)
+        // Its own owner must not be fenced by our calls.
+        const isOthers = entry !== undefined && entry.service !== service
+        if (isOthers && agent.placements.size === 0) closeMisplaced(agent)
       }
       opts.changed()
     },
