fix(bench): standstills name the rule that taskWaits says holds the job

Cause: taskWaits and jobStalled say it in hold, and the reader looked for reason. Measured: its tests, which now write the lines as the owner does.

--- a/bench/account/readLog.ts
+++ b/bench/account/readLog.ts
@@ -20,6 +20,7 @@
   pool: z.string().optional(),
   answer: z.string().optional(),
   reason: z.string().optional(),
+  hold: z.string().optional(),
   failure: z.string().optional(),
 })
 
--- a/bench/standstill/__tests__/standstill.spec.ts
+++ b/bench/standstill/__tests__/standstill.spec.ts
@@ -165,10 +165,10 @@
         taken(0, 'j1'),
         placed(0, 'j1.0.0.0', 'v1'),
         ended(1, 'j1.0.0.0', 'v1', 'failed'),
-        lineAt(2, 'taskWaits', { job: 'j1', reason: 'suspect' }),
-        lineAt(3, 'taskWaits', { job: 'j1', reason: 'suspect' }),
+        lineAt(2, 'taskWaits', { job: 'j1', hold: 'suspect' }),
+        lineAt(3, 'taskWaits', { job: 'j1', hold: 'suspect' }),
         lineAt(3, 'jobStalled', { job: 'j1' }),
-        lineAt(3, 'taskWaits', { job: 'j2', reason: 'no room' }),
+        lineAt(3, 'taskWaits', { job: 'j2', hold: 'room' }),
         placed(4, 'j1.0.0.0', 'v1', 3000),
       )
       t.deepEqual(
--- a/bench/standstill/findStandstills.ts
+++ b/bench/standstill/findStandstills.ts
@@ -58,9 +58,9 @@
 ): Standstill {
   const withRoom = longestOf(overlapOf(waits, room.get(service) ?? []))
   const reasons = new Map<string, number>()
-  for (const { name, reason, at, job: told } of said) {
+  for (const { name, hold, at, job: told } of said) {
     if (told !== job || at < longest.from || at > longest.until) continue
-    const text = reason ? `${name}: ${reason}` : name
+    const text = hold ? `${name}: ${hold}` : name
     reasons.set(text, (reasons.get(text) ?? 0) + 1)
   }
   return {
