feat(cli): node explain asks the owner why a job waits

Cause: from 'my job waits' to its cause took the logs of all nodes; the store does not know it. Change: nodes answer a question about one job's wait (explain), by the same rules that the planner asks; the command finds the owner by the rows and ends with its word.

--- /dev/null
+++ b/src/cli/__tests__/waitQuestion.spec.ts
@@ -0,0 +1,31 @@
+import { describe, it } from '../../../test/describe.js'
+import { describeOwner } from '../waitQuestion.js'
+
+describe('describeOwner', () => {
+  const asked = { node: 'n1', failure: undefined, wait: undefined }
+
+  it('names the rules that hold a job, and until when', (t) => {
+    const wait = {
+      task: 'j.0.0.1',
+      waitedMs: 1200,
+      holds: { suspect: 2, room: 1 },
+      endsInMs: 3400,
+      couldRunOn: 2,
+    }
+    t.is(
+      describeOwner({ ...asked, wait }),
+      'its owner n1 says: j.0.0.1 waits for 1200 ms, held by suspect 2, room 1, for 3400 ms more; 2 targets have room for it',
+    )
+    const noTarget = { ...wait, holds: {}, endsInMs: undefined, couldRunOn: 0 }
+    t.regex(describeOwner({ ...asked, wait: noTarget }), /held by no target; 0 targets/)
+  })
+
+  it('says that nobody can tell', (t) => {
+    t.regex(describeOwner({ ...asked, node: undefined }), /no node owns/)
+    t.regex(
+      describeOwner({ ...asked, failure: 'timed out' }),
+      /n1 could not be asked: timed out/,
+    )
+    t.regex(describeOwner(asked), /does not wait/)
+  })
+})
--- a/src/cli/nodeJobCommands.ts
+++ b/src/cli/nodeJobCommands.ts
@@ -13,6 +13,7 @@
 import type { RowStore } from '../ports/index.js'
 import { EXIT } from '../shared/index.js'
 import { StoreCommand, rowsOf } from './addressed.js'
+import { askOwner, describeOwner } from './waitQuestion.js'
 
 /** The state of a job, or that its progress cannot be read: it is held. */
 type ListedStatus = JobStatus | 'unreadable'
@@ -121,7 +122,7 @@
 export class NodeExplain extends StoreCommand {
   static override paths = [['node', 'explain']]
   static override usage = StoreCommand.Usage({
-    description: 'what the store knows of one job, step by step',
+    description: 'what is known of one job, step by step, and why it waits',
   })
   id = Option.String({ required: true })
 
@@ -134,11 +135,13 @@
       return [index, after.join(',') || '-', count, known.done, known.failedRuns]
     })
     const head = ['step', 'after', 'tasks', 'done', 'failed runs']
-    this.print(found, () =>
+    const owner = await askOwner(store, job)
+    this.print({ ...found, owner }, () =>
       [
         `job ${job.id} of queue ${job.queue}: ${status}`,
         `service ${job.service}, accepted ${new Date(job.acceptedAtMs).toISOString()}`,
         this.grid(head, lines),
+        describeOwner(owner),
       ].join('\n'),
     )
     return EXIT.ok
--- /dev/null
+++ b/src/cli/waitQuestion.ts
@@ -0,0 +1,58 @@
+/** Asks the owner of a job's service why the job waits. */
+import { createNodeClients } from '../front/index.js'
+import type { JobSpec } from '../jobs/index.js'
+import { EPOCH_TABLE, NODES_TABLE, decodeEpoch, decodeNode } from '../ownership/index.js'
+import type { RowStore } from '../ports/index.js'
+import { waitReportSchema } from '../scheduler/index.js'
+import type { WaitReport } from '../scheduler/index.js'
+import { parseJson } from '../shared/index.js'
+import { rowsOf } from './addressed.js'
+
+/** Longest wait for the owner, in ms; an operator then looks at its log. */
+const ASK_TIMEOUT_MS = 2000
+
+/** What the owner says; without a node nobody owns the service. */
+export interface OwnerWord {
+  node: string | undefined
+  /** Why it could not be asked. */
+  failure: string | undefined
+  /** Undefined when the job does not wait. */
+  wait: WaitReport | undefined
+}
+
+/** Asks the owner, as the rows name it. */
+export async function askOwner(store: RowStore, job: JobSpec): Promise<OwnerWord> {
+  const epochs = await rowsOf(store, EPOCH_TABLE)
+  const row = epochs.find(({ part }) => part === job.service)
+  const node = (row && decodeEpoch(row.value)?.node) || undefined
+  const nodes = await rowsOf(store, NODES_TABLE)
+  const nodeRow = nodes.find(({ key }) => key === node)
+  const address = nodeRow && decodeNode(nodeRow.value)?.address
+  if (address === undefined) return { node, failure: 'no address', wait: undefined }
+  const clients = createNodeClients()
+  try {
+    const about = { case: 'explain' as const, value: job.id }
+    const questions = [{ service: job.service, about }]
+    const timeoutMs = ASK_TIMEOUT_MS
+    const { answers } = await clients.at(address).ask({ questions }, { timeoutMs })
+    const [answer] = answers
+    if (!answer?.owns) return { node, failure: 'it owns it no more', wait: undefined }
+    const wait = waitReportSchema.safeParse(parseJson(answer.wait)).data
+    return { node, failure: undefined, wait }
+  } catch (cause) {
+    return { node, failure: (cause as Error).message, wait: undefined }
+  } finally {
+    clients.close()
+  }
+}
+
+/** One line for an operator. */
+export function describeOwner({ node, failure, wait }: OwnerWord): string {
+  if (node === undefined) return 'no node owns the service: the job waits for one'
+  if (failure !== undefined) return `its owner ${node} could not be asked: ${failure}`
+  if (!wait) return `its owner ${node} says that it does not wait`
+  const holds = Object.entries(wait.holds).map(([hold, count]) => `${hold} ${count}`)
+  const until = wait.endsInMs === undefined ? '' : `, for ${wait.endsInMs} ms more`
+  const room = `${wait.couldRunOn} targets have room for it`
+  return `its owner ${node} says: ${wait.task} waits for ${wait.waitedMs} ms, held by ${holds.join(', ') || 'no target'}${until}; ${room}`
+}
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -24,7 +24,7 @@
 }
 
 /** What an answer says beyond that this node owns the service. */
-type AnswerFields = Partial<Pick<Answer, 'status' | 'waiting'>>
+type AnswerFields = Partial<Pick<Answer, 'status' | 'waiting' | 'wait'>>
 
 const offeredJobSchema = z.object({
   job: jobSchema,
@@ -61,6 +61,7 @@
   },
   status: (owner, id) => ({ status: owner.status(id) ?? '' }),
   waiting: (owner, queue) => ({ waiting: owner.waiting(queue) }),
+  explain: (owner, id) => ({ wait: JSON.stringify(owner.explain(id)) ?? '' }),
 }
 
 function answer(local: LocalOwners, { service, about }: Question) {
--- a/src/scheduler/__tests__/waitWatch.spec.ts
+++ b/src/scheduler/__tests__/waitWatch.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from '../../../test/describe.js'
 import { CAPACITY, createJobRig, makeJob } from '../../../test/jobRig.js'
 import type { JobRig } from '../../../test/jobRig.js'
+import { waitReportSchema } from '../waitWatch.js'
 import { sleep } from '../../shared/index.js'
 import type { EventName } from '../../shared/index.js'
 
@@ -34,6 +35,9 @@
       couldRunOn: 0,
     })
     t.deepEqual(linesOf(rig, 'jobStalled'), [])
+    const told = waitReportSchema.parse(owner.explain(job.id))
+    t.like(told, { task: `${job.id}.0.0.0`, holds: { size: 2 }, couldRunOn: 0 })
+    t.is(owner.explain('0123456789abcdef'), undefined)
     await rig.stop()
   })
 
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -1,2 +1,4 @@
 /** Runs the tasks of a service on its targets. */
 export * from './serviceOwner.js'
+export { waitReportSchema } from './waitWatch.js'
+export type { WaitReport } from './waitWatch.js'
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -36,6 +36,7 @@
 import { createTickets } from './tickets.js'
 import { urgencyOf } from './urgency.js'
 import { createWaitWatch } from './waitWatch.js'
+import type { WaitReport } from './waitWatch.js'
 
 /** The owner of a service, while it runs. */
 export interface ServiceOwner extends Owner {
@@ -51,6 +52,8 @@
   cancel(id: string): boolean
   /** Undefined when the job is not known here. */
   status(id: string): JobStatus | undefined
+  /** Why a job waits now; undefined when it does not, or is not known here. */
+  explain(id: string): WaitReport | undefined
   /** Jobs of the queue none of whose tasks has begun. */
   waiting(queue: string): number
   /** The targets of the service, as they are at this moment. */
@@ -291,6 +294,10 @@
       const job = book.jobs.get(id)
       return job && statusOf(job)
     },
+    explain(id) {
+      const job = book.jobs.get(id)
+      return job && waitWatch.explain(job, allAgents())
+    },
     waiting: (queue) => book.waiting(queue) + newJobs.offeredOf(queue),
     agents: allAgents,
     report: () =>
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -3,6 +3,7 @@
  * keeps it from how many targets, and until when. A job that waits although a target of its
  * service has room for it is told by an event of its own.
  */
+import { z } from 'zod'
 import type { Job, JobBook, Step, Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -22,27 +23,32 @@
 /** Share of a service's processor room in use above which a job waits for its turn. */
 const BUSY_SHARE = 0.5
 
-/** Explains waits; called again and again. */
-export interface WaitWatch {
-  look(agents: TargetAgent[]): void
-  /** Why a job waits now, for operators; undefined when it does not. */
-  explain(job: Job, agents: TargetAgent[]): Wait | undefined
-}
-
-/** Why a job waits. */
-export interface Wait {
+/** Why a job waits, as it is told to operators. */
+export const waitReportSchema = z.object({
   /** A task of it that may start. */
-  task: Task
+  task: z.string(),
   /** Time for which nothing of it has run although the task could, in ms. */
-  waitedMs: number
+  waitedMs: z.number(),
   /** Targets by the first rule that keeps the task from them. */
-  holds: Partial<Record<Hold | 'takeover', number>>
+  holds: z.record(z.string(), z.number()),
   /** Time after which the first of the holds ends by itself, in ms, where that is known. */
-  endsInMs: number | undefined
+  endsInMs: z.number().optional(),
   /** Targets that live and have room for it, whatever keeps it from them. */
-  couldRunOn: number
+  couldRunOn: z.number(),
+})
+/** Why a job waits, as it is told to operators. */
+export type WaitReport = z.infer<typeof waitReportSchema>
+
+/** Explains waits; called again and again. */
+export interface WaitWatch {
+  look(agents: TargetAgent[]): void
+  /** Why a job waits now; undefined when it does not. */
+  explain(job: Job, agents: TargetAgent[]): WaitReport | undefined
 }
 
+/** Targets by the first rule that keeps a task from them. */
+type Holds = Partial<Record<Hold | 'takeover', number>>
+
 /** What the watch works with. */
 export interface WaitWatchOptions {
   book: JobBook
@@ -76,30 +82,31 @@
     return found
   }
 
-  function explain(job: Job, agents: TargetAgent[]): Wait | undefined {
+  function explain(job: Job, agents: TargetAgent[]): WaitReport | undefined {
     const task = waitingTaskOf(job)
     if (!task) return undefined
     const now = monotonicMs()
     const { step } = task
     const { holds, endsAt } = job.gated ? gateOf(agents) : holdsOn(step, agents)
+    const endsInMs = Math.max(0, Math.round(endsAt - now))
     return {
-      task,
-      waitedMs: now - waitsSince(task),
-      holds,
-      endsInMs: Number.isFinite(endsAt) ? Math.max(0, endsAt - now) : undefined,
+      task: task.name,
+      waitedMs: Math.round(now - waitsSince(task)),
+      holds: holds as Record<string, number>,
+      endsInMs: Number.isFinite(endsAt) ? endsInMs : undefined,
       couldRunOn: agents.filter((agent) => couldRun(agent, step)).length,
     }
   }
 
-  function tell(job: Job, wait: Wait, busy: boolean): void {
+  function tell(job: Job, wait: WaitReport, busy: boolean): void {
     const { task, waitedMs, holds, endsInMs, couldRunOn } = wait
     const fields = {
       job: job.spec.id,
-      task: task.name,
-      waitedMs: Math.round(waitedMs),
+      task,
+      waitedMs,
       hold: mostOf(holds),
       targets: JSON.stringify(holds),
-      endsInMs: endsInMs === undefined ? '' : Math.round(endsInMs),
+      endsInMs,
       couldRunOn,
     }
     log.event('taskWaits', fields)
@@ -129,7 +136,7 @@
 
 /** Rules that hold a task, by count of targets, and the steady time when one ends, in ms. */
 interface FoundHolds {
-  holds: Wait['holds']
+  holds: Holds
   endsAt: number
 }
 
@@ -153,7 +160,7 @@
 }
 
 /** The hold that concerns most targets; `noTarget` where there is none. */
-function mostOf(holds: Wait['holds']): string {
+function mostOf(holds: WaitReport['holds']): string {
   const [first] = Object.entries(holds).sort(([, a], [, b]) => b - a)
   return first?.[0] ?? 'noTarget'
 }
