--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -13,6 +13,11 @@
 
 /** Wait without an explanation, in ms: callers and operators are told within a second. */
 const UNTOLD_MS = 1000
+/**
+ * Wait with room after which a job stands still, in ms: a job with nowhere else to go is tried
+ * on a target under suspicion after 1.5 s, and callers notice 3 s.
+ */
+const STALLED_MS = 2000
 /** Time between two lines about one job, in ms. */
 const TELL_EVERY_MS = 1000
 /**
@@ -110,7 +115,8 @@
       couldRunOn,
     }
     log.event('taskWaits', fields)
-    if (couldRunOn > 0 && !busy) log.event('jobStalled', fields)
+    const stalled = waitedMs >= STALLED_MS && couldRunOn > 0 && !busy
+    if (stalled) log.event('jobStalled', fields)
   }
 
   return {
