fix(ownership): a service whose epoch row cannot be read gets an owner again

Cause: a claim needs the last term, because every target fences a lower one; with a row of another writer there was none, and nothing of the service ran until somebody wrote the row by hand.

The earlier test that it is left alone at first stays as it is.

--- a/src/ownership/__tests__/ownership.spec.ts
+++ b/src/ownership/__tests__/ownership.spec.ts
@@ -4,7 +4,7 @@
 import { startOwnerNode } from '../../../test/ownerNodes.js'
 import type { OwnerNode } from '../../../test/ownerNodes.js'
 import { sleep } from '../../shared/index.js'
-import { FORGET_NODE_MS, NODE_LEASE_MS } from '../index.js'
+import { EPOCH_MEND_MS, FORGET_NODE_MS, NODE_LEASE_MS } from '../index.js'
 
 const SERVICES = ['a', 'b', 'c', 'd']
 
@@ -48,6 +48,31 @@
     await node.stop()
   })
 
+  // The service had no owner until somebody mended the row by hand.
+  it('takes it with a term above all before when nobody mends the row', async (t) => {
+    const table = createRowTable()
+    const key = { table: 'epochs', part: 'a', key: 'epoch' }
+    const node = startNode(table, 'n1')
+    while (!node.authorities.has('a')) await sleep(50)
+    const former = node.authorities.get('a')!
+    table.put(key, '{"holder":"n9","term":"12"}')
+    former.lost('a write was refused')
+    await sleep(EPOCH_MEND_MS - 1500)
+    t.false(node.authorities.has('a'))
+    await sleep(4000)
+    const next = node.authorities.get('a')!
+    t.true(next.term > former.term + 1_000_000)
+    t.true(next.term * 65_536 < Number.MAX_SAFE_INTEGER)
+    // Nothing says whose it was, so that one may still act.
+    t.true(next.predecessorMayLive)
+    const told = node.log.events.map(({ name }) => name)
+    t.is(told.filter((name) => name === 'rowInvalid').length, 1)
+    t.true(told.includes('rowRestored'))
+    const { term } = JSON.parse(table.get(key)!.value) as { term: number }
+    t.is(term, next.term)
+    await node.stop()
+  })
+
   // Found on scale-2: a node that was cut off took the fleet back as soon as it was back,
   // on rows that it had read before the cut.
   it('leaves services alone that were taken over while it was cut off', async (t) => {
--- a/src/ownership/constants.ts
+++ b/src/ownership/constants.ts
@@ -42,6 +42,11 @@
  * about the lease and this together.
  */
 export const GRACE_MS = 6000
+/**
+ * Time for which an epoch row that cannot be read is left alone, in ms: then the lease and the
+ * grace of whoever wrote the last one are over, if it was not mended by hand before.
+ */
+export const EPOCH_MEND_MS = NODE_LEASE_MS + GRACE_MS + TAKEOVER_MARGIN_MS
 /** Time between two checks for services without an owner, in ms. */
 export const CLAIM_STEP_MS = 150
 /** Each further candidate for a service waits so much longer, in ms: two claim steps. */
--- a/src/ownership/epochRow.ts
+++ b/src/ownership/epochRow.ts
@@ -22,6 +22,12 @@
   return epochSchema.safeParse(parseJson(value)).data
 }
 
+/**
+ * A term above all before, where the last one is not known: terms rise by one with each
+ * takeover, of which there is not one a second.
+ */
+export const termByClock = (): number => Math.floor(Date.now() / 1000)
+
 /** Where the epoch of a service lies. */
 export const epochKey = (service: string): RowKey => ({
   table: EPOCH_TABLE,
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -25,12 +25,19 @@
 import {
   CANDIDATE_STEP_MS,
   CLAIM_STEP_MS,
+  EPOCH_MEND_MS,
   NODE_LEASE_MS,
   RELEASE_PATIENCE_MS,
   SETTLE_MS,
   STORE_RETRY_MS,
 } from './constants.js'
-import { EPOCH_TABLE, decodeEpoch, isSameOwner, writeEpoch } from './epochRow.js'
+import {
+  EPOCH_TABLE,
+  decodeEpoch,
+  isSameOwner,
+  termByClock,
+  writeEpoch,
+} from './epochRow.js'
 import type { EpochRow } from './epochRow.js'
 import type { NodeRegistry } from './nodeRegistry.js'
 
@@ -90,6 +97,16 @@
     return seen.at
   }
 
+  /**
+   * Whether an epoch row that cannot be read has stood for so long that a term above all
+   * before may replace it. With a lower one every target would fence us; left alone for ever
+   * it would keep the service from having an owner.
+   */
+  function isLeftAloneLong(service: string, version: number): boolean {
+    unread.note(service, `nobody may own the service for ${EPOCH_MEND_MS} ms`)
+    return now() - epochSince(service, version) >= EPOCH_MEND_MS
+  }
+
   /** Takes a service, unless its holder may still have a right to it. */
   async function claim(service: string): Promise<void> {
     // What was seen of the others may be old: after a cut, say, or a long pause.
@@ -99,9 +116,9 @@
       return log.event('claimFailed', { service, reason: describeError(found.error) })
     const stored = found.value.rows[0]
     const before = stored && decodeEpoch(stored.value)
-    // Without its term, ours would not be the higher one, and targets would fence us.
-    if (stored && !before) return unread.note(service, 'nobody may own the service')
-    unread.clear(service)
+    const isUnread = stored !== undefined && before === undefined
+    if (isUnread && !isLeftAloneLong(service, stored.version)) return
+    if (!isUnread) unread.clear(service)
     // Its row may have been renewed since the changes were read.
     if (before && before.node !== '' && !(await registry.reread(before.node))) return
     const unownedMs =
@@ -112,25 +129,30 @@
       )
     if (before && !isHolderGone(registry, before, service, unownedMs)) return
     const sentAt = now()
-    const row: EpochRow = { node: id, life, term: (before?.term ?? 0) + 1 }
+    const lastTerm = isUnread ? termByClock() : (before?.term ?? 0)
+    const row: EpochRow = { node: id, life, term: lastTerm + 1 }
     const res = await writeEpoch(store, service, row, stored?.version ?? 0)
     if (res.isErr())
       return log.event('claimFailed', { service, reason: describeError(res.error) })
     if (!res.value.committed) return
     const { version } = res.value
     const confirmation = { confirmedAt: sentAt, confirming: false, lost: false }
-    await begin(service, { owner: undefined, version, row, ...confirmation }, before)
+    const taken: Held = { owner: undefined, version, row, ...confirmation }
+    if (isUnread) log.event('rowRestored', { table: EPOCH_TABLE, key: service })
+    await begin(service, taken, isUnread ? 'unknown' : before)
   }
 
   /** Starts what runs for a service that this node has just taken. */
   async function begin(
     service: string,
     each: Held,
-    before: EpochRow | undefined,
+    former: EpochRow | undefined | 'unknown',
   ): Promise<void> {
     held.set(service, each)
     unownedSince.delete(service)
-    const predecessorMayLive = mayPredecessorLive(registry, before)
+    const isUnknown = former === 'unknown'
+    const before = isUnknown ? undefined : former
+    const predecessorMayLive = isUnknown || mayPredecessorLive(registry, before)
     log.event('ownershipTaken', {
       service,
       term: each.row.term,
@@ -139,7 +161,9 @@
     })
     void registry.announce()
     const lost = (reason: string): void => void drop(service, reason)
-    const predecessorLeaseOverAt = leaseOverAt(registry, before, service, now())
+    const predecessorLeaseOverAt = isUnknown
+      ? now() + NODE_LEASE_MS
+      : leaseOverAt(registry, before, service, now())
     const predecessor = { predecessorMayLive, predecessorLeaseOverAt }
     const authority = { service, held: each, ...predecessor, now, lost }
     const owner = await opts.start(authorityOf(authority))
