fix(entry): an entry that was gone need not be asked when it is listed again

Cause: whether everyone had been asked was found anew each time; an entry that was taken for gone and came back would have counted as not asked, and nothing asked it any more. Change: an entry that is gone is left out for good: its memory went with its process. Measured: the case in once.spec fails without the change.

--- a/src/entry/__tests__/once.spec.ts
+++ b/src/entry/__tests__/once.spec.ts
@@ -20,9 +20,9 @@
 /** An id that names no hall, and whose home is hall a. */
 const PLAIN = 'w'
 const MEMORY_MS = 600_000
-/** Ids that were made 100 s after the entries first started. */
+/** Ids of one owner that were made 100 s after the entries first started. */
 const DATED = 'a.1700000100.z'
-const LATER = 'a.1700000100.y'
+const LATER = 'a.1700000100.c'
 
 /** Entries whose links can be cut and whose memory can be lost. */
 function createWorld() {
@@ -97,7 +97,10 @@
     join(id: string) {
       for (const other of ENTRIES) cut.delete(linkOf(id, other.id))
     },
-    setGone: (id: string) => gone.add(id),
+    setGone(id: string, isGone: boolean) {
+      if (isGone) gone.add(id)
+      else gone.delete(id)
+    },
     setLoseReplies: (lose: boolean) => (loseReplies = lose),
     /** Messages that asked for an id. */
     claims: () => claims,
@@ -322,8 +325,11 @@
 
     it('need not ask an entry that is gone', async (t) => {
       const { world, owner } = await cutFromHeir()
-      for (const { id } of ENTRIES) world.setGone(id)
+      for (const { id } of ENTRIES) world.setGone(id, true)
       t.is((await world.node(owner).begin(DATED, fresh())).kind, 'first')
+      // Its memory is gone, so that it need not be asked when it comes back either.
+      for (const { id } of ENTRIES) world.setGone(id, false)
+      t.is((await world.node(owner).begin(LATER, fresh())).kind, 'first')
     })
   })
 
--- a/src/entry/once.ts
+++ b/src/entry/once.ts
@@ -123,7 +123,10 @@
   let recovered = opts.firstLife
   let left = false
 
-  const hasAsked = () => recovered || [...unasked].every(opts.isGone)
+  function hasAsked(): boolean {
+    for (const entry of unasked) if (opts.isGone(entry)) unasked.delete(entry)
+    return recovered || unasked.size === 0
+  }
 
   /** Whether an id that is not in the book is new for certain, once everyone is asked. */
   function isSure(id: string): boolean {
