--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -1,11 +1,16 @@
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
 import { QUEUE, makeJob } from '../../../test/jobRig.js'
 import { createJobBook } from '../../jobs/index.js'
 import type { Task } from '../../jobs/index.js'
 import type { Authority } from '../../ownership/index.js'
 import type { TargetLink } from '../../ports/index.js'
-import { createMemoryLogger, createStopController, sleep } from '../../shared/index.js'
+import {
+  PlatformError,
+  createMemoryLogger,
+  createStopController,
+  sleep,
+} from '../../shared/index.js'
 import { createOrderSender } from '../orderSender.js'
 import { createTargetLease } from '../targetLease.js'
 import { createTargetRuns } from '../targetRuns.js'
@@ -16,7 +21,7 @@
 const ignore = (): void => undefined
 
 /** The sender of one target that answers slowly, and the orders that have reached it. */
-function startSender() {
+function startSender(answers: () => unknown = () => ok({ accepted: true, clockMs: 2 })) {
   const sent: string[] = []
   const log = createMemoryLogger()
   const authority = {
@@ -36,7 +41,7 @@
     async start({ task }: { task: string }) {
       sent.push(`start ${task.split('.').at(-1)}`)
       await sleep(ANSWER_MS)
-      return ok({ accepted: true, clockMs: 2 })
+      return answers()
     },
     async stop(task: string) {
       sent.push(`stop ${task.split('.').at(-1)}`)
@@ -143,4 +148,20 @@
     t.deepEqual(sent, ['start 0', 'stop 0'])
     t.is(runs.placements.size, 1)
   })
+
+  // Each of four starts for a silent target waited for the limits of those before it.
+  it('gives back what waits for a target that does not answer', async (t) => {
+    const cause = new PlatformError('no answer', {
+      props: { step: 'orders.start', peer: 't1', failure: 'unknown' },
+    })
+    const failure = { failure: 'unanswered', reason: 'no answer', cause }
+    const { sent, sender, book, runs, start, tasks } = startSender(() => err(failure))
+    const some = tasks(8)
+    for (const task of some) start(task)
+    await sender.idle()
+    t.true(sent.length < 8)
+    t.is(book.ready.size, 8 - sent.length)
+    t.is(runs.placements.size, sent.length)
+    t.true([...runs.placements.values()].every(({ state }) => state === 'unsure'))
+  })
 })
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -105,6 +105,14 @@
     return true
   }
 
+  /** Gives back what waits for a target that did not take a start, to be done elsewhere. */
+  function dropStarts(): void {
+    for (const { task } of waiting.start.splice(0)) {
+      const placement = runs.placements.get(task)
+      if (placement) giveBack(placement)
+    }
+  }
+
   /** The run of a start that is not sent never was. */
   function giveBack(placement: Placement): void {
     const { task, run } = placement
@@ -167,6 +175,7 @@
     const { name, run } = placement
     log.event('startFailed', { task: name, run, target: targetId, ...failureOf(error) })
     opts.pause(REFUSED_PAUSE_MS)
+    dropStarts()
     if (error.failure === 'unanswered') {
       placement.state = 'unsure'
       return opts.fenceUnanswered()
