fix(ownership): an owner's own newer epoch row is not taken for another owner's

An owner whose lease has run out writes its epoch row once more to see that nobody took over. Its other writes may be refused for the new version before the answer has come; the progress writer and the roster took that for another owner and dropped the service. Now whoever is refused looks whose epoch the row names. The stubs of two test rigs got the new method.

--- a/src/ownership/authority.ts
+++ b/src/ownership/authority.ts
@@ -1,7 +1,7 @@
 /** The right to act for a service, and what is started with it. */
-import type { RowCondition } from '../ports/index.js'
+import type { RowCondition, StoredRow } from '../ports/index.js'
 import { GRACE_MS, NODE_LEASE_MS } from './constants.js'
-import { epochKey } from './epochRow.js'
+import { epochKey, isSameOwner } from './epochRow.js'
 import type { EpochRow } from './epochRow.js'
 
 /** The right to act for a service. */
@@ -14,6 +14,12 @@
   readonly predecessorLeaseOverAt: number
   /** Condition that every durable write of the owner carries. */
   epoch(): RowCondition
+  /**
+   * Whether the rows that a refused write was shown have this owner's epoch. A newer version of
+   * it counts from then on: an owner that makes sure that nobody took over writes one, and its
+   * other writes may be refused for it before it has heard that it was done.
+   */
+  adoptEpoch(current: readonly StoredRow[]): boolean
   /** Whether orders may be given now. Asked right before each of them. */
   mayOrder(): boolean
   /** Whether the lease is confirmed, not only in its grace time. */
@@ -61,6 +67,15 @@
     predecessorMayLive: opts.predecessorMayLive,
     predecessorLeaseOverAt: opts.predecessorLeaseOverAt,
     epoch: () => ({ ...epochKey(service), version: held.version }),
+    adoptEpoch(current) {
+      const { table, part, key } = epochKey(service)
+      const row = current.find(
+        (each) => each.table === table && each.part === part && each.key === key,
+      )
+      if (held.lost || !row || !isSameOwner(row.value, held.row)) return false
+      held.version = Math.max(held.version, row.version)
+      return true
+    },
     mayOrder: () => !held.lost && now() < leaseEndsAt() + GRACE_MS,
     isConfirmed: () => !held.lost && now() < leaseEndsAt(),
     isLost: () => held.lost,
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -112,13 +112,12 @@
     opts.settled(job)
   }
 
-  /** After a conflict: an unanswered write of ours was done. False when it is the epoch. */
+  /** After a conflict: a write of ours was done. False when another owner's epoch is there. */
   function adoptVersions(jobs: Job[], current: StoredRow[]): boolean {
-    const epoch = authority.epoch()
+    if (!authority.adoptEpoch(current)) return false
     const versions = new Map(
       current.map((row) => [`${row.table}/${row.key}`, row.version]),
     )
-    if (versions.get(`${epoch.table}/${epoch.key}`) !== epoch.version) return false
     for (const job of jobs) {
       const { table, key } = progressKey(service, job.spec.id)
       job.progressVersion = versions.get(`${table}/${key}`) ?? 0
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -59,9 +59,8 @@
   async function writeOnce(): Promise<boolean> {
     const added = [...adding.values()].slice(0, MAX_BATCH)
     const removed = [...removing].slice(0, MAX_BATCH - added.length)
-    const epoch = authority.epoch()
     const res = await store.commit({
-      conditions: [epoch],
+      conditions: [authority.epoch()],
       puts: added.map(({ id, address }) => ({
         ...key(id),
         value: JSON.stringify({ address }),
@@ -73,7 +72,7 @@
       return false
     }
     if (!res.value.committed) {
-      if (authority.epoch().version === epoch.version) {
+      if (!authority.adoptEpoch(res.value.current)) {
         authority.lost('the epoch row has changed')
       }
       return false
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -65,6 +65,7 @@
     predecessorMayLive: false,
     predecessorLeaseOverAt,
     epoch: () => ({ ...EPOCH, version }),
+    adoptEpoch: () => false,
     mayOrder: () => state.confirmed,
     isLost: () => false,
     isConfirmed: () => state.confirmed,
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -166,6 +166,8 @@
         predecessorMayLive,
         predecessorLeaseOverAt: -Infinity,
         epoch: () => ({ ...EPOCH, version }),
+        adoptEpoch: (rows) =>
+          rows.some((row) => row.table === EPOCH.table && row.version === version),
         mayOrder: () => state.live,
         isConfirmed: () => state.live && state.confirmed,
         isLost: () => state.lostBecause !== undefined,
