revert(front): small calls of other nodes go through Connect's handler again

But it answered the calls by a protocol handler of our own beside connect-es, and outside the project's purpose a well-kept library is kept here also where it is slower.

--- a/src/front/nodeClients.ts
+++ b/src/front/nodeClients.ts
@@ -4,7 +4,7 @@
 import type { Client } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { NodeService } from '../peer/gen/node_pb.js'
-import { MAX_MESSAGE_BYTES } from './directCalls.js'
+import { MAX_MESSAGE_BYTES } from './ownerRoutes.js'
 
 /** Connections kept to one node, for calls that are under way at the same time. */
 const CONNECTIONS_PER_NODE = 8
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -6,22 +6,16 @@
 import { z } from 'zod'
 import { jobSchema } from '../jobs/index.js'
 import { NodeService } from '../peer/gen/node_pb.js'
-import type {
-  Answer,
-  AskRequest,
-  FleetReportRequest,
-  Question,
-  StoreCallRequest,
-} from '../peer/gen/node_pb.js'
+import type { Answer, Question } from '../peer/gen/node_pb.js'
 import type { ServiceOwner } from '../scheduler/index.js'
 import { serviceReportSchema } from '../vms/index.js'
 import type { FleetOwner } from '../vms/index.js'
 import { parseJson } from '../shared/index.js'
-import type { Logger } from '../shared/index.js'
 import { answerPeerCall } from '../storeAccess/index.js'
 import type { StoreAccess } from '../storeAccess/index.js'
-import { MAX_MESSAGE_BYTES, createDirectHandler, directCall } from './directCalls.js'
-import type { DirectCall } from './directCalls.js'
+
+/** Largest message, in bytes: a job of many steps with its text. */
+export const MAX_MESSAGE_BYTES = 1024 * 1024
 
 /** Finds owners on this node. */
 export interface LocalOwners {
@@ -76,50 +70,37 @@
   return { owns: true, ...ANSWERS[about.case](owner, about.value) }
 }
 
-/** What other nodes may call here, by what this node owns and how it reaches the store. */
-export interface NodeRoutes {
-  /** Calls that are answered at once. */
-  direct: DirectCall[]
-  /** All calls, for what is not plain and for those that take their time. */
-  all(router: ConnectRouter): void
-}
-
 /** Answers other nodes about the services that this node owns, and calls the store for them. */
-export function ownerRoutes(local: LocalOwners, access: StoreAccess): NodeRoutes {
-  const ask = ({ questions }: AskRequest) => ({
-    answers: questions.map((each) => answer(local, each)),
-  })
-
-  function fleetReport(req: FleetReportRequest) {
-    const report = serviceReportSchema.safeParse(parseJson(req.report))
-    const answer = report.success ? local.fleet()?.report(report.data) : undefined
-    if (!answer) return { taken: false, answer: '' }
-    return { taken: true, answer: JSON.stringify(answer) }
-  }
-
-  const storeCall = async (req: StoreCallRequest) => ({
-    answer: await answerPeerCall(access, req.call),
-  })
-
-  const { method } = NodeService
-  return {
-    direct: [directCall(method.ask, ask), directCall(method.fleetReport, fleetReport)],
-    all: (router) => router.service(NodeService, { ask, fleetReport, storeCall }),
-  }
+export function ownerRoutes(
+  local: LocalOwners,
+  access: StoreAccess,
+): (router: ConnectRouter) => void {
+  return (router) =>
+    router.service(NodeService, {
+      ask: ({ questions }) => ({
+        answers: questions.map((each) => answer(local, each)),
+      }),
+      fleetReport(req) {
+        const report = serviceReportSchema.safeParse(parseJson(req.report))
+        const answer = report.success ? local.fleet()?.report(report.data) : undefined
+        if (!answer) return { taken: false, answer: '' }
+        return { taken: true, answer: JSON.stringify(answer) }
+      },
+      async storeCall(req) {
+        return { answer: await answerPeerCall(access, req.call) }
+      },
+    })
 }
 
 /** Opens the port for other nodes. Rejects when it cannot be opened. */
 export async function listenForNodes(
   host: string,
   port: number,
-  routes: NodeRoutes,
-  log: Logger,
+  routes: (router: ConnectRouter) => void,
 ): Promise<Server> {
-  const others = connectNodeAdapter({
-    routes: routes.all,
-    readMaxBytes: MAX_MESSAGE_BYTES,
-  })
-  const server = createServer(createDirectHandler({ calls: routes.direct, others, log }))
+  const server = createServer(
+    connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES }),
+  )
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -111,8 +111,7 @@
       const clients = createNodeClients()
       const calls = createOwnerCalls({ registry, local, clients, log })
       const { address, node_port: port } = cfg.listen
-      const routes = ownerRoutes(local, access)
-      const server = await listenForNodes(address, port, routes, log)
+      const server = await listenForNodes(address, port, ownerRoutes(local, access))
       access.relayThrough(createStoreRelay(registry, clients, log))
       return { ...calls, server, clients }
     },
