--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -24,7 +24,8 @@
 import { createHeldJobs } from './heldJobs.js'
 import { createLifeCheck } from './lifeCheck.js'
 import { createNewJobs } from './newJobs.js'
-import { createRoomElsewhere } from './planner.js'
+import { moveBadRuns } from './moveBadRuns.js'
+import { createPaced } from './paced.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
 import { createRowRestorer } from './rowRestorer.js'
@@ -89,24 +90,11 @@
   const stopping = createStopController()
   const agents = new Map<string, TargetAgent>()
   const allAgents = (): TargetAgent[] => [...agents.values()]
-  let planned = false
-  let plannedAt = -Infinity
   let gateOpen = false
   let fleetAnswered = false
   const startedAt = monotonicMs()
 
-  const planOnce = (): void => {
-    planned = false
-    plannedAt = monotonicMs()
-    plan()
-  }
-
-  const wake = (): void => {
-    if (planned || stopping.signal.aborted) return
-    planned = true
-    if (monotonicMs() - plannedAt >= PLAN_GAP_MS) setImmediate(planOnce)
-    else setTimeout(planOnce, PLAN_GAP_MS)
-  }
+  const wake = createPaced(plan, PLAN_GAP_MS)
 
   const progress = createProgressWriter({
     store,
@@ -195,7 +183,6 @@
     log,
   }
   const starter = createStarter(shared)
-  const isSound = (agent: TargetAgent): boolean => health.standingOf(agent) === 'sound'
   const waitWatch = createWaitWatch({
     book,
     policyNow: starter.policyNow,
@@ -250,34 +237,13 @@
     starter.start(allAgents())
   }
 
-  /** Stops runs that stand still or crawl, where they get on sooner when they begin anew. */
-  function moveBadRuns(): void {
-    const all = allAgents()
-    const bad = health.sweep(all)
-    if (bad.length === 0) return
-    const room = createRoomElsewhere(all.filter(isSound), starter.policyNow(all))
-    for (const run of bad) {
-      const { agent, placement, task, anywhere } = run
-      if (placement.state !== 'running') continue
-      if (!room.claim(task.step, agent) && !anywhere) continue
-      log.event('runMoved', {
-        task: placement.name,
-        target: agent.target.id,
-        percent: placement.percent,
-        ranMs: Math.round(monotonicMs() - task.startedAt),
-      })
-      health.noteMoved(run)
-      agent.stop(placement.name)
-    }
-  }
-
   async function runHousekeeping(): Promise<void> {
     while (!stopping.signal.aborted) {
       book.markDue()
       closeLapsed({ agents: allAgents() })
       newJobs.takeOffered()
       emptyLeaving({ targets, agents: allAgents(), log })
-      moveBadRuns()
+      moveBadRuns({ agents: allAgents(), health, starter, log })
       waitWatch.look(allAgents())
       await lifeCheck.run(allAgents())
       wake()
