--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -45,6 +45,8 @@
    * @param listener `lapsed` is true when the lease had run out before it.
    */
   onRenewed(listener: (sentAt: number, lapsed: boolean) => void): void
+  /** Steady time of the last renewal of our row that was done, when it was sent, in ms. */
+  renewedAt(): number
   /** Reads the rows of the other nodes now; false when the store did not answer. */
   refresh(): Promise<boolean>
   /**
@@ -220,6 +222,7 @@
     isConnected: () => connected && now() - renewedAt < leaseMs,
     mayClaim: () => connected && now() - renewedAt < NODE_LEASE_MS,
     onRenewed: (listener) => void listeners.push(listener),
+    renewedAt: () => renewedAt,
     refresh: poll,
     async reread(other) {
       const row = await follower.readOne(other)
