--- a/src/shared/shapes.ts
+++ b/src/shared/shapes.ts
@@ -9,6 +9,8 @@
 /** Largest amount of a resource: a million cores in thousandths, or a million GB in MB. */
 const MAX_AMOUNT = 1e9
 const MAX_PORT = 65_535
+/** Longest entry of a target that is looked at, in characters; a usual one has about 250. */
+const MAX_ENTRY = 8192
 
 const HOST_AND_PORT = /^(?:\[[\da-f:.]+\]|[\w.-]+):(\d{1,5})$/i
 
@@ -32,3 +34,9 @@
 
 /** An amount of a resource. */
 export const amountSchema = z.number().min(0).max(MAX_AMOUNT)
+
+/** What is wrong with an entry of a target before its text is read; undefined when nothing is. */
+export function describeEntryProblem(id: string, text: string): string | undefined {
+  if (!idSchema.safeParse(id).success) return 'its key is not an id'
+  return text.length > MAX_ENTRY ? 'too long' : undefined
+}
