fix(playground): a port of a stand-in belongs to one process

Cause: ports were looked up by whether they were free, from a range by thread; two runs of the tests on one machine drew from the same range. A run that took a port while an entry of the other one was being replaced made that start fail (EADDRINUSE, 1 of 12 runs beside another run of this file), or got the requests that were meant for it (404). Change: a thread holds the first port of a block open as long as it lives, and takes its ports from that block.

--- /dev/null
+++ b/playground/__tests__/ports.spec.ts
@@ -0,0 +1,37 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import type { ExecutionContext } from 'ava'
+import { describe, it } from '../../test/describe.js'
+import { freePort } from '../ports.js'
+
+const PORTS_EACH = 20
+
+/** Prints its ports and stays until its input ends. */
+const PROGRAM = `
+  const { freePort } = await import(process.argv[1])
+  const ports = []
+  while (ports.length < ${PORTS_EACH}) ports.push(await freePort())
+  console.log(JSON.stringify(ports))
+  process.stdin.resume()
+`
+
+/** Ports that another process takes, which lives as long as the test. */
+async function portsOfProcess(t: ExecutionContext): Promise<number[]> {
+  const args = ['--input-type=module', '-e', PROGRAM, '--']
+  const module = new URL('../ports.js', import.meta.url).href
+  const child = spawn(process.execPath, [...args, module], {
+    stdio: ['pipe', 'pipe', 'inherit'],
+  })
+  t.teardown(() => child.stdin.end())
+  const [line] = (await once(child.stdout, 'data')) as [Buffer]
+  return JSON.parse(line.toString()) as number[]
+}
+
+describe('freePort', () => {
+  it('gives no port to two processes, nor twice to one', async (t) => {
+    const others = await Promise.all([1, 2, 3].map(() => portsOfProcess(t)))
+    const own = await Promise.all(Array.from({ length: PORTS_EACH }, () => freePort()))
+    const all = [...others.flat(), ...own]
+    t.is(new Set(all).size, PORTS_EACH * 4)
+  })
+})
--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -2,8 +2,6 @@
  * Brings up a platform, data halls with entries and keepers, and workers, all in this
  * process on loopback addresses. The playground and the end-to-end tests use it.
  */
-import { createServer } from 'node:net'
-import { threadId } from 'node:worker_threads'
 import { resolveConfig } from '../src/config/index.js'
 import type { ResolvedConfig, UserConfig } from '../src/config/index.js'
 import type { Kernel } from '../src/kernel/index.js'
@@ -17,6 +15,7 @@
 import { createSimFleet } from './fleet.js'
 import type { StandInPlatform } from './platform.js'
 import { startPlatform } from './platform.js'
+import { freePort } from './ports.js'
 import { createRandom } from './random.js'
 import type { Ledger, TargetBehaviour } from './target.js'
 
@@ -76,28 +75,6 @@
 const PORT_STEP_HALL = 100
 const PORT_STEP_NODE = 10
 
-/** Ports below those that the system gives out itself, apart for each test thread. */
-const FIRST_FREE_PORT = 12_000
-const PORTS_PER_THREAD = 300
-const THREAD_SLOTS = 60
-let nextPort = FIRST_FREE_PORT + (threadId % THREAD_SLOTS) * PORTS_PER_THREAD
-
-async function canListen(port: number): Promise<boolean> {
-  const server = createServer()
-  const listens = await new Promise<boolean>((resolve) => {
-    server.once('error', () => resolve(false))
-    server.listen(port, HOST, () => resolve(true))
-  })
-  await new Promise((resolve) => server.close(resolve))
-  return listens
-}
-
-async function freePort(): Promise<number> {
-  let port = nextPort++
-  while (!(await canListen(port))) port = nextPort++
-  return port
-}
-
 async function pickPorts(base: number, hall: number, node: number): Promise<Ports> {
   if (base === 0) {
     return { port: await freePort(), ops: await freePort(), peer: await freePort() }
