--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -38,6 +38,8 @@
   jobs: number
   runs: number
   longestStillMs: number
+  /** Share of the time in which bounds in time were checked. */
+  calmShare: number
   /** How often the soak's own process stood still. */
   ownStalls: number
 }
@@ -113,7 +115,11 @@
     orderWave: waves.orderWave,
   }
 
+  let looked = 0
+  let lookedInCalm = 0
   const looks = setInterval(() => {
+    looked++
+    if (calm.isCalm()) lookedInCalm++
     watch.look()
     waves.look()
   }, LOOK_MS)
@@ -146,6 +152,7 @@
     jobs: jobs.size,
     runs,
     longestStillMs: watch.longestMs(),
+    calmShare: Math.round((100 * lookedInCalm) / looked) / 100,
     ownStalls: calm.ownStalls(),
   }
   note('result', result)
