--- a/playground/soak/clients.ts
+++ b/playground/soak/clients.ts
@@ -120,16 +120,11 @@
     return JSON.stringify({ spec, steps: wireSteps })
   }
 
-  /** A node that just woke or lost the store may know less than callers; in calm none may. */
-  function mayFollow(job: JobView, state: string): boolean {
-    if (job.outcome === undefined || job.outcome === state) return true
-    return !FINAL.includes(state) && !calm.isCalm()
-  }
-
-  function checkState(job: JobView, state: string): void {
+  /** Checks a state against that which callers had been shown when they asked for it. */
+  function checkState(job: JobView, state: string, shown: string | undefined): void {
     const isRight = STATE_CHECKS[state]?.(job) ?? false
-    if (!isRight || !mayFollow(job, state)) {
-      report('wrong state', `${job.id} is shown ${state}, before ${job.outcome}`)
+    if (!isRight || (shown !== undefined && shown !== state)) {
+      report('wrong state', `${job.id} is shown ${state}, before ${shown}`)
     }
     if (FINAL.includes(state)) job.outcome = state
   }
@@ -153,8 +148,9 @@
       }
     },
     async ask(job) {
+      const shown = job.outcome
       const { status, state } = await call('GET', job)
-      if (status === 200) return checkState(job, String(state))
+      if (status === 200) return checkState(job, String(state), shown)
       const knownMs = performance.now() - (job.acceptedAt ?? Infinity)
       if (status === 410 && knownMs > VISIBLE_MS && calm.isCalm()) {
         report('accepted job unknown', `${job.id} after ${Math.round(knownMs)} ms`)
--- a/playground/soak/stillWatch.ts
+++ b/playground/soak/stillWatch.ts
@@ -76,17 +76,18 @@
     return now - last.at < LEASE_MS
   }
 
+  const isGone = (id: string): boolean => targets.every(({ vm }) => vm.target?.id !== id)
+
   /** Whether the owner may know of an end that its target did not live to have acknowledged. */
-  const mayBeDone = ({ ends }: TaskView, now: number): boolean =>
+  const mayBeDone = ({ ends }: TaskView): boolean =>
     ends.some(
-      ({ what, isListed, target }) =>
-        what === 'done' && isListed && !isKnown(target, now),
+      ({ what, isListed, target }) => what === 'done' && isListed && isGone(target),
     )
 
   const mayStart = (job: JobView, task: TaskView, now: number): boolean =>
     isTurnOf(job, task) &&
     !mayRun(task, now) &&
-    (job.isLasting || (countEnds(task, 'done', true) === 0 && !mayBeDone(task, now)))
+    (job.isLasting || (countEnds(task, 'done', true) === 0 && !mayBeDone(task)))
 
   /** Where a task of these could run, while none of them runs. */
   function look(job: JobView, tasks: TaskView[], key: string, now: number): void {
