--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -46,8 +46,6 @@
   add(entry: RosterEntry): void
   /** Its tasks are known to be dead. */
   remove(id: string): void
-  /** Removes inherited rows that cannot be read: whatever ran on their targets is over. */
-  removeUnread(): void
   stop(): void
 }
 
@@ -62,7 +60,9 @@
   const { store, authority, log } = opts
   const isRead = ({ address }: InheritedEntry): boolean => address !== undefined
   const durable = new Set(opts.entries.filter(isRead).map(({ id }) => id))
-  const unread = opts.entries.filter((each) => !isRead(each)).map(({ id }) => id)
+  const unread = new Set(
+    opts.entries.map(({ id }) => id).filter((id) => !durable.has(id)),
+  )
   const adding = new Map<string, RosterEntry>()
   const removing = new Set<string>()
   let running = false
@@ -77,9 +77,8 @@
   async function writeOnce(): Promise<boolean> {
     const added = [...adding.values()].slice(0, MAX_BATCH)
     const removed = [...removing].slice(0, MAX_BATCH - added.length)
-    const epoch = authority.epoch()
     const res = await store.commit({
-      conditions: [epoch],
+      conditions: [authority.epoch()],
       puts: added.map(({ id, address }) => ({
         ...key(id),
         value: JSON.stringify({ address }),
@@ -91,7 +90,7 @@
       return false
     }
     if (!res.value.committed) {
-      if (authority.epoch().version === epoch.version) {
+      if (!authority.adoptEpoch(res.value.current)) {
         authority.lost('the epoch row has changed')
       }
       return false
@@ -124,16 +123,11 @@
       void run()
     },
     remove(id) {
-      if (!durable.delete(id)) return
+      const isThere = durable.delete(id) || unread.delete(id)
+      if (!isThere) return
       removing.add(id)
       void run()
     },
-    removeUnread() {
-      for (const id of unread.splice(0)) {
-        if (!durable.has(id) && !adding.has(id)) removing.add(id)
-      }
-      void run()
-    },
     stop: () => void (stopped = true),
   }
 }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -27,6 +27,7 @@
 import { createRoomElsewhere } from './planner.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createRoster } from './roster.js'
+import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
 import { createStarter } from './starter.js'
 import { adoptJobs, leftoverProgress, readInheritedUntilDone } from './takeover.js'
@@ -35,6 +36,7 @@
 import { createTickets } from './tickets.js'
 import { urgencyOf } from './urgency.js'
 import { createWaitWatch } from './waitWatch.js'
+import type { WaitReport } from './waitWatch.js'
 
 /** The owner of a service, while it runs. */
 export interface ServiceOwner extends Owner {
@@ -50,6 +52,8 @@
   cancel(id: string): boolean
   /** Undefined when the job is not known here. */
   status(id: string): JobStatus | undefined
+  /** Why a job waits now; undefined when it does not, or is not known here. */
+  explain(id: string): WaitReport | undefined
   /** Jobs of the queue none of whose tasks has begun. */
   waiting(queue: string): number
   /** The targets of the service, as they are at this moment. */
@@ -149,6 +153,7 @@
   const unread = createUnreadRows(log, INTAKE_TABLE)
   const isGateOpen = (): boolean => gateOpen
   const held = createHeldJobs({ store, service, authority, book, log, isGateOpen })
+  const restorer = createRowRestorer({ store, authority, book, log })
   const newJobs = createNewJobs({
     store,
     service,
@@ -158,6 +163,7 @@
     held,
     unread,
     log,
+    spoilt: restorer.restore,
     taken: wake,
     arrived() {
       if (demand.hasGrown(book.open, monotonicMs())) opts.demandGrown()
@@ -231,9 +237,8 @@
 
   /** Lets inherited tasks start once every target of the predecessor has been settled. */
   function openGateOnceSettled(): void {
-    if (gateOpen || !follower.isSettled()) return
+    if (gateOpen || !allAgents().every((agent) => agent.isSettled())) return
     gateOpen = true
-    roster.removeUnread()
     log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
     book.openGate()
   }
@@ -289,6 +294,10 @@
       const job = book.jobs.get(id)
       return job && statusOf(job)
     },
+    explain(id) {
+      const job = book.jobs.get(id)
+      return job && waitWatch.explain(job, allAgents())
+    },
     waiting: (queue) => book.waiting(queue) + newJobs.offeredOf(queue),
     agents: allAgents,
     report: () =>
@@ -304,7 +313,8 @@
       roster.stop()
       await progress.stop(handOver)
       await Promise.all(allAgents().map((agent) => agent.close()))
-      await Promise.all([intake.stop(), housekeeping, finished.stop(), held.stop()])
+      const rows = [intake, finished, held, restorer]
+      await Promise.all([housekeeping, ...rows.map((each) => each.stop())])
     },
   }
 }
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -50,6 +50,11 @@
     'info',
     'a row that had the wrong shape can be read, or is gone',
   ),
+  rowRestored: spec(
+    'RS-4006',
+    'info',
+    'a row that another writer has spoilt is as before',
+  ),
   leaseTaken: spec('RS-5001', 'info', 'lease of the hall taken'),
   leaseLost: spec('RS-5002', 'warn', 'lease of the hall lost'),
   leaseReleased: spec('RS-5003', 'info', 'lease of the hall given up in a planned stop'),
@@ -176,6 +181,9 @@
   ),
   metricsNotServed: spec('RS-8045', 'warn', 'metrics cannot be served'),
   peerMessageRefused: spec('RS-6003', 'warn', 'message of a peer refused'),
+  onceMemoryNotLeft: spec('RS-6004', 'warn', 'memory of requests was left with no peer'),
+  onceMemoryNotGiven: spec('RS-6005', 'warn', 'peer was not heard on left memory'),
+  onceMemoryMissing: spec('RS-6006', 'warn', 'memory of requests is not whole'),
 } as const satisfies Record<string, EventSpec>
 
 /** Name of an event in the catalogue. */
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -66,6 +66,7 @@
     predecessorMayLive: false,
     predecessorLeaseOverAt,
     epoch: () => ({ ...EPOCH, version }),
+    adoptEpoch: () => false,
     mayOrder: () => state.confirmed,
     isLost: () => false,
     isConfirmed: () => state.confirmed,
