--- a/playground/soak/jobBook.ts
+++ b/playground/soak/jobBook.ts
@@ -71,9 +71,13 @@
     (other) => !steps[step]!.after.includes(other.step) || countEnds(other, 'done') > 0,
   )
 
-/** Whether a task has used up its attempts, as its owner knows: the job is over. */
-export const isSpent = ({ tasks, queue, isLasting }: JobView): boolean =>
-  !isLasting && tasks.some((task) => countEnds(task, 'failed', true) >= queue.maxAttempts)
+/** Whether a task has used up its attempts as far as its owner may know: the job is over. */
+export const isSpent = ({ tasks, queue, isLasting }: JobView): boolean => {
+  const isHeardFailure = ({ what, isListed }: EndView) => what === 'failed' && isListed
+  const isUsedUp = ({ ends }: TaskView) =>
+    ends.filter(isHeardFailure).length >= queue.maxAttempts
+  return !isLasting && tasks.some(isUsedUp)
+}
 
 /** Takes a start, an end or the word of an end over from a target. */
 export function noteEntry(task: TaskView, entry: WatchedEntry): void {
