--- a/src/scheduler/__tests__/lateOwner.spec.ts
+++ b/src/scheduler/__tests__/lateOwner.spec.ts
@@ -106,3 +106,39 @@
     })
   })
 })
+
+describe('owner that has just taken over', () => {
+  /** A job whose owner is gone, and whose successor knows the target. */
+  async function startInherited() {
+    const rig = createJobRig()
+    rig.addTarget('t1')
+    const first = await rig.own()
+    await sleep(300)
+    first.live = false
+    await first.stop(false)
+    const job = makeJob({ ms: 20_000, cpu: 1000 }, [{ count: 2 }])
+    rig.table.put(intakeKey(job.queue, job.id), encodeJob(job))
+    return { rig, job }
+  }
+
+  // Tasks were started 5 s after their job's cancel: it came while the new owner read, the
+  // entries told the former one, and the new one started before its first look.
+  it('starts nothing that was cancelled while it read', async (t) => {
+    const { rig, job } = await startInherited()
+    rig.table.faults.delayMs = CALL_MS
+    const owner = await rig.own()
+    rig.table.put(cancelKey(job.queue, job.id), '{}')
+    t.true(await until(() => owner.status(job.id) === 'cancelled', KNOWN_MS))
+    await sleep(200)
+    t.deepEqual(rig.ledger.entries, [])
+    await rig.stop()
+  })
+
+  it('starts what it has inherited all the same when the store is gone', async (t) => {
+    const { rig } = await startInherited()
+    await rig.own()
+    rig.table.faults.down = true
+    t.true(await until(() => rig.ledger.entries.length === 2, 6000))
+    await rig.stop()
+  })
+})
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -56,6 +56,11 @@
  * been on its way for 0.4 s.
  */
 export const FLEET_ANSWER_WAIT_MS = 1100
+/**
+ * Longest wait of a new owner for its first look at the changes of the intake, in ms: one call,
+ * which takes a second on a full processor. Without the store inherited tasks go on after it.
+ */
+export const FIRST_LOOK_WAIT_MS = 4000
 /**
  * Time for which the list must have been read without a gap before a target that it does
  * not show counts as leaving, in ms: entries that lapsed in an outage of the store are back
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -10,7 +10,12 @@
 import { createStopController, monotonicMs, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { FleetAnswer, ServiceReport } from '../vms/types.js'
-import { FLEET_ANSWER_WAIT_MS, HOUSEKEEPING_MS, PLAN_GAP_MS } from './constants.js'
+import {
+  FIRST_LOOK_WAIT_MS,
+  FLEET_ANSWER_WAIT_MS,
+  HOUSEKEEPING_MS,
+  PLAN_GAP_MS,
+} from './constants.js'
 import { createDemandMeter } from './demand.js'
 import { followFleetAnswer } from './evacuation.js'
 import { createFinishedJobs } from './finishedJobs.js'
@@ -202,6 +207,15 @@
     return monotonicMs() - startedAt < FLEET_ANSWER_WAIT_MS
   }
 
+  /**
+   * Whether what came while the takeover read is still unknown, cancels of inherited jobs above
+   * all: the predecessor may have been told of them, and not been the owner any more.
+   */
+  function mayMissCancels(): boolean {
+    if (Number.isFinite(intake.freshAt())) return false
+    return monotonicMs() - startedAt < FIRST_LOOK_WAIT_MS
+  }
+
   /** Lets inherited tasks start once every target of the predecessor has been settled. */
   function openGateOnceSettled(): void {
     if (gateOpen || !allAgents().every((agent) => agent.isSettled())) return
@@ -212,7 +226,7 @@
 
   function plan(): void {
     if (stopping.signal.aborted || !authority.mayOrder()) return
-    if (mayLoseVms()) return
+    if (mayLoseVms() || mayMissCancels()) return
     openGateOnceSettled()
     startTasks(allAgents())
   }
