fix(scheduler): a held job waits for the gate and a lease, and hears of its cancelling

Found by reading it through. A job that was taken on again just before the gate of a takeover opened was let through with the others, before anybody knew what ran of it; one on a silent target was let through after 2 s, while its lease lasted.

--- a/src/scheduler/heldJobs.ts
+++ b/src/scheduler/heldJobs.ts
@@ -16,10 +16,19 @@
   sleep,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import { HELD_LOOK_MS, HELD_READS, SYNC_WAIT_MS } from './constants.js'
+import {
+  CLOCK_SKEW,
+  HELD_LOOK_MS,
+  HELD_READS,
+  LEASE_MARGIN_MS,
+  TASK_LEASE_MS,
+} from './constants.js'
 
-/** Time after which every target that answers has reported since a job was added, in ms. */
-const REPORTED_MS = 2 * SYNC_WAIT_MS
+/**
+ * Time after which all that runs of a job is known that was just added, in ms: targets that
+ * answer have told it, and the leases of those that do not are over.
+ */
+const RUNS_KNOWN_MS = TASK_LEASE_MS * (1 + CLOCK_SKEW) + LEASE_MARGIN_MS
 
 /** The held jobs of one service. */
 export interface HeldJobs {
@@ -60,7 +69,7 @@
     held.delete(spec.id)
     const known = progress && row ? { progress, version: row.version } : {}
     const job = book.add(spec, { ...known, gated: true })
-    opening.set(job, monotonicMs() + REPORTED_MS)
+    opening.set(job, monotonicMs() + RUNS_KNOWN_MS)
     log.event('jobTaken', { job: spec.id, queue: spec.queue, service })
   }
 
@@ -89,7 +98,6 @@
 
   /** Lets the tasks of jobs start that were taken on a while ago. */
   function openDue(): void {
-    if (!opts.isGateOpen()) return
     for (const [job, at] of opening) {
       if (monotonicMs() < at) continue
       opening.delete(job)
@@ -97,10 +105,13 @@
     }
   }
 
+  /** The gate opens for all jobs that wait at it: none may be added a moment before. */
+  const mayTakeOn = (): boolean => authority.isConfirmed() && opts.isGateOpen()
+
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       await sleep(HELD_LOOK_MS, stopping.signal)
-      if (stopping.signal.aborted || !authority.isConfirmed()) continue
+      if (stopping.signal.aborted || !mayTakeOn()) continue
       for (const spec of nextToLook()) await look(spec)
       openDue()
     }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -197,7 +197,7 @@
     progress,
     changed: wake,
   })
-  adoptJobs(book, held, inherited)
+  adoptJobs(book, held, inherited, newJobs.cancel)
   for (const job of book.jobs.values()) if (job.durableOutcome) finished.add(job)
   finished.addLeftover(leftoverProgress(inherited))
   demand.inherited(book.jobs, monotonicMs(), Date.now())
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -232,14 +232,19 @@
  * Adds the predecessor's jobs; their tasks wait until its targets have been heard. A job
  * without its progress would run anew what is done: it is held.
  */
-export function adoptJobs(book: JobBook, held: HeldJobs, inherited: Inherited): void {
+export function adoptJobs(
+  book: JobBook,
+  held: HeldJobs,
+  inherited: Inherited,
+  cancel: (id: string) => void,
+): void {
   const { jobs, progress, progressUnread, unread } = inherited
   for (const id of unread) held.hold(id)
   for (const job of jobs) {
     if (progressUnread.has(job.id)) held.hold(job.id, job)
     else book.add(job, { ...progress.get(job.id), gated: true })
   }
-  for (const id of inherited.cancels) if (!held.cancel(id)) book.cancel(id)
+  for (const id of inherited.cancels) cancel(id)
 }
 
 /** Ids of progress rows whose jobs have left the intake, so that nobody needs them. */
