--- a/src/scheduler/__tests__/takeover.spec.ts
+++ b/src/scheduler/__tests__/takeover.spec.ts
@@ -10,7 +10,8 @@
   createUnreadRows,
   sleep,
 } from '../../shared/index.js'
-import { createIntakeReading, readInheritedUntilDone } from '../takeover.js'
+import { createIntakeReading } from '../intakeReading.js'
+import { readInheritedUntilDone } from '../takeover.js'
 
 const startUnread = () => createUnreadRows(createMemoryLogger(), INTAKE_TABLE)
 
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -14,8 +14,8 @@
 import { FLUSH_RETRY_MS, INTAKE_POLL_MS } from './constants.js'
 import type { DemandMeter } from './demand.js'
 import type { HeldJobs } from './heldJobs.js'
-import { createPartsReading, intakeVersion } from './takeover.js'
-import type { IntakeHandler } from './takeover.js'
+import { createPartsReading, intakeVersion } from './intakeReading.js'
+import type { IntakeHandler } from './intakeReading.js'
 
 /**
  * Refused jobs that are remembered at most; callers that come back within seconds are some
