fix(soak): a link is harmed for as long as it is, looked at or not

The time of the last harm was noted only when somebody asked, and nobody asks for a target that drains: seed 45 failed again.

--- a/playground/soak/faultLink.ts
+++ b/playground/soak/faultLink.ts
@@ -82,7 +82,10 @@
     join(near, far, 'up')
     join(far, near, 'down')
   })
-  const timer = setInterval(() => pipes.forEach((pipe) => pipe.flush()), STEP_MS)
+  const timer = setInterval(() => {
+    if (link.delayMs > 0 || link.cut.size > 0) noteHarm()
+    pipes.forEach((pipe) => pipe.flush())
+  }, STEP_MS)
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
   const { port } = server.address() as { port: number }
 
@@ -99,10 +102,7 @@
       noteHarm()
       for (const pipe of pipes) pipe.isSilent = true
     },
-    harmedAt() {
-      if (link.delayMs > 0 || link.cut.size > 0) noteHarm()
-      return harmedAt
-    },
+    harmedAt: () => harmedAt,
     close() {
       clearInterval(timer)
       server.close()
