fix(scheduler): rows of new targets are written again while the store is silent

Change: new targets are written once more after 0.4 s without an answer, three writes at a time at most. Removals are in the first of them only.

--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -17,6 +17,14 @@
 import { FLUSH_RETRY_MS } from './constants.js'
 
 export const ROSTER_TABLE = 'roster'
+/**
+ * Time without an answer after which new targets are written once more beside the first write,
+ * in ms, and writes at the same time. A store that loses answers is silent for 1.5 s a call,
+ * and nothing starts on a target before its row is known to be there: with a third of the
+ * answers lost, jobs waited up to 7 s for the rows of VMs that had come for them.
+ */
+const HEDGE_MS = 400
+const MAX_WRITES = 3
 /** Rows per write, of the store's 100 with the epoch's condition. */
 const MAX_BATCH = 90
 
@@ -74,9 +82,9 @@
     key: id,
   })
 
-  async function writeOnce(): Promise<boolean> {
+  async function writeOnce(removals: readonly string[] = []): Promise<boolean> {
     const added = [...adding.values()].slice(0, MAX_BATCH)
-    const removed = [...removing].slice(0, MAX_BATCH - added.length)
+    const removed = removals.slice(0, MAX_BATCH - added.length)
     const res = await store.commit({
       conditions: [authority.epoch()],
       puts: added.map(({ id, address }) => ({
@@ -104,13 +112,27 @@
     return true
   }
 
+  /**
+   * Writes what is new, again while there is no answer; to add a row twice does no harm. Whether
+   * one of the writes was done.
+   */
+  async function write(): Promise<boolean> {
+    const writes = [writeOnce([...removing])]
+    while (adding.size > 0 && writes.length < MAX_WRITES) {
+      const done = await Promise.race([...writes, sleep(HEDGE_MS)])
+      if (done !== undefined) return done
+      if (adding.size > 0 && !stopped) writes.push(writeOnce())
+    }
+    return Promise.race(writes)
+  }
+
   async function run(): Promise<void> {
     if (running) return
     running = true
     // Targets come in groups: wait a turn so that one write carries them all.
     await sleep(0)
     while (!stopped && (adding.size > 0 || removing.size > 0)) {
-      if (!(await writeOnce())) await sleep(jittered(FLUSH_RETRY_MS))
+      if (!(await write())) await sleep(jittered(FLUSH_RETRY_MS))
     }
     running = false
   }
