fix(scheduler): lost stops, last attempts, and evidence from before a target turned bad

Found by a review of the mend by someone who had not seen it; each path was brought about there. - A stop without an answer is ordered again while the run is listed, and a stopped start that went unanswered gives its room back: both held room for ever, and a job with such a run was never tried or told. - A task with its last attempt waits for a sound target only where one can take it, 2.5 s at most. - The exchange leaves a pool its last VM, and does not count those that are leaving. - Ends and runs from before a step's failure, or a run's start, do not prove a target. Paces are grouped once a look. A run that goes on after its task has used up its attempts is stopped.

--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -153,6 +153,8 @@
     counted.failedRuns.add(run)
     const { maxAttempts } = opts.rulesOf(job.spec.queue)
     if (counted.failedRuns.size < maxAttempts) return
+    // The end of an earlier run may use the attempts up while a later one runs elsewhere.
+    if (task.phase === 'placed' && task.run !== run) opts.dropped(task)
     leave(task)
     task.phase = 'failed'
     finish(job, 'failed', `${task.name} failed ${counted.failedRuns.size} times`)
--- a/src/scheduler/__tests__/standingJobs.spec.ts
+++ b/src/scheduler/__tests__/standingJobs.spec.ts
@@ -185,12 +185,30 @@
     await sleep(100)
     for (const job of jobs) rig.submit(owner, job)
     await sleep(4000)
+    // Judged slow, or there would be nothing to keep from being stopped.
+    t.deepEqual(rig.suspects(), ['t1'])
     for (const job of jobs) {
       const stops = entriesOf(rig, job).filter(({ what }) => what === 'stopped')
       t.deepEqual(stops, [])
     }
   })
 
+  it('are tried with their last attempt too, where the sound targets cannot take them', async (t) => {
+    const rig = startRig(t)
+    const bad = rig.addTarget('t1', { labels: ['r1-1', 'x'] })
+    rig.addTarget('t2')
+    const owner = await rig.own()
+    bad.faults.failsAll = true
+    const since = monotonicMs()
+    const jobs = [0, 1, 2].map(() =>
+      makeJob({ ms: 40, cpu: 400 }, [{ count: 2, label: 'x' }]),
+    )
+    for (const job of jobs) rig.submit(owner, job)
+    t.true(await rig.settled(jobs, 10_000))
+    for (const job of jobs)
+      t.true(longestStandstill(rig, job, since) < LONGEST_STANDSTILL_MS)
+  })
+
   it('go elsewhere after a failure', async (t) => {
     const rig = startRig(t)
     const bad = rig.addTarget('t1')
--- a/src/scheduler/badRuns.ts
+++ b/src/scheduler/badRuns.ts
@@ -38,6 +38,8 @@
  * it has done, and one whose fault is not known tells by being slow again.
  */
 const MAX_SLOW_MOVES: Record<Verdict, number> = { target: 2, unclear: 1, job: 0 }
+/** Targets on which a step was slow that are kept: some tell as much as all. */
+const MAX_BAD_ON = 8
 /** Time for which the speed of a run that is done speaks for its target, in ms. */
 const RECENT_MS = 8000
 /** Runs done that are kept for each target. */
@@ -69,9 +71,20 @@
   agent: TargetAgent
   /** How fast it gets on; 1 is usual for its queue. */
   pace: number
+  /** Steady times of its start and of what is known of it, in ms. */
+  startedAt: number
   at: number
 }
 
+/** A run of a step, by its start. */
+type Since = Pick<Task, 'step' | 'startedAt'>
+
+/** How fast runs get on, grouped once a look: each run is compared with few. */
+interface Paces {
+  byAgent: Map<TargetAgent, Pace[]>
+  byStep: Map<Step, Pace[]>
+}
+
 /** Whose fault it is that a run is slow. */
 type Verdict = 'target' | 'job' | 'unclear'
 
@@ -128,7 +141,7 @@
     const ranMs = reportedAt - task.startedAt
     if (ranMs < SPEED_AFTER_MS || !runTimes.knows(task.step)) return undefined
     const pace = (percent * runTimes.meanOf(task.step)) / (100 * ranMs)
-    return { step: task.step, agent, pace, at: reportedAt }
+    return { step: task.step, agent, pace, startedAt: task.startedAt, at: reportedAt }
   }
 
   const pacesOn = (agent: TargetAgent): Pace[] =>
@@ -137,34 +150,40 @@
   const recentlyDone = (agent: TargetAgent): Pace[] =>
     (done.get(agent) ?? []).filter(({ at }) => monotonicMs() - at < RECENT_MS)
 
-  /** How other jobs, that are not long by nature, get on there. */
-  const othersOn = (agent: TargetAgent, step: Step, all: Pace[]): Pace[] =>
-    all.filter(
-      (each) =>
-        each.agent === agent && each.step.job !== step.job && !longSteps.has(each.step),
+  /**
+   * How other jobs, that are not long by nature, have got on there since a run began: what was
+   * done before says nothing of a target that has turned slow.
+   */
+  const othersOn = (agent: TargetAgent, run: Since, all: Paces): Pace[] =>
+    (all.byAgent.get(agent) ?? []).filter(
+      ({ step, at }) =>
+        at >= run.startedAt && step.job !== run.step.job && !longSteps.has(step),
     )
 
   const isUsualFor = (others: Pace[]): boolean =>
     others.length > 0 && medianOf(others) >= USUAL_PACE
 
   /** Whether the step is as bad on another target, where other jobs get on as usual. */
-  const isBadWhereOthersAreNot = (step: Step, agent: TargetAgent, all: Pace[]): boolean =>
-    [...(badOn.get(step) ?? [])].some(
-      (other) => other !== agent && isUsualFor(othersOn(other, step, all)),
+  const isBadWhereOthersAreNot = (run: Since, agent: TargetAgent, all: Paces): boolean =>
+    [...(badOn.get(run.step) ?? [])].some(
+      (other) => other !== agent && isUsualFor(othersOn(other, run, all)),
     )
 
   /** Whose fault it is that a step is slow on a target. */
-  function judge({ step, pace, agent }: Pace, all: Pace[]): Verdict {
+  function judge(run: Pace, all: Paces): Verdict {
+    const { step, pace, agent } = run
     if (longSteps.has(step)) return 'job'
-    const elsewhere = all.filter((each) => each.step === step && each.agent !== agent)
+    const ofStep = all.byStep.get(step) ?? []
+    const elsewhere = ofStep.filter((each) => each.agent !== agent)
     if (elsewhere.some((each) => each.pace >= pace * FASTER)) return 'target'
-    const others = othersOn(agent, step, all)
+    const others = othersOn(agent, run, all)
     if (others.length > 0) return isUsualFor(others) ? 'job' : 'target'
-    return isBadWhereOthersAreNot(step, agent, all) ? 'job' : 'unclear'
+    return isBadWhereOthersAreNot(run, agent, all) ? 'job' : 'unclear'
   }
 
   function noteBad(step: Step, agent: TargetAgent): void {
-    badOn.set(step, (badOn.get(step) ?? new Set()).add(agent))
+    const known = badOn.get(step) ?? new Set()
+    if (known.size < MAX_BAD_ON) badOn.set(step, known.add(agent))
   }
 
   /** Whether the rest takes longer than the whole would elsewhere, and its way there. */
@@ -175,7 +194,7 @@
   }
 
   /** Runs on one target that are slow through no fault of their own. */
-  function slowRuns(agent: TargetAgent, all: Pace[]): SlowRun[] {
+  function slowRuns(agent: TargetAgent, all: Paces): SlowRun[] {
     const found: SlowRun[] = []
     for (const placement of agent.placements.values()) {
       const { task, percent } = placement
@@ -190,15 +209,15 @@
     return found
   }
 
-  function stalledRuns(agent: TargetAgent, all: Pace[]): StalledRun[] {
+  function stalledRuns(agent: TargetAgent, all: Paces): StalledRun[] {
     const found: StalledRun[] = []
     for (const placement of agent.placements.values()) {
       const { task, state, reportedAt } = placement
       if (!task || state !== 'running' || reportedAt === 0) continue
       const ms = isJudged(task.step) ? stalledMs(placement, task) : 0
       if (ms === 0) continue
-      const othersGetOn = isUsualFor(othersOn(agent, task.step, all))
-      const ownFault = othersGetOn && isBadWhereOthersAreNot(task.step, agent, all)
+      const othersGetOn = isUsualFor(othersOn(agent, task, all))
+      const ownFault = othersGetOn && isBadWhereOthersAreNot(task, agent, all)
       const anywhere = othersGetOn || ms > ANEW_AFTER_MS
       found.push({ agent, placement, task, anywhere, ownFault })
       noteBad(task.step, agent)
@@ -206,7 +225,7 @@
     return found
   }
 
-  function sweepOne(agent: TargetAgent, all: Pace[]): BadRun[] {
+  function sweepOne(agent: TargetAgent, all: Paces): BadRun[] {
     const stalled = stalledRuns(agent, all)
     const slow = slowRuns(agent, all).filter(
       (run) => !stalled.some(({ placement }) => placement === run.placement),
@@ -233,16 +252,16 @@
       if (!isJudged(step) || !runTimes.knows(step)) return false
       const at = monotonicMs()
       const pace = runTimes.meanOf(step) / Math.max(1, at - task.startedAt)
-      const recent = [...recentlyDone(agent), { step, agent, pace, at }]
+      const { startedAt } = task
+      const recent = [...recentlyDone(agent), { step, agent, pace, startedAt, at }]
       done.set(agent, recent.slice(-RECENT_RUNS))
       return pace < SLOW_PACE
     },
     sweep(agents) {
       const answering = agents.filter((agent) => agent.isAnswering())
-      const all = answering.flatMap((agent) => [
-        ...pacesOn(agent),
-        ...recentlyDone(agent),
-      ])
+      const all = groupPaces(
+        answering.flatMap((agent) => [...pacesOn(agent), ...recentlyDone(agent)]),
+      )
       const found = answering.flatMap((agent) => sweepOne(agent, all))
       suspicion.pardon((step) => longSteps.has(step))
       return found
@@ -255,6 +274,22 @@
 /** Whether a run of the step can be judged by how far it gets: it ends by itself, alone. */
 const isJudged = ({ spec }: Step): boolean => !spec.lasting && !spec.gang && !spec.fills
 
+function groupPaces(paces: Pace[]): Paces {
+  const byAgent = new Map<TargetAgent, Pace[]>()
+  const byStep = new Map<Step, Pace[]>()
+  for (const pace of paces) {
+    addTo(byAgent, pace.agent, pace)
+    addTo(byStep, pace.step, pace)
+  }
+  return { byAgent, byStep }
+}
+
+function addTo<K>(groups: Map<K, Pace[]>, key: K, pace: Pace): void {
+  const group = groups.get(key)
+  if (group) group.push(pace)
+  else groups.set(key, [pace])
+}
+
 function medianOf(paces: Pace[]): number {
   const sorted = paces.map(({ pace }) => pace).sort((a, b) => a - b)
   return sorted[Math.floor(sorted.length / 2)] ?? 0
--- a/src/scheduler/suspectPolicy.ts
+++ b/src/scheduler/suspectPolicy.ts
@@ -5,6 +5,8 @@
  */
 import type { Job, Step } from '../jobs/index.js'
 import type { Health } from './health.js'
+import { OPEN_POLICY, stepHoldOf } from './placementRules.js'
+import type { PlacementView } from './placementRules.js'
 import type { TargetAgent } from './targetAgent.js'
 
 /**
@@ -13,6 +15,11 @@
  * (1.5 s on its way), and does not spend a job's attempts within a second.
  */
 export const TRY_AFTER_MS = 1500
+/**
+ * The same for a task with one attempt left, in ms, while a sound target that could take it is
+ * full: late enough for that one to have room, and still before a caller notices.
+ */
+const LAST_TRY_AFTER_MS = 2500
 /**
  * Doublings of the tasks that a job has tried at once, one more with each try: a job that fails
  * by itself in a pool without any other target would take minutes to use up its attempts.
@@ -48,9 +55,7 @@
 export function createSuspectRound(input: SuspectRoundInput): SuspectRound {
   const { health, agents, now } = input
   const anySuspect = agents.some((agent) => health.standingOf(agent) !== 'sound')
-  const anySound = agents.some(
-    (agent) => agent.isUsable() && health.standingOf(agent) === 'sound',
-  )
+  const soundFor = new Map<Step, boolean>()
   /** Tasks that the round may still try of the jobs of which it has tried some. */
   const triesLeft = new Map<Job, number>()
   const onTrial = new Set<TargetAgent>()
@@ -59,13 +64,28 @@
   const isLastAttempt = ({ tasks, job }: Step): boolean =>
     tasks.some((task) => task.failedRuns.size + 1 >= input.maxAttemptsOf(job))
 
+  /** Whether a sound target could take the step once it is empty. */
+  function hasSoundTarget(step: Step): boolean {
+    const known = soundFor.get(step)
+    if (known !== undefined) return known
+    const found = agents.some(
+      (agent) =>
+        agent.isUsable() &&
+        health.standingOf(agent) === 'sound' &&
+        stepHoldOf(emptyViewOf(agent), step, OPEN_POLICY) === undefined,
+    )
+    soundFor.set(step, found)
+    return found
+  }
+
   function mayTry(step: Step): boolean {
     const { job } = step
     // Where no target is to blame, waiting only puts off what its caller is to be told.
     if (anySuspect && health.failsByItself(step)) return true
     if (!anySuspect || job.placed > 0 || triesLeft.get(job) === 0) return false
-    if (now - idleSinceOf(step) < TRY_AFTER_MS) return false
-    return !anySound || !isLastAttempt(step)
+    const idleMs = now - idleSinceOf(step)
+    if (idleMs < TRY_AFTER_MS) return false
+    return idleMs >= LAST_TRY_AFTER_MS || !isLastAttempt(step) || !hasSoundTarget(step)
   }
 
   function noteTry(job: Job): void {
@@ -92,6 +112,13 @@
   }
 }
 
+/** The target as it would be with nothing on it. */
+const emptyViewOf = (agent: TargetAgent): PlacementView => ({
+  agent,
+  free: agent.room.capacity,
+  countOf: () => 0,
+})
+
 /** Since when the step could run and its job runs nothing. */
 const idleSinceOf = ({ job, tasks }: Step): number => {
   const firstReady = tasks.find(({ phase }) => phase === 'ready')
--- a/src/scheduler/suspicion.ts
+++ b/src/scheduler/suspicion.ts
@@ -57,6 +57,8 @@
 }
 
 interface End {
+  /** Rises with each end. */
+  number: number
   at: number
   step: Step
   failed: boolean
@@ -77,7 +79,8 @@
 interface StepRecord {
   anyDone: boolean
   failures: number
-  failedOn: Set<TargetAgent>
+  /** Number of the end with which it first failed on a target. */
+  failedOn: Map<TargetAgent, number>
   /** Whether it has once been seen to fail by itself. */
   ownFault: boolean
 }
@@ -86,6 +89,7 @@
 export function createSuspicion(log: Logger): Suspicion {
   const records = new Map<TargetAgent, TargetRecord>()
   const steps = new WeakMap<Step, StepRecord>()
+  let lastEnd = 0
   const failures = new WeakMap<Task, Set<TargetAgent>>()
 
   function recordOf(agent: TargetAgent): TargetRecord {
@@ -109,17 +113,22 @@
     const record: StepRecord = {
       anyDone: false,
       failures: 0,
-      failedOn: new Set(),
+      failedOn: new Map(),
       ownFault: false,
     }
     steps.set(step, record)
     return record
   }
 
-  /** Whether steps that can be done are done there, as far as is known. */
-  function isProven(agent: TargetAgent): boolean {
+  /**
+   * Whether steps that can be done are done there, as far as is known. What was done before
+   * the failure in question says nothing of a target that has turned bad since.
+   */
+  function isProven(agent: TargetAgent, after: number): boolean {
     const ends = records.get(agent)?.ends ?? []
-    const telling = ends.filter(({ step }) => stepRecordOf(step).anyDone)
+    const telling = ends.filter(
+      ({ number, step }) => number > after && stepRecordOf(step).anyDone,
+    )
     const done = telling.filter(({ failed }) => !failed).length
     return done > 0 && done * 2 >= telling.length
   }
@@ -129,9 +138,10 @@
     const record = stepRecordOf(step)
     if (record.anyDone) return false
     const { failures: count, failedOn } = record
-    record.ownFault ||=
-      (count >= OWN_FAULT_FAILURES && isProven(agent)) ||
-      [...failedOn].some((other) => other !== agent && isProven(other))
+    record.ownFault ||= [...failedOn].some(
+      ([other, since]) =>
+        (other !== agent || count >= OWN_FAULT_FAILURES) && isProven(other, since),
+    )
     return record.ownFault
   }
 
@@ -197,17 +207,18 @@
       const { step } = task
       const record = recordOf(agent)
       const now = monotonicMs()
-      record.ends = [...record.ends, { at: now, step, failed }]
+      lastEnd++
+      record.ends = [...record.ends, { number: lastEnd, at: now, step, failed }]
         .filter(({ at }) => now - at < RECENT_MS)
         .slice(-RECENT_ENDS)
       if (!failed) {
         stepRecordOf(step).anyDone = true
         if (!wasSlow) noteDone(agent, task)
-        return
+        return pardon(isOwnFault)
       }
       const stepRecord = stepRecordOf(step)
       stepRecord.failures++
-      stepRecord.failedOn.add(agent)
+      if (!stepRecord.failedOn.has(agent)) stepRecord.failedOn.set(agent, lastEnd)
       failures.set(task, (failures.get(task) ?? new Set()).add(agent))
       noteFailure(agent, step)
       pardon(isOwnFault)
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -273,6 +273,7 @@
       const placement = placements.get(name)
       if (!placement || placement.state === 'stopping') return
       placement.state = 'stopping'
+      placement.stopAskedAt = monotonicMs()
       sender.stop(name, placement.run)
     },
     pace(name, percent) {
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -13,12 +13,20 @@
 import { createRoom } from './room.js'
 import type { Room } from './room.js'
 
+/**
+ * Time after which a run that is still listed is ordered to stop again, in ms: longer than a
+ * stop takes on a target that is well.
+ */
+const STOP_AGAIN_MS = 1500
+
 /** What is known of a run on the target. */
 export interface Placement {
   task: Task | undefined
   name: string
   run: number
   state: 'starting' | 'running' | 'unsure' | 'stopping'
+  /** Steady time of the last stop order, in ms. */
+  stopAskedAt: number
   /** Target's clock when it confirmed the start, in ms. */
   confirmedClock: number
   /** Under this token or a newer one, an absent run was never started. */
@@ -131,11 +139,24 @@
     }
   }
 
+  /** A stop that went unanswered is ordered again: else its run holds its room for ever. */
+  function stopAgain(placement: Placement): void {
+    if (placement.state !== 'stopping') return
+    if (monotonicMs() - placement.stopAskedAt < STOP_AGAIN_MS) return
+    const { name, run } = placement
+    placement.stopAskedAt = monotonicMs()
+    log.event('runUnwanted', { task: name, run, target: targetId })
+    opts.unwanted(name, run)
+  }
+
   function applyPresent(report: TargetReport): void {
     for (const run of report.runs) {
       const placement = placements.get(run.task)
       if (!placement) adopt(run)
-      else if (placement.run === run.run) updatePlacement(placement, run)
+      else if (placement.run === run.run) {
+        updatePlacement(placement, run)
+        stopAgain(placement)
+      }
       if (placement?.task) book.noteBegun(placement.task)
     }
   }
@@ -147,7 +168,7 @@
     const reported = new Set(report.runs.map(({ task }) => task))
     for (const placement of [...placements.values()]) {
       if (reported.has(placement.name)) continue
-      const fenced = placement.state === 'unsure' && reportToken >= placement.fencedBy
+      const fenced = reportToken >= placement.fencedBy
       const confirmed = placement.confirmedClock > 0
       if (fenced) giveUp(placement, 'never started')
       else if (confirmed && report.clockMs > placement.confirmedClock) {
@@ -187,6 +208,7 @@
     name: task.name,
     run,
     state,
+    stopAskedAt: -Infinity,
     confirmedClock: 0,
     fencedBy: Infinity,
     percent: 0,
--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -120,6 +120,18 @@
       t.deepEqual(movesOf(inputOf(pool, [reportOf('a', ONE_VM, [bad])])), ['m3 a'])
     })
 
+    it('stay where the others of their pool are leaving, and for no other service', (t) => {
+      const pool = [vmOf(1, 'a'), vmOf(5, 'a'), vmOf(2, 'b')]
+      const ofA = reportOf('a', ONE_VM, [bad, loadOf(5)])
+      for (const leaving of ['emptying', 'ordered'] as const) {
+        const input = { ...inputOf(pool, [ofA]), [leaving]: new Set(['m5']) }
+        t.deepEqual(movesOf(input), [], leaving)
+      }
+      const ofB = reportOf('b', TWO_VMS, [loadOf(2, { runs: 1 })])
+      const two = [vmOf(1, 'a'), vmOf(2, 'b')]
+      t.deepEqual(movesOf(inputOf(two, [reportOf('a', ONE_VM, [bad]), ofB])), [])
+    })
+
     it('go to another service that misses one, where none is spare', (t) => {
       const pool = [vmOf(1, 'a'), vmOf(5, 'a'), vmOf(2, 'b')]
       const reports = [
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -144,6 +144,18 @@
     change(pool, -1)
     if (!loads.get(vm.targetId)?.suspect) change(vm.pool, 1)
   }
+  /** Whether no other VM of its pool stays: better a bad one than none until another comes. */
+  const isLast = (vm: Vm): boolean =>
+    !input.vms.some(
+      (other) =>
+        other !== vm &&
+        other.pool === vm.pool &&
+        other.state === 'up' &&
+        !input.emptying.has(other.name) &&
+        !input.ordered.has(other.name) &&
+        !moves.some((each) => each.vm === other),
+    )
+
   /** Fills the gaps from the lists, in their order, without opening others. */
   const fill = (wanted: Gaps, donors: Vm[][]): void => {
     const findFor = (service: string): Vm | undefined => {
@@ -151,7 +163,7 @@
         const found = list.find(
           (vm) =>
             vm.pool !== service &&
-            (list === movable.suspect ||
+            ((list === movable.suspect && !isLast(vm)) ||
               vm.pool === sparePool ||
               (wanted.get(vm.pool) ?? 0) < 0) &&
             fitsPool(vm, service),
@@ -173,16 +185,9 @@
   fill(gaps.timely, [movable.spare, movable.idle, movable.suspect, movable.passing])
   fill(gaps.now, [movable.spare, movable.idle, movable.suspect])
   if (sparePool === undefined) return moves
-  // A VM that works badly leaves even where it is missed, and comes back as a new life; the
-  // last one of a pool stays until another has come, for it is better than none.
+  // A VM that works badly leaves even where it is missed, and comes back as a new life.
   for (const vm of [...movable.suspect]) {
-    const left = input.vms.filter(
-      (each) =>
-        each.pool === vm.pool &&
-        each.state === 'up' &&
-        !moves.some((other) => other.vm === each),
-    )
-    if (left.length > 1 && fitsPool(vm, sparePool)) move(vm, sparePool)
+    if (!isLast(vm) && fitsPool(vm, sparePool)) move(vm, sparePool)
   }
   for (const [service] of gaps.kept) {
     while ((gaps.kept.get(service) ?? 0) < 0) {
