refactor(scheduler,test): one policy a look, pardons over suspects alone, one wait for nodes

The wait watch made a policy, which looks at every target, for each of up to 16 jobs a look: one does. Each end of a run went through the records of all targets to take suspicions back: only those under suspicion are kept for that. Two tests of node processes had the same wait and the same question for readiness: test/nodeProbe.ts.

--- a/playground/__tests__/foreignRows.spec.ts
+++ b/playground/__tests__/foreignRows.spec.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check'
 import { request } from 'undici'
 import { describe, itAlone } from '../../test/describe.js'
+import { isReady, until } from '../../test/nodeProbe.js'
 import { foreignKey, foreignText } from '../../test/foreignRows.js'
 import { findBrokenPromise } from '../../test/jobRig.js'
 import { endedKey, intakeKey } from '../../src/jobs/index.js'
@@ -13,8 +14,6 @@
 import { startSimPlatform } from '../sim/wireServer.js'
 import type { SimPlatform } from '../sim/wireServer.js'
 
-/** Longest wait for something that a busy machine does late, in ms. */
-const PATIENCE_MS = 40_000
 const JOBS = 60
 /** Time between two rows of the other writer, in ms. */
 const STEP_MS = 25
@@ -40,21 +39,6 @@
   return { status: res.statusCode, state }
 }
 
-async function until(isDone: () => boolean | Promise<boolean>): Promise<boolean> {
-  const endsAt = performance.now() + PATIENCE_MS
-  while (performance.now() < endsAt) {
-    if (await isDone()) return true
-    await sleep(100)
-  }
-  return false
-}
-
-async function isReady({ readiness }: NodeProcess): Promise<boolean> {
-  const res = await request(`http://${readiness}/readiness`).catch(() => undefined)
-  await res?.body.dump()
-  return res?.statusCode === 200
-}
-
 const JOB = {
   spec: JSON.stringify({ ms: 150, cpu: 400 }),
   steps: [
--- a/playground/__tests__/thinLink.spec.ts
+++ b/playground/__tests__/thinLink.spec.ts
@@ -9,19 +9,15 @@
  * Evidence: 'takeoverWaits' again and again for 20 s while the store answered in 4 ms; with
  * links of 200 instead of 2 Mbit/s the same day broke no rule.
  */
-import { request } from 'undici'
 import { describe, it } from '../../test/describe.js'
+import { isReady, until } from '../../test/nodeProbe.js'
 import { encodeJob, endedKey, intakeKey, jobSchema } from '../../src/jobs/index.js'
-import { sleep } from '../../src/shared/index.js'
 import { startNodeProcess } from '../sim/nodeProcess.js'
-import type { NodeProcess } from '../sim/nodeProcess.js'
 import { ONE_QUEUE, QUEUE_NAME, QUEUE_SERVICE } from '../sim/oneQueue.js'
 import { openThinLink } from '../sim/thinLink.js'
 import { startSimPlatform } from '../sim/wireServer.js'
 import type { SimPlatform } from '../sim/wireServer.js'
 
-/** Longest wait for something that a busy machine does late, in ms. */
-const PATIENCE_MS = 40_000
 const LINK_MBPS = 1.4
 
 /** A job with a text of the largest usual size. */
@@ -35,21 +31,6 @@
     acceptedAtMs: Date.now(),
   })
 
-async function until(isDone: () => boolean | Promise<boolean>): Promise<boolean> {
-  const endsAt = performance.now() + PATIENCE_MS
-  while (performance.now() < endsAt) {
-    if (await isDone()) return true
-    await sleep(100)
-  }
-  return false
-}
-
-async function isReady({ readiness }: NodeProcess): Promise<boolean> {
-  const res = await request(`http://${readiness}/readiness`).catch(() => undefined)
-  await res?.body.dump()
-  return res?.statusCode === 200
-}
-
 const startPlatform = async (): Promise<SimPlatform> => {
   const platform = await startSimPlatform({
     pools: { one: 4, idle: 1 },
--- a/src/scheduler/suspectPolicy.ts
+++ b/src/scheduler/suspectPolicy.ts
@@ -14,7 +14,7 @@
  * A caller notices a standstill of 3 s; half of it leaves time for a VM that has been asked for
  * (1.5 s on its way), and does not spend a job's attempts within a second.
  */
-export const TRY_AFTER_MS = 1500
+const TRY_AFTER_MS = 1500
 /**
  * The same for a task with one attempt left, in ms, while a sound target that could take it is
  * full: late enough for that one to have room, and still before a caller notices.
--- a/src/scheduler/suspicion.ts
+++ b/src/scheduler/suspicion.ts
@@ -88,6 +88,8 @@
 /** Creates a book without evidence. */
 export function createSuspicion(log: Logger): Suspicion {
   const records = new Map<TargetAgent, TargetRecord>()
+  /** Those excluded or on trial: few, and looked at with each end. */
+  const suspects = new Map<TargetAgent, TargetRecord>()
   const steps = new WeakMap<Step, StepRecord>()
   let lastEnd = 0
   const failures = new WeakMap<Task, Set<TargetAgent>>()
@@ -154,6 +156,7 @@
     record.excludedUntil = now + record.excludeMs
     record.excludeMs = Math.min(MAX_EXCLUDE_MS, record.excludeMs * 2)
     record.onTrial = true
+    suspects.set(agent, record)
     log.event('targetSuspect', {
       target: agent.target.id,
       reason: offence,
@@ -164,6 +167,7 @@
 
   function trust(agent: TargetAgent, record: TargetRecord, reason: string): void {
     record.onTrial = false
+    suspects.delete(agent)
     record.excludedUntil = -Infinity
     log.event('targetTrusted', { target: agent.target.id, reason })
   }
@@ -195,8 +199,8 @@
   }
 
   function pardon(isCause: (step: Step, agent: TargetAgent) => boolean): void {
-    for (const [agent, record] of records) {
-      if (!record.onTrial || record.basis.length === 0) continue
+    for (const [agent, record] of suspects) {
+      if (record.basis.length === 0) continue
       record.basis = record.basis.filter((step) => !isCause(step, agent))
       if (record.basis.length === 0) trust(agent, record, 'its tasks were the cause')
     }
@@ -236,6 +240,9 @@
       return record !== undefined && record.ownFault && !record.anyDone
     },
     hasFailedOn: (agent, task) => failures.get(task)?.has(agent) ?? false,
-    forget: (agent) => void records.delete(agent),
+    forget(agent) {
+      records.delete(agent)
+      suspects.delete(agent)
+    },
   }
 }
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -75,8 +75,11 @@
   }
 
   /** What keeps a task from the targets, one by one. */
-  function holdsOn(step: Step, agents: TargetAgent[]): FoundHolds {
-    const policy = opts.policyNow(agents)
+  function holdsOn(
+    step: Step,
+    agents: TargetAgent[],
+    policy: PlacementPolicy,
+  ): FoundHolds {
     const found: FoundHolds = { holds: {}, endsAt: Infinity }
     for (const agent of agents) {
       const hold = holdOf(agent, step, policy)
@@ -87,12 +90,16 @@
     return found
   }
 
-  function explain(job: Job, agents: TargetAgent[]): WaitReport | undefined {
-    const task = waitingTaskOf(job)
-    if (!task) return undefined
+  function reportOf(
+    task: Task,
+    agents: TargetAgent[],
+    policy: PlacementPolicy,
+  ): WaitReport {
     const now = monotonicMs()
     const { step } = task
-    const { holds, endsAt } = job.gated ? gateOf(agents) : holdsOn(step, agents)
+    const { holds, endsAt } = step.job.gated
+      ? gateOf(agents)
+      : holdsOn(step, agents, policy)
     const endsInMs = Math.max(0, Math.round(endsAt - now))
     return {
       task: task.name,
@@ -120,21 +127,23 @@
   }
 
   return {
-    explain,
+    explain(job, agents) {
+      const task = waitingTaskOf(job)
+      return task && reportOf(task, agents, opts.policyNow(agents))
+    },
     look(agents) {
       const now = monotonicMs()
       const busy = isBusy(agents)
+      const policy = opts.policyNow(agents)
       let left = JOBS_PER_LOOK
       for (const job of book.open) {
         if (left === 0) return
         if (now - (toldAt.get(job) ?? -Infinity) < TELL_EVERY_MS) continue
         const task = waitingTaskOf(job)
         if (!task || now - waitsSince(task) < UNTOLD_MS) continue
-        const wait = explain(job, agents)
-        if (!wait) continue
         left--
         toldAt.set(job, now)
-        tell(job, wait, busy)
+        tell(job, reportOf(task, agents, policy), busy)
       }
     },
   }
