feat(vms): late work of all services shares the VMs there are

Symptom: after a loss of all power a pool of 2 to 8 VMs with 129 to 166 open jobs stayed so beside one of 47 to 52 with 168 to 196; its jobs waited for room for 28 to 31 s. Cause: VMs in use moved only for work that can still be in time, and none was. Now VMs with passing tasks also move to a service whose late work waits twice as long as theirs, from pools whose timely work can spare them.

poolPlanner.spec, two services with only late work, 2 and 52 VMs for needs of 166 and 196: no move before, 10 to 25 after (fair share 25); at rest afterwards, and none where the shares are near.

--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -141,4 +141,75 @@
       t.deepEqual(movesOf(inputOf(pool, reports)), ['m1 b'])
     })
   })
+
+  describe('where every service has more late work than its VMs can do', () => {
+    /** Pools of so many busy VMs whose services need so many. */
+    function startShares(pools: [name: string, has: number, needs: number][]) {
+      let number = 0
+      const all: Vm[] = []
+      const reports = pools.map(([name, has, needs]) => {
+        const loads = Array.from({ length: has }, () => {
+          number++
+          all.push(vmOf(number, name))
+          return loadOf(number, { runs: 7, usedCpu: VM_CPU * 0.9 })
+        })
+        return reportOf(name, { cpu: needs * VM_CPU * 0.85, timelyCpu: 0 }, loads)
+      })
+      return inputOf(all, reports)
+    }
+    const countsTo = (input: PoolInput): Map<string, number> => {
+      const counts = new Map<string, number>()
+      for (const { pool } of planPools(input))
+        counts.set(pool, (counts.get(pool) ?? 0) + 1)
+      return counts
+    }
+
+    // Accepted jobs of the small pool waited for 28 s, with no reason but where the VMs were.
+    it('gives more VMs to the one whose work waits far longer', (t) => {
+      const counts = countsTo(
+        startShares([
+          ['a', 2, 166],
+          ['b', 52, 196],
+        ]),
+      )
+      t.deepEqual([...counts.keys()], ['a'])
+      // Half of the fair share of 25, at least.
+      t.true(counts.get('a')! >= 10 && counts.get('a')! <= 25, String(counts.get('a')))
+    })
+
+    it('moves none where the work waits about as long', (t) => {
+      t.is(
+        countsTo(
+          startShares([
+            ['a', 20, 166],
+            ['b', 34, 196],
+          ]),
+        ).size,
+        0,
+      )
+    })
+
+    it('takes none that timely work needs', (t) => {
+      const input = startShares([
+        ['a', 2, 166],
+        ['b', 4, 20],
+      ])
+      const report = input.reports.get('b')!
+      report.timelyCpu = report.neededCpu
+      t.false(countsTo(input).has('a'))
+    })
+
+    it('comes to rest', (t) => {
+      const input = startShares([
+        ['a', 12, 166],
+        ['b', 42, 196],
+      ])
+      const moved = countsTo(input).get('a') ?? 0
+      const after = startShares([
+        ['a', 12 + moved, 166],
+        ['b', 42 - moved, 196],
+      ])
+      t.is(countsTo(after).size, 0)
+    })
+  })
 })
--- a/src/vms/constants.ts
+++ b/src/vms/constants.ts
@@ -31,6 +31,12 @@
  * brought the VMs of a turn 47 to 56 a second, where it needs 80 and more at once.
  */
 export const MOVES_SHARE = 0.875
+/**
+ * Late work of one service may wait so many times longer than that of another before VMs move
+ * between them: a move takes 1.5 s of a VM, and work to which it comes should gain more than that.
+ * A pool of two VMs with 166 late jobs stayed one of two beside one of 52 with 196.
+ */
+export const UNFAIR_RATIO = 2
 /** Share of a pool that is planned to be in use; the rest takes bursts. */
 export const PLANNED_USE = 0.85
 /** Part of a wave's time after which running tasks do not hold up maintenance any more. */
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -1,7 +1,7 @@
 /** Decides how many VMs each pool should have, and which VMs move. Pure. */
 import type { Vm } from '../ports/index.js'
 import type { ServiceReport, TargetLoad } from './types.js'
-import { PLANNED_USE } from './constants.js'
+import { PLANNED_USE, UNFAIR_RATIO } from './constants.js'
 
 /** A VM that should change pool. */
 export interface PlannedMove {
@@ -121,14 +121,26 @@
   if (at >= 0) list.splice(at, 1)
 }
 
+/** How many times the VMs of a pool its service needs. */
+const pressureOf = (needed: number, gap: number): number =>
+  needed / Math.max(1, needed - gap)
+
 /**
  * Plans moves. Work that can still be in time is served first, if need be by VMs whose
- * service has only late work for them; then all work, from spare and idle VMs.
+ * service has only late work for them; then all work, from spare and idle VMs. Where no pool
+ * has enough for its late work, they come to share what there is by it.
  */
 export function planPools(input: PoolInput): PlannedMove[] {
   const { sparePool, fitsPool } = input
   const loads = loadsOf(input)
   const gaps = countGaps(input, loads)
+  const cpuPerVm = cpuPerVmOf(input.vms)
+  const needed = new Map(
+    [...input.reports].map(([service, report]) => [
+      service,
+      neededVms(report, report.neededCpu, cpuPerVm),
+    ]),
+  )
   const movable = findMovable(input, loads)
   const moves: PlannedMove[] = []
 
@@ -182,8 +194,42 @@
     }
   }
 
+  /** The pool whose service needs the most times its VMs; undefined when none needs more. */
+  function neediest(): string | undefined {
+    const wanting = [...gaps.now].filter(([, gap]) => gap > 0)
+    const [first] = wanting.sort((a, b) => pressure(b[0]) - pressure(a[0]))
+    return first?.[0]
+  }
+
+  const pressure = (service: string): number =>
+    pressureOf(needed.get(service) ?? 0, gaps.now.get(service) ?? 0)
+
+  /**
+   * Whether the pool can spare one VM for another whose service waits far longer. One that has
+   * enough gives those that are idle, and the others once they are.
+   */
+  const mayGive = (pool: string, to: string): boolean =>
+    pool !== to &&
+    (gaps.now.get(pool) ?? -1) >= 0 &&
+    (gaps.timely.get(pool) ?? 0) < 0 &&
+    pressure(to) > pressure(pool) * UNFAIR_RATIO
+
+  /** Moves VMs to where late work waits longest, until no pool waits far longer than another. */
+  function shareLate(): void {
+    for (;;) {
+      const to = neediest()
+      if (to === undefined) return
+      const vm = [...movable.idle, ...movable.passing].find(
+        (each) => mayGive(each.pool, to) && fitsPool(each, to),
+      )
+      if (!vm) return
+      move(vm, to)
+    }
+  }
+
   fill(gaps.timely, [movable.spare, movable.idle, movable.suspect, movable.passing])
   fill(gaps.now, [movable.spare, movable.idle, movable.suspect])
+  shareLate()
   if (sparePool === undefined) return moves
   // A VM that works badly leaves even where it is missed, and comes back as a new life.
   for (const vm of [...movable.suspect]) {
