test(playground): a request that was cut off tells what its caller and entry saw

Entries log how long a request took from its arrival; the load tool keeps when it was sent and what came back. The tests under load print both with the nodes' events, so that a wait in the tool can be told from one in an entry.

--- a/playground/__tests__/cluster.spec.ts
+++ b/playground/__tests__/cluster.spec.ts
@@ -30,10 +30,12 @@
       const log = createMemoryLogger()
       return {
         ...log,
-        event: (name, fields = {}) => events.push({ name, fields }),
+        event: (name, fields = {}) =>
+          events.push({ name, fields: { atMs: performance.now(), ...fields } }),
         child: () => ({
           ...log,
-          event: (name, fields = {}) => events.push({ name, fields }),
+          event: (name, fields = {}) =>
+            events.push({ name, fields: { atMs: performance.now(), ...fields } }),
         }),
       }
     },
@@ -77,6 +79,23 @@
   t.is(report.foreign, 0)
 }
 
+/** Events that tell of a request that was not answered, and of the nodes around it. */
+const TELLING = /peerLost|kernelStop|kernelStarted|targetExcluded|unexpectedError/
+
+/** Tells of each request that was cut off or refused, so that a failure can be traced. */
+function explain(t: ExecutionContext, report: LoadReport, events: LoggedEvent[]): void {
+  const lost = report.records.filter(({ outcome }) => outcome !== 'answered')
+  if (lost.length === 0) return
+  for (const each of lost.slice(0, 20)) {
+    const own = events.filter(({ fields }) => fields['request'] === each.id)
+    t.log(each, own)
+  }
+  t.log(
+    `${lost.length} requests`,
+    events.filter(({ name }) => TELLING.test(name)),
+  )
+}
+
 const waveOf = (table: RawTable, pool: string): RawTable => ({
   ...table,
   'wave/k': { weight: '1', limit: '1', pool },
@@ -91,6 +110,7 @@
     await until(() => events.filter(({ name }) => name === 'waveDone').length === 2)
     stop.abort()
     const report = await running
+    explain(t, report, events)
     checkPromises(t, cluster, report)
     t.is(report.unknown, 0)
     t.is(report.notRun, 0)
@@ -142,7 +162,7 @@
     t: ExecutionContext,
     idPrefix: string,
   ): Promise<LoadReport> {
-    const { cluster } = await setUp(t)
+    const { cluster, events } = await setUp(t)
     const stop = new AbortController()
     const [first, ...others] = cluster.entries()
     const running = runLoad({
@@ -159,6 +179,7 @@
     for (const { id } of others) await cluster.restartNode(id)
     stop.abort()
     const report = await running
+    explain(t, report, events)
     checkPromises(t, cluster, report)
     return report
   }
--- a/playground/load.ts
+++ b/playground/load.ts
@@ -10,6 +10,7 @@
   REPEATABLE_HEADER,
   REQUEST_ID_HEADER,
 } from '../src/entry/index.js'
+import { describeError } from '../src/shared/index.js'
 import { createRandom, exponential } from './random.js'
 
 /** Options of {@link runLoad}. */
@@ -33,6 +34,11 @@
   id: string
   repeatable: boolean
   outcome: 'answered' | 'not-run' | 'unknown'
+  /** Steady time at which it was sent, in ms, and how long it took. */
+  sentAt: number
+  tookMs: number
+  /** What the caller saw: the answer's status and text, or why there was none. */
+  seen: string
 }
 
 /** What a load run saw. */
@@ -50,6 +56,8 @@
   latency: Histogram
 }
 
+/** Characters of an answer that a record keeps. */
+const MAX_SEEN = 200
 const MAX_LATENCY_US = 120_000_000
 const CALLER_TIMEOUT_MS = 60_000
 
@@ -102,8 +110,9 @@
   const service = pickOf(opts.services)
   const repeatable = random() >= opts.unrepeatableShare
   const id = `${opts.idPrefix}${report.sent++}`
-  const record: CallRecord = { id, repeatable, outcome: 'unknown' }
   const startedAt = performance.now()
+  const times = { sentAt: startedAt, tookMs: 0 }
+  const record: CallRecord = { id, repeatable, outcome: 'unknown', ...times, seen: '' }
   try {
     const res = await agent.request({
       origin,
@@ -118,14 +127,17 @@
     })
     const text = await res.body.text()
     record.outcome = readOutcome(res.headers[OUTCOME_HEADER])
+    record.seen = `${res.statusCode} ${text.slice(0, MAX_SEEN)}`
     if (record.outcome === 'unknown' && res.statusCode === 503) report.unsure++
     if (record.outcome === 'answered') {
       report.latency.recordValue(Math.round((performance.now() - startedAt) * 1000))
       if (!isOwnAnswer(text, id, opts.bodyBytes)) report.foreign++
     }
-  } catch {
+  } catch (cause) {
     record.outcome = 'unknown'
+    record.seen = describeError(cause)
   }
+  record.tookMs = performance.now() - startedAt
   report.records.push(record)
   if (record.outcome === 'answered') report.answered++
   else if (record.outcome === 'not-run') report.notRun++
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -171,6 +171,7 @@
         request: call.id,
         service: call.service,
         outcome: ending,
+        tookMs: Math.round(monotonicMs() - call.arrivedAt),
       })
     }
   }
