fix(scheduler): starts do not wait behind one another where another target has room

Cause: starts to one target are sent one after another; on a link that delays each answer by 0.3 s the tenth leaves after 3 s (orderLate 3,047 to 3,232 ms), and a target was asked for room alone. Now it takes as many starts as it answers in 0.6 s, three at least; gangs come whole as before. What waits names the rule, orders.

--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -46,6 +46,7 @@
       return unanswered()
     }
     const answer = act(target)
+    await sleep(target.faults.delayMs)
     return mute ? unanswered() : ok(answer)
   }
 
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -48,6 +48,8 @@
   silent: boolean
   /** Carries orders out and answers nothing. */
   mute: boolean
+  /** Time by which the answer to each order is late, in ms. */
+  delayMs: number
   /** Orders are carried out after this time and never answered, in ms; 0 for none. */
   lateMs: number
   /** Every task fails at once. */
@@ -135,6 +137,7 @@
   const faults: TargetFaults = {
     silent: false,
     mute: false,
+    delayMs: 0,
     lateMs: 0,
     failsAll: false,
     hangs: false,
--- a/src/scheduler/__tests__/planner.spec.ts
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -15,6 +15,7 @@
   cpu: number,
   labels = ['r1-1'],
   usable = true,
+  startsLeft = Infinity,
 ): TargetAgent {
   const capacity = { cpu, memMb: 100_000, gpu: 0 }
   return {
@@ -29,6 +30,7 @@
     },
     placements: new Map(),
     room: createRoom(capacity),
+    startsLeft: () => startsLeft,
     isUsable: () => usable,
   } as unknown as TargetAgent
 }
@@ -96,6 +98,21 @@
     t.is(spread.waiting.size, 1)
   })
 
+  // Ten starts for one slow target, chosen because it was fullest, waited 3 s for one another.
+  it('places no more on a target than it takes at once, but a gang', (t) => {
+    const slow = fakeAgent('t1', 5000, ['r1-1'], true, 3)
+    const agents = [slow, fakeAgent('t2', 9000)]
+    const { starts, waiting } = plan([makeJob({ cpu: 100 }, [{ count: 10 }])], agents)
+    t.is(starts.filter(({ agent }) => agent === slow).length, 3)
+    t.is(starts.length, 10)
+    t.is(waiting.size, 0)
+    const alone = plan([makeJob({ cpu: 100 }, [{ count: 10 }])], [slow])
+    t.is(alone.starts.length, 3)
+    t.is(alone.waiting.size, 1)
+    const gang = plan([makeJob({ cpu: 100 }, [{ count: 10, gang: true }])], [slow])
+    t.is(gang.starts.length, 10)
+  })
+
   it('prefers the rack of the data, and suspects only where nothing else fits', (t) => {
     const agents = [fakeAgent('t1', 2000, ['r1-1']), fakeAgent('t2', 2000, ['r1-2'])]
     const near = plan([makeJob({ cpu: 900 }, [{ count: 2, dataRack: 'r1-2' }])], agents)
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -16,6 +16,17 @@
 /** An order that waited longer for its turn is told, in ms: a few answers of a sound target. */
 const TOLD_WAIT_MS = 300
 
+/**
+ * Time for which starts may wait for those before them, in ms: they are placed late rather than
+ * behind one another. On a link that delays each answer by 0.3 s the tenth start waited 3 s, while
+ * another target of the pool had room.
+ */
+const START_WAIT_MS = 600
+/** Starts that may wait on any target, so that one which is slow gets the next one at once. */
+const MIN_STARTS = 3
+/** Weight of the newest answer in the time that a start takes. */
+const TAKES_WEIGHT = 0.3
+
 /** Kinds of orders, the first to be sent first. */
 const ORDER_KINDS = ['stop', 'start', 'pace'] as const
 type OrderKind = (typeof ORDER_KINDS)[number]
@@ -32,6 +43,8 @@
   start(task: Task, placement: Placement, ticket: string): void
   stop(name: string, run: number): void
   pace(placement: Placement, percent: number): void
+  /** Starts that it takes now without letting them wait for long. */
+  startsLeft(): number
   /** Resolves when what was ordered so far is over. */
   idle(): Promise<void>
 }
@@ -67,6 +80,13 @@
   const waiting: Record<OrderKind, WaitingOrder[]> = { stop: [], start: [], pace: [] }
   /** Resolves once nothing waits any more; undefined while nothing is sent. */
   let sending: Promise<void> | undefined
+  /** Time that a start takes, in ms. */
+  let takesMs = 0
+
+  const startsLeft = (): number => {
+    const fitting = Math.floor(START_WAIT_MS / Math.max(1, takesMs))
+    return Math.max(MIN_STARTS, fitting) - waiting.start.length
+  }
 
   async function sendNext(kind: OrderKind): Promise<void> {
     const next = waiting[kind].shift()
@@ -75,7 +95,13 @@
     const waitedMs = Math.round(monotonicMs() - queuedAt)
     if (waitedMs > TOLD_WAIT_MS)
       log.event('orderLate', { order: kind, task, target: targetId, waitedMs })
+    const sentAt = monotonicMs()
     await send()
+    if (kind !== 'start') return
+    const tookMs = monotonicMs() - sentAt
+    takesMs = takesMs === 0 ? tookMs : takesMs + (tookMs - takesMs) * TAKES_WEIGHT
+    // What was kept from it for the others that waited may come now.
+    if (waiting.start.length === 0) opts.changed()
   }
 
   async function sendAll(): Promise<void> {
@@ -210,6 +236,7 @@
     },
     pace: (placement, percent) =>
       enqueue('pace', placement.name, () => sendPace(placement, percent)),
+    startsLeft,
     idle: () => sending ?? Promise.resolve(),
   }
 }
--- a/src/scheduler/placementRules.ts
+++ b/src/scheduler/placementRules.ts
@@ -10,7 +10,7 @@
 
 /** Why a step may not run on a target that takes orders. */
 export type StepHold =
-  'size' | 'room' | 'label' | 'spread' | 'roster' | 'suspect' | 'ticket'
+  'size' | 'room' | 'orders' | 'label' | 'spread' | 'roster' | 'suspect' | 'ticket'
 
 /** Why a step may not run on a target. */
 export type Hold = TargetHold | StepHold
@@ -20,6 +20,8 @@
   agent: TargetAgent
   /** What is free, less what this round has planned. */
   free: Resources
+  /** Starts that may be ordered there now, less what this round has planned. */
+  startsLeft: number
   /** Tasks of the step that are there or planned. */
   countOf(step: Step): number
 }
@@ -51,6 +53,8 @@
 const RULES: Record<StepHold, Rule> = {
   size: ({ agent }, step) => exceeds(needOf(step), agent.room.capacity),
   room: ({ free }, step) => exceeds(needOf(step), free),
+  // A gang comes whole: its members wait for one another in any case.
+  orders: ({ startsLeft }, { spec }) => startsLeft <= 0 && !spec.gang,
   label: ({ agent }, { spec }) =>
     spec.label !== '' && !agent.target.labels.includes(spec.label),
   spread: (view, step) =>
@@ -78,12 +82,14 @@
   policy: PlacementPolicy,
 ): Hold | undefined {
   const { free, countOf } = agent.room
-  return agent.hold() ?? stepHoldOf({ agent, free, countOf }, step, policy)
+  const view = { agent, free, countOf, startsLeft: agent.startsLeft() }
+  return agent.hold() ?? stepHoldOf(view, step, policy)
 }
 
 /** Whether the target itself could run one more task of the step: it lives and has room. */
 export function couldRun(agent: TargetAgent, step: Step): boolean {
   if (!agent.isAnswering() || !agent.listed || agent.target.draining) return false
   const { free, countOf } = agent.room
-  return stepHoldOf({ agent, free, countOf }, step, OPEN_POLICY) === undefined
+  const view = { agent, free, countOf, startsLeft: Infinity }
+  return stepHoldOf(view, step, OPEN_POLICY) === undefined
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -61,6 +61,7 @@
   return {
     agent,
     free: { ...agent.room.free },
+    startsLeft: agent.startsLeft(),
     planned,
     countOf: (step) => agent.room.countOf(step) + (planned.get(step) ?? 0),
     serving: countServing(agent),
@@ -71,6 +72,7 @@
 function copyDraft(draft: Draft): Draft {
   const copy = createDraft(draft.agent)
   Object.assign(copy.free, draft.free)
+  copy.startsLeft = draft.startsLeft
   for (const [step, count] of draft.planned) copy.planned.set(step, count)
   copy.serving = draft.serving
   return copy
@@ -81,6 +83,7 @@
   draft.free.cpu -= need.cpu
   draft.free.memMb -= need.memMb
   draft.free.gpu -= need.gpu
+  draft.startsLeft--
   draft.planned.set(step, (draft.planned.get(step) ?? 0) + 1)
   if (step.spec.lasting) draft.serving++
 }
--- a/src/scheduler/suspectPolicy.ts
+++ b/src/scheduler/suspectPolicy.ts
@@ -116,6 +116,7 @@
 const emptyViewOf = (agent: TargetAgent): PlacementView => ({
   agent,
   free: agent.room.capacity,
+  startsLeft: Infinity,
   countOf: () => 0,
 })
 
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -63,6 +63,8 @@
   /** Places the task there and orders its start. */
   start(task: Task, run: number, ticket: string): void
   stop(name: string): void
+  /** Starts that it takes now without letting them wait for long behind one another. */
+  startsLeft(): number
   /** Runs last reported whose jobs are held, so that they have no placement. */
   heldRuns(): number
   /** Adopts those of them whose jobs have become known since. */
@@ -285,6 +287,7 @@
       placement.stopAskedAt = monotonicMs()
       sender.stop(name, placement.run)
     },
+    startsLeft: sender.startsLeft,
     heldRuns: runs.heldCount,
     adoptKnown: runs.adoptKnown,
     pace(name, percent) {
