fix(scheduler): a takeover after the version that wrote no rows of queues reads all first

Without such rows a run or an end of a job that is read last counted as one of no use: its end was acknowledged and its task started again. Where there are targets or progress and no rows of queues, all queues are read before anything counts as known; progress of jobs is kept until all are read. takeoverReading.spec, 'keeps the progress of jobs that it reads last': failed before (3 starts for 2).

--- a/src/scheduler/__tests__/takeover.spec.ts
+++ b/src/scheduler/__tests__/takeover.spec.ts
@@ -27,7 +27,7 @@
     store,
     service: SERVICE,
     unread: createUnreadRows(createMemoryLogger(), INTAKE_TABLE),
-    first: new Set(first),
+    comesFirst: (queue) => first.includes(queue),
     handler: {
       job: ({ id }) => void ids.push(id),
       cancel: () => undefined,
--- a/src/scheduler/__tests__/takeoverReading.spec.ts
+++ b/src/scheduler/__tests__/takeoverReading.spec.ts
@@ -167,6 +167,32 @@
   })
 })
 
+describe('owner whose predecessor wrote no rows of queues', () => {
+  // The version before this one did not; its jobs may be of queues that are others' by now.
+  it('keeps the progress of jobs that it reads last', async (t) => {
+    const rig = createJobRig()
+    rig.addTarget('t1')
+    const first = await rig.own()
+    const job = makeJob({ ms: 100, cpu: 1000 }, [{ count: 2 }, { count: 1, after: [0] }])
+    rig.submit(first, job)
+    t.true(await until(() => startsOf(rig, job) === 3))
+    first.live = false
+    await first.stop(false)
+    rig.table.remove({ table: QUEUES_TABLE, part: SERVICE, key: job.queue })
+    rig.table.faults.refusedParts.add(partOf(job))
+    await rig.beginOwning()
+    await sleep(3500)
+    rig.table.faults.refusedParts.clear()
+    t.true(await rig.settled([job], 6000))
+    t.is(rig.outcomeOf(job), 'completed')
+    const doneFirst = rig.ledger.entries.filter(
+      ({ what, task }) => what === 'start' && task.startsWith(`${job.id}.0.0.`),
+    )
+    t.is(doneFirst.length, 2)
+    await rig.stop()
+  })
+})
+
 describe('how many jobs wait', () => {
   it('is not said before all of the queue are known', async (t) => {
     const rig = createJobRig()
--- a/src/scheduler/inheritedJobs.ts
+++ b/src/scheduler/inheritedJobs.ts
@@ -16,6 +16,8 @@
 
 /** The jobs of the predecessor, while they are read. */
 export interface InheritedJobs {
+  /** Whether all that the predecessor may have started is known. */
+  isKnown(): boolean
   /** Whether all of them have been read. */
   isComplete(): boolean
   /** Whether a job that was not read yet came to the predecessor. */
@@ -26,6 +28,8 @@
   unreadable(id: string): void
   /** What was taken so far may start. */
   flush(): void
+  /** All that may have been started has been read: what runs of other jobs is of no use. */
+  known(): void
   /** All have been read; what is not known by now is over. */
   complete(): void
 }
@@ -48,12 +52,14 @@
   const startedAtMs = Date.now()
   const seen = new Set<string>()
   let batch: Job[] = []
+  let isComplete = false
   book.mayMissJobs = true
 
   return {
-    isComplete: () => !book.mayMissJobs,
+    isKnown: () => !book.mayMissJobs,
+    isComplete: () => isComplete,
     concerns({ id, acceptedAtMs }) {
-      if (!book.mayMissJobs) return false
+      if (isComplete) return false
       const isOld = acceptedAtMs < startedAtMs - NEW_JOB_MAX_AGE_MS
       return isOld || progress.has(id) || progressUnread.has(id)
     },
@@ -74,9 +80,10 @@
       opts.adopted(batch)
       batch = []
     },
+    known: () => void (book.mayMissJobs = false),
     complete() {
-      if (!book.mayMissJobs) return
-      book.mayMissJobs = false
+      if (isComplete) return
+      isComplete = true
       opts.leftover([...progress.keys()].filter((id) => !seen.has(id)))
     },
   }
--- a/src/scheduler/intakeReading.ts
+++ b/src/scheduler/intakeReading.ts
@@ -54,8 +54,8 @@
   store: RowStore
   service: string
   unread: UnreadRows
-  /** Queues whose parts are read first. */
-  first: ReadonlySet<string>
+  /** Whether the parts of a queue are read first. */
+  comesFirst(queue: string): boolean
   handler: IntakeHandler
   /** Waits before some more parts are read; `isFirst` where they are of the first queues. */
   pace(isFirst: boolean): Promise<void>
@@ -63,9 +63,9 @@
 
 /** Reads the rows of all queues, and hands on what it reads part by part. */
 export function createPartsReading(opts: PartsReadingOptions): Reading<void> {
-  const { store, service, unread, first, handler, pace } = opts
+  const { store, service, unread, comesFirst, handler, pace } = opts
   let left: string[] | undefined
-  const isFirst = (part: string): boolean => first.has(queueOfPart(part))
+  const isFirst = (part: string): boolean => comesFirst(queueOfPart(part))
 
   function addRow(row: StoredRow): void {
     const entry = decodeIntake(row, row.value)
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -81,6 +81,8 @@
   queueRows: QueueRows
   /** Queues whose jobs the service gets, as configured now. */
   queues(): string[]
+  /** Whether `queueRows` has all queues of which the predecessor may have started jobs. */
+  queuesKnown: boolean
   /** Rows of the intake that cannot be read. */
   unread: UnreadRows
   log: Logger
@@ -205,12 +207,15 @@
   }
 
   /** Lets the queues whose parts are left tell whether all that may run is known. */
-  function noteLeft(left: ReadonlySet<string>, first: ReadonlySet<string>): void {
+  function noteLeft(
+    left: ReadonlySet<string>,
+    comesFirst: (queue: string) => boolean,
+  ): void {
     unreadQueues = left
     inherited.flush()
-    const isKnown = [...left].every((queue) => !first.has(queue))
-    if (!isKnown || inherited.isComplete()) return
-    inherited.complete()
+    const isKnown = ![...left].some(comesFirst)
+    if (!isKnown || inherited.isKnown()) return
+    inherited.known()
     opts.inheritedKnown()
   }
 
@@ -226,7 +231,7 @@
     const handler: IntakeHandler = {
       job(job) {
         jobs++
-        const isInherited = !inherited.isComplete() && queueRows.has(job.queue)
+        const isInherited = !inherited.isKnown() && queueRows.has(job.queue)
         if (isInherited) takeInherited(job)
         else take(job, 'read')
       },
@@ -238,23 +243,33 @@
         if (inherited.isComplete() || book.jobs.has(id)) opts.spoilt(id)
         else inherited.unreadable(id)
       },
-      partsRead: (left) => noteLeft(left, first),
+      partsRead: (left) => noteLeft(left, comesFirst),
     }
     const isTakeover = !inherited.isComplete()
     const first = new Set([...queueRows.all(), ...opts.queues()])
+    const comesFirst = (queue: string): boolean => !opts.queuesKnown || first.has(queue)
     async function pace(isFirst: boolean): Promise<void> {
       if (isTakeover && !isFirst) await sleep(READ_OTHERS_PAUSE_MS, signal)
       await waitForLease(signal)
     }
-    const reading = createPartsReading({ store, service, unread, first, handler, pace })
+    const reading = createPartsReading({
+      store,
+      service,
+      unread,
+      comesFirst,
+      handler,
+      pace,
+    })
     while (!signal.aborted) {
       const res = await reading.next()
       if (res.isOk()) break
-      log.event('takeoverWaits', { service, reason: describeError(res.error) })
+      if (isTakeover)
+        log.event('takeoverWaits', { service, reason: describeError(res.error) })
       await sleep(jittered(FLUSH_RETRY_MS), signal)
     }
     if (signal.aborted) return
-    noteLeft(new Set(), first)
+    noteLeft(new Set(), comesFirst)
+    inherited.complete()
     opts.inheritedRead()
     if (isTakeover) return
     const tookMs = Math.round(monotonicMs() - beganAt)
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -38,7 +38,7 @@
 import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
 import { createStarter } from './starter.js'
-import { readInheritedUntilDone } from './takeover.js'
+import { readInheritedUntilDone, tellsAllQueues } from './takeover.js'
 import type { TargetAgent } from './targetAgent.js'
 import { createTargetFollower } from './targetFollower.js'
 import { createTickets } from './tickets.js'
@@ -185,6 +185,7 @@
     inherited: inheritedJobs,
     queueRows,
     queues: () => queuesOf(configuration, service),
+    queuesKnown: tellsAllQueues(inherited),
     unread,
     log,
     spoilt: restorer.restore,
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -127,3 +127,11 @@
     await sleep(jittered(FLUSH_RETRY_MS), signal)
   }
 }
+
+/**
+ * Whether the rows of queues tell of all that may have been started. The version before them
+ * wrote none.
+ */
+export function tellsAllQueues({ queues, roster, progress }: Inherited): boolean {
+  return queues.length > 0 || (roster.length === 0 && progress.size === 0)
+}
