--- a/playground/__tests__/weakOwner.spec.ts
+++ b/playground/__tests__/weakOwner.spec.ts
@@ -115,10 +115,12 @@
 describe('owners with little processor and thin links', () => {
   it('start some work of each service soon, and all of it once', async (t) => {
     const platform = await startPlatform()
+    t.teardown(platform.close)
     const jobs = fillQueues(platform)
     const nodes = await Promise.all(
       ['n1', 'n2'].map((name) => startWeakNode(platform, name)),
     )
+    for (const node of nodes) t.teardown(node.stop)
     t.true(nodes.every(({ isUp }) => isUp))
     const begunAt = performance.now()
     platform.putConfiguration(configuration)
@@ -140,10 +142,7 @@
       platform.table.get(endedKey(job.queue, job.id)) !== undefined
     t.true(await until(() => all.every(isOver)))
     t.is(entries.filter(({ what }) => what === 'start').length, all.length)
-    for (const node of nodes) {
+    for (const node of nodes)
       t.log(node.output().match(/"name":"(ownership\w+|ownerStarted|takeover\w+)"/g))
-      await node.stop()
-    }
-    await platform.close()
   })
 })
