--- a/src/ownership/__tests__/lateLease.spec.ts
+++ b/src/ownership/__tests__/lateLease.spec.ts
@@ -5,6 +5,7 @@
  * 1.3 s was never confirmed, and never replaced either.
  * Evidence: `ownershipConfirmed` 3 to 14 times for one owner in 80 s, `ownershipLost` after it.
  */
+import type { ExecutionContext } from 'ava'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
 import { startOwnerNode } from '../../../test/ownerNodes.js'
@@ -29,7 +30,7 @@
   node.authorities.get('a')?.isConfirmed() ?? false
 
 /** An owner whose renewals become late bit by bit, as its processor fills, and a node beside it. */
-async function startLateOwner() {
+async function startLateOwner(t: ExecutionContext) {
   const table = createRowTable()
   const state = { callMs: 0 }
   const services = ['a']
@@ -37,6 +38,7 @@
   const late = startOwnerNode({ id: 'n1', store, services, room: 9 })
   while (!late.authorities.has('a')) await sleep(20)
   const next = startOwnerNode({ id: 'n2', store: table.forNode('n2'), services })
+  t.teardown(async () => void (await Promise.all([late.stop(), next.stop()])))
   for (const callMs of [200, 400, 600, 800, 1000]) {
     state.callMs = callMs
     await sleep(2500)
@@ -46,7 +48,7 @@
 
 describe('lease of an owner that runs late', () => {
   it('lasts until its next renewal, so that it keeps its service', async (t) => {
-    const { late, next } = await startLateOwner()
+    const { late, next } = await startLateOwner(t)
     const endsAt = monotonicMs() + 4000
     let unconfirmed = 0
     while (monotonicMs() < endsAt) {
@@ -55,11 +57,10 @@
     }
     t.is(unconfirmed, 0)
     t.false(next.authorities.has('a'))
-    await Promise.all([late.stop(), next.stop()])
   })
 
   it('ends all the same when it is gone', async (t) => {
-    const { late, next } = await startLateOwner()
+    const { late, next } = await startLateOwner(t)
     await late.registry.stop()
     const goneAt = monotonicMs()
     let both = 0
@@ -69,7 +70,6 @@
     }
     t.true(isConfirmed(next))
     t.is(both, 0, 'two owners at the same time')
-    await Promise.all([late.ownership.stop(), next.stop()])
   })
 })
 
