refactor(scheduler,ownership,vms): one write under the epoch, one count of what services need

Rows of targets and of queues were written by two copies of one commit under the owner's epoch; commitUnderEpoch serves both. What a service needs is worked out once a plan and handed to the gaps. An alias of the lease's end is gone. Behaviour is as it was.

--- a/src/ownership/authority.ts
+++ b/src/ownership/authority.ts
@@ -62,7 +62,6 @@
   lost(reason: string): void
 }): Authority {
   const { service, held, now, lost } = opts
-  const leaseEndsAt = (): number => held.confirmedUntil
   return {
     service,
     term: held.row.term,
@@ -78,9 +77,9 @@
       held.version = Math.max(held.version, row.version)
       return true
     },
-    mayOrder: () => !held.lost && now() < leaseEndsAt() + GRACE_MS,
-    isConfirmed: () => !held.lost && now() < leaseEndsAt(),
-    leaseLeftMs: () => (held.lost ? 0 : leaseEndsAt() - now()),
+    mayOrder: () => !held.lost && now() < held.confirmedUntil + GRACE_MS,
+    isConfirmed: () => !held.lost && now() < held.confirmedUntil,
+    leaseLeftMs: () => (held.lost ? 0 : held.confirmedUntil - now()),
     isLost: () => held.lost,
     lost,
   }
--- a/src/scheduler/queueRows.ts
+++ b/src/scheduler/queueRows.ts
@@ -10,6 +10,7 @@
 import { describeError, jittered, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
+import { commitUnderEpoch } from './epochCommit.js'
 
 export const QUEUES_TABLE = 'queues'
 
@@ -50,21 +51,10 @@
 
   async function write(): Promise<boolean> {
     const queues = [...adding]
-    const res = await store.commit({
-      conditions: [authority.epoch()],
-      puts: queues.map((queue) => ({ ...key(queue), value: '{}' })),
-      removals: [],
-    })
-    if (res.isErr()) {
-      log.event('queuesNotWritten', { reason: describeError(res.error) })
-      return false
-    }
-    if (!res.value.committed) {
-      if (!authority.adoptEpoch(res.value.current)) {
-        authority.lost('the epoch row has changed')
-      }
-      return false
-    }
+    const puts = queues.map((queue) => ({ ...key(queue), value: '{}' }))
+    const res = await commitUnderEpoch(store, authority, { puts, removals: [] })
+    if (res.isErr()) log.event('queuesNotWritten', { reason: describeError(res.error) })
+    if (res.isErr() || !res.value) return false
     for (const queue of queues) {
       durable.add(queue)
       adding.delete(queue)
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -15,6 +15,7 @@
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
+import { commitUnderEpoch } from './epochCommit.js'
 
 export const ROSTER_TABLE = 'roster'
 /**
@@ -85,24 +86,14 @@
   async function writeOnce(removals: readonly string[] = []): Promise<boolean> {
     const added = [...adding.values()].slice(0, MAX_BATCH)
     const removed = removals.slice(0, MAX_BATCH - added.length)
-    const res = await store.commit({
-      conditions: [authority.epoch()],
-      puts: added.map(({ id, address }) => ({
-        ...key(id),
-        value: JSON.stringify({ address }),
-      })),
-      removals: removed.map(key),
-    })
-    if (res.isErr()) {
-      log.event('rosterNotWritten', { reason: describeError(res.error) })
-      return false
-    }
-    if (!res.value.committed) {
-      if (!authority.adoptEpoch(res.value.current)) {
-        authority.lost('the epoch row has changed')
-      }
-      return false
-    }
+    const puts = added.map(({ id, address }) => ({
+      ...key(id),
+      value: JSON.stringify({ address }),
+    }))
+    const change = { puts, removals: removed.map(key) }
+    const res = await commitUnderEpoch(store, authority, change)
+    if (res.isErr()) log.event('rosterNotWritten', { reason: describeError(res.error) })
+    if (res.isErr() || !res.value) return false
     for (const { id } of added) {
       durable.add(id)
       adding.delete(id)
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -64,7 +64,11 @@
   return new Map(targets.map((load) => [load.id, load]))
 }
 
-function countGaps(input: PoolInput, loads: Loads): AllGaps {
+function countGaps(
+  input: PoolInput,
+  loads: Loads,
+  neededBy: ReadonlyMap<string, number>,
+): AllGaps {
   const { vms, movingTo, emptying } = input
   const cpuPerVm = cpuPerVmOf(vms)
   const gaps: AllGaps = { timely: new Map(), now: new Map(), kept: new Map() }
@@ -78,7 +82,7 @@
         !emptying.has(vm.name) &&
         !loads.get(vm.targetId)?.suspect,
     ).length
-    const needed = neededVms(report, report.neededCpu, cpuPerVm)
+    const needed = neededBy.get(service) ?? 0
     gaps.timely.set(service, neededVms(report, report.timelyCpu, cpuPerVm) - there)
     gaps.now.set(service, needed - there)
     gaps.kept.set(service, input.keptBy(service, needed) - there)
@@ -133,7 +137,6 @@
 export function planPools(input: PoolInput): PlannedMove[] {
   const { sparePool, fitsPool } = input
   const loads = loadsOf(input)
-  const gaps = countGaps(input, loads)
   const cpuPerVm = cpuPerVmOf(input.vms)
   const needed = new Map(
     [...input.reports].map(([service, report]) => [
@@ -141,6 +144,7 @@
       neededVms(report, report.neededCpu, cpuPerVm),
     ]),
   )
+  const gaps = countGaps(input, loads, needed)
   const movable = findMovable(input, loads)
   const moves: PlannedMove[] = []
 
