fix(ownership): callers that ask for a renewal during a write share the next one

Each look at the other nodes asks for a renewal where the own row is old. Callers during a write got one write each, one after another, so that a node whose writes were slow went on renewing its row after it had been told to stop, and its service had no owner.

--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -107,6 +107,8 @@
   let firstPolledAt: number | undefined
   let connected = true
   let writing: Promise<boolean> | undefined
+  /** The write after it, shared by all who ask during it. */
+  let following: Promise<boolean> | undefined
   let refreshing: Promise<boolean> | undefined
 
   const noteConnection = (up: boolean, reason: string): void => {
@@ -147,13 +149,17 @@
     return true
   }
 
-  /** One write at a time; a caller during a write gets a fresh one after it. */
-  async function renew(): Promise<boolean> {
-    while (writing) await writing
-    writing = write()
-    const done = await writing
-    writing = undefined
-    return done
+  /** One write at a time; callers during a write share the one after it. */
+  function renew(): Promise<boolean> {
+    if (!writing) {
+      writing = write().finally(() => (writing = undefined))
+      return writing
+    }
+    following ??= writing.then(() => {
+      following = undefined
+      return renew()
+    })
+    return following
   }
 
   /** Reads the rows of all nodes. */
