test(playground): orders that a target leaves unanswered use up what callers allow

A target over HTTP leaves one start, or one poll, without an answer and carries it out 1.5 s late. Jobs may take 0.6 s beyond their work.

--- /dev/null
+++ b/playground/__tests__/lostOrders.spec.ts
@@ -0,0 +1,132 @@
+import type { ExecutionContext } from 'ava'
+import { createOrdersClient } from '../../platform/index.js'
+import { monotonicMs, sleep } from '../../src/shared/index.js'
+import { describe, it } from '../../test/describe.js'
+import { createJobRig, findBrokenPromise, makeJob } from '../../test/jobRig.js'
+import type { JobRig, RigOwner } from '../../test/jobRig.js'
+import { targetHandlers } from '../sim/targetHandlers.js'
+import type { SimVm } from '../sim/simFleet.js'
+import { HOST, listen, portOf } from '../sim/wire.js'
+import type { Handler } from '../sim/wire.js'
+
+/** Time that callers allow a job beyond its work, in ms. */
+const ALLOWANCE_MS = 600
+/** Run time of a task, in ms. */
+const TASK_MS = 50
+/** Unanswered orders are carried out so much later, in ms. */
+const LATE_MS = 1500
+
+/** A target over HTTP that leaves some orders unanswered and carries them out late. */
+interface LossyTarget {
+  /** Orders by path that the target leaves unanswered, counted down. */
+  losses: Map<string, number>
+}
+
+/** By then a poll that was sent to an idle target is over, in ms. */
+const IDLE_POLL_MS = 1100
+
+const START = '/run-start'
+const POLL = '/hold'
+
+async function addLossyTarget(
+  t: ExecutionContext,
+  rig: JobRig,
+  id: string,
+): Promise<LossyTarget> {
+  const losses = new Map<string, number>()
+  const vm = { target: undefined } as unknown as SimVm
+  const handlers = Object.entries(targetHandlers(vm)).map(
+    ([name, handler]): [string, Handler] => {
+      const path = name.split(' ')[1]!
+      return [
+        name,
+        async (req) => {
+          const left = losses.get(path) ?? 0
+          if (left === 0) return handler(req)
+          losses.set(path, left - 1)
+          await sleep(LATE_MS)
+          void handler(req)
+          return new Promise<never>(() => undefined)
+        },
+      ]
+    },
+  )
+  const server = await listen(Object.fromEntries(handlers))
+  t.teardown(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  vm.target = rig.addTarget(id, { address: `${HOST}:${portOf(server)}` })
+  return { losses }
+}
+
+/** An owner with one target, which has done a job. */
+async function startWarm(t: ExecutionContext) {
+  const rig = createJobRig()
+  rig.orders = createOrdersClient({})
+  const target = await addLossyTarget(t, rig, 't1')
+  const owner = await rig.own()
+  t.teardown(() => rig.stop())
+  const warm = makeJob({ ms: TASK_MS, cpu: 100 }, [{ count: 4 }])
+  rig.submit(owner, warm)
+  t.true(await rig.settled([warm], 3000))
+  return { rig, owner, target }
+}
+
+/** Hands a job in and returns the time until its last task has begun, in ms. */
+async function begunAfter(
+  rig: JobRig,
+  owner: RigOwner,
+  steps: Parameters<typeof makeJob>[1],
+): Promise<number> {
+  const job = makeJob({ ms: TASK_MS, cpu: 100 }, steps)
+  const submittedAt = monotonicMs()
+  rig.submit(owner, job)
+  await rig.settled([job], 5000)
+  const starts = rig.ledger.entries.filter(
+    ({ what, task }) => what === 'start' && task.startsWith(job.id),
+  )
+  return Math.max(...starts.map(({ at }) => at)) - submittedAt
+}
+
+describe('target that leaves orders unanswered', () => {
+  describe('a start without an answer', () => {
+    it('does not use up the time that callers allow', async (t) => {
+      const { rig, owner, target } = await startWarm(t)
+      target.losses.set(START, 1)
+      const tookMs = await begunAfter(rig, owner, [{ count: 1 }])
+      t.true(tookMs < ALLOWANCE_MS, `begun after ${Math.round(tookMs)} ms`)
+    })
+
+    it('does not hold up the starts behind it', async (t) => {
+      const { rig, owner, target } = await startWarm(t)
+      target.losses.set(START, 1)
+      const tookMs = await begunAfter(rig, owner, [{ count: 8 }])
+      t.true(tookMs < ALLOWANCE_MS, `begun after ${Math.round(tookMs)} ms`)
+    })
+
+    it('runs its task once, also when it is carried out late', async (t) => {
+      const { rig, owner, target } = await startWarm(t)
+      target.losses.set(START, 2)
+      await begunAfter(rig, owner, [{ count: 4 }])
+      await sleep(LATE_MS * 2)
+      t.is(findBrokenPromise(rig.ledger), undefined)
+    })
+  })
+
+  describe('a poll without an answer', () => {
+    it('does not use up the time that callers allow while tasks run', async (t) => {
+      const { rig, owner, target } = await startWarm(t)
+      const longer = makeJob({ ms: 4000, cpu: 100 }, [{ count: 1 }])
+      rig.submit(owner, longer)
+      await sleep(IDLE_POLL_MS)
+      target.losses.set(POLL, 1)
+      while (target.losses.get(POLL) !== 0) await sleep(1)
+      const tookMs = await begunAfter(rig, owner, [
+        { count: 1 },
+        { count: 1, after: [0] },
+      ])
+      t.true(tookMs < ALLOWANCE_MS + TASK_MS, `begun after ${Math.round(tookMs)} ms`)
+    })
+  })
+})
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -1,5 +1,11 @@
 /** A store, targets and a configuration, for tests of owners without any wire. */
-import type { Queue, RowStore, Target, VmCloud } from '../src/ports/index.js'
+import type {
+  Queue,
+  RowStore,
+  Target,
+  TargetOrders,
+  VmCloud,
+} from '../src/ports/index.js'
 import type { ConfigurationHolder, TargetList } from '../src/directory/index.js'
 import {
   jobSchema,
@@ -68,6 +74,8 @@
   listSteadySince: number
   ledger: RunLedger
   log: ReturnType<typeof createMemoryLogger>
+  /** How owners reach targets; by default without any wire. */
+  orders: TargetOrders
   /** List of VMs that owners see; undefined for none. */
   cloud: VmCloud | undefined
   addTarget(id: string, more?: Partial<Target>): SimTarget
@@ -146,6 +154,7 @@
     listSteadySince: -Infinity,
     ledger,
     log,
+    orders: createSimOrders(targets),
     cloud: undefined,
     addTarget(id, more = {}) {
       const target = createSimTarget({ id, capacity: more.capacity ?? CAPACITY, ledger })
@@ -199,7 +208,7 @@
       }
       const owner = await createServiceOwner({
         store: table.forNode('n'),
-        orders: createSimOrders(targets),
+        orders: rig.orders,
         cloud: rig.cloud,
         advice: undefined,
         configuration,
