fix(scheduler): a missing answer of a target is asked for again after a few round trips

Cause: a fixed time-out, many times a round trip, in the path of work that is late by then. A start without an answer cost 700 ms, its target a pause of 600 ms, and what waited behind it a new placement; a poll without an answer kept all ends of its target for up to 1.7 s and marked the target silent.

Change: an answer is missing after what the target's last answers say (RFC 6298, 100 to 700 ms), and the call is made again, three times at most within the 700 ms after which a target counts as silent as before. A repeated start is the same run under the same token: one that exists is confirmed, one that has ended is refused, so that the task can't run twice. A start that is refused after a call without an answer is not given to another target before the target is fenced: the earlier call may have been carried out. While short tasks run a poll lasts 300 ms instead of 1,000.

orderSender.spec counted calls where it means starts; it counts starts now, so that a repeated call is not taken for a second start.

--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -9,7 +9,7 @@
 import { PlatformError, sleep } from '../../src/shared/index.js'
 import type { SimTarget, StartVerdict } from './simTarget.js'
 
-/** Time after which an unanswered order is given up, in ms. */
+/** Time after which an unanswered order is given up at the latest, in ms. */
 const ANSWER_TIMEOUT_MS = 60
 
 const REFUSALS: Record<Exclude<StartVerdict, 'accepted'>, StartRefusal> = {
@@ -31,17 +31,17 @@
 
 function createSimLink(find: () => SimTarget | undefined): TargetLink {
   /** Carries an order out as the faults of the target say. */
-  async function order<T>(act: (target: SimTarget) => T) {
+  async function order<T>(timeoutMs: number, act: (target: SimTarget) => T) {
     await sleep(1)
     const target = find()
     if (!target) return err(orderError('gone', 'another life answered'))
-    const { silent, mute, lateMs } = target.faults
+    const { silent, mute, lateMs, isLate } = target.faults
     const unanswered = async () => {
-      await sleep(ANSWER_TIMEOUT_MS)
+      await sleep(Math.min(ANSWER_TIMEOUT_MS, timeoutMs))
       return err(orderError('unanswered', 'no answer'))
     }
     if (silent) return unanswered()
-    if (lateMs > 0) {
+    if (lateMs > 0 && isLate()) {
       setTimeout(() => !target.faults.silent && act(target), lateMs).unref()
       return unanswered()
     }
@@ -51,8 +51,8 @@
   }
 
   return {
-    async start(each) {
-      const res = await order((target) => ({
+    async start(each, timeoutMs) {
+      const res = await order(timeoutMs, (target) => ({
         clockMs: target.clockMs(),
         verdict: target.start({
           task: each.task,
@@ -69,17 +69,18 @@
           : { accepted: false as const, clockMs, reason: REFUSALS[verdict] },
       )
     },
-    stop: (task, run, token) => order((target) => target.stop(task, run, token)),
-    pace: (task, run, percent, token) =>
-      order((target) => target.pace(task, run, percent, token)),
-    async sync({ token, ackedSeq, leaseUntilMs, waitMs }) {
+    stop: ({ task, run, token }, timeoutMs) =>
+      order(timeoutMs, (target) => target.stop(task, run, token)),
+    pace: ({ task, run, percent, token }, timeoutMs) =>
+      order(timeoutMs, (target) => target.pace(task, run, percent, token)),
+    async sync({ token, ackedSeq, leaseUntilMs, waitMs }, timeoutMs) {
       const hold = { token, lastSeen: ackedSeq, untilMs: leaseUntilMs }
       if (waitMs > 0) {
-        const first = await order((target) => target.hold(hold))
+        const first = await order(timeoutMs, (target) => target.hold(hold))
         if (first.isErr()) return err(first.error)
         await find()?.waitForEnd(waitMs)
       }
-      const res = await order((target) => ({
+      const res = await order(timeoutMs, (target) => ({
         clockMs: target.clockMs(),
         report: target.hold(hold),
       }))
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -52,6 +52,8 @@
   delayMs: number
   /** Orders are carried out after this time and never answered, in ms; 0 for none. */
   lateMs: number
+  /** Whether the next order is one of these; by default each is. */
+  isLate(): boolean
   /** Every task fails at once. */
   failsAll: boolean
   /** Tasks do not get on. */
@@ -139,6 +141,7 @@
     mute: false,
     delayMs: 0,
     lateMs: 0,
+    isLate: () => true,
     failsAll: false,
     hangs: false,
     percent: undefined,
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -71,6 +71,18 @@
   ticket: string
 }
 
+/** An order to stop a run. */
+export interface StopOrder {
+  task: string
+  run: number
+  token: number
+}
+
+/** An order how much of its usual speed a run may have, in percent. */
+export interface PaceOrder extends StopOrder {
+  percent: number
+}
+
 export type StartAnswer =
   | { accepted: true; clockMs: number }
   | { accepted: false; clockMs: number; reason: StartRefusal }
@@ -99,13 +111,16 @@
   waitMs: number
 }
 
-/** A connection pair to one target. */
+/**
+ * A connection pair to one target. Each call is given up `timeoutMs` after the target could have
+ * answered.
+ */
 export interface TargetLink {
-  start(order: StartOrder): OrderResult<StartAnswer>
+  start(order: StartOrder, timeoutMs: number): OrderResult<StartAnswer>
   /** True when the target took the order; false when it refused the token. */
-  stop(task: string, run: number, token: number): OrderResult<boolean>
-  pace(task: string, run: number, percent: number, token: number): OrderResult<boolean>
-  sync(order: SyncOrder): OrderResult<TargetReport>
+  stop(order: StopOrder, timeoutMs: number): OrderResult<boolean>
+  pace(order: PaceOrder, timeoutMs: number): OrderResult<boolean>
+  sync(order: SyncOrder, timeoutMs: number): OrderResult<TargetReport>
   close(): void
 }
 
--- a/src/scheduler/__tests__/model.spec.ts
+++ b/src/scheduler/__tests__/model.spec.ts
@@ -52,7 +52,15 @@
     for (const target of world.rig.targets.values()) target.faults.silent = false
   },
   late(world: World, pick: number) {
-    targetAt(world, pick).faults.lateMs = 50 + (pick % 7) * 60
+    const { faults } = targetAt(world, pick)
+    faults.isLate = () => true
+    faults.lateMs = 50 + (pick % 7) * 60
+  },
+  someLate(world: World, pick: number) {
+    const { faults } = targetAt(world, pick)
+    let orders = pick
+    faults.isLate = () => ++orders % 3 === 0
+    faults.lateMs = 50 + (pick % 7) * 100
   },
   mute(world: World, pick: number) {
     targetAt(world, pick).faults.mute = true
@@ -60,6 +68,7 @@
   wellAgain(world: World) {
     for (const { faults } of world.rig.targets.values()) {
       faults.lateMs = 0
+      faults.isLate = () => true
       faults.mute = false
     }
   },
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -8,6 +8,7 @@
 import {
   PlatformError,
   createMemoryLogger,
+  createRoundTrip,
   createStopController,
   sleep,
 } from '../../shared/index.js'
@@ -20,9 +21,14 @@
 
 const ignore = (): void => undefined
 
+const NO_ANSWER = new PlatformError('no answer', {
+  props: { step: 'orders.start', peer: 't1', failure: 'unknown' },
+})
+
 /** The sender of one target that answers slowly, and the orders that have reached it. */
 function startSender(answers: () => unknown = () => ok({ accepted: true, clockMs: 2 })) {
   const sent: string[] = []
+  let fences = 0
   const log = createMemoryLogger()
   const authority = {
     mayOrder: () => true,
@@ -43,7 +49,7 @@
       await sleep(ANSWER_MS)
       return answers()
     },
-    async stop(task: string) {
+    async stop({ task }: { task: string }) {
       sent.push(`stop ${task.split('.').at(-1)}`)
       return ok(true)
     },
@@ -69,6 +75,8 @@
   const lease = createTargetLease(0)
   lease.noteClock(1)
   const { signal } = createStopController()
+  const roundTrip = createRoundTrip({ leastMs: 100, mostMs: 700 })
+  roundTrip.note(1)
   const sender = createOrderSender({
     targetId: 't1',
     link,
@@ -76,12 +84,15 @@
     authority,
     runs,
     lease,
+    roundTrip,
     signal,
     log,
     token: () => 1,
     pause: ignore,
     failed: ignore,
-    fenceUnanswered: async () => undefined,
+    async fenceUnanswered() {
+      fences++
+    },
     ticketRefused: ignore,
     changed: ignore,
   })
@@ -98,7 +109,7 @@
   }
   const tasks = (count: number): Task[] =>
     book.add(makeJob({}, [{ count }])).occurrences[0]!.steps[0]!.tasks
-  return { sent, sender, book, runs, start, stop, tasks }
+  return { sent, sender, book, runs, start, stop, tasks, fences: () => fences }
 }
 
 describe('createOrderSender', () => {
@@ -149,19 +160,48 @@
     t.is(runs.placements.size, 1)
   })
 
+  describe('a start that is refused after a call without an answer', () => {
+    for (const reason of ['superseded', 'full', 'expired', 'ticket', 'other']) {
+      it(`gives its task to no other target before it is fenced: ${reason}`, async (t) => {
+        const results = [
+          err({ failure: 'unanswered', reason: 'no answer', cause: NO_ANSWER }),
+          ok({ accepted: false, clockMs: 2, reason }),
+        ]
+        const { sent, sender, book, runs, start, tasks, fences } = startSender(() =>
+          results.shift(),
+        )
+        const [first] = tasks(1)
+        start(first!)
+        await sender.idle()
+        t.deepEqual(sent, ['start 0', 'start 0'])
+        t.is(fences(), 1)
+        t.is(runs.placements.get(first!.name)?.state, 'unsure')
+        t.false(book.ready.has(first!))
+      })
+    }
+
+    it('is given back at once where the first call was refused', async (t) => {
+      const refused = ok({ accepted: false, clockMs: 2, reason: 'full' })
+      const { sender, book, start, tasks, fences } = startSender(() => refused)
+      const [first] = tasks(1)
+      start(first!)
+      await sender.idle()
+      t.is(fences(), 0)
+      t.true(book.ready.has(first!))
+    })
+  })
+
   // Each of four starts for a silent target waited for the limits of those before it.
   it('gives back what waits for a target that does not answer', async (t) => {
-    const cause = new PlatformError('no answer', {
-      props: { step: 'orders.start', peer: 't1', failure: 'unknown' },
-    })
-    const failure = { failure: 'unanswered', reason: 'no answer', cause }
+    const failure = { failure: 'unanswered', reason: 'no answer', cause: NO_ANSWER }
     const { sent, sender, book, runs, start, tasks } = startSender(() => err(failure))
     const some = tasks(8)
     for (const task of some) start(task)
     await sender.idle()
-    t.true(sent.length < 8)
-    t.is(book.ready.size, 8 - sent.length)
-    t.is(runs.placements.size, sent.length)
+    const asked = new Set(sent).size
+    t.true(asked < 8)
+    t.is(book.ready.size, 8 - asked)
+    t.is(runs.placements.size, asked)
     t.true([...runs.placements.values()].every(({ state }) => state === 'unsure'))
   })
 })
--- /dev/null
+++ b/src/scheduler/ask.ts
@@ -0,0 +1,49 @@
+/**
+ * Calls a target again where an answer is missing. Every order may be sent twice: a start
+ * that exists is confirmed, one that has ended is refused, and a late one finds either.
+ */
+import type { Result } from 'neverthrow'
+import type { OrderError, OrderResult } from '../ports/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { RoundTrip } from '../shared/index.js'
+import { ANSWER_TIMEOUT_MS, MIN_ANSWER_MS } from './constants.js'
+
+/** Calls that are made at most before a target counts as silent. */
+const MAX_CALLS = 3
+
+/** What became of a call and its repetitions. */
+export interface Asked<T> {
+  /** Result of the last one. */
+  res: Result<T, OrderError>
+  /** Earlier ones without an answer; each of them may be carried out yet. */
+  lost: number
+}
+
+/** How a target is asked. */
+export interface AskOptions<T> {
+  roundTrip: RoundTrip
+  /** Makes one call, which is given up after `timeoutMs`; `again`: not for the first time. */
+  send(timeoutMs: number, again: boolean): OrderResult<T>
+  /** Time for which the first call lets the target wait before it answers, in ms. */
+  waitMs?: number
+  /** Whether the answer is still wanted after a call without one. */
+  mayAskAgain?(): boolean
+}
+
+/** Calls until there is an answer, for {@link ANSWER_TIMEOUT_MS} at most. */
+export async function ask<T>(opts: AskOptions<T>): Promise<Asked<T>> {
+  const { roundTrip, send, waitMs = 0, mayAskAgain = () => true } = opts
+  const endsAt = monotonicMs() + waitMs + ANSWER_TIMEOUT_MS
+  for (let lost = 0; ; lost++) {
+    const leftMs = Math.max(MIN_ANSWER_MS, endsAt - monotonicMs() - (lost ? 0 : waitMs))
+    const timeoutMs = roundTrip.timeoutMs()
+    const isLast = lost + 1 === MAX_CALLS || timeoutMs + MIN_ANSWER_MS > leftMs
+    const sentAt = monotonicMs()
+    const res = await send(isLast ? leftMs : timeoutMs, lost > 0)
+    const isMissing = res.isErr() && res.error.failure === 'unanswered'
+    const isTimed = lost > 0 || waitMs === 0
+    if (isMissing) roundTrip.missed()
+    else if (isTimed) roundTrip.note(monotonicMs() - sentAt)
+    if (!isMissing || isLast || !mayAskAgain()) return { res, lost }
+  }
+}
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -14,6 +14,15 @@
 export const SYNC_WAIT_MS = 1000
 /** The same where tasks that fill in are paced by the reports. */
 export const PACED_WAIT_MS = 500
+/**
+ * The same while short tasks run, in ms: an end behind a poll without an answer is heard well
+ * within what callers allow beyond the work of a job.
+ */
+export const BUSY_WAIT_MS = 300
+/** A target that has not answered for so long is silent, in ms. */
+export const ANSWER_TIMEOUT_MS = 700
+/** An answer counts as missing after this time at the earliest, in ms. */
+export const MIN_ANSWER_MS = 100
 /** Pause after a sync that failed. */
 export const SYNC_RETRY_MS = 150
 /** Longest wait for ends to become durable before leases are renewed again. */
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -9,7 +9,8 @@
 import type { Authority } from '../ownership/index.js'
 import type { OrderError, StartRefusal, TargetLink } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
-import type { Logger } from '../shared/index.js'
+import type { Logger, RoundTrip } from '../shared/index.js'
+import { ask } from './ask.js'
 import { FULL_PAUSE_MS, REFUSED_PAUSE_MS } from './constants.js'
 import type { TargetLease } from './targetLease.js'
 import type { Placement, TargetRuns } from './targetRuns.js'
@@ -58,6 +59,7 @@
   authority: Authority
   runs: TargetRuns
   lease: TargetLease
+  roundTrip: RoundTrip
   /** Once it fires, orders that wait are not sent any more. */
   signal: AbortSignal
   log: Logger
@@ -67,7 +69,7 @@
   pause(ms: number): void
   /** An order has failed in a way that speaks against the target. */
   failed(error: OrderError): void
-  /** A start went unanswered; resolves once the target refuses it if it comes late. */
+  /** A start may still come; resolves once the target refuses it if it comes late. */
   fenceUnanswered(): Promise<void>
   /** The target did not accept the ticket of a task's step. */
   ticketRefused(task: Task): void
@@ -77,7 +79,7 @@
 
 /** Creates the sender of one target. */
 export function createOrderSender(opts: OrderSenderOptions): OrderSender {
-  const { targetId, link, book, authority, runs, lease, token, log } = opts
+  const { targetId, link, book, authority, runs, lease, roundTrip, token, log } = opts
   const waiting: Record<OrderKind, WaitingOrder[]> = { stop: [], start: [], pace: [] }
   /** Resolves once nothing waits any more; undefined while nothing is sent. */
   let sending: Promise<void> | undefined
@@ -162,18 +164,27 @@
     ticket: string,
   ): Promise<void> {
     const { name, run } = placement
-    const wanted = runs.placements.get(name) === placement && !task.step.job.outcome
-    const leaseUntilMs = wanted && authority.mayOrder() ? lease.extend() : undefined
-    if (leaseUntilMs === undefined || !wanted) return giveBack(placement)
+    const isOpen = (): boolean =>
+      runs.placements.get(name) === placement && authority.mayOrder()
+    const wanted = isOpen() && !task.step.job.outcome
+    const leaseUntilMs = wanted ? lease.extend() : undefined
+    if (leaseUntilMs === undefined) return giveBack(placement)
     const { spec } = task.step.job.spec
     const sentToken = token()
-    const order = { task: name, run, spec, leaseUntilMs, token: sentToken, ticket }
-    const res = await link.start({ ...order, checkpoint: task.checkpoint })
+    const { checkpoint } = task
+    const order = { task: name, run, spec, token: sentToken, checkpoint, ticket }
+    const { res, lost } = await ask({
+      roundTrip,
+      send: (timeoutMs) =>
+        link.start({ ...order, leaseUntilMs: lease.extend() ?? leaseUntilMs }, timeoutMs),
+      mayAskAgain: isOpen,
+    })
+    task.step.job.delays.unanswered += lost
     if (runs.placements.get(name) !== placement) return
-    if (res.isErr()) return startFailed(task, placement, res.error)
+    if (res.isErr()) return startFailed(task, placement, res.error, lost)
     lease.noteClock(res.value.clockMs)
     if (!res.value.accepted)
-      return noteRefusal(task, placement, res.value.reason, sentToken)
+      return noteRefusal(task, placement, res.value.reason, sentToken, lost)
     book.noteBegun(task)
     if (placement.state === 'starting') placement.state = 'running'
     placement.confirmedClock = res.value.clockMs
@@ -184,30 +195,38 @@
     placement: Placement,
     reason: StartRefusal,
     sentToken: number,
-  ): void {
+    lost: number,
+  ): void | Promise<void> {
     const { name, run } = placement
-    log.event('startRefused', { task: name, run, target: targetId, reason })
-    runs.remove(placement)
-    book.unplace(task)
+    log.event('startRefused', { task: name, run, target: targetId, reason, lost })
     // A refusal for a lower token than ours is only the answer to our own newer one.
     if (reason !== 'fenced' || sentToken === token()) startRefused[reason](task)
+    if (lost > 0) return becomeUnsure(placement)
+    runs.remove(placement)
+    book.unplace(task)
     opts.changed()
   }
 
+  /** An order without an answer may have been carried out, be over, or come yet. */
+  function becomeUnsure(placement: Placement): Promise<void> {
+    placement.state = 'unsure'
+    return opts.fenceUnanswered()
+  }
+
   async function startFailed(
     task: Task,
     placement: Placement,
     error: OrderError,
+    lost: number,
   ): Promise<void> {
     const { name, run } = placement
-    log.event('startFailed', { task: name, run, target: targetId, ...failureOf(error) })
+    const failure = failureOf(error)
+    log.event('startFailed', { task: name, run, target: targetId, ...failure, lost })
     opts.pause(REFUSED_PAUSE_MS)
     dropStarts()
-    if (error.failure === 'unanswered') {
-      task.step.job.delays.unanswered++
-      placement.state = 'unsure'
-      return opts.fenceUnanswered()
-    }
+    if (error.failure === 'unanswered') task.step.job.delays.unanswered++
+    const mayCome = error.failure === 'unanswered' || lost > 0
+    if (mayCome && error.failure !== 'gone') return becomeUnsure(placement)
     if (error.failure === 'notDone') {
       runs.remove(placement)
       book.unplace(task)
@@ -218,7 +237,12 @@
 
   async function sendStop(name: string, run: number): Promise<void> {
     if (!authority.mayOrder()) return
-    const res = await link.stop(name, run, token())
+    const order = { task: name, run, token: token() }
+    const { res } = await ask({
+      roundTrip,
+      send: (timeoutMs) => link.stop(order, timeoutMs),
+      mayAskAgain: authority.mayOrder,
+    })
     if (res.isOk()) return
     log.event('stopFailed', { task: name, target: targetId, ...failureOf(res.error) })
     opts.failed(res.error)
@@ -226,7 +250,12 @@
 
   async function sendPace({ name, run }: Placement, percent: number): Promise<void> {
     if (!authority.mayOrder()) return
-    const res = await link.pace(name, run, percent, token())
+    const order = { task: name, run, percent, token: token() }
+    const { res } = await ask({
+      roundTrip,
+      send: (timeoutMs) => link.pace(order, timeoutMs),
+      mayAskAgain: authority.mayOrder,
+    })
     if (res.isErr()) opts.failed(res.error)
   }
 
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -4,14 +4,30 @@
  * be carried out; its run stays `unsure` until the target says otherwise under a newer
  * token, which makes it refuse the old order, or until its lease is over.
  */
-import type { OrderError, Target, TargetLink, TargetReport } from '../ports/index.js'
+import type {
+  OrderError,
+  OrderResult,
+  Target,
+  TargetLink,
+  TargetReport,
+} from '../ports/index.js'
 import type { JobBook, Step, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import { createStopController, jittered, monotonicMs, sleep } from '../shared/index.js'
+import {
+  createRoundTrip,
+  createStopController,
+  jittered,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createPacer } from '../sharing/index.js'
+import { ask } from './ask.js'
 import {
   ACK_WAIT_MS,
+  ANSWER_TIMEOUT_MS,
+  BUSY_WAIT_MS,
+  MIN_ANSWER_MS,
   PACED_WAIT_MS,
   SYNC_RETRY_MS,
   SYNC_WAIT_MS,
@@ -103,6 +119,7 @@
   const stopping = createStopController()
   const { signal } = stopping
   const lease = createTargetLease(opts.inheritedLeaseMs)
+  const roundTrip = createRoundTrip({ leastMs: MIN_ANSWER_MS, mostMs: ANSWER_TIMEOUT_MS })
   const pacer = createPacer()
   let target = opts.target
   /** Raised to make the target refuse orders that went unanswered. */
@@ -134,6 +151,7 @@
     authority,
     runs,
     lease,
+    roundTrip,
     signal,
     log,
     token,
@@ -214,21 +232,38 @@
   }
 
   async function syncOnce(waitMs: number): Promise<boolean> {
-    const sentToken = token()
-    // A silent target may get a lease that we never hear of: it is not extended, so that
-    // it is over at a time that we know.
-    const leaseUntilMs = answering ? lease.extend() : undefined
-    const order = { token: sentToken, ackedSeq, leaseUntilMs, waitMs }
+    let sentToken = token()
+    const send = (timeoutMs: number, again: boolean): OrderResult<TargetReport> => {
+      sentToken = token()
+      // A silent target may get a lease that we never hear of: it is not extended, so that
+      // it is over at a time that we know.
+      const leaseUntilMs = answering ? lease.extend() : undefined
+      const order = {
+        token: sentToken,
+        ackedSeq,
+        leaseUntilMs,
+        waitMs: again ? 0 : waitMs,
+      }
+      return link.sync(order, timeoutMs)
+    }
+    const mayAskAgain = (): boolean => !gone && authority.mayOrder()
     const sentAt = monotonicMs()
-    const res = await link.sync(order)
+    const { res, lost } = await ask({ roundTrip, send, waitMs, mayAskAgain })
     if (gone || signal.aborted) return false
+    if (lost > 0 || res.isErr()) silentSince ??= sentAt
     if (res.isOk()) applyReport(res.value, sentToken)
     else if (res.error.failure === 'fenced') noteFenced(sentToken)
     else noteFailure(res.error)
-    if (res.isErr()) silentSince ??= sentAt
     return res.isOk()
   }
 
+  /** Time that the target may wait for an end before it answers, in ms. */
+  function pollWaitMs(): number {
+    if (runs.shared().some(({ fills }) => fills)) return PACED_WAIT_MS
+    const isBusy = [...placements.values()].some(({ task }) => !task?.step.spec.lasting)
+    return isBusy ? BUSY_WAIT_MS : SYNC_WAIT_MS
+  }
+
   async function run(): Promise<void> {
     while (!signal.aborted) {
       expireLease()
@@ -240,9 +275,7 @@
       // It lists ends that are not acknowledged at once, so that no poll would last.
       if (runs.endsSeen() > runs.endsToAck()) await sleep(ACK_WAIT_MS, signal)
       const waits = heard && runs.endsSeen() === ackedSeq
-      const paced = runs.shared().some(({ fills }) => fills)
-      const waitMs = paced ? PACED_WAIT_MS : SYNC_WAIT_MS
-      const done = await syncOnce(waits ? waitMs : 0)
+      const done = await syncOnce(waits ? pollWaitMs() : 0)
       if (!done) await sleep(jittered(SYNC_RETRY_MS), signal)
     }
   }
