fix(storeAccess): callers learn soon that the answer to a commit is missing

All callers of a commit repeat one that may have been done; they learned of it after 1.5 s. Renewals of an owner were among them, with a lease of 1.2 s: in lostCommits.spec it was not confirmed for 93 to 102 looks of 10 ms in 4.5 s.

Change: a commit fails as unknown after what the last answers say (RFC 6298, 100 to 1,500 ms). The call itself goes on, so that the circuit breaker and the timer see its answer, also a late one, and a slow store is not taken for one that breaks connections. The stand-in's lost commits take their time now.

--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -28,6 +28,8 @@
   delayMs: number
   /** Share of commits that are done and not answered. */
   lostShare: number
+  /** Time after which an unanswered commit is given up, in ms. */
+  lostMs: number
   /** Of the unanswered commits, those that are done only after this time, in ms. */
   lateMs: number
   random: () => number
@@ -67,6 +69,7 @@
     refusedParts: new Set(),
     delayMs: 0,
     lostShare: 0,
+    lostMs: 0,
     lateMs: 0,
     random: () => 0.5,
   }
@@ -132,6 +135,7 @@
       if (faults.random() < faults.lostShare) {
         if (faults.lateMs === 0) apply(tx)
         else setTimeout(() => apply(tx), faults.lateMs).unref()
+        await sleep(faults.lostMs)
         return failed('store.commit', 'unknown', 'no answer')
       }
       return ok(apply(tx))
--- a/src/storeAccess/circuitBreaker.ts
+++ b/src/storeAccess/circuitBreaker.ts
@@ -13,7 +13,13 @@
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { BROKEN_WAIT_MS, PROBE_MS, SILENT_MS } from './constants.js'
-import { PROBE, failedAnswer, makeStoreCall } from './storeCall.js'
+import {
+  PROBE,
+  STORE_PLACE,
+  failedAnswer,
+  isAnswered,
+  makeStoreCall,
+} from './storeCall.js'
 import type { StoreAnswer } from './storeCall.js'
 
 /** A store behind a circuit breaker. */
@@ -30,15 +36,6 @@
   giveUp(reason: string): void
 }
 
-/** Where calls that are given up or not sent have failed. */
-const STORE_PLACE = { step: 'store', peer: 'store' }
-
-/** Whether the store itself has answered, be it to refuse. */
-const isAnswered = (answer: StoreAnswer): boolean =>
-  answer.isOk() ||
-  answer.error.failure === 'refused' ||
-  answer.error.failure === 'compacted'
-
 /** Whether the call was lost, perhaps with its connection. */
 const isBroken = (answer: StoreAnswer): boolean =>
   answer.isErr() && answer.error.failure === 'unknown'
--- a/src/storeAccess/constants.ts
+++ b/src/storeAccess/constants.ts
@@ -5,6 +5,9 @@
  * Slowed 60 times it still answers a read in 0.25 s and a write in 0.5 s.
  */
 export const SILENT_MS = 800
+/** The answer to a commit is missing after this time at the earliest, and at the latest. */
+export const MIN_COMMIT_WAIT_MS = 100
+export const MAX_COMMIT_WAIT_MS = 1500
 /**
  * A call waits so long for the first probe after a connection broke: several round trips.
  * Connections that break alone cost a call some ms; a store that breaks all of them is not
--- a/src/storeAccess/storeAccess.ts
+++ b/src/storeAccess/storeAccess.ts
@@ -7,6 +7,7 @@
 import { sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createCircuitBreaker } from './circuitBreaker.js'
+import { createCommitLimit } from './commitLimit.js'
 import { RELAYED_POLL_MS } from './constants.js'
 import { makeStoreCall } from './storeCall.js'
 import type { StoreAnswer, StoreCall } from './storeCall.js'
@@ -35,6 +36,7 @@
   const { direct, log } = opts
   const breaker = createCircuitBreaker({ ...opts, store: direct })
   direct.onBytes?.(breaker.noteBytes)
+  const limitCommit = createCommitLimit()
   let relay: StoreRelay | undefined
   let relaying = false
 
@@ -67,7 +69,7 @@
 
   return {
     store: {
-      commit: (tx) => runAs({ method: 'commit', tx }),
+      commit: (tx) => limitCommit(() => runAs({ method: 'commit', tx })),
       read: (table, part, range) => runAs({ method: 'read', table, part, range }),
       parts: (table) => runAs({ method: 'parts', table }),
       changes: (table, after, waitMs) =>
--- a/src/storeAccess/storeCall.ts
+++ b/src/storeAccess/storeCall.ts
@@ -33,6 +33,15 @@
 /** Answer to a call; the call tells what a value is, if it is not known from elsewhere. */
 export type StoreAnswer<T = unknown> = Result<T, PlatformError>
 
+/** Where calls that are given up or not sent have failed. */
+export const STORE_PLACE: ErrorPlace = { step: 'store', peer: 'store' }
+
+/** Whether the store itself has answered, be it to refuse. */
+export const isAnswered = (answer: StoreAnswer): boolean =>
+  answer.isOk() ||
+  answer.error.failure === 'refused' ||
+  answer.error.failure === 'compacted'
+
 /** A small read, which shows whether the store answers. */
 export const PROBE: StoreCall = { method: 'read', table: 'probe', part: '' }
 
