fix(front): a cancel whose write went unanswered is repeated

A caller who cancelled a job got 503 when the answer to the write was lost, though the cancel was kept. The write may be made again, its condition is the version of the job's row; it is now repeated for up to 1.5 s like the write of a job. Repetitions keep a pace of 100 ms, which does not come on top of the time that the missing answer took.

--- a/src/front/__tests__/jobService.spec.ts
+++ b/src/front/__tests__/jobService.spec.ts
@@ -1,5 +1,6 @@
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
+import { makeJob } from '../../../test/jobRig.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
 import type { Configuration, Queue } from '../../ports/index.js'
 import { createMemoryLogger, sleep } from '../../shared/index.js'
@@ -32,16 +33,18 @@
   const table = createRowTable()
   const offered: string[] = []
   const expected: string[] = []
+  const cancelled: string[] = []
   const jobs = createJobService({
     store: table.forNode('n'),
     configuration: configuration as unknown as ConfigurationHolder,
     owners: {
       offer: (job: { id: string }) => void offered.push(job.id),
       expect: (job: { id: string }) => void expected.push(job.id),
+      cancel: (_service: string, id: string) => void cancelled.push(id),
     } as unknown as OwnerCalls,
     log: createMemoryLogger(),
   })
-  return { table, jobs, offered, expected }
+  return { table, jobs, offered, expected, cancelled }
 }
 
 describe('createJobService', () => {
@@ -97,6 +100,22 @@
     })
   })
 
+  describe('cancel whose write went unanswered', () => {
+    for (const lateMs of [0, 300]) {
+      it(`is not refused, when it is done after ${lateMs} ms`, async (t) => {
+        const { table, jobs, cancelled } = startService()
+        const job = { ...JOB, steps: makeJob({}).steps }
+        t.is((await jobs.submit(QUEUE, job)).kind, 'accepted')
+        let calls = 0
+        table.faults.lostShare = 0.5
+        table.faults.lateMs = lateMs
+        table.faults.random = () => (calls++ === 0 ? 0 : 1)
+        t.is((await jobs.cancel(QUEUE, JOB.id)).kind, 'ok')
+        t.deepEqual(cancelled, [JOB.id])
+      })
+    }
+  })
+
   it('refuses at once what the store has not done', async (t) => {
     const { table, jobs } = startService()
     table.faults.down = true
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -15,7 +15,13 @@
   intakeKey,
 } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
-import type { Queue, RowCommit, RowStore, StoredRow } from '../ports/index.js'
+import type {
+  Queue,
+  RowCommit,
+  RowStore,
+  RowTransaction,
+  StoredRow,
+} from '../ports/index.js'
 import {
   createUnreadRows,
   describeError,
@@ -42,7 +48,7 @@
  * an answer a caller may not know whether to ask again; half of the usual deadline of 3 s.
  */
 const UNCERTAIN_PATIENCE_MS = 1500
-/** Pause before such a write is repeated, in ms; jittered. */
+/** Time between two such writes at least, in ms; jittered. */
 const UNCERTAIN_RETRY_MS = 100
 
 /** Outcome of a question for a queue by host and path. */
@@ -118,31 +124,36 @@
     return answer
   }
 
+  /** Commits, again while it is not known what became of it; a repetition must do no harm. */
+  async function commitUntilKnown(tx: RowTransaction) {
+    const endsAt = monotonicMs() + UNCERTAIN_PATIENCE_MS
+    let perhapsDone = false
+    for (;;) {
+      const sentAt = monotonicMs()
+      const res = await store.commit(tx)
+      perhapsDone ||= res.isErr() && res.error.failure === 'unknown'
+      if (res.isOk() || !perhapsDone || monotonicMs() >= endsAt)
+        return { res, perhapsDone }
+      const pauseMs = jittered(UNCERTAIN_RETRY_MS) - (monotonicMs() - sentAt)
+      if (pauseMs > 0) await sleep(pauseMs)
+    }
+  }
+
   /**
-   * Writes a job's row. A write that went unanswered is repeated: its condition lets only
-   * one of them take effect, and a refused repetition shows that the job is kept.
+   * Writes a job's row. Its condition lets only one write take effect, and a refused
+   * repetition shows that the job is kept.
    */
-  async function commitIntake(job: JobSpec) {
+  function commitIntake(job: JobSpec) {
     const key = intakeKey(job.queue, job.id)
     const ended = endedKey(job.queue, job.id)
-    const tx = {
+    return commitUntilKnown({
       conditions: [
         { ...key, version: 0 },
         { ...ended, version: 0 },
       ],
       puts: [{ ...key, value: encodeJob(job) }],
       removals: [],
-    }
-    const endsAt = monotonicMs() + UNCERTAIN_PATIENCE_MS
-    let res = await store.commit(tx)
-    let perhapsDone = false
-    for (;;) {
-      perhapsDone ||= res.isErr() && res.error.failure === 'unknown'
-      if (res.isOk() || !perhapsDone || monotonicMs() >= endsAt)
-        return { res, perhapsDone }
-      await sleep(jittered(UNCERTAIN_RETRY_MS))
-      res = await store.commit(tx)
-    }
+    })
   }
 
   async function submit(queue: Queue, newJob: NewJob): Promise<SubmitResult> {
@@ -185,7 +196,7 @@
       if (!cancelled) {
         const put = { ...cancelKey(queue.name, id), value: '{}' }
         const conditions = [{ ...intakeKey(queue.name, id), version }]
-        const res = await store.commit({ conditions, puts: [put], removals: [] })
+        const { res } = await commitUntilKnown({ conditions, puts: [put], removals: [] })
         if (res.isErr()) return unavailable(describeError(res.error))
         // The job is over by now, and its row has moved.
         if (!res.value.committed) continue
