fix(scheduler): a write of progress that turns out to be done counts as done

Cause: after a write without an answer the next one was refused, because the first had been done, and the writer wrote the same rows a third time, with 100 ms of pause before each, while all others waited.

Change: rows that stand in the way and are what was to be written settle their jobs. Writes keep a pace of 100 ms, which does not come on top of the time that the missing answer took.

--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -33,7 +33,7 @@
 export const FLUSH_DELAY_MS = 40
 /** Jobs per write: one condition and one put each, of the store's 100, and the epoch. */
 export const JOBS_PER_WRITE = 45
-/** Pause before a refused or unanswered write is tried again; jittered. */
+/** Time between a refused or unanswered write and the next at least; jittered. */
 export const FLUSH_RETRY_MS = 100
 /** A target that refused for want of room gets nothing new for so long. */
 export const FULL_PAUSE_MS = 200
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -3,11 +3,17 @@
  * while the last one ran. Each write depends on the owner's epoch and on the rows that
  * it replaces, so that neither a deposed owner nor a write done late can undo anything.
  */
-import type { RowStore, StoredRow } from '../ports/index.js'
+import type { RowStore, RowTransaction, StoredRow } from '../ports/index.js'
 import { encodeProgress, progressKey } from '../jobs/index.js'
 import type { Job } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import { createStopController, describeError, jittered, sleep } from '../shared/index.js'
+import {
+  createStopController,
+  describeError,
+  jittered,
+  monotonicMs,
+  sleep,
+} from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { FLUSH_DELAY_MS, FLUSH_RETRY_MS, JOBS_PER_WRITE } from './constants.js'
 
@@ -36,6 +42,12 @@
   settled(job: Job): void
 }
 
+/** Whether the rows that stood in the way are what was to be written, by an unanswered write. */
+function isStored(puts: RowTransaction['puts'], current: StoredRow[]): boolean {
+  const values = new Map(current.map((row) => [`${row.table}/${row.key}`, row.value]))
+  return puts.every(({ table, key, value }) => values.get(`${table}/${key}`) === value)
+}
+
 export function createProgressWriter(opts: ProgressWriterOptions): ProgressWriter {
   const { store, service, authority, log } = opts
   const stopping = createStopController()
@@ -73,7 +85,12 @@
   /** Writes until it is done; false when the epoch is lost or the writer stopped. */
   async function write(jobs: Job[]): Promise<boolean> {
     for (;;) {
+      const sentAt = monotonicMs()
       const outcomes = jobs.map(({ outcome }) => outcome)
+      const puts = jobs.map((job) => ({
+        ...progressKey(service, job.spec.id),
+        value: encodeProgress(job),
+      }))
       const res = await store.commit({
         conditions: [
           authority.epoch(),
@@ -82,30 +99,32 @@
             version: job.progressVersion,
           })),
         ],
-        puts: jobs.map((job) => ({
-          ...progressKey(service, job.spec.id),
-          value: encodeProgress(job),
-        })),
+        puts,
         removals: [],
       })
-      if (res.isOk() && res.value.committed) {
-        for (const [index, job] of jobs.entries()) {
-          job.progressVersion = res.value.version
-          settle(job, outcomes[index])
-        }
-        return true
-      }
       if (res.isErr()) {
         log.event('progressNotWritten', { service, reason: describeError(res.error) })
-      } else if (!res.value.committed && !adoptVersions(jobs, res.value.current)) {
+      } else if (res.value.committed) {
+        for (const job of jobs) job.progressVersion = res.value.version
+        settleAll(jobs, outcomes)
+        return true
+      } else if (!adoptVersions(jobs, res.value.current)) {
         authority.lost('the epoch row has changed')
         return false
+      } else if (isStored(puts, res.value.current)) {
+        settleAll(jobs, outcomes)
+        return true
       }
       if (stopping.signal.aborted) return false
-      await sleep(jittered(FLUSH_RETRY_MS), stopping.signal)
+      const pauseMs = jittered(FLUSH_RETRY_MS) - (monotonicMs() - sentAt)
+      if (pauseMs > 0) await sleep(pauseMs, stopping.signal)
     }
   }
 
+  function settleAll(jobs: Job[], outcomes: Job['outcome'][]): void {
+    for (const [index, job] of jobs.entries()) settle(job, outcomes[index])
+  }
+
   function settle(job: Job, outcome: Job['outcome']): void {
     if (outcome === undefined || job.durableOutcome) return
     job.durableOutcome = outcome
