refactor(scheduler): the answer to a start is noted by a function of its own

The orders of a start and what its answer means stood in one long function. The comment on writes of targets that are hedged no longer names a time-out that has changed.

--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -7,10 +7,11 @@
 import { noteDelay } from '../jobs/index.js'
 import type { JobBook, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import type { OrderError, StartRefusal, TargetLink } from '../ports/index.js'
+import type { OrderError, StartAnswer, StartRefusal, TargetLink } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger, RoundTrip } from '../shared/index.js'
 import { ask } from './ask.js'
+import type { Asked } from './ask.js'
 import { FULL_PAUSE_MS, REFUSED_PAUSE_MS } from './constants.js'
 import type { TargetLease } from './targetLease.js'
 import type { Placement, TargetRuns } from './targetRuns.js'
@@ -173,14 +174,24 @@
     const sentToken = token()
     const { checkpoint } = task
     const order = { task: name, run, spec, token: sentToken, checkpoint, ticket }
-    const { res, lost } = await ask({
+    const asked = await ask({
       roundTrip,
       send: (timeoutMs) =>
         link.start({ ...order, leaseUntilMs: lease.extend() ?? leaseUntilMs }, timeoutMs),
       mayAskAgain: isOpen,
     })
+    // A report may have told its end meanwhile.
+    if (runs.placements.get(name) === placement)
+      await noteAnswer(task, placement, asked, sentToken)
+  }
+
+  async function noteAnswer(
+    task: Task,
+    placement: Placement,
+    { res, lost }: Asked<StartAnswer>,
+    sentToken: number,
+  ): Promise<void> {
     task.step.job.delays.unanswered += lost
-    if (runs.placements.get(name) !== placement) return
     if (res.isErr()) return startFailed(task, placement, res.error, lost)
     lease.noteClock(res.value.clockMs)
     if (!res.value.accepted)
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -20,9 +20,8 @@
 export const ROSTER_TABLE = 'roster'
 /**
  * Time without an answer after which new targets are written once more beside the first write,
- * in ms, and writes at the same time. A store that loses answers is silent for 1.5 s a call,
- * and nothing starts on a target before its row is known to be there: with a third of the
- * answers lost, jobs waited up to 7 s for the rows of VMs that had come for them.
+ * in ms, and writes at the same time: nothing starts on a target before its row is known to be
+ * there, and a slow store may answer one write before the other.
  */
 const HEDGE_MS = 400
 const MAX_WRITES = 3
