--- a/src/scheduler/ask.ts
+++ b/src/scheduler/ask.ts
@@ -39,7 +39,7 @@
     const timeoutMs = roundTrip.timeoutMs()
     const isLast = lost + 1 === MAX_CALLS || timeoutMs + MIN_ANSWER_MS > leftMs
     const sentAt = monotonicMs()
-    const res = await send(isLast ? leftMs : timeoutMs, lost > 0)
+    const res = await send(Math.round(isLast ? leftMs : timeoutMs), lost > 0)
     const isMissing = res.isErr() && res.error.failure === 'unanswered'
     const isTimed = lost > 0 || waitMs === 0
     if (isMissing) roundTrip.missed()
