refactor(scheduler): a target's silence is kept by a module of its own

targetAgent held whether the target answers, since when it does not and both lines about it. ask tells send how long the target may wait instead of whether the call is a repetition.

--- a/src/scheduler/ask.ts
+++ b/src/scheduler/ask.ts
@@ -22,9 +22,13 @@
 /** How a target is asked. */
 export interface AskOptions<T> {
   roundTrip: RoundTrip
-  /** Makes one call, which is given up after `timeoutMs`; `again`: not for the first time. */
-  send(timeoutMs: number, again: boolean): OrderResult<T>
-  /** Time for which the first call lets the target wait before it answers, in ms. */
+  /**
+   * Makes one call.
+   * @param timeoutMs time after which it is given up, once the target could have answered
+   * @param waitMs time that the target may wait before it answers
+   */
+  send(timeoutMs: number, waitMs: number): OrderResult<T>
+  /** Time that the target may wait at the first call, in ms. */
   waitMs?: number
   /** Whether the answer is still wanted after a call without one. */
   mayAskAgain?(): boolean
@@ -35,15 +39,15 @@
   const { roundTrip, send, waitMs = 0, mayAskAgain = () => true } = opts
   const endsAt = monotonicMs() + waitMs + ANSWER_TIMEOUT_MS
   for (let lost = 0; ; lost++) {
-    const leftMs = Math.max(MIN_ANSWER_MS, endsAt - monotonicMs() - (lost ? 0 : waitMs))
+    const pollMs = lost === 0 ? waitMs : 0
+    const leftMs = Math.max(MIN_ANSWER_MS, endsAt - monotonicMs() - pollMs)
     const timeoutMs = roundTrip.timeoutMs()
     const isLast = lost + 1 === MAX_CALLS || timeoutMs + MIN_ANSWER_MS > leftMs
     const sentAt = monotonicMs()
-    const res = await send(Math.round(isLast ? leftMs : timeoutMs), lost > 0)
+    const res = await send(Math.round(isLast ? leftMs : timeoutMs), pollMs)
     const isMissing = res.isErr() && res.error.failure === 'unanswered'
-    const isTimed = lost > 0 || waitMs === 0
     if (isMissing) roundTrip.missed()
-    else if (isTimed) roundTrip.note(monotonicMs() - sentAt)
+    else if (pollMs === 0) roundTrip.note(monotonicMs() - sentAt)
     if (!isMissing || isLast || !mayAskAgain()) return { res, lost }
   }
 }
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -39,6 +39,7 @@
 import { createTargetLease } from './targetLease.js'
 import { createTargetRuns } from './targetRuns.js'
 import type { Placement } from './targetRuns.js'
+import { createTargetSilence } from './targetSilence.js'
 
 /** Why a target gets nothing new, whatever a task asks for. */
 export type TargetHold =
@@ -121,14 +122,12 @@
   const lease = createTargetLease(opts.inheritedLeaseMs)
   const roundTrip = createRoundTrip({ leastMs: MIN_ANSWER_MS, mostMs: ANSWER_TIMEOUT_MS })
   const pacer = createPacer()
+  const silence = createTargetSilence(targetId, log)
   let target = opts.target
   /** Raised to make the target refuse orders that went unanswered. */
   let bump = 0
   let ackedSeq = 0
   let heard = false
-  let answering = true
-  /** Steady time of the first call since its last answer that has failed, in ms. */
-  let silentSince: number | undefined
   let gone = false
   let pausedUntil = 0
 
@@ -169,23 +168,12 @@
     }
   }
 
-  function noteAnswer({ ends }: TargetReport, silentMs: number): void {
-    log.event('targetAnswers', {
-      target: targetId,
-      silentMs: Math.round(silentMs),
-      ends: ends.length,
-    })
-  }
-
   function applyReport(report: TargetReport, reportToken: number): void {
     lease.noteClock(report.clockMs)
-    const silentMs = silentSince === undefined ? 0 : monotonicMs() - silentSince
-    silentSince = undefined
+    const silentMs = silence.end(report.ends.length)
     runs.apply(report, reportToken, silentMs)
-    if (!answering) noteAnswer(report, silentMs)
     if (!heard) log.event('targetHeard', { target: targetId, runs: report.runs.length })
     heard = true
-    answering = true
     pacePlacements()
     opts.changed()
   }
@@ -214,8 +202,7 @@
 
   function noteFailure(error: OrderError): void {
     if (error.failure === 'gone') return markGone(error.reason)
-    if (answering) log.event('targetSilent', { target: targetId, reason: error.reason })
-    answering = false
+    silence.begin(error.reason)
   }
 
   /** Once the lease of everything on a silent target is over, nothing runs there. */
@@ -233,24 +220,19 @@
 
   async function syncOnce(waitMs: number): Promise<boolean> {
     let sentToken = token()
-    const send = (timeoutMs: number, again: boolean): OrderResult<TargetReport> => {
+    const send = (timeoutMs: number, pollMs: number): OrderResult<TargetReport> => {
       sentToken = token()
       // A silent target may get a lease that we never hear of: it is not extended, so that
       // it is over at a time that we know.
-      const leaseUntilMs = answering ? lease.extend() : undefined
-      const order = {
-        token: sentToken,
-        ackedSeq,
-        leaseUntilMs,
-        waitMs: again ? 0 : waitMs,
-      }
+      const leaseUntilMs = silence.isAnswering() ? lease.extend() : undefined
+      const order = { token: sentToken, ackedSeq, leaseUntilMs, waitMs: pollMs }
       return link.sync(order, timeoutMs)
     }
     const mayAskAgain = (): boolean => !gone && authority.mayOrder()
     const sentAt = monotonicMs()
     const { res, lost } = await ask({ roundTrip, send, waitMs, mayAskAgain })
     if (gone || signal.aborted) return false
-    if (lost > 0 || res.isErr()) silentSince ??= sentAt
+    if (lost > 0 || res.isErr()) silence.missed(sentAt)
     if (res.isOk()) applyReport(res.value, sentToken)
     else if (res.error.failure === 'fenced') noteFenced(sentToken)
     else noteFailure(res.error)
@@ -293,7 +275,7 @@
     { hold: 'draining', holds: () => target.draining },
     { hold: 'unlisted', holds: () => !agent.listed },
     { hold: 'unheard', holds: () => !heard },
-    { hold: 'silent', holds: () => !answering },
+    { hold: 'silent', holds: () => !silence.isAnswering() },
     { hold: 'evacuating', holds: () => agent.evacuating },
     // What runs there takes room that is not known before its jobs are read.
     { hold: 'unread', holds: () => book.mayMissJobs && runs.heldCount() > 0 },
@@ -314,7 +296,7 @@
     pausedUntil: () => pausedUntil,
     settledBy: lease.overAt,
     isSettled: () => heard || gone || lease.isOver(),
-    isAnswering: () => answering && heard && !gone,
+    isAnswering: () => silence.isAnswering() && heard && !gone,
     update(next) {
       if (next.draining && !target.draining) {
         log.event('targetDraining', { target: targetId })
