refactor(storeAccess): comments on the wait for a commit say what it is

A commit 'holds only once' and one comment for two bounds stopped a reader. The constants of lostOrders.spec stand together. No code changes; 22 tests of storeAccess and lostOrders.spec pass.

--- a/playground/__tests__/lostOrders.spec.ts
+++ b/playground/__tests__/lostOrders.spec.ts
@@ -15,6 +15,10 @@
 const TASK_MS = 50
 /** Unanswered orders are carried out so much later, in ms. */
 const LATE_MS = 1500
+/** By then a poll that was sent to an idle target is over, in ms. */
+const IDLE_POLL_MS = 1100
+const START = '/run-start'
+const POLL = '/hold'
 
 /** A target over HTTP that leaves some orders unanswered and carries them out late. */
 interface LossyTarget {
@@ -22,12 +26,6 @@
   losses: Map<string, number>
 }
 
-/** By then a poll that was sent to an idle target is over, in ms. */
-const IDLE_POLL_MS = 1100
-
-const START = '/run-start'
-const POLL = '/hold'
-
 async function addLossyTarget(
   t: ExecutionContext,
   rig: JobRig,
--- a/src/storeAccess/commitLimit.ts
+++ b/src/storeAccess/commitLimit.ts
@@ -1,7 +1,7 @@
 /**
- * Tells callers soon that the answer to a commit is missing. A commit holds only once, by its
- * conditions, so that it may be made again; the call itself goes on, and its answer, also a
- * late one, says how long the next one is waited for.
+ * Tells callers soon that the answer to a commit is missing. By its conditions a commit takes
+ * effect once at most, so that it may be made again; the call itself goes on, and its answer,
+ * also a late one, says how long the next one is waited for.
  */
 import type { StoreResult } from '../ports/index.js'
 import { createRoundTrip, monotonicMs, watchSilence } from '../shared/index.js'
--- a/src/storeAccess/constants.ts
+++ b/src/storeAccess/constants.ts
@@ -5,8 +5,9 @@
  * Slowed 60 times it still answers a read in 0.25 s and a write in 0.5 s.
  */
 export const SILENT_MS = 800
-/** The answer to a commit is missing after this time at the earliest, and at the latest. */
+/** The answer to a commit counts as missing after this time at the earliest. */
 export const MIN_COMMIT_WAIT_MS = 100
+/** The same at the latest, also before the first answer. */
 export const MAX_COMMIT_WAIT_MS = 1500
 /**
  * A call waits so long for the first probe after a connection broke: several round trips.
