--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -27,7 +27,7 @@
   describeError,
   jittered,
   monotonicMs,
-  sleep,
+  sleepUntil,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { OwnerCalls } from './ownerCalls.js'
@@ -134,8 +134,7 @@
       perhapsDone ||= res.isErr() && res.error.failure === 'unknown'
       if (res.isOk() || !perhapsDone || monotonicMs() >= endsAt)
         return { res, perhapsDone }
-      const pauseMs = jittered(UNCERTAIN_RETRY_MS) - (monotonicMs() - sentAt)
-      if (pauseMs > 0) await sleep(pauseMs)
+      await sleepUntil(sentAt + jittered(UNCERTAIN_RETRY_MS))
     }
   }
 
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -7,7 +7,13 @@
 import { noteDelay } from '../jobs/index.js'
 import type { JobBook, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import type { OrderError, StartAnswer, StartRefusal, TargetLink } from '../ports/index.js'
+import type {
+  OrderError,
+  OrderResult,
+  StartAnswer,
+  StartRefusal,
+  TargetLink,
+} from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger, RoundTrip } from '../shared/index.js'
 import { ask } from './ask.js'
@@ -246,14 +252,18 @@
     opts.changed()
   }
 
+  /** Asks again for as long as this owner may give orders. */
+  async function askAsOwner(
+    send: (timeoutMs: number) => OrderResult<boolean>,
+  ): OrderResult<boolean> {
+    const { res } = await ask({ roundTrip, send, mayAskAgain: authority.mayOrder })
+    return res
+  }
+
   async function sendStop(name: string, run: number): Promise<void> {
     if (!authority.mayOrder()) return
     const order = { task: name, run, token: token() }
-    const { res } = await ask({
-      roundTrip,
-      send: (timeoutMs) => link.stop(order, timeoutMs),
-      mayAskAgain: authority.mayOrder,
-    })
+    const res = await askAsOwner((timeoutMs) => link.stop(order, timeoutMs))
     if (res.isOk()) return
     log.event('stopFailed', { task: name, target: targetId, ...failureOf(res.error) })
     opts.failed(res.error)
@@ -262,11 +272,7 @@
   async function sendPace({ name, run }: Placement, percent: number): Promise<void> {
     if (!authority.mayOrder()) return
     const order = { task: name, run, percent, token: token() }
-    const { res } = await ask({
-      roundTrip,
-      send: (timeoutMs) => link.pace(order, timeoutMs),
-      mayAskAgain: authority.mayOrder,
-    })
+    const res = await askAsOwner((timeoutMs) => link.pace(order, timeoutMs))
     if (res.isErr()) opts.failed(res.error)
   }
 
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -12,7 +12,7 @@
   describeError,
   jittered,
   monotonicMs,
-  sleep,
+  sleepUntil,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { FLUSH_DELAY_MS, FLUSH_RETRY_MS, JOBS_PER_WRITE } from './constants.js'
@@ -42,10 +42,16 @@
   settled(job: Job): void
 }
 
+/** The rows of one part by table and key. */
+const byKey = (rows: StoredRow[]): Map<string, StoredRow> =>
+  new Map(rows.map((row) => [`${row.table}/${row.key}`, row]))
+
 /** Whether the rows that stood in the way are what was to be written, by an unanswered write. */
 function isStored(puts: RowTransaction['puts'], current: StoredRow[]): boolean {
-  const values = new Map(current.map((row) => [`${row.table}/${row.key}`, row.value]))
-  return puts.every(({ table, key, value }) => values.get(`${table}/${key}`) === value)
+  const rows = byKey(current)
+  return puts.every(
+    ({ table, key, value }) => rows.get(`${table}/${key}`)?.value === value,
+  )
 }
 
 export function createProgressWriter(opts: ProgressWriterOptions): ProgressWriter {
@@ -116,8 +122,7 @@
         return true
       }
       if (stopping.signal.aborted) return false
-      const pauseMs = jittered(FLUSH_RETRY_MS) - (monotonicMs() - sentAt)
-      if (pauseMs > 0) await sleep(pauseMs, stopping.signal)
+      await sleepUntil(sentAt + jittered(FLUSH_RETRY_MS), stopping.signal)
     }
   }
 
@@ -134,12 +139,10 @@
   /** After a conflict: a write of ours was done. False when another owner's epoch is there. */
   function adoptVersions(jobs: Job[], current: StoredRow[]): boolean {
     if (!authority.adoptEpoch(current)) return false
-    const versions = new Map(
-      current.map((row) => [`${row.table}/${row.key}`, row.version]),
-    )
+    const rows = byKey(current)
     for (const job of jobs) {
       const { table, key } = progressKey(service, job.spec.id)
-      job.progressVersion = versions.get(`${table}/${key}`) ?? 0
+      job.progressVersion = rows.get(`${table}/${key}`)?.version ?? 0
     }
     return true
   }
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -22,6 +22,12 @@
   })
 }
 
+/** Resolves at the steady time, in ms; at once where that is past, or when the signal fires. */
+export async function sleepUntil(at: number, signal?: AbortSignal): Promise<void> {
+  const leftMs = at - monotonicMs()
+  if (leftMs > 0) await sleep(leftMs, signal)
+}
+
 /** Milliseconds on the monotonic clock; unrelated to the time of day. */
 export function monotonicMs(): number {
   return performance.now()
