test(scheduler): tasks that crash the targets that start them

Cause: a run that goes with its target counts for nothing, so that its task is started again without a bound. Change: tasks of the stand-in targets can crash them, and such a target comes back as a new life.

--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -17,6 +17,8 @@
   ms?: number
   cpu?: number
   fail?: boolean
+  /** Time after which the task crashes its target, in ms. */
+  crashMs?: number
 }
 
 /** What became of a run; `killed`: the target's life ended with the run on it. */
@@ -122,6 +124,8 @@
   ledger: RunLedger
   /** Ms that a stop takes. */
   stopMs?: number
+  /** This life has crashed. */
+  crashed?: () => void
 }): SimTarget {
   const { id, ledger } = opts
   const bornAt = monotonicMs()
@@ -199,6 +203,19 @@
     return false
   }
 
+  function crash(): void {
+    if (dead) return
+    dead = true
+    clearTimeout(leaseTimer)
+    for (const active of runs.values()) {
+      clearTimeout(active.timer)
+      note('killed', active.task, active.run)
+    }
+    runs.clear()
+    faults.silent = true
+    opts.crashed?.()
+  }
+
   return {
     id,
     faults,
@@ -225,6 +242,7 @@
       runs.set(task, active)
       usedCpu += parsed.cpu ?? 0
       note('start', task, run)
+      if (parsed.crashMs !== undefined) setTimeout(crash, parsed.crashMs).unref()
       const kind = parsed.fail || faults.failsAll ? 'failed' : 'done'
       if (parsed.ms !== 0 && !faults.hangs) {
         active.timer = setTimeout(() => end(active, kind), active.takesMs)
@@ -267,15 +285,6 @@
         })
       })
     },
-    crash() {
-      dead = true
-      clearTimeout(leaseTimer)
-      for (const active of runs.values()) {
-        clearTimeout(active.timer)
-        note('killed', active.task, active.run)
-      }
-      runs.clear()
-      faults.silent = true
-    },
+    crash,
   }
 }
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -79,6 +79,8 @@
   /** List of VMs that owners see; undefined for none. */
   cloud: VmCloud | undefined
   addTarget(id: string, more?: Partial<Target>): SimTarget
+  /** Told when a target has crashed. */
+  crashed: (id: string) => void
   /** Takes a target off the list. */
   unlist(id: string): void
   /**
@@ -156,8 +158,14 @@
     log,
     orders: createSimOrders(targets),
     cloud: undefined,
+    crashed: () => undefined,
     addTarget(id, more = {}) {
-      const target = createSimTarget({ id, capacity: more.capacity ?? CAPACITY, ledger })
+      const target = createSimTarget({
+        id,
+        capacity: more.capacity ?? CAPACITY,
+        ledger,
+        crashed: () => rig.crashed(id),
+      })
       targets.set(id, target)
       listed.set(id, {
         id,
