fix(scheduler,jobs): fail tasks that repeatedly crash their targets

Symptom: two tasks were each started three more times after three targets had crashed during their runs. 66 target lives of one service began within 24 s, and 148 of the 279 jobs in the queue's turn were served.

Cause: only an end that a target lists as failed counts as an attempt. A run that is lost with its target is reported through runVanished, which makes its task ready at once; nothing is counted or stored.

Evidence: the runs of both tasks have one owner and run numbers that increase by one, 1.5 s apart, and each start directly follows the proof that the previous target is over. A change of owner would increase the numbers by a thousand, and a repeated order would not increase them.

Change: when the end of a target is proven (another life answers, or no VM has the life) and was not planned, the crash is attributed to the runs that had started recently by the target's own clock or, if there are none, to all runs that have lasted less than 2 s. Their tasks stay placed until this is durable in the progress row. Such a task is then started in isolation from other starts, one at a time per step and on a fifth of the targets (one at least), until its run has lasted 0.1 s (2 s after several crashes). The task fails after three crashes right after its start with no other likely cause, or after five crashes with other likely causes. A target that is cut off counts for nothing until its end is proven.

Why it works: a faulty task crashes each target on which it is started alone, so it reaches the limit after at most one start alongside others. Other tasks prove harmless within 0.1 s.

Ruled out: a limit of two crashes.

In "changes its owner after each crash" the condition held as soon as the task was placed, before its target crashed; it now waits for the crash and the return of the target. The death of two owners between start and crash is a separate test. The simulated target ends open polls when it crashes, as a reset connection does.

--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -124,7 +124,7 @@
   ledger: RunLedger
   /** Ms that a stop takes. */
   stopMs?: number
-  /** This life has crashed. */
+  /** Called when the target crashes. */
   crashed?: () => void
 }): SimTarget {
   const { id, ledger } = opts
@@ -214,6 +214,8 @@
     runs.clear()
     faults.silent = true
     opts.crashed?.()
+    // Ends open polls, as a reset connection does.
+    for (const wake of waiters.splice(0)) wake()
   }
 
   return {
--- /dev/null
+++ b/src/jobs/crashes.ts
@@ -0,0 +1,73 @@
+/**
+ * Counts target crashes per task, to isolate and eventually fail tasks that cause them. A crash
+ * ends every run on the target, so a task counts as a likely cause only if its run began recently.
+ */
+import type { Step, Task } from './job.js'
+import type { CrashRole } from './records.js'
+
+/** A task fails after this many crashes right after its start with no other likely cause. */
+const MAX_SOLE_CRASHES = 3
+/** A task fails after this many crashes of which it is a likely cause, alone or among others. */
+const MAX_CRASHES = 5
+/** Crashes after which a task becomes a suspect even if it is a likely cause of none of them. */
+const MIN_PRESENT_CRASHES = 2
+/** Uptime from which a run counts as stable, in ms of the target's clock. */
+const STABLE_AFTER_MS = 100
+/** Uptime from which a run of a task with several crashes counts as stable, in ms. */
+export const LONG_STABLE_AFTER_MS = 2000
+
+/** The task that holds the crash count: for a gang, its first task, as members run together. */
+export const countedTask = (task: Task): Task =>
+  task.step.spec.gang ? (task.step.tasks[0] ?? task) : task
+
+/** Uptime from which a run of the task counts as stable, in ms. */
+export const stableAfterMs = (task: Task): number =>
+  countedTask(task).crashes.size > 1 ? LONG_STABLE_AFTER_MS : STABLE_AFTER_MS
+
+const countCrashes = (task: Task, matches: (role: CrashRole) => boolean): number =>
+  [...countedTask(task).crashes.values()].filter(matches).length
+
+/** Number of crashes of which a run of the task is the only likely cause. */
+const soleCrashes = (task: Task): number => countCrashes(task, (role) => role === 'sole')
+
+/** Number of crashes of which a run of the task is a likely cause. */
+const likelyCrashes = (task: Task): number =>
+  countCrashes(task, (role) => role !== 'present')
+
+const isSuspect = (counted: Task): boolean =>
+  likelyCrashes(counted) > 0 || counted.crashes.size >= MIN_PRESENT_CRASHES
+
+/** Records a crash during a run of the task; true when the task has reached a crash limit. */
+export function addCrash(task: Task, run: number, role: CrashRole): boolean {
+  const counted = countedTask(task)
+  if (!counted.crashes.has(run)) counted.crashes.set(run, role)
+  if (isSuspect(counted)) counted.step.crashSuspects.add(counted)
+  return soleCrashes(counted) >= MAX_SOLE_CRASHES || likelyCrashes(counted) >= MAX_CRASHES
+}
+
+/** Records the uptime of a run, in ms; true when the task is no longer a suspect. */
+export function noteUptime(task: Task, ms: number): boolean {
+  const counted = countedTask(task)
+  if (counted.crashes.size === 0 || ms < stableAfterMs(task)) return false
+  if (ms >= LONG_STABLE_AFTER_MS) counted.crashes.clear()
+  return counted.step.crashSuspects.delete(counted)
+}
+
+/** Whether the task must run in isolation until one of its runs is stable. */
+export const isCrashSuspect = (task: Task): boolean =>
+  task.step.crashSuspects.has(countedTask(task))
+
+/** The suspects among the tasks, those with the most sole crashes first. */
+export const crashSuspectsOf = (tasks: Task[]): Task[] =>
+  tasks.filter(isCrashSuspect).sort((a, b) => soleCrashes(b) - soleCrashes(a))
+
+/** Whether a suspect of the step was the sole likely cause of a crash. */
+export const hasSoleSuspect = ({ crashSuspects }: Step): boolean =>
+  [...crashSuspects].some((task) => soleCrashes(task) > 0)
+
+/** Whether a suspect of the step is placed; the next one must wait for it. */
+export function hasSuspectRunning({ crashSuspects, tasks, spec }: Step): boolean {
+  const running = ({ phase }: Task): boolean => phase === 'placed'
+  if (spec.gang) return crashSuspects.size > 0 && tasks.some(running)
+  return [...crashSuspects].some(running)
+}
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -1,6 +1,7 @@
 /** State of a job while its service's owner runs it. */
 import { createJobDelays } from './jobDelays.js'
 import type { JobDelays } from './jobDelays.js'
+import type { CrashRole } from './records.js'
 import type { JobOutcome, JobSpec, JobStatus, StepSpec } from './schema.js'
 
 /**
@@ -20,6 +21,8 @@
   run: number
   /** Numbers of the runs that failed; of a gang, only its first task keeps them. */
   failedRuns: Set<number>
+  /** Roles in target crashes by run number; of a gang, only its first task keeps them. */
+  crashes: Map<number, CrashRole>
   /** Checkpoint to resume from; empty when there is none. */
   checkpoint: string
   /** Target of the present run. */
@@ -39,6 +42,8 @@
   tasks: Task[]
   doneCount: number
   unblocked: boolean
+  /** Tasks that may have crashed a target and have had no stable run since. */
+  crashSuspects: Set<Task>
 }
 
 /** One repetition of a job's steps. */
@@ -124,6 +129,7 @@
     tasks: [],
     doneCount: 0,
     unblocked: false,
+    crashSuspects: new Set(),
   }
   for (let each = 0; each < spec.count; each++) {
     step.tasks.push({
@@ -133,6 +139,7 @@
       phase: 'blocked',
       run: 0,
       failedRuns: new Set(),
+      crashes: new Map(),
       checkpoint: '',
       targetId: undefined,
       startedAt: 0,
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -4,11 +4,12 @@
  * written, `dropped` that a run must be stopped.
  */
 import type { ReportedEnd, RunEndKind } from '../ports/index.js'
+import { addCrash, noteUptime } from './crashes.js'
 import { createJob, findTask, isUnblocked, jobIdOf, tasksOf } from './job.js'
 import type { Job, JobRules, Occurrence, Step, Task } from './job.js'
 import { noteDelay } from './jobDelays.js'
 import { restoreProgress } from './progress.js'
-import type { Progress } from './records.js'
+import type { CrashRole, Progress } from './records.js'
 import type { JobOutcome, JobSpec } from './schema.js'
 
 /** What the book asks, and whom it tells. */
@@ -71,12 +72,22 @@
   applyEnd(targetId: string, end: ReportedEnd): Task | undefined
   /** A run ended without the target's word: its target is gone or its lease is over. */
   runVanished(task: Task): void
+  /**
+   * Records that the target crashed during a run of the task. Fails the job when the task reaches
+   * a crash limit; otherwise the task stays placed until `runVanished`.
+   */
+  noteCrash(task: Task, run: number, role: CrashRole): void
+  /** Records the confirmed uptime of a run of the task, in ms. */
+  noteUptime(task: Task, ms: number): void
   /** Accepted jobs of a queue none of whose tasks has begun. */
   waiting(queue: string): number
   remove(id: string): void
   task(name: string): Task | undefined
 }
 
+/** Ends of runs that rule out a crash of the target. */
+const NON_CRASH_ENDS: ReadonlySet<RunEndKind> = new Set(['done', 'failed'])
+
 /** An end of a task whose job is not in the book yet. */
 interface HeldEnd {
   targetId: string
@@ -154,6 +165,15 @@
     if (step.job.openOccurrences === 0) finish(step.job, 'completed', 'all tasks done')
   }
 
+  /** Fails the task and its job because of a run of the task. */
+  const failJob = (task: Task, run: number, cause: string): void => {
+    // The end of an earlier run may use the attempts up while a later one runs elsewhere.
+    if (task.phase === 'placed' && task.run !== run) opts.dropped(task)
+    leave(task)
+    task.phase = 'failed'
+    finish(task.step.job, 'failed', cause)
+  }
+
   /** Counts a failed run; ends the job when its attempts are used up. */
   const countFailure = (task: Task, run: number): void => {
     const { job, spec, tasks } = task.step
@@ -162,11 +182,7 @@
     counted.failedRuns.add(run)
     const { maxAttempts } = opts.rulesOf(job.spec.queue)
     if (counted.failedRuns.size < maxAttempts) return
-    // The end of an earlier run may use the attempts up while a later one runs elsewhere.
-    if (task.phase === 'placed' && task.run !== run) opts.dropped(task)
-    leave(task)
-    task.phase = 'failed'
-    finish(job, 'failed', `${task.name} failed ${counted.failedRuns.size} times`)
+    failJob(task, run, `${task.name} failed ${counted.failedRuns.size} times`)
   }
 
   /** A gang shares its end: members that still wait or run are done with it. */
@@ -292,6 +308,7 @@
       if (!task || task.step.job.outcome || task.phase === 'done') return undefined
       task.run = Math.max(task.run, end.run)
       book.noteBegun(task)
+      if (NON_CRASH_ENDS.has(end.kind)) book.noteUptime(task, Infinity)
       // A run that ended done counts even when another run of the task was placed since.
       if (end.kind === 'done' && !task.step.spec.lasting) {
         if (task.phase === 'placed' && task.targetId !== targetId) opts.dropped(task)
@@ -313,6 +330,16 @@
       makeReady(task)
       opts.wake()
     },
+    noteCrash(task, run, role) {
+      const { job } = task.step
+      if (job.outcome || task.phase === 'done') return
+      const isAtLimit = addCrash(task, run, role)
+      if (isAtLimit) failJob(task, run, `${task.name} crashed its targets`)
+      else opts.changed(job)
+    },
+    noteUptime(task, ms) {
+      if (noteUptime(task, ms)) opts.wake()
+    },
     waiting(queue) {
       let count = 0
       for (const job of open) {
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -1,11 +1,12 @@
 /** The progress row of a job: written from its state, and its state from it. */
+import { addCrash } from './crashes.js'
 import { isStepDone } from './job.js'
 import type { Job, Step } from './job.js'
 import type { Progress } from './records.js'
 
 /** The progress row of a job. */
 export function encodeProgress(job: Job): string {
-  const progress: Progress = { done: {}, failedRuns: {}, checkpoints: {} }
+  const progress: Progress = { done: {}, failedRuns: {}, crashes: {}, checkpoints: {} }
   if (job.outcome) progress.outcome = job.outcome
   if (job.endedAtMs !== undefined) progress.endedAtMs = job.endedAtMs
   // A finished job needs no details: nothing of it is started again.
@@ -26,6 +27,7 @@
   for (const task of step.tasks) {
     const name = `${stepName}.${task.index}`
     if (task.failedRuns.size > 0) progress.failedRuns[name] = [...task.failedRuns]
+    if (task.crashes.size > 0) progress.crashes[name] = [...task.crashes]
     const idle = task.phase === 'ready' || task.phase === 'blocked'
     if (idle && task.checkpoint !== '') progress.checkpoints[name] = task.checkpoint
   }
@@ -50,7 +52,8 @@
   for (const task of step.tasks) {
     const name = `${stepName}.${task.index}`
     task.failedRuns = new Set(progress.failedRuns[name])
-    task.run = Math.max(0, ...task.failedRuns)
+    for (const [run, role] of progress.crashes[name] ?? []) addCrash(task, run, role)
+    task.run = Math.max(0, ...task.failedRuns, ...task.crashes.keys())
     task.checkpoint = progress.checkpoints[name] ?? ''
     if (done === 'all' || done?.includes(task.index)) {
       task.phase = 'done'
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -131,12 +131,29 @@
 /** Most failed runs of one task in a row: far more than any queue allows attempts. */
 const MAX_FAILED_RUNS = 10_000
 
+/**
+ * Role of a run in the crash of its target.
+ * `sole`: the only recently started run, and it began right before the crash.
+ * `shared`: a recently started run, possibly one of several.
+ * `present`: not recently started, and neither was any other run on the target.
+ */
+const crashRoleSchema = z.enum(['sole', 'shared', 'present'])
+/** Role of a run in the crash of its target. */
+export type CrashRole = z.infer<typeof crashRoleSchema>
+
 /** Progress of one job. Tasks are named by `OCCURRENCE.STEP.INDEX`. */
 const progressSchema = z.object({
   /** Done tasks by `OCCURRENCE.STEP`; `all` when the whole step is done. */
   done: z.record(z.string(), z.union([z.literal('all'), z.array(z.int().min(0))])),
   /** Numbers of failed runs by task: counted once, however often an end is reported. */
   failedRuns: z.record(z.string(), z.array(z.int().min(0)).max(MAX_FAILED_RUNS)),
+  /** Target crashes by task: run number and role of the run. */
+  crashes: z
+    .record(
+      z.string(),
+      z.array(z.tuple([z.int().min(0), crashRoleSchema])).max(MAX_FAILED_RUNS),
+    )
+    .default({}),
   /** Checkpoints of tasks that are not running, by task. */
   checkpoints: z.record(z.string(), z.string()),
   outcome: outcomeSchema.optional(),
--- a/src/scheduler/__tests__/crashingTasks.spec.ts
+++ b/src/scheduler/__tests__/crashingTasks.spec.ts
@@ -5,44 +5,49 @@
 import { sleep } from '../../shared/index.js'
 
 const POOL_SIZE = 6
-/** Time after which a crashed target is back as a new life, in ms. */
-const RETURN_MS = 400
-/** Time within which a task that crashes its targets is given up, in ms. */
+/** Time after which a crashed target comes back under a new id, in ms. */
+const RESTART_MS = 400
+/** Time limit for jobs to settle, in ms. */
 const PATIENCE_MS = 8000
-/** A task that crashes each target may be started twice more after the third crash. */
+/** Most starts of a task that crashes each target: two more are allowed after three crashes. */
 const MAX_STARTS = 5
 
 interface CrashRig extends JobRig {
-  /** Targets that are there now. */
-  alive(): number
-  /** Fewest targets that were there at once. */
-  fewest(): number
+  /** Lowest number of targets that were up at the same time. */
+  minTargets(): number
   startsOf(task: string): number
+  /** Crashes during runs of a task; 0 while a crashed target is not back. */
+  crashesOf(task: string): number
 }
 
-/** Targets that come back under another id after a crash. */
+/** Creates a rig whose targets come back under another id after a crash. */
 function createCrashRig(t: ExecutionContext): CrashRig {
   const rig = createJobRig()
   t.teardown(() => rig.stop())
   let lives = 0
-  let fewest = POOL_SIZE
-  const begin = (): void => {
+  let minTargets = POOL_SIZE
+  const addLife = (): void => {
     lives++
     rig.addTarget(`life-${lives}`)
   }
   rig.crashed = (id) => {
     rig.targets.delete(id)
     rig.unlist(id)
-    fewest = Math.min(fewest, rig.targets.size)
-    setTimeout(begin, RETURN_MS).unref()
+    minTargets = Math.min(minTargets, rig.targets.size)
+    setTimeout(addLife, RESTART_MS).unref()
   }
-  for (let each = 0; each < POOL_SIZE; each++) begin()
+  for (let each = 0; each < POOL_SIZE; each++) addLife()
   return Object.assign(rig, {
-    alive: () => rig.targets.size,
-    fewest: () => fewest,
+    minTargets: () => minTargets,
     startsOf: (name: string) =>
       rig.ledger.entries.filter(({ what, task }) => what === 'start' && task === name)
         .length,
+    crashesOf: (name: string) =>
+      rig.targets.size < POOL_SIZE
+        ? 0
+        : rig.ledger.entries.filter(
+            ({ what, task }) => what === 'killed' && task === name,
+          ).length,
   })
 }
 
@@ -57,7 +62,7 @@
     t.true(rig.startsOf(`${job.id}.0.0.0`) <= MAX_STARTS)
   })
 
-  it('takes no job with it that ran on the same targets', async (t) => {
+  it('does not fail other jobs that run on the same targets', async (t) => {
     const rig = createCrashRig(t)
     const owner = await rig.own()
     const neighbours = Array.from({ length: 4 }, () =>
@@ -76,14 +81,14 @@
     t.deepEqual([...new Set(crashing.map(rig.outcomeOf))], ['failed'])
   })
 
-  it('does not empty the pool when all tasks of its step do the same', async (t) => {
+  it('leaves half of the targets up when all tasks of its step crash theirs', async (t) => {
     const rig = createCrashRig(t)
     const owner = await rig.own()
     const job = makeJob({ ms: 700, cpu: 1000, crashMs: 5 }, [{ count: 8 }])
     rig.submit(owner, job)
     t.true(await rig.settled([job], PATIENCE_MS))
     t.is(rig.outcomeOf(job), 'failed')
-    t.true(rig.fewest() >= POOL_SIZE / 2)
+    t.true(rig.minTargets() >= POOL_SIZE / 2)
   })
 
   it('is given up although its service changes its owner after each crash', async (t) => {
@@ -93,9 +98,8 @@
     rig.submit(owner, job)
     for (let crashes = 1; crashes <= MAX_STARTS; crashes++) {
       const endsAt = performance.now() + PATIENCE_MS
-      const isTold = (): boolean =>
-        rig.startsOf(`${job.id}.0.0.0`) >= crashes && rig.alive() === POOL_SIZE
-      while (!isTold() && performance.now() < endsAt && !rig.outcomeOf(job))
+      const hasReturned = (): boolean => rig.crashesOf(`${job.id}.0.0.0`) >= crashes
+      while (!hasReturned() && performance.now() < endsAt && !rig.outcomeOf(job))
         await sleep(5)
       owner.live = false
       await owner.stop(false)
@@ -107,6 +111,24 @@
   })
 })
 
+describe('task that crashes its target right after its owner has died', () => {
+  it('is given up before it is started three times more', async (t) => {
+    const rig = createCrashRig(t)
+    const job = makeJob({ ms: 2000, cpu: 500, crashMs: 5 }, [{ count: 1 }])
+    let owner = await rig.own()
+    rig.submit(owner, job)
+    for (let changes = 1; changes <= 2; changes++) {
+      while (rig.startsOf(`${job.id}.0.0.0`) < changes) await sleep(1)
+      owner.live = false
+      await owner.stop(false)
+      owner = await rig.own()
+    }
+    t.true(await rig.settled([job], PATIENCE_MS))
+    t.is(rig.outcomeOf(job), 'failed')
+    t.true(rig.startsOf(`${job.id}.0.0.0`) <= MAX_STARTS)
+  })
+})
+
 describe('task whose targets are cut off', () => {
   it('is not given up, however often its lease ends', async (t) => {
     const rig = createJobRig()
@@ -115,9 +137,9 @@
     const owner = await rig.own()
     const job = makeJob({ ms: 800, cpu: 500 }, [{ count: 1 }])
     rig.submit(owner, job)
-    for (let cuts = 1; cuts <= 3; cuts++) {
+    for (let cutOffs = 1; cutOffs <= 3; cutOffs++) {
       const starts = () => rig.ledger.entries.filter(({ what }) => what === 'start')
-      while (starts().length < cuts) await sleep(5)
+      while (starts().length < cutOffs) await sleep(5)
       const cut = rig.targets.get(starts().at(-1)!.target)!
       cut.faults.silent = true
     }
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -93,6 +93,7 @@
     async fenceUnanswered() {
       fences++
     },
+    suspectStarted: ignore,
     ticketRefused: ignore,
     changed: ignore,
   })
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -23,6 +23,8 @@
 export const ANSWER_TIMEOUT_MS = 700
 /** An answer counts as missing after this time at the earliest, in ms. */
 export const MIN_ANSWER_MS = 100
+/** Extra wait before a target is asked whether a run is stable, in ms; covers clock differences. */
+export const STABLE_CHECK_MARGIN_MS = 20
 /** Pause after a sync that failed. */
 export const SYNC_RETRY_MS = 150
 /** Longest wait for ends to become durable before leases are renewed again. */
--- /dev/null
+++ b/src/scheduler/crashSuspects.ts
@@ -0,0 +1,65 @@
+/** Determines which runs may have crashed a target, from their confirmed uptimes. */
+import { LONG_STABLE_AFTER_MS, countedTask, stableAfterMs } from '../jobs/index.js'
+import type { CrashRole, Task } from '../jobs/index.js'
+import type { Placement } from './targetRuns.js'
+
+/** Longest time between a start and a crash that is attributed to that start alone, in ms. */
+const CRASH_AFTER_START_MS = 300
+
+/** A run to which the crash of its target is attributed. */
+export interface CrashedRun {
+  task: Task
+  run: number
+  role: CrashRole
+}
+
+/** Uptime of a run that the target has confirmed, in ms of the target's clock. */
+export function confirmedUptimeMs(
+  { confirmedClock }: Placement,
+  clockMs: number,
+): number {
+  const isConfirmed = confirmedClock > 0 && Number.isFinite(confirmedClock)
+  return isConfirmed ? Math.max(0, clockMs - confirmedClock) : 0
+}
+
+/** Whether a run may have begun and is not yet known to be stable. */
+export function isRecentlyStarted(placement: Placement, clockMs: number): boolean {
+  const { task, mayHaveBegun } = placement
+  return (
+    task !== undefined &&
+    mayHaveBegun &&
+    confirmedUptimeMs(placement, clockMs) < stableAfterMs(task)
+  )
+}
+
+/** The role of recently started runs in a crash. */
+function recentRole(recent: Placement[], disconnectedAt: number): CrashRole {
+  const tasks = new Set(recent.map(({ task }) => task && countedTask(task)))
+  const startedAt = Math.max(...recent.map(({ sentAt }) => sentAt))
+  return tasks.size === 1 && disconnectedAt - startedAt < CRASH_AFTER_START_MS
+    ? 'sole'
+    : 'shared'
+}
+
+/**
+ * The runs to which a crash is attributed: the recently started ones, or if there are none, all
+ * with a confirmed uptime below LONG_STABLE_AFTER_MS.
+ * @param clockMs last known value of the target's clock
+ * @param disconnectedAt steady time of the first failed connection, in ms
+ */
+export function findCrashedRuns(
+  placements: Iterable<Placement>,
+  clockMs: number,
+  disconnectedAt: number,
+): CrashedRun[] {
+  const begun = [...placements].filter(
+    (each) =>
+      each.task &&
+      each.mayHaveBegun &&
+      confirmedUptimeMs(each, clockMs) < LONG_STABLE_AFTER_MS,
+  )
+  const recent = begun.filter((each) => isRecentlyStarted(each, clockMs))
+  const crashed = recent.length > 0 ? recent : begun
+  const role = recent.length > 0 ? recentRole(recent, disconnectedAt) : 'present'
+  return crashed.flatMap(({ task, run }) => (task ? [{ task, run, role }] : []))
+}
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -4,7 +4,7 @@
  * never overtakes its start: one that waits is left out instead, and one that has been sent
  * is answered before.
  */
-import { noteDelay } from '../jobs/index.js'
+import { isCrashSuspect, noteDelay } from '../jobs/index.js'
 import type { JobBook, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import type {
@@ -78,6 +78,8 @@
   failed(error: OrderError): void
   /** A start may still come; resolves once the target refuses it if it comes late. */
   fenceUnanswered(): Promise<void>
+  /** The start of a crash suspect has been confirmed. */
+  suspectStarted(task: Task): void
   /** The target did not accept the ticket of a task's step. */
   ticketRefused(task: Task): void
   /** Room or state have changed. */
@@ -179,6 +181,8 @@
     const { spec } = task.step.job.spec
     const sentToken = token()
     const { checkpoint } = task
+    placement.mayHaveBegun = true
+    placement.sentAt = monotonicMs()
     const order = { task: name, run, spec, token: sentToken, checkpoint, ticket }
     const asked = await ask({
       roundTrip,
@@ -200,11 +204,13 @@
     task.step.job.delays.unanswered += lost
     if (res.isErr()) return startFailed(task, placement, res.error, lost)
     lease.noteClock(res.value.clockMs)
+    runs.noteClock(res.value.clockMs)
     if (!res.value.accepted)
       return noteRefusal(task, placement, res.value.reason, sentToken, lost)
     book.noteBegun(task)
     if (placement.state === 'starting') placement.state = 'running'
     placement.confirmedClock = res.value.clockMs
+    if (isCrashSuspect(task)) opts.suspectStarted(task)
   }
 
   function noteRefusal(
@@ -243,6 +249,7 @@
     dropStarts()
     if (error.failure === 'unanswered') task.step.job.delays.unanswered++
     const mayCome = error.failure === 'unanswered' || lost > 0
+    placement.mayHaveBegun = mayCome
     if (mayCome && error.failure !== 'gone') return becomeUnsure(placement)
     if (error.failure === 'notDone') {
       runs.remove(placement)
--- a/src/scheduler/placementRules.ts
+++ b/src/scheduler/placementRules.ts
@@ -10,7 +10,15 @@
 
 /** Why a step may not run on a target that takes orders. */
 export type StepHold =
-  'size' | 'room' | 'orders' | 'label' | 'spread' | 'roster' | 'suspect' | 'ticket'
+  | 'size'
+  | 'room'
+  | 'orders'
+  | 'label'
+  | 'spread'
+  | 'roster'
+  | 'isolation'
+  | 'suspect'
+  | 'ticket'
 
 /** Why a step may not run on a target. */
 export type Hold = TargetHold | StepHold
@@ -30,6 +38,8 @@
 export interface PlacementPolicy {
   /** Whether the target's row is durable, so that a successor will ask it. */
   isRostered(agent: TargetAgent): boolean
+  /** Whether isolation of crash suspects keeps the step from the target. */
+  isIsolated(agent: TargetAgent, step: Step): boolean
   /** Whether evidence keeps the step from the target. */
   isSuspect(agent: TargetAgent, step: Step): boolean
   /** Whether the step needs a ticket for the target and has none. */
@@ -39,6 +49,7 @@
 /** Forbids nothing. */
 export const OPEN_POLICY: PlacementPolicy = {
   isRostered: () => true,
+  isIsolated: () => false,
   isSuspect: () => false,
   lacksTicket: () => false,
 }
@@ -60,6 +71,7 @@
   spread: (view, step) =>
     step.spec.maxPerTarget > 0 && view.countOf(step) >= step.spec.maxPerTarget,
   roster: ({ agent }, _step, policy) => !policy.isRostered(agent),
+  isolation: ({ agent }, step, policy) => policy.isIsolated(agent, step),
   suspect: ({ agent }, step, policy) => policy.isSuspect(agent, step),
   ticket: ({ agent }, step, policy) => policy.lacksTicket(agent, step),
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -1,4 +1,5 @@
 /** Chooses targets for tasks that may start. Pure: it only reads and returns. */
+import { crashSuspectsOf } from '../jobs/index.js'
 import type { Job, Step, Task } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import type { TargetAgent } from './targetAgent.js'
@@ -183,6 +184,11 @@
   return []
 }
 
+/** Tasks of a step that may start now: only crash suspects while the step has any. */
+function startableTasks({ crashSuspects }: Step, tasks: Task[]): Task[] {
+  return crashSuspects.size === 0 ? tasks : crashSuspectsOf(tasks)
+}
+
 /** Plans starts in the order of urgency. */
 export function planStarts(input: PlanInput): Plan {
   const drafts = input.agents.filter((agent) => agent.isUsable()).map(createDraft)
@@ -209,7 +215,7 @@
       if (starts.length === 0) plan.waiting.add(step)
       continue
     }
-    for (const task of steps.get(step) ?? []) {
+    for (const task of startableTasks(step, steps.get(step) ?? [])) {
       const draft = chooseOnce(drafts, task, input, failed)
       if (!draft) {
         plan.waiting.add(step)
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -28,8 +28,8 @@
   mark(job: Job): void
   addSource(source: AckSource): void
   removeSource(source: AckSource): void
-  /** Resolves after the next write that includes everything noted so far, or `ms`. */
-  flushed(ms: number): Promise<void>
+  /** Resolves to true once everything noted so far is written; to false after `ms` or on stop. */
+  flushed(ms: number): Promise<boolean>
   stop(flushFirst: boolean): Promise<void>
 }
 
@@ -59,7 +59,7 @@
   const stopping = createStopController()
   const dirty = new Set<Job>()
   const sources = new Set<AckSource>()
-  let waiters: (() => void)[] = []
+  let waiters: ((isDurable: boolean) => void)[] = []
   let timer: NodeJS.Timeout | undefined
   let flushing: Promise<void> | undefined
 
@@ -85,7 +85,7 @@
       if (!written) return
     }
     for (const ack of acks) ack()
-    for (const resolve of waiting) resolve()
+    for (const resolve of waiting) resolve(true)
   }
 
   /** Writes until it is done; false when the epoch is lost or the writer stopped. */
@@ -158,13 +158,13 @@
       if (dirty.size === 0 && !flushing) {
         // What was noted needs no write, so it is as good as durable.
         for (const source of sources) source.capture()()
-        return Promise.resolve()
+        return Promise.resolve(true)
       }
       return new Promise((resolve) => {
-        const timeout = setTimeout(resolve, ms)
-        waiters.push(() => {
+        const timeout = setTimeout(() => resolve(false), ms)
+        waiters.push((isDurable) => {
           clearTimeout(timeout)
-          resolve()
+          resolve(isDurable)
         })
       })
     },
@@ -173,7 +173,7 @@
       await flushing
       if (flushFirst && dirty.size > 0) await flush()
       stopping.abort()
-      for (const resolve of waiters) resolve()
+      for (const resolve of waiters) resolve(false)
     },
   }
 }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -29,6 +29,7 @@
 import { createHeldJobs } from './heldJobs.js'
 import { createInheritedJobs } from './inheritedJobs.js'
 import { createLifeCheck } from './lifeCheck.js'
+import { createIsolation } from './isolation.js'
 import { createNewJobs } from './newJobs.js'
 import { moveBadRuns } from './moveBadRuns.js'
 import { createPaced } from './paced.js'
@@ -225,6 +226,7 @@
     runTimes,
     health,
     tickets,
+    isolation: createIsolation(),
     log,
   }
   const starter = createStarter(shared)
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -7,6 +7,7 @@
 import { RUNS_PER_TERM } from './constants.js'
 import type { Health } from './health.js'
 import type { PlacementPolicy } from './placementRules.js'
+import type { Isolation, IsolationRound } from './isolation.js'
 import { planStarts } from './planner.js'
 import type { Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
@@ -25,6 +26,7 @@
   runTimes: RunTimes
   health: Health
   tickets: Tickets
+  isolation: Isolation
   log: Logger
 }
 
@@ -38,7 +40,8 @@
 
 /** Creates the starter of one owner. */
 export function createStarter(opts: StarterOptions): Starter {
-  const { authority, configuration, book, roster, runTimes, health, tickets, log } = opts
+  const { authority, configuration, book, roster, runTimes, health, tickets } = opts
+  const { isolation, log } = opts
   const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
 
   const hasPolicy = (step: Step): boolean =>
@@ -55,8 +58,12 @@
       maxAttemptsOf: (job) => configuration.queue(job.spec.queue)?.maxAttempts ?? 1,
     })
 
-  const policyOf = ({ isSuspect }: SuspectRound): PlacementPolicy => ({
+  const policyOf = (
+    { isSuspect }: SuspectRound,
+    { forbids }: IsolationRound,
+  ): PlacementPolicy => ({
     isRostered: (agent) => roster.has(agent.target.id),
+    isIsolated: forbids,
     isSuspect,
     lacksTicket: (agent, step) =>
       hasPolicy(step) && tickets.find(step, agent) === undefined,
@@ -69,16 +76,20 @@
     if (book.ready.size === 0) return
     const now = monotonicMs()
     const round = beginRound(agents, now)
+    const isolationRound = isolation.begin(agents)
     const { starts, waiting } = planStarts({
       ready: book.ready,
       agents,
       urgencyOf: (job) =>
         urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
-      policy: policyOf(round),
+      policy: policyOf(round, isolationRound),
       penaltyOf: health.penaltyOf,
-      isSpecial: hasPolicy,
+      isSpecial: (step) => hasPolicy(step) || step.crashSuspects.size > 0,
       mayTry: round.mayTry,
-      planned: round.planned,
+      planned(agent, step) {
+        round.planned(agent, step)
+        isolationRound.planned(agent, step)
+      },
     })
     for (const step of waiting) if (hasPolicy(step)) tickets.want(step, agents)
     for (const { task, agent } of starts) {
@@ -93,5 +104,9 @@
     }
   }
 
-  return { policyNow: (agents) => policyOf(beginRound(agents, monotonicMs())), start }
+  return {
+    policyNow: (agents) =>
+      policyOf(beginRound(agents, monotonicMs()), isolation.begin(agents)),
+    start,
+  }
 }
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -11,6 +11,7 @@
   TargetLink,
   TargetReport,
 } from '../ports/index.js'
+import { stableAfterMs } from '../jobs/index.js'
 import type { JobBook, Step, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import {
@@ -23,12 +24,14 @@
 import type { Logger } from '../shared/index.js'
 import { createPacer } from '../sharing/index.js'
 import { ask } from './ask.js'
+import type { CrashedRun } from './crashSuspects.js'
 import {
   ACK_WAIT_MS,
   ANSWER_TIMEOUT_MS,
   BUSY_WAIT_MS,
   MIN_ANSWER_MS,
   PACED_WAIT_MS,
+  STABLE_CHECK_MARGIN_MS,
   SYNC_RETRY_MS,
   SYNC_WAIT_MS,
   TOKENS_PER_TERM,
@@ -80,6 +83,10 @@
   /** Places the task there and orders its start. */
   start(task: Task, run: number, ticket: string): void
   stop(name: string): void
+  /** Whether a crash suspect is placed there. */
+  isIsolated(): boolean
+  /** Whether a run there is starting or not yet known to be stable. */
+  hasRecentStart(): boolean
   /** Starts that it takes now without letting them wait for long behind one another. */
   startsLeft(): number
   /** Runs last reported whose jobs are held, so that they have no placement. */
@@ -109,6 +116,8 @@
   changed(): void
   /** A run has ended; for evidence about the target. */
   ended(agent: TargetAgent, task: Task, kind: string): void
+  /** The target crashed while it was isolated for a crash suspect. */
+  crashedWhileIsolated(): void
   /** All on it is dead and it will not come back under this id. */
   gone(agent: TargetAgent): void
 }
@@ -130,6 +139,10 @@
   let heard = false
   let gone = false
   let pausedUntil = 0
+  /** Steady time of the first failed connection, in ms; Infinity while connected. */
+  let disconnectedAt = Infinity
+  /** Runs whose leases ended, to which a crash is attributed if the target proves to be gone. */
+  let lapsedRuns: CrashedRun[] = []
 
   const token = (): number => authority.term * TOKENS_PER_TERM + bump
 
@@ -157,6 +170,7 @@
     pause: (ms) => void (pausedUntil = monotonicMs() + ms),
     failed: noteFailure,
     fenceUnanswered,
+    suspectStarted: (task) => void checkStable(task),
     ticketRefused: ({ step }) => opts.ticketRefused(step, targetId),
     changed: opts.changed,
   })
@@ -171,6 +185,8 @@
   function applyReport(report: TargetReport, reportToken: number): void {
     lease.noteClock(report.clockMs)
     const silentMs = silence.end(report.ends.length)
+    lapsedRuns = []
+    disconnectedAt = Infinity
     runs.apply(report, reportToken, silentMs)
     if (!heard) log.event('targetHeard', { target: targetId, runs: report.runs.length })
     heard = true
@@ -185,6 +201,24 @@
     void giveUpRuns(reason)
   }
 
+  /**
+   * Records a crash of the target for the runs that may have caused it. Their tasks stay placed
+   * until the record is durable, so that a later owner counts the crash too.
+   */
+  async function noteCrash(reason: string): Promise<void> {
+    const isPlanned = target.draining || agent.evacuating
+    const crashed = isPlanned ? [] : [...lapsedRuns, ...runs.crashedRuns(disconnectedAt)]
+    if (crashed.length === 0) return
+    const tasks = new Set(crashed.map(({ task }) => task))
+    const suspects = [...tasks].map(({ name }) => name).join(' ')
+    const [{ role }] = crashed as [CrashedRun]
+    log.event('targetCrashed', { target: targetId, reason, role, suspects })
+    if (runs.isIsolated()) opts.crashedWhileIsolated()
+    for (const { task, run, role } of crashed) book.noteCrash(task, run, role)
+    runs.giveUpAll(reason, tasks)
+    while (!signal.aborted && !(await progress.flushed(ACK_WAIT_MS)));
+  }
+
   /**
    * Gives up everything on a target that is gone. Out of touch with the store this waits:
    * a successor may have heard from the target and taken note that its tasks were done.
@@ -194,6 +228,8 @@
       await sleep(SYNC_RETRY_MS, signal)
     }
     if (signal.aborted) return
+    await noteCrash(reason)
+    if (signal.aborted) return
     runs.giveUpAll(reason)
     stopping.abort()
     opts.gone(agent)
@@ -201,7 +237,10 @@
   }
 
   function noteFailure(error: OrderError): void {
-    if (error.failure === 'gone') return markGone(error.reason)
+    const { failure, cause } = error
+    const isDisconnected = failure === 'gone' || cause.failure === 'unreachable'
+    if (isDisconnected) disconnectedAt = Math.min(disconnectedAt, monotonicMs())
+    if (failure === 'gone') return markGone(error.reason)
     silence.begin(error.reason)
   }
 
@@ -210,6 +249,8 @@
     if (!lease.isOver() || placements.size === 0) return
     // A successor may have renewed the leases: only an owner for certain can tell.
     if (!authority.isConfirmed()) return
+    // The target may have crashed or be unreachable; the crash is recorded once it is proven.
+    lapsedRuns.push(...runs.crashedRuns(disconnectedAt))
     runs.giveUpAll('lease is over')
   }
 
@@ -262,6 +303,12 @@
     }
   }
 
+  /** Syncs with the target as soon as a run of the suspect may count as stable. */
+  async function checkStable(task: Task): Promise<void> {
+    await sleep(stableAfterMs(task) + STABLE_CHECK_MARGIN_MS, signal)
+    if (!signal.aborted && !gone && authority.mayOrder()) await syncOnce(0)
+  }
+
   /** Makes the target refuse all orders sent so far, then reads what became of them. */
   async function fenceUnanswered(): Promise<void> {
     bump++
@@ -317,6 +364,8 @@
       placement.stopAskedAt = monotonicMs()
       sender.stop(name, placement.run)
     },
+    isIsolated: runs.isIsolated,
+    hasRecentStart: runs.hasRecentStart,
     startsLeft: sender.startsLeft,
     heldRuns: runs.heldCount,
     adoptKnown: runs.adoptKnown,
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -11,6 +11,7 @@
 import type { Logger } from '../shared/index.js'
 import { CLOCK_SKEW, LEASE_MARGIN_MS, TASK_LEASE_MS } from './constants.js'
 import type { Health } from './health.js'
+import type { Isolation } from './isolation.js'
 import type { ProgressWriter } from './progressWriter.js'
 import type { InheritedEntry, Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
@@ -39,6 +40,7 @@
   runTimes: RunTimes
   health: Health
   tickets: Tickets
+  isolation: Isolation
   log: Logger
   /** Room, state or reports of a target have changed. */
   changed(): void
@@ -109,6 +111,7 @@
         if (kind === 'done') opts.runTimes.note(task, monotonicMs() - task.startedAt)
         health.noteEnd(each, task, kind)
       },
+      crashedWhileIsolated: opts.isolation.noteCrash,
       gone: forget,
     })
     agents.set(target.id, agent)
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -3,7 +3,7 @@
  * target reports. Ends go on to the job book, runs of the predecessor are adopted, and
  * runs that a report should list and does not are given up.
  */
-import { noteDelay } from '../jobs/index.js'
+import { isCrashSuspect, noteDelay } from '../jobs/index.js'
 import type { JobBook, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import type { ReportedRun, Target, TargetReport } from '../ports/index.js'
@@ -11,6 +11,8 @@
 import type { Logger } from '../shared/index.js'
 import type { SharedRun } from '../sharing/index.js'
 import { MAX_LISTED_ENDS } from './constants.js'
+import { confirmedUptimeMs, findCrashedRuns, isRecentlyStarted } from './crashSuspects.js'
+import type { CrashedRun } from './crashSuspects.js'
 import { createRoom } from './room.js'
 import type { Room } from './room.js'
 
@@ -26,6 +28,10 @@
   name: string
   run: number
   state: 'starting' | 'running' | 'unsure' | 'stopping'
+  /** Whether its start may have reached the target. */
+  mayHaveBegun: boolean
+  /** Steady time of the start order, in ms. */
+  sentAt: number
   /** Steady time of the last stop order, in ms. */
   stopAskedAt: number
   /** Target's clock when it confirmed the start, in ms. */
@@ -63,8 +69,19 @@
   apply(report: TargetReport, reportToken: number, silentMs: number): void
   /** Notes that starts without an answer are refused under the token. */
   fence(token: number): void
-  /** Gives up every run that is left. */
-  giveUpAll(reason: string): void
+  /** Gives up every run that is left, except those of the kept tasks. */
+  giveUpAll(reason: string, kept?: ReadonlySet<Task>): void
+  /** Records the target's clock as given in an answer. */
+  noteClock(clockMs: number): void
+  /**
+   * Runs to which a crash of the target is attributed.
+   * @param disconnectedAt steady time of the first failed connection, in ms
+   */
+  crashedRuns(disconnectedAt: number): CrashedRun[]
+  /** Whether a crash suspect is placed there. */
+  isIsolated(): boolean
+  /** Whether a run there is starting or not yet known to be stable. */
+  hasRecentStart(): boolean
   /** Runs that share the target, for the pacer. */
   shared(): SharedRun[]
 }
@@ -88,6 +105,8 @@
   const placements = new Map<string, Placement>()
   const room = createRoom(capacity)
   let endsSeen = 0
+  /** Last known value of the target's clock, in ms. */
+  let clockMs = 0
   /** Runs of the last report whose jobs are held, by name of the task. */
   const heldRuns = new Map<string, ReportedRun>()
   /** Ends that were passed on before their jobs were read. */
@@ -187,6 +206,15 @@
     }
   }
 
+  /** Records the uptimes of listed runs, so that stable ones are no longer suspects. */
+  function noteUptimes(report: TargetReport): void {
+    for (const { task: name } of report.runs) {
+      const placement = placements.get(name)
+      if (placement?.task)
+        book.noteUptime(placement.task, confirmedUptimeMs(placement, clockMs))
+    }
+  }
+
   /** Gives up runs that are not listed, where that shows that they are over. */
   function applyAbsent(report: TargetReport, reportToken: number): void {
     // Ends that did not fit into the report may be those of the runs that are missing.
@@ -223,9 +251,11 @@
     add,
     remove,
     apply(report, reportToken, silentMs) {
+      clockMs = report.clockMs
       confirmAdopted(report)
       applyEnds(report, silentMs)
       applyPresent(report)
+      noteUptimes(report)
       applyAbsent(report, reportToken)
     },
     fence(token) {
@@ -234,9 +264,21 @@
           placement.fencedBy = Math.min(placement.fencedBy, token)
       }
     },
-    giveUpAll(reason) {
-      for (const placement of [...placements.values()]) giveUp(placement, reason)
+    giveUpAll(reason, kept) {
+      for (const placement of [...placements.values()]) {
+        const { task } = placement
+        if (!task || !kept?.has(task)) giveUp(placement, reason)
+      }
     },
+    noteClock: (next) => void (clockMs = next),
+    crashedRuns: (disconnectedAt) =>
+      findCrashedRuns(placements.values(), clockMs, disconnectedAt),
+    isIsolated: () =>
+      [...placements.values()].some(({ task }) => task && isCrashSuspect(task)),
+    hasRecentStart: () =>
+      [...placements.values()].some(
+        (each) => each.state === 'starting' || isRecentlyStarted(each, clockMs),
+      ),
     shared: () => [...placements.values()].flatMap(sharedRun),
   }
 }
@@ -247,6 +289,8 @@
     name: task.name,
     run,
     state,
+    mayHaveBegun: state !== 'starting',
+    sentAt: -Infinity,
     stopAskedAt: -Infinity,
     confirmedClock: 0,
     fencedBy: Infinity,
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -79,7 +79,7 @@
   /** List of VMs that owners see; undefined for none. */
   cloud: VmCloud | undefined
   addTarget(id: string, more?: Partial<Target>): SimTarget
-  /** Told when a target has crashed. */
+  /** Called when a target crashes. */
   crashed: (id: string) => void
   /** Takes a target off the list. */
   unlist(id: string): void
