fix(scheduler): hold starts while a target is stopping unwanted runs

Symptom: on a target that does not enforce its capacity, a new owner placed 8,000 thousandths of a core where 4,000 are available. The runs of a job that had been cancelled under the previous owner were still being stopped, and were not counted.

Cause: the room of a target is counted by placements. A run that the new owner finds there and does not want gets a stop order but no placement.

Change: while the last report of a target lists unwanted runs, the target gets no new starts. The wait lasts as long as a stop takes.

Rejected alternative: counting the needs of these runs, which are not known for a job whose rows are gone.

Tests: in roomLimits.spec, one of four tests failed before the change (8,000 instead of 4,000). All four pass with it, three times in a row. The other three also pass on the code before: room of stopping runs under one owner, a capacity that is reduced, and one that is raised again.

--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -122,6 +122,8 @@
   id: string
   capacity: Resources
   ledger: RunLedger
+  /** Whether starts that exceed the capacity are refused; true by default. */
+  enforcesCapacity?: boolean
   /** Ms that a stop takes. */
   stopMs?: number
   /** Called when the target crashes. */
@@ -131,7 +133,7 @@
   const bornAt = monotonicMs()
   const runs = new Map<string, ActiveRun>()
   const lastRun = new Map<string, number>()
-  const stopMs = opts.stopMs ?? 5
+  const { stopMs = 5, enforcesCapacity = true } = opts
   let ends: ReportedEnd[] = []
   let seq = 0
   let highestToken = 0
@@ -230,7 +232,8 @@
       if (present?.run === run) return 'accepted'
       if (present || run <= (lastRun.get(task) ?? 0)) return 'old'
       if (untilMs <= clockMs()) return 'late'
-      if (usedCpu + (parsed.cpu ?? 0) > opts.capacity.cpu) return 'room'
+      if (enforcesCapacity && usedCpu + (parsed.cpu ?? 0) > opts.capacity.cpu)
+        return 'room'
       const active: ActiveRun = {
         task,
         run,
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -54,6 +54,7 @@
   | 'evacuating'
   | 'paused'
   | 'unread'
+  | 'unwanted'
   | 'noAuthority'
 
 /** What an owner does with one target. */
@@ -326,6 +327,8 @@
     { hold: 'evacuating', holds: () => agent.evacuating },
     // What runs there takes room that is not known before its jobs are read.
     { hold: 'unread', holds: () => book.mayMissJobs && runs.heldCount() > 0 },
+    // Their tasks may be unknown: they have no placement, and their room is not counted.
+    { hold: 'unwanted', holds: () => runs.unwantedCount() > 0 },
     { hold: 'paused', holds: () => monotonicMs() < pausedUntil },
     { hold: 'noAuthority', holds: () => !authority.mayOrder() },
   ]
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -60,6 +60,8 @@
   heldCount(): number
   /** Adopts those of them whose jobs have become known since. */
   adoptKnown(): void
+  /** Unwanted runs last reported; they take room until they have stopped. */
+  unwantedCount(): number
   add(task: Task, run: number, state: Placement['state']): Placement
   remove(placement: Placement): void
   /**
@@ -109,6 +111,8 @@
   let clockMs = 0
   /** Runs of the last report whose jobs are held, by name of the task. */
   const heldRuns = new Map<string, ReportedRun>()
+  /** Names of the tasks whose runs in the last report are unwanted. */
+  const unwantedRuns = new Set<string>()
   /** Ends that were passed on before their jobs were read. */
   let unreadEnds: { seq: number; task: string }[] = []
 
@@ -171,6 +175,7 @@
       return
     }
     log.event('runUnwanted', { task: name, run, target: targetId })
+    unwantedRuns.add(name)
     opts.unwanted(name, run)
   }
 
@@ -195,6 +200,7 @@
 
   function applyPresent(report: TargetReport): void {
     heldRuns.clear()
+    unwantedRuns.clear()
     for (const run of report.runs) {
       const placement = placements.get(run.task)
       if (!placement) adopt(run)
@@ -248,6 +254,7 @@
         adopt(reported)
       }
     },
+    unwantedCount: () => unwantedRuns.size,
     add,
     remove,
     apply(report, reportToken, silentMs) {
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -1,6 +1,7 @@
 /** A store, targets and a configuration, for tests of owners without any wire. */
 import type {
   Queue,
+  Resources,
   RowStore,
   Target,
   TargetOrders,
@@ -78,7 +79,13 @@
   orders: TargetOrders
   /** List of VMs that owners see; undefined for none. */
   cloud: VmCloud | undefined
-  addTarget(id: string, more?: Partial<Target>): SimTarget
+  addTarget(
+    id: string,
+    more?: Partial<Target>,
+    simOptions?: Partial<Parameters<typeof createSimTarget>[0]>,
+  ): SimTarget
+  /** Changes the capacity in the list; that of the simulated target stays the same. */
+  resize(id: string, capacity: Resources): void
   /** Called when a target crashes. */
   crashed: (id: string) => void
   /** Takes a target off the list. */
@@ -159,11 +166,12 @@
     orders: createSimOrders(targets),
     cloud: undefined,
     crashed: () => undefined,
-    addTarget(id, more = {}) {
+    addTarget(id, more = {}, simOptions = {}) {
       const target = createSimTarget({
         id,
         capacity: more.capacity ?? CAPACITY,
         ledger,
+        ...simOptions,
         crashed: () => rig.crashed(id),
       })
       targets.set(id, target)
@@ -180,6 +188,10 @@
       tellAll()
       return target
     },
+    resize(id, capacity) {
+      listed.set(id, { ...listed.get(id)!, capacity })
+      tellAll()
+    },
     unlist(id) {
       listed.delete(id)
       tellAll()
