test(scheduler): targets that begin another life under their id

Cause: what is known of a target is kept under its id and taken for its next life. Change: the stand-in's clock may begin anywhere, and an order that is carried out late reaches the life that is there by then.

--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -42,7 +42,11 @@
     }
     if (silent) return unanswered()
     if (lateMs > 0 && isLate()) {
-      setTimeout(() => !target.faults.silent && act(target), lateMs).unref()
+      setTimeout(() => {
+        // Another life may be there by then.
+        const there = find()
+        if (there && !there.faults.silent) act(there)
+      }, lateMs).unref()
       return unanswered()
     }
     const answer = act(target)
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -122,6 +122,8 @@
   id: string
   capacity: Resources
   ledger: RunLedger
+  /** Its clock at its start, in ms. */
+  firstClockMs?: number
   /** Whether starts that exceed the capacity are refused; true by default. */
   enforcesCapacity?: boolean
   /** Ms that a stop takes. */
@@ -133,7 +135,7 @@
   const bornAt = monotonicMs()
   const runs = new Map<string, ActiveRun>()
   const lastRun = new Map<string, number>()
-  const { stopMs = 5, enforcesCapacity = true } = opts
+  const { stopMs = 5, enforcesCapacity = true, firstClockMs = 1000 } = opts
   let ends: ReportedEnd[] = []
   let seq = 0
   let highestToken = 0
@@ -154,7 +156,7 @@
     slowness: 1,
   }
 
-  const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + 1000
+  const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + firstClockMs
 
   const note = (what: LedgerEvent, task: string, run: number): void => {
     const entry = { at: monotonicMs(), what, task, run, target: id }
