fix(scheduler): distinguish lives of a target that share one id

Cause: a target may restart under its id, with its end numbers and its clock starting over, but all state about it was kept by id alone. Ends up to the highest number of the earlier life were skipped, and the next poll acknowledged that number, so the new life dropped ends that no owner had processed; their runs counted as "not listed any more" and were started again. A run was given up only once the target's clock had passed the start time of the run, which had been taken from the clock of the earlier life.

Change: reports and list entries carry the start of the life. When another life answers, the owner raises its token, resets the end numbers and the clock, attributes the end of the earlier life to the runs that may have crashed it, and marks every run ordered before as unsure until the new life lists it, or does not list it, under the new token. After a failed call, a poll acknowledges nothing and extends no lease until it is known which life answers. Nothing is started before the list shows that life, since its capacity may differ.

Correctness: once the new life has seen the token, it refuses orders meant for the earlier one. A run that it does not list after that either ended with the earlier life or will never start.

The platform's specs expect the start of the life in entries and reports.

--- a/playground/sim/simFleet.ts
+++ b/playground/sim/simFleet.ts
@@ -66,6 +66,7 @@
     const value = {
       service: vm.pool,
       address: `${HOST}:${vm.port}`,
+      born: target.lifeStartMs,
       zone: vm.hall,
       state: vm.listing,
       labels: vm.labels,
--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -43,9 +43,9 @@
     if (silent) return unanswered()
     if (lateMs > 0 && isLate()) {
       setTimeout(() => {
-        // Another life may be there by then.
-        const there = find()
-        if (there && !there.faults.silent) act(there)
+        // The target may have restarted in the meantime: the late order reaches its new life.
+        const current = find()
+        if (current && !current.faults.silent) act(current)
       }, lateMs).unref()
       return unanswered()
     }
@@ -85,13 +85,14 @@
         await find()?.waitForEnd(waitMs)
       }
       const res = await order(timeoutMs, (target) => ({
+        lifeStartMs: target.lifeStartMs,
         clockMs: target.clockMs(),
         report: target.hold(hold),
       }))
       if (res.isErr()) return err(res.error)
-      const { clockMs, report } = res.value
+      const { lifeStartMs, clockMs, report } = res.value
       if (!report) return err(orderError('fenced', 'a higher token was seen'))
-      return ok({ clockMs, ...report })
+      return ok({ lifeStartMs, clockMs, ...report })
     },
     close: () => undefined,
   }
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -92,6 +92,8 @@
 /** One life of a target. */
 export interface SimTarget {
   readonly id: string
+  /** Start of this life, in ms since 1970. */
+  readonly lifeStartMs: number
   faults: TargetFaults
   clockMs(): number
   start(order: {
@@ -122,8 +124,10 @@
   id: string
   capacity: Resources
   ledger: RunLedger
-  /** Its clock at its start, in ms. */
-  firstClockMs?: number
+  /** Start of this life, in ms since 1970; the current time by default. */
+  lifeStartMs?: number
+  /** Clock of the target at the start of this life, in ms; 1000 by default. */
+  initialClockMs?: number
   /** Whether starts that exceed the capacity are refused; true by default. */
   enforcesCapacity?: boolean
   /** Ms that a stop takes. */
@@ -135,7 +139,7 @@
   const bornAt = monotonicMs()
   const runs = new Map<string, ActiveRun>()
   const lastRun = new Map<string, number>()
-  const { stopMs = 5, enforcesCapacity = true, firstClockMs = 1000 } = opts
+  const { stopMs = 5, enforcesCapacity = true, initialClockMs = 1000 } = opts
   let ends: ReportedEnd[] = []
   let seq = 0
   let highestToken = 0
@@ -156,7 +160,7 @@
     slowness: 1,
   }
 
-  const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + firstClockMs
+  const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + initialClockMs
 
   const note = (what: LedgerEvent, task: string, run: number): void => {
     const entry = { at: monotonicMs(), what, task, run, target: id }
@@ -224,6 +228,7 @@
 
   return {
     id,
+    lifeStartMs: opts.lifeStartMs ?? Date.now(),
     faults,
     clockMs,
     start({ task, run, spec, untilMs, token, saved }) {
--- a/playground/sim/targetHandlers.ts
+++ b/playground/sim/targetHandlers.ts
@@ -60,7 +60,8 @@
         end.kind,
         end.checkpoint,
       ])
-      return [200, { clock_ms: target.clockMs(), running, ended }]
+      const { lifeStartMs: born } = target
+      return [200, { born, clock_ms: target.clockMs(), running, ended }]
     }),
   }
 }
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -4,8 +4,10 @@
 
 /** One life of a VM as the list of targets shows it. */
 export interface Target {
-  /** Changes at each start of the VM. */
+  /** The next life of the VM may reuse it; unique only together with `lifeStartMs`. */
   id: string
+  /** Start of the life, in ms since 1970; 0 if unknown. */
+  lifeStartMs: number
   service: string
   address: string
   hall: string
@@ -49,6 +51,8 @@
 
 /** Answer to {@link TargetOrders.sync}. */
 export interface TargetReport {
+  /** Start of the life that answers, in ms since 1970; 0 if unknown. */
+  lifeStartMs: number
   /** The target's own steady clock, in ms. */
   clockMs: number
   runs: ReportedRun[]
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -57,6 +57,7 @@
   const capacity = { cpu: 100_000, memMb: 100_000, gpu: 0 }
   const target = {
     id: 't1',
+    lifeStartMs: 0,
     service: 'svc',
     address: '',
     hall: 'h1',
--- a/src/scheduler/ask.ts
+++ b/src/scheduler/ask.ts
@@ -1,6 +1,8 @@
 /**
  * Calls a target again where an answer is missing. Every order may be sent twice: a start
  * that exists is confirmed, one that has ended is refused, and a late one finds either.
+ * If the target has restarted, its new life carries out a repeated start once more, which is
+ * safe because every run of the earlier life is over.
  */
 import type { Result } from 'neverthrow'
 import type { OrderError, OrderResult } from '../ports/index.js'
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -6,6 +6,8 @@
  * of a target that fell silent start again sooner.
  */
 export const TASK_LEASE_MS = 6000
+/** Longest lease that a target grants, even if an order asks for a later end. */
+export const MAX_LEASE_MS = 10_000
 /** How much slower than ours a target's clock may run: twice the platform's 2 %. */
 export const CLOCK_SKEW = 0.04
 /** Added to the end of a lease before its tasks count as dead, for late timers. */
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -67,6 +67,8 @@
   hold(): TargetHold | undefined
   /** Whether nothing keeps everything new from it. */
   isUsable(): boolean
+  /** How often the token was raised within this term, earlier lives of the id included. */
+  bump(): number
   /** Steady time up to which it is paused, in ms. */
   pausedUntil(): number
   /** Whether it has been heard by this owner, or everything on it is surely dead. */
@@ -110,6 +112,8 @@
   progress: ProgressWriter
   /** Time that unknown runs of the predecessor may last, in ms. */
   inheritedLeaseMs: number
+  /** Initial bump of the token, above those that earlier lives of the id have seen. */
+  initialBump: number
   log: Logger
   /** It did not accept the ticket of a step. */
   ticketRefused(step: Step, targetId: string): void
@@ -117,6 +121,8 @@
   changed(): void
   /** A run has ended; for evidence about the target. */
   ended(agent: TargetAgent, task: Task, kind: string): void
+  /** Another life answers under its id; evidence about the earlier one no longer applies. */
+  restarted(agent: TargetAgent): void
   /** The target crashed while it was isolated for a crash suspect. */
   crashedWhileIsolated(): void
   /** All on it is dead and it will not come back under this id. */
@@ -135,7 +141,13 @@
   const silence = createTargetSilence(targetId, log)
   let target = opts.target
   /** Raised to make the target refuse orders that went unanswered. */
-  let bump = 0
+  let bump = opts.initialBump
+  /** Start of the life that answers, in ms since 1970; undefined before the first report. */
+  let lifeStartMs: number | undefined
+  /** Starts of earlier lives, whose late reports are ignored. */
+  const earlierLives = new Set<number>()
+  /** Pending while the crash of the earlier life is recorded; reports are ignored until then. */
+  let lifeSwitch: Promise<void> | undefined
   let ackedSeq = 0
   let heard = false
   let gone = false
@@ -184,6 +196,10 @@
   }
 
   function applyReport(report: TargetReport, reportToken: number): void {
+    if (lifeSwitch || earlierLives.has(report.lifeStartMs)) return
+    if (lifeStartMs !== undefined && lifeStartMs !== report.lifeStartMs)
+      return switchLife(report)
+    lifeStartMs = report.lifeStartMs
     lease.noteClock(report.clockMs)
     const silentMs = silence.end(report.ends.length)
     lapsedRuns = []
@@ -195,6 +211,35 @@
     opts.changed()
   }
 
+  /**
+   * Switches to another life under the same id. Runs of the earlier life are over, but orders
+   * sent to it may still reach the new one: a raised token makes the new life refuse them before
+   * its list of runs is relied on.
+   */
+  function switchLife(report: TargetReport): void {
+    log.event('targetReborn', { target: targetId, runs: placements.size })
+    if (lifeStartMs !== undefined) earlierLives.add(lifeStartMs)
+    lifeStartMs = report.lifeStartMs
+    heard = false
+    ackedSeq = 0
+    bump++
+    lease.reset(report.clockMs)
+    const crashed = [...lapsedRuns, ...runs.crashedRuns(disconnectedAt)]
+    lapsedRuns = []
+    disconnectedAt = Infinity
+    runs.switchLife(token())
+    lifeSwitch = finishLifeSwitch(crashed)
+  }
+
+  async function finishLifeSwitch(crashed: CrashedRun[]): Promise<void> {
+    await waitUntilConfirmed()
+    if (!signal.aborted) await noteCrash('another life answers', crashed)
+    if (signal.aborted) return
+    lifeSwitch = undefined
+    opts.restarted(agent)
+    opts.changed()
+  }
+
   function markGone(reason: string): void {
     if (gone) return
     gone = true
@@ -206,30 +251,39 @@
    * Records a crash of the target for the runs that may have caused it. Their tasks stay placed
    * until the record is durable, so that a later owner counts the crash too.
    */
-  async function noteCrash(reason: string): Promise<void> {
+  async function noteCrash(
+    reason: string,
+    crashed: CrashedRun[],
+    giveUpOthers?: (kept: ReadonlySet<Task>) => void,
+  ): Promise<void> {
     const isPlanned = target.draining || agent.evacuating
-    const crashed = isPlanned ? [] : [...lapsedRuns, ...runs.crashedRuns(disconnectedAt)]
-    if (crashed.length === 0) return
+    if (isPlanned || crashed.length === 0) return
     const tasks = new Set(crashed.map(({ task }) => task))
     const suspects = [...tasks].map(({ name }) => name).join(' ')
     const [{ role }] = crashed as [CrashedRun]
     log.event('targetCrashed', { target: targetId, reason, role, suspects })
     if (runs.isIsolated()) opts.crashedWhileIsolated()
     for (const { task, run, role } of crashed) book.noteCrash(task, run, role)
-    runs.giveUpAll(reason, tasks)
+    giveUpOthers?.(tasks)
     while (!signal.aborted && !(await progress.flushed(ACK_WAIT_MS)));
   }
 
   /**
-   * Gives up everything on a target that is gone. Out of touch with the store this waits:
-   * a successor may have heard from the target and taken note that its tasks were done.
+   * Waits while this owner is out of touch with the store: a successor may have heard from the
+   * target and recorded its tasks as done.
    */
-  async function giveUpRuns(reason: string): Promise<void> {
+  async function waitUntilConfirmed(): Promise<void> {
     while (!authority.isConfirmed() && !signal.aborted) {
       await sleep(SYNC_RETRY_MS, signal)
     }
+  }
+
+  /** Gives up everything on a target that is gone. */
+  async function giveUpRuns(reason: string): Promise<void> {
+    await waitUntilConfirmed()
     if (signal.aborted) return
-    await noteCrash(reason)
+    const crashed = [...lapsedRuns, ...runs.crashedRuns(disconnectedAt)]
+    await noteCrash(reason, crashed, (tasks) => runs.giveUpAll(reason, tasks))
     if (signal.aborted) return
     runs.giveUpAll(reason)
     stopping.abort()
@@ -262,13 +316,20 @@
 
   async function syncOnce(waitMs: number): Promise<boolean> {
     let sentToken = token()
+    /** False after a failed call: the target may have restarted, and another life may answer. */
+    let isLifeKnown = silence.isAnswering() && !lifeSwitch
     const send = (timeoutMs: number, pollMs: number): OrderResult<TargetReport> => {
       sentToken = token()
       // A silent target may get a lease that we never hear of: it is not extended, so that
       // it is over at a time that we know.
-      const leaseUntilMs = silence.isAnswering() ? lease.extend() : undefined
-      const order = { token: sentToken, ackedSeq, leaseUntilMs, waitMs: pollMs }
-      return link.sync(order, timeoutMs)
+      const leaseUntilMs = isLifeKnown ? lease.extend() : undefined
+      const order = {
+        token: sentToken,
+        ackedSeq: isLifeKnown ? ackedSeq : 0,
+        leaseUntilMs,
+      }
+      isLifeKnown = false
+      return link.sync({ ...order, waitMs: pollMs }, timeoutMs)
     }
     const mayAskAgain = (): boolean => !gone && authority.mayOrder()
     const sentAt = monotonicMs()
@@ -290,6 +351,7 @@
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
+      await lifeSwitch
       expireLease()
       if (gone || !authority.mayOrder()) {
         await sleep(SYNC_RETRY_MS, signal)
@@ -317,11 +379,17 @@
     await syncOnce(0)
   }
 
+  /** Whether the list shows another life than the one that answers, whose room may differ. */
+  const isOtherLifeListed = (): boolean =>
+    lifeStartMs !== undefined &&
+    target.lifeStartMs !== 0 &&
+    target.lifeStartMs !== lifeStartMs
+
   /** In the order in which they are asked: what lasts longest comes first. */
   const HOLDS: { hold: TargetHold; holds(): boolean }[] = [
     { hold: 'gone', holds: () => gone },
     { hold: 'draining', holds: () => target.draining },
-    { hold: 'unlisted', holds: () => !agent.listed },
+    { hold: 'unlisted', holds: () => !agent.listed || isOtherLifeListed() },
     { hold: 'unheard', holds: () => !heard },
     { hold: 'silent', holds: () => !silence.isAnswering() },
     { hold: 'evacuating', holds: () => agent.evacuating },
@@ -339,6 +407,7 @@
     },
     placements,
     room,
+    bump: () => bump,
     evacuating: false,
     listed: true,
     hold: () => HOLDS.find(({ holds }) => holds())?.hold,
@@ -389,7 +458,10 @@
   const acks = {
     capture() {
       const seq = runs.endsToAck()
-      return () => void (ackedSeq = Math.max(ackedSeq, seq))
+      const capturedLife = lifeStartMs
+      return () => {
+        if (capturedLife === lifeStartMs) ackedSeq = Math.max(ackedSeq, seq)
+      }
     },
   }
   progress.addSource(acks)
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -103,6 +103,7 @@
       book: opts.book,
       authority,
       progress: opts.progress,
+      initialBump: 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
       changed: opts.changed,
@@ -111,6 +112,7 @@
         if (kind === 'done') opts.runTimes.note(task, monotonicMs() - task.startedAt)
         health.noteEnd(each, task, kind)
       },
+      restarted: health.forget,
       crashedWhileIsolated: opts.isolation.noteCrash,
       gone: forget,
     })
@@ -169,5 +171,14 @@
 /** A target that only the roster names; nothing is known of its size. */
 function unlistedTarget(id: string, address: string, service: string): Target {
   const capacity = { cpu: 0, memMb: 0, gpu: 0 }
-  return { id, service, address, hall: '', draining: false, capacity, labels: [] }
+  return {
+    id,
+    lifeStartMs: 0,
+    service,
+    address,
+    hall: '',
+    draining: false,
+    capacity,
+    labels: [],
+  }
 }
--- a/src/scheduler/targetLease.ts
+++ b/src/scheduler/targetLease.ts
@@ -3,12 +3,23 @@
  * is estimated from its answers; when it is over for certain is counted on our own.
  */
 import { monotonicMs } from '../shared/index.js'
-import { CLOCK_SKEW, LEASE_MARGIN_MS, SYNC_WAIT_MS, TASK_LEASE_MS } from './constants.js'
+import {
+  CLOCK_SKEW,
+  LEASE_MARGIN_MS,
+  MAX_LEASE_MS,
+  SYNC_WAIT_MS,
+  TASK_LEASE_MS,
+} from './constants.js'
 
 /** The lease of one target. */
 export interface TargetLease {
   /** Takes note of the target's clock, as an answer tells it. */
   noteClock(clockMs: number): void
+  /**
+   * Starts over with the clock of another life of the target. Orders with a lease end on the
+   * clock of the earlier life may have reached it, so the longest lease is assumed.
+   */
+  reset(clockMs: number): void
   /** End of a lease that begins now, on the target's clock; undefined before it is known. */
   extend(): number | undefined
   /** Whether every lease that was given is over, also on a clock that is slow. */
@@ -33,6 +44,11 @@
         clock = { clockMs, at: now }
       }
     },
+    reset(clockMs) {
+      const now = monotonicMs()
+      clock = { clockMs, at: now }
+      overAt = now + MAX_LEASE_MS * (1 + CLOCK_SKEW) + LEASE_MARGIN_MS
+    },
     extend() {
       if (!clock) return undefined
       const now = monotonicMs()
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -22,6 +22,9 @@
  */
 const STOP_AGAIN_MS = 1500
 
+/** Reason for giving up a run that a later life of its target does not list. */
+const EARLIER_LIFE_OVER = 'the life of the target that it was sent to is over'
+
 /** What is known of a run on the target. */
 export interface Placement {
   task: Task | undefined
@@ -36,8 +39,10 @@
   stopAskedAt: number
   /** Target's clock when it confirmed the start, in ms. */
   confirmedClock: number
-  /** Under this token or a newer one, an absent run was never started. */
+  /** Under this token or a newer one, an absent run is over or was never started. */
   fencedBy: number
+  /** Its start was sent before the target restarted and may have reached the earlier life. */
+  isOfEarlierLife: boolean
   percent: number
   /** Steady time of the report that said so, in ms; 0 before the first. */
   reportedAt: number
@@ -71,6 +76,11 @@
   apply(report: TargetReport, reportToken: number, silentMs: number): void
   /** Notes that starts without an answer are refused under the token. */
   fence(token: number): void
+  /**
+   * Resets what is known for another life of the target. Runs ordered before are unsure until
+   * that life reports under the token; those that it does not list then are given up.
+   */
+  switchLife(token: number): void
   /** Gives up every run that is left, except those of the kept tasks. */
   giveUpAll(reason: string, kept?: ReadonlySet<Task>): void
   /** Records the target's clock as given in an answer. */
@@ -230,7 +240,8 @@
       if (reported.has(placement.name)) continue
       const fenced = reportToken >= placement.fencedBy
       const confirmed = placement.confirmedClock > 0
-      if (fenced) giveUp(placement, 'never started')
+      if (fenced)
+        giveUp(placement, placement.isOfEarlierLife ? EARLIER_LIFE_OVER : 'never started')
       else if (confirmed && report.clockMs > placement.confirmedClock) {
         if (authority.isConfirmed()) giveUp(placement, 'not listed any more')
       }
@@ -271,6 +282,19 @@
           placement.fencedBy = Math.min(placement.fencedBy, token)
       }
     },
+    switchLife(token) {
+      endsSeen = 0
+      unreadEnds = []
+      heldRuns.clear()
+      for (const placement of placements.values()) {
+        // Its start has not been sent yet and will go to the new life.
+        if (!placement.mayHaveBegun) continue
+        if (placement.state !== 'stopping') placement.state = 'unsure'
+        placement.isOfEarlierLife = true
+        placement.confirmedClock = 0
+        placement.fencedBy = token
+      }
+    },
     giveUpAll(reason, kept) {
       for (const placement of [...placements.values()]) {
         const { task } = placement
@@ -301,6 +325,7 @@
     stopAskedAt: -Infinity,
     confirmedClock: 0,
     fencedBy: Infinity,
+    isOfEarlierLife: false,
     percent: 0,
     reportedAt: 0,
     load: 0,
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -88,6 +88,8 @@
   resize(id: string, capacity: Resources): void
   /** Called when a target crashes. */
   crashed: (id: string) => void
+  /** Replaces the entry of a target on the list and notifies the owners. */
+  relist(entry: Target): void
   /** Takes a target off the list. */
   unlist(id: string): void
   /**
@@ -177,6 +179,7 @@
       targets.set(id, target)
       listed.set(id, {
         id,
+        lifeStartMs: target.lifeStartMs,
         service: SERVICE,
         address: `${id}:1`,
         hall: 'h1',
@@ -188,8 +191,9 @@
       tellAll()
       return target
     },
-    resize(id, capacity) {
-      listed.set(id, { ...listed.get(id)!, capacity })
+    resize: (id, capacity) => rig.relist({ ...listed.get(id)!, capacity }),
+    relist(entry) {
+      listed.set(entry.id, entry)
       tellAll()
     },
     unlist(id) {
