fix(scheduler): use a target again that returns under its id and address

Its capacity was lost for as long as the list showed the id.

Cause: lives that are over were recorded by id and address.

Change: they are recorded by the start of the life as well. The tokens of the next life continue after those of the earlier one, so that late orders to the earlier life are refused. A list entry of a later life at another address ends the life that is called at the former address and does not answer.

Tests: "gets work when the life before was known to be over" failed before and passes now.

--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -50,8 +50,10 @@
 export function createTargetFollower(opts: TargetFollowerOptions): TargetFollower {
   const { agents, targets, authority, roster, health, log } = opts
   const { service } = authority
-  /** Lives that are over, with the address that said so, while the list still shows them. */
+  /** Key of the life that is over, by id, while the list still shows the id. */
   const goneLives = new Map<string, string>()
+  /** Bump of the token that the next life of an id starts with. */
+  const nextBumps = new Map<string, number>()
 
   /** Targets of the predecessor's roster. */
   const inherited = new Set<string>()
@@ -63,9 +65,10 @@
     LEASE_MARGIN_MS
 
   function forget(agent: TargetAgent): void {
-    const { id, address } = agent.target
+    const { id } = agent.target
     agents.delete(id)
-    goneLives.set(id, address)
+    goneLives.set(id, lifeKey(agent.target))
+    nextBumps.set(id, agent.bump() + 1)
     health.forget(agent)
     roster.remove(id)
     void agent.close()
@@ -77,6 +80,13 @@
     return target.address !== address && !agent.isAnswering() && placements.size === 0
   }
 
+  /** Whether the list shows a later life under the id, at an address that it does not call. */
+  function isReplaced(agent: TargetAgent, { address, lifeStartMs }: Target): boolean {
+    const { target } = agent
+    const isLaterLife = target.lifeStartMs !== 0 && target.lifeStartMs < lifeStartMs
+    return isLaterLife && target.address !== address && !agent.isAnswering()
+  }
+
   /** Closes an agent that has nothing to do; the life may well be alive elsewhere. */
   function closeMisplaced(agent: TargetAgent): void {
     agents.delete(agent.target.id)
@@ -103,7 +113,7 @@
       book: opts.book,
       authority,
       progress: opts.progress,
-      initialBump: 0,
+      initialBump: nextBumps.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
       changed: opts.changed,
@@ -122,6 +132,8 @@
 
   function followListed(target: Target): void {
     const known = agents.get(target.id)
+    if (known && isReplaced(known, target))
+      return known.markGone('another life is listed under its id')
     if (known && isMisplaced(known, target)) closeMisplaced(known)
     const agent = agents.get(target.id)
     if (agent) {
@@ -129,7 +141,7 @@
       agent.listed = true
       // One whose inherited row could not be read has none that a successor could use.
       roster.add(target)
-    } else if (!target.draining && goneLives.get(target.id) !== target.address) {
+    } else if (!target.draining && goneLives.get(target.id) !== lifeKey(target)) {
       open(target)
       roster.add(target)
     }
@@ -156,6 +168,8 @@
         if (target.service === service) followListed(target)
       }
       for (const id of goneLives.keys()) if (!isShown(id)) goneLives.delete(id)
+      for (const id of nextBumps.keys())
+        if (!isShown(id) && !agents.has(id)) nextBumps.delete(id)
       for (const agent of agents.values()) {
         const entry = listed.get(agent.target.id)
         if (agent.listed && entry?.service !== service) noteUnlisted(agent)
@@ -168,6 +182,9 @@
   }
 }
 
+/** Distinguishes lives that have the same id. */
+const lifeKey = ({ lifeStartMs, address }: Target): string => `${lifeStartMs} ${address}`
+
 /** A target that only the roster names; nothing is known of its size. */
 function unlistedTarget(id: string, address: string, service: string): Target {
   const capacity = { cpu: 0, memMb: 0, gpu: 0 }
