fix(directory): accept the first entry of a later life of a target

Cause: for an entry with another service or address under a known id, only the second consistent write counted. A later life at another address was therefore left out of the list until its second heartbeat.

Change: an entry with a later start is accepted at once. Entries with an earlier start, or with none, are handled as before.

Tests: targetList.spec, "believes the first entry of a later life with another service and address", fails on the code before; a second test covers the unchanged rule for entries of earlier lives.

--- a/src/directory/__tests__/targetList.spec.ts
+++ b/src/directory/__tests__/targetList.spec.ts
@@ -106,4 +106,22 @@
     }
     await list.stop()
   })
+
+  it('believes the first entry of a later life with another service and address', async (t) => {
+    const { put, list, ids } = await start({ a: entry({ born: 100 }) })
+    put('a', entry({ born: 200, service: 'other', address: '10.0.0.9:81' }))
+    await sleep(FOLLOWS_MS)
+    t.deepEqual(ids(), ['a'])
+    t.is(list.byId().get('a')?.service, 'other')
+    t.is(list.byId().get('a')?.lifeStartMs, 200)
+    await list.stop()
+  })
+
+  it('believes no single entry of an earlier life with another service', async (t) => {
+    const { put, list, ids } = await start({ a: entry({ born: 200 }) })
+    put('a', entry({ born: 100, service: 'other' }))
+    await sleep(FOLLOWS_MS)
+    t.deepEqual(ids(), [])
+    await list.stop()
+  })
 })
--- a/src/directory/targetList.ts
+++ b/src/directory/targetList.ts
@@ -42,22 +42,27 @@
   const targets = new Map<string, Target>()
   /** Entries that cannot be read, with the steady time of the first such writing, in ms. */
   const unreadable = new Map<string, number>()
-  /** Service and address of each life, as last written. */
-  const identities = new Map<string, string>()
+  /** Start, service and address of the life of each id, as last written. */
+  const identities = new Map<string, { lifeStartMs: number; identity: string }>()
   const unread = createUnreadRows(opts.log, opts.documents.table)
   const listeners = new Set<() => void>()
 
   /**
-   * Whether the entry speaks of the life that was listed before. No life changes its service
-   * or its address: of an entry that says so only the second writing in agreement counts.
-   * Followed at once, one such entry set the owners of two services against each other on
-   * one target, and each deposed the other in turn.
+   * Whether the entry is accepted: it belongs to a later life, or its service and address are
+   * those of the previous entry. No life changes its service or its address: of an entry that
+   * says so only the second writing in agreement counts. Followed at once, one such entry set
+   * the owners of two services against each other on one target, and each deposed the other
+   * in turn.
    */
-  function isSameLife({ id, service, address }: Target): boolean {
+  function isAccepted({ id, lifeStartMs, service, address }: Target): boolean {
     const known = identities.get(id)
     const identity = `${service} ${address}`
-    identities.set(id, identity)
-    return known === undefined || known === identity
+    identities.set(id, { lifeStartMs, identity })
+    return (
+      known === undefined ||
+      lifeStartMs > known.lifeStartMs ||
+      identity === known.identity
+    )
   }
 
   function forget(id: string): void {
@@ -77,7 +82,7 @@
   function readEntry(id: string, value: string): void {
     const target = opts.documents.decode(id, value)
     if (target.isErr()) return leaveOut(id, target.error.message)
-    if (!isSameLife(target.value)) {
+    if (!isAccepted(target.value)) {
       return leaveOut(id, 'a life that is known with another service or address')
     }
     unreadable.delete(id)
