fix(scheduler): keep runs of a target restarted after a VM order

Symptom: a task ran again after it had ended as done. For 5 s, the fleet owner reports by id which lives have been ended by an order of its own that was accepted. A target that returned under its id within that time was treated as gone, and its runs were started elsewhere while they were still running.

Cause: the list identifies lives by their id alone.

Change: a target counts as ended by an order only if a call to it has failed since it last answered.

Tests: rebornTargets.spec, "keeps its runs when an order for its VM ended its earlier life", failed before the change ("run 3 started on t2 after it was done"); 6 of 6 pass.

--- a/src/scheduler/__tests__/rebornTargets.spec.ts
+++ b/src/scheduler/__tests__/rebornTargets.spec.ts
@@ -81,6 +81,19 @@
     t.true(await rig.settled([job], RECOVERY_LIMIT_MS))
   })
 
+  it('keeps its runs when an order for its VM ended its earlier life', async (t) => {
+    const { rig, owner } = await startWithLongUptime(t, ['t1', 't2'])
+    await restart(rig, 't1')
+    rig.targets.get('t2')!.faults.silent = true
+    const job = makeJob({ ms: 800 }, [{ count: 2 }])
+    rig.submit(owner, job)
+    while (countStarts(rig, job.id) < 2) await sleep(5)
+    rig.targets.get('t2')!.faults.silent = false
+    owner.evacuate({ evacuate: [], hurry: [], ended: ['t1'] })
+    t.true(await rig.settled([job], 10_000))
+    t.is(findBrokenPromise(rig.ledger), undefined)
+  })
+
   it('runs a task that a late order for its earlier life starts, and no other target does', async (t) => {
     const { rig, owner } = await startWithLongUptime(t, ['t1', 't2'])
     const lateMs = 2 * DOWNTIME_MS
--- a/src/scheduler/evacuation.ts
+++ b/src/scheduler/evacuation.ts
@@ -48,7 +48,8 @@
 ): void {
   for (const agent of agents()) {
     const { id } = agent.target
-    if (ended.includes(id)) {
+    // An answering target may be a later life under the same id, whose runs must be kept.
+    if (ended.includes(id) && agent.isSilent()) {
       agent.markGone('its VM was moved or maintained')
       continue
     }
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -77,6 +77,8 @@
   settledBy(): number
   /** Whether it last answered. */
   isAnswering(): boolean
+  /** Whether a call has failed since the last answer, or since the first call if there was none. */
+  isSilent(): boolean
   /** No new starts while true: it is being emptied on purpose. */
   evacuating: boolean
   /** Whether the list of targets shows it; no new starts while it does not. */
@@ -415,6 +417,7 @@
     pausedUntil: () => pausedUntil,
     settledBy: lease.overAt,
     isSettled: () => heard || gone || lease.isOver(),
+    isSilent: () => !silence.isAnswering(),
     isAnswering: () => silence.isAnswering() && heard && !gone,
     update(next) {
       if (next.draining && !target.draining) {
