fix(ownership): count machine suspensions towards leases

Symptom: on a clock that stops during a suspension, an owner still counted its lease as confirmed after a suspension of 3 s, and gave orders after one of 12 s, longer than its lease and the time that it may go on after it.

Cause: leases are measured by a monotonic clock that excludes suspensions.

Alternative rejected: the time since boot, which Node.js reports only in hundredths of a second.

--- a/src/ownership/constants.ts
+++ b/src/ownership/constants.ts
@@ -1,4 +1,4 @@
-/** Times of leases. Every one of them is counted on the steady clock. */
+/** Times of leases. Every one of them is counted on the lease clock, which also counts suspensions. */
 
 /**
  * Time for which a node counts as alive after it last renewed its row, in ms. A store that
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -1,12 +1,6 @@
 /** Renews this node's row, and reads those of the others, as often as either is needed. */
 import type { RowStore } from '../ports/index.js'
-import {
-  createStopController,
-  describeError,
-  jittered,
-  monotonicMs,
-  sleep,
-} from '../shared/index.js'
+import { createStopController, describeError, jittered, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import {
   FORGET_NODE_MS,
@@ -25,6 +19,7 @@
   STORE_RETRY_MS,
 } from './constants.js'
 import { rankAmongCandidates } from './claimRules.js'
+import { leaseNowMs } from './leaseClock.js'
 import { createLeaseLength } from './leaseLength.js'
 import { createMemberBook } from './memberBook.js'
 import type { Members } from './memberBook.js'
@@ -88,7 +83,7 @@
 /** Starts renewing this node's row and watching the others. */
 export function createNodeRegistry(opts: NodeRegistryOptions): NodeRegistry {
   const { store, id, life, log } = opts
-  const now = opts.now ?? monotonicMs
+  const now = opts.now ?? leaseNowMs
   const stopping = createStopController()
   const book = createMemberBook({ self: { id, life }, log, now })
   const listeners: RenewalListener[] = []
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -39,6 +39,7 @@
   writeEpoch,
 } from './epochRow.js'
 import type { EpochRow } from './epochRow.js'
+import { leaseNowMs } from './leaseClock.js'
 import type { NodeRegistry } from './nodeRegistry.js'
 
 /** The fleet of VMs is owned like a service, under a name that no service can have. */
@@ -66,7 +67,7 @@
 /** Starts claiming services that have no owner. */
 export function createOwnership(opts: OwnershipOptions): Ownership {
   const { store, registry, log } = opts
-  const now = opts.now ?? monotonicMs
+  const now = opts.now ?? leaseNowMs
   const stopping = createStopController()
   const held = new Map<string, Held>()
   const unownedSince = new Map<string, number>()
@@ -162,9 +163,10 @@
     })
     void registry.announce()
     const lost = (reason: string): void => void drop(service, reason)
-    const predecessorLeaseOverAt = isUnknown
-      ? now() + NODE_LEASE_MS
-      : leaseOverAt(registry, before, service, now())
+    const predecessorLeaseLeftMs = isUnknown
+      ? NODE_LEASE_MS
+      : leaseOverAt(registry, before, service, now()) - now()
+    const predecessorLeaseOverAt = monotonicMs() + predecessorLeaseLeftMs
     const predecessor = { predecessorMayLive, predecessorLeaseOverAt }
     const authority = { service, held: each, ...predecessor, now, lost }
     const owner = await opts.start(authorityOf(authority))
--- a/test/ownerNodes.ts
+++ b/test/ownerNodes.ts
@@ -11,11 +11,13 @@
   /** Services that need an owner. */
   services: string[]
   room?: number
+  /** Clock for leases, in ms. */
+  now?: () => number
 }
 
 /** Starts a node; what it owns is in `authorities`. */
 export function startOwnerNode(opts: OwnerNodeOptions) {
-  const { id, store, services, room = 1 } = opts
+  const { id, store, services, room = 1, now } = opts
   const log = createMemoryLogger()
   const authorities = new Map<string, Authority>()
   const registry = createNodeRegistry({
@@ -28,6 +30,7 @@
     owns: () => [...authorities.keys()],
     leaving: () => false,
     log,
+    now,
   })
   const ownership = createOwnership({
     store,
@@ -38,6 +41,7 @@
       return { stop: async () => void authorities.delete(authority.service) }
     },
     log,
+    now,
   })
   return {
     id,
