test(soak): add a fault that restarts targets under the same id

Cause: the soak's targets came back under a new id after each crash, so the soak could not detect state that is kept under an id and outlives the life it belongs to.

Change: a separate fault, every 6 s on average, crashes a target and starts its next life under the same id. It draws from its own generator, so that the other faults of a seed stay unchanged. Since when a target is of use, and whether the life of an end is over, are kept per life.

--- a/playground/sim/simFleet.ts
+++ b/playground/sim/simFleet.ts
@@ -37,8 +37,8 @@
   beat(vm: SimVm): void
   /** Changes what the list shows of a VM, at once. */
   list(vm: SimVm, listing: Listing): void
-  /** Starts a new life on a VM. */
-  begin(vm: SimVm): void
+  /** Starts a new life on a VM, under `id` or, by default, a new id. */
+  begin(vm: SimVm, id?: string): void
   /** Ends the life on a VM. */
   end(vm: SimVm): void
   /** Ends the life on a VM, and starts the next one in `pool` after a while. */
@@ -75,9 +75,12 @@
     table.put(rowOf(target.id), JSON.stringify(value))
   }
 
-  const begin = (vm: SimVm): void => {
+  const nextId = (): string => {
     lives++
-    const id = `i-${lives.toString(16).padStart(8, '0')}`
+    return `i-${lives.toString(16).padStart(8, '0')}`
+  }
+
+  const begin = (vm: SimVm, id = nextId()): void => {
     vm.target = createSimTarget({ id, capacity: vm.capacity, ledger })
     vm.state = 'up'
     vm.listing = 'ready'
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -94,6 +94,8 @@
   readonly id: string
   /** Start of this life, in ms since 1970. */
   readonly lifeStartMs: number
+  /** Start of this life on the monotonic clock, in ms. */
+  readonly startedAt: number
   faults: TargetFaults
   clockMs(): number
   start(order: {
@@ -136,7 +138,7 @@
   crashed?: () => void
 }): SimTarget {
   const { id, ledger } = opts
-  const bornAt = monotonicMs()
+  const startedAt = monotonicMs()
   const runs = new Map<string, ActiveRun>()
   const lastRun = new Map<string, number>()
   const { stopMs = 5, enforcesCapacity = true, initialClockMs = 1000 } = opts
@@ -160,7 +162,7 @@
     slowness: 1,
   }
 
-  const clockMs = (): number => Math.floor(monotonicMs() - bornAt) + initialClockMs
+  const clockMs = (): number => Math.floor(monotonicMs() - startedAt) + initialClockMs
 
   const note = (what: LedgerEvent, task: string, run: number): void => {
     const entry = { at: monotonicMs(), what, task, run, target: id }
@@ -229,6 +231,7 @@
   return {
     id,
     lifeStartMs: opts.lifeStartMs ?? Date.now(),
+    startedAt,
     faults,
     clockMs,
     start({ task, run, spec, untilMs, token, saved }) {
--- a/playground/sim/wireServer.ts
+++ b/playground/sim/wireServer.ts
@@ -32,8 +32,8 @@
   waveStatus(id: number): string | undefined
   /** Ends the life on a VM without a word. */
   crash(vm: SimVm): void
-  /** Starts a new life on a VM that crashed. */
-  revive(vm: SimVm): void
+  /** Starts a new life on a VM that crashed, under `id` or, by default, a new id. */
+  revive(vm: SimVm, id?: string): void
   /** Changes what the list of targets shows of a VM. */
   list(vm: SimVm, listing: Listing): void
   close(): Promise<void>
--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -30,8 +30,12 @@
   orderWave(fault: Fault): void
 }
 
-/** What a fault hits; `planned`: what operators and other programs do; `wave`: maintenance. */
-export type FaultGroup = 'node' | 'store' | 'target' | 'pool' | 'planned' | 'wave'
+/**
+ * What a fault hits; `planned`: what operators and other programs do; `wave`: maintenance;
+ * `restart`: restarts of targets under the same id.
+ */
+export type FaultGroup =
+  'node' | 'store' | 'target' | 'pool' | 'planned' | 'wave' | 'restart'
 /** Ends a fault. */
 type Undo = () => unknown
 
@@ -156,8 +160,21 @@
 
 const crash = (vms: SimVm[], { platform }: FaultContext): Undo => {
   const up = vms.filter(({ state }) => state === 'up')
-  up.forEach(platform.crash)
-  return () => up.filter(({ state }) => state === 'down').forEach(platform.revive)
+  up.forEach((vm) => platform.crash(vm))
+  return () =>
+    up.filter(({ state }) => state === 'down').forEach((vm) => platform.revive(vm))
+}
+
+/** Crashes a target and starts its next life under the same id. */
+function restartTarget(vm: SimVm, ctx: FaultContext): Undo | void {
+  const { target } = vm
+  if (!target || vm.state !== 'up') return
+  ctx.platform.crash(vm)
+  return () => {
+    if (vm.state !== 'down') return
+    ctx.draining.delete(target.id)
+    ctx.platform.revive(vm, target.id)
+  }
 }
 
 /** Targets that a pool keeps when it shrinks. */
@@ -268,6 +285,7 @@
     const { vm } = pick(ctx.targets, fault)
     return unlist(vm, ctx, foreignEntry(fault, vm.pool, ctx.trapAddress))
   }),
+  targetRestarts: { ...onTarget(1500, restartTarget), group: 'restart' },
   waveOrdered: {
     group: 'wave',
     usualMs: 100,
--- a/playground/soak/plan.ts
+++ b/playground/soak/plan.ts
@@ -41,6 +41,12 @@
 /** Mean time between two waves of maintenance, in ms, and what their draws begin with. */
 const WAVE_GAP_MS = 15_000
 const WAVE_SEED = 2_000_000
+/**
+ * Mean time between two restarts of targets under the same id, in ms, and the seed offset of
+ * their own generator, which leaves the other faults of a seed unchanged.
+ */
+const RESTART_GAP_MS = 6000
+const RESTART_SEED = 3_000_000
 /** The same of nodes and the store within one series, in ms. */
 const SERIES_GAP_MS = 1200
 /** Series of faults of nodes and the store, and the calm between two, in ms. */
@@ -95,6 +101,7 @@
   const targets = 1 + Math.floor(random() * 4)
   const idleVms = random() < 0.5 ? 0 : 2
   const waves = createRandom(seed + WAVE_SEED)
+  const restarts = createRandom(seed + RESTART_SEED)
   return {
     seed,
     nodes,
@@ -112,6 +119,7 @@
       ...(idleVms === 0
         ? []
         : drawSeries(waves, ['wave'], WAVE_GAP_MS, [1000, lengthMs])),
+      ...drawSeries(restarts, ['restart'], RESTART_GAP_MS, [1000, lengthMs]),
     ].sort((a, b) => a.at - b.at),
   }
 }
--- a/playground/soak/stillWatch.ts
+++ b/playground/soak/stillWatch.ts
@@ -4,6 +4,7 @@
  * could run, since its owner trusted none of the few targets of the pool.
  */
 import type { SimVm } from '../sim/simFleet.js'
+import type { SimTarget } from '../sim/simTarget.js'
 import type { Calm } from './calm.js'
 import { countEnds, isSpent, isTurnOf } from './jobBook.js'
 import type { JobView, TaskView } from './jobBook.js'
@@ -43,7 +44,7 @@
 }): StillWatch {
   const { checks, calm, targets, report } = opts
   /** Since when each life of a target is of use. */
-  const usableSince = new Map<string, number>()
+  const usableSince = new WeakMap<SimTarget, number>()
   /** Since when each job, or task that lasts, stands still. */
   const stillSince = new Map<string, number>()
   const reported = new Set<string>()
@@ -51,14 +52,18 @@
 
   function lookAtTarget({ vm, isReachable }: WatchedTarget, now: number): void {
     if (!vm.target) return
-    const { id } = vm.target
     const isUsable = vm.state === 'up' && vm.listing === 'ready' && isReachable()
-    if (!isUsable) usableSince.delete(id)
-    else if (!usableSince.has(id)) usableSince.set(id, now)
+    if (!isUsable) usableSince.delete(vm.target)
+    else if (!usableSince.has(vm.target)) usableSince.set(vm.target, now)
   }
 
-  const isKnown = (id: string, now: number): boolean =>
-    now - (usableSince.get(id) ?? Infinity) > KNOWN_MS
+  const currentLife = (id: string): SimTarget | undefined =>
+    targets.find(({ vm }) => vm.target?.id === id)?.vm.target
+
+  function isKnown(id: string, now: number): boolean {
+    const life = currentLife(id)
+    return life !== undefined && now - (usableSince.get(life) ?? Infinity) > KNOWN_MS
+  }
 
   const roomFor = (job: JobView, task: TaskView, now: number): SimVm | undefined =>
     targets.find(({ vm }) => {
@@ -76,12 +81,15 @@
     return now - last.at < LEASE_MS
   }
 
-  const isGone = (id: string): boolean => targets.every(({ vm }) => vm.target?.id !== id)
+  /** Whether the life that the target `id` had at time `at` has ended. */
+  const isGone = (id: string, at: number): boolean =>
+    (currentLife(id)?.startedAt ?? Infinity) > at
 
   /** Whether the owner may know of an end that its target did not live to have acknowledged. */
   const mayBeDone = ({ ends }: TaskView): boolean =>
     ends.some(
-      ({ what, isListed, target }) => what === 'done' && isListed && isGone(target),
+      ({ what, isListed, target, at }) =>
+        what === 'done' && isListed && isGone(target, at),
     )
 
   const mayStart = (job: JobView, task: TaskView, now: number): boolean =>
