fix(jobs): don't restore done tasks as crash suspects

When a progress row lists crashes for a task that is done, the task was restored as a crash suspect, and the other tasks of its step would never start. Rows written by this project do not contain this combination; a row from another writer may.

Cause: restoreStep() restored the crash suspects before it determined which tasks are done.

Fix: remove a task from the step's crash suspects when it is restored as done.

Test: rows.spec, "progress row with crashes of a done task › restores no crash suspect for the done task", failed before the fix and passes with it.

--- a/src/jobs/__tests__/rows.spec.ts
+++ b/src/jobs/__tests__/rows.spec.ts
@@ -46,6 +46,20 @@
   })
 })
 
+describe('progress row with crashes of a done task', () => {
+  // A remaining suspect would keep the other tasks of the step from starting.
+  it('restores no crash suspect for the done task', (t) => {
+    const job = createJob(JOB, 0)
+    restoreProgress(job, {
+      done: { '0.0': [0] },
+      failedRuns: {},
+      crashes: { '0.0.0': [[1, 'sole']] },
+      checkpoints: {},
+    })
+    t.is(job.occurrences[0]!.steps[0]!.crashSuspects.size, 0)
+  })
+})
+
 describe('rows of jobs', () => {
   it('never throw, nor make a job larger than it is, whatever their text', (t) => {
     const text = fc.oneof(
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -58,6 +58,8 @@
     if (done === 'all' || done?.includes(task.index)) {
       task.phase = 'done'
       step.doneCount++
+      // A done task left as a suspect would keep the other tasks of its step from starting.
+      step.crashSuspects.delete(task)
     }
   }
 }
