refactor(scheduler): extract crash recording from the target agent

Change: crashRecorder.ts attributes crashes to runs and records them; types.ts holds the interface of an agent that the rest of the scheduler uses. Behaviour is unchanged.

Measured: the specs of crashes, restarted targets, room, owners and the model pass.

--- a/bench/plans.ts
+++ b/bench/plans.ts
@@ -5,7 +5,7 @@
 import { OPEN_POLICY } from '../src/scheduler/placementRules.js'
 import { planStarts } from '../src/scheduler/planner.js'
 import { createRunTimes } from '../src/scheduler/runTimes.js'
-import type { TargetAgent } from '../src/scheduler/targetAgent.js'
+import type { TargetAgent } from '../src/scheduler/types.js'
 import { createRoom } from '../src/scheduler/room.js'
 import { urgencyOf } from '../src/scheduler/urgency.js'
 import { createStillBook } from '../test/fixtures.js'
--- a/src/scheduler/__tests__/badRuns.spec.ts
+++ b/src/scheduler/__tests__/badRuns.spec.ts
@@ -7,7 +7,7 @@
 import { createBadRuns } from '../badRuns.js'
 import { createRunTimes } from '../runTimes.js'
 import { createSuspicion } from '../suspicion.js'
-import type { TargetAgent } from '../targetAgent.js'
+import type { TargetAgent } from '../types.js'
 import type { Placement } from '../targetRuns.js'
 
 /** Run time of the queue's tasks, in ms, as far as the owner has seen. */
--- a/src/scheduler/__tests__/planner.spec.ts
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -7,7 +7,7 @@
 import { planStarts } from '../planner.js'
 import { createRoom, needOf } from '../room.js'
 import { createRunTimes } from '../runTimes.js'
-import type { TargetAgent } from '../targetAgent.js'
+import type { TargetAgent } from '../types.js'
 import { compareUrgency, urgencyOf } from '../urgency.js'
 
 function fakeAgent(
--- a/src/scheduler/__tests__/suspicion.spec.ts
+++ b/src/scheduler/__tests__/suspicion.spec.ts
@@ -5,7 +5,7 @@
 import type { Task } from '../../jobs/index.js'
 import { createMemoryLogger } from '../../shared/index.js'
 import { createSuspicion } from '../suspicion.js'
-import type { TargetAgent } from '../targetAgent.js'
+import type { TargetAgent } from '../types.js'
 
 const agentOf = (id: string) => ({ target: { id } }) as TargetAgent
 
--- a/src/scheduler/badRuns.ts
+++ b/src/scheduler/badRuns.ts
@@ -7,7 +7,7 @@
 import { monotonicMs } from '../shared/index.js'
 import type { RunTimes } from './runTimes.js'
 import type { Suspicion } from './suspicion.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 import type { Placement } from './targetRuns.js'
 
 /** A task whose percent stands still for so long hangs, in ms: two long polls. */
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -6,7 +6,7 @@
 import type { ArrivalMeter } from './arrivals.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** Time in which waiting work should be done: about that of one more VM's coming, in ms. */
 const CLEAR_BACKLOG_MS = 1500
--- a/src/scheduler/evacuation.ts
+++ b/src/scheduler/evacuation.ts
@@ -6,7 +6,7 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { FleetAnswer } from '../vms/types.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 import type { Placement } from './targetRuns.js'
 
 /**
--- a/src/scheduler/health.ts
+++ b/src/scheduler/health.ts
@@ -9,7 +9,7 @@
 import type { RunTimes } from './runTimes.js'
 import { createSuspicion } from './suspicion.js'
 import type { Standing } from './suspicion.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** How well the targets of one service work. */
 export interface Health extends Pick<BadRuns, 'sweep' | 'noteMoved'> {
--- a/src/scheduler/isolation.ts
+++ b/src/scheduler/isolation.ts
@@ -5,7 +5,7 @@
 import { hasSoleSuspect, hasSuspectRunning } from '../jobs/index.js'
 import type { Step } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** Largest share of the targets that may be isolated for suspects at the same time. */
 const MAX_ISOLATED_SHARE = 0.2
--- a/src/scheduler/leavingTargets.ts
+++ b/src/scheduler/leavingTargets.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '../shared/index.js'
 import { LIST_RETURN_MS } from './constants.js'
 import { moveTasksAway } from './evacuation.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** What the look at leaving targets works with. */
 export interface LeavingTargetsOptions {
--- a/src/scheduler/lifeCheck.ts
+++ b/src/scheduler/lifeCheck.ts
@@ -5,7 +5,7 @@
 import type { VmCloud } from '../ports/index.js'
 import { describeError, monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** Time between two readings, in ms. The list lags: one reading more must agree. */
 const READ_MS = 700
--- a/src/scheduler/moveBadRuns.ts
+++ b/src/scheduler/moveBadRuns.ts
@@ -4,7 +4,7 @@
 import type { Health } from './health.js'
 import { createRoomElsewhere } from './planner.js'
 import type { Starter } from './starter.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** What the look at bad runs works with. */
 export interface MoveBadRunsOptions {
--- a/src/scheduler/placementRules.ts
+++ b/src/scheduler/placementRules.ts
@@ -6,7 +6,7 @@
 import type { Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import { needOf } from './room.js'
-import type { TargetAgent, TargetHold } from './targetAgent.js'
+import type { TargetAgent, TargetHold } from './types.js'
 
 /** Why a step may not run on a target that takes orders. */
 export type StepHold =
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -2,7 +2,7 @@
 import { crashSuspectsOf } from '../jobs/index.js'
 import type { Job, Step, Task } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 import { stepHoldOf } from './placementRules.js'
 import type { PlacementPolicy, PlacementView } from './placementRules.js'
 import { needOf } from './room.js'
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -13,7 +13,7 @@
 import type { RunTimes } from './runTimes.js'
 import { createSuspectRound } from './suspectPolicy.js'
 import type { SuspectRound } from './suspectPolicy.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 import type { Tickets } from './tickets.js'
 import { urgencyOf } from './urgency.js'
 
--- a/src/scheduler/suspectPolicy.ts
+++ b/src/scheduler/suspectPolicy.ts
@@ -7,7 +7,7 @@
 import type { Health } from './health.js'
 import { OPEN_POLICY, stepHoldOf } from './placementRules.js'
 import type { PlacementView } from './placementRules.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /**
  * Time without any run after which a job has a task tried on a target under suspicion, in ms.
--- a/src/scheduler/suspicion.ts
+++ b/src/scheduler/suspicion.ts
@@ -6,7 +6,7 @@
 import type { Step, Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** Ends of a target that are looked at, and how long they count, in ms. */
 const RECENT_ENDS = 10
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -24,7 +24,6 @@
 import type { Logger } from '../shared/index.js'
 import { createPacer } from '../sharing/index.js'
 import { ask } from './ask.js'
-import type { CrashedRun } from './crashSuspects.js'
 import {
   ACK_WAIT_MS,
   ANSWER_TIMEOUT_MS,
@@ -36,74 +35,14 @@
   SYNC_WAIT_MS,
   TOKENS_PER_TERM,
 } from './constants.js'
+import { createCrashRecorder } from './crashRecorder.js'
+import type { CrashedRun } from './crashSuspects.js'
 import { createOrderSender } from './orderSender.js'
 import type { ProgressWriter } from './progressWriter.js'
-import type { Room } from './room.js'
 import { createTargetLease } from './targetLease.js'
 import { createTargetRuns } from './targetRuns.js'
-import type { Placement } from './targetRuns.js'
 import { createTargetSilence } from './targetSilence.js'
-
-/** Why a target gets nothing new, whatever a task asks for. */
-export type TargetHold =
-  | 'gone'
-  | 'unheard'
-  | 'unlisted'
-  | 'silent'
-  | 'draining'
-  | 'evacuating'
-  | 'paused'
-  | 'unread'
-  | 'unwanted'
-  | 'noAuthority'
-
-/** What an owner does with one target. */
-export interface TargetAgent {
-  readonly target: Target
-  /** What runs on it, by name of the task, as far as is known. */
-  readonly placements: ReadonlyMap<string, Placement>
-  readonly room: Room
-  /** What keeps everything new from it; undefined when it takes orders now. */
-  hold(): TargetHold | undefined
-  /** Whether nothing keeps everything new from it. */
-  isUsable(): boolean
-  /** How often the token was raised within this term, earlier lives of the id included. */
-  bump(): number
-  /** Steady time up to which it is paused, in ms. */
-  pausedUntil(): number
-  /** Whether it has been heard by this owner, or everything on it is surely dead. */
-  isSettled(): boolean
-  /** Steady time by which it is settled at the latest, in ms, unless its lease is extended. */
-  settledBy(): number
-  /** Whether it last answered. */
-  isAnswering(): boolean
-  /** Whether a call has failed since the last answer, or since the first call if there was none. */
-  isSilent(): boolean
-  /** No new starts while true: it is being emptied on purpose. */
-  evacuating: boolean
-  /** Whether the list of targets shows it; no new starts while it does not. */
-  listed: boolean
-  /** Takes what the list says of it now. */
-  update(target: Target): void
-  /** Places the task there and orders its start. */
-  start(task: Task, run: number, ticket: string): void
-  stop(name: string): void
-  /** Whether a crash suspect is placed there. */
-  isIsolated(): boolean
-  /** Whether a run there is starting or not yet known to be stable. */
-  hasRecentStart(): boolean
-  /** Starts that it takes now without letting them wait for long behind one another. */
-  startsLeft(): number
-  /** Runs last reported whose jobs are held, so that they have no placement. */
-  heldRuns(): number
-  /** Adopts those of them whose jobs have become known since. */
-  adoptKnown(): void
-  /** Orders how much of its usual speed a task that fills in may have, in percent. */
-  pace(name: string, percent: number): void
-  /** Every run on it is known to be dead. */
-  markGone(reason: string): void
-  close(): Promise<void>
-}
+import type { TargetAgent, TargetHold } from './types.js'
 
 /** What the agent works with. */
 export interface TargetAgentOptions {
@@ -154,10 +93,6 @@
   let heard = false
   let gone = false
   let pausedUntil = 0
-  /** Steady time of the first failed connection, in ms; Infinity while connected. */
-  let disconnectedAt = Infinity
-  /** Runs whose leases ended, to which a crash is attributed if the target proves to be gone. */
-  let lapsedRuns: CrashedRun[] = []
 
   const token = (): number => authority.term * TOKENS_PER_TERM + bump
 
@@ -171,6 +106,17 @@
   })
   const { placements, room } = runs
 
+  const crashRecorder = createCrashRecorder({
+    targetId,
+    book,
+    runs,
+    progress,
+    signal,
+    log,
+    isLeaving: () => target.draining || agent.evacuating,
+    crashedWhileIsolated: opts.crashedWhileIsolated,
+  })
+
   const sender = createOrderSender({
     targetId,
     link,
@@ -204,8 +150,7 @@
     lifeStartMs = report.lifeStartMs
     lease.noteClock(report.clockMs)
     const silentMs = silence.end(report.ends.length)
-    lapsedRuns = []
-    disconnectedAt = Infinity
+    crashRecorder.noteAnswer()
     runs.apply(report, reportToken, silentMs)
     if (!heard) log.event('targetHeard', { target: targetId, runs: report.runs.length })
     heard = true
@@ -226,16 +171,15 @@
     ackedSeq = 0
     bump++
     lease.reset(report.clockMs)
-    const crashed = [...lapsedRuns, ...runs.crashedRuns(disconnectedAt)]
-    lapsedRuns = []
-    disconnectedAt = Infinity
+    const crashed = crashRecorder.takeCrashedRuns()
     runs.switchLife(token())
     lifeSwitch = finishLifeSwitch(crashed)
   }
 
   async function finishLifeSwitch(crashed: CrashedRun[]): Promise<void> {
     await waitUntilConfirmed()
-    if (!signal.aborted) await noteCrash('another life answers', crashed)
+    if (signal.aborted) return
+    await crashRecorder.record({ reason: 'another life answers', crashed })
     if (signal.aborted) return
     lifeSwitch = undefined
     opts.restarted(agent)
@@ -249,27 +193,6 @@
     void giveUpRuns(reason)
   }
 
-  /**
-   * Records a crash of the target for the runs that may have caused it. Their tasks stay placed
-   * until the record is durable, so that a later owner counts the crash too.
-   */
-  async function noteCrash(
-    reason: string,
-    crashed: CrashedRun[],
-    giveUpOthers?: (kept: ReadonlySet<Task>) => void,
-  ): Promise<void> {
-    const isPlanned = target.draining || agent.evacuating
-    if (isPlanned || crashed.length === 0) return
-    const tasks = new Set(crashed.map(({ task }) => task))
-    const suspects = [...tasks].map(({ name }) => name).join(' ')
-    const [{ role }] = crashed as [CrashedRun]
-    log.event('targetCrashed', { target: targetId, reason, role, suspects })
-    if (runs.isIsolated()) opts.crashedWhileIsolated()
-    for (const { task, run, role } of crashed) book.noteCrash(task, run, role)
-    giveUpOthers?.(tasks)
-    while (!signal.aborted && !(await progress.flushed(ACK_WAIT_MS)));
-  }
-
   /**
    * Waits while this owner is out of touch with the store: a successor may have heard from the
    * target and recorded its tasks as done.
@@ -284,8 +207,11 @@
   async function giveUpRuns(reason: string): Promise<void> {
     await waitUntilConfirmed()
     if (signal.aborted) return
-    const crashed = [...lapsedRuns, ...runs.crashedRuns(disconnectedAt)]
-    await noteCrash(reason, crashed, (tasks) => runs.giveUpAll(reason, tasks))
+    await crashRecorder.record({
+      reason,
+      crashed: crashRecorder.takeCrashedRuns(),
+      giveUpOthers: (kept) => runs.giveUpAll(reason, kept),
+    })
     if (signal.aborted) return
     runs.giveUpAll(reason)
     stopping.abort()
@@ -294,10 +220,8 @@
   }
 
   function noteFailure(error: OrderError): void {
-    const { failure, cause } = error
-    const isDisconnected = failure === 'gone' || cause.failure === 'unreachable'
-    if (isDisconnected) disconnectedAt = Math.min(disconnectedAt, monotonicMs())
-    if (failure === 'gone') return markGone(error.reason)
+    crashRecorder.noteFailure(error)
+    if (error.failure === 'gone') return markGone(error.reason)
     silence.begin(error.reason)
   }
 
@@ -306,8 +230,7 @@
     if (!lease.isOver() || placements.size === 0) return
     // A successor may have renewed the leases: only an owner for certain can tell.
     if (!authority.isConfirmed()) return
-    // The target may have crashed or be unreachable; the crash is recorded once it is proven.
-    lapsedRuns.push(...runs.crashedRuns(disconnectedAt))
+    crashRecorder.noteLeaseExpiry()
     runs.giveUpAll('lease is over')
   }
 
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -16,7 +16,7 @@
 import type { InheritedEntry, Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
 import { createTargetAgent } from './targetAgent.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 import type { Tickets } from './tickets.js'
 
 /** Follows the targets of one service. */
--- a/src/scheduler/tickets.ts
+++ b/src/scheduler/tickets.ts
@@ -6,7 +6,7 @@
 import type { Advice } from '../ports/index.js'
 import { describeError, monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** Targets named in one call: the platform counts a call on 30 as usual. */
 const CANDIDATES = 30
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -9,7 +9,7 @@
 import type { Logger } from '../shared/index.js'
 import { couldRun, holdOf } from './placementRules.js'
 import type { Hold, PlacementPolicy } from './placementRules.js'
-import type { TargetAgent } from './targetAgent.js'
+import type { TargetAgent } from './types.js'
 
 /** Wait without an explanation, in ms: callers and operators are told within a second. */
 const UNTOLD_MS = 1000
