test(playground): connections to a simulated target end with its life

Cause: a poll that was begun on a target which had just crashed waited for its whole second, and went on to the next life, where the connection to a process that has ended is reset at once. Change: such a poll returns at once, and one whose target has begun another life meanwhile is reset.

--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -82,7 +82,9 @@
       if (waitMs > 0) {
         const first = await order(timeoutMs, (target) => target.hold(hold))
         if (first.isErr()) return err(first.error)
-        await find()?.waitForEnd(waitMs)
+        const life = find()
+        await life?.waitForEnd(waitMs)
+        if (find() !== life) return err(orderError('unanswered', 'connection reset'))
       }
       const res = await order(timeoutMs, (target) => ({
         lifeStartMs: target.lifeStartMs,
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -291,7 +291,7 @@
       return { runs: present, ends: [...ends] }
     },
     async waitForEnd(ms) {
-      if (ends.length > 0) return
+      if (dead || ends.length > 0) return
       await new Promise<void>((resolve) => {
         const timer = setTimeout(resolve, ms)
         waiters.push(() => {
