refactor(scheduler): crash specs replace owners by one function; a comment on gone targets

Cause: two specs ended an owner and started the next in the same lines; a comment still said that a target never comes back under its id. Change: replaceOwner in the spec, the comment put right. Checks and behaviour stay as they are.

--- a/src/scheduler/__tests__/crashingTasks.spec.ts
+++ b/src/scheduler/__tests__/crashingTasks.spec.ts
@@ -1,7 +1,7 @@
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
 import { createJobRig, makeJob } from '../../../test/jobRig.js'
-import type { JobRig } from '../../../test/jobRig.js'
+import type { JobRig, RigOwner } from '../../../test/jobRig.js'
 import { sleep } from '../../shared/index.js'
 
 const POOL_SIZE = 6
@@ -51,6 +51,13 @@
   })
 }
 
+/** Ends an owner without a handover and starts the next one. */
+async function replaceOwner(rig: JobRig, owner: RigOwner): Promise<RigOwner> {
+  owner.live = false
+  await owner.stop(false)
+  return rig.own()
+}
+
 describe('task that crashes each target that starts it', () => {
   it('is given up before it is started three times more', async (t) => {
     const rig = createCrashRig(t)
@@ -101,9 +108,7 @@
       const hasReturned = (): boolean => rig.crashesOf(`${job.id}.0.0.0`) >= crashes
       while (!hasReturned() && performance.now() < endsAt && !rig.outcomeOf(job))
         await sleep(5)
-      owner.live = false
-      await owner.stop(false)
-      owner = await rig.own()
+      owner = await replaceOwner(rig, owner)
     }
     t.true(await rig.settled([job], PATIENCE_MS))
     t.is(rig.outcomeOf(job), 'failed')
@@ -119,9 +124,7 @@
     rig.submit(owner, job)
     for (let changes = 1; changes <= 2; changes++) {
       while (rig.startsOf(`${job.id}.0.0.0`) < changes) await sleep(1)
-      owner.live = false
-      await owner.stop(false)
-      owner = await rig.own()
+      owner = await replaceOwner(rig, owner)
     }
     t.true(await rig.settled([job], PATIENCE_MS))
     t.is(rig.outcomeOf(job), 'failed')
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -66,7 +66,7 @@
   restarted(agent: TargetAgent): void
   /** The target crashed while it was isolated for a crash suspect. */
   crashedWhileIsolated(): void
-  /** All on it is dead and it will not come back under this id. */
+  /** The life is over and every run on it is dead; another life may come under the id. */
   gone(agent: TargetAgent): void
 }
 
