fix(scheduler): try crash suspects on as many targets as their risk allows

Seen by callers: jobs with tasks that crash their targets, and jobs that shared a target with them, got no end for 20 to 40 s.

Cause: suspects were tried one task at a time, on a fifth of the targets at most, one in a small pool; a crashed one kept that place for 3 s. So giving up cost tasks x crashes x seconds in one line, in which suspects of sound jobs stood too, and the pool shrank meanwhile, since waiting for isolation asked for no room. The log shows it: 100 to 200 taskWaits in five seconds held by `isolation` on 3 to 10 idle targets.

Change: suspects of one step start together on the emptiest target, as the job is what is given up; sole suspects start last, count apart from those that were one of several, may use half of the idle targets and ask the fleet for one each; a task is given up after three crashes, two of them sole. Every crash counts towards the targets that restart, so that half of a pool stays up.

--- a/src/jobs/crashes.ts
+++ b/src/jobs/crashes.ts
@@ -5,15 +5,17 @@
 import type { Step, Task } from './job.js'
 import type { CrashRole } from './records.js'
 
-/** A task fails after this many crashes right after its start with no other likely cause. */
-const MAX_SOLE_CRASHES = 3
-/** A task fails after this many crashes of which it is a likely cause, alone or among others. */
-const MAX_CRASHES = 5
+/** A task fails after this many crashes of which it is a likely cause, if enough are sole ones. */
+const MAX_CRASHES = 3
+/** Crashes right after its start, with no other job as a likely cause, that are enough for that. */
+const MIN_SOLE_CRASHES = 2
+/** A task fails after this many crashes of which it is a likely cause among others. */
+const MAX_SHARED_CRASHES = 5
 /** Crashes after which a task becomes a suspect even if it is a likely cause of none of them. */
 const MIN_PRESENT_CRASHES = 2
 /** Uptime from which a run counts as stable, in ms of the target's clock. */
 const STABLE_AFTER_MS = 100
-/** Uptime from which a run of a task with several crashes counts as stable, in ms. */
+/** The same for a task that may crash its targets later than right after its start, in ms. */
 export const LONG_STABLE_AFTER_MS = 2000
 
 /** The task that holds the crash count: for a gang, its first task, as members run together. */
@@ -21,13 +23,16 @@
   task.step.spec.gang ? (task.step.tasks[0] ?? task) : task
 
 /** Uptime from which a run of the task counts as stable, in ms. */
-export const stableAfterMs = (task: Task): number =>
-  countedTask(task).crashes.size > 1 ? LONG_STABLE_AFTER_MS : STABLE_AFTER_MS
+export function stableAfterMs(task: Task): number {
+  const roles = [...countedTask(task).crashes.values()]
+  const mayCrashLate = roles.length > 1 && roles.includes('present')
+  return mayCrashLate ? LONG_STABLE_AFTER_MS : STABLE_AFTER_MS
+}
 
 const countCrashes = (task: Task, matches: (role: CrashRole) => boolean): number =>
   [...countedTask(task).crashes.values()].filter(matches).length
 
-/** Number of crashes of which a run of the task is the only likely cause. */
+/** Number of crashes of which no run of another job is a likely cause. */
 const soleCrashes = (task: Task): number => countCrashes(task, (role) => role === 'sole')
 
 /** Number of crashes of which a run of the task is a likely cause. */
@@ -37,12 +42,18 @@
 const isSuspect = (counted: Task): boolean =>
   likelyCrashes(counted) > 0 || counted.crashes.size >= MIN_PRESENT_CRASHES
 
+function isAtLimit(counted: Task): boolean {
+  const likely = likelyCrashes(counted)
+  const isSole = soleCrashes(counted) >= MIN_SOLE_CRASHES
+  return (isSole && likely >= MAX_CRASHES) || likely >= MAX_SHARED_CRASHES
+}
+
 /** Records a crash during a run of the task; true when the task has reached a crash limit. */
 export function addCrash(task: Task, run: number, role: CrashRole): boolean {
   const counted = countedTask(task)
   if (!counted.crashes.has(run)) counted.crashes.set(run, role)
   if (isSuspect(counted)) counted.step.crashSuspects.add(counted)
-  return soleCrashes(counted) >= MAX_SOLE_CRASHES || likelyCrashes(counted) >= MAX_CRASHES
+  return isAtLimit(counted)
 }
 
 /** Records the uptime of a run, in ms; true when the task is no longer a suspect. */
@@ -61,9 +72,12 @@
 export const crashSuspectsOf = (tasks: Task[]): Task[] =>
   tasks.filter(isCrashSuspect).sort((a, b) => soleCrashes(b) - soleCrashes(a))
 
-/** Whether a suspect of the step was the sole likely cause of a crash. */
+/** Whether no other job is a likely cause of a crash of the task: its next run will crash too. */
+export const isSoleSuspect = (task: Task): boolean => soleCrashes(countedTask(task)) > 0
+
+/** Whether the step has such a suspect. */
 export const hasSoleSuspect = ({ crashSuspects }: Step): boolean =>
-  [...crashSuspects].some((task) => soleCrashes(task) > 0)
+  [...crashSuspects].some(isSoleSuspect)
 
 /** Whether a suspect of the step is placed; the next one must wait for it. */
 export function hasSuspectRunning({ crashSuspects, tasks, spec }: Step): boolean {
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -133,7 +133,7 @@
 
 /**
  * Role of a run in the crash of its target.
- * `sole`: the only recently started run, and it began right before the crash.
+ * `sole`: all recently started runs are of one job, and the last began right before the crash.
  * `shared`: a recently started run, possibly one of several.
  * `present`: not recently started, and neither was any other run on the target.
  */
--- a/src/scheduler/crashRecorder.ts
+++ b/src/scheduler/crashRecorder.ts
@@ -49,8 +49,8 @@
   log: Logger
   /** Whether the target is draining or being evacuated, so that its end is not a crash. */
   isLeaving(): boolean
-  /** Called when the target has crashed while it was isolated for a crash suspect. */
-  crashedWhileIsolated(): void
+  /** Called when a crash of the target is recorded. */
+  crashed(): void
 }
 
 /** Creates the recorder; the target counts as connected until a call fails. */
@@ -85,7 +85,7 @@
       const suspects = [...tasks].map(({ name }) => name).join(' ')
       const { role } = first
       log.event('targetCrashed', { target: targetId, reason, role, suspects })
-      if (runs.isIsolated()) opts.crashedWhileIsolated()
+      opts.crashed()
       for (const { task, run, role } of crashed) book.noteCrash(task, run, role)
       giveUpOthers?.(tasks)
       while (!signal.aborted && !(await progress.flushed(ACK_WAIT_MS)));
--- a/src/scheduler/crashSuspects.ts
+++ b/src/scheduler/crashSuspects.ts
@@ -1,9 +1,9 @@
 /** Determines which runs may have crashed a target, from their confirmed uptimes. */
-import { LONG_STABLE_AFTER_MS, countedTask, stableAfterMs } from '../jobs/index.js'
+import { LONG_STABLE_AFTER_MS, stableAfterMs } from '../jobs/index.js'
 import type { CrashRole, Task } from '../jobs/index.js'
 import type { Placement } from './targetRuns.js'
 
-/** Longest time between a start and a crash that is attributed to that start alone, in ms. */
+/** Longest time between a start and a crash that is attributed to the started job alone, in ms. */
 const CRASH_AFTER_START_MS = 300
 
 /** A run to which the crash of its target is attributed. */
@@ -34,9 +34,9 @@
 
 /** The role of recently started runs in a crash. */
 function recentRole(recent: Placement[], disconnectedAt: number): CrashRole {
-  const tasks = new Set(recent.map(({ task }) => task && countedTask(task)))
+  const jobs = new Set(recent.map(({ task }) => task?.step.job))
   const startedAt = Math.max(...recent.map(({ sentAt }) => sentAt))
-  return tasks.size === 1 && disconnectedAt - startedAt < CRASH_AFTER_START_MS
+  return jobs.size === 1 && disconnectedAt - startedAt < CRASH_AFTER_START_MS
     ? 'sole'
     : 'shared'
 }
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -1,5 +1,5 @@
 /** What a service needs, for the owner of the fleet. */
-import { isStepDone } from '../jobs/index.js'
+import { hasSoleSuspect, isStepDone } from '../jobs/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
 import { createArrivalMeter } from './arrivals.js'
@@ -41,6 +41,8 @@
   lasting: number
   running: number
   backlog: number
+  /** Steps that need a target for themselves, as they will probably crash it. */
+  isolated: number
 }
 
 /** What a service needs, in thousandths of a core. */
@@ -69,6 +71,8 @@
   const arrivals = new Map<string, ArrivalMeter>()
   let sequence = 0
   let reportedCpu = 0
+  /** Room of a target at the last report, in thousandths of a core. */
+  let targetCpu = 0
 
   const meterOf = (queue: string): ArrivalMeter => {
     const known = arrivals.get(queue)
@@ -78,8 +82,14 @@
     return meter
   }
 
-  const total = ({ lasting, running, backlog }: Sums, expected: number): number =>
-    lasting + Math.max(running, expected) + backlog / CLEAR_BACKLOG_MS
+  const total = (
+    { lasting, running, backlog, isolated }: Sums,
+    expected: number,
+  ): number =>
+    lasting +
+    Math.max(running, expected) +
+    backlog / CLEAR_BACKLOG_MS +
+    isolated * targetCpu
 
   function expectedCpu(now: number): number {
     let expected = 0
@@ -89,12 +99,12 @@
 
   /** Thousandths of a core that the tasks need, now and soon. */
   function needed(open: OpenJobs, now: number): Need {
-    const all: Sums = { lasting: 0, running: 0, backlog: 0 }
-    const timely: Sums = { lasting: 0, running: 0, backlog: 0 }
+    const all = createSums()
+    const timely = createSums()
     for (const job of open) {
       const asked = askedBy(job, runTimes)
       add(all, asked)
-      if (isTimely(job, now)) add(timely, asked)
+      if (isTimely(job, now)) add(timely, { ...asked, isolated: 0 })
     }
     const expected = expectedCpu(now)
     return { cpu: total(all, expected), timelyCpu: total(timely, expected) }
@@ -102,7 +112,7 @@
 
   /** The same without the question what can be in time, which costs most of it. */
   function neededCpu(open: OpenJobs, now: number): number {
-    const all: Sums = { lasting: 0, running: 0, backlog: 0 }
+    const all = createSums()
     for (const job of open) add(all, askedBy(job, runTimes))
     return total(all, expectedCpu(now))
   }
@@ -131,6 +141,7 @@
           for (const step of steps) minTargets = Math.max(minTargets, minTargetsFor(step))
         }
       }
+      targetCpu = meanCpuOf(agents)
       const { cpu, timelyCpu } = needed(open, now)
       reportedCpu = cpu
       sequence++
@@ -151,15 +162,24 @@
   return meter
 }
 
+const createSums = (): Sums => ({ lasting: 0, running: 0, backlog: 0, isolated: 0 })
+
+/** Mean room of the targets, in thousandths of a core; 0 without any. */
+function meanCpuOf(agents: TargetAgent[]): number {
+  const sum = agents.reduce((cpu, { room }) => cpu + room.capacity.cpu, 0)
+  return sum / Math.max(1, agents.length)
+}
+
 function add(sum: Sums, more: Sums): void {
   sum.lasting += more.lasting
   sum.running += more.running
   sum.backlog += more.backlog
+  sum.isolated += more.isolated
 }
 
 /** What the tasks of a job ask for now: those of steps that may run and are not done. */
 function askedBy(job: Job, runTimes: RunTimes): Sums {
-  const sum: Sums = { lasting: 0, running: 0, backlog: 0 }
+  const sum = createSums()
   for (const { steps } of job.occurrences) {
     for (const step of steps) {
       if (step.unblocked && !isStepDone(step)) add(sum, askedByStep(step, runTimes))
@@ -176,12 +196,12 @@
     if (phase === 'ready') ready++
     else if (phase === 'placed') placed++
   }
-  if (step.spec.lasting)
-    return { lasting: cpu * (ready + placed), running: 0, backlog: 0 }
+  if (step.spec.lasting) return { ...createSums(), lasting: cpu * (ready + placed) }
   return {
     lasting: 0,
     running: cpu * placed,
     backlog: cpu * ready * runTimes.meanOf(step),
+    isolated: hasSoleSuspect(step) ? 1 : 0,
   }
 }
 
--- a/src/scheduler/isolation.ts
+++ b/src/scheduler/isolation.ts
@@ -2,19 +2,37 @@
  * Isolates tasks that may have crashed a target until one of their runs is stable, so that a
  * further crash has a single likely cause and affects a single target.
  */
-import { hasSoleSuspect, hasSuspectRunning } from '../jobs/index.js'
+import { hasSoleSuspect, hasSuspectRunning, isSoleSuspect } from '../jobs/index.js'
 import type { Step } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { TargetAgent } from './types.js'
 
-/** Largest share of the targets that may be isolated for suspects at the same time. */
-const MAX_ISOLATED_SHARE = 0.2
-/** Time for which a crashed isolated target still counts as isolated, in ms: its VM restarts. */
+/** Time for which a crashed target still counts towards the pool, in ms: its VM restarts. */
 const RESTART_MS = 2000
 
+/**
+ * Risk that the next run of a suspect crashes its target. `possible`: it was always one of several
+ * suspects. `probable`: it was the sole one.
+ */
+type CrashRisk = 'possible' | 'probable'
+
+/** Largest shares of the targets that may be isolated at the same time for one kind of suspect. */
+interface IsolationShares {
+  /** While the suspect would run beside others. */
+  busy: number
+  /** Where nothing else runs on the target. */
+  idle: number
+}
+
+/** At least one target may be isolated for each kind, whatever its share. */
+const MAX_ISOLATED_SHARES: Record<CrashRisk, IsolationShares> = {
+  possible: { busy: 0.2, idle: 0.75 },
+  probable: { busy: 0.1, idle: 0.5 },
+}
+
 /** Isolation of crash suspects by one owner. */
 export interface Isolation {
-  /** Records the crash of an isolated target. */
+  /** Records the crash of a target. */
   noteCrash(): void
   /** Begins a round of planning. */
   begin(agents: readonly TargetAgent[]): IsolationRound
@@ -42,32 +60,55 @@
   }
 }
 
-/** @param recentCrashes number of isolated targets that crashed within RESTART_MS */
+const riskOf = (step: Step): CrashRisk => (hasSoleSuspect(step) ? 'probable' : 'possible')
+
+/** The risk that a target is isolated for. */
+function riskOn({ placements }: TargetAgent): CrashRisk {
+  const isProbable = [...placements.values()].some(
+    ({ task }) => task !== undefined && isSoleSuspect(task),
+  )
+  return isProbable ? 'probable' : 'possible'
+}
+
+/** @param recentCrashes number of targets that crashed within RESTART_MS */
 function createRound(
   agents: readonly TargetAgent[],
   recentCrashes: number,
 ): IsolationRound {
   const isolated = new Set(agents.filter((agent) => agent.isIsolated()))
   const usable = agents.filter((agent) => agent.isUsable() || isolated.has(agent))
-  const maxIsolated = Math.max(1, Math.floor(usable.length * MAX_ISOLATED_SHARE))
+  const poolSize = usable.length + recentCrashes
+  /** Targets isolated by risk. Targets that restart already limit further probable crashes. */
+  const counts: Record<CrashRisk, number> = { possible: 0, probable: recentCrashes }
+  for (const agent of isolated) counts[riskOn(agent)]++
+  /** Targets that have got starts in this round. */
   const plannedAgents = new Set<TargetAgent>()
-  const plannedSteps = new Set<Step>()
+  /** Targets of the suspects of a step in this round. */
+  const trials = new Map<Step, TargetAgent>()
+
+  const maxIsolated = (agent: TargetAgent, risk: CrashRisk): number => {
+    const { busy, idle } = MAX_ISOLATED_SHARES[risk]
+    return Math.max(1, Math.floor(poolSize * (agent.placements.size > 0 ? busy : idle)))
+  }
 
   return {
     forbids(agent, step) {
+      // Suspects of one step are started together: one stable start clears all of them.
+      const trial = trials.get(step)
+      if (trial) return trial !== agent
       if (isolated.has(agent)) return true
       if (step.crashSuspects.size === 0) return false
-      if (plannedSteps.has(step) || hasSuspectRunning(step)) return true
-      // A sole suspect is likely to crash again: targets still restarting count against the limit.
-      const slotsLeft =
-        maxIsolated - isolated.size - (hasSoleSuspect(step) ? recentCrashes : 0)
-      return slotsLeft <= 0 || plannedAgents.has(agent) || agent.hasRecentStart()
+      if (hasSuspectRunning(step)) return true
+      if (plannedAgents.has(agent) || agent.hasRecentStart()) return true
+      const risk = riskOf(step)
+      return counts[risk] >= maxIsolated(agent, risk)
     },
     planned(agent, step) {
       plannedAgents.add(agent)
-      if (step.crashSuspects.size === 0) return
+      if (step.crashSuspects.size === 0 || isolated.has(agent)) return
       isolated.add(agent)
-      plannedSteps.add(step)
+      trials.set(step, agent)
+      counts[riskOf(step)]++
     },
   }
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -1,5 +1,5 @@
 /** Chooses targets for tasks that may start. Pure: it only reads and returns. */
-import { crashSuspectsOf } from '../jobs/index.js'
+import { crashSuspectsOf, hasSoleSuspect } from '../jobs/index.js'
 import type { Job, Step, Task } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import type { TargetAgent } from './types.js'
@@ -92,10 +92,11 @@
 /** More than any other difference between targets. */
 const PENALTY_COST = 1e12
 
-/** Smaller is better: near the data, lasting tasks spread, others packed. */
+/** Smaller is better: near the data, crash suspects apart, lasting tasks spread, others packed. */
 function costOf(draft: Draft, step: Step): number {
   const { dataRack, lasting } = step.spec
   const far = dataRack !== '' && rackOf(draft.agent) !== dataRack ? 1e9 : 0
+  if (step.crashSuspects.size > 0) return far + draft.agent.placements.size
   if (lasting) return far + draft.serving * 1e6 - draft.free.cpu
   return far + draft.free.cpu
 }
@@ -189,7 +190,7 @@
   return crashSuspects.size === 0 ? tasks : crashSuspectsOf(tasks)
 }
 
-/** Plans starts in the order of urgency. */
+/** Plans starts in the order of urgency, those of sole crash suspects last. */
 export function planStarts(input: PlanInput): Plan {
   const drafts = input.agents.filter((agent) => agent.isUsable()).map(createDraft)
   const steps = new Map<Step, Task[]>()
@@ -204,7 +205,11 @@
   }
   const ordered = [...steps.keys()]
     .map((step) => ({ step, urgency: urgencies.get(step.job)! }))
-    .sort((a, b) => compareUrgency(a.urgency, b.urgency))
+    .sort(
+      (a, b) =>
+        Number(hasSoleSuspect(a.step)) - Number(hasSoleSuspect(b.step)) ||
+        compareUrgency(a.urgency, b.urgency),
+    )
     .map(({ step }) => step)
   const plan: Plan = { starts: [], waiting: new Set() }
   const failed: Failed = new Map()
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -64,8 +64,8 @@
   ended(agent: TargetAgent, task: Task, kind: string): void
   /** Another life answers under its id; evidence about the earlier one no longer applies. */
   restarted(agent: TargetAgent): void
-  /** The target crashed while it was isolated for a crash suspect. */
-  crashedWhileIsolated(): void
+  /** A crash of the target has been recorded. */
+  crashed(): void
   /** The life is over and every run on it is dead; another life may come under the id. */
   gone(agent: TargetAgent): void
 }
@@ -90,10 +90,12 @@
   /** Pending while the crash of the earlier life is recorded; reports are ignored until then. */
   let lifeSwitch: Promise<void> | undefined
   let ackedSeq = 0
-  let heard = false
+  /** Steady time of the first report of this life, in ms; Infinity before. */
+  let heardSince = Infinity
   let gone = false
   let pausedUntil = 0
 
+  const isHeard = (): boolean => heardSince < Infinity
   const token = (): number => authority.term * TOKENS_PER_TERM + bump
 
   const runs = createTargetRuns({
@@ -114,7 +116,7 @@
     signal,
     log,
     isLeaving: () => target.draining || agent.evacuating,
-    crashedWhileIsolated: opts.crashedWhileIsolated,
+    crashed: opts.crashed,
   })
 
   const sender = createOrderSender({
@@ -152,8 +154,9 @@
     const silentMs = silence.end(report.ends.length)
     crashRecorder.noteAnswer()
     runs.apply(report, reportToken, silentMs)
-    if (!heard) log.event('targetHeard', { target: targetId, runs: report.runs.length })
-    heard = true
+    if (!isHeard())
+      log.event('targetHeard', { target: targetId, runs: report.runs.length })
+    heardSince = Math.min(heardSince, monotonicMs())
     pacePlacements()
     opts.changed()
   }
@@ -167,7 +170,7 @@
     log.event('targetReborn', { target: targetId, runs: placements.size })
     if (lifeStartMs !== undefined) earlierLives.add(lifeStartMs)
     lifeStartMs = report.lifeStartMs
-    heard = false
+    heardSince = Infinity
     ackedSeq = 0
     bump++
     lease.reset(report.clockMs)
@@ -285,7 +288,7 @@
       if (runs.endsToAck() > ackedSeq) await progress.flushed(ACK_WAIT_MS)
       // It lists ends that are not acknowledged at once, so that no poll would last.
       if (runs.endsSeen() > runs.endsToAck()) await sleep(ACK_WAIT_MS, signal)
-      const waits = heard && runs.endsSeen() === ackedSeq
+      const waits = isHeard() && runs.endsSeen() === ackedSeq
       const done = await syncOnce(waits ? pollWaitMs() : 0)
       if (!done) await sleep(jittered(SYNC_RETRY_MS), signal)
     }
@@ -315,7 +318,7 @@
     { hold: 'gone', holds: () => gone },
     { hold: 'draining', holds: () => target.draining },
     { hold: 'unlisted', holds: () => !agent.listed || isOtherLifeListed() },
-    { hold: 'unheard', holds: () => !heard },
+    { hold: 'unheard', holds: () => !isHeard() },
     { hold: 'silent', holds: () => !silence.isAnswering() },
     { hold: 'evacuating', holds: () => agent.evacuating },
     // What runs there takes room that is not known before its jobs are read.
@@ -339,9 +342,10 @@
     isUsable: () => agent.hold() === undefined,
     pausedUntil: () => pausedUntil,
     settledBy: lease.overAt,
-    isSettled: () => heard || gone || lease.isOver(),
+    heardSince: () => heardSince,
+    isSettled: () => isHeard() || gone || lease.isOver(),
     isSilent: () => !silence.isAnswering(),
-    isAnswering: () => silence.isAnswering() && heard && !gone,
+    isAnswering: () => silence.isAnswering() && isHeard() && !gone,
     update(next) {
       if (next.draining && !target.draining) {
         log.event('targetDraining', { target: targetId })
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -123,7 +123,7 @@
         health.noteEnd(each, task, kind)
       },
       restarted: health.forget,
-      crashedWhileIsolated: opts.isolation.noteCrash,
+      crashed: opts.isolation.noteCrash,
       gone: forget,
     })
     agents.set(target.id, agent)
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -33,6 +33,8 @@
   pausedUntil(): number
   /** Whether it has been heard by this owner, or everything on it is surely dead. */
   isSettled(): boolean
+  /** Steady time at which this life was first heard by this owner, in ms; Infinity before. */
+  heardSince(): number
   /** Steady time by which it is settled at the latest, in ms, unless its lease is extended. */
   settledBy(): number
   /** Whether it last answered. */
