fix(scheduler): prove the end of an older life with one reading of the VMs

Runs of a crashed target waited about 1 s until two readings of the list, 0.7 s apart, did not show its life. The second one guards against a list that lags behind a life that has just begun. One reading is enough for a life that was heard long before it; readings come every 0.3 s while a target is in doubt, or four times as long as one takes, so that a long list on a thin link is not read more often than before.

Tests: lifeCheck.spec (the first fails on the code before: two readings).

--- a/src/scheduler/lifeCheck.ts
+++ b/src/scheduler/lifeCheck.ts
@@ -7,10 +7,17 @@
 import type { Logger } from '../shared/index.js'
 import type { TargetAgent } from './types.js'
 
-/** Time between two readings, in ms. The list lags: one reading more must agree. */
-const READ_MS = 700
-/** Readings in a row that must not show a life before it counts as over. */
-const READINGS = 2
+/** Time between two readings at least, in ms. */
+const READ_MS = 300
+/** The same as a multiple of the time that a reading takes: a long list takes much of a link. */
+const READ_PAUSE_FACTOR = 4
+/** Longest time after which the list shows a life that has begun, in ms. */
+const LIST_LAG_MS = 1500
+/**
+ * Time for which the list must not have shown a life before it counts as over, in ms: a life that
+ * has never been heard may be too young for the list.
+ */
+const ABSENT_MS = 700
 
 export interface LifeCheck {
   /** Looks, where there is need and the last look is old enough. */
@@ -18,27 +25,42 @@
 }
 
 export function createLifeCheck(cloud: VmCloud | undefined, log: Logger): LifeCheck {
-  const absences = new Map<string, number>()
+  /** Steady time of the first reading without the life, by id, in ms. */
+  const absentSince = new Map<string, number>()
   let readAt = -Infinity
+  let pauseMs = READ_MS
 
   const isDoubtful = (agent: TargetAgent): boolean =>
     !agent.isAnswering() && (agent.placements.size > 0 || !agent.isSettled())
 
+  /** Whether a reading sent at that time must show the life unless it is over. */
+  const isOlderThanList = (agent: TargetAgent, sentAt: number): boolean =>
+    sentAt - agent.heardSince() > LIST_LAG_MS
+
+  /** @param sentAt steady time at which the reading was asked for, in ms */
+  function noteAbsence(agent: TargetAgent, sentAt: number): void {
+    const { id } = agent.target
+    const since = absentSince.get(id) ?? sentAt
+    absentSince.set(id, since)
+    if (isOlderThanList(agent, sentAt) || sentAt - since >= ABSENT_MS)
+      agent.markGone('no VM has this life')
+  }
+
   return {
     async run(agents) {
       const doubtful = agents.filter(isDoubtful)
-      if (!cloud || doubtful.length === 0) return absences.clear()
-      if (monotonicMs() - readAt < READ_MS) return
-      readAt = monotonicMs()
+      if (!cloud || doubtful.length === 0) return absentSince.clear()
+      const sentAt = monotonicMs()
+      if (sentAt - readAt < pauseMs) return
+      readAt = sentAt
       const vms = await cloud.list()
+      pauseMs = Math.max(READ_MS, (monotonicMs() - sentAt) * READ_PAUSE_FACTOR)
       if (vms.isErr())
         return log.event('vmsNotRead', { reason: describeError(vms.error) })
       const lives = new Set(vms.value.map(({ targetId }) => targetId))
       for (const agent of doubtful) {
-        const { id } = agent.target
-        const count = lives.has(id) ? 0 : (absences.get(id) ?? 0) + 1
-        absences.set(id, count)
-        if (count >= READINGS) agent.markGone('no VM has this life')
+        if (lives.has(agent.target.id)) absentSince.delete(agent.target.id)
+        else noteAbsence(agent, sentAt)
       }
     },
   }
