perf(scheduler): look at crash suspects once per plan, at the list of VMs once per silence

Cause: the planner asked each comparison of two steps whether they have sole suspects, some thousand times a plan; the list of VMs was read every 0.3 s for as long as any target was silent.

--- a/src/scheduler/__tests__/lifeCheck.spec.ts
+++ b/src/scheduler/__tests__/lifeCheck.spec.ts
@@ -6,7 +6,7 @@
 import type { TargetAgent } from '../types.js'
 
 /** Pause between two looks, in ms; longer than that between two readings of the list. */
-const LOOK_MS = 320
+const LOOK_MS = 720
 
 /** A silent target with a run on it, first heard so long ago. */
 function createSilentAgent(id: string, heardForMs: number) {
--- a/src/scheduler/isolation.ts
+++ b/src/scheduler/isolation.ts
@@ -94,9 +94,9 @@
   return {
     forbids(agent, step) {
       // Suspects of one step are started together: one stable start clears all of them.
-      const trial = trials.get(step)
+      const trial = trials.size > 0 ? trials.get(step) : undefined
       if (trial) return trial !== agent
-      if (isolated.has(agent)) return true
+      if (isolated.size > 0 && isolated.has(agent)) return true
       if (step.crashSuspects.size === 0) return false
       if (hasSuspectRunning(step)) return true
       if (plannedAgents.has(agent) || agent.hasRecentStart()) return true
--- a/src/scheduler/lifeCheck.ts
+++ b/src/scheduler/lifeCheck.ts
@@ -8,8 +8,10 @@
 import type { TargetAgent } from './types.js'
 
 /** Time between two readings at least, in ms. */
-const READ_MS = 300
-/** The same as a multiple of the time that a reading takes: a long list takes much of a link. */
+const READ_MS = 700
+/** The same when another target has fallen silent since the last one, in ms. */
+const FIRST_READ_MS = 250
+/** The latter as a multiple of the time that a reading takes: a long list fills a thin link. */
 const READ_PAUSE_FACTOR = 4
 /** Longest time after which the list shows a life that has begun, in ms. */
 const LIST_LAG_MS = 1500
@@ -27,8 +29,10 @@
 export function createLifeCheck(cloud: VmCloud | undefined, log: Logger): LifeCheck {
   /** Steady time of the first reading without the life, by id, in ms. */
   const absentSince = new Map<string, number>()
+  /** Ids of the silent targets at the last reading. */
+  let readFor = new Set<string>()
   let readAt = -Infinity
-  let pauseMs = READ_MS
+  let tookMs = 0
 
   const isDoubtful = (agent: TargetAgent): boolean =>
     !agent.isAnswering() && (agent.placements.size > 0 || !agent.isSettled())
@@ -37,6 +41,12 @@
   const isOlderThanList = (agent: TargetAgent, sentAt: number): boolean =>
     sentAt - agent.heardSince() > LIST_LAG_MS
 
+  /** Time from the last reading to the next one, in ms. */
+  function pauseMs(doubtful: TargetAgent[]): number {
+    const isNew = doubtful.some(({ target }) => !readFor.has(target.id))
+    return isNew ? Math.max(FIRST_READ_MS, tookMs * READ_PAUSE_FACTOR) : READ_MS
+  }
+
   /** @param sentAt steady time at which the reading was asked for, in ms */
   function noteAbsence(agent: TargetAgent, sentAt: number): void {
     const { id } = agent.target
@@ -51,10 +61,11 @@
       const doubtful = agents.filter(isDoubtful)
       if (!cloud || doubtful.length === 0) return absentSince.clear()
       const sentAt = monotonicMs()
-      if (sentAt - readAt < pauseMs) return
+      if (sentAt - readAt < pauseMs(doubtful)) return
       readAt = sentAt
+      readFor = new Set(doubtful.map(({ target }) => target.id))
       const vms = await cloud.list()
-      pauseMs = Math.max(READ_MS, (monotonicMs() - sentAt) * READ_PAUSE_FACTOR)
+      tookMs = monotonicMs() - sentAt
       if (vms.isErr())
         return log.event('vmsNotRead', { reason: describeError(vms.error) })
       const lives = new Set(vms.value.map(({ targetId }) => targetId))
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -204,11 +204,14 @@
     if (!urgencies.has(job)) urgencies.set(job, input.urgencyOf(job))
   }
   const ordered = [...steps.keys()]
-    .map((step) => ({ step, urgency: urgencies.get(step.job)! }))
+    .map((step) => ({
+      step,
+      urgency: urgencies.get(step.job)!,
+      isLast: step.crashSuspects.size > 0 && hasSoleSuspect(step),
+    }))
     .sort(
       (a, b) =>
-        Number(hasSoleSuspect(a.step)) - Number(hasSoleSuspect(b.step)) ||
-        compareUrgency(a.urgency, b.urgency),
+        Number(a.isLast) - Number(b.isLast) || compareUrgency(a.urgency, b.urgency),
     )
     .map(({ step }) => step)
   const plan: Plan = { starts: [], waiting: new Set() }
