fix(scheduler): ask for VMs by the scarcer of processor and memory

Seen: tasks of the small twin wait for `room` on all targets of their service while its owner asks for no VM: lasting tasks there take 25 GB and 4.8 cores of VMs of 128 GB and 32 cores, those that fill in no processor at all, so that memory is used up first.

Cause: the need of a service counted processor room only.

Change: the need is that of the resource of which it takes more VMs (dominant resource, Ghodsi et al., NSDI 2011). A step that will probably crash its target counts as one VM, as before.

Test: "asks for the targets that have the memory, where that is scarcer" (fails without this).

--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -3,10 +3,25 @@
 import { jobSchema } from '../../jobs/index.js'
 import { createDemandMeter } from '../demand.js'
 import { createRunTimes } from '../runTimes.js'
+import type { TargetAgent } from '../types.js'
+
+/** A target without runs. */
+const toAgent = (fields: object): TargetAgent =>
+  ({
+    target: { id: 't1' },
+    placements: new Map(),
+    heldRuns: () => 0,
+    isAnswering: () => true,
+    evacuating: false,
+    ...fields,
+  }) as unknown as TargetAgent
+
+const ROOM = { cpu: 32_000, memMb: 64_000, gpu: 0 }
+const TARGET = toAgent({ room: { capacity: ROOM, free: ROOM } })
 
 const STEP = { count: 4, cpu: 1000, estimateMs: 1000 }
 
-function startMeter(isTimely = true) {
+function startMeter(isTimely = true, step: object = STEP) {
   const book = createStillBook()
   const runTimes = createRunTimes()
   const demand = createDemandMeter({
@@ -21,7 +36,7 @@
         queue: 'q',
         service: 'one',
         spec: '',
-        steps: [STEP],
+        steps: [step],
         acceptedAtMs,
       }),
     )
@@ -49,6 +64,26 @@
     t.true(late.reportAt(0).neededCpu > 0)
   })
 
+  it('asks for the targets that have the memory, where that is scarcer', (t) => {
+    const lasting = { count: 4, cpu: 1000, memMb: 32_000, lasting: true }
+    const { book, add, demand } = startMeter(true, lasting)
+    add(1, 0)
+    // Two of the tasks fill the memory of a target, and a sixteenth of its processor.
+    const { neededCpu } = demand.report('one', 1, book.open, [TARGET], 0)
+    t.is(Math.round(neededCpu), 2 * ROOM.cpu)
+  })
+
+  it('asks for a target for each step that will probably crash one', (t) => {
+    const { book, add, demand } = startMeter(false)
+    const [task] = add(1, 0).occurrences[0]!.steps[0]!.tasks
+    const reportNow = () => demand.report('one', 1, book.open, [TARGET], 0).neededCpu
+    const before = reportNow()
+    book.place(task!, 't1', 1)
+    book.noteCrash(task!, 1, 'sole')
+    book.runVanished(task!)
+    t.is(Math.round(reportNow() - before), 32_000)
+  })
+
   // A new owner that knew only what waited had its VMs taken in the middle of a turn.
   it("expects of a predecessor's queue what came to it lately", (t) => {
     const { book, demand, add, reportAt } = startMeter(false)
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -1,6 +1,7 @@
 /** What a service needs, for the owner of the fleet. */
 import { hasSoleSuspect, isStepDone } from '../jobs/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
+import type { Resources } from '../ports/index.js'
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
 import { createArrivalMeter } from './arrivals.js'
 import type { ArrivalMeter } from './arrivals.js'
@@ -37,14 +38,27 @@
 }
 
 /** What tasks ask for, in thousandths of a core; the backlog is that times ms. */
-interface Sums {
+interface Amounts {
   lasting: number
   running: number
   backlog: number
+}
+
+/**
+ * What tasks ask for by resource; memory as the processor room of the targets that have it. The
+ * scarcer of the two says how many targets are needed: the dominant resource of A. Ghodsi et al.,
+ * "Dominant resource fairness", NSDI 2011.
+ */
+interface Sums {
+  cpu: Amounts
+  memory: Amounts
   /** Steps that need a target for themselves, as they will probably crash it. */
   isolated: number
 }
 
+/** Mean room of the targets of a service. */
+type TargetRoom = Pick<Resources, 'cpu' | 'memMb'>
+
 /** What a service needs, in thousandths of a core. */
 interface Need {
   cpu: number
@@ -71,8 +85,8 @@
   const arrivals = new Map<string, ArrivalMeter>()
   let sequence = 0
   let reportedCpu = 0
-  /** Room of a target at the last report, in thousandths of a core. */
-  let targetCpu = 0
+  /** Room of a target at the last report. */
+  let targetRoom: TargetRoom = { cpu: 0, memMb: 0 }
 
   const meterOf = (queue: string): ArrivalMeter => {
     const known = arrivals.get(queue)
@@ -82,14 +96,14 @@
     return meter
   }
 
-  const total = (
-    { lasting, running, backlog, isolated }: Sums,
-    expected: number,
-  ): number =>
-    lasting +
-    Math.max(running, expected) +
-    backlog / CLEAR_BACKLOG_MS +
-    isolated * targetCpu
+  /** Room for all that is asked for, and for the work that is expected. */
+  function total({ cpu, memory, isolated }: Sums, expected: number): number {
+    const [byCpu, byMemory] = [cpu, memory].map(
+      ({ lasting, running, backlog }) =>
+        lasting + Math.max(running, expected) + backlog / CLEAR_BACKLOG_MS,
+    )
+    return Math.max(byCpu ?? 0, byMemory ?? 0) + isolated * targetRoom.cpu
+  }
 
   function expectedCpu(now: number): number {
     let expected = 0
@@ -97,15 +111,24 @@
     return expected
   }
 
+  /** Adds what the tasks of a job ask for now: those of steps that may run and are not done. */
+  function addJob(sum: Sums, job: Job): void {
+    for (const { steps } of job.occurrences) {
+      for (const step of steps) {
+        if (step.unblocked && !isStepDone(step)) addStep(sum, step, runTimes, targetRoom)
+      }
+    }
+  }
+
   /** Thousandths of a core that the tasks need, now and soon. */
   function needed(open: OpenJobs, now: number): Need {
     const all = createSums()
     const timely = createSums()
     for (const job of open) {
-      const asked = askedBy(job, runTimes)
-      add(all, asked)
-      if (isTimely(job, now)) add(timely, { ...asked, isolated: 0 })
+      addJob(all, job)
+      if (isTimely(job, now)) addJob(timely, job)
     }
+    timely.isolated = 0
     const expected = expectedCpu(now)
     return { cpu: total(all, expected), timelyCpu: total(timely, expected) }
   }
@@ -113,7 +136,7 @@
   /** The same without the question what can be in time, which costs most of it. */
   function neededCpu(open: OpenJobs, now: number): number {
     const all = createSums()
-    for (const job of open) add(all, askedBy(job, runTimes))
+    for (const job of open) addJob(all, job)
     return total(all, expectedCpu(now))
   }
 
@@ -122,7 +145,8 @@
       let work = 0
       for (const step of job.occurrences[0]?.steps ?? []) {
         if (step.spec.lasting) continue
-        work += step.tasks.length * needOf(step).cpu * runTimes.meanOf(step)
+        const { cpu, memory } = roomOf(step, targetRoom)
+        work += step.tasks.length * Math.max(cpu, memory) * runTimes.meanOf(step)
       }
       if (work > 0) meterOf(job.spec.queue).note(work, now)
     },
@@ -141,7 +165,7 @@
           for (const step of steps) minTargets = Math.max(minTargets, minTargetsFor(step))
         }
       }
-      targetCpu = meanCpuOf(agents)
+      targetRoom = meanRoomOf(agents)
       const { cpu, timelyCpu } = needed(open, now)
       reportedCpu = cpu
       sequence++
@@ -162,47 +186,55 @@
   return meter
 }
 
-const createSums = (): Sums => ({ lasting: 0, running: 0, backlog: 0, isolated: 0 })
-
-/** Mean room of the targets, in thousandths of a core; 0 without any. */
-function meanCpuOf(agents: TargetAgent[]): number {
-  const sum = agents.reduce((cpu, { room }) => cpu + room.capacity.cpu, 0)
-  return sum / Math.max(1, agents.length)
-}
-
-function add(sum: Sums, more: Sums): void {
-  sum.lasting += more.lasting
-  sum.running += more.running
-  sum.backlog += more.backlog
-  sum.isolated += more.isolated
-}
-
-/** What the tasks of a job ask for now: those of steps that may run and are not done. */
-function askedBy(job: Job, runTimes: RunTimes): Sums {
-  const sum = createSums()
-  for (const { steps } of job.occurrences) {
-    for (const step of steps) {
-      if (step.unblocked && !isStepDone(step)) add(sum, askedByStep(step, runTimes))
-    }
+const createAmounts = (): Amounts => ({ lasting: 0, running: 0, backlog: 0 })
+
+const createSums = (): Sums => ({
+  cpu: createAmounts(),
+  memory: createAmounts(),
+  isolated: 0,
+})
+
+/** Mean room of the targets; 0 without any. */
+function meanRoomOf(agents: TargetAgent[]): TargetRoom {
+  const count = Math.max(1, agents.length)
+  const sum = { cpu: 0, memMb: 0 }
+  for (const { room } of agents) {
+    sum.cpu += room.capacity.cpu / count
+    sum.memMb += room.capacity.memMb / count
   }
   return sum
 }
 
-function askedByStep(step: Step, runTimes: RunTimes): Sums {
-  const { cpu } = needOf(step)
+/** Room that a task of the step takes by processor and by memory, in thousandths of a core. */
+function roomOf(step: Step, { cpu, memMb }: TargetRoom): { cpu: number; memory: number } {
+  const need = needOf(step)
+  return { cpu: need.cpu, memory: memMb > 0 ? (need.memMb * cpu) / memMb : 0 }
+}
+
+function addStep(
+  sum: Sums,
+  step: Step,
+  runTimes: RunTimes,
+  targetRoom: TargetRoom,
+): void {
+  const { cpu, memory } = roomOf(step, targetRoom)
   let ready = 0
   let placed = 0
   for (const { phase } of step.tasks) {
     if (phase === 'ready') ready++
     else if (phase === 'placed') placed++
   }
-  if (step.spec.lasting) return { ...createSums(), lasting: cpu * (ready + placed) }
-  return {
-    lasting: 0,
-    running: cpu * placed,
-    backlog: cpu * ready * runTimes.meanOf(step),
-    isolated: hasSoleSuspect(step) ? 1 : 0,
+  if (step.spec.lasting) {
+    sum.cpu.lasting += cpu * (ready + placed)
+    sum.memory.lasting += memory * (ready + placed)
+    return
   }
+  const readyMs = ready * runTimes.meanOf(step)
+  sum.cpu.running += cpu * placed
+  sum.memory.running += memory * placed
+  sum.cpu.backlog += cpu * readyMs
+  sum.memory.backlog += memory * readyMs
+  if (step.crashSuspects.size > 0 && hasSoleSuspect(step)) sum.isolated++
 }
 
 function loadOf(agent: TargetAgent): Omit<TargetLoad, 'suspect'> {
