fix(scheduler): let an owner that is behind finish what it can

Cause: an owner with 0.12 of a core orders 5 to 12 starts a second in a turn, and asks for VMs by all that waits: 62 to 70 of 73 VMs, most of them empty, while the other three services had 1 to 5 and waited for room. Earliest deadline first began each new job in place of those begun before: half of the jobs were completed after 16.6 s and more, where callers allow 2.4 to 8 s, and a third of the runs were of jobs never completed.

Then it asks for one and a half times what is in use at most, bounds its starts in flight by a window that follows the answers, gives jobs places by what it can order, polls longer and explains fewer waits.

Tests: startWindow.spec, pacedUrgencies.spec, two cases of demand.spec and planner.spec, for parts that were not there before.

--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -21,12 +21,13 @@
 
 const STEP = { count: 4, cpu: 1000, estimateMs: 1000 }
 
-function startMeter(isTimely = true, step: object = STEP) {
+function startMeter(isTimely = true, isBehind = false, step: object = STEP) {
   const book = createStillBook()
   const runTimes = createRunTimes()
   const demand = createDemandMeter({
     runTimes,
     isTimely: () => isTimely,
+    isBehind: () => isBehind,
     isSuspect: () => false,
   })
   const add = (number: number, acceptedAtMs: number) =>
@@ -64,9 +65,19 @@
     t.true(late.reportAt(0).neededCpu > 0)
   })
 
+  it('asks for no more than is in use where its owner cannot order more', (t) => {
+    const { book, add, reportAt } = startMeter(true, true)
+    const { steps } = add(1, 0).occurrences[0]!
+    add(2, 0)
+    t.is(reportAt(0).neededCpu, 0)
+    for (const task of steps[0]!.tasks) book.place(task, 't1', 1)
+    const { neededCpu } = reportAt(0)
+    t.true(neededCpu >= 4000 && neededCpu < 8000)
+  })
+
   it('asks for the targets that have the memory, where that is scarcer', (t) => {
     const lasting = { count: 4, cpu: 1000, memMb: 32_000, lasting: true }
-    const { book, add, demand } = startMeter(true, lasting)
+    const { book, add, demand } = startMeter(true, false, lasting)
     add(1, 0)
     // Two of the tasks fill the memory of a target, and a sixteenth of its processor.
     const { neededCpu } = demand.report('one', 1, book.open, [TARGET], 0)
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -13,6 +13,7 @@
   sleep,
 } from '../../shared/index.js'
 import { createOrderSender } from '../orderSender.js'
+import { createStartWindow } from '../startWindow.js'
 import { createTargetLease } from '../targetLease.js'
 import { createTargetRuns } from '../targetRuns.js'
 
@@ -86,6 +87,7 @@
     runs,
     lease,
     roundTrip,
+    startWindow: createStartWindow({ freed: ignore, log }),
     signal,
     log,
     token: () => 1,
--- /dev/null
+++ b/src/scheduler/__tests__/pacedUrgencies.spec.ts
@@ -0,0 +1,51 @@
+import { describe, it } from '../../../test/describe.js'
+import { createStillBook } from '../../../test/fixtures.js'
+import { QUEUE, makeJob } from '../../../test/jobRig.js'
+import type { Job } from '../../jobs/index.js'
+import { createRunTimes } from '../runTimes.js'
+import { compareUrgency, pacedUrgencies, urgencyOf } from '../urgency.js'
+
+const PER_SECOND = 10
+
+/** Places of jobs of four tasks each, of which the first is the oldest. */
+function placeJobs(count: number, prepare: (jobs: Job[]) => void = () => undefined) {
+  const book = createStillBook()
+  const jobs = Array.from({ length: count }, () =>
+    book.add(makeJob({ ms: 500 }, [{ count: 4 }])),
+  )
+  for (const [index, job] of jobs.entries()) job.arrivedAt = index
+  prepare(jobs)
+  const runTimes = createRunTimes()
+  const places = pacedUrgencies({
+    ready: book.ready,
+    perSecond: PER_SECOND,
+    urgencyOf: (job, delayMs) => urgencyOf(job, QUEUE, runTimes, count, delayMs),
+  })
+  return { jobs, places }
+}
+
+describe('pacedUrgencies', () => {
+  describe('for more jobs than their owner can order in time', () => {
+    it('leaves in time only those that it can finish in time', (t) => {
+      const { jobs, places } = placeJobs(20)
+      const inTime = jobs.filter((job) => places.get(job)?.standing === 'timely')
+      t.true(inTime.length > 0 && inTime.length < 5)
+    })
+
+    it('finishes what has begun before it begins another job', (t) => {
+      const { jobs, places } = placeJobs(20, (all) => (all.at(-1)!.begun = true))
+      const first = [...jobs].sort((a, b) =>
+        compareUrgency(places.get(a)!, places.get(b)!),
+      )
+      t.is(places.get(jobs.at(-1)!)?.standing, 'timely')
+      t.is(places.get(first[0]!)?.standing, 'timely')
+    })
+  })
+
+  describe('for jobs that can all be ordered in time', () => {
+    it('leaves all of them in time', (t) => {
+      const { jobs, places } = placeJobs(2)
+      t.true(jobs.every((job) => places.get(job)?.standing === 'timely'))
+    })
+  })
+})
--- a/src/scheduler/__tests__/planner.spec.ts
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -54,6 +54,26 @@
   })
 
 describe('planStarts', () => {
+  it('plans no more starts than may be in flight, the most urgent first', (t) => {
+    const jobs = [
+      makeJob({ cpu: 10 }, [{ count: 3 }]),
+      makeJob({ cpu: 10 }, [{ count: 3 }]),
+    ]
+    const { starts, waiting } = planStarts({
+      ready: readyOf(jobs),
+      agents: [fakeAgent('t1', 1000)],
+      urgencyOf: (job) => urgencyOf(job, QUEUE, createRunTimes(), 0),
+      policy: OPEN_POLICY,
+      penaltyOf: () => 0,
+      isSpecial: () => false,
+      mayTry: () => false,
+      startsLeft: 4,
+      planned: () => undefined,
+    })
+    t.is(starts.length, 4)
+    t.is(waiting.size, 1)
+  })
+
   it('never goes beyond the room of a target', (t) => {
     const counts = fc.array(
       fc.record({
--- /dev/null
+++ b/src/scheduler/__tests__/startWindow.spec.ts
@@ -0,0 +1,86 @@
+import { describe, it } from '../../../test/describe.js'
+import { createMemoryLogger } from '../../shared/index.js'
+import { createStartWindow } from '../startWindow.js'
+
+/** An owner whose targets answer so many starts a second, one after another. */
+function createOwner(startsPerSecond: number) {
+  let now = 0
+  let freed = 0
+  const window = createStartWindow({
+    freed: () => void freed++,
+    log: createMemoryLogger(),
+    now: () => now,
+  })
+  const inFlight: number[] = []
+  return {
+    window,
+    freed: () => freed,
+    /** Orders what the window allows, for so long. */
+    run(ms: number): void {
+      const endsAt = now + ms
+      while (now < endsAt) {
+        while (window.left() > 0) {
+          window.opened()
+          inFlight.push(now)
+        }
+        now += 1000 / startsPerSecond
+        const orderedAt = inFlight.shift()
+        if (orderedAt !== undefined) window.closed(now - orderedAt)
+      }
+    },
+    inFlight: () => inFlight.length,
+    rest: (ms: number) => void (now += ms),
+  }
+}
+
+describe('createStartWindow', () => {
+  describe('for an owner with little processor time', () => {
+    it('lets no start wait for seconds behind others', (t) => {
+      const owner = createOwner(15)
+      owner.run(6000)
+      t.true(owner.inFlight() <= 8)
+      t.true(owner.window.isBehind())
+    })
+
+    it('knows how many starts it orders in a second', (t) => {
+      const owner = createOwner(15)
+      owner.run(6000)
+      t.true(Math.abs(owner.window.perSecond() - 15) < 5)
+    })
+
+    it('tells when there is room for a start again', (t) => {
+      const owner = createOwner(15)
+      owner.run(1000)
+      t.true(owner.freed() > 0)
+    })
+  })
+
+  describe('for an owner whose starts are answered at once', () => {
+    it('does not hold its starts up', (t) => {
+      const owner = createOwner(2000)
+      owner.run(2000)
+      t.true(owner.window.perSecond() > 1900)
+      t.false(owner.window.isBehind())
+    })
+  })
+
+  describe('after an owner was behind', () => {
+    it('ends that once starts are answered in time', (t) => {
+      const owner = createOwner(15)
+      owner.run(6000)
+      owner.rest(3000)
+      t.false(owner.window.isBehind())
+    })
+  })
+
+  describe('with starts that were not sent', () => {
+    it('counts them as over, and as no sign of the pace', (t) => {
+      const { window } = createOwner(15)
+      const before = window.left()
+      window.opened()
+      window.closed()
+      t.is(window.left(), before)
+      t.is(window.perSecond(), 0)
+    })
+  })
+})
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -17,6 +17,9 @@
  */
 const TELL_GROWTH = 0.15
 
+/** Room beyond what is in use that an owner which is behind asks for, as a multiple of that. */
+const BEHIND_GROWTH = 1.5
+
 /** The jobs without an outcome. */
 type OpenJobs = JobBook['open']
 
@@ -78,10 +81,12 @@
   runTimes: RunTimes
   /** Whether the job can still meet its objective. */
   isTimely(job: Job, now: number): boolean
+  /** Whether the owner cannot order what waits for it as fast as it comes. */
+  isBehind(): boolean
   /** Whether evidence keeps tasks off the target. */
   isSuspect(agent: TargetAgent): boolean
 }): DemandMeter {
-  const { runTimes, isTimely, isSuspect } = opts
+  const { runTimes, isTimely, isBehind, isSuspect } = opts
   const arrivals = new Map<string, ArrivalMeter>()
   let sequence = 0
   let reportedCpu = 0
@@ -105,6 +110,17 @@
     return Math.max(byCpu ?? 0, byMemory ?? 0) + isolated * targetRoom.cpu
   }
 
+  /**
+   * What an owner that is behind can use: more room than its starts fill would stay empty, and be
+   * missed elsewhere.
+   */
+  function orderable({ cpu, memory, isolated }: Sums): number {
+    const [byCpu, byMemory] = [cpu, memory].map(
+      ({ lasting, running }) => lasting + running * BEHIND_GROWTH,
+    )
+    return Math.max(byCpu ?? 0, byMemory ?? 0) + isolated * targetRoom.cpu
+  }
+
   function expectedCpu(now: number): number {
     let expected = 0
     for (const each of arrivals.values()) expected += each.expectedCpu(now)
@@ -130,14 +146,19 @@
     }
     timely.isolated = 0
     const expected = expectedCpu(now)
-    return { cpu: total(all, expected), timelyCpu: total(timely, expected) }
+    const limit = isBehind() ? orderable(all) : Infinity
+    return {
+      cpu: Math.min(limit, total(all, expected)),
+      timelyCpu: Math.min(limit, total(timely, expected)),
+    }
   }
 
   /** The same without the question what can be in time, which costs most of it. */
   function neededCpu(open: OpenJobs, now: number): number {
     const all = createSums()
     for (const job of open) addJob(all, job)
-    return total(all, expectedCpu(now))
+    const limit = isBehind() ? orderable(all) : Infinity
+    return Math.min(limit, total(all, expectedCpu(now)))
   }
 
   const meter: DemandMeter = {
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -20,6 +20,7 @@
 import type { Asked } from './ask.js'
 import { FULL_PAUSE_MS, REFUSED_PAUSE_MS } from './constants.js'
 import type { TargetLease } from './targetLease.js'
+import type { StartWindow } from './startWindow.js'
 import type { Placement, TargetRuns } from './targetRuns.js'
 
 /** An order that waited longer for its turn is told, in ms: a few answers of a sound target. */
@@ -67,6 +68,8 @@
   runs: TargetRuns
   lease: TargetLease
   roundTrip: RoundTrip
+  /** Starts in flight on all targets of the owner. */
+  startWindow: StartWindow
   /** Once it fires, orders that wait are not sent any more. */
   signal: AbortSignal
   log: Logger
@@ -89,6 +92,7 @@
 /** Creates the sender of one target. */
 export function createOrderSender(opts: OrderSenderOptions): OrderSender {
   const { targetId, link, book, authority, runs, lease, roundTrip, token, log } = opts
+  const { startWindow } = opts
   const waiting: Record<OrderKind, WaitingOrder[]> = { stop: [], start: [], pace: [] }
   /** Resolves once nothing waits any more; undefined while nothing is sent. */
   let sending: Promise<void> | undefined
@@ -97,12 +101,17 @@
 
   const startsLeft = (): number => {
     const fitting = Math.floor(START_WAIT_MS / Math.max(1, takesMs))
-    return Math.max(MIN_STARTS, fitting) - waiting.start.length
+    const here = Math.max(MIN_STARTS, fitting) - waiting.start.length
+    return Math.min(here, startWindow.left())
   }
 
   async function sendNext(kind: OrderKind): Promise<void> {
     const next = waiting[kind].shift()
-    if (!next || opts.signal.aborted) return
+    if (!next) return
+    if (opts.signal.aborted) {
+      if (kind === 'start') startWindow.closed()
+      return
+    }
     const { task, queuedAt, send } = next
     const waitedMs = Math.round(monotonicMs() - queuedAt)
     if (waitedMs > TOLD_WAIT_MS)
@@ -138,6 +147,7 @@
     const placement = runs.placements.get(name)
     if (at < 0 || placement?.run !== run) return false
     waiting.start.splice(at, 1)
+    startWindow.closed()
     giveBack(placement)
     opts.changed()
     return true
@@ -146,6 +156,7 @@
   /** Gives back what waits for a target that did not take a start, to be done elsewhere. */
   function dropStarts(): void {
     for (const { task } of waiting.start.splice(0)) {
+      startWindow.closed()
       const placement = runs.placements.get(task)
       if (placement) giveBack(placement)
     }
@@ -286,9 +297,13 @@
   return {
     start(task, placement, ticket) {
       const orderedAt = monotonicMs()
+      startWindow.opened()
       enqueue('start', task.name, async () => {
         await sendStart(task, placement, ticket)
-        noteDelay(task.step.job.delays, 'startMs', monotonicMs() - orderedAt)
+        const now = monotonicMs()
+        const wasSent = Number.isFinite(placement.sentAt)
+        startWindow.closed(wasSent ? now - placement.sentAt : undefined)
+        noteDelay(task.step.job.delays, 'startMs', now - orderedAt)
       })
     },
     stop(name, run) {
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -29,6 +29,8 @@
   isSpecial(step: Step): boolean
   /** Whether `policy` lets the step go where others of the same needs may not. */
   mayTry(step: Step): boolean
+  /** Starts that may be planned in this round; unbounded by default. */
+  startsLeft?: number
   /** A task of the step has been planned there. */
   planned(agent: TargetAgent, step: Step): void
 }
@@ -215,8 +217,13 @@
     )
     .map(({ step }) => step)
   const plan: Plan = { starts: [], waiting: new Set() }
+  const { startsLeft = Infinity } = input
   const failed: Failed = new Map()
   for (const step of ordered) {
+    if (plan.starts.length >= startsLeft) {
+      plan.waiting.add(step)
+      continue
+    }
     if (step.spec.gang) {
       const starts = planGang(drafts, step, input)
       plan.starts.push(...starts)
@@ -225,7 +232,7 @@
     }
     for (const task of startableTasks(step, steps.get(step) ?? [])) {
       const draft = chooseOnce(drafts, task, input, failed)
-      if (!draft) {
+      if (!draft || plan.starts.length >= startsLeft) {
         plan.waiting.add(step)
         break
       }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -38,6 +38,7 @@
 import { createRoster } from './roster.js'
 import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
+import { createStartWindow } from './startWindow.js'
 import { createStarter } from './starter.js'
 import { readInheritedUntilDone, tellsAllQueues } from './takeover.js'
 import type { TargetAgent } from './types.js'
@@ -147,8 +148,10 @@
   const finished = createFinishedJobs({ store, service, authority, book, log })
   const runTimes = createRunTimes()
   const health = createHealth({ runTimes, log })
+  const startWindow = createStartWindow({ freed: wake, log })
   const demand = createDemandMeter({
     runTimes,
+    isBehind: startWindow.isBehind,
     isSuspect: (agent) => health.standingOf(agent) !== 'sound',
     isTimely(job, now) {
       const queue = configuration.queue(job.spec.queue)
@@ -227,12 +230,14 @@
     health,
     tickets,
     isolation: createIsolation(),
+    startWindow,
     log,
   }
   const starter = createStarter(shared)
   const waitWatch = createWaitWatch({
     book,
     policyNow: starter.policyNow,
+    isBehind: startWindow.isBehind,
     suspectUntil: health.excludedUntil,
     log,
   })
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -9,13 +9,15 @@
 import type { PlacementPolicy } from './placementRules.js'
 import type { Isolation, IsolationRound } from './isolation.js'
 import { planStarts } from './planner.js'
+import type { StartWindow } from './startWindow.js'
 import type { Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
 import { createSuspectRound } from './suspectPolicy.js'
 import type { SuspectRound } from './suspectPolicy.js'
 import type { TargetAgent } from './types.js'
 import type { Tickets } from './tickets.js'
-import { urgencyOf } from './urgency.js'
+import { pacedUrgencies, urgencyOf } from './urgency.js'
+import type { Urgency } from './urgency.js'
 
 /** What the starter works with. */
 export interface StarterOptions {
@@ -27,6 +29,7 @@
   health: Health
   tickets: Tickets
   isolation: Isolation
+  startWindow: StartWindow
   log: Logger
 }
 
@@ -41,7 +44,7 @@
 /** Creates the starter of one owner. */
 export function createStarter(opts: StarterOptions): Starter {
   const { authority, configuration, book, roster, runTimes, health, tickets } = opts
-  const { isolation, log } = opts
+  const { isolation, startWindow, log } = opts
   const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
 
   const hasPolicy = (step: Step): boolean =>
@@ -72,20 +75,31 @@
   const ticketFor = (step: Step, agent: TargetAgent): string =>
     hasPolicy(step) ? (tickets.find(step, agent) ?? '') : ''
 
+  /** Places of the jobs with tasks that may start now. */
+  function placeJobs(now: number): (job: Job) => Urgency {
+    const placeOf = (job: Job, delayMs: number): Urgency =>
+      urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now, delayMs)
+    const perSecond = startWindow.perSecond()
+    if (!startWindow.isBehind() || perSecond === 0) return (job) => placeOf(job, 0)
+    const paced = pacedUrgencies({ ready: book.ready, perSecond, urgencyOf: placeOf })
+    return (job) => paced.get(job) ?? placeOf(job, 0)
+  }
+
   function start(agents: TargetAgent[]): void {
-    if (book.ready.size === 0) return
+    const startsLeft = startWindow.left()
+    if (book.ready.size === 0 || startsLeft === 0) return
     const now = monotonicMs()
     const round = beginRound(agents, now)
     const isolationRound = isolation.begin(agents)
     const { starts, waiting } = planStarts({
       ready: book.ready,
       agents,
-      urgencyOf: (job) =>
-        urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
+      urgencyOf: placeJobs(now),
       policy: policyOf(round, isolationRound),
       penaltyOf: health.penaltyOf,
       isSpecial: (step) => hasPolicy(step) || step.crashSuspects.size > 0,
       mayTry: round.mayTry,
+      startsLeft,
       planned(agent, step) {
         round.planned(agent, step)
         isolationRound.planned(agent, step)
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -41,6 +41,7 @@
 import type { ProgressWriter } from './progressWriter.js'
 import { createTargetLease } from './targetLease.js'
 import { createTargetRuns } from './targetRuns.js'
+import type { StartWindow } from './startWindow.js'
 import { createTargetSilence } from './targetSilence.js'
 import type { TargetAgent, TargetHold } from './types.js'
 
@@ -51,6 +52,8 @@
   book: JobBook
   authority: Authority
   progress: ProgressWriter
+  /** Starts in flight on all targets of the owner. */
+  startWindow: StartWindow
   /** Time that unknown runs of the predecessor may last, in ms. */
   inheritedLeaseMs: number
   /** Initial bump of the token, above those that earlier lives of the id have seen. */
@@ -72,7 +75,7 @@
 
 /** Creates the agent; it calls the target from now on, until it is closed. */
 export function createTargetAgent(opts: TargetAgentOptions): TargetAgent {
-  const { link, book, authority, progress, log } = opts
+  const { link, book, authority, progress, startWindow, log } = opts
   const { id: targetId } = opts.target
   const stopping = createStopController()
   const { signal } = stopping
@@ -127,6 +130,7 @@
     runs,
     lease,
     roundTrip,
+    startWindow,
     signal,
     log,
     token,
@@ -274,7 +278,8 @@
   function pollWaitMs(): number {
     if (runs.shared().some(({ fills }) => fills)) return PACED_WAIT_MS
     const isBusy = [...placements.values()].some(({ task }) => !task?.step.spec.lasting)
-    return isBusy ? BUSY_WAIT_MS : SYNC_WAIT_MS
+    // Polls that end sooner would take processor time from the starts that wait for it.
+    return isBusy && !startWindow.isBehind() ? BUSY_WAIT_MS : SYNC_WAIT_MS
   }
 
   async function run(): Promise<void> {
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -15,6 +15,7 @@
 import type { ProgressWriter } from './progressWriter.js'
 import type { InheritedEntry, Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
+import type { StartWindow } from './startWindow.js'
 import { createTargetAgent } from './targetAgent.js'
 import type { TargetAgent } from './types.js'
 import type { Tickets } from './tickets.js'
@@ -41,6 +42,7 @@
   health: Health
   tickets: Tickets
   isolation: Isolation
+  startWindow: StartWindow
   log: Logger
   /** Room, state or reports of a target have changed. */
   changed(): void
@@ -113,6 +115,7 @@
       book: opts.book,
       authority,
       progress: opts.progress,
+      startWindow: opts.startWindow,
       initialBump: nextBumps.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -2,7 +2,7 @@
  * Order in which jobs get room when there is too little: what can still be in time goes
  * before what is late already, and that before what is too late to matter.
  */
-import type { Job } from '../jobs/index.js'
+import type { Job, Task } from '../jobs/index.js'
 import type { Queue } from '../ports/index.js'
 import type { RunTimes } from './runTimes.js'
 
@@ -23,18 +23,22 @@
   deadline: number
 }
 
-/** Works out the place of a job now. */
+/**
+ * Works out the place of a job now.
+ * @param delayMs time by which the starts of its tasks will be late, in ms
+ */
 export function urgencyOf(
   job: Job,
   queue: Queue | undefined,
   runTimes: RunTimes,
   now: number,
+  delayMs = 0,
 ): Urgency {
   const priority = queue?.priority ?? LOWEST_PRIORITY
   const lasting = job.spec.steps.some((step) => step.lasting)
   if (!queue || lasting) return { priority, standing: 'timely', deadline: job.arrivedAt }
   const objectiveMs = queue.stretch * runTimes.chainOf(job) + queue.latencyMs
-  const endsAt = now + runTimes.remainingOf(job, now)
+  const endsAt = now + delayMs + runTimes.remainingOf(job, now)
   const deadline = job.arrivedAt + objectiveMs
   if (endsAt <= deadline) return { priority, standing: 'timely', deadline }
   const uselessAt = job.arrivedAt + USELESS_AFTER * objectiveMs
@@ -42,11 +46,51 @@
   return { priority, standing, deadline: standing === 'late' ? uselessAt : job.arrivedAt }
 }
 
+const compareStanding = (a: Urgency, b: Urgency): number =>
+  a.priority - b.priority || STANDING_ORDER[a.standing] - STANDING_ORDER[b.standing]
+
 /** Negative when `a` goes first. */
-export function compareUrgency(a: Urgency, b: Urgency): number {
-  return (
-    a.priority - b.priority ||
-    STANDING_ORDER[a.standing] - STANDING_ORDER[b.standing] ||
-    a.deadline - b.deadline
+export const compareUrgency = (a: Urgency, b: Urgency): number =>
+  compareStanding(a, b) || a.deadline - b.deadline
+
+/** What places jobs whose owner orders fewer starts than they need. */
+export interface PacedInput {
+  /** Tasks that may start now. */
+  ready: Iterable<Task>
+  /** Starts that the owner orders in a second; above 0. */
+  perSecond: number
+  /** Place of a job whose starts are late by so many ms. */
+  urgencyOf(job: Job, delayMs: number): Urgency
+}
+
+/**
+ * Places jobs by what their owner can order: each of them waits for the starts of those before
+ * it, and loses its standing if that takes too long. So the owner finishes the jobs that it has
+ * begun, and does not begin one whose objective it cannot meet in place of another one's. Without
+ * that, earliest deadline first serves every job a little and hardly any in time.
+ */
+export function pacedUrgencies({
+  ready,
+  perSecond,
+  urgencyOf,
+}: PacedInput): Map<Job, Urgency> {
+  const starts = new Map<Job, number>()
+  for (const { step } of ready) starts.set(step.job, (starts.get(step.job) ?? 0) + 1)
+  const candidates = [...starts].map(([job, count]) => {
+    return { job, count, urgency: urgencyOf(job, 0) }
+  })
+  candidates.sort(
+    (a, b) =>
+      compareStanding(a.urgency, b.urgency) ||
+      Number(b.job.begun) - Number(a.job.begun) ||
+      a.urgency.deadline - b.urgency.deadline,
   )
+  const urgencies = new Map<Job, Urgency>()
+  let startsAhead = 0
+  for (const { job, count, urgency } of candidates) {
+    const delayed = urgencyOf(job, ((startsAhead + count) * 1000) / perSecond)
+    urgencies.set(job, delayed)
+    if (delayed.standing === urgency.standing) startsAhead += count
+  }
+  return urgencies
 }
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -25,6 +25,8 @@
  * looks a second at 64 jobs say what holds a service.
  */
 const JOBS_PER_LOOK = 16
+/** The same of an owner that is behind, whose processor time its starts need. */
+const JOBS_PER_LOOK_BEHIND = 2
 /** Share of a service's processor room in use above which a job waits for its turn. */
 const BUSY_SHARE = 0.5
 
@@ -59,6 +61,8 @@
   book: JobBook
   /** What keeps tasks from these targets at this moment, beyond the room there. */
   policyNow(agents: readonly TargetAgent[]): PlacementPolicy
+  /** Whether the owner cannot order starts as fast as they come. */
+  isBehind(): boolean
   /** Steady time up to which evidence keeps tasks off a target, in ms. */
   suspectUntil(agent: TargetAgent): number
   log: Logger
@@ -135,7 +139,7 @@
       const now = monotonicMs()
       const busy = isBusy(agents)
       const policy = opts.policyNow(agents)
-      let left = JOBS_PER_LOOK
+      let left = opts.isBehind() ? JOBS_PER_LOOK_BEHIND : JOBS_PER_LOOK
       for (const job of book.open) {
         if (left === 0) return
         if (now - (toldAt.get(job) ?? -Infinity) < TELL_EVERY_MS) continue
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -132,6 +132,7 @@
   targetSilent: spec('RS-8021', 'warn', 'target does not answer'),
   targetAnswers: spec('RS-8038', 'info', 'target answers again'),
   targetGone: spec('RS-8022', 'warn', 'life of a target is over'),
+  ownerBehind: spec('RS-8066', 'warn', 'owner cannot order starts as fast as they come'),
   targetReborn: spec('RS-8065', 'warn', 'another life answers under the id of a target'),
   targetCrashed: spec('RS-8039', 'warn', 'target has ended with runs on it'),
   targetDraining: spec('RS-8023', 'info', 'target leaves and gets no new task'),
