fix(scheduler): let jobs that come too late take turns while their owner is behind

Cause: jobs that are too late in any case were started oldest first, each with all its tasks, by an owner that orders some 30 starts a second; after a takeover all are equally old, and those behind get nothing.

Change: while an owner is behind, such a job gets one start a round, and the one that has run nothing for longest goes first; one with something running comes after those.

Test: "lets the one begin that has stood still for longest, with one task" (there was no such order before).

--- a/src/jobs/crashes.ts
+++ b/src/jobs/crashes.ts
@@ -72,7 +72,7 @@
 export const crashSuspectsOf = (tasks: Task[]): Task[] =>
   tasks.filter(isCrashSuspect).sort((a, b) => soleCrashes(b) - soleCrashes(a))
 
-/** Whether no other job is a likely cause of a crash of the task: its next run will crash too. */
+/** Whether some crash of the task has no other job as a likely cause, so that it may well recur. */
 export const isSoleSuspect = (task: Task): boolean => soleCrashes(countedTask(task)) > 0
 
 /** Whether the step has such a suspect. */
--- a/src/scheduler/__tests__/pacedUrgencies.spec.ts
+++ b/src/scheduler/__tests__/pacedUrgencies.spec.ts
@@ -42,6 +42,25 @@
     })
   })
 
+  describe('for jobs that come too late in any case', () => {
+    it('lets the one begin that has stood still for longest, with one task', (t) => {
+      const { jobs, places } = placeJobs(20, (all) => {
+        for (const [index, job] of all.entries()) {
+          job.arrivedAt = -60_000
+          job.idleSince = index
+        }
+        all.at(-1)!.idleSince = -60_000
+        all[0]!.placed = 1
+      })
+      const order = [...jobs].sort((a, b) =>
+        compareUrgency(places.get(a)!, places.get(b)!),
+      )
+      t.is(order[0], jobs.at(-1))
+      t.is(order.at(-1), jobs[0])
+      t.is(places.get(order[0]!)?.mostStarts, 1)
+    })
+  })
+
   describe('for jobs that can all be ordered in time', () => {
     it('leaves all of them in time', (t) => {
       const { jobs, places } = placeJobs(2)
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -230,7 +230,9 @@
       if (starts.length === 0) plan.waiting.add(step)
       continue
     }
-    for (const task of startableTasks(step, steps.get(step) ?? [])) {
+    const tasks = startableTasks(step, steps.get(step) ?? [])
+    const { mostStarts } = urgencies.get(step.job) ?? {}
+    for (const task of mostStarts === undefined ? tasks : tasks.slice(0, mostStarts)) {
       const draft = chooseOnce(drafts, task, input, failed)
       if (!draft || plan.starts.length >= startsLeft) {
         plan.waiting.add(step)
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -19,8 +19,10 @@
 export interface Urgency {
   priority: number
   standing: Standing
-  /** Steady time by which it should be done, in ms. */
+  /** Steady time by which it should be done, in ms; for useless jobs any time to order them by. */
   deadline: number
+  /** Starts that it gets in one round at most; unbounded by default. */
+  mostStarts?: number
 }
 
 /**
@@ -89,8 +91,17 @@
   let startsAhead = 0
   for (const { job, count, urgency } of candidates) {
     const delayed = urgencyOf(job, ((startsAhead + count) * 1000) / perSecond)
-    urgencies.set(job, delayed)
+    urgencies.set(job, delayed.standing === 'useless' ? takeTurns(job, delayed) : delayed)
     if (delayed.standing === urgency.standing) startsAhead += count
   }
   return urgencies
 }
+
+/**
+ * Jobs that come too late in any case take turns, the one that has run nothing for longest first,
+ * so that none of them stands still while its owner finishes others.
+ */
+function takeTurns(job: Job, urgency: Urgency): Urgency {
+  if (job.placed > 0) return { ...urgency, deadline: Number.MAX_SAFE_INTEGER }
+  return { ...urgency, deadline: job.idleSince, mostStarts: 1 }
+}
