fix(scheduler): keep two readings of the VMs as the proof of an end, sooner after each other

Change: two readings again, 0.25 s apart for a life that was heard long before, 0.7 s for a young one. A second one comes soon while the last leaves a life in doubt; what is known of it goes once the target answers.

Test: "is not over at the first reading, which may lack a row" (fails without this).

--- a/src/scheduler/__tests__/lifeCheck.spec.ts
+++ b/src/scheduler/__tests__/lifeCheck.spec.ts
@@ -5,8 +5,8 @@
 import { createLifeCheck } from '../lifeCheck.js'
 import type { TargetAgent } from '../types.js'
 
-/** Pause between two looks, in ms; longer than that between two readings of the list. */
-const LOOK_MS = 720
+/** Pause between two looks, in ms; longer than the shortest one between two readings of the list. */
+const LOOK_MS = 260
 
 /** A silent target with a run on it, first heard so long ago. */
 function createSilentAgent(id: string, heardForMs: number) {
@@ -43,16 +43,20 @@
 
 describe('life of a silent target', () => {
   describe('that the list of VMs does not show', () => {
-    it('is over at the first reading when it began long before', async (t) => {
-      t.true(await look(createCheck(['other']), createSilentAgent('t1', 5000), 1))
+    it('is not over at the first reading, which may lack a row', async (t) => {
+      t.false(await look(createCheck(['other']), createSilentAgent('t1', 5000), 1))
     })
 
-    it('is not over at the first reading when the list may lag behind it', async (t) => {
-      t.false(await look(createCheck(['other']), createSilentAgent('t1', 200), 1))
+    it('is over at the second reading when it began long before', async (t) => {
+      t.true(await look(createCheck(['other']), createSilentAgent('t1', 5000), 2))
+    })
+
+    it('is not over at the second reading when the list may lag behind it', async (t) => {
+      t.false(await look(createCheck(['other']), createSilentAgent('t1', 200), 2))
     })
 
     it('is over after several readings even if it was never heard', async (t) => {
-      t.true(await look(createCheck(['other']), createSilentAgent('t1', -Infinity), 4))
+      t.true(await look(createCheck(['other']), createSilentAgent('t1', -Infinity), 5))
     })
   })
 
--- a/src/scheduler/lifeCheck.ts
+++ b/src/scheduler/lifeCheck.ts
@@ -9,17 +9,19 @@
 
 /** Time between two readings at least, in ms. */
 const READ_MS = 700
-/** The same when another target has fallen silent since the last one, in ms. */
+/** The same while the last one leaves a life in doubt, or another target has fallen silent, in ms. */
 const FIRST_READ_MS = 250
 /** The latter as a multiple of the time that a reading takes: a long list fills a thin link. */
 const READ_PAUSE_FACTOR = 4
 /** Longest time after which the list shows a life that has begun, in ms. */
 const LIST_LAG_MS = 1500
 /**
- * Time for which the list must not have shown a life before it counts as over, in ms: a life that
- * has never been heard may be too young for the list.
+ * Time for which the list must not have shown a life before it counts as over, in ms: two readings,
+ * as one may have left out a row that could not be read.
  */
-const ABSENT_MS = 700
+const ABSENT_MS = 200
+/** The same for a life that was first heard lately, or never, and may be too young for the list. */
+const YOUNG_ABSENT_MS = 700
 
 export interface LifeCheck {
   /** Looks, where there is need and the last look is old enough. */
@@ -43,8 +45,9 @@
 
   /** Time from the last reading to the next one, in ms. */
   function pauseMs(doubtful: TargetAgent[]): number {
-    const isNew = doubtful.some(({ target }) => !readFor.has(target.id))
-    return isNew ? Math.max(FIRST_READ_MS, tookMs * READ_PAUSE_FACTOR) : READ_MS
+    const isUrgent =
+      absentSince.size > 0 || doubtful.some(({ target }) => !readFor.has(target.id))
+    return isUrgent ? Math.max(FIRST_READ_MS, tookMs * READ_PAUSE_FACTOR) : READ_MS
   }
 
   /** @param sentAt steady time at which the reading was asked for, in ms */
@@ -52,8 +55,10 @@
     const { id } = agent.target
     const since = absentSince.get(id) ?? sentAt
     absentSince.set(id, since)
-    if (isOlderThanList(agent, sentAt) || sentAt - since >= ABSENT_MS)
-      agent.markGone('no VM has this life')
+    const absentMs = isOlderThanList(agent, sentAt) ? ABSENT_MS : YOUNG_ABSENT_MS
+    if (sentAt - since < absentMs) return
+    absentSince.delete(id)
+    agent.markGone('no VM has this life')
   }
 
   return {
@@ -64,6 +69,7 @@
       if (sentAt - readAt < pauseMs(doubtful)) return
       readAt = sentAt
       readFor = new Set(doubtful.map(({ target }) => target.id))
+      for (const id of absentSince.keys()) if (!readFor.has(id)) absentSince.delete(id)
       const vms = await cloud.list()
       tookMs = monotonicMs() - sentAt
       if (vms.isErr())
