--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -17,7 +17,7 @@
  */
 const TELL_GROWTH = 0.15
 
-/** Room beyond what is in use that an owner which is behind asks for, as a multiple of that. */
+/** Room that an owner which is behind asks for, as a multiple of what its tasks use. */
 const BEHIND_GROWTH = 1.5
 
 /** The jobs without an outcome. */
--- a/src/scheduler/startWindow.ts
+++ b/src/scheduler/startWindow.ts
@@ -10,6 +10,7 @@
 
 /** Starts in flight before anything is known of the owner's pace. */
 const INITIAL_SIZE = 24
+/** Bounds of the window, in starts. */
 const MIN_SIZE = 4
 const MAX_SIZE = 1024
 /**
@@ -21,6 +22,7 @@
 const PERIOD_MS = 250
 /** Answers that a change rests on at least. */
 const MIN_ANSWERS = 4
+/** Factor by which the window shrinks when most starts were answered late. */
 const DECREASE = 0.75
 /** Growth while the owner is behind, in starts, and as a factor while it is not. */
 const INCREASE = 1
