fix(scheduler): call a target again that was taken for gone while the list goes on showing it

Cause: a target whose entry another writer had spoilt fell silent for 0.2 s and was closed as off the list. Its life was kept as over for as long as the list showed the id, so that it was never called again when its entry was well. The same holds where another life answers at a wrong address.

Change: a life that the list shows for 8 s after its end, longer than three heartbeats, is called again; one that is over does not answer and gets nothing.

Test: "is used again when the list goes on showing it" (failed before).

--- a/src/scheduler/__tests__/rebornTargets.spec.ts
+++ b/src/scheduler/__tests__/rebornTargets.spec.ts
@@ -109,3 +109,20 @@
     t.is(findBrokenPromise(rig.ledger), undefined)
   })
 })
+
+describe('target that is taken for gone while it lives', () => {
+  // Another writer's entry led calls to a wrong address, where another life answered.
+  it('is used again when the list goes on showing it', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => rig.stop())
+    const target = rig.addTarget('t1')
+    const owner = await rig.own()
+    rig.targets.delete('t1')
+    while (!rig.log.events.some(({ name }) => name === 'targetGone')) await sleep(5)
+    rig.targets.set('t1', target)
+    const job = makeJob({ ms: 20 }, [{ count: 1 }])
+    rig.submit(owner, job)
+    t.true(await rig.settled([job], 12_000))
+    t.is(rig.outcomeOf(job), 'completed')
+  })
+})
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -299,6 +299,7 @@
     while (!stopping.signal.aborted) {
       book.markDue()
       closeLapsed({ agents: allAgents() })
+      follower.reopen()
       newJobs.takeOffered()
       emptyLeaving({ targets, agents: allAgents(), log })
       moveBadRuns({ agents: allAgents(), health, starter, log })
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -26,8 +26,16 @@
   inherit(entries: InheritedEntry[]): void
   /** Follows the list: opens agents for new targets, notes those that leave. */
   follow(): void
+  /** Opens agents again for lives that the list shows for longer than it shows those that are over. */
+  reopen(): void
 }
 
+/**
+ * Time for which the list shows a life that is over at most, in ms: three heartbeats, and some. One
+ * that it shows for longer lives: its end was concluded from an entry that another writer had spoilt.
+ */
+const SHOWN_AFTER_END_MS = 8000
+
 /** What the follower works with. */
 export interface TargetFollowerOptions {
   /** Agents by id of their target; the follower adds and removes. */
@@ -52,8 +60,8 @@
 export function createTargetFollower(opts: TargetFollowerOptions): TargetFollower {
   const { agents, targets, authority, roster, health, log } = opts
   const { service } = authority
-  /** Key of the life that is over, by id, while the list still shows the id. */
-  const goneLives = new Map<string, string>()
+  /** Lives that are over as far as is known, by id, while the list still shows the id. */
+  const goneLives = new Map<string, GoneLife>()
   /** Bump of the token that the next life of an id starts with. */
   const nextBumps = new Map<string, number>()
 
@@ -69,7 +77,7 @@
   function forget(agent: TargetAgent): void {
     const { id } = agent.target
     agents.delete(id)
-    goneLives.set(id, lifeKey(agent.target))
+    goneLives.set(id, { key: lifeKey(agent.target), at: monotonicMs() })
     nextBumps.set(id, agent.bump() + 1)
     health.forget(agent)
     roster.remove(id)
@@ -144,7 +152,7 @@
       agent.listed = true
       // One whose inherited row could not be read has none that a successor could use.
       roster.add(target)
-    } else if (!target.draining && goneLives.get(target.id) !== lifeKey(target)) {
+    } else if (!target.draining && goneLives.get(target.id)?.key !== lifeKey(target)) {
       open(target)
       roster.add(target)
     }
@@ -163,28 +171,43 @@
   const isShown = (id: string): boolean =>
     targets.byId().has(id) || targets.unreadableSince(id) !== undefined
 
+  function follow(): void {
+    const listed = targets.byId()
+    for (const target of listed.values()) {
+      if (target.service === service) followListed(target)
+    }
+    for (const id of goneLives.keys()) if (!isShown(id)) goneLives.delete(id)
+    for (const id of nextBumps.keys())
+      if (!isShown(id) && !agents.has(id)) nextBumps.delete(id)
+    for (const agent of agents.values()) {
+      const entry = listed.get(agent.target.id)
+      if (agent.listed && entry?.service !== service) noteUnlisted(agent)
+      // Its own owner must not be fenced by our calls.
+      const isOthers = entry !== undefined && entry.service !== service
+      if (isOthers && agent.placements.size === 0) closeMisplaced(agent)
+    }
+    opts.changed()
+  }
+
   return {
     inherit: (entries) => entries.forEach(openInherited),
-    follow() {
-      const listed = targets.byId()
-      for (const target of listed.values()) {
-        if (target.service === service) followListed(target)
-      }
-      for (const id of goneLives.keys()) if (!isShown(id)) goneLives.delete(id)
-      for (const id of nextBumps.keys())
-        if (!isShown(id) && !agents.has(id)) nextBumps.delete(id)
-      for (const agent of agents.values()) {
-        const entry = listed.get(agent.target.id)
-        if (agent.listed && entry?.service !== service) noteUnlisted(agent)
-        // Its own owner must not be fenced by our calls.
-        const isOthers = entry !== undefined && entry.service !== service
-        if (isOthers && agent.placements.size === 0) closeMisplaced(agent)
-      }
-      opts.changed()
+    reopen() {
+      const now = monotonicMs()
+      const shown = [...goneLives].filter(([, { at }]) => now - at > SHOWN_AFTER_END_MS)
+      for (const [id] of shown) goneLives.delete(id)
+      if (shown.length > 0) follow()
     },
+    follow,
   }
 }
 
+/** A life that is over as far as is known. */
+interface GoneLife {
+  key: string
+  /** Steady time at which that was found out, in ms. */
+  at: number
+}
+
 /** Distinguishes lives that have the same id. */
 const lifeKey = ({ lifeStartMs, address }: Target): string => `${lifeStartMs} ${address}`
 
