fix(scheduler): keep the takeover closed for a target that the list names for another service

Cause: an owner that reads the list of targets for the first time has no earlier entry to compare with, so it accepts an entry of another writer that names another service. It then closed the agent of that target, which the roster names, before the target had been heard. The takeover only waited for the targets that still had an agent, and started the tasks that ran on that one elsewhere.

Change: the leases of a target that is closed before its runs are known count as long as the runs may go on, and inherited tasks wait for them, or for the target once the list names the service again. The agent is also kept while jobs of runs that it has reported are still to be read. This works because a successor now starts nothing before each target of the roster has answered, is gone, or can run nothing any more.

Three tests failed before and pass: two with a wrong entry at the takeover, one with jobs that are still to be read.

--- a/src/scheduler/__tests__/ownerTakeover.spec.ts
+++ b/src/scheduler/__tests__/ownerTakeover.spec.ts
@@ -1,9 +1,17 @@
 /** Guards against lost or repeated tasks whose runs an owner did not start or cannot observe. */
 import { ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
-import { createJobRig, findGuaranteeViolation, makeJob } from '../../../test/jobRig.js'
+import {
+  SERVICE,
+  createJobRig,
+  findGuaranteeViolation,
+  makeJob,
+} from '../../../test/jobRig.js'
+import { intakeKey } from '../../jobs/index.js'
+import type { Target } from '../../ports/index.js'
 import { sleep } from '../../shared/index.js'
 import { NO_EVACUATION } from '../../vms/index.js'
+import { ROSTER_TABLE } from '../roster.js'
 
 const failIfCalled = (): never => {
   throw new Error('not used in this test')
@@ -70,6 +78,70 @@
     })
   })
 
+  describe('takeover while the entry of a target is wrong', () => {
+    /** Starts a task on `t1`, replaces the entry of `t1` and starts a successor beside `t2`. */
+    async function takeOver(ms: number, wrong: Partial<Target>) {
+      const rig = createJobRig()
+      const target = rig.addTarget('t1')
+      const entry = rig.listed.get('t1')!
+      const first = await rig.startOwner()
+      const job = makeJob({ ms, cpu: 400 }, [{ count: 1 }])
+      rig.submit(first, job)
+      while (rig.ledger.entries.length === 0) await sleep(5)
+      first.live = false
+      rig.setListEntry({ ...entry, ...wrong })
+      rig.addTarget('t2')
+      await rig.startOwner()
+      return { rig, job, target, entry }
+    }
+
+    it('does not start its tasks elsewhere while they run: another service', async (t) => {
+      const { rig, job, entry } = await takeOver(1500, { service: 'other' })
+      await sleep(500)
+      rig.setListEntry(entry)
+      t.true(await rig.waitForOutcomes([job], 5000))
+      t.is(rig.ledger.entries.filter(({ what }) => what === 'start').length, 1)
+      t.is(findGuaranteeViolation(rig.ledger), undefined)
+      await rig.stop()
+    })
+
+    it('keeps its agent while jobs of its runs have not been read', async (t) => {
+      const rig = createJobRig()
+      rig.addTarget('t1')
+      const entry = rig.listed.get('t1')!
+      const first = await rig.startOwner()
+      const job = makeJob({ ms: 1500, cpu: 400 }, [{ count: 1 }])
+      rig.submit(first, job)
+      while (rig.ledger.entries.length === 0) await sleep(5)
+      first.live = false
+      const { part } = intakeKey(job.queue, job.id)
+      rig.table.faults.refusedParts.add(part)
+      const second = await rig.startOwnerWithoutWaiting()
+      while (second.agents()[0]?.heldRuns() !== 1) await sleep(5)
+      rig.addTarget('t2')
+      rig.setListEntry({ ...entry, service: 'other' })
+      rig.table.faults.refusedParts.delete(part)
+      t.true(await rig.waitForOutcomes([job], 5000))
+      t.is(findGuaranteeViolation(rig.ledger), undefined)
+      await rig.stop()
+    })
+
+    it('starts its tasks elsewhere once the leases there have expired', async (t) => {
+      const { rig, job } = await takeOver(0, { service: 'other' })
+      const startsOnT2 = () =>
+        rig.ledger.entries.filter(
+          ({ what, target }) => what === 'start' && target === 't2',
+        )
+      await sleep(5000)
+      t.is(startsOnT2().length, 0)
+      while (startsOnT2().length === 0) await sleep(20)
+      t.is(findGuaranteeViolation(rig.ledger), undefined)
+      t.is(rig.table.get({ table: ROSTER_TABLE, part: SERVICE, key: 't1' }), undefined)
+      t.is(rig.outcomeOf(job), undefined)
+      await rig.stop()
+    })
+  })
+
   it('does not wait for leases of a target incarnation that no VM has any more', async (t) => {
     const rig = createJobRig()
     const lost = rig.addTarget('t1')
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -286,7 +286,7 @@
 
   /** Allows inherited tasks to start once the runs on all targets are known. */
   function openGateOnceSettled(): void {
-    if (gateOpen || !allAgents().every((agent) => agent.isStateKnown())) return
+    if (gateOpen || !follower.areInheritedRunsKnown()) return
     gateOpen = true
     log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
     book.allowStarts()
@@ -304,6 +304,7 @@
       book.markDue()
       markUnlistedGone({ agents: allAgents() })
       follower.reopen()
+      follower.forgetExpired()
       newJobs.admitDeferred()
       evacuateLeaving({ targets, agents: allAgents(), log })
       moveUnhealthyRuns({ agents: allAgents(), health, starter, log })
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -31,6 +31,10 @@
    * longer than {@link MAX_LISTED_AFTER_END_MS}.
    */
   reopen(): void
+  /** Whether the runs that the previous owner may have left are known, or over, on every target. */
+  areInheritedRunsKnown(): boolean
+  /** Removes the roster rows of closed targets on which all runs are over by now. */
+  forgetExpired(): void
 }
 
 /**
@@ -71,6 +75,11 @@
 
   /** Ids of the targets in the previous owner's roster. */
   const inheritedIds = new Set<string>()
+  /**
+   * Targets whose agents were closed before their runs were known, with the monotonic time at which
+   * these runs are over, in ms.
+   */
+  const unknownUntil = new Map<string, number>()
 
   /** Longest time for which unknown runs of the previous owner can go on, in ms. */
   const inheritedLeaseMs =
@@ -107,7 +116,9 @@
 
   /** Closes an agent without runs. The target may be alive, so it does not count as gone. */
   function closeIdleAgent(agent: TargetAgent): void {
-    agents.delete(agent.target.id)
+    const { id } = agent.target
+    agents.delete(id)
+    if (!agent.isStateKnown()) unknownUntil.set(id, agent.leaseExpiresAt())
     health.forget(agent)
     void agent.close()
   }
@@ -125,6 +136,7 @@
   }
 
   function open(target: Target): TargetAgent {
+    unknownUntil.delete(target.id)
     const agent = createTargetAgent({
       target,
       link: opts.orders.open(target),
@@ -178,6 +190,20 @@
     })
   }
 
+  /**
+   * Closes the agent of a target that the list names for another service, once no run is left there.
+   * Calls with this owner's token could fence the owner that the target now belongs to.
+   */
+  function closeIfIdle(agent: TargetAgent, listedFor: string): void {
+    if (agent.placements.size > 0 || agent.heldRuns() > 0) return
+    const { id } = agent.target
+    closeIdleAgent(agent)
+    const until = unknownUntil.get(id)
+    if (until === undefined) return
+    const leftMs = Math.round(until - monotonicMs())
+    log.event('targetNotCalled', { target: id, listedFor, leftMs })
+  }
+
   /** Whether the list has an entry under the id, readable or not. */
   const isInList = (id: string): boolean =>
     targets.byId().has(id) || targets.unreadableSince(id) !== undefined
@@ -194,9 +220,7 @@
     for (const agent of agents.values()) {
       const entry = listed.get(agent.target.id)
       if (agent.listed && entry?.service !== service) noteUnlisted(agent)
-      // Calls with this owner's token could fence the owner that the target now belongs to.
-      const isOfOtherService = entry !== undefined && entry.service !== service
-      if (isOfOtherService && agent.placements.size === 0) closeIdleAgent(agent)
+      if (entry && entry.service !== service) closeIfIdle(agent, entry.service)
     }
     opts.changed()
   }
@@ -212,6 +236,18 @@
       if (stillListed.length > 0) follow()
     },
     follow,
+    areInheritedRunsKnown() {
+      const now = monotonicMs()
+      const areOver = [...unknownUntil.values()].every((until) => until <= now)
+      return areOver && [...agents.values()].every((agent) => agent.isStateKnown())
+    },
+    forgetExpired() {
+      for (const [id, until] of unknownUntil) {
+        if (until > monotonicMs()) continue
+        unknownUntil.delete(id)
+        roster.remove(id)
+      }
+    },
   }
 }
 
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -165,6 +165,11 @@
   targetCrashed: spec('RS-8039', 'warn', 'target crashed with runs on it'),
   targetDraining: spec('RS-8023', 'info', 'target is draining and gets no new tasks'),
   targetUnlisted: spec('RS-8033', 'info', 'target is no longer listed'),
+  targetNotCalled: spec(
+    'RS-8067',
+    'warn',
+    'target with unknown runs is listed for another service',
+  ),
   targetSuspect: spec('RS-8024', 'warn', 'target performs badly and gets no new tasks'),
   targetTrusted: spec('RS-8036', 'info', 'target is no longer suspect'),
   runMoved: spec('RS-8025', 'info', 'run stopped to finish sooner on another target'),
