fix(scheduler): keep the roster row of a target that is added again

A successor that does not find a target in the roster starts the tasks that run there a second time, without asking it. No caller reported this; it was found while a task that ran twice was traced.

Cause, in three cases of a target that was removed and is back under its id: its removal had not been written yet and went into the same write as the new row, which removed the row; a removal without an answer was carried out after the new row had been written; the answer to a repeated write of the earlier row, read late, made the target count as durable although its row had been removed. In each case starts were ordered on a target without a row.

Change: a new row calls off a removal that waits. Removals are written apart from additions, each on condition of the version of its row, so that one that is done late fails. A late answer counts only for the entry that it wrote.

Three tests failed before (0 rows instead of 1 in two, no new row in one) and pass. A fourth, for a row that another write has changed meanwhile, passes before and after.

--- a/src/scheduler/__tests__/roster.spec.ts
+++ b/src/scheduler/__tests__/roster.spec.ts
@@ -12,8 +12,11 @@
 
 const EPOCH = { table: 'epochs', part: 'svc', key: 'epoch' }
 
-/** Creates a roster whose store neither applies nor answers the first commits. */
-function startRoster(silentCommits: number) {
+/**
+ * Creates a roster whose store neither applies nor answers the first commits.
+ * @param firstAnswerMs time from the application of the first commit to its answer, in ms
+ */
+function startRoster(silentCommits: number, firstAnswerMs = 0) {
   const table = createRowTable()
   const version = table.put(EPOCH, '1')
   const store = table.forNode('n1')
@@ -23,7 +26,12 @@
     ...store,
     async commit(tx) {
       commits++
-      if (commits > silentCommits) return store.commit(tx)
+      const answerMs = commits === 1 ? firstAnswerMs : 0
+      if (commits > silentCommits) {
+        const res = await store.commit(tx)
+        await sleep(answerMs)
+        return res
+      }
       await sleep(20_000, stopping.signal)
       return ok({ committed: false, current: [] })
     },
@@ -68,4 +76,66 @@
     roster.stop()
     stop()
   })
+
+  // A successor would not know of the tasks on a target that was removed and added again.
+  describe('target that is added again', () => {
+    const ENTRY = { id: 't1', address: 't1:1' }
+
+    it('keeps its row when its removal is still to be written', async (t) => {
+      const { roster, table, stop } = startRoster(0)
+      roster.add(ENTRY)
+      t.true(await waitFor(() => roster.has('t1')))
+      table.faults.down = true
+      roster.remove('t1')
+      await sleep(200)
+      roster.add(ENTRY)
+      table.faults.down = false
+      t.true(await waitFor(() => roster.has('t1')))
+      await sleep(500)
+      t.is(table.rows('roster').length, 1)
+      roster.stop()
+      stop()
+    })
+
+    it('keeps its row when its removal is carried out late', async (t) => {
+      const { roster, table, stop } = startRoster(0)
+      roster.add(ENTRY)
+      t.true(await waitFor(() => roster.has('t1')))
+      Object.assign(table.faults, { lostShare: 1, lateMs: 600 })
+      roster.remove('t1')
+      await sleep(50)
+      table.faults.lostShare = 0
+      roster.add(ENTRY)
+      t.true(await waitFor(() => roster.has('t1')))
+      await sleep(1000)
+      t.is(table.rows('roster').length, 1)
+      roster.stop()
+      stop()
+    })
+
+    it('gets a row when the first write of its earlier row is answered late', async (t) => {
+      const { roster, table, stop } = startRoster(0, 900)
+      roster.add(ENTRY)
+      t.true(await waitFor(() => roster.has('t1')))
+      roster.remove('t1')
+      await sleep(1000)
+      t.is(table.rows('roster').length, 0)
+      roster.add(ENTRY)
+      t.true(await waitFor(() => roster.has('t1')))
+      t.is(table.rows('roster').length, 1)
+      roster.stop()
+      stop()
+    })
+  })
+
+  it('removes the row of a target that is gone although another write has changed it', async (t) => {
+    const { roster, table, stop } = startRoster(0)
+    roster.add({ id: 't1', address: 't1:1' })
+    t.true(await waitFor(() => roster.has('t1')))
+    table.put({ table: 'roster', part: 'svc', key: 't1' }, '{}')
+    roster.remove('t1')
+    t.true(await waitFor(() => table.rows('roster').length === 0))
+    roster.stop()
+    stop()
+  })
 })
--- a/src/scheduler/queueRows.ts
+++ b/src/scheduler/queueRows.ts
@@ -53,9 +53,9 @@
   async function write(): Promise<boolean> {
     const queues = [...pending]
     const puts = queues.map((queue) => ({ ...key(queue), value: '{}' }))
-    const res = await commitUnderEpoch(store, authority, { puts, removals: [] })
+    const res = await commitUnderEpoch(store, authority, { puts })
     if (res.isErr()) log.event('queuesNotWritten', { reason: describeError(res.error) })
-    if (res.isErr() || !res.value) return false
+    if (res.isErr() || !res.value.committed) return false
     for (const queue of queues) {
       durable.add(queue)
       pending.delete(queue)
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -4,7 +4,13 @@
  * leases there have expired, before it starts an inherited task anywhere.
  */
 import { z } from 'zod'
-import type { RowKey, RowStore, StoredRow } from '../ports/index.js'
+import type {
+  RowCommit,
+  RowKey,
+  RowStore,
+  RowTransaction,
+  StoredRow,
+} from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
 import {
   addressSchema,
@@ -26,7 +32,9 @@
 const HEDGE_DELAY_MS = 400
 const MAX_CONCURRENT_WRITES = 3
 /** The store accepts 100 entries per transaction, including the condition on the epoch. */
-const MAX_ROWS_PER_WRITE = 90
+const MAX_ADDITIONS_PER_WRITE = 90
+/** Each removal takes two entries, as it carries a condition on the version of the row. */
+const MAX_REMOVALS_PER_WRITE = 45
 
 const entrySchema = z.object({ address: addressSchema })
 
@@ -41,12 +49,17 @@
   id: string
   /** Undefined if the row cannot be read; its key alone shows that tasks may run there. */
   address: string | undefined
+  version: number
 }
 
 /** Decodes a row of the roster; a row that cannot be read gives an entry without address. */
-export function decodeRosterEntry({ key, value }: StoredRow): InheritedRosterEntry {
+export function decodeRosterEntry({
+  key,
+  value,
+  version,
+}: StoredRow): InheritedRosterEntry {
   const parsed = entrySchema.safeParse(parseJson(value))
-  return { id: key, address: parsed.data?.address }
+  return { id: key, address: parsed.data?.address, version }
 }
 
 /** The roster of one service. */
@@ -75,9 +88,12 @@
   const unreadable = new Set(
     opts.entries.map(({ id }) => id).filter((id) => !durable.has(id)),
   )
+  /** Last known versions of rows. */
+  const versions = new Map(opts.entries.map(({ id, version }) => [id, version]))
   const adding = new Map<string, RosterEntry>()
   const removing = new Set<string>()
-  let isRunning = false
+  let isAdding = false
+  let isRemoving = false
   let isStopped = false
 
   const key = (id: string): RowKey => ({
@@ -86,63 +102,112 @@
     key: id,
   })
 
-  async function writeOnce(removals: readonly string[] = []): Promise<boolean> {
-    const added = [...adding.values()].slice(0, MAX_ROWS_PER_WRITE)
-    const removed = removals.slice(0, MAX_ROWS_PER_WRITE - added.length)
+  const noteVersion = (id: string, version: number): void =>
+    void versions.set(id, Math.max(version, versions.get(id) ?? 0))
+
+  async function commit(change: Partial<RowTransaction>): Promise<RowCommit | undefined> {
+    const res = await commitUnderEpoch(store, authority, change)
+    if (res.isOk()) return res.value
+    log.event('rosterNotWritten', { reason: describeError(res.error) })
+    return undefined
+  }
+
+  async function addOnce(): Promise<boolean> {
+    const added = [...adding.values()].slice(0, MAX_ADDITIONS_PER_WRITE)
     const puts = added.map(({ id, address }) => ({
       ...key(id),
       value: JSON.stringify({ address }),
     }))
-    const change = { puts, removals: removed.map(key) }
-    const res = await commitUnderEpoch(store, authority, change)
-    if (res.isErr()) log.event('rosterNotWritten', { reason: describeError(res.error) })
-    if (res.isErr() || !res.value) return false
-    for (const { id } of added) {
+    const res = await commit({ puts })
+    if (!res?.committed) return false
+    for (const entry of added) {
+      const { id } = entry
+      noteVersion(id, res.version)
+      // It may have been removed and added again since, and the new row is not durable yet.
+      if (adding.get(id) !== entry) continue
       durable.add(id)
       adding.delete(id)
     }
-    for (const id of removed) removing.delete(id)
-    if (added.length > 0) opts.added()
+    opts.added()
     return true
   }
 
   /**
-   * Writes the pending changes. Repeats the additions while there is no answer, as adding a row
-   * twice is harmless. Resolves to whether the first write to be answered was committed.
+   * Writes the pending additions. Repeats them while there is no answer, as adding a row twice is
+   * harmless. Resolves to whether the first write to be answered was committed.
    */
-  async function write(): Promise<boolean> {
-    const writes = [writeOnce([...removing])]
+  async function addWithHedging(): Promise<boolean> {
+    const writes = [addOnce()]
     while (adding.size > 0 && writes.length < MAX_CONCURRENT_WRITES) {
       const done = await Promise.race([...writes, sleep(HEDGE_DELAY_MS)])
       if (done !== undefined) return done
-      if (adding.size > 0 && !isStopped) writes.push(writeOnce())
+      if (adding.size > 0 && !isStopped) writes.push(addOnce())
     }
     return Promise.race(writes)
   }
 
-  async function run(): Promise<void> {
-    if (isRunning) return
-    isRunning = true
+  /**
+   * Removes rows, each on condition of its version: a removal that the store carries out late must
+   * not remove the row of a target that has been added again.
+   */
+  async function removeOnce(): Promise<boolean> {
+    const ids = [...removing].slice(0, MAX_REMOVALS_PER_WRITE)
+    const removals = ids.map(key)
+    const conditions = ids.map((id) => ({ ...key(id), version: versions.get(id) ?? 0 }))
+    const res = await commit({ conditions, removals })
+    if (!res) return false
+    if (res.committed) {
+      for (const id of ids) removing.delete(id)
+      return true
+    }
+    const current = new Map(
+      res.current.flatMap((row) =>
+        row.table === ROSTER_TABLE ? [[row.key, row.version]] : [],
+      ),
+    )
+    for (const id of ids) {
+      const version = current.get(id)
+      // An earlier write that went unanswered has removed it.
+      if (version === undefined) removing.delete(id)
+      else versions.set(id, version)
+    }
+    return false
+  }
+
+  async function runAdditions(): Promise<void> {
+    if (isAdding) return
+    isAdding = true
     // Targets are added in groups; after one turn of the event loop a single write carries all.
     await sleep(0)
-    while (!isStopped && (adding.size > 0 || removing.size > 0)) {
-      if (!(await write())) await sleep(jittered(FLUSH_RETRY_MS))
+    while (!isStopped && adding.size > 0) {
+      if (!(await addWithHedging())) await sleep(jittered(FLUSH_RETRY_MS))
+    }
+    isAdding = false
+  }
+
+  async function runRemovals(): Promise<void> {
+    if (isRemoving) return
+    isRemoving = true
+    await sleep(0)
+    while (!isStopped && removing.size > 0) {
+      if (!(await removeOnce())) await sleep(jittered(FLUSH_RETRY_MS))
     }
-    isRunning = false
+    isRemoving = false
   }
 
   return {
     has: (id) => durable.has(id),
     add(entry) {
       if (durable.has(entry.id) || adding.has(entry.id)) return
+      removing.delete(entry.id)
       adding.set(entry.id, entry)
-      void run()
+      void runAdditions()
     },
     remove(id) {
       const hadRow = durable.delete(id) || unreadable.delete(id)
       if (!hadRow) return
       removing.add(id)
-      void run()
+      void runRemovals()
     },
     stop: () => void (isStopped = true),
   }
