fix(scheduler): take only a report as proof that no run is left on a target whose address changed

A task could run a second time, on another target, while its first run went on.

Cause: a new owner closed the agent that called a target at the address of the roster before the target had been heard, when the first entry that it read named another address, and opened one for that address. If another target answered there, the answer (421) counted as the end of the target, the takeover was done, and the row of the roster was removed.

Evidence: the test below; not seen in a soak, whose other writer never names the address of a target.

Change: the runs of a target that is closed before they are known stay unknown until the target reports, at whichever address, or until their leases are over. Its row stays in the roster until then. This works because only a target with the id that is asked for reports, so that a wrong address cannot answer for it.

The test failed before (2 starts instead of 1) and passes.

--- a/src/scheduler/__tests__/ownerTakeover.spec.ts
+++ b/src/scheduler/__tests__/ownerTakeover.spec.ts
@@ -1,5 +1,6 @@
 /** Guards against lost or repeated tasks whose runs an owner did not start or cannot observe. */
 import { ok } from 'neverthrow'
+import { createSimOrders } from '../../../playground/sim/simLinks.js'
 import { describe, it } from '../../../test/describe.js'
 import {
   SERVICE,
@@ -90,6 +91,11 @@
       while (rig.ledger.entries.length === 0) await sleep(5)
       first.live = false
       rig.setListEntry({ ...entry, ...wrong })
+      const { orders } = rig
+      const misled = createSimOrders(new Map())
+      rig.orders = {
+        open: (each) => (each.address === 'wrong:1' ? misled : orders).open(each),
+      }
       rig.addTarget('t2')
       await rig.startOwner()
       return { rig, job, target, entry }
@@ -105,6 +111,18 @@
       await rig.stop()
     })
 
+    // The address of another writer's entry may be that of another target.
+    it('does not start its tasks elsewhere while they run: an address where another answers', async (t) => {
+      const address = 'wrong:1'
+      const { rig, job, entry } = await takeOver(1500, { address })
+      await sleep(800)
+      rig.setListEntry(entry)
+      t.true(await rig.waitForOutcomes([job], 10_000))
+      t.is(rig.ledger.entries.filter(({ what }) => what === 'start').length, 1)
+      t.is(findGuaranteeViolation(rig.ledger), undefined)
+      await rig.stop()
+    })
+
     it('keeps its agent while jobs of its runs have not been read', async (t) => {
       const rig = createJobRig()
       rig.addTarget('t1')
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -77,7 +77,8 @@
   const inheritedIds = new Set<string>()
   /**
    * Targets whose agents were closed before their runs were known, with the monotonic time at which
-   * these runs are over, in ms.
+   * these runs are over, in ms. Only a report of the target makes them known sooner: an entry of
+   * another writer may name an address at which the target does not answer.
    */
   const unknownUntil = new Map<string, number>()
 
@@ -96,7 +97,7 @@
     })
     nextTokenOffsets.set(id, agent.tokenOffset() + 1)
     health.forget(agent)
-    roster.remove(id)
+    if (!unknownUntil.has(id)) roster.remove(id)
     void agent.close()
   }
 
@@ -136,7 +137,6 @@
   }
 
   function open(target: Target): TargetAgent {
-    unknownUntil.delete(target.id)
     const agent = createTargetAgent({
       target,
       link: opts.orders.open(target),
@@ -204,6 +204,9 @@
     log.event('targetNotCalled', { target: id, listedFor, leftMs })
   }
 
+  const hasReported = (id: string): boolean =>
+    Number.isFinite(agents.get(id)?.firstReportAt() ?? Infinity)
+
   /** Whether the list has an entry under the id, readable or not. */
   const isInList = (id: string): boolean =>
     targets.byId().has(id) || targets.unreadableSince(id) !== undefined
@@ -238,14 +241,16 @@
     follow,
     areInheritedRunsKnown() {
       const now = monotonicMs()
-      const areOver = [...unknownUntil.values()].every((until) => until <= now)
+      const areOver = [...unknownUntil].every(
+        ([id, until]) => until <= now || hasReported(id),
+      )
       return areOver && [...agents.values()].every((agent) => agent.isStateKnown())
     },
     forgetExpired() {
       for (const [id, until] of unknownUntil) {
-        if (until > monotonicMs()) continue
+        if (until > monotonicMs() && !hasReported(id)) continue
         unknownUntil.delete(id)
-        roster.remove(id)
+        if (!agents.has(id)) roster.remove(id)
       }
     },
   }
