fix(vms): give lasting tasks their VMs before tasks that end

Callers saw long-running tasks stand still for up to 12 s although the service had capacity for them.

Cause: the owner of the fleet treated the VMs that lasting tasks need like those for any other work in time. A service whose queue needs the whole fleet kept all its VMs, so a service below its minimum got none, and a wave emptied several of the few VMs on which lasting tasks fit.

The fleet fills these needs first, from any service that has more than it needs for its own.

--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -32,9 +32,13 @@
 export function neededVms(report: ServiceReport, cpu: number, cpuPerVm: number): number {
   if (cpuPerVm <= 0) return report.minTargets
   const byLoad = Math.ceil(cpu / (cpuPerVm * PLANNED_UTILIZATION))
-  return Math.max(1, report.minTargets, byLoad)
+  return Math.max(minVms(report), report.minTargets, byLoad)
 }
 
+/** Number of VMs below which the lasting tasks of a service have no room; at least one. */
+export const minVms = ({ lastingTargets }: ServiceReport): number =>
+  Math.max(1, lastingTargets)
+
 const isIdle = (load: TargetLoad | undefined): boolean => load?.runs === 0
 
 /** Average capacity of the VMs in the list that have any, in thousandths of a core. */
@@ -48,6 +52,8 @@
 
 /** Gaps relative to each of the demands that are planned for. */
 interface AllGaps {
+  /** Demand of lasting tasks. */
+  lasting: Gaps
   /** Demand of jobs that can still meet their objective. */
   timely: Gaps
   /** Demand of all jobs. */
@@ -71,7 +77,12 @@
 ): AllGaps {
   const { vms, movingTo, emptying } = input
   const cpuPerVm = cpuPerVmOf(vms)
-  const gaps: AllGaps = { timely: new Map(), now: new Map(), kept: new Map() }
+  const gaps: AllGaps = {
+    lasting: new Map(),
+    timely: new Map(),
+    now: new Map(),
+    kept: new Map(),
+  }
   for (const [service, report] of input.reports) {
     // A VM that is being emptied or maintained cannot run the service's tasks, nor can one that
     // works so badly that the owner of the service places no tasks there.
@@ -83,6 +94,7 @@
         !loads.get(vm.targetId)?.suspect,
     ).length
     const needed = neededBy.get(service) ?? 0
+    gaps.lasting.set(service, minVms(report) - usable)
     gaps.timely.set(service, neededVms(report, report.timelyCpu, cpuPerVm) - usable)
     gaps.now.set(service, needed - usable)
     gaps.kept.set(service, input.vmsToKeep(service, needed) - usable)
@@ -132,9 +144,10 @@
   needed / Math.max(1, needed - gap)
 
 /**
- * Plans moves. Work that can still be in time is served first, if necessary by VMs whose service has
- * only late work for them; then all work, by spare and idle VMs. If no pool has enough VMs for its
- * late work, the pools share the VMs in proportion to that work.
+ * Plans moves. Lasting tasks are served first, if necessary by VMs that other services need for
+ * tasks that end; then work that can still be in time, if necessary by VMs whose service has only
+ * late work for them; then all work, by spare and idle VMs. If no pool has enough VMs for its late
+ * work, the pools share the VMs in proportion to that work.
  */
 export function planPools(input: PoolInput): PlannedMove[] {
   const { sparePool, fitsPool } = input
@@ -233,12 +246,14 @@
     }
   }
 
-  fillGaps(gaps.timely, [
+  const allDonors = [
     movable.spare,
     movable.idle,
     movable.suspect,
     movable.withFiniteTasks,
-  ])
+  ]
+  fillGaps(gaps.lasting, allDonors)
+  fillGaps(gaps.timely, allDonors)
   fillGaps(gaps.now, [movable.spare, movable.idle, movable.suspect])
   balanceLateWork()
   if (sparePool === undefined) return moves
