fix(scheduler): hold room for lasting tasks that wait or move

Callers saw long-running tasks stand still after they were moved off a target.

Cause: an evacuation checked each lasting task alone against the room on the other targets, so that several were stopped for one place. While a task was being stopped, and while it waited, tasks that end by themselves took each place that became free, as each of them needs less of it.

Evacuations of one pass share one count of the room elsewhere. Plans hold room for lasting tasks that are being stopped, for one of each evacuated target, and for one of each step that waits.

--- a/src/scheduler/leavingTargets.ts
+++ b/src/scheduler/leavingTargets.ts
@@ -6,7 +6,7 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { MIN_STEADY_LIST_MS } from './constants.js'
-import { evacuateTarget } from './evacuation.js'
+import { createEvacuationRoom, evacuateTarget } from './evacuation.js'
 import type { TargetAgent } from './types.js'
 
 /** Inputs of the checks for leaving targets. */
@@ -30,11 +30,13 @@
 
 /** Moves tasks off leaving targets, as their runs end with the target. */
 export function evacuateLeaving({ targets, agents, log }: LeavingTargetsOptions): void {
-  for (const agent of agents) {
-    const isLeaving = agent.target.draining || isGoneFromList(agent, targets)
-    if (isLeaving && agent.isAnswering())
-      evacuateTarget({ agent, agents, hurry: true, log })
-  }
+  const leaving = agents.filter(
+    (agent) =>
+      (agent.target.draining || isGoneFromList(agent, targets)) && agent.isAnswering(),
+  )
+  if (leaving.length === 0) return
+  const room = createEvacuationRoom(agents)
+  for (const agent of leaving) evacuateTarget({ agent, agents, room, hurry: true, log })
 }
 
 /**
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -205,9 +205,63 @@
   return crashSuspects.size === 0 ? tasks : crashSuspectsOf(tasks)
 }
 
+/** A lasting task that is to restart on another target. */
+interface MovingTask {
+  step: Step
+  /** Target that the task leaves. */
+  agent: TargetAgent
+}
+
+/** Returns the lasting tasks that are stopped to restart elsewhere. */
+export function findMovingTasks(agents: readonly TargetAgent[]): MovingTask[] {
+  const moving: MovingTask[] = []
+  for (const agent of agents) {
+    for (const { state, task } of agent.placements.values()) {
+      if (state !== 'stopping' || !task?.step.spec.lasting) continue
+      if (!isStopWanted(task.step.job)) moving.push({ step: task.step, agent })
+    }
+  }
+  return moving
+}
+
+/**
+ * Returns the steps for which room is held: those of lasting tasks that are stopped, and of one task
+ * of each target that is evacuated, which is stopped as soon as it has room elsewhere.
+ */
+function stepsToHoldRoomFor(agents: readonly TargetAgent[]): Step[] {
+  const moving = findMovingTasks(agents)
+  const steps = moving.map(({ step }) => step)
+  for (const agent of agents) {
+    if (!agent.evacuating || moving.some((each) => each.agent === agent)) continue
+    const placements = [...agent.placements.values()]
+    const next = placements.find(({ task }) => task?.step.spec.lasting)
+    if (next?.task) steps.push(next.task.step)
+  }
+  return steps
+}
+
+const isStopWanted = ({ cancelRequested, outcome }: Job): boolean =>
+  cancelRequested || outcome !== undefined
+
+/**
+ * Holds room for a lasting task that cannot start yet. Tasks that end by themselves would otherwise
+ * take all room that becomes free, as each of them needs less of it or is ready sooner.
+ */
+function holdRoom(candidates: Candidate[], step: Step, { policy }: PlanInput): void {
+  const fitsOn = (candidate: Candidate, free: Resources): boolean =>
+    stepHoldOf({ ...candidate, free, startsLeft: Infinity }, step, policy) === undefined
+  const best =
+    candidates.find((each) => fitsOn(each, each.free)) ??
+    candidates
+      .filter((each) => fitsOn(each, each.agent.room.capacity))
+      .sort((a, b) => b.free.cpu - a.free.cpu)[0]
+  if (best) reserve(best, step)
+}
+
 /** Plans starts in the order of urgency; steps with a sole crash suspect come last. */
 export function planStarts(input: PlanInput): Plan {
   const candidates = input.agents.filter((agent) => agent.isUsable()).map(createCandidate)
+  for (const step of stepsToHoldRoomFor(input.agents)) holdRoom(candidates, step, input)
   const steps = new Map<Step, Task[]>()
   for (const task of input.ready) {
     const group = steps.get(task.step)
@@ -249,6 +303,7 @@
       const candidate = chooseUnlessKnownFull(candidates, task, input, failed)
       if (!candidate || plan.starts.length >= startsLeft) {
         plan.waiting.add(step)
+        if (!candidate && step.spec.lasting) holdRoom(candidates, step, input)
         break
       }
       reserve(candidate, step)
@@ -265,12 +320,18 @@
   reserve(step: Step, from: TargetAgent): boolean
 }
 
-/** Counts the room on the given targets; the runs may come from any target. */
+/**
+ * Counts the room on the given targets; the runs may come from any target.
+ * @param startsLeftOf returns the number of starts that a target may get
+ */
 export function createRelocationRoom(
   agents: readonly TargetAgent[],
   policy: PlacementPolicy,
+  startsLeftOf: (agent: TargetAgent) => number = (agent) => agent.startsLeft(),
 ): RelocationRoom {
-  const candidates = agents.filter((agent) => agent.isUsable()).map(createCandidate)
+  const candidates = agents
+    .filter((agent) => agent.isUsable())
+    .map((agent) => ({ ...createCandidate(agent), startsLeft: startsLeftOf(agent) }))
   return {
     reserve(step, from) {
       const candidate = candidates.find(
