fix(vms): take no VM for services without lasting tasks

- a service without lasting tasks took a VM in timely use from another one, as each service counted one VM for them;
- the VMs of a service whose owner runs an older build were given away, as it reports `minTargets` only;
- one service got all spare VMs before another one got any;
- owners asked for further targets for tasks that wait for something else than room, and counted targets of unknown capacity in their mean.

--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -85,7 +85,7 @@
   })
 
   describe('targets for lasting tasks', () => {
-    const targetsAt = (now: number, memMb: number): number => {
+    const targetsAt = (now: number, memMb: number): number | undefined => {
       const lasting = { count: 3, cpu: 1000, memMb, lasting: true }
       const { book, add, demand } = startMeter(true, false, lasting)
       add(1, 0)
@@ -98,7 +98,7 @@
 
     // Otherwise a task for which no single target has enough room left never starts.
     it('are more than the present ones while some of them find no room', (t) => {
-      t.true(targetsAt(2000, 40_000) > 2)
+      t.true(targetsAt(2000, 40_000)! > 2)
     })
 
     it('are none if they fit on no target', (t) => {
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -5,7 +5,7 @@
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
 import { createArrivalMeter } from './arrivals.js'
 import type { ArrivalMeter } from './arrivals.js'
-import { fitsWhenEmpty } from './placementRules.js'
+import { couldRun, fitsWhenEmpty } from './placementRules.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
 import type { TargetAgent } from './types.js'
@@ -98,8 +98,12 @@
 const maxOf = (steps: Step[], valueOf: (step: Step) => number): number =>
   Math.max(0, ...steps.map(valueOf))
 
-/** Number of tasks of a step that have had no target for {@link UNPLACED_AFTER_MS}. */
-function countUnplaced(step: Step, now: number): number {
+/**
+ * Number of tasks of a step that have waited for {@link UNPLACED_AFTER_MS} and for which no target has
+ * room; 0 if they wait for something else.
+ */
+function countUnplaced(step: Step, agents: TargetAgent[], now: number): number {
+  if (step.job.gated || agents.some((agent) => couldRun(agent, step))) return 0
   const isUnplaced = ({ phase, readySince }: Task): boolean =>
     phase === 'ready' && now - readySince > UNPLACED_AFTER_MS
   return step.tasks.filter(isUnplaced).length
@@ -174,22 +178,24 @@
    * room on the present targets may be fragmented, so that tasks which find none need further ones.
    */
   function lastingTargetsOf(all: Step[], agents: TargetAgent[], now: number): number {
-    const steps = all.filter((step) => agents.some((agent) => fitsWhenEmpty(agent, step)))
+    const sized = agents.filter(({ room }) => room.capacity.cpu > 0)
+    const steps = all.filter((step) => sized.some((agent) => fitsWhenEmpty(agent, step)))
     if (steps.length === 0) return 0
+    const meanRoom = meanRoomOf(sized)
     const sums = createTotals()
     let unplaced = 0
     for (const step of steps) {
-      addStep(sums, step, runTimes, targetRoom)
-      const { cpu, memory } = roomOf(step, targetRoom)
-      unplaced += (countUnplaced(step, now) * Math.max(cpu, memory)) / targetRoom.cpu
+      addStep(sums, step, runTimes, meanRoom)
+      const { cpu, memory } = roomOf(step, meanRoom)
+      const count = countUnplaced(step, agents, now)
+      unplaced += (count * Math.max(cpu, memory)) / meanRoom.cpu
     }
-    const byRoom = Math.ceil(roomFor(sums, ({ lasting }) => lasting) / targetRoom.cpu)
+    const byRoom = Math.ceil(roomFor(sums, ({ lasting }) => lasting) / meanRoom.cpu)
     const whole = Math.max(byRoom, maxOf(steps, minTargetsFor))
-    const further = Math.min(
-      whole * MAX_FRAGMENTATION,
-      agents.length + Math.ceil(unplaced),
-    )
-    return unplaced === 0 ? whole : Math.max(whole, further)
+    if (unplaced === 0) return whole
+    const open = sized.filter(({ evacuating }) => !evacuating)
+    const further = open.length + Math.ceil(unplaced)
+    return Math.max(whole, Math.min(whole * MAX_FRAGMENTATION, further))
   }
 
   /** Returns the room that open and expected tasks need. */
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -35,9 +35,12 @@
   return Math.max(minVms(report), report.minTargets, byLoad)
 }
 
-/** Number of VMs below which the lasting tasks of a service have no room; at least one. */
-export const minVms = ({ lastingTargets }: ServiceReport): number =>
-  Math.max(1, lastingTargets)
+/** Number of VMs that the lasting tasks of a service need. */
+const lastingVms = ({ lastingTargets, minTargets }: ServiceReport): number =>
+  lastingTargets ?? minTargets
+
+/** Number of VMs that a service keeps for its lasting tasks; at least one. */
+export const minVms = (report: ServiceReport): number => Math.max(1, lastingVms(report))
 
 const isIdle = (load: TargetLoad | undefined): boolean => load?.runs === 0
 
@@ -94,7 +97,12 @@
         !loads.get(vm.targetId)?.suspect,
     ).length
     const needed = neededBy.get(service) ?? 0
-    gaps.lasting.set(service, minVms(report) - usable)
+    // A service without lasting tasks gives VMs to those of others, but gets none for its own.
+    const lastingGap = minVms(report) - usable
+    gaps.lasting.set(
+      service,
+      lastingVms(report) > 0 ? lastingGap : Math.min(0, lastingGap),
+    )
     gaps.timely.set(service, neededVms(report, report.timelyCpu, cpuPerVm) - usable)
     gaps.now.set(service, needed - usable)
     gaps.kept.set(service, input.vmsToKeep(service, needed) - usable)
@@ -187,8 +195,11 @@
         !moves.some((each) => each.vm === other),
     )
 
-  /** Fills the gaps from the lists in their order, without creating new gaps. */
-  const fillGaps = (wanted: Gaps, donors: Vm[][]): void => {
+  /**
+   * Fills the gaps from the lists in their order, without creating new gaps.
+   * @param perTurn number of VMs after which the next service gets some
+   */
+  const fillGaps = (wanted: Gaps, donors: Vm[][], perTurn = Infinity): void => {
     const findFor = (service: string): Vm | undefined => {
       for (const list of donors) {
         const found = list.find(
@@ -204,12 +215,16 @@
       return undefined
     }
     const lacking = [...wanted].filter(([, gap]) => gap > 0).sort((a, b) => b[1] - a[1])
-    for (const [service] of lacking) {
-      while ((wanted.get(service) ?? 0) > 0) {
-        const vm = findFor(service)
-        if (!vm) break
-        move(vm, service)
-      }
+    let services = lacking.map(([service]) => service)
+    while (services.length > 0) {
+      services = services.filter((service) => {
+        for (let count = 0; count < perTurn; count++) {
+          const vm = (wanted.get(service) ?? 0) > 0 ? findFor(service) : undefined
+          if (!vm) return false
+          move(vm, service)
+        }
+        return true
+      })
     }
   }
 
@@ -252,7 +267,7 @@
     movable.suspect,
     movable.withFiniteTasks,
   ]
-  fillGaps(gaps.lasting, allDonors)
+  fillGaps(gaps.lasting, allDonors, 1)
   fillGaps(gaps.timely, allDonors)
   fillGaps(gaps.now, [movable.spare, movable.idle, movable.suspect])
   balanceLateWork()
