fix(scheduler): keep no room that a waiting lasting task needs

- of two evacuated targets with tasks of one step, the second task's room was kept from the first one, which then never restarted;
- room was kept where only other lasting tasks could leave it, so that tasks which end never started there;
- a task that had been stopped lost its place to tasks of a higher priority, or to a task of another job that was stopped for the same place;
- kept room used up start orders, also for tasks of cancelled jobs.

Lasting steps are planned first, then room is kept for those that wait or move, then the others are planned.

--- a/src/scheduler/evacuation.ts
+++ b/src/scheduler/evacuation.ts
@@ -17,6 +17,11 @@
  * stopped, in ms. Reports lag by up to one long poll.
  */
 const MIN_RUNNING_MS = 1200
+/**
+ * Time for which a lasting task that may start has a claim to room, in ms. One that waits longer
+ * waits for something else, and must not keep targets from being emptied.
+ */
+const MAX_RESTART_MS = 3000
 
 export interface EvacuationInput {
   agent: TargetAgent
@@ -31,12 +36,20 @@
 
 /**
  * Returns the room for lasting tasks that are stopped on evacuated targets, less that of tasks which
- * have not restarted yet. A task that is stopped without room elsewhere would stand still.
+ * have not restarted yet: one that is stopped without room elsewhere would stand still.
+ * @param ready tasks that may start now
  */
-export function createEvacuationRoom(agents: readonly TargetAgent[]): RelocationRoom {
-  // A task may wait for its start order, but not for room.
+export function createEvacuationRoom(
+  agents: readonly TargetAgent[],
+  ready: Iterable<Task>,
+): RelocationRoom {
+  // The delay of start orders does not count: a moved task waits for them, but must have room.
   const room = createRelocationRoom(agents, UNRESTRICTED_POLICY, () => Infinity)
   for (const { step, agent } of findMovingTasks(agents)) room.reserve(step, agent)
+  const now = monotonicMs()
+  for (const { step, readySince } of ready) {
+    if (step.spec.lasting && now - readySince < MAX_RESTART_MS) room.reserve(step)
+  }
   return room
 }
 
@@ -57,11 +70,13 @@
 /**
  * Empties the targets that the fleet's owner names and returns all others to normal use.
  * @param agents returns all targets of the service at this moment
+ * @param ready tasks that may start now
  */
 export function applyFleetAnswer(
   { evacuate, hurry, ended }: FleetAnswer,
   agents: () => TargetAgent[],
   log: Logger,
+  ready: Iterable<Task> = [],
 ): void {
   for (const agent of agents()) {
     const { id } = agent.target
@@ -76,8 +91,9 @@
       log.event('evacuating', { target: id, wanted, runs: agent.placements.size })
     }
   }
+  if (evacuate.length === 0) return
   const all = agents()
-  const room = createEvacuationRoom(all)
+  const room = createEvacuationRoom(all, ready)
   for (const agent of all) {
     const { id } = agent.target
     if (evacuate.includes(id))
--- a/src/scheduler/leavingTargets.ts
+++ b/src/scheduler/leavingTargets.ts
@@ -3,6 +3,7 @@
  * tasks to other targets and closes their agents once they have no runs left.
  */
 import type { TargetList } from '../directory/index.js'
+import type { Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { MIN_STEADY_LIST_MS } from './constants.js'
@@ -14,6 +15,8 @@
   targets: TargetList
   /** All targets of the service. */
   agents: TargetAgent[]
+  /** Tasks that may start now. */
+  ready: Iterable<Task>
   log: Logger
 }
 
@@ -29,13 +32,18 @@
 }
 
 /** Moves tasks off leaving targets, as their runs end with the target. */
-export function evacuateLeaving({ targets, agents, log }: LeavingTargetsOptions): void {
+export function evacuateLeaving({
+  targets,
+  agents,
+  ready,
+  log,
+}: LeavingTargetsOptions): void {
   const leaving = agents.filter(
     (agent) =>
       (agent.target.draining || isGoneFromList(agent, targets)) && agent.isAnswering(),
   )
   if (leaving.length === 0) return
-  const room = createEvacuationRoom(agents)
+  const room = createEvacuationRoom(agents, ready)
   for (const agent of leaving) evacuateTarget({ agent, agents, room, hurry: true, log })
 }
 
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -52,24 +52,33 @@
   plannedCounts: Map<Step, number>
   /** Number of lasting tasks, placed or planned. */
   lastingCount: number
+  /** Resources that lasting tasks, placed or planned, leave to others. */
+  beyondLasting: Resources
 }
 
-function countLasting(agent: TargetAgent): number {
-  let count = 0
-  for (const { task } of agent.placements.values()) if (task?.step.spec.lasting) count++
-  return count
+function subtract(from: Resources, need: Resources): void {
+  from.cpu -= need.cpu
+  from.memMb -= need.memMb
+  from.gpu -= need.gpu
 }
 
 function createCandidate(agent: TargetAgent): Candidate {
   const planned = new Map<Step, number>()
-  return {
+  const candidate = {
     agent,
     free: { ...agent.room.free },
     startsLeft: agent.startsLeft(),
     plannedCounts: planned,
-    countOf: (step) => agent.room.countOf(step) + (planned.get(step) ?? 0),
-    lastingCount: countLasting(agent),
+    countOf: (step: Step) => agent.room.countOf(step) + (planned.get(step) ?? 0),
+    lastingCount: 0,
+    beyondLasting: { ...agent.room.capacity },
+  }
+  for (const { task } of agent.placements.values()) {
+    if (!task?.step.spec.lasting) continue
+    candidate.lastingCount++
+    subtract(candidate.beyondLasting, needOf(task.step))
   }
+  return candidate
 }
 
 /** Copies a candidate, so that a gang can be planned on the copy and discarded. */
@@ -79,17 +88,24 @@
   copy.startsLeft = candidate.startsLeft
   for (const [step, count] of candidate.plannedCounts) copy.plannedCounts.set(step, count)
   copy.lastingCount = candidate.lastingCount
+  copy.beyondLasting = { ...candidate.beyondLasting }
   return copy
 }
 
-function reserve(candidate: Candidate, step: Step): void {
+/** Takes the room of one task of the step. */
+function takeRoom(candidate: Candidate, step: Step): void {
   const need = needOf(step)
-  candidate.free.cpu -= need.cpu
-  candidate.free.memMb -= need.memMb
-  candidate.free.gpu -= need.gpu
-  candidate.startsLeft--
+  subtract(candidate.free, need)
   candidate.plannedCounts.set(step, (candidate.plannedCounts.get(step) ?? 0) + 1)
-  if (step.spec.lasting) candidate.lastingCount++
+  if (!step.spec.lasting) return
+  candidate.lastingCount++
+  subtract(candidate.beyondLasting, need)
+}
+
+/** Takes the room of one task of the step that is started now. */
+function reserve(candidate: Candidate, step: Step): void {
+  candidate.startsLeft--
+  takeRoom(candidate, step)
 }
 
 /** Outweighs every other cost. */
@@ -225,17 +241,21 @@
 }
 
 /**
- * Returns the steps for which room is held: those of lasting tasks that are stopped, and of one task
+ * Returns the steps for which room is kept: those of lasting tasks that are stopped, and of one task
  * of each target that is evacuated, which is stopped as soon as it has room elsewhere.
  */
-function stepsToHoldRoomFor(agents: readonly TargetAgent[]): Step[] {
+function stepsToKeepRoomFor(agents: readonly TargetAgent[]): Step[] {
   const moving = findMovingTasks(agents)
   const steps = moving.map(({ step }) => step)
   for (const agent of agents) {
-    if (!agent.evacuating || moving.some((each) => each.agent === agent)) continue
-    const placements = [...agent.placements.values()]
-    const next = placements.find(({ task }) => task?.step.spec.lasting)
-    if (next?.task) steps.push(next.task.step)
+    const isLeaving = agent.evacuating || agent.target.draining
+    if (!isLeaving || moving.some((each) => each.agent === agent)) continue
+    for (const { state, task } of agent.placements.values()) {
+      if (state !== 'running' || !task?.step.spec.lasting) continue
+      if (isStopWanted(task.step.job)) continue
+      steps.push(task.step)
+      break
+    }
   }
   return steps
 }
@@ -244,24 +264,34 @@
   cancelRequested || outcome !== undefined
 
 /**
- * Holds room for a lasting task that cannot start yet. Tasks that end by themselves would otherwise
- * take all room that becomes free, as each of them needs less of it or is ready sooner.
+ * Keeps room for a lasting task that cannot start yet. Tasks that end would otherwise take all room
+ * that becomes free, as each of them needs less of it or is ready sooner. Room that only lasting
+ * tasks could leave is not kept.
  */
-function holdRoom(candidates: Candidate[], step: Step, { policy }: PlanInput): void {
-  const fitsOn = (candidate: Candidate, free: Resources): boolean =>
-    stepHoldOf({ ...candidate, free, startsLeft: Infinity }, step, policy) === undefined
-  const best =
-    candidates.find((each) => fitsOn(each, each.free)) ??
-    candidates
-      .filter((each) => fitsOn(each, each.agent.room.capacity))
-      .sort((a, b) => b.free.cpu - a.free.cpu)[0]
-  if (best) reserve(best, step)
+function keepRoom(candidates: Candidate[], step: Step, { policy }: PlanInput): void {
+  const fitsOn = ({ agent, countOf }: Candidate, free: Resources): boolean =>
+    stepHoldOf({ agent, free, countOf, startsLeft: Infinity }, step, policy) === undefined
+  let best: Candidate | undefined
+  for (const candidate of candidates) {
+    if (fitsOn(candidate, candidate.free)) {
+      best = candidate
+      break
+    }
+    const isBetter = !best || candidate.free.cpu > best.free.cpu
+    if (isBetter && fitsOn(candidate, candidate.beyondLasting)) best = candidate
+  }
+  if (best) takeRoom(best, step)
 }
 
-/** Plans starts in the order of urgency; steps with a sole crash suspect come last. */
+/** Most lasting steps for which one plan keeps room; each examines all targets. */
+const MAX_KEPT_STEPS = 32
+
+/**
+ * Plans starts in the order of urgency, lasting steps first; steps with a sole crash suspect come
+ * last. Keeps room for lasting tasks that wait or leave their targets before it plans any other.
+ */
 export function planStarts(input: PlanInput): Plan {
   const candidates = input.agents.filter((agent) => agent.isUsable()).map(createCandidate)
-  for (const step of stepsToHoldRoomFor(input.agents)) holdRoom(candidates, step, input)
   const steps = new Map<Step, Task[]>()
   for (const task of input.ready) {
     const group = steps.get(task.step)
@@ -280,13 +310,26 @@
     }))
     .sort(
       (a, b) =>
-        Number(a.isLast) - Number(b.isLast) || compareUrgency(a.urgency, b.urgency),
+        Number(a.isLast) - Number(b.isLast) ||
+        Number(b.step.spec.lasting) - Number(a.step.spec.lasting) ||
+        compareUrgency(a.urgency, b.urgency),
     )
     .map(({ step }) => step)
   const plan: Plan = { starts: [], waiting: new Set() }
   const { startsLeft = Infinity } = input
   const failed: FailedNeeds = new Map()
+  let keptSteps = 0
+  const keepRoomFor = (step: Step): void => {
+    keptSteps++
+    if (keptSteps <= MAX_KEPT_STEPS) keepRoom(candidates, step, input)
+  }
+  /** Steps for which room is kept before the first step that ends; undefined once that is done. */
+  let stepsToKeep: Step[] | undefined = stepsToKeepRoomFor(input.agents)
   for (const step of ordered) {
+    if (stepsToKeep && !step.spec.lasting) {
+      stepsToKeep.forEach(keepRoomFor)
+      stepsToKeep = undefined
+    }
     if (plan.starts.length >= startsLeft) {
       plan.waiting.add(step)
       continue
@@ -303,7 +346,7 @@
       const candidate = chooseUnlessKnownFull(candidates, task, input, failed)
       if (!candidate || plan.starts.length >= startsLeft) {
         plan.waiting.add(step)
-        if (!candidate && step.spec.lasting) holdRoom(candidates, step, input)
+        if (!candidate && step.spec.lasting) keepRoomFor(step)
         break
       }
       reserve(candidate, step)
@@ -317,7 +360,7 @@
 /** Room for runs that are to be moved off their targets. */
 export interface RelocationRoom {
   /** Reserves room for one task of the step on a target other than `from`; false without any. */
-  reserve(step: Step, from: TargetAgent): boolean
+  reserve(step: Step, from?: TargetAgent): boolean
 }
 
 /**
