fix(scheduler): report no need of lasting tasks while no capacity is known

A service that has lost all its targets reported that its lasting tasks need none, so the fleet no longer counted the smallest number of targets that the same report names. The need is left out then.

--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -174,11 +174,17 @@
   }
 
   /**
-   * Returns the number of targets that lasting tasks need, except those that fit on no target. The
-   * room on the present targets may be fragmented, so that tasks which find none need further ones.
+   * Returns the number of targets that lasting tasks need, except those that fit on no target;
+   * undefined while no capacity is known. The room on the present targets may be fragmented, so that
+   * tasks which find none need further ones.
    */
-  function lastingTargetsOf(all: Step[], agents: TargetAgent[], now: number): number {
+  function lastingTargetsOf(
+    all: Step[],
+    agents: TargetAgent[],
+    now: number,
+  ): number | undefined {
     const sized = agents.filter(({ room }) => room.capacity.cpu > 0)
+    if (sized.length === 0) return undefined
     const steps = all.filter((step) => sized.some((agent) => fitsWhenEmpty(agent, step)))
     if (steps.length === 0) return 0
     const meanRoom = meanRoomOf(sized)
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -323,12 +323,11 @@
     keptSteps++
     if (keptSteps <= MAX_KEPT_STEPS) keepRoom(candidates, step, input)
   }
-  /** Steps for which room is kept before the first step that ends; undefined once that is done. */
-  let stepsToKeep: Step[] | undefined = stepsToKeepRoomFor(input.agents)
+  let isRoomKept = false
   for (const step of ordered) {
-    if (stepsToKeep && !step.spec.lasting) {
-      stepsToKeep.forEach(keepRoomFor)
-      stepsToKeep = undefined
+    if (!isRoomKept && !step.spec.lasting) {
+      isRoomKept = true
+      stepsToKeepRoomFor(input.agents).forEach(keepRoomFor)
     }
     if (plan.starts.length >= startsLeft) {
       plan.waiting.add(step)
