--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -84,28 +84,6 @@
     t.is(Math.round(neededCpu), 2 * ROOM.cpu)
   })
 
-  describe('targets for lasting tasks', () => {
-    const targetsAt = (now: number, memMb: number): number | undefined => {
-      const lasting = { count: 3, cpu: 1000, memMb, lasting: true }
-      const { book, add, demand } = startMeter(true, false, lasting)
-      add(1, 0)
-      return demand.report('one', 1, book.open, [TARGET, TARGET], now).lastingTargets
-    }
-
-    it('are those on which all of them fit together', (t) => {
-      t.is(targetsAt(0, 40_000), 2)
-    })
-
-    // Otherwise a task for which no single target has enough room left never starts.
-    it('are more than the present ones while some of them find no room', (t) => {
-      t.true(targetsAt(2000, 40_000)! > 2)
-    })
-
-    it('are none if they fit on no target', (t) => {
-      t.is(targetsAt(2000, 100_000), 0)
-    })
-  })
-
   it('adds a target for each step that will probably crash one', (t) => {
     const { book, add, demand } = startMeter(false)
     const [task] = add(1, 0).occurrences[0]!.steps[0]!.tasks
--- a/src/scheduler/__tests__/planner.spec.ts
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -212,42 +212,6 @@
   })
 })
 
-describe('room for a lasting task', () => {
-  const LASTING = { count: 1, cpu: 800, lasting: true }
-  const SHORT = { count: 3, cpu: 100 }
-
-  // Otherwise tasks that need less take each place that becomes free, and it stands still.
-  it('is held while the task waits', (t) => {
-    const agent = fakeAgent('t1', 1000)
-    agent.room.free.cpu -= 300
-    const { starts } = plan([makeJob({}, [LASTING]), makeJob({}, [SHORT])], [agent])
-    t.deepEqual(starts, [])
-  })
-
-  it('is held on one target only', (t) => {
-    const agents = [fakeAgent('t1', 1000), fakeAgent('t2', 1000)]
-    for (const { room } of agents) room.free.cpu -= 300
-    const { starts } = plan([makeJob({}, [LASTING]), makeJob({}, [SHORT])], agents)
-    t.is(starts.length, 3)
-  })
-
-  for (const [title, state, evacuating] of [
-    ['is stopped to restart elsewhere', 'stopping', false],
-    ['is on a target that is evacuated', 'running', true],
-  ] as const) {
-    it(`is held while the task ${title}`, (t) => {
-      const book = createFrozenJobBook()
-      const [task] = book.add(makeJob({}, [LASTING])).occurrences[0]!.steps[0]!.tasks
-      book.place(task!, 't1', 1)
-      const leaving = fakeAgent('t1', 1000, ['r1-1'], false)
-      const placements = new Map([[task!.name, { task, state }]])
-      Object.assign(leaving, { placements, evacuating })
-      const { starts } = plan([makeJob({}, [SHORT])], [leaving, fakeAgent('t2', 1000)])
-      t.is(starts.length, 2)
-    })
-  }
-})
-
 describe('compareUrgency', () => {
   it('orders timely jobs before late ones and late ones before useless ones', (t) => {
     const base = { priority: 0, deadline: 5 }
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -14,11 +14,6 @@
 export const LEASE_MARGIN_MS = 300
 /** Long poll for ended runs. Each poll also renews the leases: six times per lease. */
 export const SYNC_WAIT_MS = 1000
-/**
- * The same while the owner cannot order starts as fast as they become due, in ms: three times per
- * lease. Each poll takes processor time and bandwidth that waiting starts need.
- */
-export const BEHIND_SYNC_WAIT_MS = 2000
 /** Long poll while tasks that use spare processor time are paced by the reports. */
 export const PACED_SYNC_WAIT_MS = 500
 /**
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -1,11 +1,10 @@
 /** Estimates the processor room that a service needs, for its report to the fleet's owner. */
 import { hasSoleSuspect, isStepDone } from '../jobs/index.js'
-import type { Job, JobBook, Step, Task } from '../jobs/index.js'
+import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
 import { createArrivalMeter } from './arrivals.js'
 import type { ArrivalMeter } from './arrivals.js'
-import { couldRun, fitsWhenEmpty } from './placementRules.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
 import type { TargetAgent } from './types.js'
@@ -22,14 +21,6 @@
 /** Room that an owner which is behind requests, as a multiple of the room in use. */
 const BEHIND_HEADROOM = 1.5
 
-/**
- * Wait after which a lasting task without a target counts as not fitting on the present ones, in
- * ms: longer than a new target needs to become usable.
- */
-const UNPLACED_AFTER_MS = 1000
-/** Most targets for lasting tasks, as a multiple of those that would do without fragmentation. */
-const MAX_FRAGMENTATION = 2
-
 /** Jobs without an outcome. */
 type OpenJobs = JobBook['open']
 
@@ -89,26 +80,6 @@
   return Math.ceil(step.tasks.length / maxPerTarget)
 }
 
-/** Lasting steps of open jobs. */
-const lastingSteps = (open: OpenJobs): Step[] =>
-  [...open].flatMap(({ occurrences }) =>
-    occurrences.flatMap(({ steps }) => steps.filter(({ spec }) => spec.lasting)),
-  )
-
-const maxOf = (steps: Step[], valueOf: (step: Step) => number): number =>
-  Math.max(0, ...steps.map(valueOf))
-
-/**
- * Number of tasks of a step that have waited for {@link UNPLACED_AFTER_MS} and for which no target has
- * room; 0 if they wait for something else.
- */
-function countUnplaced(step: Step, agents: TargetAgent[], now: number): number {
-  if (step.job.gated || agents.some((agent) => couldRun(agent, step))) return 0
-  const isUnplaced = ({ phase, readySince }: Task): boolean =>
-    phase === 'ready' && now - readySince > UNPLACED_AFTER_MS
-  return step.tasks.filter(isUnplaced).length
-}
-
 /** Creates a meter without any recorded work. */
 export function createDemandMeter(opts: {
   runTimes: RunTimes
@@ -173,37 +144,6 @@
     }
   }
 
-  /**
-   * Returns the number of targets that lasting tasks need, except those that fit on no target;
-   * undefined while no capacity is known. The room on the present targets may be fragmented, so that
-   * tasks which find none need further ones.
-   */
-  function lastingTargetsOf(
-    all: Step[],
-    agents: TargetAgent[],
-    now: number,
-  ): number | undefined {
-    const sized = agents.filter(({ room }) => room.capacity.cpu > 0)
-    if (sized.length === 0) return undefined
-    const steps = all.filter((step) => sized.some((agent) => fitsWhenEmpty(agent, step)))
-    if (steps.length === 0) return 0
-    const meanRoom = meanRoomOf(sized)
-    const sums = createTotals()
-    let unplaced = 0
-    for (const step of steps) {
-      addStep(sums, step, runTimes, meanRoom)
-      const { cpu, memory } = roomOf(step, meanRoom)
-      const count = countUnplaced(step, agents, now)
-      unplaced += (count * Math.max(cpu, memory)) / meanRoom.cpu
-    }
-    const byRoom = Math.ceil(roomFor(sums, ({ lasting }) => lasting) / meanRoom.cpu)
-    const whole = Math.max(byRoom, maxOf(steps, minTargetsFor))
-    if (unplaced === 0) return whole
-    const open = sized.filter(({ evacuating }) => !evacuating)
-    const further = open.length + Math.ceil(unplaced)
-    return Math.max(whole, Math.min(whole * MAX_FRAGMENTATION, further))
-  }
-
   /** Returns the room that open and expected tasks need. */
   function computeNeed(open: OpenJobs, now: number): Need {
     const all = createTotals()
@@ -249,10 +189,13 @@
     hasGrown: (open, now) =>
       neededCpu(open, now) > reportedCpu * (1 + IMMEDIATE_REPORT_GROWTH),
     report(service, term, open, agents, now) {
+      let minTargets = 0
+      for (const job of open) {
+        for (const { steps } of job.occurrences) {
+          for (const step of steps) minTargets = Math.max(minTargets, minTargetsFor(step))
+        }
+      }
       targetRoom = meanRoomOf(agents)
-      const lasting = lastingSteps(open)
-      const minTargets = maxOf(lasting, minTargetsFor)
-      const lastingTargets = lastingTargetsOf(lasting, agents, now)
       const { cpu, timelyCpu } = computeNeed(open, now)
       reportedCpu = cpu
       sequence++
@@ -263,7 +206,6 @@
         neededCpu: cpu,
         timelyCpu,
         minTargets,
-        lastingTargets,
         targets: agents.map((agent) => ({
           ...loadOf(agent),
           suspect: isSuspect(agent),
--- a/src/scheduler/evacuation.ts
+++ b/src/scheduler/evacuation.ts
@@ -6,9 +6,6 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { FleetAnswer } from '../vms/types.js'
-import { UNRESTRICTED_POLICY } from './placementRules.js'
-import { createRelocationRoom, findMovingTasks } from './planner.js'
-import type { RelocationRoom } from './planner.js'
 import type { TargetAgent } from './types.js'
 import type { Placement } from './targetRuns.js'
 
@@ -17,50 +14,23 @@
  * stopped, in ms. Reports lag by up to one long poll.
  */
 const MIN_RUNNING_MS = 1200
-/**
- * Time for which a lasting task that may start has a claim to room, in ms. One that waits longer
- * waits for something else, and must not keep targets from being emptied.
- */
-const MAX_RESTART_MS = 3000
 
 export interface EvacuationInput {
   agent: TargetAgent
   /** All targets of the service. */
   agents: TargetAgent[]
-  /** Room for the lasting tasks, shared by all targets that are evacuated in one pass. */
-  room: RelocationRoom
   /** Whether tasks with checkpoints are stopped as well, as little time is left. */
   hurry: boolean
   log: Logger
 }
 
-/**
- * Returns the room for lasting tasks that are stopped on evacuated targets, less that of tasks which
- * have not restarted yet: one that is stopped without room elsewhere would stand still.
- * @param ready tasks that may start now
- */
-export function createEvacuationRoom(
-  agents: readonly TargetAgent[],
-  ready: Iterable<Task>,
-): RelocationRoom {
-  // The delay of start orders does not count: a moved task waits for them, but must have room.
-  const room = createRelocationRoom(agents, UNRESTRICTED_POLICY, () => Infinity)
-  for (const { step, agent } of findMovingTasks(agents)) room.reserve(step, agent)
-  const now = monotonicMs()
-  for (const { step, readySince } of ready) {
-    if (step.spec.lasting && now - readySince < MAX_RESTART_MS) room.reserve(step)
-  }
-  return room
-}
-
 /** Stops the tasks that have to leave the target, as far as their steps allow it now. */
-export function evacuateTarget(input: EvacuationInput): void {
-  const { agent, hurry, log } = input
+export function evacuateTarget({ agent, agents, hurry, log }: EvacuationInput): void {
   for (const placement of agent.placements.values()) {
     const { task } = placement
     if (!task || placement.state !== 'running') continue
     const { lasting, checkpoints } = task.step.spec
-    const shouldStop = lasting ? canMove(task, input) : hurry && checkpoints
+    const shouldStop = lasting ? canMove(task, agent, agents) : hurry && checkpoints
     if (!shouldStop) continue
     if (lasting) log.event('lastingMoved', { task: task.name, target: agent.target.id })
     agent.stop(task.name)
@@ -70,13 +40,11 @@
 /**
  * Empties the targets that the fleet's owner names and returns all others to normal use.
  * @param agents returns all targets of the service at this moment
- * @param ready tasks that may start now
  */
 export function applyFleetAnswer(
   { evacuate, hurry, ended }: FleetAnswer,
   agents: () => TargetAgent[],
   log: Logger,
-  ready: Iterable<Task> = [],
 ): void {
   for (const agent of agents()) {
     const { id } = agent.target
@@ -90,22 +58,24 @@
       agent.evacuating = wanted
       log.event('evacuating', { target: id, wanted, runs: agent.placements.size })
     }
-  }
-  if (evacuate.length === 0) return
-  const all = agents()
-  const room = createEvacuationRoom(all, ready)
-  for (const agent of all) {
-    const { id } = agent.target
-    if (evacuate.includes(id))
-      evacuateTarget({ agent, agents: all, room, hurry: hurry.includes(id), log })
+    if (wanted)
+      evacuateTarget({ agent, agents: agents(), hurry: hurry.includes(id), log })
   }
 }
 
-/** Whether a lasting task may be stopped now and has room on another target. */
-function canMove(task: Task, { agent, agents, room }: EvacuationInput): boolean {
+/** Whether another target can run a lasting task, and its step may miss it in the meantime. */
+function canMove(task: Task, agent: TargetAgent, agents: TargetAgent[]): boolean {
+  if (!agents.some((other) => other !== agent && canTake(other, task.step))) return false
   // Tasks left on a draining target end with it, so that waiting has no benefit.
-  const mayStop = agent.target.draining || canInterrupt(task, agents)
-  return mayStop && room.reserve(task.step, agent)
+  return agent.target.draining || canInterrupt(task, agents)
+}
+
+/** Whether a target may run one more task of the step and has room for it. */
+function canTake(agent: TargetAgent, step: Step): boolean {
+  const { label, maxPerTarget } = step.spec
+  if (!agent.isUsable() || !agent.room.fits(step)) return false
+  if (label !== '' && !agent.target.labels.includes(label)) return false
+  return maxPerTarget === 0 || agent.room.countOf(step) < maxPerTarget
 }
 
 /** Whether the step may miss this task in addition to those that are not running now. */
--- a/src/scheduler/leavingTargets.ts
+++ b/src/scheduler/leavingTargets.ts
@@ -3,11 +3,10 @@
  * tasks to other targets and closes their agents once they have no runs left.
  */
 import type { TargetList } from '../directory/index.js'
-import type { Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { MIN_STEADY_LIST_MS } from './constants.js'
-import { createEvacuationRoom, evacuateTarget } from './evacuation.js'
+import { evacuateTarget } from './evacuation.js'
 import type { TargetAgent } from './types.js'
 
 /** Inputs of the checks for leaving targets. */
@@ -15,8 +14,6 @@
   targets: TargetList
   /** All targets of the service. */
   agents: TargetAgent[]
-  /** Tasks that may start now. */
-  ready: Iterable<Task>
   log: Logger
 }
 
@@ -32,19 +29,12 @@
 }
 
 /** Moves tasks off leaving targets, as their runs end with the target. */
-export function evacuateLeaving({
-  targets,
-  agents,
-  ready,
-  log,
-}: LeavingTargetsOptions): void {
-  const leaving = agents.filter(
-    (agent) =>
-      (agent.target.draining || isGoneFromList(agent, targets)) && agent.isAnswering(),
-  )
-  if (leaving.length === 0) return
-  const room = createEvacuationRoom(agents, ready)
-  for (const agent of leaving) evacuateTarget({ agent, agents, room, hurry: true, log })
+export function evacuateLeaving({ targets, agents, log }: LeavingTargetsOptions): void {
+  for (const agent of agents) {
+    const isLeaving = agent.target.draining || isGoneFromList(agent, targets)
+    if (isLeaving && agent.isAnswering())
+      evacuateTarget({ agent, agents, hurry: true, log })
+  }
 }
 
 /**
--- a/src/scheduler/placementRules.ts
+++ b/src/scheduler/placementRules.ts
@@ -98,13 +98,6 @@
   return agent.hold() ?? stepHoldOf(view, step, policy)
 }
 
-/** Whether the target could run the step if nothing else were placed there. */
-export function fitsWhenEmpty(agent: TargetAgent, step: Step): boolean {
-  const { capacity } = agent.room
-  const view = { agent, free: capacity, countOf: () => 0, startsLeft: Infinity }
-  return stepHoldOf(view, step, UNRESTRICTED_POLICY) === undefined
-}
-
 /**
  * Whether the target could run one more task of the step: it answers, is listed, is not draining,
  * and meets the step's needs, label and limit per target. Limits on starts and the placement policy
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -52,33 +52,24 @@
   plannedCounts: Map<Step, number>
   /** Number of lasting tasks, placed or planned. */
   lastingCount: number
-  /** Resources that lasting tasks, placed or planned, leave to others. */
-  beyondLasting: Resources
 }
 
-function subtract(from: Resources, need: Resources): void {
-  from.cpu -= need.cpu
-  from.memMb -= need.memMb
-  from.gpu -= need.gpu
+function countLasting(agent: TargetAgent): number {
+  let count = 0
+  for (const { task } of agent.placements.values()) if (task?.step.spec.lasting) count++
+  return count
 }
 
 function createCandidate(agent: TargetAgent): Candidate {
   const planned = new Map<Step, number>()
-  const candidate = {
+  return {
     agent,
     free: { ...agent.room.free },
     startsLeft: agent.startsLeft(),
     plannedCounts: planned,
-    countOf: (step: Step) => agent.room.countOf(step) + (planned.get(step) ?? 0),
-    lastingCount: 0,
-    beyondLasting: { ...agent.room.capacity },
-  }
-  for (const { task } of agent.placements.values()) {
-    if (!task?.step.spec.lasting) continue
-    candidate.lastingCount++
-    subtract(candidate.beyondLasting, needOf(task.step))
+    countOf: (step) => agent.room.countOf(step) + (planned.get(step) ?? 0),
+    lastingCount: countLasting(agent),
   }
-  return candidate
 }
 
 /** Copies a candidate, so that a gang can be planned on the copy and discarded. */
@@ -88,24 +79,17 @@
   copy.startsLeft = candidate.startsLeft
   for (const [step, count] of candidate.plannedCounts) copy.plannedCounts.set(step, count)
   copy.lastingCount = candidate.lastingCount
-  copy.beyondLasting = { ...candidate.beyondLasting }
   return copy
 }
 
-/** Takes the room of one task of the step. */
-function takeRoom(candidate: Candidate, step: Step): void {
-  const need = needOf(step)
-  subtract(candidate.free, need)
-  candidate.plannedCounts.set(step, (candidate.plannedCounts.get(step) ?? 0) + 1)
-  if (!step.spec.lasting) return
-  candidate.lastingCount++
-  subtract(candidate.beyondLasting, need)
-}
-
-/** Takes the room of one task of the step that is started now. */
 function reserve(candidate: Candidate, step: Step): void {
+  const need = needOf(step)
+  candidate.free.cpu -= need.cpu
+  candidate.free.memMb -= need.memMb
+  candidate.free.gpu -= need.gpu
   candidate.startsLeft--
-  takeRoom(candidate, step)
+  candidate.plannedCounts.set(step, (candidate.plannedCounts.get(step) ?? 0) + 1)
+  if (step.spec.lasting) candidate.lastingCount++
 }
 
 /** Outweighs every other cost. */
@@ -221,75 +205,7 @@
   return crashSuspects.size === 0 ? tasks : crashSuspectsOf(tasks)
 }
 
-/** A lasting task that is to restart on another target. */
-interface MovingTask {
-  step: Step
-  /** Target that the task leaves. */
-  agent: TargetAgent
-}
-
-/** Returns the lasting tasks that are stopped to restart elsewhere. */
-export function findMovingTasks(agents: readonly TargetAgent[]): MovingTask[] {
-  const moving: MovingTask[] = []
-  for (const agent of agents) {
-    for (const { state, task } of agent.placements.values()) {
-      if (state !== 'stopping' || !task?.step.spec.lasting) continue
-      if (!isStopWanted(task.step.job)) moving.push({ step: task.step, agent })
-    }
-  }
-  return moving
-}
-
-/**
- * Returns the steps for which room is kept: those of lasting tasks that are stopped, and of one task
- * of each target that is evacuated, which is stopped as soon as it has room elsewhere.
- */
-function stepsToKeepRoomFor(agents: readonly TargetAgent[]): Step[] {
-  const moving = findMovingTasks(agents)
-  const steps = moving.map(({ step }) => step)
-  for (const agent of agents) {
-    const isLeaving = agent.evacuating || agent.target.draining
-    if (!isLeaving || moving.some((each) => each.agent === agent)) continue
-    for (const { state, task } of agent.placements.values()) {
-      if (state !== 'running' || !task?.step.spec.lasting) continue
-      if (isStopWanted(task.step.job)) continue
-      steps.push(task.step)
-      break
-    }
-  }
-  return steps
-}
-
-const isStopWanted = ({ cancelRequested, outcome }: Job): boolean =>
-  cancelRequested || outcome !== undefined
-
-/**
- * Keeps room for a lasting task that cannot start yet. Tasks that end would otherwise take all room
- * that becomes free, as each of them needs less of it or is ready sooner. Room that only lasting
- * tasks could leave is not kept.
- */
-function keepRoom(candidates: Candidate[], step: Step, { policy }: PlanInput): void {
-  const fitsOn = ({ agent, countOf }: Candidate, free: Resources): boolean =>
-    stepHoldOf({ agent, free, countOf, startsLeft: Infinity }, step, policy) === undefined
-  let best: Candidate | undefined
-  for (const candidate of candidates) {
-    if (fitsOn(candidate, candidate.free)) {
-      best = candidate
-      break
-    }
-    const isBetter = !best || candidate.free.cpu > best.free.cpu
-    if (isBetter && fitsOn(candidate, candidate.beyondLasting)) best = candidate
-  }
-  if (best) takeRoom(best, step)
-}
-
-/** Most lasting steps for which one plan keeps room; each examines all targets. */
-const MAX_KEPT_STEPS = 32
-
-/**
- * Plans starts in the order of urgency, lasting steps first; steps with a sole crash suspect come
- * last. Keeps room for lasting tasks that wait or leave their targets before it plans any other.
- */
+/** Plans starts in the order of urgency; steps with a sole crash suspect come last. */
 export function planStarts(input: PlanInput): Plan {
   const candidates = input.agents.filter((agent) => agent.isUsable()).map(createCandidate)
   const steps = new Map<Step, Task[]>()
@@ -310,25 +226,13 @@
     }))
     .sort(
       (a, b) =>
-        Number(a.isLast) - Number(b.isLast) ||
-        Number(b.step.spec.lasting) - Number(a.step.spec.lasting) ||
-        compareUrgency(a.urgency, b.urgency),
+        Number(a.isLast) - Number(b.isLast) || compareUrgency(a.urgency, b.urgency),
     )
     .map(({ step }) => step)
   const plan: Plan = { starts: [], waiting: new Set() }
   const { startsLeft = Infinity } = input
   const failed: FailedNeeds = new Map()
-  let keptSteps = 0
-  const keepRoomFor = (step: Step): void => {
-    keptSteps++
-    if (keptSteps <= MAX_KEPT_STEPS) keepRoom(candidates, step, input)
-  }
-  let isRoomKept = false
   for (const step of ordered) {
-    if (!isRoomKept && !step.spec.lasting) {
-      isRoomKept = true
-      stepsToKeepRoomFor(input.agents).forEach(keepRoomFor)
-    }
     if (plan.starts.length >= startsLeft) {
       plan.waiting.add(step)
       continue
@@ -345,7 +249,6 @@
       const candidate = chooseUnlessKnownFull(candidates, task, input, failed)
       if (!candidate || plan.starts.length >= startsLeft) {
         plan.waiting.add(step)
-        if (!candidate && step.spec.lasting) keepRoomFor(step)
         break
       }
       reserve(candidate, step)
@@ -359,21 +262,15 @@
 /** Room for runs that are to be moved off their targets. */
 export interface RelocationRoom {
   /** Reserves room for one task of the step on a target other than `from`; false without any. */
-  reserve(step: Step, from?: TargetAgent): boolean
+  reserve(step: Step, from: TargetAgent): boolean
 }
 
-/**
- * Counts the room on the given targets; the runs may come from any target.
- * @param startsLeftOf returns the number of starts that a target may get
- */
+/** Counts the room on the given targets; the runs may come from any target. */
 export function createRelocationRoom(
   agents: readonly TargetAgent[],
   policy: PlacementPolicy,
-  startsLeftOf: (agent: TargetAgent) => number = (agent) => agent.startsLeft(),
 ): RelocationRoom {
-  const candidates = agents
-    .filter((agent) => agent.isUsable())
-    .map((agent) => ({ ...createCandidate(agent), startsLeft: startsLeftOf(agent) }))
+  const candidates = agents.filter((agent) => agent.isUsable()).map(createCandidate)
   return {
     reserve(step, from) {
       const candidate = candidates.find(
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -306,7 +306,7 @@
       follower.reopen()
       follower.forgetExpired()
       newJobs.admitDeferred()
-      evacuateLeaving({ targets, agents: allAgents(), ready: book.ready, log })
+      evacuateLeaving({ targets, agents: allAgents(), log })
       moveUnhealthyRuns({ agents: allAgents(), health, starter, log })
       waitWatch.check(allAgents())
       await livenessCheck.run(allAgents())
@@ -338,7 +338,7 @@
       demand.report(service, authority.term, book.open, allAgents(), monotonicMs()),
     evacuate(answer) {
       fleetAnswered = true
-      applyFleetAnswer(answer, allAgents, log, book.ready)
+      applyFleetAnswer(answer, allAgents, log)
       wake()
     },
     async stop(handOver) {
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -29,7 +29,6 @@
 import {
   MAX_ACK_WAIT_MS,
   ANSWER_TIMEOUT_MS,
-  BEHIND_SYNC_WAIT_MS,
   FINITE_TASK_SYNC_WAIT_MS,
   MIN_ANSWER_TIMEOUT_MS,
   PACED_SYNC_WAIT_MS,
@@ -295,9 +294,9 @@
   /** Time for which the target may hold the poll until a run ends, in ms. */
   function pollWaitMs(): number {
     if (runs.shared().some(({ fills }) => fills)) return PACED_SYNC_WAIT_MS
-    if (startWindow.isBehind()) return BEHIND_SYNC_WAIT_MS
     const isBusy = [...placements.values()].some(({ task }) => !task?.step.spec.lasting)
-    return isBusy ? FINITE_TASK_SYNC_WAIT_MS : SYNC_WAIT_MS
+    // While the owner is behind, shorter polls would take processor time from waiting starts.
+    return isBusy && !startWindow.isBehind() ? FINITE_TASK_SYNC_WAIT_MS : SYNC_WAIT_MS
   }
 
   async function syncUntilClosed(): Promise<void> {
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -30,8 +30,7 @@
   timelyCpu = neededCpu,
 ): ServiceReport => {
   sequence++
-  const need = { neededCpu, timelyCpu, minTargets: 1, lastingTargets: 0 }
-  return { service, term, sequence, ...need, targets }
+  return { service, term, sequence, neededCpu, timelyCpu, minTargets: 1, targets }
 }
 
 function startFleet(
@@ -296,16 +295,6 @@
     await fleet.stop(false)
   })
 
-  it('empties one VM at a time in a wave if lasting tasks need all VMs of a service', async (t) => {
-    const wave = { id: 1, vms: ['m1', 'm2'], durationMs: 3000, maxDown: 2 }
-    const { fleet } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')], [wave])
-    const loads = [load('i1', 3, false), load('i2', 2, false)]
-    const make = () => [{ ...reportOf('a', 15_000, loads), lastingTargets: 2 }]
-    await reportFor(fleet, 1400, make)
-    t.is(fleet.report(make()[0]!)?.evacuate.length, 1)
-    await fleet.stop(false)
-  })
-
   // Otherwise, after a loss of all nodes, the new owner parks nine VMs that the next queue needs
   // 1.7 s later.
   it('parks no VM before it can know the peaks', async (t) => {
--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -21,7 +21,7 @@
   targets: TargetLoad[],
 ): ServiceReport {
   const { cpu: neededCpu, timelyCpu } = need
-  const head = { service, term: 1, sequence: 1, minTargets: 1, lastingTargets: 0 }
+  const head = { service, term: 1, sequence: 1, minTargets: 1 }
   return { ...head, neededCpu, timelyCpu, targets }
 }
 
@@ -78,27 +78,6 @@
     })
   })
 
-  describe('where the lasting tasks of a service lack VMs', () => {
-    const BUSY = { cpu: 9 * VM_CPU, timelyCpu: 9 * VM_CPU }
-    const busy = [2, 3, 4].map((number) => loadOf(number, { runs: 3 }))
-    const reportsOf = (lastingTargets: { a: number; b: number }) => [
-      {
-        ...reportOf('a', TIMELY, [loadOf(1, { runs: 1, lasting: 1 })]),
-        lastingTargets: lastingTargets.a,
-      },
-      { ...reportOf('b', BUSY, busy), lastingTargets: lastingTargets.b },
-    ]
-
-    // Otherwise a task whose VM is moved or maintained stands still until another queue is done.
-    it('takes VMs from a service whose timely work needs all of its VMs', (t) => {
-      t.deepEqual(movesOf(inputOf(vms, reportsOf({ a: 2, b: 0 }))), ['m2 a'])
-    })
-
-    it('takes none that the lasting tasks of another service need', (t) => {
-      t.deepEqual(movesOf(inputOf(vms, reportsOf({ a: 2, b: 3 }))), [])
-    })
-  })
-
   it('takes no VM in use from a service for late work of another', (t) => {
     const busy = [2, 3, 4].map((number) => loadOf(number, { runs: 1 }))
     const reports = [
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -25,7 +25,7 @@
 } from './constants.js'
 import { createOrderRateLimiter } from './orderRateLimiter.js'
 import { createPeakHold } from './peakHold.js'
-import { cpuPerVmOf, minVms, neededVms, planPools } from './poolPlanner.js'
+import { cpuPerVmOf, neededVms, planPools } from './poolPlanner.js'
 import type { PlannedMove } from './poolPlanner.js'
 import { createLatestReports } from './latestReports.js'
 import type { FleetAnswer, ServiceReport } from './types.js'
@@ -102,11 +102,8 @@
         !emptying.has(vm.name) &&
         !orders.pending.has(vm.name),
     )
-    return {
-      usable: usable.length,
-      needed: neededVms(report, report.timelyCpu, cpuPerVmOf(all)),
-      minimum: minVms(report),
-    }
+    const needed = neededVms(report, report.timelyCpu, cpuPerVmOf(all))
+    return { usable: usable.length, needed }
   }
 
   /** Returns the VMs with the loads that the services have reported. */
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -32,16 +32,9 @@
 export function neededVms(report: ServiceReport, cpu: number, cpuPerVm: number): number {
   if (cpuPerVm <= 0) return report.minTargets
   const byLoad = Math.ceil(cpu / (cpuPerVm * PLANNED_UTILIZATION))
-  return Math.max(minVms(report), report.minTargets, byLoad)
+  return Math.max(1, report.minTargets, byLoad)
 }
 
-/** Number of VMs that the lasting tasks of a service need. */
-const lastingVms = ({ lastingTargets, minTargets }: ServiceReport): number =>
-  lastingTargets ?? minTargets
-
-/** Number of VMs that a service keeps for its lasting tasks; at least one. */
-export const minVms = (report: ServiceReport): number => Math.max(1, lastingVms(report))
-
 const isIdle = (load: TargetLoad | undefined): boolean => load?.runs === 0
 
 /** Average capacity of the VMs in the list that have any, in thousandths of a core. */
@@ -55,8 +48,6 @@
 
 /** Gaps relative to each of the demands that are planned for. */
 interface AllGaps {
-  /** Demand of lasting tasks. */
-  lasting: Gaps
   /** Demand of jobs that can still meet their objective. */
   timely: Gaps
   /** Demand of all jobs. */
@@ -80,12 +71,7 @@
 ): AllGaps {
   const { vms, movingTo, emptying } = input
   const cpuPerVm = cpuPerVmOf(vms)
-  const gaps: AllGaps = {
-    lasting: new Map(),
-    timely: new Map(),
-    now: new Map(),
-    kept: new Map(),
-  }
+  const gaps: AllGaps = { timely: new Map(), now: new Map(), kept: new Map() }
   for (const [service, report] of input.reports) {
     // A VM that is being emptied or maintained cannot run the service's tasks, nor can one that
     // works so badly that the owner of the service places no tasks there.
@@ -97,12 +83,6 @@
         !loads.get(vm.targetId)?.suspect,
     ).length
     const needed = neededBy.get(service) ?? 0
-    // A service without lasting tasks gives VMs to those of others, but gets none for its own.
-    const lastingGap = minVms(report) - usable
-    gaps.lasting.set(
-      service,
-      lastingVms(report) > 0 ? lastingGap : Math.min(0, lastingGap),
-    )
     gaps.timely.set(service, neededVms(report, report.timelyCpu, cpuPerVm) - usable)
     gaps.now.set(service, needed - usable)
     gaps.kept.set(service, input.vmsToKeep(service, needed) - usable)
@@ -152,10 +132,9 @@
   needed / Math.max(1, needed - gap)
 
 /**
- * Plans moves. Lasting tasks are served first, if necessary by VMs that other services need for
- * tasks that end; then work that can still be in time, if necessary by VMs whose service has only
- * late work for them; then all work, by spare and idle VMs. If no pool has enough VMs for its late
- * work, the pools share the VMs in proportion to that work.
+ * Plans moves. Work that can still be in time is served first, if necessary by VMs whose service has
+ * only late work for them; then all work, by spare and idle VMs. If no pool has enough VMs for its
+ * late work, the pools share the VMs in proportion to that work.
  */
 export function planPools(input: PoolInput): PlannedMove[] {
   const { sparePool, fitsPool } = input
@@ -195,11 +174,8 @@
         !moves.some((each) => each.vm === other),
     )
 
-  /**
-   * Fills the gaps from the lists in their order, without creating new gaps.
-   * @param perTurn number of VMs after which the next service gets some
-   */
-  const fillGaps = (wanted: Gaps, donors: Vm[][], perTurn = Infinity): void => {
+  /** Fills the gaps from the lists in their order, without creating new gaps. */
+  const fillGaps = (wanted: Gaps, donors: Vm[][]): void => {
     const findFor = (service: string): Vm | undefined => {
       for (const list of donors) {
         const found = list.find(
@@ -215,16 +191,12 @@
       return undefined
     }
     const lacking = [...wanted].filter(([, gap]) => gap > 0).sort((a, b) => b[1] - a[1])
-    let services = lacking.map(([service]) => service)
-    while (services.length > 0) {
-      services = services.filter((service) => {
-        for (let count = 0; count < perTurn; count++) {
-          const vm = (wanted.get(service) ?? 0) > 0 ? findFor(service) : undefined
-          if (!vm) return false
-          move(vm, service)
-        }
-        return true
-      })
+    for (const [service] of lacking) {
+      while ((wanted.get(service) ?? 0) > 0) {
+        const vm = findFor(service)
+        if (!vm) break
+        move(vm, service)
+      }
     }
   }
 
@@ -261,14 +233,12 @@
     }
   }
 
-  const allDonors = [
+  fillGaps(gaps.timely, [
     movable.spare,
     movable.idle,
     movable.suspect,
     movable.withFiniteTasks,
-  ]
-  fillGaps(gaps.lasting, allDonors, 1)
-  fillGaps(gaps.timely, allDonors)
+  ])
   fillGaps(gaps.now, [movable.spare, movable.idle, movable.suspect])
   balanceLateWork()
   if (sparePool === undefined) return moves
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -31,8 +31,6 @@
   timelyCpu: z.number(),
   /** Smallest number of targets on which its lasting steps fit. */
   minTargets: z.number(),
-  /** Number of targets that its lasting tasks need; undefined if the sender does not report it. */
-  lastingTargets: z.number().optional(),
   targets: z.array(targetLoadSchema),
 })
 /** State of a service, as its owner reports it. */
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -16,8 +16,6 @@
   usable: number
   /** VMs that it needs for work that can still be in time; at least one. */
   needed: number
-  /** VMs that it needs for its lasting tasks; at least one. */
-  minimum: number
 }
 
 /** State of the VMs at the start of a step. */
@@ -88,15 +86,12 @@
 
 /**
  * Whether the VM may be emptied now: at first only if its service does not need it. Otherwise, with
- * little spare capacity, a service whose only two VMs are both due starts nothing for 2 s. Later a
- * service whose lasting tasks need all of its VMs gives one at a time, and gets another for it.
+ * little spare capacity, a service whose only two VMs are both due starts nothing for 2 s.
  * @param elapsedShare share of the wave's duration that has passed
  */
 function canSpare(vm: Vm, view: FleetView, elapsedShare: number): boolean {
   const supply = view.supplyOf(vm)
-  if (!supply || elapsedShare > WAVE_HURRY_AFTER) return true
-  if (elapsedShare > WAVE_SPARE_ONLY_UNTIL) return supply.usable >= supply.minimum
-  return supply.usable > supply.needed
+  return !supply || supply.usable > supply.needed || elapsedShare > WAVE_SPARE_ONLY_UNTIL
 }
 
 async function maintain(
