test(vms): share the rig of the owner of the fleet

The specs of the scheduler have had no owner of the fleet to exchange reports with, so that a fault in which both owners take part could not be forced.

--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -1,17 +1,14 @@
 import { ok } from 'neverthrow'
-import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
 import { vmOf } from '../../../test/fixtures.js'
-import type { ConfigurationHolder } from '../../directory/index.js'
-import type { Authority } from '../../ownership/index.js'
+import { startFleetOwner } from '../../../test/fleetRig.js'
 import { VM_ORDER_TIMEOUT_MS } from '../../ports/index.js'
-import type { Documents, Vm, VmCloud, Wave } from '../../ports/index.js'
-import { createMemoryLogger, sleep } from '../../shared/index.js'
-import { PEAK_HOLD_MS, createFleetOwner } from '../index.js'
+import type { Vm, VmCloud, Wave } from '../../ports/index.js'
+import { sleep } from '../../shared/index.js'
+import { PEAK_HOLD_MS } from '../index.js'
 import type { FleetOwner, ServiceReport, TargetLoad } from '../index.js'
 
 let sequence = 0
-const EPOCH = { table: 'epochs', part: '~fleet', key: 'epoch' }
 
 const load = (id: string, runs: number, evacuating: boolean): TargetLoad => ({
   id,
@@ -40,8 +37,6 @@
   predecessorLeaseOverAt = -Infinity,
   ordersPerSecond = 64,
 ) {
-  const table = createRowTable()
-  const version = table.put(EPOCH, '1')
   const orders: { kind: string; vm: string; pool?: string }[] = []
   const state = { confirmed: true, apply: true, busy: false }
   const cloud: VmCloud = {
@@ -60,45 +55,14 @@
       return ok('accepted')
     },
   }
-  const authority: Authority = {
-    service: '~fleet',
-    term: 1,
-    predecessorMayLive: false,
-    predecessorLeaseOverAt,
-    epoch: () => ({ ...EPOCH, version }),
-    adoptEpoch: () => false,
-    mayOrder: () => state.confirmed,
-    isLost: () => false,
-    leaseLeftMs: () => Infinity,
-    isConfirmed: () => state.confirmed,
-    markLost: () => undefined,
-  }
-  const services = new Map(
-    ['a', 'b', 'idle'].map((name) => [
-      name,
-      { name, guardsCapacity: true, spare: name === sparePool },
-    ]),
-  )
-  const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 }
-  const configuration = {
-    current: () => ({ version: 1, queues: [], services, limits }),
-    waves: () => waves,
-  } as unknown as ConfigurationHolder
-  const documents = {
-    waveStatus: {
-      row: (id: number) => ({ table: 'status', part: '', key: String(id) }),
-      encode: (text: string) => text,
-    },
-  } as unknown as Documents
-  const fleet = createFleetOwner({
-    store: table.forNode('n'),
+  const { fleet, table } = startFleetOwner({
     cloud,
-    configuration,
-    documents,
-    authority,
-    holder: 'n',
+    services: ['a', 'b', 'idle'],
+    sparePool,
+    waves,
+    predecessorLeaseOverAt,
     ordersPerSecond,
-    log: createMemoryLogger(),
+    isConfirmed: () => state.confirmed,
   })
   const statusOf = (id: number) =>
     table.get({ table: 'status', part: '', key: String(id) })?.value
