--- /dev/null
+++ b/src/scheduler/__tests__/roomUse.spec.ts
@@ -0,0 +1,35 @@
+import { describe, it } from '../../../test/describe.js'
+import { CAPACITY, createJobRig, makeJob } from '../../../test/jobRig.js'
+import { sleep } from '../../shared/index.js'
+
+describe('roomUse', () => {
+  it('tells taken room and running tasks apart while tasks wait', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => rig.stop())
+    const target = rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    const use = () => rig.log.events.filter(({ name }) => name === 'roomUse')
+    rig.submit(owner, makeJob({ ms: 0, cpu: 500 }, [{ count: 1, lasting: true }]))
+    await sleep(600)
+    t.deepEqual(use(), [])
+
+    rig.submit(owner, makeJob({ ms: 5000, cpu: 1000 }, [{ count: 8 }]))
+    await sleep(2500)
+    t.like(use().at(-1)?.fields, {
+      targets: 1,
+      usable: 1,
+      cpu: CAPACITY.cpu,
+      takenCpu: 3500,
+      runningCpu: 3000,
+      lastingCpu: 500,
+      ready: 5,
+      open: 2,
+      isBehind: false,
+    })
+
+    // Ends that the owner has not heard of still take room.
+    target.faults.silent = true
+    await sleep(1500)
+    t.like(use().at(-1)?.fields, { usable: 0, takenCpu: 3500 })
+  })
+})
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -35,6 +35,8 @@
   noteInherited(jobs: readonly Job[], now: number, wallMs: number): void
   /** Whether the need has grown enough since the last report to be reported at once. */
   hasGrown(open: OpenJobs, now: number): boolean
+  /** Returns the room that the last report requested, in thousandths of a core. */
+  requestedCpu(): number
   report(
     service: string,
     term: number,
@@ -186,6 +188,7 @@
         meter.noteArrival(job, now - ageMs)
       }
     },
+    requestedCpu: () => reportedCpu,
     hasGrown: (open, now) =>
       neededCpu(open, now) > reportedCpu * (1 + IMMEDIATE_REPORT_GROWTH),
     report(service, term, open, agents, now) {
--- /dev/null
+++ b/src/scheduler/roomUse.ts
@@ -0,0 +1,71 @@
+/**
+ * Logs how much of a service's room is in use while tasks wait: what the owner counts as taken, from
+ * each order to the news of the end, and what runs by the last reports of the targets.
+ */
+import type { JobBook } from '../jobs/index.js'
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import { needOf } from './room.js'
+import type { TargetAgent } from './types.js'
+
+/** Interval between two lines, in ms. */
+const LOG_INTERVAL_MS = 1000
+
+/** Dependencies of the log. */
+export interface RoomUseOptions {
+  service: string
+  book: JobBook
+  /** Whether the owner cannot order starts as fast as they become due. */
+  isBehind(): boolean
+  /** Room that the owner last requested, in thousandths of a core. */
+  requestedCpu(): number
+  log: Logger
+}
+
+/** Creates the log; the returned function is to be called periodically. */
+export function createRoomUseLog({
+  service,
+  book,
+  isBehind,
+  requestedCpu,
+  log,
+}: RoomUseOptions): (agents: readonly TargetAgent[]) => void {
+  let loggedAt = -Infinity
+
+  return (agents) => {
+    const now = monotonicMs()
+    if (now - loggedAt < LOG_INTERVAL_MS || book.ready.size === 0) return
+    loggedAt = now
+    const sums = {
+      targets: 0,
+      usable: 0,
+      cpu: 0,
+      takenCpu: 0,
+      runningCpu: 0,
+      lastingCpu: 0,
+    }
+    let starting = 0
+    for (const agent of agents) {
+      if (!agent.listed) continue
+      const { capacity, free } = agent.room
+      sums.targets++
+      if (agent.isUsable()) sums.usable++
+      sums.cpu += capacity.cpu
+      sums.takenCpu += capacity.cpu - free.cpu
+      sums.runningCpu += agent.reportedUse().cpu
+      for (const { state, task } of agent.placements.values()) {
+        if (state === 'starting') starting++
+        if (task?.step.spec.lasting) sums.lastingCpu += needOf(task.step).cpu
+      }
+    }
+    log.event('roomUse', {
+      service,
+      ...sums,
+      requestedCpu: requestedCpu(),
+      starting,
+      ready: book.ready.size,
+      open: book.open.size,
+      isBehind: isBehind(),
+    })
+  }
+}
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -38,6 +38,7 @@
 import { createQueueRows } from './queueRows.js'
 import { createRoster } from './roster.js'
 import { createServiceQuotas } from './serviceQuotas.js'
+import { createRoomUseLog } from './roomUse.js'
 import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
 import { createStartWindow } from './startWindow.js'
@@ -267,6 +268,13 @@
     suspectUntil: health.excludedUntil,
     log,
   })
+  const logRoomUse = createRoomUseLog({
+    service,
+    book,
+    isBehind: startWindow.isBehind,
+    requestedCpu: demand.requestedCpu,
+    log,
+  })
   const follower = createTargetFollower({
     ...shared,
     agents,
@@ -331,6 +339,7 @@
       evacuateLeaving({ targets, agents: allAgents(), log })
       moveUnhealthyRuns({ agents: allAgents(), health, starter, log })
       waitWatch.check(allAgents())
+      logRoomUse(allAgents())
       await livenessCheck.run(allAgents())
       wake()
       await sleep(HOUSEKEEPING_INTERVAL_MS, stopping.signal)
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -6,14 +6,14 @@
 import { isCrashSuspect, noteDelay } from '../jobs/index.js'
 import type { JobBook, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import type { ReportedRun, Target, TargetReport } from '../ports/index.js'
+import type { ReportedRun, Resources, Target, TargetReport } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { SharedRun } from '../sharing/index.js'
 import { MAX_LISTED_ENDS } from './constants.js'
 import { confirmedUptimeMs, findCrashedRuns, isRecentlyStarted } from './crashSuspects.js'
 import type { CrashedRun } from './crashSuspects.js'
-import { createRoom } from './room.js'
+import { createRoom, needOf } from './room.js'
 import type { Room } from './room.js'
 import type { QuotaUsage } from './serviceQuotas.js'
 
@@ -111,6 +111,8 @@
   hasRecentStart(): boolean
   /** Running tasks that share the target, as input of the pacer. */
   shared(): SharedRun[]
+  /** Room taken by the runs in the last report, without lasting ones. */
+  reportedUse(): Resources
 }
 
 /** Dependencies and callbacks of the runs of one target. */
@@ -140,6 +142,8 @@
   const heldRuns = new Map<string, ReportedRun>()
   /** Runs in the last report that are unwanted, with their tasks as far as known. */
   const unwantedRuns: { run: number; task: Task | undefined }[] = []
+  /** Room taken by the runs in the last report, without lasting ones. */
+  let reportedUse: Resources = { cpu: 0, memMb: 0, gpu: 0 }
   /** Ended runs that were passed on before their jobs were read. */
   let unreadEnds: { seq: number; task: string }[] = []
 
@@ -249,6 +253,18 @@
     }
   }
 
+  function noteUse(report: TargetReport): void {
+    reportedUse = { cpu: 0, memMb: 0, gpu: 0 }
+    for (const { task: name } of report.runs) {
+      const step = book.task(name)?.step
+      if (!step || step.spec.lasting) continue
+      const need = needOf(step)
+      reportedUse.cpu += need.cpu
+      reportedUse.memMb += need.memMb
+      reportedUse.gpu += need.gpu
+    }
+  }
+
   /** Records the uptimes of listed runs, so that stable ones are no longer suspects. */
   function noteUptimes(report: TargetReport): void {
     for (const { task: name } of report.runs) {
@@ -304,6 +320,7 @@
       applyEnds(report, silentMs)
       applyPresent(report)
       noteUptimes(report)
+      noteUse(report)
       applyAbsent(report, reportToken)
     },
     fence(token) {
@@ -343,6 +360,7 @@
         (each) => each.state === 'starting' || isRecentlyStarted(each, clockMs),
       ),
     shared: () => [...placements.values()].flatMap(sharedRun),
+    reportedUse: () => reportedUse,
   }
 }
 
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -158,6 +158,7 @@
     'warn',
     'owner cannot order starts as fast as they become due',
   ),
+  roomUse: spec('RS-8070', 'info', 'room of the service and its use while tasks wait'),
   targetReborn: spec(
     'RS-8065',
     'warn',
