fix(scheduler): request room by the tasks that run, and keep to it

Cause: the need of an owner that cannot order starts as fast as they come had two values and no stable point. While starts were answered late it was one and a half times the places taken, each of which is taken from the order to the news of the end; of those 0.2 to 0.8 ran. Once they were answered in time it was the whole backlog, many times the fleet. So the pool grew until the owner was late again, and most of it was empty meanwhile: an owner with 26 to 33 targets placed 2 to 10 starts a second, the same one with 9 to 12 targets 30 to 50.

Change: a limit that follows the tasks that run by the reports of the targets. It falls over seconds, so that a moment of delay costs no VMs, ends only once all open tasks fit, and is kept while a new owner still reads. Where targets are full and starts answered in time it leaves room to grow, of which more than half must be in use before there is more.

--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -11,6 +11,8 @@
     target: { id: 't1' },
     placements: new Map(),
     heldRuns: () => 0,
+    isUsable: () => true,
+    reportedUse: () => ({ cpu: 0, memMb: 0, gpu: 0 }),
     isAnswering: () => true,
     evacuating: false,
     ...fields,
@@ -22,12 +24,14 @@
 const STEP = { count: 4, cpu: 1000, estimateMs: 1000 }
 
 function startMeter(isTimely = true, isBehind = false, step: object = STEP) {
+  const state = { isBehind }
   const book = createFrozenJobBook()
   const runTimes = createRunTimes()
   const demand = createDemandMeter({
     runTimes,
     isTimely: () => isTimely,
-    isBehind: () => isBehind,
+    isBehind: () => state.isBehind,
+    isTakingOver: () => false,
     isSuspect: () => false,
   })
   const add = (number: number, acceptedAtMs: number) =>
@@ -42,7 +46,7 @@
       }),
     )
   const reportAt = (now: number) => demand.report('one', 1, book.open, [], now)
-  return { book, demand, add, reportAt }
+  return { book, demand, add, reportAt, state }
 }
 
 describe('createDemandMeter', () => {
@@ -75,6 +79,45 @@
     t.true(neededCpu >= 4000 && neededCpu < 8000)
   })
 
+  describe('of an owner that was behind', () => {
+    const LONG_AFTER_MS = 20_000
+
+    /** An owner with 20 ready tasks and four placed ones, of which the target reports one. */
+    function startBehind() {
+      const meter = startMeter(true, true)
+      const { steps } = meter.add(1, 0).occurrences[0]!
+      for (let number = 2; number <= 6; number++) meter.add(number, 0)
+      const placements = new Map(
+        steps[0]!.tasks.map((task) => [task.name, { task, state: 'running' }]),
+      )
+      for (const task of steps[0]!.tasks) meter.book.place(task, 't1', 1)
+      const target = toAgent({
+        room: { capacity: ROOM, free: { ...ROOM, cpu: ROOM.cpu - 4000 } },
+        placements,
+        reportedUse: () => ({ cpu: 1000, memMb: 0, gpu: 0 }),
+      })
+      const reportAt = (now: number) =>
+        meter.demand.report('one', 1, meter.book.open, [target], now)
+      return { ...meter, reportAt }
+    }
+
+    // Otherwise its pool is full of places that wait for orders and for news of ends.
+    it('counts only tasks that run by the reports of their targets', (t) => {
+      const { reportAt } = startBehind()
+      reportAt(0)
+      t.true(reportAt(LONG_AFTER_MS).neededCpu < 2000)
+    })
+
+    // Otherwise most VMs of the fleet move to its service and back with each delay of the owner.
+    it('does not jump to the whole backlog when starts are answered in time again', (t) => {
+      const { reportAt, state } = startBehind()
+      reportAt(0)
+      reportAt(LONG_AFTER_MS)
+      state.isBehind = false
+      t.true(reportAt(LONG_AFTER_MS + 150).neededCpu < 2000)
+    })
+  })
+
   it('derives the need from memory if that is the scarcer resource', (t) => {
     const lasting = { count: 4, cpu: 1000, memMb: 32_000, lasting: true }
     const { book, add, demand } = startMeter(true, false, lasting)
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -2,12 +2,14 @@
 import { hasSoleSuspect, isStepDone } from '../jobs/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
+import { PLANNED_UTILIZATION } from '../vms/constants.js'
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
 import { createArrivalMeter } from './arrivals.js'
 import type { ArrivalMeter } from './arrivals.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
 import type { TargetAgent } from './types.js'
+import { createUsableRoom } from './usableRoom.js'
 
 /** Time in which the backlog should be finished, in ms: about the time to add a VM. */
 const CLEAR_BACKLOG_MS = 1500
@@ -18,9 +20,6 @@
  */
 const IMMEDIATE_REPORT_GROWTH = 0.15
 
-/** Room that an owner which is behind requests, as a multiple of the room in use. */
-const BEHIND_HEADROOM = 1.5
-
 /** Jobs without an outcome. */
 type OpenJobs = JobBook['open']
 
@@ -89,13 +88,16 @@
   isTimely(job: Job, now: number): boolean
   /** Whether the owner cannot order starts as fast as they become due. */
   isBehind(): boolean
+  /** Whether the owner still reads the jobs and runs of its predecessor. */
+  isTakingOver(): boolean
   /** Whether evidence against the target keeps tasks off it. */
   isSuspect(agent: TargetAgent): boolean
 }): DemandMeter {
-  const { runTimes, isTimely, isBehind, isSuspect } = opts
+  const { runTimes, isTimely, isBehind, isTakingOver, isSuspect } = opts
   const arrivals = new Map<string, ArrivalMeter>()
   let sequence = 0
   let reportedCpu = 0
+  const usable = createUsableRoom()
   /** Mean capacity of the targets at the last report. */
   let targetRoom: TargetRoom = { cpu: 0, memMb: 0 }
 
@@ -124,12 +126,29 @@
         lasting + Math.max(running, expected) + backlog / CLEAR_BACKLOG_MS,
     )
 
-  /**
-   * Returns the room that an owner which is behind can use. Room beyond what its starts fill would
-   * stay empty while other services lack it.
-   */
-  const usableRoom = (sums: DemandTotals): number =>
-    roomFor(sums, ({ lasting, running }) => lasting + running * BEHIND_HEADROOM)
+  /** Returns the room that the owner can use; Infinity without a limit. */
+  const usableRoom = ({ isolated }: DemandTotals): number =>
+    usable.limit() + isolated * targetRoom.cpu
+
+  function noteUse(
+    sums: DemandTotals,
+    expected: number,
+    agents: TargetAgent[],
+    now: number,
+  ): void {
+    const { isFull, runningShare } = useOf(agents)
+    const others = { ...sums, isolated: 0 }
+    usable.note({
+      now,
+      capacity: targetRoom.cpu * agents.length,
+      lasting: roomFor(others, ({ lasting }) => lasting),
+      running: roomFor(others, ({ running }) => running) * runningShare,
+      required: requiredRoom(sums, expected),
+      isFull,
+      isBehind: isBehind(),
+      isTakingOver: isTakingOver(),
+    })
+  }
 
   function expectedCpu(now: number): number {
     let expected = 0
@@ -147,7 +166,7 @@
   }
 
   /** Returns the room that open and expected tasks need. */
-  function computeNeed(open: OpenJobs, now: number): Need {
+  function computeNeed(open: OpenJobs, agents: TargetAgent[], now: number): Need {
     const all = createTotals()
     const timely = createTotals()
     for (const job of open) {
@@ -156,7 +175,8 @@
     }
     timely.isolated = 0
     const expected = expectedCpu(now)
-    const limit = isBehind() ? usableRoom(all) : Infinity
+    noteUse(all, expected, agents, now)
+    const limit = usableRoom(all)
     return {
       cpu: Math.min(limit, requiredRoom(all, expected)),
       timelyCpu: Math.min(limit, requiredRoom(timely, expected)),
@@ -167,7 +187,7 @@
   function neededCpu(open: OpenJobs, now: number): number {
     const all = createTotals()
     for (const job of open) addJob(all, job)
-    const limit = isBehind() ? usableRoom(all) : Infinity
+    const limit = usableRoom(all)
     return Math.min(limit, requiredRoom(all, expectedCpu(now)))
   }
 
@@ -199,7 +219,7 @@
         }
       }
       targetRoom = meanRoomOf(agents)
-      const { cpu, timelyCpu } = computeNeed(open, now)
+      const { cpu, timelyCpu } = computeNeed(open, agents, now)
       reportedCpu = cpu
       sequence++
       return {
@@ -238,6 +258,37 @@
   return sum
 }
 
+/** How the targets of a service are used. */
+interface TargetUse {
+  /** Whether so much room of those that take new tasks is taken that tasks wait for it. */
+  isFull: boolean
+  /**
+   * Share of the placed tasks, lasting ones left out, that run by the last reports of their targets.
+   * The others wait for their start, or their end has not been heard of.
+   */
+  runningShare: number
+}
+
+function useOf(agents: TargetAgent[]): TargetUse {
+  const open = { cpu: 0, takenCpu: 0 }
+  let placed = 0
+  let running = 0
+  for (const agent of agents) {
+    const { capacity, free } = agent.room
+    if (agent.isUsable()) {
+      open.cpu += capacity.cpu
+      open.takenCpu += capacity.cpu - free.cpu
+    }
+    running += agent.reportedUse().cpu
+    for (const { task } of agent.placements.values())
+      if (task && !task.step.spec.lasting) placed += needOf(task.step).cpu
+  }
+  return {
+    isFull: open.takenCpu >= open.cpu * PLANNED_UTILIZATION,
+    runningShare: placed === 0 ? 1 : Math.min(1, running / placed),
+  }
+}
+
 /** Returns the room that a task of the step takes by resource, in thousandths of a core. */
 function roomOf(step: Step, { cpu, memMb }: TargetRoom): { cpu: number; memory: number } {
   const need = needOf(step)
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -164,6 +164,7 @@
   const demand = createDemandMeter({
     runTimes,
     isBehind: startWindow.isBehind,
+    isTakingOver: () => !gateOpen || book.mayLackJobs,
     isSuspect: (agent) => health.standingOf(agent) !== 'sound',
     isTimely(job, now) {
       if (shares.isBeyondShare(job)) return false
