fix(scheduler): leave targets empty that the owner cannot use

Cause: VMs leave a pool once they are idle. An owner that is short of processor time places its tasks on any target with room and a short queue of orders, so that each of its targets always has a task or two, and none is ever idle.

Change: an owner with a limit keeps its tasks to the targets that it needs, the fullest first; the others run empty, and the owner of the fleet moves them as it always did. Tasks that may not run on any target (lasting ones, labels, limits for each target, gangs, crash suspects) are not kept off. The rule is called `surplus`.

--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -36,6 +36,8 @@
   hasGrown(open: OpenJobs, now: number): boolean
   /** Returns the room that the last report requested, in thousandths of a core. */
   requestedCpu(): number
+  /** Returns the room that the owner can use, in thousandths of a core; Infinity without a limit. */
+  usableCpu(): number
   report(
     service: string,
     term: number,
@@ -209,6 +211,7 @@
       }
     },
     requestedCpu: () => reportedCpu,
+    usableCpu: () => (usable.limit() === Infinity ? Infinity : reportedCpu),
     hasGrown: (open, now) =>
       neededCpu(open, now) > reportedCpu * (1 + IMMEDIATE_REPORT_GROWTH),
     report(service, term, open, agents, now) {
--- a/src/scheduler/placementRules.ts
+++ b/src/scheduler/placementRules.ts
@@ -16,6 +16,7 @@
   | 'label'
   | 'spread'
   | 'roster'
+  | 'surplus'
   | 'isolation'
   | 'suspect'
   | 'ticket'
@@ -43,6 +44,8 @@
   exceedsQuota(step: Step, count?: number): boolean
   /** Whether the target's row is durable, so that the next owner will ask the target for runs. */
   isRostered(agent: TargetAgent): boolean
+  /** Whether the owner does not need the target for the step, and leaves it to be moved. */
+  isSurplus(agent: TargetAgent, step: Step): boolean
   /** Whether isolation of crash suspects keeps the step from the target. */
   isIsolated(agent: TargetAgent, step: Step): boolean
   /** Whether evidence against the target keeps the step from it. */
@@ -55,6 +58,7 @@
 export const UNRESTRICTED_POLICY: PlacementPolicy = {
   exceedsQuota: () => false,
   isRostered: () => true,
+  isSurplus: () => false,
   isIsolated: () => false,
   isSuspect: () => false,
   lacksTicket: () => false,
@@ -77,6 +81,7 @@
   spread: (view, step) =>
     step.spec.maxPerTarget > 0 && view.countOf(step) >= step.spec.maxPerTarget,
   roster: ({ agent }, _step, policy) => !policy.isRostered(agent),
+  surplus: ({ agent }, step, policy) => policy.isSurplus(agent, step),
   isolation: ({ agent }, step, policy) => policy.isIsolated(agent, step),
   suspect: ({ agent }, step, policy) => policy.isSuspect(agent, step),
   ticket: ({ agent }, step, policy) => policy.lacksTicket(agent, step),
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -260,7 +260,7 @@
     shares,
     log,
   }
-  const starter = createStarter(shared)
+  const starter = createStarter({ ...shared, usableCpu: demand.usableCpu })
   const waitWatch = createWaitWatch({
     book,
     policyNow: starter.policyNow,
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -9,6 +9,7 @@
 import type { Health } from './health.js'
 import type { PlacementPolicy } from './placementRules.js'
 import type { Isolation, IsolationRound } from './isolation.js'
+import { createPacking } from './packing.js'
 import { planStarts } from './planner.js'
 import type { QuotaRound, ServiceQuotas } from './serviceQuotas.js'
 import type { StartWindow } from './startWindow.js'
@@ -34,6 +35,8 @@
   startWindow: StartWindow
   quotas: ServiceQuotas
   shares: FairShares
+  /** Room that the owner can use, in thousandths of a core; Infinity without a limit. */
+  usableCpu(): number
   log: Logger
 }
 
@@ -65,13 +68,17 @@
       maxAttemptsOf: (job) => configuration.queue(job.spec.queue)?.maxAttempts ?? 1,
     })
 
+  const isSound = (agent: TargetAgent): boolean => health.standingOf(agent) === 'sound'
+
   const policyOf = (
+    agents: readonly TargetAgent[],
     { isSuspect }: SuspectRound,
     { forbids }: IsolationRound,
     { exceeds }: QuotaRound,
   ): PlacementPolicy => ({
     exceedsQuota: exceeds,
     isRostered: (agent) => roster.has(agent.target.id),
+    isSurplus: createPacking(agents, opts.usableCpu(), isSound),
     isIsolated: forbids,
     isSuspect,
     lacksTicket: (agent, step) =>
@@ -109,7 +116,7 @@
       ready: book.ready,
       agents,
       urgencyOf: createUrgencyLookup(now),
-      policy: policyOf(round, isolationRound, quotaRound),
+      policy: policyOf(agents, round, isolationRound, quotaRound),
       penaltyOf: health.penaltyOf,
       hasStepPolicy: (step) => needsTicket(step) || step.crashSuspects.size > 0,
       mayTry: round.mayUseSuspects,
@@ -136,6 +143,7 @@
   return {
     policyNow: (agents) =>
       policyOf(
+        agents,
         beginRound(agents, monotonicMs()),
         isolation.begin(agents),
         quotas.begin(),
--- a/test/fleetRig.ts
+++ b/test/fleetRig.ts
@@ -1,15 +1,18 @@
-/** Owner of the fleet with an in-memory store. */
+/** Owner of the fleet with an in-memory store, and a cloud for the targets of a job rig. */
+import { ok } from 'neverthrow'
 import { createRowTable } from '../playground/sim/rowTable.js'
 import type { ConfigurationHolder } from '../src/directory/index.js'
 import type { Authority } from '../src/ownership/index.js'
-import type { Documents, VmCloud, Wave } from '../src/ports/index.js'
+import type { Documents, Resources, Vm, VmCloud, Wave } from '../src/ports/index.js'
 import { createMemoryLogger } from '../src/shared/index.js'
 import { createFleetOwner } from '../src/vms/index.js'
 import type { FleetOwner } from '../src/vms/index.js'
+import { SERVICE } from './jobRig.js'
+import type { JobRig } from './jobRig.js'
 
 const EPOCH = { table: 'epochs', part: '~fleet', key: 'epoch' }
 /** Pool of the VMs that are switched off. */
-const SPARE_POOL = 'idle'
+export const SPARE_POOL = 'idle'
 
 /** Starts an owner of the fleet, by default right after one that has released its lease. */
 export function startFleetOwner(opts: {
@@ -66,3 +69,59 @@
   })
   return { fleet, table }
 }
+
+/** Cloud whose VMs run the targets of a job rig. */
+export interface RigCloud {
+  vms: readonly Vm[]
+  cloud: VmCloud
+}
+
+/** Adds VMs to the rig: some in the pool of {@link SERVICE}, the others in {@link SPARE_POOL}. */
+export function startRigCloud(
+  rig: JobRig,
+  opts: {
+    inPool: number
+    spare: number
+    capacity: Resources
+    /** Time that a move takes, in ms. */
+    moveMs: number
+  },
+): RigCloud {
+  const { capacity } = opts
+  const pools = [
+    ...Array<string>(opts.inPool).fill(SERVICE),
+    ...Array<string>(opts.spare).fill(SPARE_POOL),
+  ]
+  let lives = 0
+
+  function boot(vm: Vm): void {
+    lives++
+    vm.state = 'up'
+    vm.targetId = `i${lives}`
+    if (vm.pool === SERVICE) rig.addTarget(vm.targetId, { capacity })
+  }
+
+  function shutDown({ targetId }: Vm): void {
+    rig.targets.get(targetId)?.crash()
+    rig.targets.delete(targetId)
+    rig.removeListEntry(targetId)
+  }
+
+  const vms = pools.map((pool, index): Vm => {
+    const name = `m${index + 1}`
+    return { name, pool, state: 'up', hall: 'h1', labels: [], capacity, targetId: '' }
+  })
+  vms.forEach(boot)
+  const cloud: VmCloud = {
+    list: async () => ok(vms.map((vm) => ({ ...vm }))),
+    async move(name, pool) {
+      const vm = vms.find((each) => each.name === name)!
+      shutDown(vm)
+      Object.assign(vm, { state: 'moving', pool, targetId: '' })
+      setTimeout(() => boot(vm), opts.moveMs).unref()
+      return ok('accepted')
+    },
+    maintain: async () => ok('notDue'),
+  }
+  return { vms, cloud }
+}
