perf(scheduler): poll idle targets less often while their owner is behind

Change: while it is behind, it polls targets without tasks every 2 s, the longest that targets accept, instead of every second. Targets with tasks are polled as before, so that ends are heard as soon as they are.

--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -14,6 +14,11 @@
 export const LEASE_MARGIN_MS = 300
 /** Long poll for ended runs. Each poll also renews the leases: six times per lease. */
 export const SYNC_WAIT_MS = 1000
+/**
+ * Long poll of a target without tasks while its owner is behind, the longest that targets accept: polls
+ * of many idle targets would take the processor time that its starts need.
+ */
+export const IDLE_SYNC_WAIT_MS = 2000
 /** Long poll while tasks that use spare processor time are paced by the reports. */
 export const PACED_SYNC_WAIT_MS = 500
 /**
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -30,6 +30,7 @@
   MAX_ACK_WAIT_MS,
   ANSWER_TIMEOUT_MS,
   FINITE_TASK_SYNC_WAIT_MS,
+  IDLE_SYNC_WAIT_MS,
   MIN_ANSWER_TIMEOUT_MS,
   PACED_SYNC_WAIT_MS,
   STABLE_CHECK_MARGIN_MS,
@@ -299,7 +300,9 @@
     if (runs.shared().some(({ fills }) => fills)) return PACED_SYNC_WAIT_MS
     const isBusy = [...placements.values()].some(({ task }) => !task?.step.spec.lasting)
     // While the owner is behind, shorter polls would take processor time from waiting starts.
-    return isBusy && !startWindow.isBehind() ? FINITE_TASK_SYNC_WAIT_MS : SYNC_WAIT_MS
+    if (startWindow.isBehind())
+      return placements.size === 0 ? IDLE_SYNC_WAIT_MS : SYNC_WAIT_MS
+    return isBusy ? FINITE_TASK_SYNC_WAIT_MS : SYNC_WAIT_MS
   }
 
   async function syncUntilClosed(): Promise<void> {
