--- a/src/scheduler/__tests__/unusedRoom.spec.ts
+++ b/src/scheduler/__tests__/unusedRoom.spec.ts
@@ -1,12 +1,4 @@
-/**
- * Guards against accepted jobs that stand still while most of their service's room is unused.
- *
- * An owner with little processor time starts 50 tasks per second, whatever it has. It counted each
- * task as running from its order to the news of its end, and requested half as much room again.
- * Once its starts were answered in time it requested room for its whole backlog, so that its pool
- * went from 10 to 40 VMs and back every few seconds. VMs beyond the need were kept as long as each
- * of them had a task.
- */
+/** Guards against accepted jobs that stand still while most of their service's room is unused. */
 import { createSlowOrders } from '../../../playground/sim/slowOrders.js'
 import { describe, it } from '../../../test/describe.js'
 import { SPARE_POOL, startFleetOwner, startRigCloud } from '../../../test/fleetRig.js'
