fix(playground): take the ports of node processes from reserved blocks

Cause: the ports of a node in a child process were drawn at random and checked to be free. Until the node listened, another test could take them. If a server of another test answers at the readiness port, the test sends SIGTERM before Node.js has started, and the node ends without a line. Ruled out: a wait of 60 s, by the order of the results, and lines lost at the exit (0 of 45, 0 of 69 planned stops). Change: nodes in child processes use the blocks that playground/ports.ts reserves by thread, as the stand-ins do since. The product is unchanged.

--- a/playground/__tests__/ports.spec.ts
+++ b/playground/__tests__/ports.spec.ts
@@ -3,9 +3,14 @@
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../test/describe.js'
 import { freePort } from '../ports.js'
+import { writeNodeSettings } from '../sim/nodeProcess.js'
+import type { NodeSettings } from '../sim/nodeProcess.js'
 
 const PORTS_EACH = 20
 
+/** Nodes whose settings are written; enough for several blocks of ports. */
+const NODES = 150
+
 /** Prints the ports that it allocates, and runs until its input ends. */
 const PROGRAM = `
   const { freePort } = await import(process.argv[1])
@@ -35,3 +40,17 @@
     t.is(new Set(all).size, PORTS_EACH * 4)
   })
 })
+
+describe('writeNodeSettings', () => {
+  it('gives each node ports of its own', async (t) => {
+    const platform = { storeAddress: '127.0.0.1:1' }
+    const nodes: NodeSettings[] = []
+    while (nodes.length < NODES) {
+      nodes.push(await writeNodeSettings(platform, `n${nodes.length}`, 'h1'))
+    }
+    const ports = nodes.flatMap(({ callers, readiness, metrics }) =>
+      [callers, readiness, new URL(metrics).host].map((address) => address.split(':')[1]),
+    )
+    t.is(new Set(ports).size, ports.length)
+  })
+})
--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -2,9 +2,9 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { mkdtempSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { freePort } from '../ports.js'
 import type { SimPlatform } from './wireServer.js'
 
 const HOST = '127.0.0.1'
@@ -48,27 +48,6 @@
   kill(signal?: NodeJS.Signals): Promise<void>
 }
 
-/**
- * Ports below the ephemeral range of the system, so that no outgoing connection holds the port
- * of a node that restarts. With ports of that range, one of 80 nodes found its port taken.
- */
-const FIRST_PORT = 15_000
-const PORTS = 17_000
-
-const canListen = (port: number): Promise<boolean> =>
-  new Promise((resolve) => {
-    const server = createServer()
-    server.once('error', () => resolve(false))
-    server.listen(port, HOST, () => server.close(() => resolve(true)))
-  })
-
-async function freePort(): Promise<number> {
-  for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
-    if (await canListen(port)) return port
-  }
-}
-
 /** Addresses of a node and the settings file that contains them. */
 export interface NodeSettings {
   callers: string
@@ -78,7 +57,10 @@
   file: string
 }
 
-/** Picks free ports for a node and writes its settings to a new temporary directory. */
+/**
+ * Allocates ports that no other node of the tests uses, and writes the settings of a node to a new
+ * temporary directory.
+ */
 export async function writeNodeSettings(
   platform: { storeAddress: string; cloudAddress?: string | undefined },
   name: string,
