--- a/playground/__tests__/processLife.spec.ts
+++ b/playground/__tests__/processLife.spec.ts
@@ -121,13 +121,13 @@
   it('completes a graceful stop despite a second stop signal', async (t) => {
     const platform = await startPlatform()
     const node = await startNodeProcess(platform, 'n1', 'h1')
-    t.true(await becomesReady(node))
+    t.true(await becomesReady(node), node.output())
     node.child.kill('SIGTERM')
-    t.true(await waitUntil(node, () => hasLogged(node, 'kernelStopping')))
+    t.true(await waitUntil(node, () => hasLogged(node, 'kernelStopping')), node.output())
     node.child.kill('SIGTERM')
-    t.true(await waitUntil(node, () => isGone(node)))
+    t.true(await waitUntil(node, () => isGone(node)), node.output())
     t.is(node.child.exitCode, 0)
-    t.true(hasLogged(node, 'kernelStopped'))
+    t.true(hasLogged(node, 'kernelStopped'), node.output())
     await platform.close()
   })
 
