refactor(scheduler): read the room taken on a target in one place

What a target's tasks take was subtracted in five places: takenCpuOf does it. Agents report only the processor room of the runs in the last report, as memory and GPUs of it were summed at each report and read by nobody. The need of all open tasks is computed once for a report instead of twice. Decisions are the same.

--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -12,7 +12,7 @@
     placements: new Map(),
     heldRuns: () => 0,
     isUsable: () => true,
-    reportedUse: () => ({ cpu: 0, memMb: 0, gpu: 0 }),
+    reportedCpu: () => 0,
     isAnswering: () => true,
     evacuating: false,
     ...fields,
@@ -94,7 +94,7 @@
       const target = toAgent({
         room: { capacity: ROOM, free: { ...ROOM, cpu: ROOM.cpu - 4000 } },
         placements,
-        reportedUse: () => ({ cpu: 1000, memMb: 0, gpu: 0 }),
+        reportedCpu: () => 1000,
       })
       const reportAt = (now: number) =>
         meter.demand.report('one', 1, meter.book.open, [target], now)
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -6,7 +6,7 @@
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
 import { createArrivalMeter } from './arrivals.js'
 import type { ArrivalMeter } from './arrivals.js'
-import { needOf } from './room.js'
+import { needOf, takenCpuOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
 import type { TargetAgent } from './types.js'
 import { createUsableRoom } from './usableRoom.js'
@@ -134,7 +134,7 @@
 
   function noteUse(
     sums: DemandTotals,
-    expected: number,
+    required: number,
     agents: TargetAgent[],
     now: number,
   ): void {
@@ -145,7 +145,7 @@
       capacity: targetRoom.cpu * agents.length,
       lasting: roomFor(others, ({ lasting }) => lasting),
       running: roomFor(others, ({ running }) => running) * runningShare,
-      required: requiredRoom(sums, expected),
+      required,
       isFull,
       isBehind: isBehind(),
       isTakingOver: isTakingOver(),
@@ -177,10 +177,11 @@
     }
     timely.isolated = 0
     const expected = expectedCpu(now)
-    noteUse(all, expected, agents, now)
+    const required = requiredRoom(all, expected)
+    noteUse(all, required, agents, now)
     const limit = usableRoom(all)
     return {
-      cpu: Math.min(limit, requiredRoom(all, expected)),
+      cpu: Math.min(limit, required),
       timelyCpu: Math.min(limit, requiredRoom(timely, expected)),
     }
   }
@@ -277,12 +278,11 @@
   let placed = 0
   let running = 0
   for (const agent of agents) {
-    const { capacity, free } = agent.room
     if (agent.isUsable()) {
-      open.cpu += capacity.cpu
-      open.takenCpu += capacity.cpu - free.cpu
+      open.cpu += agent.room.capacity.cpu
+      open.takenCpu += takenCpuOf(agent.room)
     }
-    running += agent.reportedUse().cpu
+    running += agent.reportedCpu()
     for (const { task } of agent.placements.values())
       if (task && !task.step.spec.lasting) placed += needOf(task.step).cpu
   }
@@ -327,7 +327,6 @@
 function loadOf(agent: TargetAgent): Omit<TargetLoad, 'suspect'> {
   const placements = [...agent.placements.values()]
   const lasting = placements.filter(({ task }) => task?.step.spec.lasting).length
-  const { capacity, free } = agent.room
   const known = placements.length + agent.heldRuns()
   return {
     id: agent.target.id,
@@ -335,6 +334,6 @@
     runs: agent.isAnswering() ? known : Math.max(1, known),
     lasting,
     evacuating: agent.evacuating,
-    usedCpu: capacity.cpu - free.cpu,
+    usedCpu: takenCpuOf(agent.room),
   }
 }
--- a/src/scheduler/packing.ts
+++ b/src/scheduler/packing.ts
@@ -5,6 +5,7 @@
  */
 import type { Step } from '../jobs/index.js'
 import { PLANNED_UTILIZATION } from '../vms/constants.js'
+import { takenCpuOf } from './room.js'
 import type { TargetAgent } from './types.js'
 
 /** Returns whether a step is kept off a target that the owner does not need. */
@@ -18,8 +19,6 @@
   spec.maxPerTarget === 0 &&
   crashSuspects.size === 0
 
-const takenCpu = ({ room }: TargetAgent): number => room.capacity.cpu - room.free.cpu
-
 /**
  * Chooses the targets that the owner needs, those in use first.
  * @param usableCpu room that the owner can use, in thousandths of a core; Infinity without a limit
@@ -34,7 +33,7 @@
   const usable = agents.filter((agent) => agent.isUsable() && isSound(agent))
   const surplus = new Set<TargetAgent>()
   let missingCpu = usableCpu / PLANNED_UTILIZATION
-  for (const agent of usable.sort((a, b) => takenCpu(b) - takenCpu(a))) {
+  for (const agent of usable.sort((a, b) => takenCpuOf(b.room) - takenCpuOf(a.room))) {
     if (missingCpu <= 0) surplus.add(agent)
     missingCpu -= agent.room.capacity.cpu
   }
--- a/src/scheduler/room.ts
+++ b/src/scheduler/room.ts
@@ -22,6 +22,10 @@
   return { cpu: spec.fills ? 0 : spec.cpu, memMb: spec.memMb, gpu: spec.gpu }
 }
 
+/** Processor room that is not free, in thousandths of a core. */
+export const takenCpuOf = ({ capacity, free }: Pick<Room, 'capacity' | 'free'>): number =>
+  capacity.cpu - free.cpu
+
 export function createRoom(initial: Resources): Room {
   let capacity = { ...initial }
   const free = { ...initial }
--- a/src/scheduler/roomUse.ts
+++ b/src/scheduler/roomUse.ts
@@ -5,7 +5,7 @@
 import type { JobBook } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import { needOf } from './room.js'
+import { needOf, takenCpuOf } from './room.js'
 import type { TargetAgent } from './types.js'
 
 /** Interval between two lines, in ms. */
@@ -47,12 +47,11 @@
     let starting = 0
     for (const agent of agents) {
       if (!agent.listed) continue
-      const { capacity, free } = agent.room
       sums.targets++
       if (agent.isUsable()) sums.usable++
-      sums.cpu += capacity.cpu
-      sums.takenCpu += capacity.cpu - free.cpu
-      sums.runningCpu += agent.reportedUse().cpu
+      sums.cpu += agent.room.capacity.cpu
+      sums.takenCpu += takenCpuOf(agent.room)
+      sums.runningCpu += agent.reportedCpu()
       for (const { state, task } of agent.placements.values()) {
         if (state === 'starting') starting++
         if (task?.step.spec.lasting) sums.lastingCpu += needOf(task.step).cpu
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -398,7 +398,7 @@
     hasRecentStart: runs.hasRecentStart,
     startsLeft: sender.startsLeft,
     heldRuns: runs.heldCount,
-    reportedUse: runs.reportedUse,
+    reportedCpu: runs.reportedCpu,
     adoptKnown: runs.adoptKnown,
     pace(name, percent) {
       const placement = placements.get(name)
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -6,7 +6,7 @@
 import { isCrashSuspect, noteDelay } from '../jobs/index.js'
 import type { JobBook, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import type { ReportedRun, Resources, Target, TargetReport } from '../ports/index.js'
+import type { ReportedRun, Target, TargetReport } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { SharedRun } from '../sharing/index.js'
@@ -111,8 +111,8 @@
   hasRecentStart(): boolean
   /** Running tasks that share the target, as input of the pacer. */
   shared(): SharedRun[]
-  /** Room taken by the runs in the last report, without lasting ones. */
-  reportedUse(): Resources
+  /** Processor room of the runs in the last report without lasting ones, in thousandths of a core. */
+  reportedCpu(): number
 }
 
 /** Dependencies and callbacks of the runs of one target. */
@@ -142,8 +142,8 @@
   const heldRuns = new Map<string, ReportedRun>()
   /** Runs in the last report that are unwanted, with their tasks as far as known. */
   const unwantedRuns: { run: number; task: Task | undefined }[] = []
-  /** Room taken by the runs in the last report, without lasting ones. */
-  let reportedUse: Resources = { cpu: 0, memMb: 0, gpu: 0 }
+  /** Processor room of the runs in the last report without lasting ones, in thousandths of a core. */
+  let reportedCpu = 0
   /** Ended runs that were passed on before their jobs were read. */
   let unreadEnds: { seq: number; task: string }[] = []
 
@@ -254,14 +254,10 @@
   }
 
   function noteUse(report: TargetReport): void {
-    reportedUse = { cpu: 0, memMb: 0, gpu: 0 }
+    reportedCpu = 0
     for (const { task: name } of report.runs) {
       const step = book.task(name)?.step
-      if (!step || step.spec.lasting) continue
-      const need = needOf(step)
-      reportedUse.cpu += need.cpu
-      reportedUse.memMb += need.memMb
-      reportedUse.gpu += need.gpu
+      if (step && !step.spec.lasting) reportedCpu += needOf(step).cpu
     }
   }
 
@@ -360,7 +356,7 @@
         (each) => each.state === 'starting' || isRecentlyStarted(each, clockMs),
       ),
     shared: () => [...placements.values()].flatMap(sharedRun),
-    reportedUse: () => reportedUse,
+    reportedCpu: () => reportedCpu,
   }
 }
 
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -1,6 +1,6 @@
 /** The interface of target agents, through which the owner of a service uses its targets. */
 import type { Task } from '../jobs/index.js'
-import type { Resources, Target } from '../ports/index.js'
+import type { Target } from '../ports/index.js'
 import type { Room } from './room.js'
 import type { Placement } from './targetRuns.js'
 
@@ -65,8 +65,8 @@
   startsLeft(): number
   /** Number of runs in the last report whose jobs are held; they have no placement. */
   heldRuns(): number
-  /** Room taken by the runs in the last report, without lasting ones. */
-  reportedUse(): Resources
+  /** Processor room of the runs in the last report without lasting ones, in thousandths of a core. */
+  reportedCpu(): number
   /** Adopts held runs whose jobs have become known since. */
   adoptKnown(): void
   /** Orders the speed of a task that uses spare processor time, in percent of its usual speed. */
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -11,6 +11,7 @@
 import type { Logger } from '../shared/index.js'
 import { couldRun, holdOf } from './placementRules.js'
 import type { Hold, PlacementPolicy } from './placementRules.js'
+import { takenCpuOf } from './room.js'
 import type { TargetAgent } from './types.js'
 
 /** A wait is reported after this time, in ms: callers and operators expect a reason within 1 s. */
@@ -185,7 +186,7 @@
   let all = 0
   for (const { room, target, listed } of agents) {
     if (!listed || target.draining) continue
-    used += room.capacity.cpu - room.free.cpu
+    used += takenCpuOf(room)
     all += room.capacity.cpu
   }
   return used >= all * BUSY_SHARE
