--- a/src/scheduler/__tests__/roomUse.spec.ts
+++ b/src/scheduler/__tests__/roomUse.spec.ts
@@ -32,4 +32,20 @@
     await sleep(1500)
     t.like(use().at(-1)?.fields, { usable: 0, takenCpu: 3500 })
   })
+
+  it('counts the targets that wait for the store', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => rig.stop())
+    rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    rig.submit(owner, makeJob({ ms: 100, cpu: 1000 }, [{ count: 12 }]))
+    await sleep(30)
+    rig.table.faults.down = true
+    rig.addTarget('t2')
+    await sleep(1500)
+    rig.table.faults.down = false
+    const use = rig.log.events.filter(({ name }) => name === 'roomUse')
+    t.true(use.some(({ fields }) => fields['withoutRow'] === 1))
+    t.true(use.some(({ fields }) => fields['awaitingProgress'] === 1))
+  })
 })
--- a/src/scheduler/roomUse.ts
+++ b/src/scheduler/roomUse.ts
@@ -19,6 +19,8 @@
   isBehind(): boolean
   /** Room that the owner last requested, in thousandths of a core. */
   requestedCpu(): number
+  /** Whether the row of the target is durable, so that tasks may start there. */
+  hasRow(targetId: string): boolean
   log: Logger
 }
 
@@ -28,6 +30,7 @@
   book,
   isBehind,
   requestedCpu,
+  hasRow,
   log,
 }: RoomUseOptions): (agents: readonly TargetAgent[]) => void {
   let loggedAt = -Infinity
@@ -39,6 +42,8 @@
     const sums = {
       targets: 0,
       usable: 0,
+      withoutRow: 0,
+      awaitingProgress: 0,
       cpu: 0,
       takenCpu: 0,
       runningCpu: 0,
@@ -49,6 +54,8 @@
       if (!agent.listed) continue
       sums.targets++
       if (agent.isUsable()) sums.usable++
+      if (!hasRow(agent.target.id)) sums.withoutRow++
+      if (agent.isAwaitingProgress()) sums.awaitingProgress++
       sums.cpu += agent.room.capacity.cpu
       sums.takenCpu += takenCpuOf(agent.room)
       sums.runningCpu += agent.reportedCpu()
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -274,6 +274,7 @@
     book,
     isBehind: startWindow.isBehind,
     requestedCpu: demand.requestedCpu,
+    hasRow: roster.has,
     log,
   })
   const follower = createTargetFollower({
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -107,6 +107,7 @@
   /** Monotonic time of the first report of this incarnation, in ms; Infinity before. */
   let firstReportAt = Infinity
   let isGone = false
+  let isAwaitingProgress = false
   let pausedUntil = 0
 
   const hasReported = (): boolean => firstReportAt < Infinity
@@ -313,7 +314,9 @@
         await sleep(SYNC_RETRY_MS, signal)
         continue
       }
-      if (runs.ackableEndSeq() > ackedSeq) await progress.flushed(MAX_ACK_WAIT_MS)
+      isAwaitingProgress = runs.ackableEndSeq() > ackedSeq
+      if (isAwaitingProgress) await progress.flushed(MAX_ACK_WAIT_MS)
+      isAwaitingProgress = false
       // A target answers a poll at once while ended runs are unacknowledged, so pause here.
       if (runs.lastEndSeq() > runs.ackableEndSeq()) await sleep(MAX_ACK_WAIT_MS, signal)
       const isCaughtUp = hasReported() && runs.lastEndSeq() === ackedSeq
@@ -373,6 +376,7 @@
     firstReportAt: () => firstReportAt,
     isStateKnown: () => hasReported() || isGone || lease.isExpired(),
     isSilent: () => !silence.isAnswering(),
+    isAwaitingProgress: () => isAwaitingProgress,
     isAnswering: () => silence.isAnswering() && hasReported() && !isGone,
     update(next) {
       if (next.draining && !target.draining) {
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -45,6 +45,8 @@
   leaseExpiresAt(): number
   /** Whether the target has reported and is neither silent nor gone. */
   isAnswering(): boolean
+  /** Whether the next poll waits until ends that the target has listed are durable. */
+  isAwaitingProgress(): boolean
   /** Whether a call has failed since the last answer, or at all if none has been answered. */
   isSilent(): boolean
   /** Whether the target is being evacuated and gets no new tasks. */
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -222,6 +222,11 @@
     'info',
     'long-running task stopped to restart on another target',
   ),
+  vmsLacking: spec(
+    'RS-9009',
+    'info',
+    'service lacks VMs, and what the moves to it wait for',
+  ),
   settingsRejected: spec(
     'RS-8044',
     'error',
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -55,7 +55,7 @@
       return ok('accepted')
     },
   }
-  const { fleet, table } = startFleetOwner({
+  const { fleet, table, log } = startFleetOwner({
     cloud,
     services: ['a', 'b', 'idle'],
     sparePool,
@@ -66,7 +66,7 @@
   })
   const statusOf = (id: number) =>
     table.get({ table: 'status', part: '', key: String(id) })?.value
-  return { fleet, orders, state, statusOf }
+  return { fleet, orders, state, statusOf, log }
 }
 
 /** Reports every 50 ms for `ms`; `make` gets the targets to empty from the last answer. */
@@ -115,6 +115,32 @@
     })
   })
 
+  it('logs what the moves to a service wait for', async (t) => {
+    const vms = [
+      vmOf(1, 'a'),
+      vmOf(2, 'b'),
+      vmOf(3, 'b'),
+      vmOf(4, 'idle'),
+      vmOf(5, 'idle'),
+    ]
+    const { fleet, log } = startFleet(vms, [], 'idle', -Infinity, 2)
+    await reportFor(fleet, 200, () => [
+      reportOf('a', 4e6, [load('i1', 3, false)]),
+      reportOf('b', 0, [load('i2', 1, false), load('i3', 1, false)]),
+    ])
+    const lines = log.events.filter(({ name }) => name === 'vmsLacking')
+    t.is(lines.length, 1)
+    t.like(lines[0]?.fields, {
+      service: 'a',
+      up: 1,
+      arriving: 0,
+      planned: 3,
+      occupied: 1,
+      heldBack: 1,
+    })
+    await fleet.stop(false)
+  })
+
   it('moves an idle VM of another service only once it is closed for new tasks', async (t) => {
     const { fleet, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'b'), vmOf(3, 'b')])
     const reports = (closed: boolean) => [
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -30,6 +30,7 @@
 import type { PlannedMove } from './poolPlanner.js'
 import { createQuotaLedger, maximumOf } from '../quotas/index.js'
 import { createLatestReports } from './latestReports.js'
+import { createShortageLog } from './shortageLog.js'
 import type { FleetAnswer, ServiceReport } from './types.js'
 import { createVmOrders } from './vmOrders.js'
 import { createWaveTracker } from './waves.js'
@@ -75,6 +76,7 @@
   const rateLimiter = createOrderRateLimiter(
     Math.floor(opts.ordersPerSecond * MOVES_SHARE),
   )
+  const logShortages = createShortageLog(log)
   /** Pairs of VM and pool for which the cloud has refused a move. */
   const incompatible = new Set<string>()
   /** VMs that the cloud reported as busy, with the monotonic time until which they get no order. */
@@ -165,11 +167,15 @@
   }
 
   async function balancePools(): Promise<void> {
-    const moves = planPools({
+    const now = monotonicMs()
+    const input = {
       vms: [...vms.values()],
       reports: reports.fresh(),
-      sparePool: sparePool(),
       movingTo: orders.movingTo(),
+    }
+    const moves = planPools({
+      ...input,
+      sparePool: sparePool(),
       emptying,
       ordered: new Set([...orders.pending.keys(), ...busyVms()]),
       fitsPool: (vm, pool) => !incompatible.has(`${vm.name} ${pool}`),
@@ -178,8 +184,9 @@
     reserved = new Set(moves.map(({ vm }) => vm.name))
     const { isEmpty } = getView()
     const possible = moves.filter(({ vm }) => isEmpty(vm))
-    const allowed = rateLimiter.take(possible.length, monotonicMs())
-    await Promise.all(possible.slice(0, allowed).map(moveOne))
+    const ordered = possible.slice(0, rateLimiter.take(possible.length, now))
+    logShortages({ ...input, now, planned: moves, possible, ordered })
+    await Promise.all(ordered.map(moveOne))
   }
 
   /** Resolves once a report has arrived since the last round, or after the usual interval. */
--- a/test/fleetRig.ts
+++ b/test/fleetRig.ts
@@ -23,10 +23,15 @@
   predecessorLeaseOverAt?: number
   ordersPerSecond?: number
   isConfirmed?(): boolean
-}): { fleet: FleetOwner; table: ReturnType<typeof createRowTable> } {
+}): {
+  fleet: FleetOwner
+  table: ReturnType<typeof createRowTable>
+  log: ReturnType<typeof createMemoryLogger>
+} {
   const { sparePool = SPARE_POOL, isConfirmed = () => true } = opts
   const table = createRowTable()
   const version = table.put(EPOCH, '1')
+  const log = createMemoryLogger()
   const authority: Authority = {
     service: '~fleet',
     term: 1,
@@ -65,9 +70,9 @@
     authority,
     holder: 'n',
     ordersPerSecond: opts.ordersPerSecond ?? 64,
-    log: createMemoryLogger(),
+    log,
   })
-  return { fleet, table }
+  return { fleet, table, log }
 }
 
 /** Cloud whose VMs run the targets of a job rig. */
