--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -14,6 +14,9 @@
 import { PlatformError, sleep } from '../../src/shared/index.js'
 import type { PlatformFailure } from '../../src/shared/index.js'
 
+/** Time after which a call to a silent part fails, in ms: the time-out of the real client. */
+const SILENT_MS = 1500
+
 /** Injected faults. Each field can be changed at any time. */
 export interface StoreFaults {
   /** Refuses every call. */
@@ -24,6 +27,10 @@
   refusedParts: Set<string>
   /** Fails every call with a connection reset, without carrying it out. */
   broken: boolean
+  /** Parts whose reads and commits fail with a connection reset, without being carried out. */
+  brokenParts: Set<string>
+  /** Parts whose reads and commits are neither carried out nor answered within `SILENT_MS`. */
+  silentParts: Set<string>
   /** Delay of every call, in ms. */
   delayMs: number
   /** Fraction of commits that are carried out but not answered, from 0 to 1. */
@@ -66,6 +73,8 @@
   const faults: StoreFaults = {
     down: false,
     broken: false,
+    brokenParts: new Set(),
+    silentParts: new Set(),
     refusedNodes: new Set(),
     refusedParts: new Set(),
     delayMs: 0,
@@ -120,9 +129,15 @@
     err(new PlatformError(reason, { props: { step, peer: 'sim', failure } }))
 
   /** The injected failure of a call; undefined if the call is to be carried out. */
-  const failureOf = (node: string, step: string, part?: string) => {
-    if (faults.broken) return failed(step, 'unknown', 'connection reset')
-    const isPartDown = part !== undefined && faults.refusedParts.has(part)
+  const failureOf = async (node: string, step: string, part?: string) => {
+    const isIn = (parts: Set<string>): boolean => part !== undefined && parts.has(part)
+    if (isIn(faults.silentParts)) {
+      await sleep(SILENT_MS)
+      return failed(step, 'unknown', 'no answer')
+    }
+    if (faults.broken || isIn(faults.brokenParts))
+      return failed(step, 'unknown', 'connection reset')
+    const isPartDown = isIn(faults.refusedParts)
     const refused = faults.down || isPartDown || faults.refusedNodes.has(node)
     return refused ? failed(step, 'refused', 'store is down') : undefined
   }
@@ -131,7 +146,7 @@
     async commit(tx) {
       await sleep(faults.delayMs)
       const [entry] = [...tx.conditions, ...tx.puts, ...tx.removals]
-      const failure = failureOf(node, 'store.commit', entry?.part)
+      const failure = await failureOf(node, 'store.commit', entry?.part)
       if (failure) return failure
       if (faults.random() < faults.lostShare) {
         if (faults.lateMs === 0) apply(tx)
@@ -143,7 +158,7 @@
     },
     async read(table, part, range = {}) {
       await sleep(faults.delayMs)
-      const failure = failureOf(node, 'store.read', part)
+      const failure = await failureOf(node, 'store.read', part)
       if (failure) return failure
       const found = [...rows.values()]
         .filter((row) => row.table === table && row.part === part)
@@ -154,14 +169,14 @@
     },
     async parts(table) {
       await sleep(faults.delayMs)
-      const failure = failureOf(node, 'store.parts')
+      const failure = await failureOf(node, 'store.parts')
       if (failure) return failure
       const inTable = [...rows.values()].filter((row) => row.table === table)
       return ok([...new Set(inTable.map(({ part }) => part))].sort())
     },
     async changes(table, after, waitMs) {
       await sleep(faults.delayMs)
-      const failure = failureOf(node, 'store.changes')
+      const failure = await failureOf(node, 'store.changes')
       if (failure) return failure
       if (after < compactedAt)
         return failed('store.changes', 'compacted', 'history is gone')
--- a/src/ownership/__tests__/partialOutage.spec.ts
+++ b/src/ownership/__tests__/partialOutage.spec.ts
@@ -57,6 +57,25 @@
     await stop()
   })
 
+  // Only a part that says so counted as down, so that owners lost their services to a part that resets.
+  describe('without saying so', () => {
+    const OUTAGES = { resets: 'brokenParts', 'is silent': 'silentParts' } as const
+
+    for (const [how, parts] of Object.entries(OUTAGES)) {
+      it(`keeps renewing its lease while the part ${how}`, async (t) => {
+        const { table, nodes, stop } = startNodes(2)
+        t.teardown(stop)
+        await sleep(1000)
+        table.faults[parts].add('n1')
+        const before = nodes[0]!.renewals.length
+        await sleep(2 * NODE_LEASE_MS + 600)
+        t.true(nodes[0]!.renewals.length - before >= 4)
+        t.false(nodes[0]!.renewals.slice(before).includes(true))
+        t.is(nodes[1]!.registry.ownerOf('s1')?.id, 'n1')
+      })
+    }
+  })
+
   it('keeps renewing its lease while two of its parts are down', async (t) => {
     const { table, nodes, stop } = startNodes(2)
     await sleep(1000)
--- /dev/null
+++ b/src/storeAccess/__tests__/partBreaker.spec.ts
@@ -0,0 +1,55 @@
+/** Guards against calls that are not sent to the store because one of its parts is away. */
+import type { ExecutionContext } from 'ava'
+import { createRowTable } from '../../../playground/sim/rowTable.js'
+import { describe, it } from '../../../test/describe.js'
+import type { RowStore, RowTransaction } from '../../ports/index.js'
+import { createMemoryLogger, sleep } from '../../shared/index.js'
+import { createStoreAccess } from '../index.js'
+
+/** Time that a busy node takes to read the answer to a probe, in ms. */
+const PROBE_ANSWER_MS = 150
+const PROBE_TABLE = 'probe'
+
+const putTo = (part: string): RowTransaction => ({
+  conditions: [],
+  puts: [{ table: 'rows', part, key: 'k', value: 'v' }],
+  removals: [],
+})
+
+function startAccess(t: ExecutionContext) {
+  const table = createRowTable()
+  const direct = table.forNode('n')
+  /** Parts of the commits that reached the store. */
+  const sent: string[] = []
+  const slowToProbe: RowStore = {
+    ...direct,
+    commit(tx) {
+      sent.push(tx.puts[0]!.part)
+      return direct.commit(tx)
+    },
+    async read(name, part, range) {
+      if (name === PROBE_TABLE) await sleep(PROBE_ANSWER_MS)
+      return direct.read(name, part, range)
+    },
+  }
+  const log = createMemoryLogger()
+  const access = createStoreAccess({ direct: slowToProbe, log })
+  t.teardown(() => access.stop())
+  return { table, access, sent, log }
+}
+
+describe('store of which a part breaks its connections', () => {
+  it('is still called for all other parts', async (t) => {
+    const { table, access } = startAccess(t)
+    table.faults.brokenParts.add('away')
+    const results = []
+    for (let each = 0; each < 20; each++) {
+      void access.store.commit(putTo('away'))
+      await sleep(5)
+      results.push(access.store.commit(putTo('p')))
+      await sleep(5)
+    }
+    const failed = (await Promise.all(results)).filter((res) => res.isErr())
+    t.is(failed.length, 0)
+  })
+})
