fix(ownership): renew a node's row elsewhere while its part resets or is silent

Callers saw nothing start at a service for as long as a part of the store was away, if the row of its owner's node was in that part.

Cause: a node row may be in four parts, but only a part that refuses a call (503) counted as down. A part that resets or does not answer was called again and again, so that the node lost its lease and its services.

Change: a write that fails makes the next one start with another part, and one that certainly wrote nothing (a read of the version failed) is made there at once. A write without an answer may still be carried out; members go by the newest version of a row, as before.

--- a/src/ownership/__tests__/partialOutage.spec.ts
+++ b/src/ownership/__tests__/partialOutage.spec.ts
@@ -11,16 +11,19 @@
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
 import { PlatformError, createMemoryLogger, sleep } from '../../shared/index.js'
+import type { RowStore } from '../../ports/index.js'
+import { createStoreAccess } from '../../storeAccess/index.js'
+import type { StoreAccess } from '../../storeAccess/index.js'
 import { NODE_LEASE_MS, createNodeRegistry } from '../index.js'
 import { createNodeRowReader } from '../nodeRowReader.js'
 
-function startNodes(count: number) {
+function startNodes(count: number, accessOf = (store: RowStore): RowStore => store) {
   const table = createRowTable()
   const nodes = Array.from({ length: count }, (_, each) => {
     const id = `n${each + 1}`
     const renewals: boolean[] = []
     const registry = createNodeRegistry({
-      store: table.forNode(id),
+      store: accessOf(table.forNode(id)),
       id,
       life: `${id}-1`,
       hall: 'h1',
@@ -63,8 +66,16 @@
 
     for (const [how, parts] of Object.entries(OUTAGES)) {
       it(`keeps renewing its lease while the part ${how}`, async (t) => {
-        const { table, nodes, stop } = startNodes(2)
-        t.teardown(stop)
+        const accesses: StoreAccess[] = []
+        const { table, nodes, stop } = startNodes(2, (direct) => {
+          const access = createStoreAccess({ direct, log: createMemoryLogger() })
+          accesses.push(access)
+          return access.store
+        })
+        t.teardown(async () => {
+          await stop()
+          for (const access of accesses) access.stop()
+        })
         await sleep(1000)
         table.faults[parts].add('n1')
         const before = nodes[0]!.renewals.length
--- a/src/ownership/nodeRowWriter.ts
+++ b/src/ownership/nodeRowWriter.ts
@@ -1,4 +1,4 @@
-/** Writes the row of this node to its own part of the store or, while that is down, to others. */
+/** Writes the row of this node to its own part of the store or, while that is away, to others. */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { RowKey, RowStore } from '../ports/index.js'
@@ -21,6 +21,14 @@
   version: number | undefined
 }
 
+/** Attempt to write the row at one location. */
+interface Attempt {
+  /** False when the stored version was not the last known one. */
+  res: Result<boolean, PlatformError>
+  /** Whether the row was certainly not written. */
+  isUnwritten: boolean
+}
+
 /** Creates a writer that does not know the stored version yet. */
 export function createNodeRowWriter(store: RowStore, id: string): NodeRowWriter {
   const locations: RowLocation[] = nodeKeys(id).map((key) => ({
@@ -33,13 +41,10 @@
     return found.map(({ rows }) => rows[0]?.version ?? 0)
   }
 
-  async function writeAt(
-    location: RowLocation,
-    value: string,
-  ): Promise<Result<boolean, PlatformError>> {
+  async function writeAt(location: RowLocation, value: string): Promise<Attempt> {
     if (location.version === undefined) {
       const found = await versionAt(location)
-      if (found.isErr()) return err(found.error)
+      if (found.isErr()) return { res: err(found.error), isUnwritten: true }
       location.version = found.value
     }
     const { key, version } = location
@@ -51,31 +56,29 @@
     if (res.isErr()) {
       // The row may have been written: its version must be read before the next attempt.
       location.version = undefined
-      return err(res.error)
+      return { res: err(res.error), isUnwritten: res.error.failure !== 'unknown' }
     }
     const { value: commit } = res
     location.version = commit.committed
       ? commit.version
       : (commit.current[0]?.version ?? 0)
-    return ok(commit.committed)
+    return { res: ok(commit.committed), isUnwritten: !commit.committed }
   }
 
-  const isRefused = (res: Result<boolean, PlatformError>): boolean =>
-    res.isErr() && res.error.failure === 'refused'
-
-  /** Moves the first locations to the end, so that the next write starts with the others. */
-  const moveToEnd = (count: number): void =>
-    void locations.push(...locations.splice(0, count))
+  /** Writes at the first location; if that fails, the next write starts with another one. */
+  async function writeAtFirst(value: string): Promise<Attempt> {
+    const [first] = locations as [RowLocation]
+    const attempt = await writeAt(first, value)
+    if (attempt.res.isErr()) locations.push(...locations.splice(0, 1))
+    return attempt
+  }
 
   return {
     async write(value) {
-      const [first, second] = locations as [RowLocation, RowLocation]
-      const res = await writeAt(first, value)
-      if (!isRefused(res)) return res
+      const attempt = await writeAtFirst(value)
+      if (attempt.res.isOk() || !attempt.isUnwritten) return attempt.res
       // At most two locations per write, to limit the calls to a store that is down as a whole.
-      const other = await writeAt(second, value)
-      moveToEnd(isRefused(other) ? 2 : 1)
-      return other
+      return (await writeAtFirst(value)).res
     },
   }
 }
