fix(scheduler): start on new targets while the part of their service is away

Callers of a queue at its turn waited for as long as the part of the store with the rows of their service was away: VMs arrived, and nothing started on them.

Cause: a target needs a durable row before its first start, so that a successor asks it for runs, and that row could only be written to the part of the service.

Change: while that write fails, the row goes to a part of the owner's node, whose parts also hold the row that renews the lease, so that starts need no more than ownership does. It counts only if the lease is confirmed when the write is answered, and only while all nodes advertise that they read such rows; earlier versions do not. A successor reads the rows of all nodes; while it cannot, inherited tasks wait until the runs on unknown targets are over. The rows are removed once those in the part of the service are durable.

--- a/src/ownership/__tests__/ownEpoch.spec.ts
+++ b/src/ownership/__tests__/ownEpoch.spec.ts
@@ -14,6 +14,7 @@
 import { createJob } from '../../jobs/index.js'
 import type { Authority } from '../index.js'
 import type { RowStore } from '../../ports/index.js'
+import { createNodeRoster } from '../../scheduler/nodeRoster.js'
 import { createProgressWriter } from '../../scheduler/progressWriter.js'
 import { createRoster } from '../../scheduler/roster.js'
 import { createMemoryLogger, sleep } from '../../shared/index.js'
@@ -72,7 +73,8 @@
   const { table, direct, node, authority } = await startUnconfirmed()
   const opts = { store: direct, service: SERVICE, authority, log }
   const writer = createProgressWriter({ ...opts, settled: ignore })
-  const roster = createRoster({ ...opts, entries: [], added: ignore })
+  const nodeRoster = createNodeRoster(opts)
+  const roster = createRoster({ ...opts, entries: [], nodeRoster, added: ignore })
   try {
     await use({ authority, writer, roster, table })
   } finally {
--- a/src/ownership/authority.ts
+++ b/src/ownership/authority.ts
@@ -7,6 +7,8 @@
 /** Authority of this node to act as the owner of a service. */
 export interface Authority {
   readonly service: string
+  /** Id of this node. */
+  readonly node: string
   readonly term: number
   /** Whether the previous owner may still be active without a connection to the store. */
   readonly predecessorMayLive: boolean
@@ -27,6 +29,8 @@
   isConfirmed(): boolean
   /** Time until the confirmed lease ends, in ms; 0 or negative once it has ended. */
   leaseLeftMs(): number
+  /** Whether every node that may become the next owner reads the rows in the parts of nodes. */
+  areNodeRostersRead(): boolean
   /** Whether the authority is lost for good; one that only lapsed may be confirmed again. */
   isLost(): boolean
   /** Reports that a write or an order was rejected because a newer owner exists. */
@@ -59,12 +63,14 @@
   owned: OwnedService
   predecessorMayLive: boolean
   predecessorLeaseOverAt: number
+  areNodeRostersRead(): boolean
   now(): number
   lost(reason: string): void
 }): Authority {
   const { service, owned, now, lost } = opts
   return {
     service,
+    node: owned.row.node,
     term: owned.row.term,
     predecessorMayLive: opts.predecessorMayLive,
     predecessorLeaseOverAt: opts.predecessorLeaseOverAt,
@@ -81,6 +87,7 @@
     mayOrder: () => !owned.lost && now() < owned.confirmedUntil + GRACE_MS,
     isConfirmed: () => !owned.lost && now() < owned.confirmedUntil,
     leaseLeftMs: () => (owned.lost ? 0 : owned.confirmedUntil - now()),
+    areNodeRostersRead: opts.areNodeRostersRead,
     isLost: () => owned.lost,
     markLost: lost,
   }
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -127,6 +127,7 @@
       leaseMs: nextLeaseMs,
       owns,
       leaving: opts.leaving(),
+      readsNodeRosters: true,
     }
     const res = await writer.write(JSON.stringify(row))
     if (res.isErr()) {
--- a/src/ownership/nodeRow.ts
+++ b/src/ownership/nodeRow.ts
@@ -27,6 +27,11 @@
   owns: z.array(z.string()),
   /** Whether the node stops soon and accepts no services. */
   leaving: z.boolean(),
+  /**
+   * Whether the node, as the next owner of a service, reads the rows of its targets in the parts of
+   * nodes. Earlier versions read only those in the part of the service.
+   */
+  readsNodeRosters: z.boolean().default(false),
 })
 /** Contents of a node row. */
 export type NodeRow = z.infer<typeof nodeSchema>
--- a/src/ownership/nodeRowReader.ts
+++ b/src/ownership/nodeRowReader.ts
@@ -33,13 +33,15 @@
 /** Parts per node: with a fifth of all parts down, one node in 600 has none that is up. */
 const PARTS_PER_NODE = 4
 
-/** Keys that a node's row can have: in its own part, and in others while that is down. */
+/** Parts of a node: its own, and others that it uses while that is away. */
+export const nodeParts = (id: string): string[] =>
+  Array.from({ length: PARTS_PER_NODE }, (_, each) =>
+    each === 0 ? id : `${id}~${each + 1}`,
+  )
+
+/** Keys that a node's row can have. */
 export const nodeKeys = (id: string): RowKey[] =>
-  Array.from({ length: PARTS_PER_NODE }, (_, each) => ({
-    table: NODES_TABLE,
-    part: each === 0 ? id : `${id}~${each + 1}`,
-    key: id,
-  }))
+  nodeParts(id).map((part) => ({ table: NODES_TABLE, part, key: id }))
 
 /** Creates a reader that has read nothing yet. */
 export function createNodeRowReader(store: RowStore): NodeRowReader {
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -171,7 +171,9 @@
       : predecessorLeaseEndsAt(registry, before, service, now()) - now()
     const predecessorLeaseOverAt = monotonicMs() + predecessorLeaseLeftMs
     const predecessor = { predecessorMayLive, predecessorLeaseOverAt }
-    const authority = { service, owned, ...predecessor, now, lost }
+    const areNodeRostersRead = (): boolean =>
+      registry.members().every((member) => member.readsNodeRosters)
+    const authority = { service, owned, ...predecessor, areNodeRostersRead, now, lost }
     const owner = await opts.start(createAuthority(authority))
     if (owned.lost) await owner.stop(false)
     else owned.owner = owner
--- a/src/scheduler/__tests__/partAway.spec.ts
+++ b/src/scheduler/__tests__/partAway.spec.ts
@@ -1,12 +1,31 @@
 /** Guards against new targets that stand empty while the part with their service's rows is away. */
+import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
-import { SERVICE, createJobRig, makeJob } from '../../../test/jobRig.js'
-import type { JobRig } from '../../../test/jobRig.js'
-import { sleep } from '../../shared/index.js'
+import {
+  NODE,
+  SERVICE,
+  createJobRig,
+  findGuaranteeViolation,
+  makeJob,
+} from '../../../test/jobRig.js'
+import type { JobRig, RigOwner } from '../../../test/jobRig.js'
+import { monotonicMs, sleep } from '../../shared/index.js'
 
 const startsOn = ({ ledger }: JobRig, target: string): number =>
   ledger.entries.filter((each) => each.what === 'start' && each.target === target).length
 
+/** Targets whose runs a successor has adopted. */
+const adoptedRuns = ({ log }: JobRig): unknown[] =>
+  log.events
+    .filter(({ name }) => name === 'runAdopted')
+    .map(({ fields }) => fields['target'])
+
+async function waitFor(condition: () => boolean, ms: number): Promise<boolean> {
+  const endsAt = monotonicMs() + ms
+  while (!condition() && monotonicMs() < endsAt) await sleep(20)
+  return condition()
+}
+
 describe('service whose part of the store is away', () => {
   const OUTAGES = {
     refuses: 'refusedParts',
@@ -31,4 +50,91 @@
       t.is(startsOn(rig, 't2'), 4)
     })
   }
+
+  /** Starts an owner that runs a task of a job on each of two targets, one of them new. */
+  async function startOnNewTarget(t: ExecutionContext) {
+    const rig = createJobRig()
+    t.teardown(() => {
+      rig.table.faults.brokenParts.clear()
+      return rig.stop()
+    })
+    rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    rig.submit(owner, makeJob({ ms: 4000, cpu: 4000 }, [{ count: 2 }]))
+    await sleep(300)
+    rig.table.faults.brokenParts.add(SERVICE)
+    const target = rig.addTarget('t2')
+    await sleep(600)
+    return { rig, owner, target }
+  }
+
+  describe('with tasks on a new target that is no longer listed', () => {
+    it('does not run them twice after a takeover', async (t) => {
+      const { rig, owner, target } = await startOnNewTarget(t)
+      t.is(startsOn(rig, 't2'), 1)
+      await owner.stop(false)
+      rig.removeListEntry('t2')
+      target.faults.silent = true
+      rig.table.faults.brokenParts.clear()
+      await rig.startOwner()
+      rig.addTarget('t3')
+      await sleep(1000)
+      t.is(startsOn(rig, 't3'), 0)
+      target.faults.silent = false
+      t.true(await waitFor(() => adoptedRuns(rig).includes('t2'), 2000))
+      t.is(findGuaranteeViolation(rig.ledger), undefined)
+    })
+
+    it('does not run them twice while a successor cannot read their rows', async (t) => {
+      const { rig, owner, target } = await startOnNewTarget(t)
+      await owner.stop(false)
+      rig.removeListEntry('t2')
+      target.faults.silent = true
+      rig.table.faults.brokenParts.clear()
+      rig.table.faults.brokenParts.add(NODE)
+      await rig.startOwner()
+      rig.addTarget('t3')
+      await sleep(1000)
+      t.is(startsOn(rig, 't3'), 0)
+      rig.table.faults.brokenParts.clear()
+      target.faults.silent = false
+      t.true(await waitFor(() => adoptedRuns(rig).includes('t2'), 2000))
+      t.is(findGuaranteeViolation(rig.ledger), undefined)
+    })
+  })
+
+  it('keeps its rows in one place once the part is back', async (t) => {
+    const { rig } = await startOnNewTarget(t)
+    t.is(rig.table.rows('nodeRoster').length, 1)
+    rig.table.faults.brokenParts.clear()
+    t.true(await waitFor(() => rig.table.rows('nodeRoster').length === 0, 1500))
+    t.is(rig.table.rows('roster').length, 2)
+  })
+
+  describe('starts nothing on new targets', () => {
+    const HINDRANCES: Record<string, (rig: JobRig, owner: RigOwner) => void> = {
+      'while a node of an earlier version may take over': (rig) =>
+        void (rig.areNodeRostersRead = false),
+      'while its lease is not confirmed': (_rig, owner) => void (owner.confirmed = false),
+    }
+
+    for (const [when, hinder] of Object.entries(HINDRANCES)) {
+      it(when, async (t) => {
+        const rig = createJobRig()
+        t.teardown(() => {
+          rig.table.faults.brokenParts.clear()
+          return rig.stop()
+        })
+        rig.addTarget('t1')
+        const owner = await rig.startOwner()
+        rig.submit(owner, makeJob({ ms: 4000, cpu: 4000 }, [{ count: 2 }]))
+        await sleep(300)
+        hinder(rig, owner)
+        rig.table.faults.brokenParts.add(SERVICE)
+        rig.addTarget('t2')
+        await sleep(800)
+        t.is(startsOn(rig, 't2'), 0)
+      })
+    }
+  })
 })
--- a/src/scheduler/__tests__/roster.spec.ts
+++ b/src/scheduler/__tests__/roster.spec.ts
@@ -8,6 +8,7 @@
 import type { Authority } from '../../ownership/index.js'
 import type { RowStore } from '../../ports/index.js'
 import { createMemoryLogger, createStopController, sleep } from '../../shared/index.js'
+import { createNodeRoster } from '../nodeRoster.js'
 import { createRoster } from '../roster.js'
 
 const EPOCH = { table: 'epochs', part: 'svc', key: 'epoch' }
@@ -38,14 +39,19 @@
   }
   const authority = {
     service: 'svc',
+    node: 'n1',
+    isConfirmed: () => true,
+    areNodeRostersRead: () => true,
     epoch: () => ({ ...EPOCH, version }),
     adoptEpoch: () => true,
   } as unknown as Authority
+  const log = createMemoryLogger()
   const roster = createRoster({
     store: silent,
     authority,
     entries: [],
-    log: createMemoryLogger(),
+    nodeRoster: createNodeRoster({ store: silent, authority, log }),
+    log,
     added: () => undefined,
   })
   return { roster, table, commits: () => commits, stop: () => stopping.abort() }
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -22,6 +22,7 @@
 import type { Logger } from '../shared/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
 import { commitUnderEpoch } from './epochCommit.js'
+import type { NodeRoster } from './nodeRoster.js'
 
 export const ROSTER_TABLE = 'roster'
 /**
@@ -78,11 +79,13 @@
   store: RowStore
   authority: Authority
   entries: InheritedRosterEntry[]
+  /** Takes the rows of new targets while they cannot be written to the part of the service. */
+  nodeRoster: NodeRoster
   log: Logger
   /** Called when entries have become durable. */
   added(): void
 }): Roster {
-  const { store, authority, log } = opts
+  const { store, authority, nodeRoster, log } = opts
   const isReadable = ({ address }: InheritedRosterEntry): boolean => address !== undefined
   const durable = new Set(opts.entries.filter(isReadable).map(({ id }) => id))
   const unreadable = new Set(
@@ -93,6 +96,7 @@
   const adding = new Map<string, RosterEntry>()
   const removing = new Set<string>()
   let isAdding = false
+  let isAddingToNode = false
   let isRemoving = false
   let isStopped = false
 
@@ -127,20 +131,37 @@
       if (adding.get(id) !== entry) continue
       durable.add(id)
       adding.delete(id)
+      nodeRoster.remove(id)
     }
     opts.added()
     return true
   }
 
+  /** Writes the pending additions to a part of this node. */
+  async function addToNode(): Promise<void> {
+    const missing = [...adding.values()].filter(({ id }) => !nodeRoster.has(id))
+    if (isAddingToNode || missing.length === 0) return
+    if (!authority.isConfirmed() || !authority.areNodeRostersRead()) return
+    isAddingToNode = true
+    const isDurable = await nodeRoster.add(missing)
+    isAddingToNode = false
+    if (!isDurable) return
+    // Some may have become durable in the part of the service, or have been removed, meanwhile.
+    for (const { id } of missing) if (!adding.has(id)) nodeRoster.remove(id)
+    opts.added()
+  }
+
   /**
    * Writes the pending additions. Repeats them while there is no answer, as adding a row twice is
    * harmless. Resolves to whether the first write to be answered was committed.
    */
   async function addWithHedging(): Promise<boolean> {
     const writes = [addOnce()]
-    while (adding.size > 0 && writes.length < MAX_CONCURRENT_WRITES) {
+    const inFlight = (): number => writes.length + Number(isAddingToNode)
+    while (adding.size > 0 && inFlight() < MAX_CONCURRENT_WRITES) {
       const done = await Promise.race([...writes, sleep(HEDGE_DELAY_MS)])
       if (done !== undefined) return done
+      void addToNode()
       if (adding.size > 0 && !isStopped) writes.push(addOnce())
     }
     return Promise.race(writes)
@@ -180,7 +201,9 @@
     // Targets are added in groups; after one turn of the event loop a single write carries all.
     await sleep(0)
     while (!isStopped && adding.size > 0) {
-      if (!(await addWithHedging())) await sleep(jittered(FLUSH_RETRY_MS))
+      if (await addWithHedging()) continue
+      void addToNode()
+      await sleep(jittered(FLUSH_RETRY_MS))
     }
     isAdding = false
   }
@@ -196,7 +219,7 @@
   }
 
   return {
-    has: (id) => durable.has(id),
+    has: (id) => durable.has(id) || nodeRoster.has(id),
     add(entry) {
       if (durable.has(entry.id) || adding.has(entry.id)) return
       removing.delete(entry.id)
@@ -204,11 +227,15 @@
       void runAdditions()
     },
     remove(id) {
+      nodeRoster.remove(id)
       const hadRow = durable.delete(id) || unreadable.delete(id)
       if (!hadRow) return
       removing.add(id)
       void runRemovals()
     },
-    stop: () => void (isStopped = true),
+    stop() {
+      isStopped = true
+      nodeRoster.stop()
+    },
   }
 }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -10,12 +10,14 @@
 import {
   createStopController,
   createInvalidRows,
+  jittered,
   monotonicMs,
   sleep,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { FleetAnswer, ServiceReport } from '../vms/types.js'
 import {
+  FLUSH_RETRY_MS,
   MAX_FIRST_READ_WAIT_MS,
   MAX_FLEET_ANSWER_WAIT_MS,
   HOUSEKEEPING_INTERVAL_MS,
@@ -36,6 +38,8 @@
 import { createThrottled } from './throttle.js'
 import { createProgressWriter } from './progressWriter.js'
 import { createQueueRows } from './queueRows.js'
+import { createNodeRoster, readNodeRosters } from './nodeRoster.js'
+import type { NodeRosterRow } from './nodeRoster.js'
 import { createRoster } from './roster.js'
 import { createServiceQuotas } from './serviceQuotas.js'
 import { createRoomUseLog } from './roomUse.js'
@@ -109,6 +113,8 @@
   const stopping = createStopController()
   const agents = new Map<string, TargetAgent>()
   const allAgents = (): TargetAgent[] => [...agents.values()]
+  /** Whether the rows of targets in the parts of nodes are still to be read. */
+  let mayMissTargets = true
   /** Whether inherited tasks may start; set once the runs on all targets are known. */
   let gateOpen = false
   let fleetAnswered = false
@@ -229,10 +235,12 @@
       })
     },
   })
+  const nodeRoster = createNodeRoster({ store, authority, log })
   const roster = createRoster({
     store,
     authority,
     entries: inherited.roster,
+    nodeRoster,
     log,
     added: wake,
   })
@@ -281,15 +289,18 @@
     ...shared,
     agents,
     targets,
+    mayMissTargets: () => mayMissTargets,
     orders: opts.orders,
     progress,
     changed: wake,
   })
   follower.inherit(inherited.roster)
+  if (inherited.nodeRoster) inheritNodeRoster(inherited.nodeRoster)
   follower.follow()
   const unsubscribe = targets.subscribe(follower.follow)
   const intake = newJobs.follow(inherited.version)
   const housekeeping = runHousekeeping()
+  const nodeRosterReading = readMissingNodeRosters()
   log.event('takeoverBegun', {
     service,
     term: authority.term,
@@ -316,6 +327,21 @@
     return monotonicMs() - startedAt < MAX_FIRST_READ_WAIT_MS
   }
 
+  function inheritNodeRoster(rows: readonly NodeRosterRow[]): void {
+    nodeRoster.inherit(rows)
+    follower.inherit(rows)
+    mayMissTargets = false
+  }
+
+  /** Reads the targets in the parts of nodes again if a part was away when this owner started. */
+  async function readMissingNodeRosters(): Promise<void> {
+    while (mayMissTargets && !gateOpen && !signal.aborted) {
+      await sleep(jittered(FLUSH_RETRY_MS), signal)
+      const rows = await readNodeRosters(store, service)
+      if (rows.isOk() && !signal.aborted) inheritNodeRoster(rows.value)
+    }
+  }
+
   /** Allows inherited tasks to start once the runs on all targets are known. */
   function openGateOnceSettled(): void {
     if (gateOpen || !follower.areInheritedRunsKnown()) return
@@ -388,7 +414,11 @@
       await progress.stop(handOver)
       await Promise.all(allAgents().map((agent) => agent.close()))
       const workers = [intake, finished, held, restorer]
-      await Promise.all([housekeeping, ...workers.map((worker) => worker.stop())])
+      await Promise.all([
+        housekeeping,
+        nodeRosterReading,
+        ...workers.map((worker) => worker.stop()),
+      ])
     },
   }
 }
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -11,6 +11,8 @@
 import { FLUSH_RETRY_MS } from './constants.js'
 import { cacheSuccess, intakeVersion } from './intakeReading.js'
 import { QUEUES_TABLE } from './queueRows.js'
+import { readNodeRosters } from './nodeRoster.js'
+import type { NodeRosterRow } from './nodeRoster.js'
 import { decodeQuotaBounds, quotaRowKey } from './quotaRow.js'
 import type { QuotaBounds } from './quotaRow.js'
 import { ROSTER_TABLE, decodeRosterEntry } from './roster.js'
@@ -25,6 +27,8 @@
 /** State that a predecessor has left in the store, apart from the jobs themselves. */
 export interface InheritedState extends InheritedProgress {
   roster: InheritedRosterEntry[]
+  /** Rows of targets in the parts of nodes; undefined if they cannot be read. */
+  nodeRoster: NodeRosterRow[] | undefined
   /** Queues from which jobs may have been started. */
   queues: string[]
   /** Bounds of what runs may use of quotas; undefined if they cannot be read. */
@@ -38,6 +42,7 @@
   progress: new Map(),
   unreadableProgress: new Set(),
   roster: [],
+  nodeRoster: [],
   queues: [],
   quotaBounds: new Map(),
   version: 0,
@@ -81,6 +86,18 @@
   return ok(entries)
 }
 
+/** Returns undefined if they cannot be read: a part of another node must not delay the takeover. */
+async function readNodeRows(
+  store: RowStore,
+  service: string,
+  log: Logger,
+): Promise<InheritedState['nodeRoster']> {
+  const rows = await readNodeRosters(store, service)
+  if (rows.isOk()) return rows.value
+  log.event('nodeRostersNotRead', { service, reason: describeError(rows.error) })
+  return undefined
+}
+
 async function readQuotaBounds(
   store: RowStore,
   service: string,
@@ -105,17 +122,21 @@
 ): () => Promise<Result<InheritedState, PlatformError>> {
   const progress = cacheSuccess(() => readProgress(store, service, log))
   const roster = cacheSuccess(() => readRoster(store, service, log))
+  const nodeRoster = (): Promise<InheritedState['nodeRoster']> =>
+    readNodeRows(store, service, log)
   const queues = cacheSuccess(() => store.read(QUEUES_TABLE, service))
   const quotaBounds = cacheSuccess(() => readQuotaBounds(store, service, log))
   const version = cacheSuccess(() => intakeVersion(store))
   return async () => {
-    const [progressRes, rosterRes, queuesRes, quotasRes, versionRes] = await Promise.all([
-      progress(),
-      roster(),
-      queues(),
-      quotaBounds(),
-      version(),
-    ])
+    const [progressRes, rosterRes, nodeRows, queuesRes, quotasRes, versionRes] =
+      await Promise.all([
+        progress(),
+        roster(),
+        nodeRoster(),
+        queues(),
+        quotaBounds(),
+        version(),
+      ])
     if (progressRes.isErr()) return err(progressRes.error)
     if (rosterRes.isErr()) return err(rosterRes.error)
     if (queuesRes.isErr()) return err(queuesRes.error)
@@ -123,6 +144,7 @@
     return versionRes.map((each) => ({
       ...progressRes.value,
       roster: rosterRes.value,
+      nodeRoster: nodeRows,
       queues: queuesRes.value.rows.map(({ key }) => key),
       quotaBounds: quotasRes.value,
       version: each,
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -21,10 +21,13 @@
 import type { TargetAgent } from './types.js'
 import type { Tickets } from './tickets.js'
 
+/** A target on which the previous owner may have started tasks. */
+type InheritedTarget = Pick<InheritedRosterEntry, 'id' | 'address'>
+
 /** Opens and closes the agents of the targets of one service. */
 export interface TargetFollower {
   /** Opens agents for the targets of the previous owner's roster, as not listed yet. */
-  inherit(entries: InheritedRosterEntry[]): void
+  inherit(entries: readonly InheritedTarget[]): void
   /** Applies the list: opens agents for new targets and notes targets that have left. */
   follow(): void
   /**
@@ -55,6 +58,8 @@
   book: JobBook
   progress: ProgressWriter
   roster: Roster
+  /** Whether the previous owner may have started tasks on targets that are not known. */
+  mayMissTargets(): boolean
   runTimes: RunTimes
   health: Health
   tickets: Tickets
@@ -90,6 +95,9 @@
     TASK_LEASE_MS * (1 + MAX_CLOCK_DRIFT) +
     LEASE_MARGIN_MS
 
+  /** Monotonic time from which no run is left on targets that are not known, in ms. */
+  const unknownTargetsUntil = monotonicMs() + inheritedLeaseMs
+
   function removeAgent(agent: TargetAgent): void {
     const { id } = agent.target
     agents.delete(id)
@@ -127,14 +135,16 @@
   }
 
   /** Whether runs of the previous owner, or of an agent closed since, may be on the target. */
-  const mayHaveRuns = (id: string): boolean => inheritedIds.has(id) || roster.has(id)
+  const mayHaveRuns = (id: string): boolean =>
+    inheritedIds.has(id) || roster.has(id) || opts.mayMissTargets()
 
   /**
    * Opens the agent of a target in the roster. Without an address the target counts as silent
    * until the list shows its address, no VM has its id any more, or all leases have expired.
    */
-  function openInherited({ id, address }: InheritedRosterEntry): void {
+  function openInherited({ id, address }: InheritedTarget): void {
     inheritedIds.add(id)
+    if (agents.has(id)) return
     open(createUnlistedTarget(id, address ?? '', service)).listed = false
   }
 
@@ -244,6 +254,7 @@
     follow,
     areInheritedRunsKnown() {
       const now = monotonicMs()
+      if (opts.mayMissTargets() && now < unknownTargetsUntil) return false
       const areOver = [...unknownUntil].every(
         ([id, until]) => until <= now || hasReported(id),
       )
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -191,6 +191,11 @@
     'warn',
     'list of targets in use could not be written yet',
   ),
+  nodeRostersNotRead: spec(
+    'RS-8071',
+    'warn',
+    'targets in the parts of nodes could not be read',
+  ),
   queuesNotWritten: spec(
     'RS-8037',
     'warn',
--- a/test/fleetRig.ts
+++ b/test/fleetRig.ts
@@ -34,12 +34,14 @@
   const log = createMemoryLogger()
   const authority: Authority = {
     service: '~fleet',
+    node: 'n',
     term: 1,
     predecessorMayLive: false,
     predecessorLeaseOverAt: opts.predecessorLeaseOverAt ?? -Infinity,
     epoch: () => ({ ...EPOCH, version }),
     adoptEpoch: () => false,
     mayOrder: isConfirmed,
+    areNodeRostersRead: () => true,
     isLost: () => false,
     leaseLeftMs: () => Infinity,
     isConfirmed,
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -30,6 +30,8 @@
 import type { RunLedger, SimTarget, SimTaskSpec } from '../playground/sim/simTarget.js'
 
 export const SERVICE = 'svc'
+/** Node on which the owners run. */
+export const NODE = 'n'
 export const QUEUE: Queue = {
   name: 'queue',
   host: 'h.example',
@@ -74,6 +76,8 @@
   listed: Map<string, Target>
   /** Monotonic time since which owners have read the list of targets without a gap, in ms. */
   listGapFreeSince: number
+  /** Whether every node reads the rows of targets in the parts of nodes. */
+  areNodeRostersRead: boolean
   ledger: RunLedger
   log: ReturnType<typeof createMemoryLogger>
   /** How owners reach targets; by default through direct calls in the process. */
@@ -154,7 +158,7 @@
     subscribe: () => undefined,
     stop: async () => undefined,
   }
-  const targetList: TargetList = makeList?.(table.forNode('n'), log) ?? {
+  const targetList: TargetList = makeList?.(table.forNode(NODE), log) ?? {
     ready: Promise.resolve(),
     byId: () => listed,
     freshAt: () => performance.now(),
@@ -175,6 +179,7 @@
     targets,
     listed,
     listGapFreeSince: -Infinity,
+    areNodeRostersRead: true,
     ledger,
     log,
     orders: createSimOrders(targets),
@@ -229,6 +234,7 @@
       }
       const authority: Authority = {
         service: SERVICE,
+        node: NODE,
         term,
         predecessorMayLive,
         predecessorLeaseOverAt: -Infinity,
@@ -238,6 +244,7 @@
         mayOrder: () => state.live,
         isConfirmed: () => state.live && state.confirmed,
         leaseLeftMs: () => (state.live && state.confirmed ? Infinity : 0),
+        areNodeRostersRead: () => rig.areNodeRostersRead,
         isLost: () => state.lostBecause !== undefined,
         markLost(reason) {
           state.live = false
@@ -245,7 +252,7 @@
         },
       }
       const owner = await createServiceOwner({
-        store: table.forNode('n'),
+        store: table.forNode(NODE),
         orders: rig.orders,
         cloud: rig.cloud,
         advice: undefined,
