fix(storeAccess): call the other parts of the store while one is away

Callers were refused although the part of the store for their job answers.

Change: a lost call concerns its part. The breaker of the whole store opens when calls to two parts are lost and none is answered in between, or one that concerns all parts. A store that breaks all connections is now sent two commits of unknown outcome, not one; a new test bounds that, and the test of calls to one part waits for the part's probe, as the whole store no longer closes for it.

--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -83,6 +83,12 @@
     'store does not answer or breaks connections; calls to it are suspended',
   ),
   storeAnswers: spec('RS-6021', 'info', 'store answers again'),
+  storePartAway: spec(
+    'RS-6026',
+    'warn',
+    'part of the store does not answer; calls to it are suspended',
+  ),
+  storePartAnswers: spec('RS-6027', 'info', 'part of the store answers again'),
   storeRelayed: spec('RS-6022', 'warn', 'store calls are relayed through a peer'),
   storeDirect: spec('RS-6023', 'info', 'store calls no longer need a peer'),
   storePeerFound: spec(
--- a/src/storeAccess/__tests__/partBreaker.spec.ts
+++ b/src/storeAccess/__tests__/partBreaker.spec.ts
@@ -52,4 +52,41 @@
     const failed = (await Promise.all(results)).filter((res) => res.isErr())
     t.is(failed.length, 0)
   })
+
+  it('is sent no commits for the part whose outcome would be unknown', async (t) => {
+    const { table, access, sent } = startAccess(t)
+    table.faults.brokenParts.add('away')
+    for (let each = 0; each < 20; each++) {
+      await access.store.commit(putTo('away'))
+      await access.store.commit(putTo('p'))
+    }
+    t.is(sent.filter((part) => part === 'away').length, 1)
+  })
+
+  it('is not called through a peer for the part', async (t) => {
+    const { table, access } = startAccess(t)
+    let relayed = 0
+    access.setRelay(async () => void relayed++)
+    table.faults.brokenParts.add('away')
+    await access.store.commit(putTo('away'))
+    const failures = []
+    for (let each = 0; each < 5; each++) {
+      const commit = await access.store.commit(putTo('away'))
+      failures.push(commit._unsafeUnwrapErr().failure)
+    }
+    t.deepEqual(failures, Array<string>(5).fill('unreachable'))
+    t.is(relayed, 0)
+  })
+
+  it('is called for the part again once that answers', async (t) => {
+    const { table, access, log } = startAccess(t)
+    table.faults.brokenParts.add('away')
+    await access.store.commit(putTo('away'))
+    table.faults.brokenParts.clear()
+    while ((await access.store.commit(putTo('away'))).isErr()) await sleep(5)
+    t.deepEqual(
+      log.events.map(({ name }) => name),
+      ['storePartAway', 'storePartAnswers'],
+    )
+  })
 })
--- a/src/storeAccess/__tests__/storeAccess.spec.ts
+++ b/src/storeAccess/__tests__/storeAccess.spec.ts
@@ -139,7 +139,7 @@
   // job ran into the next reset, and 155 callers were told that their job may have been stored.
   describe('store that breaks connections', () => {
     it('is sent no commits whose outcome would be unknown', async (t) => {
-      const { table, storeOf, loggedNames } = startNodes(t, ['a'])
+      const { table, storeOf } = startNodes(t, ['a'])
       table.faults.broken = true
       t.is((await storeOf('a').commit(PUT))._unsafeUnwrapErr().failure, 'unknown')
       for (let tries = 0; tries < 5; tries++) {
@@ -147,6 +147,27 @@
         t.is(commit._unsafeUnwrapErr().failure, 'unreachable')
       }
       table.faults.broken = false
+      await sleep(2 * TIMES.probeMs)
+      t.true((await storeOf('a').commit(PUT)).isOk())
+    })
+
+    it('is sent no commits to further parts after those to two parts were lost', async (t) => {
+      const { table, storeOf, loggedNames } = startNodes(t, ['a'])
+      table.faults.broken = true
+      const failures: string[] = []
+      for (const part of ['p1', 'p2', 'p3', 'p4', 'p5']) {
+        const puts = [{ ...KEY, part, value: 'v' }]
+        const commit = await storeOf('a').commit({ conditions: [], puts, removals: [] })
+        failures.push(commit._unsafeUnwrapErr().failure)
+      }
+      t.deepEqual(failures, [
+        'unknown',
+        'unknown',
+        'unreachable',
+        'unreachable',
+        'unreachable',
+      ])
+      table.faults.broken = false
       while (!loggedNames().includes('storeAnswers')) await sleep(5)
       t.true((await storeOf('a').commit(PUT)).isOk())
     })
--- a/src/storeAccess/circuitBreaker.ts
+++ b/src/storeAccess/circuitBreaker.ts
@@ -1,7 +1,8 @@
 /**
- * Circuit breaker for the store. It opens if the store is silent, which means that it answers
- * none of the calls in flight, or if a connection to it breaks. While it is open only probes are
- * sent, and an answered probe closes it. If the store is silent, calls in flight fail at once.
+ * Circuit breaker for the store as a whole. It opens if the store is silent, which means that it
+ * answers none of the calls in flight, or if connections to it break, whichever part they are for.
+ * While it is open only probes are sent, and an answered probe closes it. If the store is silent,
+ * calls in flight fail at once.
  */
 import type { RowStore } from '../ports/index.js'
 import {
@@ -24,8 +25,17 @@
 
 /** A store behind a circuit breaker. */
 export interface CircuitBreaker {
-  /** Makes a call; `waitMs` is the time for which the store may delay its answer on request. */
-  run(call: () => Promise<StoreAnswer>, waitMs?: number): Promise<StoreAnswer>
+  /**
+   * Makes a call.
+   * @param waitMs time for which the store may delay its answer on request
+   * @param part part that the call is for; undefined if it concerns all parts
+   */
+  run(
+    call: () => Promise<StoreAnswer>,
+    waitMs?: number,
+    part?: string,
+  ): Promise<StoreAnswer>
+  isOpen(): boolean
   /** Records that bytes arrived: the store is not silent, however long its whole answer takes. */
   noteBytes(): void
   stop(): void
@@ -37,7 +47,7 @@
 }
 
 /** Whether the call was lost, possibly with its connection. */
-const isBroken = (answer: StoreAnswer): boolean =>
+export const isBroken = (answer: StoreAnswer): boolean =>
   answer.isErr() && answer.error.failure === 'unknown'
 
 /** Reasons for an open breaker. */
@@ -62,6 +72,11 @@
   /** Time at which the breaker opened; undefined while it is closed. */
   let openSince: number | undefined
   let openReason = ''
+  /** Part whose call was lost last, and when; the time is -Infinity before the first one. */
+  let lastLoss: { part: string | undefined; at: number } = {
+    part: undefined,
+    at: -Infinity,
+  }
   /** Resumes the calls that wait for the first probes after a connection broke. */
   const resumeWaiting = new Set<() => void>()
 
@@ -113,6 +128,17 @@
     if (openSince !== undefined && sentAt >= openSince) close()
   }
 
+  /**
+   * Opens the breaker if a lost call shows that the store as a whole breaks connections: no call was
+   * answered since it was sent, nor since another part was lost.
+   */
+  function noteLost(sentAt: number, part: string | undefined): void {
+    const isOtherLost = lastLoss.part !== part && lastLoss.at > lastAnswerAt
+    const concernsAll = part === undefined || isOtherLost
+    lastLoss = { part, at: monotonicMs() }
+    if (concernsAll && lastAnswerAt < sentAt) open(BROKEN)
+  }
+
   /** Sends small reads until one is answered, each on its own connection. */
   async function probe(): Promise<void> {
     while (openSince !== undefined && !stopping.signal.aborted) {
@@ -125,7 +151,11 @@
   }
 
   /** Sends the call; resolves with the store's answer, or with a failure if the store is silent. */
-  function send(call: () => Promise<StoreAnswer>, waitMs: number): Promise<StoreAnswer> {
+  function send(
+    call: () => Promise<StoreAnswer>,
+    waitMs: number,
+    part: string | undefined,
+  ): Promise<StoreAnswer> {
     return new Promise((resolve) => {
       const sentAt = monotonicMs()
       const silence = watchSilence(silentMs + waitMs, () => {
@@ -142,19 +172,19 @@
       pending.add(each)
       void call().then((answer) => {
         if (isAnswered(answer)) noteAnswer(sentAt)
-        // If another connection was answered since, the store works and the breaker stays closed.
-        else if (isBroken(answer) && lastAnswerAt < sentAt) open(BROKEN)
+        else if (isBroken(answer)) noteLost(sentAt, part)
         finish(answer)
       })
     })
   }
 
   return {
-    async run(call, waitMs = 0) {
+    async run(call, waitMs = 0, part = undefined) {
       if (openSince !== undefined) await untilClosed()
-      if (openSince === undefined) return send(call, waitMs)
+      if (openSince === undefined) return send(call, waitMs, part)
       return failedAnswer('unreachable', `not sent: ${openReason}`, STORE_PLACE)
     },
+    isOpen: () => openSince !== undefined,
     noteBytes: () => void (lastBytesAt = monotonicMs()),
     stop: () => stopping.abort(),
   }
--- a/src/storeAccess/storeAccess.ts
+++ b/src/storeAccess/storeAccess.ts
@@ -4,14 +4,25 @@
  * so that no commit is made twice.
  */
 import type { ObservedRowStore, RowStore, StoreResult } from '../ports/index.js'
-import { sleep } from '../shared/index.js'
+import { monotonicMs, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import { createCircuitBreaker } from './circuitBreaker.js'
+import { createCircuitBreaker, isBroken } from './circuitBreaker.js'
 import { createCommitTimeout } from './commitTimeout.js'
 import { RELAYED_POLL_MS } from './constants.js'
-import { makeStoreCall } from './storeCall.js'
+import { createPartBreaker } from './partBreaker.js'
+import {
+  STORE_PLACE,
+  failedAnswer,
+  isAnswered,
+  makeStoreCall,
+  partOf,
+  probeOf,
+} from './storeCall.js'
 import type { StoreAnswer, StoreCall } from './storeCall.js'
 
+/** Answer to a call that is not sent because its part of the store is away. */
+const PART_AWAY = failedAnswer('unreachable', 'not sent: a part is away', STORE_PLACE)
+
 /** Makes a store call through a peer; undefined if no peer is known to reach the store. */
 export type StoreRelay = (call: StoreCall) => Promise<StoreAnswer | undefined>
 
@@ -36,6 +47,10 @@
   const { direct, log } = opts
   const breaker = createCircuitBreaker({ ...opts, store: direct })
   direct.onBytes?.(breaker.noteBytes)
+  const parts = createPartBreaker({
+    ...opts,
+    probe: async (part) => isAnswered(await makeStoreCall(direct, probeOf(part), 0)),
+  })
   const withCommitTimeout = createCommitTimeout()
   let relay: StoreRelay | undefined
   let isRelaying = false
@@ -52,8 +67,28 @@
     return call.method !== 'commit' || answer.error.failure !== 'unknown'
   }
 
+  /** Makes a call directly; undefined if it is not sent because its part is away. */
+  async function callDirect(
+    call: StoreCall,
+    waitMs: number,
+  ): Promise<StoreAnswer | undefined> {
+    const part = partOf(call)
+    if (part !== undefined && !breaker.isOpen() && !(await parts.admit(part)))
+      return undefined
+    const sentAt = monotonicMs()
+    const send = (): Promise<StoreAnswer> => makeStoreCall(direct, call, waitMs)
+    const answer = await breaker.run(send, waitMs, part)
+    if (part === undefined) return answer
+    if (isAnswered(answer)) parts.noteAnswer(part, sentAt)
+    // A store that is down as a whole says nothing about the part.
+    else if (isBroken(answer) && !breaker.isOpen()) parts.noteLost(part, sentAt)
+    return answer
+  }
+
   async function run(call: StoreCall, waitMs: number): Promise<StoreAnswer> {
-    const answer = await breaker.run(() => makeStoreCall(direct, call, waitMs), waitMs)
+    const answer = await callDirect(call, waitMs)
+    // The other parts answer this node, so that its peers do not reach this one either.
+    if (!answer) return PART_AWAY
     if (answer.isOk()) noteRelaying(false, 'the store answers this node')
     if (!relay || !isWorthRelaying(call, answer)) return answer
     if (waitMs > 0) await sleep(Math.min(waitMs, RELAYED_POLL_MS))
@@ -76,7 +111,7 @@
         runAs({ method: 'changes', table, after }, waitMs),
     },
     // Does not wait for changes, which would block the connection of the peer.
-    callForPeer: (call) => breaker.run(() => makeStoreCall(direct, call, 0)),
+    callForPeer: async (call) => (await callDirect(call, 0)) ?? PART_AWAY,
     setRelay: (given) => void (relay = given),
     stop: () => breaker.stop(),
   }
--- a/src/storeAccess/storeCall.ts
+++ b/src/storeAccess/storeCall.ts
@@ -42,8 +42,22 @@
   answer.error.failure === 'refused' ||
   answer.error.failure === 'compacted'
 
+/** Returns a small read that shows whether a part answers. */
+export const probeOf = (part: string): StoreCall => ({
+  method: 'read',
+  table: 'probe',
+  part,
+})
 /** A small read that shows whether the store answers. */
-export const PROBE: StoreCall = { method: 'read', table: 'probe', part: '' }
+export const PROBE = probeOf('')
+
+/** Returns the part that a call is for; undefined if it concerns all parts. */
+export function partOf(call: StoreCall): string | undefined {
+  if (call.method === 'read') return call.part
+  if (call.method !== 'commit') return undefined
+  const { conditions, puts, removals } = call.tx
+  return [...conditions, ...puts, ...removals][0]?.part
+}
 
 /** Schema of an answer as it is sent between nodes. */
 const storeAnswerSchema = z.union([
