fix(storeAccess): probe the store in different parts

Cause: all probes of the store read one part. Where that one was among those away, a breaker that had opened stayed open for the whole outage, and the node refused every caller.

Change: probes read sixteen parts in turn, also those made through peers.

--- a/src/storeAccess/__tests__/partBreaker.spec.ts
+++ b/src/storeAccess/__tests__/partBreaker.spec.ts
@@ -89,4 +89,14 @@
       ['storePartAway', 'storePartAnswers'],
     )
   })
+
+  // The breaker stayed open for the whole outage if the part that it probed was away.
+  it('is called for the other parts whichever part the probes read', async (t) => {
+    const { table, access } = startAccess(t)
+    for (const part of ['', 'away', 'alsoAway']) table.faults.brokenParts.add(part)
+    await access.store.commit(putTo('away'))
+    await access.store.commit(putTo('alsoAway'))
+    await sleep(4 * PROBE_ANSWER_MS)
+    t.true((await access.store.commit(putTo('p'))).isOk())
+  })
 })
--- a/src/storeAccess/circuitBreaker.ts
+++ b/src/storeAccess/circuitBreaker.ts
@@ -15,8 +15,8 @@
 import type { Logger } from '../shared/index.js'
 import { BROKEN_WAIT_MS, PROBE_MS, SILENT_MS } from './constants.js'
 import {
-  PROBE,
   STORE_PLACE,
+  createProbes,
   failedAnswer,
   isAnswered,
   makeStoreCall,
@@ -65,6 +65,7 @@
   const silentMs = opts.silentMs ?? SILENT_MS
   const probeMs = opts.probeMs ?? PROBE_MS
   const stopping = createStopController()
+  const nextProbe = createProbes()
   const pending = new Set<Pending>()
   let lastAnswerAt = -Infinity
   /** Time at which bytes last arrived from the store, including parts of an answer. */
@@ -143,7 +144,7 @@
   async function probe(): Promise<void> {
     while (openSince !== undefined && !stopping.signal.aborted) {
       const sentAt = monotonicMs()
-      void makeStoreCall(store, PROBE, 0).then((answer) => {
+      void makeStoreCall(store, nextProbe(), 0).then((answer) => {
         if (isAnswered(answer)) noteAnswer(sentAt)
       })
       await sleep(jittered(probeMs), stopping.signal)
--- a/src/storeAccess/peerRelay.ts
+++ b/src/storeAccess/peerRelay.ts
@@ -14,7 +14,7 @@
 } from './constants.js'
 import type { StoreAccess, StoreRelay } from './storeAccess.js'
 import {
-  PROBE,
+  createProbes,
   decodeAnswer,
   encodeAnswer,
   failedAnswer,
@@ -37,6 +37,7 @@
 /** Creates the relay of one node; the first call starts the search for a peer. */
 export function createPeerRelay(opts: PeerRelayOptions): StoreRelay {
   const { log } = opts
+  const nextProbe = createProbes()
   /** Address of the peer in use; undefined if none is known. */
   let currentPeer: string | undefined
   let search: Promise<void> | undefined
@@ -63,7 +64,7 @@
     searchedAt = monotonicMs()
     await Promise.all(
       opts.peers().map(async (address) => {
-        const answer = await ask(address, PROBE, PEER_PROBE_TIMEOUT_MS)
+        const answer = await ask(address, nextProbe(), PEER_PROBE_TIMEOUT_MS)
         if (answer.isErr() || currentPeer !== undefined) return
         currentPeer = address
         pauseMs = PEER_SEARCH_PAUSE_MS
--- a/src/storeAccess/storeCall.ts
+++ b/src/storeAccess/storeCall.ts
@@ -48,8 +48,17 @@
   table: 'probe',
   part,
 })
-/** A small read that shows whether the store answers. */
-export const PROBE = probeOf('')
+/** Number of parts that probes of the whole store read in turn. */
+const PROBED_PARTS = 16
+
+/**
+ * Creates a source of small reads that show whether the store answers. Each reads another part, as
+ * one may be away.
+ */
+export function createProbes(): () => StoreCall {
+  let count = 0
+  return () => probeOf(`probe/${count++ % PROBED_PARTS}`)
+}
 
 /** Returns the part that a call is for; undefined if it concerns all parts. */
 export function partOf(call: StoreCall): string | undefined {
