fix(scheduler): take a service over while a part without its rows is away

Cause: a new owner asks for the store's version by a read of a part that holds no rows. Where that part was among those away, the takeover waited for it, although everything it needs was there.

Change: the version is read in the part of the service, on which its owner depends anyway.

The new test of partAway.spec failed on the code before: no owner within 1 s.

--- a/src/scheduler/__tests__/partAway.spec.ts
+++ b/src/scheduler/__tests__/partAway.spec.ts
@@ -137,4 +137,17 @@
       })
     }
   })
+
+  // The owner read the store's version in a part that no row of any service is in.
+  it('is taken over while a part without its rows is away', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => {
+      rig.table.faults.brokenParts.clear()
+      return rig.stop()
+    })
+    rig.addTarget('t1')
+    rig.table.faults.brokenParts.add('')
+    const owner = rig.startOwner()
+    t.true(await Promise.race([owner.then(() => true), sleep(1000).then(() => false)]))
+  })
 })
--- a/src/scheduler/__tests__/takeover.spec.ts
+++ b/src/scheduler/__tests__/takeover.spec.ts
@@ -62,7 +62,7 @@
           return parts
         },
       }
-      const version = (await intakeVersion(store))._unsafeUnwrap()
+      const version = (await intakeVersion(store, SERVICE))._unsafeUnwrap()
       const { reading, ids } = startParts(store)
       t.true((await reading.resume()).isOk())
       const changes = await direct.changes(INTAKE_TABLE, version, 0)
--- a/src/scheduler/intakeReading.ts
+++ b/src/scheduler/intakeReading.ts
@@ -43,9 +43,10 @@
 /** Current version of the store; rows written later are changes after it. */
 export async function intakeVersion(
   store: RowStore,
+  service: string,
 ): Promise<Result<number, PlatformError>> {
-  // This part never has any rows, so the reply is short.
-  const res = await store.read(INTAKE_TABLE, '')
+  // An owner depends on the part of its service anyway. No queue has rows there: the reply is short.
+  const res = await store.read(INTAKE_TABLE, service)
   return res.map(({ version }) => version)
 }
 
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -314,7 +314,7 @@
 
   /** Starts a full read; returns the version to follow changes from, undefined on failure. */
   async function restartFullRead(): Promise<number | undefined> {
-    const version = await intakeVersion(store)
+    const version = await intakeVersion(store, service)
     if (version.isErr()) return undefined
     startFullRead()
     return version.value
--- a/src/scheduler/takeover.ts
+++ b/src/scheduler/takeover.ts
@@ -126,7 +126,7 @@
     readNodeRows(store, service, log)
   const queues = cacheSuccess(() => store.read(QUEUES_TABLE, service))
   const quotaBounds = cacheSuccess(() => readQuotaBounds(store, service, log))
-  const version = cacheSuccess(() => intakeVersion(store))
+  const version = cacheSuccess(() => intakeVersion(store, service))
   return async () => {
     const [progressRes, rosterRes, nodeRows, queuesRes, quotasRes, versionRes] =
       await Promise.all([
