fix(scheduler): drop rows in the part of a node once they are needed no more

A row that an owner could not remove from the part of its node stayed until its target was gone, as the next owner finds the target's row in the part of the service. It is removed then; the new test of partAway.spec fails without that. An owner that has waited for all unknown runs to end no longer treats new targets as if they had runs.

--- a/src/ownership/nodeRowWriter.ts
+++ b/src/ownership/nodeRowWriter.ts
@@ -25,7 +25,7 @@
 interface Attempt {
   /** False when the stored version was not the last known one. */
   res: Result<boolean, PlatformError>
-  /** Whether the row was certainly not written. */
+  /** Whether the attempt failed without any effect. */
   isUnwritten: boolean
 }
 
@@ -62,7 +62,7 @@
     location.version = commit.committed
       ? commit.version
       : (commit.current[0]?.version ?? 0)
-    return { res: ok(commit.committed), isUnwritten: !commit.committed }
+    return { res: ok(commit.committed), isUnwritten: false }
   }
 
   /** Writes at the first location; if that fails, the next write starts with another one. */
--- a/src/scheduler/__tests__/partAway.spec.ts
+++ b/src/scheduler/__tests__/partAway.spec.ts
@@ -111,6 +111,17 @@
     t.is(rig.table.rows('roster').length, 2)
   })
 
+  it('removes rows in the part of a node that its predecessor has left', async (t) => {
+    const { rig, owner } = await startOnNewTarget(t)
+    const [left] = rig.table.rows('nodeRoster')
+    rig.table.faults.brokenParts.clear()
+    t.true(await waitFor(() => rig.table.rows('roster').length === 2, 1500))
+    await owner.stop(false)
+    rig.table.put(left!, left!.value)
+    await rig.startOwner()
+    t.true(await waitFor(() => rig.table.rows('nodeRoster').length === 0, 1500))
+  })
+
   describe('starts nothing on new targets', () => {
     const HINDRANCES: Record<string, (rig: JobRig, owner: RigOwner) => void> = {
       'while a node of an earlier version may take over': (rig) =>
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -221,7 +221,9 @@
   return {
     has: (id) => durable.has(id) || nodeRoster.has(id),
     add(entry) {
-      if (durable.has(entry.id) || adding.has(entry.id)) return
+      // A row in the part of a node may be left from before the one here was durable.
+      if (durable.has(entry.id)) return nodeRoster.remove(entry.id)
+      if (adding.has(entry.id)) return
       removing.delete(entry.id)
       adding.set(entry.id, entry)
       void runAdditions()
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -113,7 +113,7 @@
   const stopping = createStopController()
   const agents = new Map<string, TargetAgent>()
   const allAgents = (): TargetAgent[] => [...agents.values()]
-  /** Whether the rows of targets in the parts of nodes are still to be read. */
+  /** Whether the predecessor may have started tasks on targets whose rows are still to be read. */
   let mayMissTargets = true
   /** Whether inherited tasks may start; set once the runs on all targets are known. */
   let gateOpen = false
@@ -335,10 +335,10 @@
 
   /** Reads the targets in the parts of nodes again if a part was away when this owner started. */
   async function readMissingNodeRosters(): Promise<void> {
-    while (mayMissTargets && !gateOpen && !signal.aborted) {
+    while (mayMissTargets && !signal.aborted) {
       await sleep(jittered(FLUSH_RETRY_MS), signal)
       const rows = await readNodeRosters(store, service)
-      if (rows.isOk() && !signal.aborted) inheritNodeRoster(rows.value)
+      if (rows.isOk() && mayMissTargets) inheritNodeRoster(rows.value)
     }
   }
 
@@ -346,6 +346,7 @@
   function openGateOnceSettled(): void {
     if (gateOpen || !follower.areInheritedRunsKnown()) return
     gateOpen = true
+    mayMissTargets = false
     log.event('takeoverDone', { service, term: authority.term, targets: agents.size })
     book.allowStarts()
   }
