--- a/src/scheduler/__tests__/model.spec.ts
+++ b/src/scheduler/__tests__/model.spec.ts
@@ -1,12 +1,17 @@
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
-import { createJobRig, findGuaranteeViolation, makeJob } from '../../../test/jobRig.js'
+import {
+  SERVICE,
+  createJobRig,
+  findGuaranteeViolation,
+  makeJob,
+} from '../../../test/jobRig.js'
 import type { JobRig, RigOwner } from '../../../test/jobRig.js'
 import { sleep } from '../../shared/index.js'
 
 /** An action, and the pause after it. */
 interface Step {
-  kind: keyof typeof ACTIONS
+  kind: string
   /** Selects a target or a parameter of the action. */
   pick: number
   waitMs: number
@@ -26,6 +31,8 @@
   return all[pick % all.length]!
 }
 
+type Action = (sim: Simulation, pick: number) => void | Promise<void>
+
 /** Actions of a scenario; the simulation can recover from any of them. */
 const ACTIONS = {
   submit(sim: Simulation, pick: number) {
@@ -85,18 +92,50 @@
   storeWell(sim: Simulation) {
     sim.rig.table.faults.lostShare = 0
   },
-} satisfies Record<string, (sim: Simulation, pick: number) => void | Promise<void>>
+} satisfies Record<string, Action>
 
-const steps = fc.array(
-  fc.record({
-    kind: fc.constantFrom(...(Object.keys(ACTIONS) as Step['kind'][])),
-    pick: fc.nat({ max: 20 }),
-    waitMs: fc.nat({ max: 250 }),
-  }),
-  { minLength: 15, maxLength: 35 },
-)
+/** The same with outages of the part of the service, while targets come and leave the list. */
+const PART_ACTIONS = {
+  ...ACTIONS,
+  partResets: ({ rig }: Simulation) => void rig.table.faults.brokenParts.add(SERVICE),
+  partIsSilent: ({ rig }: Simulation) => void rig.table.faults.silentParts.add(SERVICE),
+  partIsBack({ rig }: Simulation) {
+    rig.table.faults.brokenParts.clear()
+    rig.table.faults.silentParts.clear()
+  },
+  addTarget(sim: Simulation) {
+    sim.targets++
+    sim.rig.addTarget(`t${sim.targets}`)
+  },
+  async unlist({ rig }: Simulation, pick: number) {
+    const entry = [...rig.listed.values()][pick % rig.listed.size]
+    if (!entry || rig.listed.size === 1) return
+    rig.removeListEntry(entry.id)
+    setTimeout(() => {
+      if (rig.targets.has(entry.id)) rig.setListEntry(entry)
+    }, 1500)
+  },
+  async takeOver(sim: Simulation, pick: number) {
+    // A service is claimed by a write to its part.
+    PART_ACTIONS.partIsBack(sim)
+    await ACTIONS.takeOver(sim, pick)
+  },
+} satisfies Record<string, Action>
+
+const stepsOf = (actions: Record<string, Action>): fc.Arbitrary<Step[]> =>
+  fc.array(
+    fc.record({
+      kind: fc.constantFrom(...Object.keys(actions)),
+      pick: fc.nat({ max: 20 }),
+      waitMs: fc.nat({ max: 250 }),
+    }),
+    { minLength: 15, maxLength: 35 },
+  )
 
-async function runScenario(scenario: Step[]): Promise<string | undefined> {
+async function runScenario(
+  scenario: Step[],
+  actions: Record<string, Action>,
+): Promise<string | undefined> {
   const rig = createJobRig()
   let calls = 0
   rig.table.faults.random = () => ((calls++ * 7919) % 100) / 100
@@ -112,12 +151,13 @@
   }
   for (let each = 0; each < 6; each++) ACTIONS.submit(sim, each)
   for (const { kind, pick, waitMs } of scenario) {
-    await ACTIONS[kind](sim, pick)
+    await actions[kind]?.(sim, pick)
     await sleep(waitMs)
   }
   ACTIONS.speak(sim)
   ACTIONS.wellAgain(sim)
   ACTIONS.storeWell(sim)
+  PART_ACTIONS.partIsBack(sim)
   const settled = await rig.waitForOutcomes(sim.jobs, 30_000)
   const broken = findGuaranteeViolation(rig.ledger, sim.dead, sim.silent)
   await rig.stop()
@@ -141,11 +181,20 @@
 const RUNS = Number(process.env['MODEL_RUNS'] ?? 12)
 
 describe('leases and epochs under lost answers and late orders', () => {
-  it('never run a task twice, and lose no job', async (t) => {
-    const scenarios = fc.sample(steps, { seed: SEED, numRuns: RUNS })
-    const results = await Promise.all(scenarios.map(runScenario))
-    for (const [index, problem] of results.entries()) {
-      t.is(problem, undefined, JSON.stringify(scenarios[index]))
-    }
-  })
+  const MODELS = {
+    'never run a task twice, and lose no job': ACTIONS,
+    'never run a task twice while the part of the service comes and goes': PART_ACTIONS,
+  }
+
+  for (const [title, actions] of Object.entries(MODELS)) {
+    it(title, async (t) => {
+      const scenarios = fc.sample(stepsOf(actions), { seed: SEED, numRuns: RUNS })
+      const results = await Promise.all(
+        scenarios.map((each) => runScenario(each, actions)),
+      )
+      for (const [index, problem] of results.entries()) {
+        t.is(problem, undefined, JSON.stringify(scenarios[index]))
+      }
+    })
+  }
 })
