fix(storeAccess): probe a part again while an earlier probe is unanswered

Found by reading the part breaker: a part that had been silent stayed away for up to 1.5 s after it was back, as the probe sent before waits for its time-out and no other was sent meanwhile. A probe is sent at most every 200 ms now, whether or not the last one was answered, as the breaker of the whole store does.

The new test of partBreaker.spec failed on the code before.

--- a/src/storeAccess/__tests__/partBreaker.spec.ts
+++ b/src/storeAccess/__tests__/partBreaker.spec.ts
@@ -3,7 +3,8 @@
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
 import type { RowStore, RowTransaction } from '../../ports/index.js'
-import { createMemoryLogger, sleep } from '../../shared/index.js'
+import { createMemoryLogger, monotonicMs, sleep } from '../../shared/index.js'
+import { PROBE_MS } from '../constants.js'
 import { createStoreAccess } from '../index.js'
 
 /** Time that a busy node takes to read the answer to a probe, in ms. */
@@ -99,4 +100,20 @@
     await sleep(4 * PROBE_ANSWER_MS)
     t.true((await access.store.commit(putTo('p'))).isOk())
   })
+
+  // A probe that was sent while the part was silent is not answered once it is back.
+  it('is called for a part that was silent soon after that is back', async (t) => {
+    const { table, access, log } = startAccess(t)
+    const others = setInterval(() => void access.store.read('rows', 'p'), 50)
+    t.teardown(() => clearInterval(others))
+    table.faults.silentParts.add('away')
+    await access.store.read('rows', 'away')
+    t.true(log.events.some(({ name }) => name === 'storePartAway'))
+    t.true((await access.store.commit(putTo('away'))).isErr())
+    await sleep(PROBE_ANSWER_MS + 20)
+    table.faults.silentParts.clear()
+    const backAt = monotonicMs()
+    while ((await access.store.commit(putTo('away'))).isErr()) await sleep(20)
+    t.true(monotonicMs() - backAt < 3 * PROBE_MS + PROBE_ANSWER_MS)
+  })
 })
--- a/src/storeAccess/partBreaker.ts
+++ b/src/storeAccess/partBreaker.ts
@@ -22,8 +22,8 @@
   since: number
   /** Monotonic time from which the next call causes a probe, in ms. */
   nextProbeAt: number
-  /** Probe that is in flight. */
-  probing: Promise<void> | undefined
+  /** Latest probe; resolves once it is answered or lost. */
+  probing: Promise<void>
 }
 
 /** Creates breakers that let all calls through. */
@@ -53,8 +53,8 @@
     if (await opts.probe(part)) noteAnswer(part, sentAt)
   }
 
-  /** Resolves once the probe is answered or lost, or after `BROKEN_WAIT_MS` without an answer. */
-  function untilProbed(probing: Promise<void>): Promise<void> {
+  /** Resolves once the probe is answered or lost, or `BROKEN_WAIT_MS` after it was sent. */
+  function withLimit(probing: Promise<void>): Promise<void> {
     return new Promise((resolve) => {
       const limit = watchSilence(BROKEN_WAIT_MS, resolve)
       void probing.then(() => {
@@ -69,18 +69,19 @@
       const state = away.get(part)
       if (!state) return true
       const now = monotonicMs()
-      if (!state.probing && now >= state.nextProbeAt) {
+      // An earlier probe may still wait for an answer that will not come.
+      if (now >= state.nextProbeAt) {
         state.nextProbeAt = now + jittered(probeMs)
-        state.probing = probe(part).finally(() => (state.probing = undefined))
+        state.probing = withLimit(probe(part))
       }
-      if (state.probing) await untilProbed(state.probing)
+      await state.probing
       return !away.has(part)
     },
     noteAnswer,
     noteLost(part, sentAt) {
       if (away.has(part) || (answeredAt.get(part) ?? -Infinity) >= sentAt) return
       const now = monotonicMs()
-      away.set(part, { since: now, nextProbeAt: now, probing: undefined })
+      away.set(part, { since: now, nextProbeAt: now, probing: Promise.resolve() })
       log.event('storePartAway', { part })
     },
   }
