--- a/src/scheduler/__tests__/partAway.spec.ts
+++ b/src/scheduler/__tests__/partAway.spec.ts
@@ -51,8 +51,14 @@
     })
   }
 
-  /** Starts an owner that runs a task of a job on each of two targets, one of them new. */
-  async function startOnNewTarget(t: ExecutionContext) {
+  /**
+   * Starts an owner with one task running and one that waits for a new target, whose row cannot be
+   * written to the part of the service.
+   */
+  async function startOnNewTarget(
+    t: ExecutionContext,
+    prepare: (rig: JobRig, owner: RigOwner) => void = () => undefined,
+  ) {
     const rig = createJobRig()
     t.teardown(() => {
       rig.table.faults.brokenParts.clear()
@@ -62,6 +68,7 @@
     const owner = await rig.startOwner()
     rig.submit(owner, makeJob({ ms: 4000, cpu: 4000 }, [{ count: 2 }]))
     await sleep(300)
+    prepare(rig, owner)
     rig.table.faults.brokenParts.add(SERVICE)
     const target = rig.addTarget('t2')
     await sleep(600)
@@ -131,19 +138,8 @@
 
     for (const [when, hinder] of Object.entries(HINDRANCES)) {
       it(when, async (t) => {
-        const rig = createJobRig()
-        t.teardown(() => {
-          rig.table.faults.brokenParts.clear()
-          return rig.stop()
-        })
-        rig.addTarget('t1')
-        const owner = await rig.startOwner()
-        rig.submit(owner, makeJob({ ms: 4000, cpu: 4000 }, [{ count: 2 }]))
-        await sleep(300)
-        hinder(rig, owner)
-        rig.table.faults.brokenParts.add(SERVICE)
-        rig.addTarget('t2')
-        await sleep(800)
+        const { rig } = await startOnNewTarget(t, hinder)
+        await sleep(200)
         t.is(startsOn(rig, 't2'), 0)
       })
     }
