--- a/src/ownership/nodeRowReader.ts
+++ b/src/ownership/nodeRowReader.ts
@@ -33,7 +33,7 @@
 /** Parts per node: with a fifth of all parts down, one node in 600 has none that is up. */
 const PARTS_PER_NODE = 4
 
-/** Parts of a node: its own, and others that it uses while that is away. */
+/** Parts of a node: its own, and others that it uses while that is down. */
 export const nodeParts = (id: string): string[] =>
   Array.from({ length: PARTS_PER_NODE }, (_, each) =>
     each === 0 ? id : `${id}~${each + 1}`,
--- a/src/ownership/nodeRowWriter.ts
+++ b/src/ownership/nodeRowWriter.ts
@@ -1,4 +1,4 @@
-/** Writes the row of this node to its own part of the store or, while that is away, to others. */
+/** Writes the row of this node to its own part of the store or, while that is down, to others. */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { RowKey, RowStore } from '../ports/index.js'
--- a/src/scheduler/__tests__/partAway.spec.ts
+++ b/src/scheduler/__tests__/partDown.spec.ts
@@ -1,4 +1,4 @@
-/** Guards against new targets that stand empty while the part with their service's rows is away. */
+/** Guards against new targets that stand empty while the part with their service's rows is down. */
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
 import {
@@ -26,7 +26,7 @@
   return condition()
 }
 
-describe('service whose part of the store is away', () => {
+describe('service whose part of the store is down', () => {
   const OUTAGES = {
     refuses: 'refusedParts',
     resets: 'brokenParts',
@@ -146,7 +146,7 @@
   })
 
   // The owner read the store's version in a part that no row of any service is in.
-  it('is taken over while a part without its rows is away', async (t) => {
+  it('is taken over while a part without its rows is down', async (t) => {
     const rig = createJobRig()
     t.teardown(() => {
       rig.table.faults.brokenParts.clear()
--- a/src/scheduler/nodeRoster.ts
+++ b/src/scheduler/nodeRoster.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps rows of targets in the parts of the owner's node while the part of its service, which holds
- * the roster, is away. The owner keeps its lease by writes to the parts of its node alone, and a
+ * the roster, is down. The owner keeps its lease by writes to the parts of its node alone, and a
  * target that is new needs no more than that: a successor reads the rows of all nodes.
  */
 import { z } from 'zod'
@@ -46,7 +46,7 @@
 export interface NodeRoster {
   /** Whether the target has a durable row that a successor reads. */
   has(id: string): boolean
-  /** Writes rows; resolves to whether they are durable. Tries one part at a time. */
+  /** Writes rows to one part of this node; resolves to whether they are durable. */
   add(entries: readonly Entry[]): Promise<boolean>
   /** Adopts the rows that earlier owners of the service have left. */
   inherit(rows: readonly NodeRosterRow[]): void
@@ -63,7 +63,7 @@
   return { id, address: data?.address, location: { table, part, key, version } }
 }
 
-/** Reads the rows of a service in the parts of all nodes. */
+/** Reads the rows of a service in the parts of all nodes; fails if one part cannot be read. */
 export async function readNodeRosters(
   store: RowStore,
   service: string,
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -333,7 +333,7 @@
     mayMissTargets = false
   }
 
-  /** Reads the targets in the parts of nodes again if a part was away when this owner started. */
+  /** Reads the targets in the parts of nodes again if a part was down when this owner started. */
   async function readMissingNodeRosters(): Promise<void> {
     while (mayMissTargets && !signal.aborted) {
       await sleep(jittered(FLUSH_RETRY_MS), signal)
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -83,7 +83,7 @@
     'store does not answer or breaks connections; calls to it are suspended',
   ),
   storeAnswers: spec('RS-6021', 'info', 'store answers again'),
-  storePartAway: spec(
+  storePartDown: spec(
     'RS-6026',
     'warn',
     'part of the store does not answer; calls to it are suspended',
--- a/src/storeAccess/__tests__/partBreaker.spec.ts
+++ b/src/storeAccess/__tests__/partBreaker.spec.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are not sent to the store because one of its parts is away. */
+/** Guards against calls that are not sent to the store because one of its parts is down. */
 import type { ExecutionContext } from 'ava'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
@@ -42,10 +42,10 @@
 describe('store of which a part breaks its connections', () => {
   it('is still called for all other parts', async (t) => {
     const { table, access } = startAccess(t)
-    table.faults.brokenParts.add('away')
+    table.faults.brokenParts.add('down')
     const results = []
     for (let each = 0; each < 20; each++) {
-      void access.store.commit(putTo('away'))
+      void access.store.commit(putTo('down'))
       await sleep(5)
       results.push(access.store.commit(putTo('p')))
       await sleep(5)
@@ -56,23 +56,23 @@
 
   it('is sent no commits for the part whose outcome would be unknown', async (t) => {
     const { table, access, sent } = startAccess(t)
-    table.faults.brokenParts.add('away')
+    table.faults.brokenParts.add('down')
     for (let each = 0; each < 20; each++) {
-      await access.store.commit(putTo('away'))
+      await access.store.commit(putTo('down'))
       await access.store.commit(putTo('p'))
     }
-    t.is(sent.filter((part) => part === 'away').length, 1)
+    t.is(sent.filter((part) => part === 'down').length, 1)
   })
 
   it('is not called through a peer for the part', async (t) => {
     const { table, access } = startAccess(t)
     let relayed = 0
     access.setRelay(async () => void relayed++)
-    table.faults.brokenParts.add('away')
-    await access.store.commit(putTo('away'))
+    table.faults.brokenParts.add('down')
+    await access.store.commit(putTo('down'))
     const failures = []
     for (let each = 0; each < 5; each++) {
-      const commit = await access.store.commit(putTo('away'))
+      const commit = await access.store.commit(putTo('down'))
       failures.push(commit._unsafeUnwrapErr().failure)
     }
     t.deepEqual(failures, Array<string>(5).fill('unreachable'))
@@ -81,22 +81,22 @@
 
   it('is called for the part again once that answers', async (t) => {
     const { table, access, log } = startAccess(t)
-    table.faults.brokenParts.add('away')
-    await access.store.commit(putTo('away'))
+    table.faults.brokenParts.add('down')
+    await access.store.commit(putTo('down'))
     table.faults.brokenParts.clear()
-    while ((await access.store.commit(putTo('away'))).isErr()) await sleep(5)
+    while ((await access.store.commit(putTo('down'))).isErr()) await sleep(5)
     t.deepEqual(
       log.events.map(({ name }) => name),
-      ['storePartAway', 'storePartAnswers'],
+      ['storePartDown', 'storePartAnswers'],
     )
   })
 
-  // The breaker stayed open for the whole outage if the part that it probed was away.
+  // The breaker stayed open for the whole outage if the part that it probed was down.
   it('is called for the other parts whichever part the probes read', async (t) => {
     const { table, access } = startAccess(t)
-    for (const part of ['', 'away', 'alsoAway']) table.faults.brokenParts.add(part)
-    await access.store.commit(putTo('away'))
-    await access.store.commit(putTo('alsoAway'))
+    for (const part of ['', 'down', 'alsoDown']) table.faults.brokenParts.add(part)
+    await access.store.commit(putTo('down'))
+    await access.store.commit(putTo('alsoDown'))
     await sleep(4 * PROBE_ANSWER_MS)
     t.true((await access.store.commit(putTo('p'))).isOk())
   })
@@ -106,14 +106,14 @@
     const { table, access, log } = startAccess(t)
     const others = setInterval(() => void access.store.read('rows', 'p'), 50)
     t.teardown(() => clearInterval(others))
-    table.faults.silentParts.add('away')
-    await access.store.read('rows', 'away')
-    t.true(log.events.some(({ name }) => name === 'storePartAway'))
-    t.true((await access.store.commit(putTo('away'))).isErr())
+    table.faults.silentParts.add('down')
+    await access.store.read('rows', 'down')
+    t.true(log.events.some(({ name }) => name === 'storePartDown'))
+    t.true((await access.store.commit(putTo('down'))).isErr())
     await sleep(PROBE_ANSWER_MS + 20)
     table.faults.silentParts.clear()
     const backAt = monotonicMs()
-    while ((await access.store.commit(putTo('away'))).isErr()) await sleep(20)
+    while ((await access.store.commit(putTo('down'))).isErr()) await sleep(20)
     t.true(monotonicMs() - backAt < 3 * PROBE_MS + PROBE_ANSWER_MS)
   })
 })
--- a/src/storeAccess/storeAccess.ts
+++ b/src/storeAccess/storeAccess.ts
@@ -20,8 +20,8 @@
 } from './storeCall.js'
 import type { StoreAnswer, StoreCall } from './storeCall.js'
 
-/** Answer to a call that is not sent because its part of the store is away. */
-const PART_AWAY = failedAnswer('unreachable', 'not sent: a part is away', STORE_PLACE)
+/** Answer to a call that is not sent because its part of the store is down. */
+const PART_DOWN = failedAnswer('unreachable', 'not sent: a part is down', STORE_PLACE)
 
 /** Makes a store call through a peer; undefined if no peer is known to reach the store. */
 export type StoreRelay = (call: StoreCall) => Promise<StoreAnswer | undefined>
@@ -67,7 +67,7 @@
     return call.method !== 'commit' || answer.error.failure !== 'unknown'
   }
 
-  /** Makes a call directly; undefined if it is not sent because its part is away. */
+  /** Makes a call directly; undefined if it is not sent because its part is down. */
   async function callDirect(
     call: StoreCall,
     waitMs: number,
@@ -88,7 +88,7 @@
   async function run(call: StoreCall, waitMs: number): Promise<StoreAnswer> {
     const answer = await callDirect(call, waitMs)
     // The other parts answer this node, so that its peers do not reach this one either.
-    if (!answer) return PART_AWAY
+    if (!answer) return PART_DOWN
     if (answer.isOk()) noteRelaying(false, 'the store answers this node')
     if (!relay || !isWorthRelaying(call, answer)) return answer
     if (waitMs > 0) await sleep(Math.min(waitMs, RELAYED_POLL_MS))
@@ -111,7 +111,7 @@
         runAs({ method: 'changes', table, after }, waitMs),
     },
     // Does not wait for changes, which would block the connection of the peer.
-    callForPeer: async (call) => (await callDirect(call, 0)) ?? PART_AWAY,
+    callForPeer: async (call) => (await callDirect(call, 0)) ?? PART_DOWN,
     setRelay: (given) => void (relay = given),
     stop: () => breaker.stop(),
   }
--- a/src/storeAccess/storeCall.ts
+++ b/src/storeAccess/storeCall.ts
@@ -53,7 +53,7 @@
 
 /**
  * Creates a source of small reads that show whether the store answers. Each reads another part, as
- * one may be away.
+ * one may be down.
  */
 export function createProbes(): () => StoreCall {
   let count = 0
