feat(logs): tell the processor time of an owner and the starts it ordered for it

The line adds the processor time of the process, the part of it that placing tasks took, and the starts ordered, all since the last line.

--- a/src/scheduler/__tests__/roomUse.spec.ts
+++ b/src/scheduler/__tests__/roomUse.spec.ts
@@ -33,6 +33,24 @@
     t.like(use().at(-1)?.fields, { usable: 0, takenCpu: 3500 })
   })
 
+  it('tells the processor time of the owner for its starts', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => rig.stop())
+    rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    rig.submit(owner, makeJob({ ms: 1600, cpu: 1000 }, [{ count: 6 }]))
+    await sleep(2700)
+    const use = rig.log.events.filter(({ name }) => name === 'roomUse')
+    t.deepEqual(
+      use.slice(0, 2).map(({ fields }) => fields['ordered']),
+      [4, 0],
+    )
+    for (const { fields } of use) {
+      t.true(Number(fields['cpuMs']) > 0)
+      t.true(Number(fields['planMs']) <= Number(fields['periodMs']))
+    }
+  })
+
   it('counts the targets that wait for the store', async (t) => {
     const rig = createJobRig()
     t.teardown(() => rig.stop())
--- a/src/scheduler/roomUse.ts
+++ b/src/scheduler/roomUse.ts
@@ -1,10 +1,12 @@
 /**
  * Logs how much of a service's room is in use while tasks wait: what the owner counts as taken, from
- * each order to the news of the end, and what runs by the last reports of the targets.
+ * each order to the news of the end, and what runs by the last reports of the targets. Also logs the
+ * processor time that the owner used meanwhile, and for how many starts.
  */
 import type { JobBook } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import type { OwnerLoad } from './ownerLoad.js'
 import { needOf, takenCpuOf } from './room.js'
 import type { TargetAgent } from './types.js'
 
@@ -21,6 +23,8 @@
   requestedCpu(): number
   /** Whether the row of the target is durable, so that tasks may start there. */
   hasRow(targetId: string): boolean
+  /** Work of the owner since the last call. */
+  takeLoad(): OwnerLoad
   log: Logger
 }
 
@@ -31,6 +35,7 @@
   isBehind,
   requestedCpu,
   hasRow,
+  takeLoad,
   log,
 }: RoomUseOptions): (agents: readonly TargetAgent[]) => void {
   let loggedAt = -Infinity
@@ -68,6 +73,7 @@
       service,
       ...sums,
       requestedCpu: requestedCpu(),
+      ...takeLoad(),
       starting,
       ready: book.ready.size,
       open: book.open.size,
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -37,6 +37,7 @@
 import { moveUnhealthyRuns } from './moveUnhealthyRuns.js'
 import { createThrottled } from './throttle.js'
 import { createProgressWriter } from './progressWriter.js'
+import { createOwnerLoadMeter } from './ownerLoad.js'
 import { createQueueRows } from './queueRows.js'
 import { createNodeRoster, readNodeRosters } from './nodeRoster.js'
 import type { NodeRosterRow } from './nodeRoster.js'
@@ -122,7 +123,8 @@
   const inheritedRead = new Promise<void>((resolve) => (resolveInheritedRead = resolve))
   const startedAt = monotonicMs()
 
-  const wake = createThrottled(plan, MIN_PLAN_INTERVAL_MS)
+  const load = createOwnerLoadMeter()
+  const wake = createThrottled(() => load.measurePlan(plan), MIN_PLAN_INTERVAL_MS)
 
   const progress = createProgressWriter({
     store,
@@ -268,7 +270,11 @@
     shares,
     log,
   }
-  const starter = createStarter({ ...shared, usableCpu: demand.usableCpu })
+  const starter = createStarter({
+    ...shared,
+    usableCpu: demand.usableCpu,
+    ordered: load.noteOrdered,
+  })
   const waitWatch = createWaitWatch({
     book,
     policyNow: starter.policyNow,
@@ -283,6 +289,7 @@
     isBehind: startWindow.isBehind,
     requestedCpu: demand.requestedCpu,
     hasRow: roster.has,
+    takeLoad: load.take,
     log,
   })
   const follower = createTargetFollower({
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -37,6 +37,8 @@
   shares: FairShares
   /** Room that the owner can use, in thousandths of a core; Infinity without a limit. */
   usableCpu(): number
+  /** Called with the number of starts that were ordered. */
+  ordered(starts: number): void
   log: Logger
 }
 
@@ -128,6 +130,7 @@
       },
     })
     for (const step of waiting) if (needsTicket(step)) tickets.request(step, agents)
+    if (starts.length > 0) opts.ordered(starts.length)
     for (const { task, agent } of starts) {
       const run = Math.max(task.run + 1, firstRun)
       agent.start(task, run, ticketFor(task.step, agent))
