fix(scheduler): leave the owner's own delay out of the run times of tasks

Callers saw jobs of a busy queue finish late, hardly any in time, while targets had room.

Cause: a run counted from its order, so that the time in the owner's queues became part of the run time. Objectives are multiples of it: the later the owner, the later the deadlines that it assumed, and jobs that were too late counted as timely.

Change: a run counts from when its target is first known to run it.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -27,7 +27,10 @@
   checkpoint: string
   /** Target of the present run. */
   targetId: string | undefined
-  /** Time of the start order, in ms of the monotonic clock. */
+  /**
+   * Time at which the target was first known to run the present run, in ms of the monotonic clock;
+   * Infinity before. The time since the start order would also contain the delay of the owner itself.
+   */
   startedAt: number
   /** Time since which the task may start, in ms of the monotonic clock. */
   readySince: number
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -65,7 +65,7 @@
   /** Records that a start was ordered. */
   place(task: Task, targetId: string, run: number): void
   /** Records that a target has reported the beginning of a run of the task. */
-  noteBegun(task: Task): void
+  noteBegun(task: Task, run: number): void
   /** Records that an ordered start did not take place; the task becomes ready again. */
   unplace(task: Task): void
   /**
@@ -300,9 +300,13 @@
       task.phase = 'placed'
       task.targetId = targetId
       task.run = run
-      task.startedAt = opts.now()
+      task.startedAt = Infinity
+    },
+    noteBegun(task, run) {
+      task.step.job.begun = true
+      if (task.phase !== 'placed' || task.run !== run) return
+      task.startedAt = Math.min(task.startedAt, opts.now())
     },
-    noteBegun: (task) => void (task.step.job.begun = true),
     unplace(task) {
       if (task.phase === 'placed' && !task.step.job.outcome) makeReady(task)
     },
@@ -311,7 +315,7 @@
       const task = book.task(end.task)
       if (!task || task.step.job.outcome || task.phase === 'done') return undefined
       task.run = Math.max(task.run, end.run)
-      book.noteBegun(task)
+      task.step.job.begun = true
       if (NON_CRASH_ENDS.has(end.kind)) book.noteUptime(task, Infinity)
       // A run that completes the task counts even if another run has been placed since.
       if (end.kind === 'done' && !task.step.spec.lasting) {
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -221,7 +221,7 @@
     runs.noteClock(res.value.clockMs)
     if (!res.value.accepted)
       return noteRefusal(task, placement, res.value.reason, sentToken, unansweredCalls)
-    book.noteBegun(task)
+    book.noteBegun(task, placement.run)
     if (placement.state === 'starting') placement.state = 'running'
     placement.confirmedClockMs = res.value.clockMs
     if (isCrashSuspect(task)) opts.suspectStarted(task)
--- a/src/scheduler/runMonitor.ts
+++ b/src/scheduler/runMonitor.ts
@@ -255,10 +255,11 @@
   return {
     noteDone(agent, task) {
       const { step } = task
+      const { startedAt } = task
+      if (!Number.isFinite(startedAt)) return false
       if (!hasMeasurableSpeed(step) || !runTimes.hasEnoughRuns(step)) return false
       const at = monotonicMs()
-      const pace = runTimes.meanRunMs(step) / Math.max(1, at - task.startedAt)
-      const { startedAt } = task
+      const pace = runTimes.meanRunMs(step) / Math.max(1, at - startedAt)
       const recent = [...recentlyDone(agent), { step, agent, pace, startedAt, at }]
       done.set(agent, recent.slice(-RECENT_RUNS))
       return pace < SLOW_PACE
--- a/src/scheduler/runTimes.ts
+++ b/src/scheduler/runTimes.ts
@@ -75,7 +75,7 @@
   let leastMs = Infinity
   for (const { phase, startedAt } of step.tasks) {
     if (phase === 'done') continue
-    leastMs = Math.min(leastMs, phase === 'placed' ? now - startedAt : 0)
+    leastMs = Math.min(leastMs, phase === 'placed' ? Math.max(0, now - startedAt) : 0)
   }
   return leastMs
 }
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -163,7 +163,9 @@
       changed: opts.changed,
       ticketRefused: (step, id) => opts.tickets.discard(step, id),
       ended(each, task, kind) {
-        if (kind === 'done') opts.runTimes.note(task, monotonicMs() - task.startedAt)
+        // The report of the end may have been the first news of the run.
+        if (kind === 'done' && Number.isFinite(task.startedAt))
+          opts.runTimes.note(task, monotonicMs() - task.startedAt)
         health.noteEnd(each, task, kind)
       },
       restarted: health.forget,
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -204,7 +204,7 @@
       const placement = add(task, run, 'running')
       placement.confirmedClockMs = Infinity
       book.place(task, targetId, Math.max(task.run, run))
-      book.noteBegun(task)
+      book.noteBegun(task, task.run)
       log.event('runAdopted', { task: name, run, target: targetId })
       return
     }
@@ -249,7 +249,7 @@
         updatePlacement(placement, run)
         retryStop(placement)
       }
-      if (placement?.task) book.noteBegun(placement.task)
+      if (placement?.task) book.noteBegun(placement.task, run.run)
     }
   }
 
