fix(scheduler): limit the share of time that an owner plans

Cause: each new job and each ended run requests a plan, and a plan examines all waiting tasks.

Change: plans take a fifth of the time at most; long ones are made less often.

--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -126,3 +126,8 @@
  * compared with the 0.6 s of delay that callers allow a job.
  */
 export const MIN_PLAN_INTERVAL_MS = 5
+/**
+ * Largest share of time in which an owner plans. A plan examines all waiting tasks, so that its cost
+ * grows with the backlog; without a limit, an owner with a backlog has less time for its starts.
+ */
+export const MAX_PLAN_SHARE = 0.2
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -21,6 +21,7 @@
   MAX_FIRST_READ_WAIT_MS,
   MAX_FLEET_ANSWER_WAIT_MS,
   HOUSEKEEPING_INTERVAL_MS,
+  MAX_PLAN_SHARE,
   MIN_PLAN_INTERVAL_MS,
 } from './constants.js'
 import { createDemandMeter } from './demand.js'
@@ -124,7 +125,10 @@
   const startedAt = monotonicMs()
 
   const load = createOwnerLoadMeter()
-  const wake = createThrottled(() => load.measurePlan(plan), MIN_PLAN_INTERVAL_MS)
+  const wake = createThrottled(() => load.measurePlan(plan), {
+    gapMs: MIN_PLAN_INTERVAL_MS,
+    maxShare: MAX_PLAN_SHARE,
+  })
 
   const progress = createProgressWriter({
     store,
--- a/src/scheduler/throttle.ts
+++ b/src/scheduler/throttle.ts
@@ -1,25 +1,39 @@
 /** Throttles and coalesces calls that are requested often. */
 import { monotonicMs } from '../shared/index.js'
 
+/** Limits of a throttled call. */
+export interface ThrottleOptions {
+  /** Shortest time between two calls, in ms. */
+  gapMs: number
+  /** Largest share of time that the calls may take, so that long ones are made less often. */
+  maxShare: number
+}
+
 /**
  * Returns a function that requests a call. The call is made at the end of this turn of the event
- * loop or, if the last one was less than `gapMs` ago, after `gapMs`. All requests until then share
+ * loop or, if the last one was too recent, once the limits allow it. All requests until then share
  * one call.
  */
-export function createThrottled(call: () => void, gapMs: number): () => void {
+export function createThrottled(
+  call: () => void,
+  { gapMs, maxShare }: ThrottleOptions,
+): () => void {
   let isScheduled = false
-  let calledAt = -Infinity
+  /** Monotonic time from which the next call may be made, in ms. */
+  let nextAt = -Infinity
 
   const callOnce = (): void => {
     isScheduled = false
-    calledAt = monotonicMs()
+    const calledAt = monotonicMs()
     call()
+    nextAt = calledAt + Math.max(gapMs, (monotonicMs() - calledAt) / maxShare)
   }
 
   return () => {
     if (isScheduled) return
     isScheduled = true
-    if (monotonicMs() - calledAt >= gapMs) setImmediate(callOnce)
-    else setTimeout(callOnce, gapMs)
+    const waitMs = nextAt - monotonicMs()
+    if (waitMs <= 0) setImmediate(callOnce)
+    else setTimeout(callOnce, waitMs)
   }
 }
