fix(scheduler): write the progress of many jobs in two transactions at a time

Cause: one flush of a busy owner takes several transactions of 45 jobs, one after another, and it reads each answer late.

Change: two transactions are under way at a time.

--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -1,6 +1,6 @@
 /**
- * Makes the progress of jobs durable, one write at a time; changes that come in during a write
- * go into the next one. Each write is conditional on the owner's epoch and on the versions of
+ * Makes the progress of jobs durable; changes that come in during a write go into the next one.
+ * Each write is conditional on the owner's epoch and on the versions of
  * the rows that it replaces, so that neither a superseded owner nor a delayed write can undo
  * progress.
  */
@@ -18,6 +18,13 @@
 import type { Logger } from '../shared/index.js'
 import { FLUSH_DELAY_MS, FLUSH_RETRY_MS, JOBS_PER_WRITE } from './constants.js'
 
+/**
+ * Writes under way at the same time. A busy owner reads each answer late, and with one write after
+ * another the targets wait for that as often as there are writes. All go to one part, which carries
+ * them out in turn and refuses them once more than a second is waiting.
+ */
+const MAX_CONCURRENT_WRITES = 2
+
 /** Holds acknowledgements back until the progress that they depend on is durable. */
 export interface AckSource {
   /** Marks the progress noted so far; the returned function is called once it is durable. */
@@ -84,14 +91,26 @@
     const acks = [...sources].map((source) => source.capture())
     const waiting = waiters
     waiters = []
-    for (let at = 0; at < batch.length; at += JOBS_PER_WRITE) {
-      const written = await write(batch.slice(at, at + JOBS_PER_WRITE))
-      if (!written) return
-    }
+    if (!(await writeAll(batch))) return
     for (const ack of acks) ack()
     for (const resolve of waiting) resolve(true)
   }
 
+  /** Writes the progress of any number of jobs; false when it could not be written. */
+  async function writeAll(jobs: Job[]): Promise<boolean> {
+    let next = 0
+    const writeRest = async (): Promise<boolean> => {
+      while (next < jobs.length) {
+        const from = next
+        next += JOBS_PER_WRITE
+        if (!(await write(jobs.slice(from, next)))) return false
+      }
+      return true
+    }
+    const writers = Array.from({ length: MAX_CONCURRENT_WRITES }, writeRest)
+    return (await Promise.all(writers)).every((isWritten) => isWritten)
+  }
+
   /** Retries a write until it is done; false when the epoch is lost or the writer stopped. */
   async function write(jobs: Job[]): Promise<boolean> {
     for (;;) {
