fix(scheduler): notice that starts wait in the owner's own queues

Cause: the delay of a start was measured from its call. An owner with many targets has most of it before: each target gets one call at a time, and each call is answered in time. The window grew to 1,024 starts, seconds of work. An owner whose window was right again did not count as behind any more, although its starts still waited for the window.

Change: the delay counts from the order; the window is sized by what is answered in time; an owner stays behind for as long as its window is full.

--- a/src/scheduler/__tests__/startWindow.spec.ts
+++ b/src/scheduler/__tests__/startWindow.spec.ts
@@ -55,6 +55,25 @@
     })
   })
 
+  describe('for an owner with many targets', () => {
+    it('does not grow beyond what is answered soon', (t) => {
+      const owner = createOwner(200)
+      owner.run(6000)
+      // Starts that wait for half a second when ordered.
+      t.true(owner.inFlight() <= 100)
+      t.true(owner.window.delayMs() <= 500)
+    })
+
+    it('counts it as behind for as long as starts wait for the window', (t) => {
+      const owner = createOwner(200)
+      owner.run(3000)
+      for (let second = 0; second < 10; second++) {
+        owner.run(1000)
+        t.true(owner.window.isBehind())
+      }
+    })
+  })
+
   describe('for an owner whose starts are answered at once', () => {
     it('does not limit its starts', (t) => {
       const owner = createOwner(2000)
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -321,7 +321,7 @@
         await sendStart(task, placement, ticket)
         const now = monotonicMs()
         const wasSent = Number.isFinite(placement.sentAt)
-        startWindow.noteEnded(wasSent ? now - placement.sentAt : undefined)
+        startWindow.noteEnded(wasSent ? now - orderedAt : undefined)
         noteDelay(task.step.job.delays, 'startMs', now - orderedAt)
       })
     },
--- a/src/scheduler/startWindow.ts
+++ b/src/scheduler/startWindow.ts
@@ -15,8 +15,9 @@
 const MIN_SIZE = 4
 const MAX_SIZE = 1024
 /**
- * An answer that takes longer is late, in ms. Targets answer within a few ms, so that the rest is
- * the delay of the owner itself or of its link.
+ * An answer that comes later after the order is late, in ms. Targets answer within a few ms, so that
+ * the rest is the delay of the owner itself or of its link. It counts from the order, as an owner with
+ * many targets has most of its delay in their queues: each call may be answered in time then.
  */
 const LATE_AFTER_MS = 250
 /** Shortest interval between two changes of the size, in ms. */
@@ -28,6 +29,11 @@
 /** Growth while the owner is behind, in starts, and otherwise as a factor. */
 const BEHIND_INCREASE = 1
 const INCREASE_FACTOR = 1.5
+/**
+ * Largest window as a multiple of the starts that are answered before they count as late. A window that
+ * grows further while its starts are answered in time fills the queues of orders once that ends.
+ */
+const MAX_IN_TIME_FACTOR = 2
 /** Share of late answers from which the owner is behind. One or two slow targets do not suffice. */
 const MIN_LATE_SHARE = 0.75
 /** Time for which the owner counts as behind once most starts were answered late, in ms. */
@@ -43,13 +49,15 @@
   noteOrdered(): void
   /**
    * Records that a start has been answered, has failed or was not sent.
-   * @param tookMs time from the call to the answer, in ms; undefined if it was not sent
+   * @param tookMs time from the order to the answer, in ms; undefined if it was not sent
    */
   noteEnded(tookMs?: number): void
   /** Whether the owner cannot order starts as fast as they become due. */
   isBehind(): boolean
   /** Returns the highest recent rate of answered starts per second. */
   perSecond(): number
+  /** Returns the usual time from an order to its answer in the last period, in ms. */
+  delayMs(): number
 }
 
 /** Dependencies of the window. */
@@ -75,14 +83,14 @@
   /** Rates of recent periods, in starts per second, with their monotonic times in ms. */
   let rates: { at: number; perSecond: number }[] = []
   let behindUntil = -Infinity
+  /** Usual time from an order to its answer in the last period, in ms, and when that was measured. */
+  let delay = { at: -Infinity, ms: 0 }
 
   const perSecond = (): number => Math.max(0, ...rates.map((each) => each.perSecond))
 
   /** Whether most starts of the period were answered late. */
-  function isLate(): boolean {
-    const sorted = [...answerTimes].sort((a, b) => a - b)
-    return (sorted[Math.floor(sorted.length * (1 - MIN_LATE_SHARE))] ?? 0) > LATE_AFTER_MS
-  }
+  const isLate = (): boolean =>
+    quantileOf(answerTimes, 1 - MIN_LATE_SHARE) > LATE_AFTER_MS
 
   function noteBehind(at: number): void {
     if (at >= behindUntil) {
@@ -92,20 +100,33 @@
     behindUntil = at + BEHIND_MS
   }
 
+  /** Sizes the window to what is answered in time. An owner that keeps up may need more. */
+  function resize(at: number, answeredPerMs: number): void {
+    const inTime = answeredPerMs * LATE_AFTER_MS
+    if (isLate()) {
+      size = Math.max(MIN_SIZE, Math.floor(Math.min(size * DECREASE_FACTOR, inTime)))
+      return noteBehind(at)
+    }
+    if (!wasFull) return
+    if (at < behindUntil) {
+      size = Math.min(MAX_SIZE, Math.max(size + BEHIND_INCREASE, Math.floor(inTime)))
+      // Answers come in time because starts wait for the window.
+      return noteBehind(at)
+    }
+    const limit = Math.max(INITIAL_SIZE, inTime * MAX_IN_TIME_FACTOR)
+    const grown = Math.min(MAX_SIZE, limit, size * INCREASE_FACTOR)
+    size = Math.max(size, Math.ceil(grown))
+  }
+
   function endPeriod(): void {
     const at = now()
     const ms = at - periodStart
     if (ms < UPDATE_PERIOD_MS || answerTimes.length < MIN_ANSWERS) return
+    const answeredPerMs = answerTimes.length / ms
     rates = rates.filter((each) => at - each.at < RATE_WINDOW_MS)
-    rates.push({ at, perSecond: (answerTimes.length * 1000) / ms })
-    if (isLate()) {
-      size = Math.max(MIN_SIZE, Math.floor(size * DECREASE_FACTOR))
-      noteBehind(at)
-    } else if (wasFull) {
-      const grown =
-        at < behindUntil ? size + BEHIND_INCREASE : Math.ceil(size * INCREASE_FACTOR)
-      size = Math.min(MAX_SIZE, grown)
-    }
+    rates.push({ at, perSecond: answeredPerMs * 1000 })
+    delay = { at, ms: quantileOf(answerTimes, 0.5) }
+    resize(at, answeredPerMs)
     answerTimes = []
     periodStart = at
     wasFull = inFlight >= size
@@ -126,5 +147,12 @@
     },
     isBehind: () => now() < behindUntil,
     perSecond,
+    delayMs: () => (now() - delay.at < RATE_WINDOW_MS ? delay.ms : 0),
   }
 }
+
+/** Returns the value below which the given share of the values lies; 0 without any. */
+function quantileOf(values: number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.floor(sorted.length * share)] ?? 0
+}
