fix(scheduler): begin the jobs that an overloaded owner can safely finish in time

Cause: an owner that is behind began the oldest jobs that it could still finish, so that each was begun at the last moment, and left out how long its starts take. With any error in that estimate all of them finish a little late.

Change: the delay of starts counts, and jobs with the most time left are begun first.

--- a/src/scheduler/__tests__/pacedUrgencies.spec.ts
+++ b/src/scheduler/__tests__/pacedUrgencies.spec.ts
@@ -48,6 +48,19 @@
     })
   })
 
+  describe('for jobs that it cannot all finish in time', () => {
+    // The oldest ones that it can still finish in time leave no room for any error.
+    it('begins those first that have the most time left', (t) => {
+      const { jobs, urgencies } = computeUrgencies(20)
+      const timely = jobs.filter((job) => urgencies.get(job)?.standing === 'timely')
+      t.deepEqual(timely, jobs.slice(-timely.length))
+      const order = [...jobs].sort((a, b) =>
+        compareUrgency(urgencies.get(a)!, urgencies.get(b)!),
+      )
+      t.is(order[0], jobs.at(-1))
+    })
+  })
+
   describe('for jobs that are too late in any case', () => {
     it('puts the longest idle one first, with one start', (t) => {
       const { jobs, urgencies } = computeUrgencies(20, (all) => {
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -92,8 +92,15 @@
 
   /** Returns a lookup of the urgencies of jobs with ready tasks. */
   function createUrgencyLookup(now: number): (job: Job) => Urgency {
+    const startDelayMs = startWindow.delayMs()
     const delayedUrgencyOf = (job: Job, delayMs: number): Urgency => ({
-      ...urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now, delayMs),
+      ...urgencyOf(
+        job,
+        configuration.queue(job.spec.queue),
+        runTimes,
+        now,
+        delayMs + startDelayMs,
+      ),
       isBeyondShare: shares.isBeyondShare(job),
     })
     const perSecond = startWindow.perSecond()
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -103,15 +103,17 @@
     (a, b) =>
       comparePriorityAndTimeliness(a.urgency, b.urgency) ||
       Number(b.job.begun) - Number(a.job.begun) ||
-      a.urgency.deadline - b.urgency.deadline,
+      b.urgency.deadline - a.urgency.deadline,
   )
   const urgencies = new Map<Job, Urgency>()
   let startsAhead = 0
-  for (const { job, count, urgency } of candidates) {
+  for (const [position, { job, count, urgency }] of candidates.entries()) {
     const delayed = urgencyOf(job, ((startsAhead + count) * 1000) / perSecond)
     urgencies.set(
       job,
-      delayed.standing === 'useless' ? longestIdleFirst(job, delayed) : delayed,
+      delayed.standing === 'useless'
+        ? longestIdleFirst(job, delayed)
+        : { ...delayed, deadline: position },
     )
     if (delayed.standing === urgency.standing) startsAhead += count
   }
