--- a/src/scheduler/startWindow.ts
+++ b/src/scheduler/startWindow.ts
@@ -34,7 +34,9 @@
  * grows further while its starts are answered in time fills the queues of orders once that ends.
  */
 const MAX_IN_TIME_FACTOR = 2
-/** Time for which the owner counts as behind once its starts were answered late, in ms. */
+/** Share of late answers from which the owner is behind. One or two slow targets do not suffice. */
+const MIN_LATE_SHARE = 0.75
+/** Time for which the owner counts as behind once most starts were answered late, in ms. */
 const BEHIND_MS = 2000
 /** Time for which a measured rate is kept, in ms: later ones are lower if targets have no room. */
 const RATE_WINDOW_MS = 3000
@@ -86,6 +88,10 @@
 
   const perSecond = (): number => Math.max(0, ...rates.map((each) => each.perSecond))
 
+  /** Whether most starts of the period were answered late. */
+  const isLate = (): boolean =>
+    quantileOf(answerTimes, 1 - MIN_LATE_SHARE) > LATE_AFTER_MS
+
   function noteBehind(at: number): void {
     if (at >= behindUntil) {
       const roundedRate = Math.round(perSecond())
@@ -97,8 +103,7 @@
   /** Sizes the window to what is answered in time. An owner that keeps up may need more. */
   function resize(at: number, answeredPerMs: number): void {
     const inTime = answeredPerMs * LATE_AFTER_MS
-    // The median: one or two slow targets do not suffice.
-    if (delay.ms > LATE_AFTER_MS) {
+    if (isLate()) {
       size = Math.max(MIN_SIZE, Math.floor(Math.min(size * DECREASE_FACTOR, inTime)))
       return noteBehind(at)
     }
