--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -64,7 +64,7 @@
   markDue(): number | undefined
   /** Records that a start was ordered. */
   place(task: Task, targetId: string, run: number): void
-  /** Records that a target has reported the beginning of a run of the task. */
+  /** Records that a target is known to run the task, under this run number. */
   noteBegun(task: Task, run: number): void
   /** Records that an ordered start did not take place; the task becomes ready again. */
   unplace(task: Task): void
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -1,8 +1,7 @@
 /**
  * Makes the progress of jobs durable; changes that come in during a write go into the next one.
- * Each write is conditional on the owner's epoch and on the versions of
- * the rows that it replaces, so that neither a superseded owner nor a delayed write can undo
- * progress.
+ * Each write is conditional on the owner's epoch and on the versions of the rows that it replaces,
+ * so that neither a superseded owner nor a delayed write can undo progress.
  */
 import type { RowStore, RowTransaction, StoredRow } from '../ports/index.js'
 import { encodeProgress, progressKey } from '../jobs/index.js'
@@ -19,9 +18,9 @@
 import { FLUSH_DELAY_MS, FLUSH_RETRY_MS, JOBS_PER_WRITE } from './constants.js'
 
 /**
- * Writes under way at the same time. A busy owner reads each answer late, and with one write after
- * another the targets wait for that as often as there are writes. All go to one part, which carries
- * them out in turn and refuses them once more than a second is waiting.
+ * Largest number of writes under way. A busy owner reads each answer late, and all targets wait until
+ * the last write is answered. More would help little: a part of the store carries its writes out one
+ * after another, and refuses them once more than a second of work is waiting.
  */
 const MAX_CONCURRENT_WRITES = 2
 
--- a/src/scheduler/startWindow.ts
+++ b/src/scheduler/startWindow.ts
@@ -4,7 +4,8 @@
  * sorts them by urgency, and not in queues of orders. The window follows additive increase and
  * multiplicative decrease after D.-M. Chiu and R. Jain, "Analysis of the increase and decrease
  * algorithms for congestion avoidance in computer networks", 1989; the congestion signal is the
- * delay, as in TCP Vegas.
+ * delay, as in TCP Vegas. By Little's law, the starts that are answered within a delay are their rate
+ * times that delay: a late owner's window shrinks to them at once, as the turn of a queue is short.
  */
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -26,7 +27,7 @@
 const MIN_ANSWERS = 4
 /** Factor by which the window shrinks if most starts were answered late. */
 const DECREASE_FACTOR = 0.75
-/** Growth while the owner is behind, in starts, and otherwise as a factor. */
+/** Least growth while the owner is behind, in starts, and growth otherwise, as a factor. */
 const BEHIND_INCREASE = 1
 const INCREASE_FACTOR = 1.5
 /**
@@ -100,7 +101,10 @@
     behindUntil = at + BEHIND_MS
   }
 
-  /** Sizes the window to what is answered in time. An owner that keeps up may need more. */
+  /**
+   * Resizes the window after a period. While the owner is behind it is as large as is answered in time;
+   * an owner that keeps up may need more.
+   */
   function resize(at: number, answeredPerMs: number): void {
     const inTime = answeredPerMs * LATE_AFTER_MS
     if (isLate()) {
@@ -110,7 +114,7 @@
     if (!wasFull) return
     if (at < behindUntil) {
       size = Math.min(MAX_SIZE, Math.max(size + BEHIND_INCREASE, Math.floor(inTime)))
-      // Answers come in time because starts wait for the window.
+      // It is still behind: answers come in time because other starts wait for the window.
       return noteBehind(at)
     }
     const limit = Math.max(INITIAL_SIZE, inTime * MAX_IN_TIME_FACTOR)
