feat(directory): read cordoned data halls, cold targets and optional features

Operators cordon a data hall with a row that no node has read so far; rows of targets and services tell how long a target stays slow; the contracts places and pressure were reported as unknown. Nothing acts on them yet; deployments without these rows and contracts are served as before.

--- a/src/config/__tests__/resolveConfig.spec.ts
+++ b/src/config/__tests__/resolveConfig.spec.ts
@@ -1,3 +1,4 @@
+import { featuresOf } from '../features.js'
 import { readFileSync } from 'node:fs'
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
@@ -215,6 +216,38 @@
   })
 })
 
+describe('featuresOf', () => {
+  const featuresWith = (sections: string): string[] => {
+    const text = NODE.replace('[cloud]', `${sections}\n[cloud]`)
+    return [...featuresOf(parseNodeConfig(text)._unsafeUnwrap().cfg)].sort()
+  }
+
+  it('enables nothing where no contract calls for it', (t) => {
+    t.deepEqual(featuresWith(''), [])
+    t.deepEqual(featuresWith('[contracts]\nin_force = base,sched,tenants,quota'), [])
+  })
+
+  it('enables what the contracts in force call for', (t) => {
+    t.deepEqual(featuresWith('[contracts]\nin_force = base,places'), ['speculation'])
+    t.deepEqual(featuresWith('[contracts]\nin_force = base,pressure'), [
+      'admission',
+      'speculation',
+      'weightedShares',
+    ])
+  })
+
+  it('lets the settings replace what the contracts call for', (t) => {
+    const pressure = '[contracts]\nin_force = base,pressure\n'
+    t.deepEqual(featuresWith(`${pressure}[features]\nenabled = none`), [])
+    t.deepEqual(featuresWith('[features]\nenabled = admission'), ['admission'])
+  })
+
+  it('ignores an unknown feature and keeps what the contracts call for', (t) => {
+    const places = '[contracts]\nin_force = base,places\n'
+    t.deepEqual(featuresWith(`${places}[features]\nenabled = magic`), ['speculation'])
+  })
+})
+
 describe('docs/node-config.md', () => {
   it('describes every key of every section', (t) => {
     const page = readFileSync('docs/node-config.md', 'utf8')
--- a/src/config/nodeSchema.ts
+++ b/src/config/nodeSchema.ts
@@ -1,9 +1,12 @@
 /** Settings of `rillshunt-node`; `docs/node-config.md` lists every key. */
 import { z } from 'zod'
+import { FEATURES, FEATURE_CONTRACTS } from './features.js'
+import type { Feature } from './features.js'
 import {
   identifierList,
   ipAddress,
   nodeName,
+  nodeNameList,
   port,
   positiveNumber,
   socketAddress,
@@ -11,11 +14,25 @@
 
 const section = <T extends z.ZodRawShape>(shape: T) => z.strictObject(shape)
 
+const isFeature = (name: string): name is Feature =>
+  (FEATURES as readonly string[]).includes(name)
+
+/** A list of features, or `none`. */
+const featureList = () =>
+  identifierList().transform((names, ctx): Feature[] => {
+    const wanted = names.filter((name) => name !== 'none')
+    const unknown = wanted.filter((name) => !isFeature(name))
+    if (unknown.length === 0) return wanted.filter(isFeature)
+    ctx.addIssue({ code: 'custom', message: `unknown features: ${unknown.join(', ')}` })
+    return z.NEVER
+  })
+
 /**
  * Contracts of the platform that this version implements. `health` requires nothing of a
  * node: how targets run their tasks says more than what they report about themselves.
+ * `features.ts` names the contracts that enable features.
  */
-const KNOWN_CONTRACTS: readonly string[] = [
+const BASE_CONTRACTS: readonly string[] = [
   'base',
   'drain',
   'config',
@@ -30,6 +47,7 @@
   'upkeep',
   'sharing',
 ]
+const KNOWN_CONTRACTS: readonly string[] = [...BASE_CONTRACTS, ...FEATURE_CONTRACTS]
 
 /** Schema of all settings of a node. */
 export const nodeConfigSchema = z.strictObject({
@@ -38,6 +56,8 @@
     id: nodeName(),
     /** Data hall that the node runs in. Required. */
     hall: nodeName(),
+    /** All data halls of the deployment. Without it, a node does not know when all are cordoned. */
+    halls: nodeNameList().optional(),
     /** Printed in every log line; has no other effect. @default 'entry' */
     role: nodeName().prefault('entry'),
     /** Cores that the node may use; nodes with more cores come first as owners. @default 1 */
@@ -78,8 +98,12 @@
     address: socketAddress().optional(),
   }),
   contracts: section({
-    /** Contracts of the platform in force. @default all that this version implements */
-    in_force: identifierList().prefault(KNOWN_CONTRACTS.join(',')),
+    /** Contracts of the platform in force. @default all that enable no optional feature */
+    in_force: identifierList().prefault(BASE_CONTRACTS.join(',')),
+  }),
+  features: section({
+    /** Optional features to enable. @default those that the contracts in force call for */
+    enabled: featureList().optional(),
   }),
   log: section({
     /** Least severe level that is logged: error, warn, info or debug. @default 'info' */
@@ -93,10 +117,11 @@
  * cannot be used, is an error that keeps the node from starting.
  */
 export const KEYS_WITH_FALLBACK: Record<string, readonly string[]> = {
-  node: ['role', 'cpu_share', 'link_mbps'],
+  node: ['halls', 'role', 'cpu_share', 'link_mbps'],
   listen: ['metrics_port'],
   cloud: ['orders_per_second'],
   contracts: ['in_force'],
+  features: ['enabled'],
   log: ['level'],
 }
 
--- a/src/config/values.ts
+++ b/src/config/values.ts
@@ -97,6 +97,13 @@
       /^[!-~]+$/.test(text) && text.length <= MAX_NODE_NAME_LENGTH ? text : undefined,
   )
 
+/** A list of such names, separated by commas. */
+export const nodeNameList = () =>
+  textValue('a list of names, such as a-1,a-2', (text) => {
+    const names = text.split(',').map((name) => name.trim())
+    return names.every((name) => /^[!-~]+$/.test(name)) ? names : undefined
+  })
+
 /** An HTTP URL with an IP address as its host, resolved to the origin. */
 export const httpUrl = () =>
   textValue('an http URL by IP number, such as http://10.1.0.4:7000', (text) => {
--- a/src/directory/__tests__/configurationHolder.spec.ts
+++ b/src/directory/__tests__/configurationHolder.spec.ts
@@ -76,4 +76,53 @@
     t.is(holder.match('other.example', '/a/'), undefined)
     await holder.stop()
   })
+
+  describe('cordons', () => {
+    const cordonOf = (hall: string) => ({ ...KEY, key: `evacuate/${hall}` })
+
+    it('are known as soon as the configuration is, whatever their value', async (t) => {
+      const { table, holder } = start()
+      table.put(cordonOf('h1'), 'no json')
+      table.put(KEY, configuration(1, ['/a/']))
+      await sleep(300)
+      t.is(holder.current()?.version, 1)
+      t.deepEqual([...holder.cordons().keys()], ['h1'])
+      await holder.stop()
+    })
+
+    it('end only when their row is removed, also if the history is compacted', async (t) => {
+      const { table, holder } = start()
+      table.put(cordonOf('h1'), '{}')
+      table.put(cordonOf('h2'), '{}')
+      await sleep(300)
+      table.faults.down = true
+      await sleep(1500)
+      t.deepEqual([...holder.cordons().keys()], ['h1', 'h2'])
+      table.remove(cordonOf('h1'))
+      table.compact()
+      table.faults.down = false
+      await sleep(900)
+      t.deepEqual([...holder.cordons().keys()], ['h2'])
+      await holder.stop()
+    })
+
+    it('keep the time of their first sight when the row is written again', async (t) => {
+      const { table, holder } = start()
+      table.put(cordonOf('h1'), '{}')
+      await sleep(300)
+      const since = holder.cordons().get('h1')
+      table.put(cordonOf('h1'), '{"again":true}')
+      await sleep(100)
+      t.is(holder.cordons().get('h1'), since)
+      await holder.stop()
+    })
+
+    it('ignore a row that names no hall', async (t) => {
+      const { table, holder } = start()
+      table.put(cordonOf(''), '{}')
+      await sleep(300)
+      t.is(holder.cordons().size, 0)
+      await holder.stop()
+    })
+  })
 })
--- a/src/directory/configurationHolder.ts
+++ b/src/directory/configurationHolder.ts
@@ -1,6 +1,6 @@
-/** The configuration in force on this node, and the waves requested by the operators. */
+/** The configuration in force on this node, and the waves and cordons that operators request. */
 import type { Configuration, Documents, Queue, RowStore, Wave } from '../ports/index.js'
-import { createInvalidRows, digestKey } from '../shared/index.js'
+import { createInvalidRows, digestKey, monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createRowMirror } from './rowMirror.js'
 
@@ -17,10 +17,15 @@
     keyDigests.map((digest): [string, string] => [digest, name]),
   )
 
-/** The last accepted configuration and waves. */
+/** The last accepted configuration, waves and cordons. */
 export interface ConfigurationHolder {
   current(): Configuration | undefined
   waves(): Wave[]
+  /**
+   * Data halls that are cordoned: no task may be started there. Maps each hall to the time since
+   * which this node knows of it, in ms of the monotonic clock.
+   */
+  cordons(): ReadonlyMap<string, number>
   /** The queue of a host whose path prefix is the longest match for a path. */
   match(host: string, path: string): Queue | undefined
   queue(name: string): Queue | undefined
@@ -41,6 +46,7 @@
   const { documents, log } = opts
   const listeners: (() => void)[] = []
   const waves = new Map<string, Wave>()
+  const cordons = new Map<string, number>()
   const unreadRows = createInvalidRows(log, documents.table)
   let current: Configuration | undefined
   let byHost = new Map<string, Queue[]>()
@@ -86,6 +92,18 @@
     waves.set(key, wave.value)
   }
 
+  const readCordon = (key: string, hall: string, isPresent: boolean): void => {
+    if (hall === '') {
+      if (isPresent) unreadRows.note(key, 'the row names no data hall')
+      else unreadRows.clear(key)
+      return
+    }
+    if (isPresent === cordons.has(hall)) return
+    if (isPresent) cordons.set(hall, monotonicMs())
+    else cordons.delete(hall)
+    log.event(isPresent ? 'hallCordoned' : 'hallUncordoned', { hall })
+  }
+
   const mirror = createRowMirror({
     store: opts.store,
     table: documents.table,
@@ -95,6 +113,8 @@
     log,
     onRow(_part, key, value) {
       if (documents.isWave(key)) return readWave(key, value)
+      const hall = documents.cordonedHall(key)
+      if (hall !== undefined) return readCordon(key, hall, value !== undefined)
       if (key !== documents.configurationKey || value === undefined) return
       const next = documents.decodeConfiguration(value)
       if (next.isOk()) adopt(next.value)
@@ -108,6 +128,7 @@
   return {
     current: () => current,
     waves: () => [...waves.values()],
+    cordons: () => cordons,
     match: (host, path) =>
       byHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix)),
     queue: (name) => byName.get(name),
--- a/src/node/startOwner.ts
+++ b/src/node/startOwner.ts
@@ -1,4 +1,5 @@
 /** Starts the owner of a name that this node has claimed: the fleet or a service. */
+import { featuresOf } from '../config/index.js'
 import type { NodeConfig } from '../config/index.js'
 import type { ConfigurationHolder, TargetSource } from '../directory/index.js'
 import { FLEET } from '../ownership/index.js'
@@ -53,7 +54,7 @@
   dependencies: OwnerDependencies,
   authority: Authority,
 ): Promise<Owner> {
-  const { platform, store, configuration, targets, owners, log } = dependencies
+  const { cfg, platform, store, configuration, targets, owners, log } = dependencies
   const { orders, cloud, advice } = platform
   const list = targets.acquire()
   await list.ready
@@ -65,6 +66,7 @@
     configuration,
     targets: list,
     authority,
+    features: featuresOf(cfg),
     log,
     demandGrown: () => owners.emitDemandGrown(authority.service),
   })
--- a/src/ports/configuration.ts
+++ b/src/ports/configuration.ts
@@ -27,6 +27,10 @@
   guardsCapacity: boolean
   /** Whether it holds idle VMs that are switched off. */
   spare: boolean
+  /** Time for which its targets are slow after their start, in ms; 0 or undefined if unknown. */
+  coldStartMs?: number
+  /** Starts per second that a cold target takes; 0 or undefined for no limit. */
+  coldPerSecond?: number
 }
 
 /** A customer of the operators, whose callers authenticate with its keys. */
--- a/src/ports/documents.ts
+++ b/src/ports/documents.ts
@@ -18,6 +18,11 @@
     decodeConfiguration(text: string): Result<Configuration, PlatformError>
     isWave(key: string): boolean
     decodeWave(text: string): Result<Wave, PlatformError>
+    /**
+     * Data hall that a row cordons, by the key of the row; undefined for rows of other kinds. The
+     * presence of the row is the request, whatever its value.
+     */
+    cordonedHall(key: string): string | undefined
   }
   /** Status of a wave, which operators read. */
   waveStatus: {
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -14,6 +14,8 @@
   draining: boolean
   capacity: Resources
   labels: string[]
+  /** Time for which it stays slow after its entry was written, in ms; 0 or undefined if not cold. */
+  coldMs?: number
 }
 
 /** Resources that a task needs or a target has. */
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -3,6 +3,7 @@
  * per target and starts the tasks that may start. All its decisions are based on the job book.
  */
 import type { Advice, RowStore, TargetOrders, VmCloud } from '../ports/index.js'
+import type { Feature } from '../config/index.js'
 import type { ConfigurationHolder, TargetList } from '../directory/index.js'
 import { INTAKE_TABLE, createJobBook, statusOf } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
@@ -98,6 +99,8 @@
   configuration: ConfigurationHolder
   targets: TargetList
   authority: Authority
+  /** Optional features that are enabled. */
+  features: ReadonlySet<Feature>
   log: Logger
   /** Called when the service needs much more than it last reported. */
   demandGrown(): void
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -214,6 +214,12 @@
     'rows of finished jobs could not be moved or removed',
   ),
   configurationInForce: spec('RS-8040', 'info', 'configuration is in force on this node'),
+  hallCordoned: spec(
+    'RS-8074',
+    'info',
+    'data hall is cordoned: no task is started there',
+  ),
+  hallUncordoned: spec('RS-8075', 'info', 'data hall takes tasks again'),
   mirrorStale: spec('RS-8041', 'warn', 'copy of a table could not be updated'),
   mirrorFresh: spec('RS-8042', 'info', 'copy of a table is up to date again'),
   settingsReloaded: spec('RS-8043', 'info', 'settings file reloaded'),
--- a/test/fleetRig.ts
+++ b/test/fleetRig.ts
@@ -20,6 +20,8 @@
   services: string[]
   sparePool?: string
   waves?: Wave[]
+  /** Cordoned data halls. @default none */
+  cordons?: ReadonlyMap<string, number>
   predecessorLeaseOverAt?: number
   ordersPerSecond?: number
   isConfirmed?(): boolean
@@ -57,6 +59,7 @@
   const configuration = {
     current: () => ({ version: 1, queues: [], services, limits }),
     waves: () => opts.waves ?? [],
+    cordons: () => opts.cordons ?? new Map(),
   } as unknown as ConfigurationHolder
   const documents = {
     waveStatus: {
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -1,4 +1,5 @@
 /** In-memory store, simulated targets and configuration for tests of owners without a network. */
+import type { Feature } from '../src/config/index.js'
 import type {
   Configuration,
   Queue,
@@ -84,6 +85,10 @@
   orders: TargetOrders
   /** Organisations with their maxima; undefined for none. */
   organisations: Configuration['organisations']
+  /** Cordoned data halls, each with the time since which the owner knows, in ms (monotonic). */
+  cordons: Map<string, number>
+  /** Optional features of owners that are started. */
+  features: ReadonlySet<Feature>
   /** List of VMs that owners read; undefined if there is none. */
   cloud: VmCloud | undefined
   addTarget(
@@ -151,6 +156,7 @@
         invalidParts: [],
       },
     waves: () => [],
+    cordons: () => rig.cordons,
     match: () => QUEUE,
     queue: () => QUEUE,
     organisationOfKey: () => undefined,
@@ -184,6 +190,8 @@
     log,
     orders: createSimOrders(targets),
     organisations: undefined,
+    cordons: new Map(),
+    features: new Set(),
     cloud: undefined,
     onCrash: () => undefined,
     addTarget(id, more = {}, simOptions = {}) {
@@ -259,6 +267,7 @@
         configuration,
         targets: targetList,
         authority,
+        features: rig.features,
         log,
         demandGrown: () => undefined,
       })
