feat(scheduler): start nothing in cordoned data halls

The nodes read the operators' request to cordon a data hall, and nothing acted on it. Targets in such a hall now have the hold `cordoned`. It is checked again before a queued start is sent, which is then withdrawn, and before an unanswered start is repeated, which is then fenced as any other. Cordoned targets count as no target in couldRun, in the usable room of an owner that is behind, in the check for stalled jobs and as a place for a task that is to move or to restart in place. Runs there go on. The configuration holder's subscribe() returns a function that ends it, so that an owner can plan as soon as a cordon is lifted. A node owns nothing before its first complete read of the operators' table.

--- a/src/directory/configurationHolder.ts
+++ b/src/directory/configurationHolder.ts
@@ -33,7 +33,8 @@
   organisationOfKey(key: string): string | undefined
   /** Time up to which the configuration is known to be current, in ms of the monotonic clock. */
   freshAt(): number
-  subscribe(listener: () => void): void
+  /** Calls the listener after each change; returns a function that ends this. */
+  subscribe(listener: () => void): () => void
   stop(): Promise<void>
 }
 
@@ -44,7 +45,7 @@
   log: Logger
 }): ConfigurationHolder {
   const { documents, log } = opts
-  const listeners: (() => void)[] = []
+  const listeners = new Set<() => void>()
   const waves = new Map<string, Wave>()
   const cordons = new Map<string, number>()
   const unreadRows = createInvalidRows(log, documents.table)
@@ -134,7 +135,10 @@
     queue: (name) => byName.get(name),
     organisationOfKey: (key) => byKeyDigest.get(digestKey(key)),
     freshAt: mirror.freshAt,
-    subscribe: (listener) => void listeners.push(listener),
+    subscribe(listener) {
+      listeners.add(listener)
+      return () => void listeners.delete(listener)
+    },
     stop: mirror.stop,
   }
 }
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -57,8 +57,12 @@
     stop: (registry) => registry.stop(),
   })
 
-/** Names that need an owner: every service that is not a spare pool, and the fleet of VMs. */
+/**
+ * Names that need an owner: every service that is not a spare pool, and the fleet of VMs. None
+ * before the first complete read of the operators' table, as an owner must know all cordons.
+ */
 function ownedNames(configuration: ConfigurationHolder, hasCloud: boolean): string[] {
+  if (!Number.isFinite(configuration.freshAt())) return []
   const names = ownedServices(configuration.current())
   if (names.length > 0 && hasCloud) names.push(FLEET)
   return names.sort()
--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -12,6 +12,7 @@
     placements: new Map(),
     heldRuns: () => 0,
     isUsable: () => true,
+    isCordoned: () => false,
     reportedCpu: () => 0,
     isAnswering: () => true,
     evacuating: false,
@@ -79,6 +80,16 @@
     t.true(neededCpu >= 4000 && neededCpu < 8000)
   })
 
+  // Otherwise an owner that is behind requests room for targets that it cannot use.
+  it('leaves targets of cordoned halls out of the room of an owner that is behind', (t) => {
+    const { book, add, demand } = startMeter(true, true)
+    for (let number = 1; number <= 40; number++) add(number, 0)
+    const room = { capacity: ROOM, free: ROOM }
+    const cordoned = toAgent({ room, isUsable: () => false, isCordoned: () => true })
+    const { neededCpu } = demand.report('one', 1, book.open, [TARGET, cordoned], 0)
+    t.is(neededCpu, ROOM.cpu)
+  })
+
   describe('of an owner that was behind', () => {
     const LONG_AFTER_MS = 20_000
 
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -29,6 +29,7 @@
 /** Creates the sender of a target that answers slowly, and records the orders that reach it. */
 function startSender(answers: () => unknown = () => ok({ accepted: true, clockMs: 2 })) {
   const sent: string[] = []
+  const state = { isCordoned: false }
   let fences = 0
   const log = createMemoryLogger()
   const authority = {
@@ -92,6 +93,7 @@
     signal,
     log,
     token: () => 1,
+    isCordoned: () => state.isCordoned,
     pause: noop,
     failed: noop,
     async fenceUnanswered() {
@@ -114,7 +116,7 @@
   }
   const tasks = (count: number): Task[] =>
     book.add(makeJob({}, [{ count }])).occurrences[0]!.steps[0]!.tasks
-  return { sent, sender, book, runs, start, stop, tasks, fences: () => fences }
+  return { state, sent, sender, book, runs, start, stop, tasks, fences: () => fences }
 }
 
 describe('createOrderSender', () => {
@@ -196,6 +198,63 @@
     })
   })
 
+  describe('a cordoned hall', () => {
+    // Otherwise starts that wait behind others reach the target after the bound.
+    it('gets no queued start; the tasks are ready for other targets', async (t) => {
+      const { state, sent, sender, book, runs, start, tasks } = startSender()
+      for (const task of tasks(4)) start(task)
+      await sleep(ANSWER_MS / 3)
+      state.isCordoned = true
+      await sender.idle()
+      t.deepEqual(sent, ['start 0'])
+      t.is(runs.placements.size, 1)
+      t.is(book.ready.size, 3)
+    })
+
+    // The first call may have been carried out, so the task must not start elsewhere yet.
+    it('gets no unanswered start again, and the start is fenced', async (t) => {
+      const unanswered = err({
+        failure: 'unanswered',
+        reason: 'no answer',
+        cause: NO_ANSWER,
+      })
+      const rig = startSender(() => unanswered)
+      const [first] = rig.tasks(1)
+      rig.start(first!)
+      await sleep(ANSWER_MS / 3)
+      rig.state.isCordoned = true
+      await rig.sender.idle()
+      t.deepEqual(rig.sent, ['start 0'])
+      t.is(rig.fences(), 1)
+      t.is(rig.runs.placements.get(first!.name)?.state, 'unsure')
+      t.false(rig.book.ready.has(first!))
+    })
+
+    it('still gets stops', async (t) => {
+      const { state, sent, sender, start, stop, tasks } = startSender()
+      const [first] = tasks(1)
+      start(first!)
+      await sender.idle()
+      state.isCordoned = true
+      stop(first!)
+      await sender.idle()
+      t.deepEqual(sent, ['start 0', 'stop 0'])
+    })
+
+    it('gets starts again once the cordon is lifted', async (t) => {
+      const { state, sent, sender, start, tasks } = startSender()
+      const [first] = tasks(1)
+      state.isCordoned = true
+      start(first!)
+      await sender.idle()
+      t.deepEqual(sent, [])
+      state.isCordoned = false
+      start(first!)
+      await sender.idle()
+      t.deepEqual(sent, ['start 0'])
+    })
+  })
+
   // Otherwise each of four queued starts for a silent target waits for the time-outs before it.
   it('makes the tasks of queued starts ready when the target does not answer', async (t) => {
     const failure = { failure: 'unanswered', reason: 'no answer', cause: NO_ANSWER }
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -38,6 +38,8 @@
   requestedCpu(): number
   /** Returns the room that the owner can use, in thousandths of a core; Infinity without a limit. */
   usableCpu(): number
+  /** Returns the loads of the targets. */
+  loads(agents: TargetAgent[]): TargetLoad[]
   report(
     service: string,
     term: number,
@@ -142,7 +144,7 @@
     const others = { ...sums, isolated: 0 }
     usable.note({
       now,
-      capacity: targetRoom.cpu * agents.length,
+      capacity: targetRoom.cpu * agents.filter((agent) => !agent.isCordoned()).length,
       lasting: roomFor(others, ({ lasting }) => lasting),
       running: roomFor(others, ({ running }) => running) * runningShare,
       required,
@@ -215,6 +217,8 @@
     usableCpu: () => (usable.limit() === Infinity ? Infinity : reportedCpu),
     hasGrown: (open, now) =>
       neededCpu(open, now) > reportedCpu * (1 + IMMEDIATE_REPORT_GROWTH),
+    loads: (agents) =>
+      agents.map((agent) => ({ ...loadOf(agent), suspect: isSuspect(agent) })),
     report(service, term, open, agents, now) {
       let minTargets = 0
       for (const job of open) {
@@ -233,10 +237,7 @@
         neededCpu: cpu,
         timelyCpu,
         minTargets,
-        targets: agents.map((agent) => ({
-          ...loadOf(agent),
-          suspect: isSuspect(agent),
-        })),
+        targets: meter.loads(agents),
       }
     },
   }
--- a/src/scheduler/moveUnhealthyRuns.ts
+++ b/src/scheduler/moveUnhealthyRuns.ts
@@ -17,8 +17,8 @@
 
 /**
  * Stops the unhealthy runs that the run monitor finds. A run is stopped only if a sound target has
- * room for it now or it may restart in place. Otherwise all runs of a job may be stopped, three of
- * them within 11 ms, and the job runs nothing for seconds.
+ * room for it now or it may restart in place, which a cordoned hall does not allow. Otherwise all
+ * runs of a job may be stopped, three of them within 11 ms, and the job runs nothing for seconds.
  */
 export function moveUnhealthyRuns({
   agents,
@@ -33,7 +33,9 @@
   for (const run of unhealthy) {
     const { agent, placement, task, mayRestartInPlace } = run
     if (placement.state !== 'running') continue
-    if (!room.reserve(task.step, agent) && !mayRestartInPlace) continue
+    const hasAlternative =
+      room.reserve(task.step, agent) || (mayRestartInPlace && !agent.isCordoned())
+    if (!hasAlternative) continue
     log.event('runMoved', {
       task: placement.name,
       target: agent.target.id,
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -75,6 +75,8 @@
   log: Logger
   /** Returns the current fencing token. */
   token(): number
+  /** Whether the target's data hall is cordoned, so that no start may be sent. */
+  isCordoned(): boolean
   /** Called when the target must get no new tasks for the given time, in ms. */
   pause(ms: number): void
   /** Called when an order has failed for a reason that lies with the target. */
@@ -187,9 +189,12 @@
     ticket: string,
   ): Promise<void> {
     const { name, run } = placement
-    const isCurrent = (): boolean =>
-      runs.placements.get(name) === placement && authority.mayOrder()
-    const isWanted = isCurrent() && !task.step.job.outcome
+    // A hall may be cordoned while the start waits in the queue or for its answer.
+    const maySend = (): boolean =>
+      runs.placements.get(name) === placement &&
+      authority.mayOrder() &&
+      !opts.isCordoned()
+    const isWanted = maySend() && !task.step.job.outcome
     const leaseUntilMs = isWanted ? lease.extend() : undefined
     if (leaseUntilMs === undefined) return undoPlacement(placement)
     const { spec } = task.step.job.spec
@@ -202,7 +207,7 @@
       roundTrip,
       send: (timeoutMs) =>
         link.start({ ...order, leaseUntilMs: lease.extend() ?? leaseUntilMs }, timeoutMs),
-      mayRetry: isCurrent,
+      mayRetry: maySend,
     })
     // A report may have shown the end of the run meanwhile.
     if (runs.placements.get(name) === placement)
--- a/src/scheduler/placementRules.ts
+++ b/src/scheduler/placementRules.ts
@@ -111,12 +111,13 @@
 }
 
 /**
- * Whether the target could run one more task of the step: it answers, is listed, is not draining,
- * and meets the step's needs, label and limit per target. Limits on starts and the placement policy
- * are not considered.
+ * Whether the target could run one more task of the step: it answers, is listed, neither draining
+ * nor in a cordoned hall, and meets the step's needs, label and limit per target. Limits on starts
+ * and the placement policy are not considered.
  */
 export function couldRun(agent: TargetAgent, step: Step): boolean {
   if (!agent.isAnswering() || !agent.listed || agent.target.draining) return false
+  if (agent.isCordoned()) return false
   const { free, countOf } = agent.room
   const view = { agent, free, countOf, startsLeft: Infinity }
   return stepHoldOf(view, step, UNRESTRICTED_POLICY) === undefined
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -16,7 +16,7 @@
   sleep,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import type { FleetAnswer, ServiceReport } from '../vms/types.js'
+import type { FleetAnswer, ServiceReport, TargetLoad } from '../vms/types.js'
 import {
   FLUSH_RETRY_MS,
   MAX_FIRST_READ_WAIT_MS,
@@ -82,6 +82,8 @@
   waiting(queue: string): number | undefined
   /** Agents of the service's current targets. */
   agents(): TargetAgent[]
+  /** Loads of the service's current targets, for operators. */
+  loads(): TargetLoad[]
   /** Builds the report that the owner of the fleet receives. */
   report(): ServiceReport
   /** Evacuates exactly the targets named in the answer of the fleet's owner. */
@@ -312,6 +314,8 @@
   if (inherited.nodeRoster) inheritNodeRoster(inherited.nodeRoster)
   follower.follow()
   const unsubscribe = targets.subscribe(follower.follow)
+  // Tasks that a cordon kept waiting start as soon as it is lifted.
+  const unsubscribeConfiguration = configuration.subscribe(wake)
   const intake = newJobs.follow(inherited.version)
   const housekeeping = runHousekeeping()
   const nodeRosterReading = readMissingNodeRosters()
@@ -409,6 +413,7 @@
       return book.waiting(queue) + newJobs.countDeferred(queue)
     },
     agents: allAgents,
+    loads: () => demand.loads(allAgents()),
     report: () => ({
       ...demand.report(service, authority.term, book.open, allAgents(), monotonicMs()),
       quotas: quotas.report(book.ready),
@@ -423,6 +428,7 @@
     async stop(handOver) {
       stopping.abort()
       unsubscribe()
+      unsubscribeConfiguration()
       roster.stop()
       queueRows.stop()
       quotas.stop()
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -59,6 +59,8 @@
   /** Starts in flight on all targets of the owner. */
   startWindow: StartWindow
   quotaUsage: QuotaUsage
+  /** Whether operators have cordoned a data hall, as far as this node knows now. */
+  isHallCordoned(hall: string): boolean
   /** Longest time for which unknown runs of the previous owner can go on, in ms. */
   inheritedLeaseMs: number
   /** Initial token offset, above those that earlier incarnations of the id have seen. */
@@ -111,6 +113,7 @@
   let pausedUntil = 0
 
   const hasReported = (): boolean => firstReportAt < Infinity
+  const isCordoned = (): boolean => opts.isHallCordoned(target.hall)
   const token = (): number => authority.term * TOKENS_PER_TERM + tokenOffset
 
   const runs = createTargetRuns({
@@ -147,6 +150,7 @@
     signal,
     log,
     token,
+    isCordoned,
     pause: (ms) => void (pausedUntil = monotonicMs() + ms),
     failed: noteFailure,
     fenceUnanswered,
@@ -349,6 +353,7 @@
     { hold: 'gone', applies: () => isGone },
     { hold: 'draining', applies: () => target.draining },
     { hold: 'unlisted', applies: () => !agent.listed || isOtherIncarnationListed() },
+    { hold: 'cordoned', applies: isCordoned },
     { hold: 'unheard', applies: () => !hasReported() },
     { hold: 'silent', applies: () => !silence.isAnswering() },
     { hold: 'evacuating', applies: () => agent.evacuating },
@@ -368,6 +373,7 @@
     room,
     tokenOffset: () => tokenOffset,
     evacuating: false,
+    isCordoned,
     listed: true,
     hold: () => HOLD_RULES.find(({ applies }) => applies())?.hold,
     isUsable: () => agent.hold() === undefined,
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -2,7 +2,7 @@
  * Keeps one agent for each target of a service. Opens it when the list of targets or the
  * roster of the previous owner names the target, and closes it once no run can be left there.
  */
-import type { TargetList } from '../directory/index.js'
+import type { ConfigurationHolder, TargetList } from '../directory/index.js'
 import type { JobBook } from '../jobs/index.js'
 import { GRACE_MS } from '../ownership/index.js'
 import type { Authority } from '../ownership/index.js'
@@ -53,6 +53,7 @@
   /** Agents by id of their target; the follower adds and removes entries. */
   agents: Map<string, TargetAgent>
   targets: TargetList
+  configuration: ConfigurationHolder
   orders: TargetOrders
   authority: Authority
   book: JobBook
@@ -157,6 +158,7 @@
       progress: opts.progress,
       startWindow: opts.startWindow,
       quotaUsage: opts.quotas.usage,
+      isHallCordoned: (hall) => opts.configuration.cordons().has(hall),
       initialTokenOffset: nextTokenOffsets.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -9,6 +9,7 @@
   | 'gone'
   | 'unheard'
   | 'unlisted'
+  | 'cordoned'
   | 'silent'
   | 'draining'
   | 'evacuating'
@@ -51,6 +52,8 @@
   isSilent(): boolean
   /** Whether the target is being evacuated and gets no new tasks. */
   evacuating: boolean
+  /** Whether operators have cordoned the target's data hall, so that it gets no new tasks. */
+  isCordoned(): boolean
   /** Whether the list of targets shows the target; if not, it gets no new tasks. */
   listed: boolean
   /** Applies the target's current entry in the list. */
--- a/src/scheduler/usableRoom.ts
+++ b/src/scheduler/usableRoom.ts
@@ -26,7 +26,7 @@
 export interface RoomSample {
   /** Monotonic time, in ms. */
   now: number
-  /** Room of its targets. */
+  /** Room of its targets outside cordoned halls. */
   capacity: number
   /** Room of lasting tasks. */
   lasting: number
--- a/src/scheduler/waitWatch.ts
+++ b/src/scheduler/waitWatch.ts
@@ -180,12 +180,12 @@
   return { holds: { takeover: unsettled.length }, endsAt }
 }
 
-/** Whether the listed targets are so busy that a wait is a normal turn in the queue. */
+/** Whether the targets that take tasks are so busy that a wait is a normal turn in the queue. */
 function isBusy(agents: TargetAgent[]): boolean {
   let used = 0
   let all = 0
-  for (const { room, target, listed } of agents) {
-    if (!listed || target.draining) continue
+  for (const { room, target, listed, isCordoned } of agents) {
+    if (!listed || target.draining || isCordoned()) continue
     used += takenCpuOf(room)
     all += room.capacity.cpu
   }
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -87,6 +87,8 @@
   organisations: Configuration['organisations']
   /** Cordoned data halls, each with the time since which the owner knows, in ms (monotonic). */
   cordons: Map<string, number>
+  /** Cordons a data hall, or lifts its cordon, and notifies the owners. */
+  setCordoned(hall: string, isCordoned: boolean): void
   /** Optional features of owners that are started. */
   features: ReadonlySet<Feature>
   /** List of VMs that owners read; undefined if there is none. */
@@ -142,6 +144,7 @@
   const ledger: RunLedger = { entries: [] }
   const log = createMemoryLogger()
   const listeners = new Set<() => void>()
+  const configurationListeners = new Set<() => void>()
   const owners: RigOwner[] = []
   let term = 0
 
@@ -161,7 +164,10 @@
     queue: () => QUEUE,
     organisationOfKey: () => undefined,
     freshAt: () => performance.now(),
-    subscribe: () => undefined,
+    subscribe(listener) {
+      configurationListeners.add(listener)
+      return () => void configurationListeners.delete(listener)
+    },
     stop: async () => undefined,
   }
   const targetList: TargetList = makeList?.(table.forNode(NODE), log) ?? {
@@ -192,6 +198,11 @@
     organisations: undefined,
     cordons: new Map(),
     features: new Set(),
+    setCordoned(hall, isCordoned) {
+      if (isCordoned) rig.cordons.set(hall, performance.now())
+      else rig.cordons.delete(hall)
+      for (const listener of configurationListeners) listener()
+    },
     cloud: undefined,
     onCrash: () => undefined,
     addTarget(id, more = {}, simOptions = {}) {
