feat(front): refuse jobs at once while all data halls are cordoned

While all halls that [node] halls names are cordoned, a job that is neither lasting nor due later would wait beyond its use. It is refused with 503, a Retry-After of 1 to 3 s and the event jobRefused. A job whose row exists is not refused, as it may run; that takes a read before each such refusal.

--- a/src/front/__tests__/jobService.spec.ts
+++ b/src/front/__tests__/jobService.spec.ts
@@ -27,13 +27,20 @@
   startAtMs: 0,
 }
 
-function startService(unread: string[] = []) {
+function startService(unread: string[] = [], halls?: string[]) {
+  const cordons = new Map<string, number>()
   const current = () => ({ invalidParts: unread }) as unknown as Configuration
-  const configuration = { current, match: () => undefined, freshAt: () => Infinity }
+  const configuration = {
+    current,
+    match: () => undefined,
+    freshAt: () => Infinity,
+    cordons: () => cordons,
+  }
   const table = createRowTable()
   const offered: string[] = []
   const expected: string[] = []
   const cancelled: string[] = []
+  const log = createMemoryLogger()
   const jobs = createJobService({
     store: table.forNode('n'),
     configuration: configuration as unknown as ConfigurationHolder,
@@ -42,9 +49,10 @@
       expect: (job: { id: string }) => void expected.push(job.id),
       cancel: (_service: string, id: string) => void cancelled.push(id),
     } as unknown as OwnerCalls,
-    log: createMemoryLogger(),
+    halls,
+    log,
   })
-  return { table, jobs, offered, expected, cancelled }
+  return { table, jobs, offered, expected, cancelled, cordons, log }
 }
 
 describe('createJobService', () => {
@@ -68,6 +76,70 @@
     })
   })
 
+  describe('all data halls cordoned', () => {
+    const job = { ...JOB, steps: makeJob({}).steps }
+
+    function startCordoned(halls: string[] | undefined = ['h1', 'h2']) {
+      const service = startService([], halls)
+      for (const hall of ['h1', 'h2']) service.cordons.set(hall, 0)
+      return service
+    }
+
+    it('refuses a job at once, which is not stored', async (t) => {
+      const { table, jobs, offered, log } = startCordoned()
+      const res = await jobs.submit(QUEUE, job)
+      t.is(res.kind, 'refused')
+      t.true(res.kind === 'refused' && res.retryAfterMs >= 1000)
+      t.is(table.version(), 0)
+      t.deepEqual(offered, [])
+      t.like(
+        log.events.find(({ name }) => name === 'jobRefused'),
+        { fields: { job: JOB.id, failure: 'refused' } },
+      )
+    })
+
+    // The refusal would say that the job has not run, while it may be running.
+    it('accepts a job again that is stored already, or is over', async (t) => {
+      const { jobs, cordons } = startCordoned()
+      cordons.delete('h2')
+      t.is((await jobs.submit(QUEUE, job)).kind, 'accepted')
+      cordons.set('h2', 0)
+      t.is((await jobs.submit(QUEUE, job)).kind, 'accepted')
+    })
+
+    it('accepts jobs that last or are due later', async (t) => {
+      const { jobs } = startCordoned()
+      const lasting = { ...job, steps: makeJob({}, [{ count: 1, lasting: true }]).steps }
+      t.is((await jobs.submit(QUEUE, lasting)).kind, 'accepted')
+      const later = { ...job, id: '00000000000000a2', repetitions: 2, intervalMs: 1000 }
+      t.is((await jobs.submit(QUEUE, later)).kind, 'accepted')
+    })
+
+    it('refuses nothing where one hall is left, or the halls are not known', async (t) => {
+      const { jobs, cordons } = startCordoned()
+      cordons.delete('h1')
+      t.is((await jobs.submit(QUEUE, job)).kind, 'accepted')
+      t.is((await startCordoned([]).jobs.submit(QUEUE, job)).kind, 'accepted')
+      const unset = startService()
+      unset.cordons.set('h1', 0)
+      t.is((await unset.jobs.submit(QUEUE, job)).kind, 'accepted')
+    })
+
+    it('answers as otherwise while the store is away', async (t) => {
+      const { table, jobs, offered } = startCordoned()
+      table.faults.down = true
+      t.is((await jobs.submit(QUEUE, job)).kind, 'refused')
+      t.deepEqual(offered, [])
+    })
+
+    it('accepts jobs again once a cordon is lifted', async (t) => {
+      const { jobs, cordons } = startCordoned()
+      t.is((await jobs.submit(QUEUE, job)).kind, 'refused')
+      cordons.delete('h1')
+      t.is((await jobs.submit(QUEUE, job)).kind, 'accepted')
+    })
+  })
+
   describe('commit without an answer', () => {
     it('is repeated; the job is stored once and the caller is told so', async (t) => {
       const { table, jobs, offered } = startService()
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -50,6 +50,11 @@
 const UNKNOWN_COMMIT_TIMEOUT_MS = 1500
 /** Shortest time between two such commits, in ms; jittered. */
 const UNKNOWN_COMMIT_RETRY_MS = 100
+/**
+ * Longest `Retry-After` of callers that are refused because all halls are cordoned, as a multiple
+ * of the usual one. The times are spread, so that callers do not return at the same moment.
+ */
+const MAX_CORDON_RETRY_FACTOR = 3
 
 /** Result of looking up a queue by host and path. */
 export type QueueMatch =
@@ -91,9 +96,15 @@
   store: RowStore
   configuration: ConfigurationHolder
   owners: OwnerCalls
+  /** All data halls of the deployment; undefined if they are not known. */
+  halls?: readonly string[] | undefined
   log: Logger
 }
 
+/** Whether a job is worth accepting although nothing can be started: it lasts, or is due later. */
+const canWait = ({ steps, repetitions }: JobSpec): boolean =>
+  repetitions > 0 || steps.some(({ lasting }) => lasting)
+
 /**
  * Version of the row that makes the job durable, written by this commit or by an earlier
  * attempt that was not answered. Undefined if an earlier request of the caller wrote the row.
@@ -115,6 +126,24 @@
   const { store, configuration, owners, log } = opts
   const unreadRows = createInvalidRows(log, INTAKE_TABLE)
 
+  /** Whether nothing can be started anywhere, because operators have cordoned every hall. */
+  function areAllHallsCordoned(): boolean {
+    const { halls = [] } = opts
+    if (halls.length === 0) return false
+    const cordons = configuration.cordons()
+    return halls.every((hall) => cordons.has(hall))
+  }
+
+  /**
+   * Whether a job is refused because of cordons. A job that an earlier request may have stored is
+   * not: it may run, so that the refusal would be wrong.
+   */
+  async function isCordonedOff(queue: Queue, job: JobSpec): Promise<boolean> {
+    if (!areAllHallsCordoned() || canWait(job)) return false
+    const stored = await findStoredJob(store, queue, job.id, job.organisation)
+    return stored.kind === 'unknownJob'
+  }
+
   /**
    * Result for a job whose id is in use according to the rows that conflict with its new row: it
    * was accepted before, or another organisation has a job of this id. If none of the rows can be
@@ -194,6 +223,12 @@
       log.event('jobRefused', { job: id, queue: name, reason: problem })
       return { kind: 'invalid', reason: problem }
     }
+    if (await isCordonedOff(queue, job)) {
+      const reason = 'all data halls are cordoned'
+      log.event('jobRefused', { job: id, queue: name, failure: 'refused', reason })
+      const factor = 1 + Math.floor(Math.random() * MAX_CORDON_RETRY_FACTOR)
+      return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS * factor, reason }
+    }
     const { res, mayHaveCommitted } = await commitIntake(job)
     if (res.isErr()) {
       const reason = describeError(res.error)
