feat(cli): list data halls with their cordons and what runs there

Operators who cordon a hall could not see when it is empty, nor which nodes know of the request. The gauge rillshunt_hall_cordoned is 1 for a cordoned hall and 0 once that is lifted.

--- a/playground/sim/wireServer.ts
+++ b/playground/sim/wireServer.ts
@@ -29,6 +29,8 @@
   putConfiguration(text: unknown): void
   putWave(id: number, vms: string[], durationS: number, maximum: number): void
   waveStatus(id: number): string | undefined
+  /** Writes or removes the operators' row that cordons a data hall. */
+  setCordoned(hall: string, isCordoned: boolean): void
   /** Crashes the target on a VM, removes its row and marks the VM as down. */
   crash(vm: SimVm): void
   /** Starts a new incarnation on a VM that is down, under `id` or, by default, a new id. */
@@ -92,6 +94,11 @@
       const row = table.get({ table: 'status', part: '', key: `wave/${id}` })
       return row && (JSON.parse(row.value) as { state: string }).state
     },
+    setCordoned(hall, isCordoned) {
+      const row = operatorRow(`evacuate/${hall}`)
+      if (isCordoned) table.put(row, '{}')
+      else table.remove(row)
+    },
     crash(vm) {
       fleet.endTarget(vm)
       vm.state = 'down'
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -3,6 +3,7 @@
 import type { CommandClass } from 'clipanion'
 import { Explain } from './explainCommand.js'
 import { Jobs, Pools, Vms, Waves } from './fleetCommands.js'
+import { NodeHalls } from './hallCommands.js'
 import { TableAccept } from './acceptCommand.js'
 import * as nodeCommands from './nodeCommands.js'
 import * as nodeJobCommands from './nodeJobCommands.js'
@@ -19,6 +20,7 @@
     ...Object.values(draftCommands),
     ...Object.values(csvCommands),
     ...Object.values(statusCommands),
+    NodeHalls,
     TableAccept,
     Explain,
     Jobs,
--- a/src/cli/waitReason.ts
+++ b/src/cli/waitReason.ts
@@ -1,16 +1,11 @@
 /** Asks the owner of a job's service why the job waits. */
-import { createNodeClients } from '../front/index.js'
 import type { JobSpec } from '../jobs/index.js'
-import { EPOCH_TABLE, NODES_TABLE, decodeEpoch, decodeNode } from '../ownership/index.js'
 import type { RowStore } from '../ports/index.js'
 import type { QuotaHold } from '../quotas/index.js'
 import { waitReportSchema } from '../scheduler/index.js'
 import type { WaitReport } from '../scheduler/index.js'
 import { parseJson } from '../shared/index.js'
-import { readAllRows } from './addressedCommand.js'
-
-/** Time-out of the call to the owner, in ms. After it, operators look at the owner's log. */
-const ASK_TIMEOUT_MS = 2000
+import { askOwner, readOwners } from './askOwner.js'
 
 /** Reply of the owner, or why there is none. */
 export interface OwnerAnswer {
@@ -22,33 +17,19 @@
   wait: WaitReport | undefined
 }
 
-/** Asks the owner that the stored rows name. */
+/** Asks the owner of the job's service. */
 export async function askWhyJobWaits(
   store: RowStore,
   job: JobSpec,
 ): Promise<OwnerAnswer> {
-  const epochs = await readAllRows(store, EPOCH_TABLE)
-  const row = epochs.find(({ part }) => part === job.service)
-  const node = (row && decodeEpoch(row.value)?.node) || undefined
-  const nodes = await readAllRows(store, NODES_TABLE)
-  const nodeRow = nodes.find(({ key }) => key === node)
-  const address = nodeRow && decodeNode(nodeRow.value)?.address
-  if (address === undefined) return { node, failure: 'no address', wait: undefined }
-  const clients = createNodeClients()
-  try {
-    const about = { case: 'explain' as const, value: job.id }
-    const questions = [{ service: job.service, about }]
-    const timeoutMs = ASK_TIMEOUT_MS
-    const { answers } = await clients.at(address).ask({ questions }, { timeoutMs })
-    const [answer] = answers
-    if (!answer?.owns) return { node, failure: 'it owns it no more', wait: undefined }
-    const wait = waitReportSchema.safeParse(parseJson(answer.wait)).data
-    return { node, failure: undefined, wait }
-  } catch (cause) {
-    return { node, failure: (cause as Error).message, wait: undefined }
-  } finally {
-    clients.close()
-  }
+  const owners = await readOwners(store)
+  const owner = owners.find(({ service }) => service === job.service)
+  if (!owner) return { node: undefined, failure: 'no address', wait: undefined }
+  const { node } = owner
+  const reply = await askOwner(owner, { case: 'explain', value: job.id })
+  if ('failure' in reply) return { node, failure: reply.failure, wait: undefined }
+  const wait = waitReportSchema.safeParse(parseJson(reply.answer.wait)).data
+  return { node, failure: undefined, wait }
 }
 
 function describeQuota(quota: QuotaHold): string {
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -24,7 +24,9 @@
 }
 
 /** Fields of an answer besides `owns`. */
-type AnswerFields = Partial<Pick<Answer, 'status' | 'organisation' | 'waiting' | 'wait'>>
+type AnswerFields = Partial<
+  Pick<Answer, 'status' | 'organisation' | 'waiting' | 'wait' | 'loads'>
+>
 
 const offeredJobSchema = z.object({
   job: jobSchema,
@@ -65,6 +67,7 @@
   }),
   waiting: (owner, queue) => ({ waiting: owner.waiting(queue) }),
   explain: (owner, id) => ({ wait: JSON.stringify(owner.explain(id)) ?? '' }),
+  loads: (owner) => ({ loads: JSON.stringify(owner.loads()) }),
 }
 
 function answer(local: LocalOwners, { service, about }: Question) {
--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -2,7 +2,7 @@
  * Metrics of a node, with prom-client. Most are derived from logged events, so that the log and
  * the metrics always agree; calls to external services are recorded directly.
  */
-import { Counter, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { EventFields, EventName, Logger } from '../shared/index.js'
 
 /** Upper bounds of histogram buckets, in seconds: calls take some ms, jobs some seconds. */
@@ -88,6 +88,12 @@
     labelNames: ['hold'],
     registers,
   })
+  const cordons = new Gauge({
+    name: 'rillshunt_hall_cordoned',
+    help: '1 for a data hall that is cordoned as far as this node knows, 0 once that is lifted',
+    labelNames: ['hall'],
+    registers,
+  })
   return {
     registry,
     events,
@@ -100,13 +106,15 @@
     jobs,
     runEnds,
     configurationAge,
+    cordons,
   }
 }
 
 /** Creates the metrics of a node, all at zero. */
 export function createNodeMetrics(): NodeMetrics {
   const { registry, configurationAge, ...instruments } = createInstruments()
-  const { events, calls, bytes, waits, holds, intake, late, jobs, runEnds } = instruments
+  const { events, calls, bytes, waits, holds, intake, late, jobs, runEnds, cordons } =
+    instruments
   const noteConfigurationAge = (fields: EventFields): void =>
     configurationAge.observe(secondsOf(fields, 'configurationAgeMs'))
 
@@ -115,6 +123,8 @@
     taskPlaced: (fields) => waits.observe(secondsOf(fields, 'waitedMs')),
     jobAccepted: noteConfigurationAge,
     callerRefused: noteConfigurationAge,
+    hallCordoned: (fields) => cordons.set({ hall: String(fields['hall']) }, 1),
+    hallUncordoned: (fields) => cordons.set({ hall: String(fields['hall']) }, 0),
     taskWaits: (fields) => holds.inc({ hold: String(fields['hold']) }),
     jobTaken: (fields) =>
       intake.observe({ from: String(fields['from']) }, secondsOf(fields, 'lateMs')),
