feat(vms): plan pools and waves without the VMs of cordoned data halls

Cause: the owner of the fleet counted VMs in cordoned halls as supply and moved VMs there into pools of services, which can start nothing on them.

Change: VMs outside cordoned halls are planned as if the others did not exist. Idle VMs in cordoned halls are parked in the spare pool, except the last one of a pool until another VM is up there. Waves take VMs in cordoned halls first and without regard to what their service needs, within maxDown. There is no state of its own, so a new owner of the fleet goes on from the list.

--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -36,6 +36,7 @@
   sparePool = 'idle',
   predecessorLeaseOverAt = -Infinity,
   ordersPerSecond = 64,
+  cordons: ReadonlyMap<string, number> = new Map(),
 ) {
   const orders: { kind: string; vm: string; pool?: string }[] = []
   const state = { confirmed: true, apply: true, busy: false }
@@ -62,6 +63,7 @@
     waves,
     predecessorLeaseOverAt,
     ordersPerSecond,
+    cordons,
     isConfirmed: () => state.confirmed,
   })
   const statusOf = (id: number) =>
@@ -138,6 +140,7 @@
       occupied: 1,
       heldBack: 1,
     })
+    t.false('cordoned' in lines[0]!.fields)
     await fleet.stop(false)
   })
 
@@ -328,4 +331,186 @@
     t.deepEqual(orders, [])
     await fleet.stop(false)
   })
+
+  describe('with a cordoned data hall', () => {
+    const vmIn = (hall: string, number: number, pool: string): Vm => ({
+      ...vmOf(number, pool),
+      hall,
+    })
+    const startCordoned = (
+      vms: Vm[],
+      cordons: ReadonlyMap<string, number>,
+      waves: Wave[] = [],
+    ) => startFleet(vms, waves, 'idle', -Infinity, 64, cordons)
+    const CORDON = new Map([['h1', 0]])
+
+    it('replaces its VMs, and parks each once it is idle and closed for new tasks', async (t) => {
+      const vms = [
+        vmIn('h1', 1, 'a'),
+        vmIn('h1', 2, 'a'),
+        vmIn('h2', 3, 'idle'),
+        vmIn('h2', 4, 'idle'),
+      ]
+      const { fleet, orders } = startCordoned(vms, CORDON)
+      let runs = 1
+      const make = (evacuate: string[]) => [
+        reportOf('a', 15_000, [
+          load('i1', runs, evacuate.includes('i1')),
+          load('i2', 0, evacuate.includes('i2')),
+        ]),
+      ]
+      await reportFor(fleet, 400, make)
+      const replaced = [
+        { kind: 'move', vm: 'm3', pool: 'a' },
+        { kind: 'move', vm: 'm4', pool: 'a' },
+      ]
+      t.deepEqual(orders.slice(0, 2), replaced)
+      t.deepEqual(orders.slice(2), [{ kind: 'move', vm: 'm2', pool: 'idle' }])
+      vms[2]!.state = 'up'
+      runs = 0
+      await reportFor(fleet, 700, make)
+      t.deepEqual(orders.slice(3), [{ kind: 'move', vm: 'm1', pool: 'idle' }])
+      await fleet.stop(false)
+    })
+
+    // The owner has no state of its own on cordons, so that a successor goes on from the pools.
+    it('is handled further by a new owner of the fleet', async (t) => {
+      const vms = [vmIn('h1', 1, 'a'), vmIn('h2', 2, 'idle'), vmIn('h2', 3, 'idle')]
+      const make = (evacuate: string[]) => [
+        reportOf('a', 5000, [load('i1', 0, evacuate.includes('i1'))]),
+      ]
+      const first = startCordoned(vms, CORDON)
+      await reportFor(first.fleet, 200, make)
+      await first.fleet.stop(false)
+      t.deepEqual(first.orders, [{ kind: 'move', vm: 'm2', pool: 'a' }])
+      const second = startCordoned(vms, CORDON)
+      await reportFor(second.fleet, 300, make)
+      t.deepEqual(second.orders, [])
+      Object.assign(vms[1]!, { state: 'up', targetId: 'i2' })
+      await reportFor(second.fleet, 800, make)
+      t.deepEqual(second.orders, [{ kind: 'move', vm: 'm1', pool: 'idle' }])
+      await second.fleet.stop(false)
+    })
+
+    // Otherwise the whole hall comes back at once, or a VM is moved away that has just arrived.
+    it('gets VMs by need if the cordon is lifted while they are on the move', async (t) => {
+      const cordons = new Map(CORDON)
+      const vms = [
+        vmIn('h2', 1, 'a'),
+        { ...vmIn('h1', 2, 'idle'), state: 'moving' as const, targetId: '' },
+        vmIn('h1', 3, 'idle'),
+        vmIn('h1', 4, 'idle'),
+      ]
+      const { fleet, orders } = startCordoned(vms, cordons)
+      const make = () => [reportOf('a', 15_000, [load('i1', 3, false)])]
+      await reportFor(fleet, 300, make)
+      t.deepEqual(orders, [])
+      cordons.clear()
+      await reportFor(fleet, 300, make)
+      t.deepEqual(orders, [{ kind: 'move', vm: 'm3', pool: 'a' }])
+      vms[1]!.state = 'up'
+      await reportFor(fleet, 600, make)
+      t.is(orders.length, 1)
+      await fleet.stop(false)
+    })
+
+    it('opens a VM again that was closed there, if the cordon is lifted first', async (t) => {
+      const cordons = new Map(CORDON)
+      const vms = [vmIn('h1', 1, 'a'), vmIn('h2', 2, 'a')]
+      const { fleet, orders } = startCordoned(vms, cordons)
+      const make = () => [
+        reportOf('a', 15_000, [load('i1', 0, false), load('i2', 1, false)]),
+      ]
+      await reportFor(fleet, 300, make)
+      t.deepEqual(fleet.report(make()[0]!)?.evacuate, ['i1'])
+      cordons.clear()
+      await reportFor(fleet, 300, make)
+      t.deepEqual(fleet.report(make()[0]!)?.evacuate, [])
+      t.deepEqual(orders, [])
+      await fleet.stop(false)
+    })
+
+    describe('waves', () => {
+      const make = () => [
+        reportOf('a', 35_000, [
+          load('i1', 1, false),
+          load('i2', 3, false),
+          load('i3', 2, false),
+          load('i4', 2, false),
+        ]),
+      ]
+      const vmsOf = () => [
+        vmIn('h2', 1, 'a'),
+        vmIn('h1', 2, 'a'),
+        vmIn('h1', 3, 'a'),
+        vmIn('h1', 4, 'a'),
+      ]
+      const WAVE = {
+        id: 1,
+        vms: ['m1', 'm2', 'm3', 'm4'],
+        durationMs: 20_000,
+        maxDown: 2,
+      }
+
+      // Otherwise the wave waits for VMs that no task may be started on anyway.
+      it('take VMs there first, though the service lacks VMs', async (t) => {
+        const { fleet } = startCordoned(vmsOf(), CORDON, [WAVE])
+        await reportFor(fleet, 300, make)
+        t.deepEqual(fleet.report(make()[0]!)?.evacuate.sort(), ['i3', 'i4'])
+        await fleet.stop(false)
+        const without = startCordoned(vmsOf(), new Map(), [WAVE])
+        await reportFor(without.fleet, 300, make)
+        t.deepEqual(without.fleet.report(make()[0]!)?.evacuate, [])
+        await without.fleet.stop(false)
+      })
+
+      // Otherwise the only VM that a service can use is emptied, as those in the hall count as supply.
+      it('take no VM elsewhere early that its service needs', async (t) => {
+        const vms = [vmIn('h1', 1, 'a'), vmIn('h2', 2, 'a')]
+        const { fleet } = startCordoned(vms, CORDON, [{ ...WAVE, vms: ['m2'] }])
+        const report = () => [
+          reportOf('a', 5000, [load('i1', 1, false), load('i2', 1, false)]),
+        ]
+        await reportFor(fleet, 300, report)
+        t.deepEqual(fleet.report(report()[0]!)?.evacuate, [])
+        await fleet.stop(false)
+      })
+
+      it('keep no more VMs down at once than allowed', async (t) => {
+        const vms = [2, 3, 4].map((number) => vmIn('h1', number, 'idle'))
+        const wave = { ...WAVE, vms: ['m2', 'm3', 'm4'] }
+        const { fleet, orders, statusOf } = startCordoned(vms, CORDON, [wave])
+        await reportFor(fleet, 600, () => [])
+        const maintained = orders.filter(({ kind }) => kind === 'maintain')
+        t.is(maintained.length, 2)
+        t.is(statusOf(1), 'running')
+        await fleet.stop(false)
+      })
+
+      it('take idle VMs there before idle ones elsewhere', async (t) => {
+        const vms = [vmIn('h2', 1, 'idle'), vmIn('h1', 2, 'idle')]
+        const wave = { ...WAVE, vms: ['m1', 'm2'], maxDown: 1 }
+        const { fleet, orders } = startCordoned(vms, CORDON, [wave])
+        await reportFor(fleet, 400, () => [])
+        t.deepEqual(orders, [{ kind: 'maintain', vm: 'm2' }])
+        await fleet.stop(false)
+      })
+    })
+
+    // Without the count, an operator sees a service without VMs and nothing that it waits for.
+    it('logs how many VMs the cordon holds back', async (t) => {
+      const vms = [
+        vmIn('h1', 1, 'a'),
+        vmIn('h1', 2, 'idle'),
+        vmIn('h1', 3, 'idle'),
+        vmIn('h1', 4, 'b'),
+      ]
+      const { fleet, log } = startCordoned(vms, CORDON)
+      await reportFor(fleet, 200, () => [reportOf('a', 15_000, [load('i1', 1, false)])])
+      const lines = log.events.filter(({ name }) => name === 'vmsLacking')
+      t.is(lines.length, 1)
+      t.like(lines[0]?.fields, { service: 'a', needed: 2, planned: 0, cordoned: 3 })
+      await fleet.stop(false)
+    })
+  })
 })
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -100,6 +100,8 @@
     return [...services].find(({ spare }) => spare)?.name
   }
 
+  const isCordoned = ({ hall }: Vm): boolean => configuration.cordons().has(hall)
+
   function supplyOf({ pool }: Vm): VmSupply | undefined {
     const report = reports.fresh().get(pool)
     if (!report) return undefined
@@ -109,7 +111,8 @@
         vm.pool === pool &&
         vm.state === 'up' &&
         !emptying.has(vm.name) &&
-        !orders.pending.has(vm.name),
+        !orders.pending.has(vm.name) &&
+        !isCordoned(vm),
     )
     const needed = neededVms(report, report.timelyCpu, cpuPerVmOf(all))
     return { usable: usable.length, needed }
@@ -127,6 +130,7 @@
         const load = recent.get(vm.targetId)
         return load !== undefined && load.evacuating && load.runs === 0
       },
+      isCordoned,
       supplyOf,
     }
   }
@@ -172,10 +176,11 @@
       vms: [...vms.values()],
       reports: reports.fresh(),
       movingTo: orders.movingTo(),
+      sparePool: sparePool(),
+      cordons: configuration.cordons(),
     }
     const moves = planPools({
       ...input,
-      sparePool: sparePool(),
       emptying,
       ordered: new Set([...orders.pending.keys(), ...busyVms()]),
       fitsPool: (vm, pool) => !incompatible.has(`${vm.name} ${pool}`),
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -26,8 +26,13 @@
   fitsPool(vm: Vm, pool: string): boolean
   /** Number of VMs that a service should keep instead of parking, given what it needs now. */
   vmsToKeep(service: string, needed: number): number
+  /** Cordoned data halls: services start no tasks on the VMs there. */
+  cordons: Cordons
 }
 
+/** The cordoned data halls. */
+export type Cordons = Pick<ReadonlyMap<string, unknown>, 'has' | 'size'>
+
 /** Number of VMs that a service needs for `cpu` thousandths of a core. */
 export function neededVms(report: ServiceReport, cpu: number, cpuPerVm: number): number {
   if (cpuPerVm <= 0) return report.minTargets
@@ -67,10 +72,10 @@
 function countGaps(
   input: PoolInput,
   loads: Loads,
+  cpuPerVm: number,
   neededBy: ReadonlyMap<string, number>,
 ): AllGaps {
   const { vms, movingTo, emptying } = input
-  const cpuPerVm = cpuPerVmOf(vms)
   const gaps: AllGaps = { timely: new Map(), now: new Map(), kept: new Map() }
   for (const [service, report] of input.reports) {
     // A VM that is being emptied or maintained cannot run the service's tasks, nor can one that
@@ -132,21 +137,19 @@
   needed / Math.max(1, needed - gap)
 
 /**
- * Plans moves. Work that can still be in time is served first, if necessary by VMs whose service has
+ * Plans moves among VMs whose data hall is not cordoned. Work that can still be in time is served first, if necessary by VMs whose service has
  * only late work for them; then all work, by spare and idle VMs. If no pool has enough VMs for its
  * late work, the pools share the VMs in proportion to that work.
  */
-export function planPools(input: PoolInput): PlannedMove[] {
+function planOpenVms(input: PoolInput, loads: Loads, cpuPerVm: number): PlannedMove[] {
   const { sparePool, fitsPool } = input
-  const loads = loadsOf(input)
-  const cpuPerVm = cpuPerVmOf(input.vms)
   const needed = new Map(
     [...input.reports].map(([service, report]) => [
       service,
       neededVms(report, report.neededCpu, cpuPerVm),
     ]),
   )
-  const gaps = countGaps(input, loads, needed)
+  const gaps = countGaps(input, loads, cpuPerVm, needed)
   const movable = findMovable(input, loads)
   const moves: PlannedMove[] = []
 
@@ -257,3 +260,55 @@
   }
   return moves
 }
+
+/**
+ * Plans to park the idle VMs in cordoned data halls. The last VM of a pool stays until another one is
+ * up there: if no hall has a VM to replace it, its service can start tasks as soon as the cordon is
+ * lifted, and not 1.5 s later.
+ * @param moves planned moves of other VMs
+ */
+function parkCordoned(
+  input: PoolInput,
+  loads: Loads,
+  moves: readonly PlannedMove[],
+): PlannedMove[] {
+  const { sparePool, cordons, emptying, ordered } = input
+  if (sparePool === undefined) return []
+  const leaving = new Set(moves.map(({ vm }) => vm))
+  const stayingBy = new Map<string, number>()
+  const idle: Vm[] = []
+  for (const vm of input.vms) {
+    const { name, pool } = vm
+    if (vm.state !== 'up' || emptying.has(name) || ordered.has(name) || leaving.has(vm))
+      continue
+    stayingBy.set(pool, (stayingBy.get(pool) ?? 0) + 1)
+    const isParkable = cordons.has(vm.hall) && pool !== sparePool
+    if (isParkable && input.reports.has(pool) && isIdle(loads.get(vm.targetId)))
+      idle.push(vm)
+  }
+  const isClosed = (vm: Vm): boolean => loads.get(vm.targetId)?.evacuating ?? false
+  // VMs that are already closed come first, so that the one that stays does not change.
+  return idle
+    .sort((a, b) => Number(isClosed(b)) - Number(isClosed(a)))
+    .flatMap((vm) => {
+      const staying = stayingBy.get(vm.pool) ?? 0
+      if (staying <= 1 || !input.fitsPool(vm, sparePool)) return []
+      stayingBy.set(vm.pool, staying - 1)
+      return [{ vm, pool: sparePool }]
+    })
+}
+
+/**
+ * Plans moves. VMs in cordoned data halls are no supply of any service: the others are planned as if
+ * those did not exist. Without a cordon, all VMs are planned alike.
+ */
+export function planPools(input: PoolInput): PlannedMove[] {
+  const { cordons } = input
+  const loads = loadsOf(input)
+  // Over all VMs, so that a service's need in VMs does not change with a cordon.
+  const cpuPerVm = cpuPerVmOf(input.vms)
+  if (cordons.size === 0) return planOpenVms(input, loads, cpuPerVm)
+  const vms = input.vms.filter(({ hall }) => !cordons.has(hall))
+  const moves = planOpenVms({ ...input, vms }, loads, cpuPerVm)
+  return [...moves, ...parkCordoned(input, loads, moves)]
+}
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -12,7 +12,7 @@
 
 /** VM counts of one service. */
 export interface VmSupply {
-  /** VMs that are up, not being emptied and without a pending order. */
+  /** VMs that are up, not being emptied, without a pending order and in no cordoned hall. */
   usable: number
   /** VMs that it needs for work that can still be in time; at least one. */
   needed: number
@@ -25,6 +25,8 @@
   runsOn(vm: Vm): number
   /** Whether nothing runs on the VM and its service starts no new tasks there. */
   isEmpty(vm: Vm): boolean
+  /** Whether the data hall of the VM is cordoned, so that no task is started there. */
+  isCordoned(vm: Vm): boolean
   /** VM counts of the service that the VM belongs to; undefined when they are unknown. */
   supplyOf(vm: Vm): VmSupply | undefined
 }
@@ -67,7 +69,7 @@
   const pending = waves
     .pending(progress, view.vms)
     .filter((vm) => vm.state === 'up' && !orders.pending.has(vm.name))
-    .sort((a, b) => view.runsOn(a) - view.runsOn(b))
+    .sort((a, b) => compareCost(a, b, view))
   let free = wave.maxDown - countDown(wave, view, orders)
   let busy = Math.min(free, busyAtOnce(progress, pending.length))
   for (const vm of pending) {
@@ -75,7 +77,10 @@
     if (view.isEmpty(vm)) {
       free--
       await maintain(opts, progress, vm)
-    } else if (busy > 0 && (emptying.has(vm.name) || canSpare(vm, view, elapsedShare))) {
+    } else if (
+      view.isCordoned(vm) ||
+      (busy > 0 && (emptying.has(vm.name) || canSpare(vm, view, elapsedShare)))
+    ) {
       busy--
       free--
       emptying.add(vm.name)
@@ -84,6 +89,20 @@
   }
 }
 
+/**
+ * Compares what it costs to take VMs: idle ones come first, so that a task that does not end holds
+ * up no other VM of its wave. Among idle VMs and among those in use, the ones in cordoned data halls
+ * come first, as no service can use them.
+ */
+function compareCost(a: Vm, b: Vm, view: FleetView): number {
+  const runs = { a: view.runsOn(a), b: view.runsOn(b) }
+  return (
+    Number(runs.a > 0) - Number(runs.b > 0) ||
+    Number(view.isCordoned(b)) - Number(view.isCordoned(a)) ||
+    runs.a - runs.b
+  )
+}
+
 /**
  * Whether the VM may be emptied now: at first only if its service does not need it. Otherwise, with
  * little spare capacity, a service whose only two VMs are both due starts nothing for 2 s.
