--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -137,9 +137,10 @@
   needed / Math.max(1, needed - gap)
 
 /**
- * Plans moves among VMs whose data hall is not cordoned. Work that can still be in time is served first, if necessary by VMs whose service has
- * only late work for them; then all work, by spare and idle VMs. If no pool has enough VMs for its
- * late work, the pools share the VMs in proportion to that work.
+ * Plans moves among VMs whose data hall is not cordoned. Work that can still be in time is served
+ * first, if necessary by VMs whose service has only late work for them; then all work, by spare and
+ * idle VMs. If no pool has enough VMs for its late work, the pools share the VMs in proportion to
+ * that work.
  */
 function planOpenVms(input: PoolInput, loads: Loads, cpuPerVm: number): PlannedMove[] {
   const { sparePool, fitsPool } = input
