feat(scheduler): prefer warm targets and limit starts on cold ones

Cause: a target is slow for some time after its start, which its entry tells and nothing used. A hall that came back took the whole queue at once, and its slow runs counted as evidence against its targets and in the mean run times.

Change: while a target is cold, tasks prefer warm ones, and it gets starts at a rate that rises to the limit of the service, never zero. Runs that began in the cold time are no evidence of a fault and are left out of the mean; one that stands still counts as stalled after four times the usual limit. The age of an entry is bounded by that of the target's life, so that a new owner does not slow down a warm pool. Without cold targets each of these is one check, and the plan is as before.

--- a/src/scheduler/__tests__/planner.spec.ts
+++ b/src/scheduler/__tests__/planner.spec.ts
@@ -246,4 +246,77 @@
       ['timely false', 'late false', 'timely true', 'late true', 'useless false'],
     )
   })
+
+  describe('with cold targets', () => {
+    const planCold = (jobs: JobSpec[], agents: TargetAgent[], cold: string[]) =>
+      planStarts({
+        ready: readyOf(jobs),
+        agents,
+        urgencyOf: (job) => urgencyOf(job, QUEUE, createRunTimes(), 0),
+        policy: UNRESTRICTED_POLICY,
+        penaltyOf: () => 0,
+        hasStepPolicy: () => false,
+        mayTry: () => false,
+        isCold: ({ target }) => cold.includes(target.id),
+        planned: () => undefined,
+      }).starts.map(({ agent }) => agent.target.id)
+
+    it('fills warm targets first, also in another rack than the data', (t) => {
+      const agents = [
+        fakeAgent('c1', 200, ['r1-1']),
+        fakeAgent('w1', 200, ['r1-2']),
+        fakeAgent('c2', 200, ['r1-1']),
+      ]
+      const jobs = [makeJob({ cpu: 100 }, [{ count: 3, dataRack: 'r1-1' }])]
+      t.deepEqual(planCold(jobs, agents, ['c1', 'c2']), ['w1', 'w1', 'c1'])
+    })
+
+    it('uses them if all targets are cold', (t) => {
+      const agents = [fakeAgent('c1', 200), fakeAgent('c2', 200)]
+      const jobs = [makeJob({ cpu: 100 }, [{ count: 4 }])]
+      t.is(planCold(jobs, agents, ['c1', 'c2']).length, 4)
+    })
+
+    // A gang ends with its slowest member.
+    it('starts a gang in a warm rack', (t) => {
+      const agents = [
+        fakeAgent('c1', 200, ['r1-1']),
+        fakeAgent('w1', 100, ['r1-1']),
+        fakeAgent('w2', 200, ['r1-2']),
+      ]
+      const jobs = [makeJob({ cpu: 100 }, [{ count: 2, gang: true, sameRack: true }])]
+      t.deepEqual(planCold(jobs, agents, ['c1']), ['w2', 'w2'])
+    })
+
+    // Otherwise all lasting tasks gather on the targets that happen to be warm, for good.
+    it('keeps lasting tasks spread', (t) => {
+      const agents = [fakeAgent('c1', 900), fakeAgent('w1', 900)]
+      const jobs = [makeJob({ cpu: 100 }, [{ count: 2, lasting: true }])]
+      t.deepEqual(planCold(jobs, agents, ['c1']), ['w1', 'c1'])
+    })
+
+    // Guards deployments without cold targets.
+    it('plans as before if none of the targets is cold', (t) => {
+      const steps = fc.array(
+        fc.record({
+          count: fc.integer({ min: 1, max: 5 }),
+          cpu: fc.integer({ min: 1, max: 400 }),
+          lasting: fc.boolean(),
+          gang: fc.boolean(),
+          sameRack: fc.boolean(),
+        }),
+        { maxLength: 6 },
+      )
+      const rooms = fc.array(fc.integer({ min: 0, max: 2000 }), { maxLength: 5 })
+      fc.assert(
+        fc.property(steps, rooms, (drawn, cpus) => {
+          const agents = cpus.map((cpu, at) => fakeAgent(`t${at}`, cpu, [`r1-${at % 2}`]))
+          const jobs = drawn.map((step) => makeJob({ cpu: step.cpu }, [step]))
+          const before = plan(jobs, agents).starts.map(({ agent }) => agent.target.id)
+          t.deepEqual(planCold(jobs, agents, []), before)
+        }),
+      )
+      t.pass()
+    })
+  })
 })
--- a/src/scheduler/health.ts
+++ b/src/scheduler/health.ts
@@ -4,6 +4,7 @@
  */
 import type { Step, Task } from '../jobs/index.js'
 import type { Logger } from '../shared/index.js'
+import type { ColdTargets } from './coldTargets.js'
 import { createRunMonitor } from './runMonitor.js'
 import type { RunMonitor } from './runMonitor.js'
 import type { RunTimes } from './runTimes.js'
@@ -31,9 +32,13 @@
 const FAILED_HERE_PENALTY = 1
 
 /** Creates the health of targets without any records. */
-export function createHealth(opts: { runTimes: RunTimes; log: Logger }): Health {
+export function createHealth(opts: {
+  runTimes: RunTimes
+  coldTargets: ColdTargets
+  log: Logger
+}): Health {
   const suspicion = createSuspicion(opts.log)
-  const runMonitor = createRunMonitor(opts.runTimes, suspicion)
+  const runMonitor = createRunMonitor(opts.runTimes, suspicion, opts.coldTargets)
 
   const END_HANDLERS: Record<string, (agent: TargetAgent, task: Task) => void> = {
     done: (agent, task) =>
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -29,6 +29,8 @@
   hasStepPolicy(step: Step): boolean
   /** Whether `policy` admits the step to targets that are closed to others with the same needs. */
   mayTry(step: Step): boolean
+  /** Whether the target is slow after its start; undefined if no target is. */
+  isCold?(agent: TargetAgent): boolean
   /** Maximum number of starts planned in this round; unlimited by default. */
   startsLeft?: number
   /** Called for each planned start. */
@@ -52,6 +54,8 @@
   plannedCounts: Map<Step, number>
   /** Number of lasting tasks, placed or planned. */
   lastingCount: number
+  /** Whether the target is slow after its start. */
+  isCold: boolean
 }
 
 function countLasting(agent: TargetAgent): number {
@@ -60,7 +64,7 @@
   return count
 }
 
-function createCandidate(agent: TargetAgent): Candidate {
+function createCandidate(agent: TargetAgent, isCold = false): Candidate {
   const planned = new Map<Step, number>()
   return {
     agent,
@@ -69,12 +73,13 @@
     plannedCounts: planned,
     countOf: (step) => agent.room.countOf(step) + (planned.get(step) ?? 0),
     lastingCount: countLasting(agent),
+    isCold,
   }
 }
 
 /** Copies a candidate, so that a gang can be planned on the copy and discarded. */
 function copyCandidate(candidate: Candidate): Candidate {
-  const copy = createCandidate(candidate.agent)
+  const copy = createCandidate(candidate.agent, candidate.isCold)
   Object.assign(copy.free, candidate.free)
   copy.startsLeft = candidate.startsLeft
   for (const [step, count] of candidate.plannedCounts) copy.plannedCounts.set(step, count)
@@ -94,18 +99,27 @@
 
 /** Outweighs every other cost. */
 const PENALTY_WEIGHT = 1e12
+/** Cost of a cold target: outweighs the rack of the data, as any warm target ends the task sooner. */
+const COLD_COST = 1e10
+/**
+ * The same for lasting tasks, which outlast the cold time: less than that of another lasting task, so
+ * that they stay spread over the targets.
+ */
+const COLD_LASTING_COST = 5e5
 
 /**
- * Cost of a start on a candidate; the lowest wins. Prefers the rack of the data, then targets with
- * few tasks for crash suspects, targets with few lasting tasks for lasting ones, and nearly full
- * targets for all others.
+ * Cost of a start on a candidate; the lowest wins. Prefers warm targets, then the rack of the data,
+ * then targets with few tasks for crash suspects, targets with few lasting tasks for lasting ones, and
+ * nearly full targets for all others. For lasting tasks, few lasting tasks count more than warmth.
  */
 function costOf(candidate: Candidate, step: Step): number {
   const { dataRack, lasting } = step.spec
-  const distanceCost = dataRack !== '' && rackOf(candidate.agent) !== dataRack ? 1e9 : 0
-  if (step.crashSuspects.size > 0) return distanceCost + candidate.agent.placements.size
-  if (lasting) return distanceCost + candidate.lastingCount * 1e6 - candidate.free.cpu
-  return distanceCost + candidate.free.cpu
+  const isNear = dataRack === '' || rackOf(candidate.agent) === dataRack
+  const coldCost = lasting ? COLD_LASTING_COST : COLD_COST
+  const baseCost = (isNear ? 0 : 1e9) + (candidate.isCold ? coldCost : 0)
+  if (step.crashSuspects.size > 0) return baseCost + candidate.agent.placements.size
+  if (lasting) return baseCost + candidate.lastingCount * 1e6 - candidate.free.cpu
+  return baseCost + candidate.free.cpu
 }
 
 function choose(
@@ -170,7 +184,7 @@
 
 /**
  * Plans the starts of all tasks of a gang or of none. With `sameRack`, each single rack is tried
- * before all targets together.
+ * before all targets together, and the warm targets of each rack before all of any.
  */
 function planGang(candidates: Candidate[], step: Step, input: PlanInput): PlannedStart[] {
   const members = step.tasks.filter(({ phase }) => phase === 'ready')
@@ -180,7 +194,10 @@
   const groups = step.spec.sameRack
     ? [...racks].map((rack) => candidates.filter(({ agent }) => rackOf(agent) === rack))
     : []
-  for (const group of [...groups, candidates]) {
+  const warmGroups = input.isCold
+    ? groups.map((group) => group.filter(({ isCold }) => !isCold))
+    : []
+  for (const group of [...warmGroups, ...groups, candidates]) {
     const copies = group.map(copyCandidate)
     const starts: PlannedStart[] = []
     for (const task of members) {
@@ -208,7 +225,9 @@
 
 /** Plans starts in the order of urgency; steps with a sole crash suspect come last. */
 export function planStarts(input: PlanInput): Plan {
-  const candidates = input.agents.filter((agent) => agent.isUsable()).map(createCandidate)
+  const candidates = input.agents
+    .filter((agent) => agent.isUsable())
+    .map((agent) => createCandidate(agent, input.isCold?.(agent)))
   const steps = new Map<Step, Task[]>()
   for (const task of input.ready) {
     const group = steps.get(task.step)
@@ -273,7 +292,9 @@
   agents: readonly TargetAgent[],
   policy: PlacementPolicy,
 ): RelocationRoom {
-  const candidates = agents.filter((agent) => agent.isUsable()).map(createCandidate)
+  const candidates = agents
+    .filter((agent) => agent.isUsable())
+    .map((agent) => createCandidate(agent))
   return {
     reserve(step, from) {
       const candidate = candidates.find(
--- a/src/scheduler/roomUse.ts
+++ b/src/scheduler/roomUse.ts
@@ -6,6 +6,7 @@
 import type { JobBook } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import type { ColdTargets } from './coldTargets.js'
 import type { OwnerLoad } from './ownerLoad.js'
 import { needOf, takenCpuOf } from './room.js'
 import type { TargetAgent } from './types.js'
@@ -23,6 +24,7 @@
   requestedCpu(): number
   /** Whether the row of the target is durable, so that tasks may start there. */
   hasRow(targetId: string): boolean
+  coldTargets: Pick<ColdTargets, 'any' | 'isCold'>
   /** Work of the owner since the last call. */
   takeLoad(): OwnerLoad
   log: Logger
@@ -35,6 +37,7 @@
   isBehind,
   requestedCpu,
   hasRow,
+  coldTargets,
   takeLoad,
   log,
 }: RoomUseOptions): (agents: readonly TargetAgent[]) => void {
@@ -54,11 +57,14 @@
       runningCpu: 0,
       lastingCpu: 0,
     }
+    const anyCold = coldTargets.any()
     let starting = 0
+    let cold = 0
     for (const agent of agents) {
       if (!agent.listed) continue
       sums.targets++
       if (agent.isUsable()) sums.usable++
+      if (anyCold && coldTargets.isCold(agent.target.id)) cold++
       if (!hasRow(agent.target.id)) sums.withoutRow++
       if (agent.isAwaitingProgress()) sums.awaitingProgress++
       sums.cpu += agent.room.capacity.cpu
@@ -72,6 +78,7 @@
     log.event('roomUse', {
       service,
       ...sums,
+      ...(anyCold && { cold }),
       requestedCpu: requestedCpu(),
       ...takeLoad(),
       starting,
--- a/src/scheduler/runMonitor.ts
+++ b/src/scheduler/runMonitor.ts
@@ -4,6 +4,7 @@
  */
 import type { Step, Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
+import type { ColdTargets } from './coldTargets.js'
 import type { RunTimes } from './runTimes.js'
 import type { Suspicion } from './suspicion.js'
 import type { TargetAgent } from './types.js'
@@ -18,6 +19,11 @@
  * the stall may concern this run alone. A requested VM would have arrived by then (3 s).
  */
 const RESTART_IN_PLACE_AFTER_MS = 10_000
+/**
+ * Multiple of the stall limit for a run that stood still while its target was cold. A target that is
+ * merely slow then shows progress, and one that hangs is found within its cold time.
+ */
+const COLD_STALL_FACTOR = 4
 /** Maximum number of doublings of a task's stall limit: one for each time the task was moved. */
 const MAX_DOUBLINGS = 3
 /** A run is slow below this share of the usual pace. */
@@ -103,7 +109,11 @@
 }
 
 /** Creates the check for stalled and slow runs, without any records. */
-export function createRunMonitor(runTimes: RunTimes, suspicion: Suspicion): RunMonitor {
+export function createRunMonitor(
+  runTimes: RunTimes,
+  suspicion: Suspicion,
+  coldTargets: Pick<ColdTargets, 'wasColdSince'>,
+): RunMonitor {
   const progress = new WeakMap<Placement, Progress>()
   const moves = new WeakMap<Task, number>()
   /** Targets on which a step was slow or stalled. */
@@ -114,13 +124,17 @@
   /** Stalled runs that have been counted as evidence against their target, once each. */
   const countedStalls = new WeakSet<Placement>()
 
+  /** Whether the target was slow after its start for some of the time since `at`. */
+  const wasColdSince = ({ target }: TargetAgent, at: number): boolean =>
+    coldTargets.wasColdSince(target.id, at)
+
   const movesOf = (task: Task): number => moves.get(task) ?? 0
 
   /**
    * Returns the time for which a run has been stalled, in ms; 0 below the limit. Measured between
    * reports, so that missing reports do not count as a stall.
    */
-  function stalledMs(placement: Placement, task: Task): number {
+  function stalledMs(agent: TargetAgent, placement: Placement, task: Task): number {
     const { percent, reportedAt } = placement
     const before = progress.get(placement)
     if (before?.percent !== percent) {
@@ -129,18 +143,23 @@
     }
     const percentMs = percent > 0 ? (before.since - task.startedAt) / percent : 0
     const doubled = 2 ** Math.min(MAX_DOUBLINGS, movesOf(task))
-    const limitMs = Math.max(STALL_MS, STALL_FACTOR * percentMs) * doubled
+    const extension = wasColdSince(agent, before.since) ? COLD_STALL_FACTOR : 1
+    const limitMs = Math.max(STALL_MS, STALL_FACTOR * percentMs) * doubled * extension
     const ms = reportedAt - before.since
     return ms > limitMs ? ms : 0
   }
 
-  /** Returns the pace of a run; undefined before it can be measured. */
+  /**
+   * Returns the pace of a run; undefined before it can be measured, and for a run on a target that
+   * was cold meanwhile.
+   */
   function paceOf(agent: TargetAgent, placement: Placement): Pace | undefined {
     const { task, state, reportedAt, percent } = placement
     if (!task || state !== 'running' || !hasMeasurableSpeed(task.step)) return undefined
     const ranMs = reportedAt - task.startedAt
     if (ranMs < MIN_MEASURED_RUN_MS || !runTimes.hasEnoughRuns(task.step))
       return undefined
+    if (wasColdSince(agent, task.startedAt)) return undefined
     const pace = (percent * runTimes.meanRunMs(task.step)) / (100 * ranMs)
     return { step: task.step, agent, pace, startedAt: task.startedAt, at: reportedAt }
   }
@@ -220,7 +239,7 @@
     for (const placement of agent.placements.values()) {
       const { task, state, reportedAt } = placement
       if (!task || state !== 'running' || reportedAt === 0) continue
-      const ms = hasMeasurableSpeed(task.step) ? stalledMs(placement, task) : 0
+      const ms = hasMeasurableSpeed(task.step) ? stalledMs(agent, placement, task) : 0
       if (ms === 0) continue
       const areOthersNormal = isNormalPace(otherJobsOn(agent, task, all))
       const isStepFaulty = areOthersNormal && isSlowAmongNormalRuns(task, agent, all)
@@ -256,7 +275,7 @@
     noteDone(agent, task) {
       const { step } = task
       const { startedAt } = task
-      if (!Number.isFinite(startedAt)) return false
+      if (!Number.isFinite(startedAt) || wasColdSince(agent, startedAt)) return false
       if (!hasMeasurableSpeed(step) || !runTimes.hasEnoughRuns(step)) return false
       const at = monotonicMs()
       const pace = runTimes.meanRunMs(step) / Math.max(1, at - startedAt)
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -25,6 +25,7 @@
   MAX_PLAN_SHARE,
   MIN_PLAN_INTERVAL_MS,
 } from './constants.js'
+import { createColdTargets } from './coldTargets.js'
 import { createDemandMeter } from './demand.js'
 import { applyFleetAnswer } from './evacuation.js'
 import { createFairShares } from './fairShares.js'
@@ -174,7 +175,11 @@
   )
   const finished = createFinishedJobs({ store, service, authority, book, log })
   const runTimes = createRunTimes()
-  const health = createHealth({ runTimes, log })
+  const coldTargets = createColdTargets({
+    pool: () => configuration.current()?.services.get(service),
+    wake,
+  })
+  const health = createHealth({ runTimes, coldTargets, log })
   const startWindow = createStartWindow({ freed: wake, log })
   const demand = createDemandMeter({
     runTimes,
@@ -270,6 +275,7 @@
     roster,
     runTimes,
     health,
+    coldTargets,
     tickets,
     isolation: createIsolation(),
     startWindow,
@@ -296,6 +302,7 @@
     isBehind: startWindow.isBehind,
     requestedCpu: demand.requestedCpu,
     hasRow: roster.has,
+    coldTargets,
     takeLoad: load.take,
     log,
   })
@@ -426,6 +433,7 @@
       roster.stop()
       queueRows.stop()
       quotas.stop()
+      coldTargets.stop()
       await progress.stop(handOver)
       await Promise.all(allAgents().map((agent) => agent.close()))
       const workers = [intake, finished, held, restorer]
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -5,6 +5,7 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { RUNS_PER_TERM } from './constants.js'
+import type { ColdTargets } from './coldTargets.js'
 import type { FairShares } from './fairShares.js'
 import type { Health } from './health.js'
 import type { PlacementPolicy } from './placementRules.js'
@@ -30,6 +31,7 @@
   roster: Roster
   runTimes: RunTimes
   health: Health
+  coldTargets: ColdTargets
   tickets: Tickets
   isolation: Isolation
   startWindow: StartWindow
@@ -53,7 +55,7 @@
 /** Creates the starter of one owner. */
 export function createStarter(opts: StarterOptions): Starter {
   const { authority, configuration, book, roster, runTimes, health, tickets } = opts
-  const { isolation, startWindow, quotas, shares, log } = opts
+  const { coldTargets, isolation, startWindow, quotas, shares, log } = opts
   const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
 
   const needsTicket = (step: Step): boolean =>
@@ -127,6 +129,9 @@
       urgencyOf: createUrgencyLookup(now),
       policy: policyOf(agents, round, isolationRound, quotaRound),
       penaltyOf: health.penaltyOf,
+      ...(coldTargets.any() && {
+        isCold: ({ target }: TargetAgent) => coldTargets.isCold(target.id),
+      }),
       hasStepPolicy: (step) => needsTicket(step) || step.crashSuspects.size > 0,
       mayTry: round.mayUseSuspects,
       startsLeft,
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -38,6 +38,7 @@
   SYNC_WAIT_MS,
   TOKENS_PER_TERM,
 } from './constants.js'
+import type { ColdTargets } from './coldTargets.js'
 import { createCrashRecorder } from './crashRecorder.js'
 import type { CrashedRun } from './crashSuspects.js'
 import { createOrderSender } from './orderSender.js'
@@ -58,6 +59,7 @@
   progress: ProgressWriter
   /** Starts in flight on all targets of the owner. */
   startWindow: StartWindow
+  coldTargets: ColdTargets
   quotaUsage: QuotaUsage
   /** Longest time for which unknown runs of the previous owner can go on, in ms. */
   inheritedLeaseMs: number
@@ -80,7 +82,7 @@
 
 /** Creates the agent, which calls the target from now on until it is closed. */
 export function createTargetAgent(opts: TargetAgentOptions): TargetAgent {
-  const { link, book, authority, progress, startWindow, log } = opts
+  const { link, book, authority, progress, startWindow, coldTargets, log } = opts
   const { id: targetId } = opts.target
   const stopping = createStopController()
   const { signal } = stopping
@@ -389,6 +391,7 @@
     start(task, runNumber, ticket) {
       const placement = runs.add(task, runNumber, 'starting')
       book.place(task, targetId, runNumber)
+      coldTargets.noteStart(targetId)
       sender.start(task, placement, ticket)
     },
     stop(name) {
@@ -400,7 +403,7 @@
     },
     isIsolated: runs.isIsolated,
     hasRecentStart: runs.hasRecentStart,
-    startsLeft: sender.startsLeft,
+    startsLeft: () => Math.min(sender.startsLeft(), coldTargets.startsLeft(targetId)),
     heldRuns: runs.heldCount,
     reportedCpu: runs.reportedCpu,
     adoptKnown: runs.adoptKnown,
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -10,6 +10,7 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { MAX_CLOCK_DRIFT, LEASE_MARGIN_MS, TASK_LEASE_MS } from './constants.js'
+import type { ColdTargets } from './coldTargets.js'
 import type { Health } from './health.js'
 import type { Isolation } from './isolation.js'
 import type { ProgressWriter } from './progressWriter.js'
@@ -62,6 +63,7 @@
   mayMissTargets(): boolean
   runTimes: RunTimes
   health: Health
+  coldTargets: ColdTargets
   tickets: Tickets
   isolation: Isolation
   startWindow: StartWindow
@@ -73,7 +75,7 @@
 
 /** Creates the follower, which opens no agents yet. */
 export function createTargetFollower(opts: TargetFollowerOptions): TargetFollower {
-  const { agents, targets, authority, roster, health, log } = opts
+  const { agents, targets, authority, roster, health, coldTargets, log } = opts
   const { service } = authority
   /** Incarnations taken for gone, by id, while the list still shows the id. */
   const goneIncarnations = new Map<string, GoneIncarnation>()
@@ -156,6 +158,7 @@
       authority,
       progress: opts.progress,
       startWindow: opts.startWindow,
+      coldTargets,
       quotaUsage: opts.quotas.usage,
       initialTokenOffset: nextTokenOffsets.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
@@ -164,7 +167,10 @@
       ticketRefused: (step, id) => opts.tickets.discard(step, id),
       ended(each, task, kind) {
         // The report of the end may have been the first news of the run.
-        if (kind === 'done' && Number.isFinite(task.startedAt))
+        const isMeasured =
+          Number.isFinite(task.startedAt) &&
+          !coldTargets.wasColdSince(target.id, task.startedAt)
+        if (kind === 'done' && isMeasured)
           opts.runTimes.note(task, monotonicMs() - task.startedAt)
         health.noteEnd(each, task, kind)
       },
@@ -178,6 +184,7 @@
 
   function followListed(target: Target): void {
     const known = agents.get(target.id)
+    coldTargets.note(target, known?.target)
     if (known && isReplaced(known, target))
       return known.markGone('a later incarnation is listed')
     if (known && hasStaleAddress(known, target)) closeIdleAgent(known)
@@ -235,6 +242,7 @@
       if (!isInList(id)) goneIncarnations.delete(id)
     for (const id of nextTokenOffsets.keys())
       if (!isInList(id) && !agents.has(id)) nextTokenOffsets.delete(id)
+    coldTargets.forgetUnlisted(isInList)
     for (const agent of agents.values()) {
       const entry = listed.get(agent.target.id)
       if (agent.listed && entry?.service !== service) noteUnlisted(agent)
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -63,7 +63,7 @@
   isIsolated(): boolean
   /** Whether a run is starting or not yet known to be stable. */
   hasRecentStart(): boolean
-  /** Number of starts that can be queued now without a long wait. */
+  /** Number of starts that can be queued now without a long wait, and that a cold target may get. */
   startsLeft(): number
   /** Number of runs in the last report whose jobs are held; they have no placement. */
   heldRuns(): number
