test(scheduler): cover cold targets within a life, and the mean run time

A trial with nine mutations of the part found eight; the ninth, an entry that makes a target cold without a new life, had no test. With these two tests all nine are found: run times of cold targets in the mean, and that one.

--- a/src/scheduler/__tests__/coldTargets.spec.ts
+++ b/src/scheduler/__tests__/coldTargets.spec.ts
@@ -284,6 +284,20 @@
     t.is(startsOn(rig, 't2'), 3)
   })
 
+  // Otherwise the targets of a hall that was cordoned count as warm, as their life began long ago.
+  it('notices a target that becomes cold within its life', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => rig.stop())
+    rig.addTarget('t1', {}, { lifeStartMs: Date.now() - 3_600_000 })
+    rig.addTarget('t2')
+    const owner = await rig.startOwner()
+    rig.setListEntry({ ...rig.listed.get('t1')!, coldMs: 20_000 })
+    const job = makeJob({ ms: 60, cpu: 900 }, [{ count: 3 }])
+    rig.submit(owner, job)
+    t.true(await rig.waitForOutcomes([job], 5000))
+    t.is(startsOn(rig, 't1'), 0)
+  })
+
   // Otherwise a hall whose targets all come back cold takes the whole queue at once, and each of its
   // tasks is late.
   it('does not give the whole queue to a hall that comes back cold', async (t) => {
@@ -303,6 +317,25 @@
     t.true(await rig.waitForOutcomes(jobs, 10_000))
   })
 
+  // Otherwise the jobs of a queue seem to take long for forty runs after each start of a pool.
+  it('leaves runs on cold targets out of the mean run time', async (t) => {
+    const needAfterRunsOn = async (coldMs: number): Promise<number> => {
+      const rig = createJobRig()
+      t.teardown(() => rig.stop())
+      rig.addTarget('t1', { coldMs })
+      const owner = await rig.startOwner()
+      const first = makeJob({ ms: 30, cpu: 100 }, [{ count: 2 }])
+      rig.submit(owner, first)
+      t.true(await rig.waitForOutcomes([first], 5000))
+      // Without a mean, the need follows the estimate of the caller.
+      rig.submit(owner, makeJob({ ms: 30, cpu: 1000 }, [{ count: 50, estimateMs: 1e4 }]))
+      await sleep(20)
+      return owner.report().neededCpu
+    }
+    t.true((await needAfterRunsOn(0)) < 50_000)
+    t.true((await needAfterRunsOn(20_000)) > 100_000)
+  })
+
   it('tells the number of cold targets while tasks wait', async (t) => {
     const rig = createJobRig()
     t.teardown(() => rig.stop())
