--- /dev/null
+++ b/src/shares/aging.ts
@@ -0,0 +1,65 @@
+/**
+ * Picks jobs that have waited long for a start out of their turn, so that none waits for ever behind
+ * others that are always more urgent. Queues and organisations take turns.
+ */
+
+/** Time without a running task from which a job may be picked, in ms. */
+const AGED_AFTER_MS = 5000
+/** Shortest time between two picks, in ms: the others lose one start a second at most. */
+const PICK_INTERVAL_MS = 1000
+
+/** A job that may be picked. */
+export interface IdleJob<T> {
+  job: T
+  queue: string
+  organisation: string | undefined
+  /** Monotonic time since which no task of it runs, in ms; undefined if one does. */
+  idleSince: number | undefined
+}
+
+/** Picks jobs that have waited long. */
+export interface Aging {
+  /**
+   * Returns the job that is due, if any: of the queue and organisation that was picked least
+   * recently the one that is idle longest. It stays due until the next pick, as no target may have
+   * room for it at once; the caller passes over it once one of its tasks is started.
+   */
+  pick<T>(jobs: Iterable<IdleJob<T>>, now: number): T | undefined
+}
+
+const keyOf = ({ queue, organisation }: IdleJob<unknown>): string =>
+  JSON.stringify([queue, organisation])
+
+/** Creates the picks of one service. */
+export function createAging(): Aging {
+  const pickedAt = new Map<string, number>()
+  let lastPickAt = -Infinity
+  let picked: unknown
+
+  return {
+    pick<T>(jobs: Iterable<IdleJob<T>>, now: number): T | undefined {
+      if (now - lastPickAt < PICK_INTERVAL_MS) return picked as T | undefined
+      picked = undefined
+      const longestIdle = new Map<string, IdleJob<T>>()
+      for (const each of jobs) {
+        const { idleSince } = each
+        if (idleSince === undefined || now - idleSince < AGED_AFTER_MS) continue
+        const key = keyOf(each)
+        const known = longestIdle.get(key)?.idleSince ?? Infinity
+        if (idleSince < known) longestIdle.set(key, each)
+      }
+      for (const key of pickedAt.keys()) if (!longestIdle.has(key)) pickedAt.delete(key)
+      let next: string | undefined
+      for (const key of longestIdle.keys()) {
+        const at = pickedAt.get(key) ?? -Infinity
+        if (next === undefined || at < (pickedAt.get(next) ?? -Infinity)) next = key
+      }
+      if (next === undefined) return undefined
+      lastPickAt = now
+      pickedAt.set(next, now)
+      const found = longestIdle.get(next)?.job
+      picked = found
+      return found
+    },
+  }
+}
