feat(scheduler): divide room between organisations by weight

With the feature weightedShares, the owner of a service orders jobs by the virtual time of their organisations: begun jobs that can still be in time, then jobs within the share, then those beyond it. Runs are charged with the expected time and corrected once they are over. Service given by the other services arrives in the reports to the owner of the fleet, in new optional fields.

Without the feature, reports, answers and the order are unchanged.

--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -88,9 +88,16 @@
     labelNames: ['hold'],
     registers,
   })
+  const sharesExceeded = new Counter({
+    name: 'rillshunt_share_exceeded_total',
+    help: 'lines about jobs that wait beyond the share of their organisation',
+    labelNames: ['organisation'],
+    registers,
+  })
   return {
     registry,
     events,
+    sharesExceeded,
     calls,
     bytes,
     waits,
@@ -107,6 +114,7 @@
 export function createNodeMetrics(): NodeMetrics {
   const { registry, configurationAge, ...instruments } = createInstruments()
   const { events, calls, bytes, waits, holds, intake, late, jobs, runEnds } = instruments
+  const { sharesExceeded } = instruments
   const noteConfigurationAge = (fields: EventFields): void =>
     configurationAge.observe(secondsOf(fields, 'configurationAgeMs'))
 
@@ -119,6 +127,12 @@
     jobTaken: (fields) =>
       intake.observe({ from: String(fields['from']) }, secondsOf(fields, 'lateMs')),
     processLate: (fields) => late.observe(secondsOf(fields, 'lateMs')),
+    sharesExceeded(fields) {
+      for (const { organisation } of fields['organisations'] as {
+        organisation: string
+      }[])
+        sharesExceeded.inc({ organisation })
+    },
     runEnded: (fields) => runEnds.inc({ kind: String(fields['kind']) }),
     jobSettled: (fields) =>
       jobs.observe({ outcome: String(fields['outcome']) }, secondsOf(fields, 'tookMs')),
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -44,7 +44,7 @@
 import { createNodeRoster, readNodeRosters } from './nodeRoster.js'
 import type { NodeRosterRow } from './nodeRoster.js'
 import { createRoster } from './roster.js'
-import { createServiceQuotas } from './serviceQuotas.js'
+import { combineUsages, createServiceQuotas } from './serviceQuotas.js'
 import { createRoomUseLog } from './roomUse.js'
 import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
@@ -55,6 +55,7 @@
 import { createTargetFollower } from './targetFollower.js'
 import { createTickets } from './tickets.js'
 import { urgencyOf } from './urgency.js'
+import { createWeightedShares } from './weightedShares.js'
 import { createWaitWatch } from './waitWatch.js'
 import type { WaitReport } from './waitWatch.js'
 
@@ -169,11 +170,14 @@
       }),
   })
 
-  const shares = createFairShares(
-    (name) => configuration.current()?.organisations?.get(name)?.weight,
-  )
   const finished = createFinishedJobs({ store, service, authority, book, log })
   const runTimes = createRunTimes()
+  const weightedShares = opts.features.has('weightedShares')
+    ? createWeightedShares({ service, configuration, runTimes, log })
+    : undefined
+  const shares =
+    weightedShares ??
+    createFairShares((name) => configuration.current()?.organisations?.get(name)?.weight)
   const health = createHealth({ runTimes, log })
   const startWindow = createStartWindow({ freed: wake, log })
   const demand = createDemandMeter({
@@ -275,6 +279,11 @@
     startWindow,
     quotas,
     shares,
+    weightedShares,
+    quotaUsage: combineUsages([
+      quotas.usage,
+      ...(weightedShares ? [weightedShares.usage] : []),
+    ]),
     log,
   }
   const starter = createStarter({
@@ -412,11 +421,13 @@
     report: () => ({
       ...demand.report(service, authority.term, book.open, allAgents(), monotonicMs()),
       quotas: quotas.report(book.ready),
+      ...(weightedShares && { shares: weightedShares.report() }),
     }),
     evacuate(answer) {
       fleetAnswered = true
       // Without a cloud the fleet has no owner, and nobody divides quotas.
       quotas.apply(opts.cloud && answer.quotas)
+      weightedShares?.apply(answer.shares)
       applyFleetAnswer(answer, allAgents, log)
       wake()
     },
--- a/src/scheduler/serviceQuotas.ts
+++ b/src/scheduler/serviceQuotas.ts
@@ -81,6 +81,16 @@
   remove(step: Step, run: number): void
 }
 
+/** Notifies all of them in turn. */
+export const combineUsages = (usages: readonly QuotaUsage[]): QuotaUsage => ({
+  add(step, run) {
+    for (const usage of usages) usage.add(step, run)
+  },
+  remove(step, run) {
+    for (const usage of usages) usage.remove(step, run)
+  },
+})
+
 /** The quotas of one service. */
 export interface ServiceQuotas {
   usage: QuotaUsage
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -21,6 +21,7 @@
 import type { Tickets } from './tickets.js'
 import { pacedUrgencies, urgencyOf } from './urgency.js'
 import type { Urgency } from './urgency.js'
+import type { WeightedShares } from './weightedShares.js'
 
 /** Dependencies of the starter. */
 export interface StarterOptions {
@@ -35,6 +36,8 @@
   startWindow: StartWindow
   quotas: ServiceQuotas
   shares: FairShares
+  /** The same shares where room is divided by weight; undefined elsewhere. */
+  weightedShares: WeightedShares | undefined
   /** Room that the owner can use, in thousandths of a core; Infinity without a limit. */
   usableCpu(): number
   /** Called with the number of starts that were ordered. */
@@ -53,7 +56,7 @@
 /** Creates the starter of one owner. */
 export function createStarter(opts: StarterOptions): Starter {
   const { authority, configuration, book, roster, runTimes, health, tickets } = opts
-  const { isolation, startWindow, quotas, shares, log } = opts
+  const { isolation, startWindow, quotas, shares, weightedShares, log } = opts
   const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
 
   const needsTicket = (step: Step): boolean =>
@@ -90,22 +93,38 @@
   const ticketFor = (step: Step, agent: TargetAgent): string =>
     needsTicket(step) ? (tickets.find(step, agent) ?? '') : ''
 
+  const addShare = (job: Job, urgency: Urgency): Urgency =>
+    weightedShares
+      ? weightedShares.order(job, urgency)
+      : { ...urgency, isBeyondShare: shares.isBeyondShare(job) }
+
   /** Returns a lookup of the urgencies of jobs with ready tasks. */
-  function createUrgencyLookup(now: number): (job: Job) => Urgency {
+  function createUrgencyLookup(
+    agents: readonly TargetAgent[],
+    now: number,
+    { exceeds }: QuotaRound,
+  ): (job: Job) => Urgency {
     const startDelayMs = startWindow.delayMs()
-    const delayedUrgencyOf = (job: Job, delayMs: number): Urgency => ({
-      ...urgencyOf(
+    const ownUrgencyOf = (job: Job, delayMs: number): Urgency =>
+      urgencyOf(
         job,
         configuration.queue(job.spec.queue),
         runTimes,
         now,
         delayMs + startDelayMs,
-      ),
-      isBeyondShare: shares.isBeyondShare(job),
+      )
+    const delayedUrgencyOf = (job: Job, delayMs: number): Urgency =>
+      addShare(job, ownUrgencyOf(job, delayMs))
+    const known = weightedShares?.begin({
+      ready: book.ready,
+      agents,
+      now,
+      urgencyOf: (job) => ownUrgencyOf(job, 0),
+      isHeld: (step) => exceeds(step),
     })
     const perSecond = startWindow.perSecond()
     if (!startWindow.isBehind() || perSecond === 0)
-      return (job) => delayedUrgencyOf(job, 0)
+      return (job) => known?.get(job) ?? delayedUrgencyOf(job, 0)
     const paced = pacedUrgencies({
       ready: book.ready,
       perSecond,
@@ -116,6 +135,7 @@
 
   function start(agents: TargetAgent[]): void {
     const startsLeft = startWindow.available()
+    if (book.ready.size === 0) weightedShares?.end([])
     if (book.ready.size === 0 || startsLeft === 0) return
     const now = monotonicMs()
     const round = beginRound(agents, now)
@@ -124,7 +144,7 @@
     const { starts, waiting } = planStarts({
       ready: book.ready,
       agents,
-      urgencyOf: createUrgencyLookup(now),
+      urgencyOf: createUrgencyLookup(agents, now, quotaRound),
       policy: policyOf(agents, round, isolationRound, quotaRound),
       penaltyOf: health.penaltyOf,
       hasStepPolicy: (step) => needsTicket(step) || step.crashSuspects.size > 0,
@@ -134,8 +154,10 @@
         round.recordPlanned(agent, step)
         isolationRound.recordPlanned(agent, step)
         quotaRound.recordPlanned(step)
+        weightedShares?.notePlanned(step)
       },
     })
+    weightedShares?.end(waiting)
     for (const step of waiting) if (needsTicket(step)) tickets.request(step, agents)
     if (starts.length > 0) opts.ordered(starts.length)
     for (const { task, agent } of starts) {
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -15,7 +15,7 @@
 import type { ProgressWriter } from './progressWriter.js'
 import type { InheritedRosterEntry, Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
-import type { ServiceQuotas } from './serviceQuotas.js'
+import type { QuotaUsage } from './serviceQuotas.js'
 import type { StartWindow } from './startWindow.js'
 import { createTargetAgent } from './targetAgent.js'
 import type { TargetAgent } from './types.js'
@@ -65,7 +65,8 @@
   tickets: Tickets
   isolation: Isolation
   startWindow: StartWindow
-  quotas: ServiceQuotas
+  /** Notified of every run that may be on a target. */
+  quotaUsage: QuotaUsage
   log: Logger
   /** Called when the free room, the state or the reports of a target have changed. */
   changed(): void
@@ -156,7 +157,7 @@
       authority,
       progress: opts.progress,
       startWindow: opts.startWindow,
-      quotaUsage: opts.quotas.usage,
+      quotaUsage: opts.quotaUsage,
       initialTokenOffset: nextTokenOffsets.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -2,6 +2,8 @@
  * Order in which jobs get room when there is too little. Within a priority, jobs within the shares of
  * their organisations come first, then those beyond them, and last those that are too late to be of
  * use. Within a share, jobs that can still meet their objective come before those that are late.
+ * With weighted shares, begun jobs that can still meet it come first of all, and otherwise equal jobs
+ * are ordered by the virtual time of their organisations before their deadlines.
  */
 import type { Job, Task } from '../jobs/index.js'
 import type { Queue } from '../ports/index.js'
@@ -20,6 +22,8 @@
 const TIMELINESS_RANK: Record<Timeliness, number> = { timely: 0, late: 1, useless: 4 }
 /** Added for jobs beyond the share of their organisation, unless they are useless. */
 const BEYOND_SHARE_RANK = 2
+/** Rank of begun jobs that can still meet their objective, where these come first. */
+const BEGUN_RANK = -1
 
 /** Position of a job in the order; compared field by field. */
 export interface Urgency {
@@ -34,6 +38,12 @@
   deadline: number
   /** Maximum number of starts in one round; unlimited by default. */
   maxStarts?: number
+  /** Whether the job has begun and is to be finished before others begin. */
+  isBegun?: boolean
+  /** Position among the jobs of equal rank by the share of its organisation; 0 by default. */
+  turn?: number
+  /** Whether the job has waited so long that it comes before all others. */
+  isAged?: boolean
 }
 
 /**
@@ -60,17 +70,22 @@
 }
 
 /** Rank of a job among those of its priority; lower ranks come first. */
-function rankOf({ standing, isBeyondShare = false }: Urgency): number {
+function rankOf({ standing, isBeyondShare = false, isBegun = false }: Urgency): number {
+  if (isBegun && standing === 'timely') return BEGUN_RANK
   const comesLater = isBeyondShare && standing !== 'useless'
   return TIMELINESS_RANK[standing] + (comesLater ? BEYOND_SHARE_RANK : 0)
 }
 
-const comparePriorityAndTimeliness = (a: Urgency, b: Urgency): number =>
-  a.priority - b.priority || rankOf(a) - rankOf(b)
+/** Compares all but the deadlines. */
+const compareRanks = (a: Urgency, b: Urgency): number =>
+  Number(b.isAged ?? false) - Number(a.isAged ?? false) ||
+  a.priority - b.priority ||
+  rankOf(a) - rankOf(b) ||
+  (a.turn ?? 0) - (b.turn ?? 0)
 
 /** Compares two urgencies; negative if `a` comes first. */
 export const compareUrgency = (a: Urgency, b: Urgency): number =>
-  comparePriorityAndTimeliness(a, b) || a.deadline - b.deadline
+  compareRanks(a, b) || a.deadline - b.deadline
 
 /** Input for the urgencies of jobs whose owner orders fewer starts than they need. */
 export interface PacedInput {
@@ -101,7 +116,7 @@
   })
   candidates.sort(
     (a, b) =>
-      comparePriorityAndTimeliness(a.urgency, b.urgency) ||
+      compareRanks(a.urgency, b.urgency) ||
       Number(b.job.begun) - Number(a.job.begun) ||
       b.urgency.deadline - a.urgency.deadline,
   )
@@ -124,7 +139,7 @@
  * Orders useless jobs round-robin, the longest idle first and one start each, so that none of them
  * stalls while the owner finishes others.
  */
-function longestIdleFirst(job: Job, urgency: Urgency): Urgency {
+function longestIdleFirst(job: Job, { turn: _, ...urgency }: Urgency): Urgency {
   if (job.placed > 0) return { ...urgency, deadline: Number.MAX_SAFE_INTEGER }
   return { ...urgency, deadline: job.idleSince, maxStarts: 1 }
 }
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -207,6 +207,11 @@
     'warn',
     'queue of the service could not be written yet',
   ),
+  sharesExceeded: spec(
+    'RS-8080',
+    'info',
+    'jobs wait beyond the shares of their organisations',
+  ),
   quotasNotWritten: spec('RS-8069', 'warn', 'bounds of quotas could not be written yet'),
   rowsNotCleared: spec(
     'RS-8032',
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -29,6 +29,7 @@
 import { cpuPerVmOf, neededVms, planPools } from './poolPlanner.js'
 import type { PlannedMove } from './poolPlanner.js'
 import { createQuotaLedger, maximumOf } from '../quotas/index.js'
+import { createShareLedger } from '../shares/index.js'
 import { createLatestReports } from './latestReports.js'
 import { createShortageLog } from './shortageLog.js'
 import type { FleetAnswer, ServiceReport } from './types.js'
@@ -73,6 +74,7 @@
     maximumOf: (organisation) => maximumOf(configuration.current(), organisation),
     mayGrant: authority.isConfirmed,
   })
+  const shares = createShareLedger(authority.term)
   const rateLimiter = createOrderRateLimiter(
     Math.floor(opts.ordersPerSecond * MOVES_SHARE),
   )
@@ -242,6 +244,9 @@
         hurry: targetsOf([...hurried].filter((name) => emptying.has(name))),
         ended: orders.endedLives(),
         quotas: quotas.answer(report.service, report.quotas ?? {}),
+        ...(report.shares && {
+          shares: shares.answer(report.service, report.term, report.shares),
+        }),
       }
     },
     async stop() {
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -1,6 +1,7 @@
 /** Reports from owners of services to the owner of the fleet, and the answer to them. */
 import { z } from 'zod'
 import { quotaAnswerSchema, quotaReportSchema } from '../quotas/index.js'
+import { shareAnswerSchema, shareReportSchema } from '../shares/index.js'
 
 /** One target of a service, as its owner sees it. */
 export const targetLoadSchema = z.object({
@@ -35,6 +36,8 @@
   targets: z.array(targetLoadSchema),
   /** Use of the quotas of organisations; undefined without any. */
   quotas: quotaReportSchema.optional(),
+  /** Service given to organisations; undefined where room is not divided by weight. */
+  shares: shareReportSchema.optional(),
 })
 /** State of a service, as its owner reports it. */
 export type ServiceReport = z.infer<typeof serviceReportSchema>
@@ -49,6 +52,11 @@
   ended: z.array(z.string()),
   /** Allotments of quotas that change; undefined from a version that divides no quotas. */
   quotas: quotaAnswerSchema.optional(),
+  /**
+   * Service given to organisations by the other services; undefined if the report has no `shares`,
+   * or from a version that does not sum it up.
+   */
+  shares: shareAnswerSchema.optional(),
 })
 /** Answer of the fleet's owner to a report. */
 export type FleetAnswer = z.infer<typeof fleetAnswerSchema>
