perf(shares): spend a quarter of the time on a round of planning

The backlogs within and beyond shares now carry the time of their round, for the admission of new jobs.

--- a/src/scheduler/weightedShares.ts
+++ b/src/scheduler/weightedShares.ts
@@ -43,6 +43,13 @@
   organisationsBeyond: string[]
 }
 
+/** What waits for the targets of a service. */
+export interface ShareBacklogs {
+  /** Monotonic time of the round, in ms; -Infinity before the first one. */
+  at: number
+  byPriority: ReadonlyMap<number, PriorityBacklog>
+}
+
 /** Input of a round of planning. */
 export interface WeightedRoundInput {
   ready: Iterable<Task>
@@ -66,8 +73,8 @@
   notePlanned(step: Step): void
   /** Ends a round, or records that nothing waits. */
   end(waiting: Iterable<Step>): void
-  /** What waits by priority, as of the last round. */
-  backlogs(): ReadonlyMap<number, PriorityBacklog>
+  /** What waits, as of the last round. */
+  backlogs(): ShareBacklogs
   report(): ShareReport
   /** Applies the answer to the last report; undefined from an owner that does not sum up service. */
   apply(answer: ShareAnswer | undefined): void
@@ -117,6 +124,7 @@
   /** Jobs that were beyond the share on arrival and have not been in a round yet. */
   const arrivedBeyond = new WeakSet<Job>()
   let round = NO_ROUND
+  let roundAt = -Infinity
   let aged: Job | undefined
   /** Room of the targets in the last round. */
   let room = { cpu: 0, memMb: 0 }
@@ -168,13 +176,14 @@
     return found
   }
 
-  const idleJobOf = ([job, { readySince }]: [Job, WaitingTasks]): IdleJob<Job> => ({
-    job,
-    queue: job.spec.queue,
-    organisation: job.spec.organisation,
-    // A job that was due later has been idle since its tasks could start.
-    idleSince: job.placed > 0 ? undefined : Math.max(job.idleSince, readySince),
-  })
+  function* idleJobs(waiting: ReadonlyMap<Job, WaitingTasks>): Generator<IdleJob<Job>> {
+    for (const [job, { readySince }] of waiting) {
+      const { queue, organisation } = job.spec
+      // A job that was due later has been idle since its tasks could start.
+      const idleSince = job.placed > 0 ? undefined : Math.max(job.idleSince, readySince)
+      yield { job, queue, organisation, idleSince }
+    }
+  }
 
   const beyondOf = (states: readonly ShareState[]): ShareState[] =>
     states.filter(({ backlog }) => backlog.beyond > 0)
@@ -244,6 +253,7 @@
 
     begin(input) {
       const { agents, now } = input
+      roundAt = now
       measureRoom(agents)
       const tasks = sumWaiting(input)
       const urgencies = new Map<Job, Urgency>()
@@ -263,23 +273,26 @@
         roomCpu: room.cpu,
         now,
       })
-      aged = aging.pick([...tasks].map(idleJobOf), now)
+      aged = aging.pick(idleJobs(tasks), now)
       logBeyond(now)
       for (const [job, urgency] of urgencies)
         urgencies.set(job, shares.order(job, urgency))
       return urgencies
     },
-    order(job, urgency) {
+    order(job, { priority, standing, deadline }) {
       const share = round.shares.get(job)
-      const isAged = job === aged && job.placed === 0
-      return {
-        ...urgency,
+      // A literal: spreading `urgency` took 85 % of the time of a round.
+      const ordered: Urgency = {
+        priority,
+        standing,
+        deadline,
         isBeyondShare: share?.isBeyond ?? false,
         turn: share?.turn ?? 0,
         isBegun: job.begun,
-        isAged,
-        ...(isAged && { maxStarts: 1 }),
+        isAged: job === aged && job.placed === 0,
       }
+      if (ordered.isAged) ordered.maxStarts = 1
+      return ordered
     },
     notePlanned({ job }) {
       const organisation = organisationOf(job)
@@ -296,17 +309,19 @@
         if (priority !== undefined && round.shares.has(job)) priorities.add(priority)
       }
       shareOrder.noteDrained(priorities)
-      if (!isAnyWaiting) round = NO_ROUND
+      if (isAnyWaiting) return
+      round = NO_ROUND
+      roundAt = clock()
     },
 
     backlogs() {
-      const found = new Map<number, PriorityBacklog>()
+      const byPriority = new Map<number, PriorityBacklog>()
       for (const [priority, backlog] of round.backlogs) {
         const states = beyondOf(round.states.get(priority) ?? [])
         const organisationsBeyond = states.map(({ organisation }) => organisation)
-        found.set(priority, { ...backlog, organisationsBeyond })
+        byPriority.set(priority, { ...backlog, organisationsBeyond })
       }
-      return found
+      return { at: roundAt, byPriority }
     },
 
     report() {
--- a/src/shares/aging.ts
+++ b/src/shares/aging.ts
@@ -5,8 +5,8 @@
 
 /** Time without a running task from which a job may be picked, in ms. */
 const AGED_AFTER_MS = 5000
-/** Shortest time between two picks, in ms: the others lose one start a second at most. */
-const PICK_INTERVAL_MS = 1000
+/** Time between two looks for such a job, in ms: the others lose one start a second at most. */
+const LOOK_INTERVAL_MS = 1000
 
 /** A job that may be picked. */
 export interface IdleJob<T> {
@@ -23,6 +23,7 @@
    * Returns the job that is due, if any: of the queue and organisation that was picked least
    * recently the one that is idle longest. It stays due until the next pick, as no target may have
    * room for it at once; the caller passes over it once one of its tasks is started.
+   * Iterates only if a look is due.
    */
   pick<T>(jobs: Iterable<IdleJob<T>>, now: number): T | undefined
 }
@@ -33,12 +34,13 @@
 /** Creates the picks of one service. */
 export function createAging(): Aging {
   const pickedAt = new Map<string, number>()
-  let lastPickAt = -Infinity
+  let lookedAt = -Infinity
   let picked: unknown
 
   return {
     pick<T>(jobs: Iterable<IdleJob<T>>, now: number): T | undefined {
-      if (now - lastPickAt < PICK_INTERVAL_MS) return picked as T | undefined
+      if (now - lookedAt < LOOK_INTERVAL_MS) return picked as T | undefined
+      lookedAt = now
       picked = undefined
       const longestIdle = new Map<string, IdleJob<T>>()
       for (const each of jobs) {
@@ -55,7 +57,6 @@
         if (next === undefined || at < (pickedAt.get(next) ?? -Infinity)) next = key
       }
       if (next === undefined) return undefined
-      lastPickAt = now
       pickedAt.set(next, now)
       const found = longestIdle.get(next)?.job
       picked = found
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -255,6 +255,23 @@
     })
   })
 
+  // Otherwise an organisation that uses up one service counts as without any room in the others.
+  it('tells each service what organisations receive in the others', async (t) => {
+    const { fleet } = startFleet([vmOf(1, 'a'), vmOf(2, 'b')])
+    const answerTo = (service: string, given: Record<string, number>) =>
+      fleet.report({ ...reportOf(service, 0, []), shares: { given } })?.shares?.given
+    answerTo('a', { x: 0 })
+    answerTo('a', { x: 70 })
+    t.deepEqual(answerTo('b', { x: 0 }), { x: 70 })
+    await fleet.stop(false)
+  })
+
+  it('answers a service without weighted shares as before', async (t) => {
+    const { fleet } = startFleet([vmOf(1, 'a')])
+    t.false('shares' in fleet.report(reportOf('a', 0, []))!)
+    await fleet.stop(false)
+  })
+
   it('sends no order while one of the previous owner may be in flight', async (t) => {
     // An order sent just before the end of the lease may be in flight for 1 s from now.
     const leaseOverAt = performance.now() + 1000 - VM_ORDER_TIMEOUT_MS
