--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -94,9 +94,16 @@
     labelNames: ['hall'],
     registers,
   })
+  const sharesExceeded = new Counter({
+    name: 'rillshunt_share_exceeded_total',
+    help: 'lines about jobs that wait beyond the share of their organisation',
+    labelNames: ['organisation'],
+    registers,
+  })
   return {
     registry,
     events,
+    sharesExceeded,
     calls,
     bytes,
     waits,
@@ -115,6 +122,7 @@
   const { registry, configurationAge, ...instruments } = createInstruments()
   const { events, calls, bytes, waits, holds, intake, late, jobs, runEnds, cordons } =
     instruments
+  const { sharesExceeded } = instruments
   const noteConfigurationAge = (fields: EventFields): void =>
     configurationAge.observe(secondsOf(fields, 'configurationAgeMs'))
 
@@ -129,6 +137,12 @@
     jobTaken: (fields) =>
       intake.observe({ from: String(fields['from']) }, secondsOf(fields, 'lateMs')),
     processLate: (fields) => late.observe(secondsOf(fields, 'lateMs')),
+    sharesExceeded(fields) {
+      for (const { organisation } of fields['organisations'] as {
+        organisation: string
+      }[])
+        sharesExceeded.inc({ organisation })
+    },
     runEnded: (fields) => runEnds.inc({ kind: String(fields['kind']) }),
     jobSettled: (fields) =>
       jobs.observe({ outcome: String(fields['outcome']) }, secondsOf(fields, 'tookMs')),
