--- a/src/scheduler/runTimes.ts
+++ b/src/scheduler/runTimes.ts
@@ -11,7 +11,7 @@
 /** Number of runs from which the average is better than the callers' estimates. */
 const MIN_RUNS = 8
 /** Ratio of the run time of the longest task of a step to the mean. */
-const LONGEST_TASK_FACTOR = 1.4
+export const LONGEST_TASK_FACTOR = 1.4
 
 /** Expected run times of tasks and jobs. */
 export interface RunTimes {
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -8,7 +8,7 @@
 import type { RunTimes } from './runTimes.js'
 
 /** A job is of no use to its caller once this multiple of its objective has passed. */
-const USELESS_FACTOR = 3
+export const USELESS_FACTOR = 3
 /** Priority of jobs whose queue is no longer configured. */
 const LOWEST_PRIORITY = 1000
 
