feat(scheduler): compute the load of a service for the fronts

Fronts need to know how much work is before a job and how much room the service can get. Without the feature nothing is computed, and reports and answers have no new fields.

--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -2,6 +2,7 @@
  * Owner of one service: loads the service's jobs from the store on takeover, runs one agent
  * per target and starts the tasks that may start. All its decisions are based on the job book.
  */
+import type { ServiceLoad } from '../admission/index.js'
 import type { Advice, RowStore, TargetOrders, VmCloud } from '../ports/index.js'
 import type { Feature } from '../config/index.js'
 import type { ConfigurationHolder, TargetList } from '../directory/index.js'
@@ -33,6 +34,7 @@
 import { markUnlistedGone, evacuateLeaving } from './leavingTargets.js'
 import { createHeldJobs } from './heldJobs.js'
 import { createInheritedJobs } from './inheritedJobs.js'
+import { createLoadMeter } from './loadMeter.js'
 import { createLivenessCheck } from './livenessCheck.js'
 import { createIsolation } from './isolation.js'
 import { createNewJobs } from './newJobs.js'
@@ -68,7 +70,7 @@
    * @param rowVersion version of the job's row
    */
   offer(job: JobSpec, rowVersion: number): void
-  /** Notes a job that was refused because the store is unavailable; its caller will retry. */
+  /** Notes a job that was refused by a front; its caller will retry. */
   expect(job: JobSpec): void
   /** Cancels a job; false when the job is not known here. */
   cancel(id: string): boolean
@@ -82,6 +84,8 @@
   waiting(queue: string): number | undefined
   /** Agents of the service's current targets. */
   agents(): TargetAgent[]
+  /** Load for the fronts; undefined during a takeover and without the feature. */
+  load(): ServiceLoad | undefined
   /** Builds the report that the owner of the fleet receives. */
   report(): ServiceReport
   /** Evacuates exactly the targets named in the answer of the fleet's owner. */
@@ -113,7 +117,7 @@
 export async function createServiceOwner(
   opts: ServiceOwnerOptions,
 ): Promise<ServiceOwner> {
-  const { store, targets, authority, configuration, log } = opts
+  const { store, targets, authority, configuration, features, log } = opts
   const { service } = authority
   const stopping = createStopController()
   const agents = new Map<string, TargetAgent>()
@@ -187,6 +191,21 @@
       return urgencyOf(job, queue, runTimes, now).standing === 'timely'
     },
   })
+  const loadMeter = features.has('admission')
+    ? createLoadMeter({
+        term: authority.term,
+        book,
+        shares,
+        runTimes,
+        startWindow,
+        urgencyOf: (job, now) =>
+          urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
+        agents: allAgents,
+        isSettled: () => gateOpen && !book.mayLackJobs && authority.isConfirmed(),
+        hasFleet: opts.cloud !== undefined,
+        now: monotonicMs,
+      })
+    : undefined
   const tickets = createTickets({ advice: opts.advice, log, changed: wake })
   const livenessCheck = createLivenessCheck(opts.cloud, log)
   const unreadableRows = createInvalidRows(log, INTAKE_TABLE)
@@ -409,12 +428,15 @@
       return book.waiting(queue) + newJobs.countDeferred(queue)
     },
     agents: allAgents,
+    load: () => loadMeter?.current(),
     report: () => ({
       ...demand.report(service, authority.term, book.open, allAgents(), monotonicMs()),
       quotas: quotas.report(book.ready),
+      ...(loadMeter && { asksAttainable: true }),
     }),
     evacuate(answer) {
       fleetAnswered = true
+      loadMeter?.noteAttainable(answer.attainableCpu)
       // Without a cloud the fleet has no owner, and nobody divides quotas.
       quotas.apply(opts.cloud && answer.quotas)
       applyFleetAnswer(answer, allAgents, log)
--- /dev/null
+++ b/src/vms/__tests__/attainable.spec.ts
@@ -0,0 +1,60 @@
+import { describe, it } from '../../../test/describe.js'
+import { VM_CPU, vmOf } from '../../../test/fixtures.js'
+import type { Vm } from '../../ports/index.js'
+import { attainableCpuOf } from '../attainable.js'
+import type { ServiceReport } from '../types.js'
+
+const reportOf = (service: string, vms: number): ServiceReport => {
+  const cpu = vms * VM_CPU * 0.8
+  const need = { neededCpu: cpu, timelyCpu: cpu, minTargets: 1 }
+  return { service, term: 1, sequence: 1, ...need, targets: [] }
+}
+
+/** Number of VMs that service `a` can get. */
+function attainableVms(
+  vms: Vm[],
+  reports: ServiceReport[],
+  more: Partial<Parameters<typeof attainableCpuOf>[1]> = {},
+): number {
+  const input = {
+    vms,
+    reports: new Map(reports.map((each) => [each.service, each])),
+    sparePool: 'idle',
+    movingTo: new Map<string, string>(),
+    fitsPool: () => true,
+    ...more,
+  }
+  return attainableCpuOf('a', input) / VM_CPU
+}
+
+describe('attainableCpuOf', () => {
+  const vms = [
+    ...[1, 2].map((number) => vmOf(number, 'a')),
+    ...[3, 4, 5, 6].map((number) => vmOf(number, 'b')),
+    ...[7, 8, 9].map((number) => vmOf(number, 'idle')),
+  ]
+
+  // Jobs are refused by this room; VMs that arrive within a second or two must count.
+  it('counts own and spare VMs, and those that other services do not need', (t) => {
+    t.is(attainableVms(vms, [reportOf('a', 9), reportOf('b', 1)]), 2 + 3 + 3)
+    t.is(attainableVms(vms, [reportOf('a', 9), reportOf('b', 4)]), 2 + 3)
+    t.is(attainableVms(vms, [reportOf('a', 9), reportOf('b', 40)]), 2 + 3)
+  })
+
+  it('leaves the pool of a service without a fresh report alone', (t) => {
+    t.is(attainableVms(vms, [reportOf('a', 9)]), 2 + 3)
+  })
+
+  it('counts VMs on their way where they go', (t) => {
+    const movingTo = new Map([['m3', 'a']])
+    t.is(attainableVms(vms, [reportOf('b', 3)], { movingTo }), 2 + 1 + 3)
+  })
+
+  it('leaves out VMs that are down or do not fit', (t) => {
+    const withDown = vms.map((vm): Vm =>
+      vm.name === 'm1' ? { ...vm, state: 'down' } : vm,
+    )
+    const fitsPool = (vm: Vm): boolean => vm.name !== 'm7'
+    t.is(attainableVms(withDown, [reportOf('b', 4)], { fitsPool }), 1 + 2)
+  })
+})
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -24,6 +24,7 @@
   PEAK_HOLD_MS,
   ROUND_INTERVAL_MS,
 } from './constants.js'
+import { attainableCpuOf } from './attainable.js'
 import { createOrderRateLimiter } from './orderRateLimiter.js'
 import { createPeakHold } from './peakHold.js'
 import { cpuPerVmOf, neededVms, planPools } from './poolPlanner.js'
@@ -100,6 +101,9 @@
     return [...services].find(({ spare }) => spare)?.name
   }
 
+  const fitsPool = (vm: Vm, pool: string): boolean =>
+    !incompatible.has(`${vm.name} ${pool}`)
+
   function supplyOf({ pool }: Vm): VmSupply | undefined {
     const report = reports.fresh().get(pool)
     if (!report) return undefined
@@ -178,7 +182,7 @@
       sparePool: sparePool(),
       emptying,
       ordered: new Set([...orders.pending.keys(), ...busyVms()]),
-      fitsPool: (vm, pool) => !incompatible.has(`${vm.name} ${pool}`),
+      fitsPool,
       vmsToKeep,
     })
     reserved = new Set(moves.map(({ vm }) => vm.name))
@@ -218,6 +222,18 @@
   }
   const task = run()
 
+  /** Room that the service can get; undefined until the list of VMs has been read. */
+  const attainableCpu = (service: string): number | undefined =>
+    vms.size === 0
+      ? undefined
+      : attainableCpuOf(service, {
+          vms: [...vms.values()],
+          reports: reports.fresh(),
+          sparePool: sparePool(),
+          movingTo: orders.movingTo(),
+          fitsPool,
+        })
+
   const targetsOf = (names: Iterable<string>): string[] =>
     [...names].flatMap((name) => vms.get(name)?.targetId || [])
 
@@ -242,6 +258,7 @@
         hurry: targetsOf([...hurried].filter((name) => emptying.has(name))),
         ended: orders.endedLives(),
         quotas: quotas.answer(report.service, report.quotas ?? {}),
+        ...(report.asksAttainable && { attainableCpu: attainableCpu(report.service) }),
       }
     },
     async stop() {
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -35,6 +35,8 @@
   targets: z.array(targetLoadSchema),
   /** Use of the quotas of organisations; undefined without any. */
   quotas: quotaReportSchema.optional(),
+  /** Whether the answer should name the room that the service can get. */
+  asksAttainable: z.boolean().optional(),
 })
 /** State of a service, as its owner reports it. */
 export type ServiceReport = z.infer<typeof serviceReportSchema>
@@ -49,6 +51,11 @@
   ended: z.array(z.string()),
   /** Allotments of quotas that change; undefined from a version that divides no quotas. */
   quotas: quotaAnswerSchema.optional(),
+  /**
+   * Room that the service has or can get from other pools, in thousandths of a core; undefined if it
+   * is unknown or was not asked for.
+   */
+  attainableCpu: z.number().optional(),
 })
 /** Answer of the fleet's owner to a report. */
 export type FleetAnswer = z.infer<typeof fleetAnswerSchema>
