feat(front): refuse jobs that cannot be served in time

Owners add the load of their service to one answer of each call; fronts refuse by it with Retry-After before they write a row, after a read of the store has shown that no earlier try was accepted. Each refused job counts once towards the demand.

--- /dev/null
+++ b/src/front/__tests__/admission.spec.ts
@@ -0,0 +1,212 @@
+/**
+ * Refusals of the front when something fails on the way. A refusal says that the job never runs, so
+ * that the store must hold no row of it before or after; and whatever the front does not know must
+ * lead to an admission, as without the feature.
+ */
+import { createRowTable } from '../../../playground/sim/rowTable.js'
+import { describe, it } from '../../../test/describe.js'
+import { QUEUE, SERVICE, makeJob } from '../../../test/jobRig.js'
+import { createFrontAdmission } from '../../admission/index.js'
+import type { ConfigurationHolder } from '../../directory/index.js'
+import { encodeEnded, encodeJob, endedKey, intakeKey } from '../../jobs/index.js'
+import type { JobSpec } from '../../jobs/index.js'
+import type { NodeRegistry } from '../../ownership/index.js'
+import type { NewQuestion } from '../questionBatches.js'
+import { createMemoryLogger, sleep } from '../../shared/index.js'
+import { createJobService, createOwnerCalls } from '../index.js'
+import type { NodeClients } from '../index.js'
+
+/** Load of a service that serves no further job in time. */
+const loadText = (term: number, sequence = 1): string =>
+  JSON.stringify({
+    term,
+    sequence,
+    idleCpu: 0,
+    attainableCpu: 1000,
+    backlog: [
+      {
+        priority: 0,
+        beyondShare: false,
+        timelyWork: 1e6,
+        lateWork: 0,
+        timelyStarts: 100,
+        lateStarts: 0,
+      },
+    ],
+    runMs: { [QUEUE.name]: 500 },
+  })
+const idleText = (term: number, sequence: number): string =>
+  JSON.stringify({ term, sequence, idleCpu: 1000 })
+
+/** A front whose owner is on another node; tests set what it answers. */
+function startFront() {
+  const peer = {
+    owner: 'a:1' as string | undefined,
+    isAnswering: true,
+    load: loadText(1) as string | undefined,
+  }
+  const asked: string[] = []
+  const registry = {
+    self: { id: 'self', life: 'l' },
+    ownerOf: () =>
+      peer.owner === undefined ? undefined : { id: peer.owner, address: peer.owner },
+    refreshIfStale: async () => undefined,
+  } as unknown as NodeRegistry
+  const clients = {
+    at: () => ({
+      async ask({ questions }: { questions: NewQuestion[] }) {
+        for (const { about } of questions) asked.push(about.case ?? '')
+        if (!peer.isAnswering) throw new Error('no answer in time')
+        const answer = { owns: true, status: '', organisation: '', waiting: 0 }
+        return {
+          answers: questions.map((_, index) => ({
+            ...answer,
+            ...(index === 0 && { load: peer.load }),
+          })),
+        }
+      },
+    }),
+  } as unknown as NodeClients
+  const log = createMemoryLogger()
+  const local = { service: () => undefined, fleet: () => undefined }
+  const owners = createOwnerCalls({ registry, local, clients, log })
+  const table = createRowTable()
+  const jobs = createJobService({
+    store: table.forNode('n'),
+    configuration: {
+      current: () => undefined,
+      freshAt: () => 0,
+    } as unknown as ConfigurationHolder,
+    owners,
+    admission: createFrontAdmission({ loadOf: owners.load }),
+    log,
+  })
+  /** Learns the load from an answer to some question. */
+  const learn = async (): Promise<void> => void (await owners.status(SERVICE, 'any'))
+  const submit = async (job: JobSpec): Promise<string> =>
+    (await jobs.submit(QUEUE, job)).kind
+  const isStored = (job: JobSpec): boolean =>
+    table.get(intakeKey(job.queue, job.id)) !== undefined
+  return { peer, asked, owners, table, log, learn, submit, isStored }
+}
+
+const makeTinyJob = (): JobSpec => makeJob({ cpu: 1000 })
+
+describe('front with admission', () => {
+  it('refuses by the load that an answer carried, without writing a row', async (t) => {
+    const { learn, submit, isStored, log } = startFront()
+    await learn()
+    const job = makeTinyJob()
+    t.is(await submit(job), 'refused')
+    await sleep(50)
+    t.false(isStored(job))
+    const event = log.events.find(({ name }) => name === 'jobRefused')
+    t.like(event?.fields, { job: job.id, reason: 'backlog', term: 1, priority: 0 })
+    t.is(typeof event?.fields['loadAgeMs'], 'number')
+  })
+
+  it('notifies the owner once of a refused job, however often it returns', async (t) => {
+    const { learn, submit, asked } = startFront()
+    await learn()
+    const job = makeTinyJob()
+    for (let tries = 0; tries < 3; tries++) t.is(await submit(job), 'refused')
+    await sleep(20)
+    t.is(asked.filter((each) => each === 'expect').length, 1)
+  })
+
+  describe('admits', () => {
+    it('before it has asked anything', async (t) => {
+      const { submit, isStored } = startFront()
+      const job = makeTinyJob()
+      t.is(await submit(job), 'accepted')
+      t.true(isStored(job))
+    })
+
+    it('once the load is older than 1 s, as the owner is lost', async (t) => {
+      const { peer, learn, submit } = startFront()
+      await learn()
+      peer.isAnswering = false
+      t.is(await submit(makeTinyJob()), 'refused')
+      await sleep(1100)
+      t.is(await submit(makeTinyJob()), 'accepted')
+    })
+
+    it('once another node owns the service, or none', async (t) => {
+      const { peer, learn, submit } = startFront()
+      await learn()
+      peer.isAnswering = false
+      for (const owner of ['b:1', undefined]) {
+        peer.owner = owner
+        t.is(await submit(makeTinyJob()), 'accepted')
+      }
+    })
+
+    it('by the load of the present term, whatever an earlier one says', async (t) => {
+      const { peer, learn, submit } = startFront()
+      peer.load = idleText(2, 1)
+      await learn()
+      peer.load = loadText(1, 99)
+      await learn()
+      t.is(await submit(makeTinyJob()), 'accepted')
+    })
+
+    it('if the owner is of a build that sends no load, or an unreadable one', async (t) => {
+      for (const load of [undefined, '', '{"term":1}', '[]']) {
+        const { peer, learn, submit } = startFront()
+        peer.load = load
+        await learn()
+        t.is(await submit(makeTinyJob()), 'accepted')
+      }
+    })
+  })
+
+  describe('while the store is away', () => {
+    it('answers as without admission', async (t) => {
+      const { table, learn, submit, log } = startFront()
+      await learn()
+      table.faults.down = true
+      t.is(await submit(makeTinyJob()), 'refused')
+      const [event] = log.events.filter(({ name }) => name === 'jobRefused')
+      t.is(event?.fields['failure'], 'refused')
+    })
+  })
+
+  describe('does not refuse a job that is stored already', () => {
+    // Its caller has not received the answer to an earlier try, or sends it twice.
+    it('by a try on another node', async (t) => {
+      const { table, learn, submit } = startFront()
+      await learn()
+      const job = makeTinyJob()
+      table.put(intakeKey(job.queue, job.id), encodeJob(job))
+      t.is(await submit(job), 'accepted')
+    })
+
+    it('and has ended', async (t) => {
+      const { table, learn, submit } = startFront()
+      await learn()
+      const job = makeTinyJob()
+      const ended = { outcome: 'completed' as const, tasks: 2 }
+      const times = { acceptedAtMs: 1, endedAtMs: 2 }
+      const value = encodeEnded({
+        queue: job.queue,
+        service: SERVICE,
+        ...ended,
+        ...times,
+      })
+      table.put(endedKey(job.queue, job.id), value)
+      t.is(await submit(job), 'accepted')
+    })
+
+    it('by a write on this node whose outcome is unknown', async (t) => {
+      const { table, learn, submit, isStored } = startFront()
+      const job = makeTinyJob()
+      table.faults.lostShare = 1
+      table.faults.lateMs = 2500
+      t.is(await submit(job), 'uncertain')
+      table.faults.lostShare = 0
+      await learn()
+      t.is(await submit(job), 'accepted')
+      t.true(isStored(job))
+    })
+  })
+})
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -2,6 +2,8 @@
  * Requests of callers about jobs. A job is accepted once its row is durable; the owner of its
  * service then runs it. A job is reported as unknown only after a fresh read of the store.
  */
+import { REFUSAL_TEXTS } from '../admission/index.js'
+import type { Attempt, FrontAdmission } from '../admission/index.js'
 import type { ConfigurationHolder } from '../directory/index.js'
 import {
   ENDED_TABLE,
@@ -37,6 +39,7 @@
   RETRY_AFTER_MS,
   UNREADABLE,
   findStoredJob,
+  isAbsent,
   mayAccess,
   readStoredStatus,
   unavailable,
@@ -91,6 +94,8 @@
   store: RowStore
   configuration: ConfigurationHolder
   owners: OwnerCalls
+  /** Undefined where every job is admitted. */
+  admission?: FrontAdmission | undefined
   log: Logger
 }
 
@@ -112,7 +117,7 @@
 
 /** Creates the service, which holds no state of jobs. */
 export function createJobService(opts: JobServiceOptions): JobService {
-  const { store, configuration, owners, log } = opts
+  const { store, configuration, owners, admission, log } = opts
   const unreadRows = createInvalidRows(log, INTAKE_TABLE)
 
   /**
@@ -172,6 +177,33 @@
     })
   }
 
+  /**
+   * Refuses the job if admission asks for it and the store certainly holds no row of it: another
+   * node may have accepted an earlier try whose answer the caller has not received.
+   */
+  async function refuseOverload(
+    queue: Queue,
+    job: JobSpec,
+    attempt: Attempt | undefined,
+  ): Promise<SubmitResult | undefined> {
+    const { refusal } = attempt ?? {}
+    if (!attempt || !refusal || !(await isAbsent(store, queue, job.id))) return undefined
+    if (!attempt.confirmRefusal()) return undefined
+    const { reason, retryAfterMs, inputs } = refusal
+    const { id, organisation } = job
+    const { name } = queue
+    log.event('jobRefused', {
+      job: id,
+      queue: name,
+      organisation,
+      reason,
+      retryAfterMs,
+      ...inputs,
+    })
+    if (refusal.isFirst) owners.expect(job)
+    return { kind: 'refused', retryAfterMs, reason: REFUSAL_TEXTS[reason] }
+  }
+
   async function submit(
     queue: Queue,
     newJob: NewJob,
@@ -194,7 +226,13 @@
       log.event('jobRefused', { job: id, queue: name, reason: problem })
       return { kind: 'invalid', reason: problem }
     }
+    const attempt = admission?.attempt(job, queue)
+    const refused = await refuseOverload(queue, job, attempt)
+    if (refused) return refused
+    attempt?.writing()
     const { res, mayHaveCommitted } = await commitIntake(job)
+    if (res.isOk()) attempt?.written('stored')
+    else attempt?.written(mayHaveCommitted ? 'unknown' : 'notStored')
     if (res.isErr()) {
       const reason = describeError(res.error)
       const failure = mayHaveCommitted ? 'unknown' : res.error.failure
--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -1,4 +1,6 @@
 /** Calls to the owner of a service, on this node or on another. */
+import { createLatestLoads } from '../admission/index.js'
+import type { KnownLoad } from '../admission/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
 import { FLEET } from '../ownership/index.js'
 import type { NodeRegistry } from '../ownership/index.js'
@@ -55,8 +57,8 @@
    */
   offer(job: JobSpec, rowVersion: number): void
   /**
-   * Notifies the owner once of a job that was refused because of a store outage. If the
-   * notification is lost, only time is lost.
+   * Notifies the owner once of a job that was refused because of a store outage or by admission.
+   * If the notification is lost, only time is lost.
    */
   expect(job: JobSpec): void
   /**
@@ -71,6 +73,8 @@
   status(service: string, id: string): Promise<KnownJob | undefined>
   /** Number of jobs of the queue that have not begun; undefined if the owner does not answer. */
   waiting(service: string, queue: string): Promise<number | undefined>
+  /** Newest load of the service that its present owner has sent; asks nobody. */
+  load(service: string): KnownLoad | undefined
   /** Whether a live node owns the fleet. */
   hasFleetOwner(): boolean
   /** Sends a service's report; undefined if the owner of the fleet does not answer. */
@@ -85,14 +89,21 @@
   log: Logger
 }): OwnerCalls {
   const { registry, local, clients, log } = opts
+  const loads = createLatestLoads()
 
   const send = async (
     address: string,
     questions: NewQuestion[],
     timeoutMs: number,
   ): Promise<Answer[]> => {
-    const res = await clients.at(address).ask({ questions }, { timeoutMs })
-    return res.answers
+    const askedAt = monotonicMs()
+    const { answers } = await clients.at(address).ask({ questions }, { timeoutMs })
+    for (const [index, { owns, load }] of answers.entries()) {
+      const { service } = questions[index] ?? {}
+      if (owns && load !== undefined && service !== undefined)
+        loads.note(service, load, address, askedAt)
+    }
+    return answers
   }
   const questions = createQuestionBatches(send, QUESTION_TIMEOUT_MS)
   const notifications = createQuestionBatches(send, NOTIFICATION_TIMEOUT_MS)
@@ -209,6 +220,12 @@
       if (owner) return owner.waiting(queue)
       return (await ask(questions, service, { case: 'waiting', value: queue }))?.waiting
     },
+    load(service) {
+      const owner = local.service(service)
+      if (!owner) return loads.get(service, addressFor(service), monotonicMs())
+      const load = owner.load()
+      return load && { load, ageMs: 0 }
+    },
     hasFleetOwner: () =>
       local.fleet() !== undefined || registry.ownerOf(FLEET) !== undefined,
     async reportToFleet(report) {
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -73,6 +73,18 @@
   return { owns: true, ...ANSWER_HANDLERS[about.case](owner, about.value) }
 }
 
+/** Answers the questions of one call; the first answer about a service carries its load. */
+function answerAll(local: LocalOwners, questions: readonly Question[]) {
+  const loaded = new Set<string>()
+  return questions.map((each) => {
+    const answered = answer(local, each)
+    if (!answered.owns || loaded.has(each.service)) return answered
+    loaded.add(each.service)
+    const load = local.service(each.service)?.load()
+    return load ? { ...answered, load: JSON.stringify(load) } : answered
+  })
+}
+
 /** Routes that answer other nodes about the services owned here and relay their store calls. */
 export function ownerRoutes(
   local: LocalOwners,
@@ -80,9 +92,7 @@
 ): (router: ConnectRouter) => void {
   return (router) =>
     router.service(NodeService, {
-      ask: ({ questions }) => ({
-        answers: questions.map((each) => answer(local, each)),
-      }),
+      ask: ({ questions }) => ({ answers: answerAll(local, questions) }),
       fleetReport(req) {
         const report = serviceReportSchema.safeParse(parseJson(req.report))
         const answer = report.success ? local.fleet()?.report(report.data) : undefined
--- a/src/node/endpointServices.ts
+++ b/src/node/endpointServices.ts
@@ -1,4 +1,7 @@
 /** Services with endpoints for callers, readiness checks and metrics, and the planned stop. */
+import { createFrontAdmission } from '../admission/index.js'
+import { featuresOf } from '../config/index.js'
+import type { NodeConfig } from '../config/index.js'
 import { createJobService } from '../front/index.js'
 import { defineService } from '../kernel/index.js'
 import { describeError, sleep } from '../shared/index.js'
@@ -33,7 +36,7 @@
   })
 
 /** Serves callers; a planned stop waits for requests in flight, up to `CLOSE_TIMEOUT_MS`. */
-export const callersService = () =>
+export const callersService = (cfg: NodeConfig) =>
   defineService({
     name: 'callers',
     needs: ['nodePlatform', 'storeAccess', 'configuration', 'ownerCalls'],
@@ -42,7 +45,10 @@
       const { store } = get('storeAccess')
       const configuration = get('configuration')
       const owners = get('ownerCalls')
-      const jobs = createJobService({ store, configuration, owners, log })
+      const admission = featuresOf(cfg).has('admission')
+        ? createFrontAdmission({ loadOf: owners.load })
+        : undefined
+      const jobs = createJobService({ store, configuration, owners, admission, log })
       const maxBodyBytes = () =>
         configuration.current()?.limits.bodyBytes ?? DEFAULT_BODY_BYTES
       return { server: await openCallers(jobs, maxBodyBytes) }
--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -3,11 +3,16 @@
  * the metrics always agree; calls to external services are recorded directly.
  */
 import { Counter, Histogram, Registry } from 'prom-client'
+import { REFUSAL_TEXTS } from '../admission/index.js'
 import type { EventFields, EventName, Logger } from '../shared/index.js'
 
 /** Upper bounds of histogram buckets, in seconds: calls take some ms, jobs some seconds. */
 const BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32]
 
+/** Most queues with a label value of their own; further ones share one. */
+const MAX_QUEUE_LABELS = 200
+const OTHER_QUEUES = 'other'
+
 /** The metrics of one node. */
 export interface NodeMetrics {
   registry: Registry
@@ -103,6 +108,31 @@
   }
 }
 
+/**
+ * Counts jobs that admission refuses. The counter is registered with the first one, so that the
+ * metrics of nodes without admission do not change.
+ */
+function createRefusalCounter(registry: Registry): (fields: EventFields) => void {
+  const queues = new Set<string>()
+  let counter: Counter | undefined
+
+  const labelOf = (queue: string): string => {
+    if (queues.size < MAX_QUEUE_LABELS) queues.add(queue)
+    return queues.has(queue) ? queue : OTHER_QUEUES
+  }
+  return (fields) => {
+    const reason = String(fields['reason'])
+    if (!Object.hasOwn(REFUSAL_TEXTS, reason)) return
+    counter ??= new Counter({
+      name: 'rillshunt_jobs_refused_total',
+      help: 'jobs refused before their rows were written, by queue and reason',
+      labelNames: ['queue', 'reason'],
+      registers: [registry],
+    })
+    counter.inc({ queue: labelOf(String(fields['queue'])), reason })
+  }
+}
+
 /** Creates the metrics of a node, all at zero. */
 export function createNodeMetrics(): NodeMetrics {
   const { registry, configurationAge, ...instruments } = createInstruments()
@@ -114,6 +144,7 @@
   const HANDLERS: Partial<Record<EventName, (fields: EventFields) => void>> = {
     taskPlaced: (fields) => waits.observe(secondsOf(fields, 'waitedMs')),
     jobAccepted: noteConfigurationAge,
+    jobRefused: createRefusalCounter(registry),
     callerRefused: noteConfigurationAge,
     taskWaits: (fields) => holds.inc({ hold: String(fields['hold']) }),
     jobTaken: (fields) =>
--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -42,7 +42,7 @@
       ownerCallsService(cfg),
       reportsService(),
       metricsService(),
-      callersService(),
+      callersService(cfg),
       readinessService(),
       departureService(),
     ],
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -132,7 +132,7 @@
   jobExpected: spec(
     'RS-8048',
     'info',
-    'job was refused because the store is unavailable; its load is expected',
+    'job was refused and may return; its load is expected',
   ),
   jobHeld: spec('RS-8060', 'error', 'job is held because its progress cannot be read'),
   cancelTaken: spec('RS-8064', 'info', 'request to cancel a job reached its owner'),
