feat(admission): let refused callers return while their jobs can be of use

Retry-After now begins after at most a quarter of the time that is left, half of it for organisations beyond their shares, and falls on at least two different seconds.

--- a/src/admission/__tests__/decision.spec.ts
+++ b/src/admission/__tests__/decision.spec.ts
@@ -237,8 +237,28 @@
   })
 })
 
+describe('time after which a refused caller should retry', () => {
+  const retryOf = (input: Partial<AdmissionInput>): number => {
+    const decision = decideAdmission(inputOf({ spread: 0, ...input }))
+    return decision.kind === 'refuse' ? decision.retryAfterMs : 0
+  }
+
+  // With a retry after the whole wait, fewer jobs were served than with one after a second: the
+  // callers returned when their jobs were of no use any more.
+  it('leaves the job enough time to be of use', (t) => {
+    t.is(retryOf({ load: loadOf({ attainableCpu: 10 }) }), 2000)
+    t.is(retryOf({ load: loadOf({ attainableCpu: 10 }), jobAgeMs: 6000 }), 1000)
+  })
+
+  it('is longer for an organisation beyond its share', (t) => {
+    const load = loadOf({ beyondShare: ['hot'] })
+    const hot = retryOf({ load, job: { ...JOB, organisation: 'hot' } })
+    t.true(hot > retryOf({ load, job: { ...JOB, organisation: 'other' } }))
+  })
+})
+
 describe('retryAfterMs', () => {
-  it('is no earlier than the end of the work before the job, up to 30 s', (t) => {
+  it('is no earlier than the given time, up to 30 s', (t) => {
     t.is(retryAfterMs(3500, 0), 4000)
     t.is(retryAfterMs(1e9, 1), 30_000)
     t.is(retryAfterMs(0, 0), 1000)
--- a/src/admission/decision.ts
+++ b/src/admission/decision.ts
@@ -25,6 +25,16 @@
  */
 const RETRY_SPREAD = 0.5
 const MIN_RETRY_SPREAD_S = 1
+/**
+ * Latest start of the spread, as a share of the time during which the job can still be started to be
+ * of use: a later retry would be pointless, and room may arrive that nobody knew of. Callers within
+ * their shares return first.
+ */
+const MAX_RETRY_SHARE: Record<RefusalReason, number> = {
+  backlog: 0.25,
+  starts: 0.25,
+  beyondShare: 0.5,
+}
 /** Latest start of the spread, in seconds, so that the longest waits are spread as well. */
 const MAX_RETRY_START_S = MAX_RETRY_S / (1 + RETRY_SPREAD)
 
@@ -132,17 +142,14 @@
   }
 }
 
-/**
- * Time after which a caller should retry, in ms: a whole number of seconds from the time at which
- * the work before its job is done, so that the next try finds room. Jobs beyond the share of their
- * organisation have more work before them and return later.
- */
+/** Time after which a caller should retry, in ms: a whole number of seconds from `waitMs` on. */
 export function retryAfterMs(waitMs: number, spread: number): number {
   const startS = Math.min(MAX_RETRY_START_S, Math.max(0, waitMs) / 1000)
   const part = Math.min(1, Math.max(0, Number.isFinite(spread) ? spread : 0))
-  const spreadS = Math.max(MIN_RETRY_SPREAD_S, startS * RETRY_SPREAD)
-  const seconds = Math.ceil(startS + part * spreadS)
-  return Math.min(MAX_RETRY_S, Math.max(MIN_RETRY_S, seconds)) * 1000
+  const spreadS = Math.max(MIN_RETRY_SPREAD_S, Math.round(startS * RETRY_SPREAD))
+  const laterS = Math.min(spreadS, Math.floor(part * (spreadS + 1)))
+  const seconds = Math.max(MIN_RETRY_S, Math.ceil(startS)) + laterS
+  return Math.min(MAX_RETRY_S, seconds) * 1000
 }
 
 /** Decides whether a job is admitted. */
@@ -173,11 +180,16 @@
   const waitMs = Math.max(waits.room, waits.starts)
   // Amounts that are not numbers fail both comparisons.
   if (!(waitMs > 0 && ageMs + waitMs + pathMs > usefulMs)) return ADMIT
-  const reasonOfRoom = isBeyond ? 'beyondShare' : 'backlog'
+  const reasonWithoutShare = waits.starts > waits.room ? 'starts' : 'backlog'
+  const reason = isBeyond ? 'beyondShare' : reasonWithoutShare
+  const leftMs = Math.max(0, usefulMs - ageMs - pathMs)
   return {
     kind: 'refuse',
-    reason: waits.starts > waits.room ? 'starts' : reasonOfRoom,
-    retryAfterMs: retryAfterMs(waitMs, spread),
+    reason,
+    retryAfterMs: retryAfterMs(
+      Math.min(waitMs, leftMs * MAX_RETRY_SHARE[reason]),
+      spread,
+    ),
     times: { waitMs, pathMs, usefulMs },
   }
 }
--- a/src/front/__tests__/admission.spec.ts
+++ b/src/front/__tests__/admission.spec.ts
@@ -3,6 +3,9 @@
  * that the store must hold no row of it before or after; and whatever the front does not know must
  * lead to an admission, as without the feature.
  */
+import type { AddressInfo } from 'node:net'
+import type { ExecutionContext } from 'ava'
+import { toJson } from '@bufbuild/protobuf'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
 import { QUEUE, SERVICE, makeJob } from '../../../test/jobRig.js'
@@ -13,8 +16,54 @@
 import type { NodeRegistry } from '../../ownership/index.js'
 import type { NewQuestion } from '../questionBatches.js'
 import { createMemoryLogger, sleep } from '../../shared/index.js'
-import { createJobService, createOwnerCalls } from '../index.js'
-import type { NodeClients } from '../index.js'
+import { AnswerSchema } from '../../peer/gen/node_pb.js'
+import type { StoreAccess } from '../../storeAccess/index.js'
+import {
+  createJobService,
+  createNodeClients,
+  createOwnerCalls,
+  listenForNodes,
+  ownerRoutes,
+} from '../index.js'
+import type { LocalOwners, NodeClients } from '../index.js'
+
+describe('answers to other nodes', () => {
+  /** Starts the routes of a node with an owner, and asks it two questions in one call. */
+  async function askTwice(t: ExecutionContext, load: object | undefined) {
+    const owner = { cancel: () => true, waiting: () => 3, load: () => load }
+    const local = { service: () => owner, fleet: () => undefined }
+    const routes = ownerRoutes(local as unknown as LocalOwners, {} as StoreAccess)
+    const server = await listenForNodes('127.0.0.1', 0, routes)
+    const clients = createNodeClients()
+    t.teardown(() => {
+      clients.close()
+      server.close()
+    })
+    const { port } = server.address() as AddressInfo
+    const questions = ['waiting', 'cancel'].map((kind) => ({
+      service: SERVICE,
+      about: { case: kind, value: 'x' } as NewQuestion['about'],
+    }))
+    return clients.at(`127.0.0.1:${port}`).ask({ questions })
+  }
+
+  it('carry the load once in a call', async (t) => {
+    const { answers } = await askTwice(t, { term: 1 })
+    t.deepEqual(
+      answers.map(({ load }) => load),
+      ['{"term":1}', undefined],
+    )
+  })
+
+  // Nodes of builds without the feature must see the same bytes as before.
+  it('have no new field without the feature', async (t) => {
+    const { answers } = await askTwice(t, undefined)
+    t.deepEqual(
+      answers.map((each) => Object.keys(toJson(AnswerSchema, each) as object)),
+      [['owns', 'waiting'], ['owns']],
+    )
+  })
+})
 
 /** Load of a service that serves no further job in time. */
 const loadText = (term: number, sequence = 1): string =>
