--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -1,6 +1,6 @@
 import { ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
-import { vmOf } from '../../../test/fixtures.js'
+import { VM_CPU, vmOf } from '../../../test/fixtures.js'
 import { startFleetOwner } from '../../../test/fleetRig.js'
 import { VM_ORDER_TIMEOUT_MS } from '../../ports/index.js'
 import type { Vm, VmCloud, Wave } from '../../ports/index.js'
@@ -84,6 +84,17 @@
 }
 
 describe('createFleetOwner', () => {
+  // Owners without admission, and those of earlier builds, must get the same answers as before.
+  it('names the room that a service can get only to owners that ask for it', async (t) => {
+    const { fleet } = startFleet([vmOf(1, 'a'), vmOf(2, 'idle')])
+    const asking = () => ({ ...reportOf('a', 0, []), asksAttainable: true })
+    t.is(fleet.report(asking())?.attainableCpu, undefined)
+    await sleep(200)
+    t.is(fleet.report(asking())?.attainableCpu, 2 * VM_CPU)
+    t.false('attainableCpu' in fleet.report(reportOf('a', 0, []))!)
+    await fleet.stop(false)
+  })
+
   it('gives a spare VM to a service that lacks one', async (t) => {
     const { fleet, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'idle')])
     await reportFor(fleet, 600, () => [reportOf('a', 15_000, [load('i1', 3, false)])])
