--- a/src/node/endpointServices.ts
+++ b/src/node/endpointServices.ts
@@ -1,4 +1,6 @@
 /** Services with endpoints for callers, readiness checks and metrics, and the planned stop. */
+import { createFrontAdmission } from '../admission/index.js'
+import { featuresOf } from '../config/index.js'
 import type { NodeConfig } from '../config/index.js'
 import { createJobService } from '../front/index.js'
 import { defineService } from '../kernel/index.js'
@@ -44,7 +46,17 @@
       const configuration = get('configuration')
       const owners = get('ownerCalls')
       const { halls } = cfg.node
-      const jobs = createJobService({ store, configuration, owners, halls, log })
+      const admission = featuresOf(cfg).has('admission')
+        ? createFrontAdmission({ loadOf: owners.load })
+        : undefined
+      const jobs = createJobService({
+        store,
+        configuration,
+        owners,
+        halls,
+        admission,
+        log,
+      })
       const maxBodyBytes = () =>
         configuration.current()?.limits.bodyBytes ?? DEFAULT_BODY_BYTES
       return { server: await openCallers(jobs, maxBodyBytes) }
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -24,6 +24,7 @@
   PEAK_HOLD_MS,
   ROUND_INTERVAL_MS,
 } from './constants.js'
+import { attainableCpuOf } from './attainable.js'
 import { createOrderRateLimiter } from './orderRateLimiter.js'
 import { createPeakHold } from './peakHold.js'
 import { cpuPerVmOf, neededVms, planPools } from './poolPlanner.js'
@@ -103,6 +104,8 @@
   }
 
   const isCordoned = ({ hall }: Vm): boolean => configuration.cordons().has(hall)
+  const fitsPool = (vm: Vm, pool: string): boolean =>
+    !incompatible.has(`${vm.name} ${pool}`)
 
   function supplyOf({ pool }: Vm): VmSupply | undefined {
     const report = reports.fresh().get(pool)
@@ -185,7 +188,7 @@
       ...input,
       emptying,
       ordered: new Set([...orders.pending.keys(), ...busyVms()]),
-      fitsPool: (vm, pool) => !incompatible.has(`${vm.name} ${pool}`),
+      fitsPool,
       vmsToKeep,
     })
     reserved = new Set(moves.map(({ vm }) => vm.name))
@@ -225,6 +228,18 @@
   }
   const task = run()
 
+  /** Room that the service can get; undefined until the list of VMs has been read. */
+  const attainableCpu = (service: string): number | undefined =>
+    vms.size === 0
+      ? undefined
+      : attainableCpuOf(service, {
+          vms: [...vms.values()].filter((vm) => !isCordoned(vm)),
+          reports: reports.fresh(),
+          sparePool: sparePool(),
+          movingTo: orders.movingTo(),
+          fitsPool,
+        })
+
   const targetsOf = (names: Iterable<string>): string[] =>
     [...names].flatMap((name) => vms.get(name)?.targetId || [])
 
@@ -252,6 +267,7 @@
         ...(report.shares && {
           shares: shares.answer(report.service, report.term, report.shares),
         }),
+        ...(report.asksAttainable && { attainableCpu: attainableCpu(report.service) }),
       }
     },
     async stop() {
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -38,6 +38,8 @@
   quotas: quotaReportSchema.optional(),
   /** Service given to organisations; undefined where room is not divided by weight. */
   shares: shareReportSchema.optional(),
+  /** Whether the answer should name the room that the service can get. */
+  asksAttainable: z.boolean().optional(),
 })
 /** State of a service, as its owner reports it. */
 export type ServiceReport = z.infer<typeof serviceReportSchema>
@@ -57,6 +59,11 @@
    * or from a version that does not sum it up.
    */
   shares: shareAnswerSchema.optional(),
+  /**
+   * Room that the service has or can get from other pools, in thousandths of a core; undefined if it
+   * is unknown or was not asked for.
+   */
+  attainableCpu: z.number().optional(),
 })
 /** Answer of the fleet's owner to a report. */
 export type FleetAnswer = z.infer<typeof fleetAnswerSchema>
