test(soak): cordon data halls and check that nothing is started there

No run of the soak had a cordoned hall. One hall or all of them are cordoned for some seconds, drawn by a generator of their own, so that the other faults of a seed stay as they were. From 5 s after the row until its removal a start there in calm is a failure; the check for jobs that stand still leaves such halls out.

--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -4,6 +4,7 @@
 import type { SimVm } from '../sim/simFleet.js'
 import type { TargetFaults } from '../sim/simTarget.js'
 import type { SimPlatform } from '../sim/wireServer.js'
+import type { Cordons } from './cordons.js'
 import type { FaultLink } from './faultLink.js'
 import { foreignEntry } from './foreignEntry.js'
 import type { SoakNode } from './nodes.js'
@@ -30,15 +31,26 @@
   changeConfiguration(fault: Fault): void
   organisations: SoakOrganisations
   orderWave(fault: Fault): void
+  cordons: Cordons
+  /** Halls of nodes and targets. */
+  halls: readonly string[]
 }
 
 /**
  * What a fault affects; `planned`: actions of operators and other programs; `wave`: waves of
  * maintenance; `restart`: restarts of targets under the same id; `organisation`: changes of keys and
- * maxima.
+ * maxima; `cordon`: cordons of data halls.
  */
 export type FaultGroup =
-  'node' | 'store' | 'target' | 'pool' | 'planned' | 'wave' | 'restart' | 'organisation'
+  | 'node'
+  | 'store'
+  | 'target'
+  | 'pool'
+  | 'planned'
+  | 'wave'
+  | 'restart'
+  | 'organisation'
+  | 'cordon'
 /** Function that ends a fault. */
 type Undo = () => unknown
 
@@ -316,4 +328,14 @@
     usualMs: 100,
     begin: (ctx, fault) => ctx.orderWave(fault),
   },
+  hallCordoned: {
+    group: 'cordon',
+    usualMs: 7000,
+    begin: ({ cordons, halls }, fault) => cordons.cordon([pick(halls, fault)]),
+  },
+  allHallsCordoned: {
+    group: 'cordon',
+    usualMs: 3000,
+    begin: ({ cordons, halls }) => cordons.cordon(halls),
+  },
 }
--- a/playground/soak/nodes.ts
+++ b/playground/soak/nodes.ts
@@ -42,6 +42,8 @@
   platform: SimPlatform
   name: string
   hall: string
+  /** All halls of the deployment. */
+  halls: readonly string[]
   withCloud: boolean
   dir: string
   /** Called when the process exits without having been stopped or killed. */
@@ -51,7 +53,10 @@
   const storeLink = await openFaultLink(Number(platform.storeAddress.split(':')[1]))
   const cloudAddress = opts.withCloud ? platform.cloudAddress : undefined
   const addresses = { storeAddress: storeLink.address, cloudAddress }
-  const settings = await writeNodeSettings(addresses, name, opts.hall)
+  const settings = await writeNodeSettings(addresses, name, opts.hall, [
+    '[node]',
+    `halls = ${opts.halls.join(',')}`,
+  ])
   const clients = new Pool(`http://${settings.callers}`, {
     connections: CONNECTIONS,
     headersTimeout: DEADLINE_MS,
--- a/playground/soak/plan.ts
+++ b/playground/soak/plan.ts
@@ -60,6 +60,13 @@
 const ORGANISATION_INTERVAL_MS = 4000
 const ORGANISATION_SEED_OFFSET = 4_000_000
 const MAX_ORGANISATIONS = 3
+/**
+ * Mean interval of cordons of data halls, in ms, and the seed factor of their own generator, which
+ * leaves the other faults of a seed unchanged. Seeds that differ by their last bits alone give
+ * generators that begin with nearly the same numbers.
+ */
+const CORDON_INTERVAL_MS = 12_000
+const CORDON_SEED_FACTOR = 0x9e3779b1
 /** Mean interval of faults of nodes and the store within a series, in ms. */
 const SERIES_INTERVAL_MS = 1200
 /** Mean length of a series of faults of nodes and the store, and of the time between two, in ms. */
@@ -118,6 +125,7 @@
   const waves = createRandom(seed + WAVE_SEED_OFFSET)
   const restarts = createRandom(seed + RESTART_SEED_OFFSET)
   const changes = createRandom(seed + ORGANISATION_SEED_OFFSET)
+  const cordons = createRandom(seed * CORDON_SEED_FACTOR)
   const drawnOrganisations = Math.floor(changes() * (MAX_ORGANISATIONS + 1))
   // Without the cloud interface nobody divides quotas, and equal parts may be too small for a task.
   const organisations = idleVms === 0 ? 0 : drawnOrganisations
@@ -140,6 +148,7 @@
         ? []
         : drawSeries(waves, ['wave'], WAVE_INTERVAL_MS, [1000, lengthMs])),
       ...drawSeries(restarts, ['restart'], RESTART_INTERVAL_MS, [1000, lengthMs]),
+      ...drawSeries(cordons, ['cordon'], CORDON_INTERVAL_MS, [1000, lengthMs]),
       ...(organisations === 0
         ? []
         : drawSeries(changes, ['organisation'], ORGANISATION_INTERVAL_MS, [
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -4,6 +4,7 @@
 import { sleep } from '../../src/shared/index.js'
 import { createRandom } from '../random.js'
 import { HOST, portOf } from '../sim/wire.js'
+import { createCordons } from './cordons.js'
 import { createDisturbanceTracker } from './disturbances.js'
 import { createClients } from './clients.js'
 import { startSoakNode } from './nodes.js'
@@ -82,7 +83,8 @@
   const unplannedDisturbances = createDisturbanceTracker()
   const isReachable = (id: string): boolean =>
     targets.some(({ vm, isReachable }) => vm.target?.id === id && isReachable())
-  const checks = createRunChecks(disturbances, isReachable, report)
+  const cordons = createCordons(platform)
+  const checks = createRunChecks(disturbances, isReachable, cordons.cordonedMs, report)
   let runs = 0
   platform.ledger.watch = (entry) => {
     const { what, task, run, target } = entry
@@ -96,6 +98,7 @@
       platform,
       name: `n${each + 1}`,
       hall: HALLS[each % HALLS.length]!,
+      halls: HALLS,
       withCloud: plan.idleVms > 0,
       dir,
       onUnexpectedExit: (name, reason) =>
@@ -127,6 +130,7 @@
     checks,
     disturbances,
     targets,
+    cordons,
     isServed,
     report,
   })
@@ -148,6 +152,8 @@
     changeConfiguration,
     organisations,
     orderWave: waves.orderWave,
+    cordons,
+    halls: HALLS,
   }
 
   let checkCount = 0
--- a/playground/soak/runChecks.ts
+++ b/playground/soak/runChecks.ts
@@ -13,6 +13,8 @@
 const MAX_START_AFTER_CANCEL_DISTURBED_MS = 10_000
 /** Longest time from the `draining` entry of a target to a start on it, in ms. */
 const MAX_START_AFTER_DRAIN_MS = 2000
+/** Longest time from the row that cordons a hall to a start there, in ms. */
+const MAX_START_AFTER_CORDON_MS = 5000
 
 /** Reports a violated guarantee. */
 export type Report = (promise: string, detail: string) => void
@@ -32,12 +34,14 @@
 
 /**
  * Creates the checks without any job.
+ * @param cordonedMs time for which the hall of a target has been cordoned, in ms; 0 if it is not
  * @param isReachable whether orders reach a target without delay. An order that was held back is
  *   carried out late, so no time bound applies to it.
  */
 export function createRunChecks(
   disturbances: DisturbanceTracker,
   isReachable: (target: string) => boolean,
+  cordonedMs: (target: string) => number,
   report: Report,
 ): RunChecks {
   const jobs = new Map<string, JobView>()
@@ -58,6 +62,8 @@
     'started on a draining target': (_job, _task, at, target) =>
       appliesTimeBound(target) &&
       at - (draining.get(target) ?? Infinity) > MAX_START_AFTER_DRAIN_MS,
+    'started in a cordoned hall': (_job, _task, _at, target) =>
+      appliesTimeBound(target) && cordonedMs(target) > MAX_START_AFTER_CORDON_MS,
     'ran after its cancel': ({ cancelAckedAt = Infinity }, _task, at, target) =>
       at - cancelAckedAt >
       (appliesTimeBound(target)
--- a/playground/soak/stallDetector.ts
+++ b/playground/soak/stallDetector.ts
@@ -5,6 +5,7 @@
  */
 import type { SimVm } from '../sim/simFleet.js'
 import type { SimTarget } from '../sim/simTarget.js'
+import type { Cordons } from './cordons.js'
 import type { DisturbanceTracker } from './disturbances.js'
 import { countEnds, hasExhaustedAttempts, areDependenciesDone } from './jobView.js'
 import type { JobView, TaskView } from './jobView.js'
@@ -43,10 +44,11 @@
   checks: RunChecks
   disturbances: DisturbanceTracker
   targets: WatchedTarget[]
+  cordons: Cordons
   isServed(): boolean
   report: Report
 }): StallDetector {
-  const { checks, disturbances, targets, report } = opts
+  const { checks, disturbances, targets, cordons, report } = opts
   /** Monotonic time since which each incarnation of a target has been usable, in ms. */
   const usableSince = new WeakMap<SimTarget, number>()
   /** Monotonic time since which a job, or a task that runs until stopped, is stalled, in ms. */
@@ -71,7 +73,7 @@
 
   const findVmWithRoom = (job: JobView, task: TaskView, now: number): SimVm | undefined =>
     targets.find(({ vm }) => {
-      if (vm.pool !== job.queue.service) return false
+      if (vm.pool !== job.queue.service || !cordons.isOpen(vm)) return false
       if (!vm.target || !isKnown(vm.target.id, now)) return false
       const free = vm.capacity.cpu - (checks.usedCpu.get(vm.target.id) ?? 0)
       return free >= ROOM_FACTOR * job.steps[task.step]!.cpu
