feat(scheduler): run speculative copies of slow tasks

Steps with `duplicates` were decoded and never used, so that a task on a slow target held up its job. The job book keeps the second run as `task.copy`; the first `done` counts and the other run is stopped; any other end of one run leaves the other as the present run. A successor adopts both runs.

A run's number is compared with `presentRun`, since a copy may have a higher number than the present run.

Without the feature no copy is ordered or adopted.

The model of model.spec.ts has a third scenario set with copies, slow, hanging and failing targets.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -10,6 +10,16 @@
  */
 export type TaskPhase = 'blocked' | 'ready' | 'placed' | 'done' | 'failed'
 
+/** A second run of a task, concurrent with its present run. */
+export interface TaskCopy {
+  targetId: string
+  run: number
+  /** Monotonic time of its start order or adoption, in ms. */
+  orderedAt: number
+  /** Time at which its target was first known to run it, in ms (monotonic); Infinity before. */
+  startedAt: number
+}
+
 /** One task. */
 export interface Task {
   /** `JOB.OCCURRENCE.STEP.INDEX` */
@@ -27,6 +37,10 @@
   checkpoint: string
   /** Target of the present run. */
   targetId: string | undefined
+  /** Number of the present run; a concurrent copy may have a higher one. */
+  presentRun: number
+  /** The second run of a placed task; steps without `duplicates` never have one. */
+  copy?: TaskCopy | undefined
   /**
    * Time at which the target was first known to run the present run, in ms of the monotonic clock;
    * Infinity before. The time since the start order would also contain the delay of the owner itself.
@@ -145,6 +159,7 @@
       crashes: new Map(),
       checkpoint: '',
       targetId: undefined,
+      presentRun: 0,
       startedAt: 0,
       readySince: 0,
     })
@@ -158,6 +173,10 @@
   return job.occurrences[Number(occurrence)]?.steps[Number(step)]?.tasks[Number(index)]
 }
 
+/** Time at which a run of the task was first known to run, in ms; Infinity before. */
+export const startOfRun = ({ copy, startedAt }: Task, run: number): number =>
+  copy && copy.run === run ? copy.startedAt : startedAt
+
 /** Extracts the job id from a task's full name. */
 export const jobIdOf = (task: string): string => task.slice(0, task.indexOf('.'))
 
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -6,7 +6,7 @@
 import type { ReportedEnd, RunEndKind } from '../ports/index.js'
 import { addCrash, noteUptime } from './crashes.js'
 import { createJob, findTask, isUnblocked, jobIdOf, tasksOf } from './job.js'
-import type { Job, JobRules, Occurrence, Step, Task } from './job.js'
+import type { Job, JobRules, Occurrence, Step, Task, TaskCopy } from './job.js'
 import { noteDelay } from './jobDelays.js'
 import { restoreProgress } from './progress.js'
 import type { CrashRole, Progress } from './records.js'
@@ -22,14 +22,28 @@
   wallMs(): number
   /** Called when a job's progress has changed and its row must be written. */
   progressChanged(job: Job): void
-  /** Called when a placed run of the task is no longer needed and must be stopped. */
-  runUnwanted(task: Task): void
+  /** Called when a run of the task on the target is no longer needed and must be stopped. */
+  runUnwanted(task: Task, targetId: string): void
+  /**
+   * Called when a task has no copy any more.
+   * @param droppedSince start of the run that was thrown away, in ms (monotonic)
+   */
+  copyEnded?(task: Task, copy: TaskCopy, outcome: CopyOutcome, droppedSince: number): void
   /** Called when tasks may have become startable. */
   wake(): void
   /** Called when a job reaches its outcome, before the outcome is durable. */
   outcomeReached(job: Job, outcome: JobOutcome, cause: string): void
 }
 
+/**
+ * How a task came to have no copy. `won`: the copy was done first. `lost`: the other run was done
+ * first. `ended`: the copy ended or vanished, and the other run goes on. `promoted`: the other run
+ * ended or vanished, and the copy goes on as the present run. `notStarted`: its start did not take
+ * place. `cancelled`: the job reached its outcome.
+ */
+export type CopyOutcome =
+  'won' | 'lost' | 'ended' | 'promoted' | 'notStarted' | 'cancelled'
+
 /** The jobs of one service. */
 export interface JobBook {
   readonly jobs: ReadonlyMap<string, Job>
@@ -64,17 +78,19 @@
   markDue(): number | undefined
   /** Records that a start was ordered. */
   place(task: Task, targetId: string, run: number): void
+  /** Records a second run of a placed task: one that was ordered, or of the previous owner. */
+  placeCopy(task: Task, targetId: string, run: number): void
   /** Records that a target is known to run the task, under this run number. */
   noteBegun(task: Task, run: number): void
-  /** Records that an ordered start did not take place; the task becomes ready again. */
-  unplace(task: Task): void
+  /** Records that an ordered start did not take place; without another run the task is ready. */
+  unplace(task: Task, run: number): void
   /**
    * Applies a reported end of a run. Returns its task, or undefined if the task is not in the
    * book, is already done, or belongs to a job that has an outcome.
    */
   applyEnd(targetId: string, end: ReportedEnd): Task | undefined
   /** Records that a run ended without a report: its target is gone or its lease has expired. */
-  runVanished(task: Task): void
+  runVanished(task: Task, targetId: string): void
   /**
    * Records that the target crashed during a run of the task. Fails the job when the task reaches
    * a crash limit; otherwise the task stays placed until `runVanished`.
@@ -125,6 +141,56 @@
     if (!task.step.job.gated) ready.add(task)
   }
 
+  /** Clears the copy of a task; returns it. */
+  const clearCopy = (
+    task: Task,
+    outcome: CopyOutcome,
+    droppedSince: (copy: TaskCopy) => number,
+  ): TaskCopy | undefined => {
+    const { copy } = task
+    if (!copy) return undefined
+    task.copy = undefined
+    opts.copyEnded?.(task, copy, outcome, droppedSince(copy))
+    return copy
+  }
+
+  const startOf = ({ startedAt }: TaskCopy): number => startedAt
+
+  /** Makes the copy the present run of its task. */
+  const promote = (task: Task, { targetId, run, startedAt }: TaskCopy): void =>
+    void Object.assign(task, { targetId, presentRun: run, startedAt })
+
+  /** Handles the end of the present run: its copy goes on, or the task is ready again. */
+  const presentRunEnded = (task: Task): void => {
+    const copy = clearCopy(task, 'promoted', () => Infinity)
+    if (copy) promote(task, copy)
+    else makeReady(task)
+  }
+
+  /** Stops all runs of a placed task, except a run that has just ended. */
+  const stopRuns = (task: Task, endedRun?: number): void => {
+    if (task.phase !== 'placed') return
+    const { targetId, presentRun } = task
+    // Cleared first: a start that is still queued is undone at once, and must not be counted again.
+    const copy = clearCopy(task, 'cancelled', startOf)
+    if (copy && copy.run !== endedRun) opts.runUnwanted(task, copy.targetId)
+    if (targetId !== undefined && presentRun !== endedRun)
+      opts.runUnwanted(task, targetId)
+  }
+
+  /** Stops the other run of a task of which one run is done. */
+  const stopOtherRun = (task: Task, doneOn: string, doneRun: number): void => {
+    const presentTarget = task.targetId
+    const hasWon = task.copy?.targetId === doneOn && doneRun >= task.copy.run
+    const copy = hasWon
+      ? clearCopy(task, 'won', () => task.startedAt)
+      : clearCopy(task, 'lost', startOf)
+    if (hasWon && copy) promote(task, copy)
+    else if (copy) opts.runUnwanted(task, copy.targetId)
+    if (presentTarget !== undefined && presentTarget !== doneOn)
+      opts.runUnwanted(task, presentTarget)
+  }
+
   const unblockStep = (step: Step): void => {
     if (step.unblocked) return
     step.unblocked = true
@@ -146,7 +212,7 @@
     jobsNotFullyDue.delete(job)
     for (const task of tasksOf(job)) {
       ready.delete(task)
-      if (task.phase === 'placed') opts.runUnwanted(task)
+      stopRuns(task)
     }
     opts.outcomeReached(job, outcome, cause)
     opts.progressChanged(job)
@@ -171,7 +237,7 @@
   /** Fails the task and its job because of a run of the task. */
   const failJob = (task: Task, run: number, cause: string): void => {
     // The end of an earlier run may use up the attempts while a later run is on another target.
-    if (task.phase === 'placed' && task.run !== run) opts.runUnwanted(task)
+    stopRuns(task, run)
     countUnplaced(task)
     task.phase = 'failed'
     finish(task.step.job, 'failed', cause)
@@ -197,11 +263,11 @@
       if (task.step.spec.lasting) return makeReady(task)
       for (const member of gangMembers(task)) markDone(member)
     },
-    failed: makeReady,
-    stopped: makeReady,
-    lapsed: makeReady,
-    broken: makeReady,
-    alone: makeReady,
+    failed: presentRunEnded,
+    stopped: presentRunEnded,
+    lapsed: presentRunEnded,
+    broken: presentRunEnded,
+    alone: presentRunEnded,
   }
 
   /** Keeps an end until its job is added. */
@@ -299,16 +365,25 @@
       if (task.phase !== 'placed') job.placed++
       task.phase = 'placed'
       task.targetId = targetId
-      task.run = run
+      task.run = Math.max(task.run, run)
+      task.presentRun = run
       task.startedAt = Infinity
     },
+    placeCopy(task, targetId, run) {
+      task.run = Math.max(task.run, run)
+      task.copy = { targetId, run, orderedAt: opts.now(), startedAt: Infinity }
+    },
     noteBegun(task, run) {
       task.step.job.begun = true
-      if (task.phase !== 'placed' || task.run !== run) return
+      const { copy } = task
+      if (copy?.run === run) copy.startedAt = Math.min(copy.startedAt, opts.now())
+      if (task.phase !== 'placed' || task.presentRun !== run) return
       task.startedAt = Math.min(task.startedAt, opts.now())
     },
-    unplace(task) {
-      if (task.phase === 'placed' && !task.step.job.outcome) makeReady(task)
+    unplace(task, run) {
+      if (task.phase !== 'placed' || task.step.job.outcome) return
+      if (task.copy?.run === run) clearCopy(task, 'notStarted', () => Infinity)
+      else if (task.presentRun === run) presentRunEnded(task)
     },
     applyEnd(targetId, end) {
       holdEnd(targetId, end)
@@ -319,7 +394,7 @@
       if (NON_CRASH_ENDS.has(end.kind)) book.noteUptime(task, Infinity)
       // A run that completes the task counts even if another run has been placed since.
       if (end.kind === 'done' && !task.step.spec.lasting) {
-        if (task.phase === 'placed' && task.targetId !== targetId) opts.runUnwanted(task)
+        if (task.phase === 'placed') stopOtherRun(task, targetId, end.run)
         END_HANDLERS.done(task)
         opts.progressChanged(task.step.job)
         return task
@@ -328,14 +403,17 @@
       if (end.checkpoint !== '') task.checkpoint = end.checkpoint
       if (end.kind === 'failed') countFailure(task, end.run)
       if (task.step.job.outcome) return task
-      if (present && end.run === task.run) END_HANDLERS[end.kind](task)
+      if (task.copy?.targetId === targetId && end.run >= task.copy.run)
+        clearCopy(task, 'ended', startOf)
+      else if (present && end.run >= task.presentRun) END_HANDLERS[end.kind](task)
       opts.progressChanged(task.step.job)
       opts.wake()
       return task
     },
-    runVanished(task) {
+    runVanished(task, targetId) {
       if (task.phase !== 'placed' || task.step.job.outcome) return
-      makeReady(task)
+      if (task.copy?.targetId === targetId) clearCopy(task, 'ended', startOf)
+      else if (task.targetId === targetId) presentRunEnded(task)
       opts.wake()
     },
     noteCrash(task, run, role) {
--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -76,6 +76,17 @@
     labelNames: ['kind'],
     registers,
   })
+  const copies = new Counter({
+    name: 'rillshunt_copies_ended_total',
+    help: 'second runs of slow tasks that ended, by outcome',
+    labelNames: ['outcome'],
+    registers,
+  })
+  const copiesWasted = new Counter({
+    name: 'rillshunt_copies_wasted_seconds_total',
+    help: 'time of runs thrown away because of second runs of slow tasks',
+    registers,
+  })
   const configurationAge = new Histogram({
     name: 'rillshunt_configuration_age_seconds',
     help: 'age of the configuration by which a request was accepted or its caller refused',
@@ -99,6 +110,8 @@
     late,
     jobs,
     runEnds,
+    copies,
+    copiesWasted,
     configurationAge,
   }
 }
@@ -107,6 +120,7 @@
 export function createNodeMetrics(): NodeMetrics {
   const { registry, configurationAge, ...instruments } = createInstruments()
   const { events, calls, bytes, waits, holds, intake, late, jobs, runEnds } = instruments
+  const { copies, copiesWasted } = instruments
   const noteConfigurationAge = (fields: EventFields): void =>
     configurationAge.observe(secondsOf(fields, 'configurationAgeMs'))
 
@@ -120,6 +134,10 @@
       intake.observe({ from: String(fields['from']) }, secondsOf(fields, 'lateMs')),
     processLate: (fields) => late.observe(secondsOf(fields, 'lateMs')),
     runEnded: (fields) => runEnds.inc({ kind: String(fields['kind']) }),
+    copyEnded(fields) {
+      copies.inc({ outcome: String(fields['outcome']) })
+      copiesWasted.inc(secondsOf(fields, 'wastedMs'))
+    },
     jobSettled: (fields) =>
       jobs.observe({ outcome: String(fields['outcome']) }, secondsOf(fields, 'tookMs')),
   }
--- a/src/scheduler/__tests__/demand.spec.ts
+++ b/src/scheduler/__tests__/demand.spec.ts
@@ -134,7 +134,7 @@
     const before = reportNow()
     book.place(task!, 't1', 1)
     book.noteCrash(task!, 1, 'sole')
-    book.runVanished(task!)
+    book.runVanished(task!, 't1')
     t.is(Math.round(reportNow() - before), 32_000)
   })
 
--- a/src/scheduler/__tests__/model.spec.ts
+++ b/src/scheduler/__tests__/model.spec.ts
@@ -1,12 +1,15 @@
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
 import {
+  QUEUE,
   SERVICE,
   createJobRig,
   findGuaranteeViolation,
   makeJob,
 } from '../../../test/jobRig.js'
 import type { JobRig, RigOwner } from '../../../test/jobRig.js'
+import type { Feature } from '../../config/index.js'
+import type { JobSpec } from '../../jobs/index.js'
 import { sleep } from '../../shared/index.js'
 
 /** An action, and the pause after it. */
@@ -122,6 +125,94 @@
   },
 } satisfies Record<string, Action>
 
+/** The same with slow targets and failing runs, and with steps whose tasks may have copies. */
+const COPY_ACTIONS = {
+  ...ACTIONS,
+  submitCopied(sim: Simulation, pick: number) {
+    const step = { count: 6, maxPerTarget: 2, duplicates: true }
+    const job = makeJob({ ms: 40 + (pick % 3) * 20, cpu: 10 }, [step])
+    sim.jobs.push(job)
+    sim.rig.submit(sim.owner, job)
+  },
+  slow(sim: Simulation, pick: number) {
+    targetAt(sim, pick).faults.slowness = 15 + pick
+    COPY_ACTIONS.submitCopied(sim, pick)
+  },
+  hang(sim: Simulation, pick: number) {
+    targetAt(sim, pick).faults.hangs = true
+    COPY_ACTIONS.submitCopied(sim, pick)
+  },
+  // Ends a run, or silences its target, while a copy of its task takes long.
+  async loseOriginal(sim: Simulation, pick: number) {
+    const { id, faults } = targetAt(sim, pick)
+    const isOrdered = () =>
+      sim.rig.log.events.some(
+        ({ name, fields }) => name === 'copyOrdered' && fields['original'] === id,
+      )
+    faults.hangs = true
+    COPY_ACTIONS.submitCopied(sim, pick)
+    await sleep(200)
+    for (const each of sim.rig.targets.values()) each.faults.slowness = 15
+    for (let tries = 0; tries < 40 && !isOrdered(); tries++) await sleep(20)
+    await sleep(pick * 5)
+    if (pick % 3 === 0) ACTIONS.silence(sim, pick)
+    else ACTIONS.crash(sim, pick)
+  },
+  failOnce(sim: Simulation, pick: number) {
+    const { faults } = targetAt(sim, pick)
+    faults.failsAll = true
+    COPY_ACTIONS.submitCopied(sim, pick)
+    setTimeout(() => void (faults.failsAll = false), 30)
+  },
+  wellAgain(sim: Simulation) {
+    ACTIONS.wellAgain(sim)
+    for (const { faults } of sim.rig.targets.values())
+      Object.assign(faults, { slowness: 1, hangs: false })
+  },
+} satisfies Record<string, Action>
+
+/** Time after a recorded end `done` in which a start may still arrive, in ms. */
+const MAX_START_AFTER_DONE_MS = 1000
+
+/**
+ * Checks tasks that may have copies: a second run beside another one has been ordered as a copy,
+ * there is no third, and none starts long after an end `done` was acknowledged.
+ */
+function findCopyViolation(
+  { rig, dead, silent }: Simulation,
+  recorded: ReadonlyMap<string, number>,
+): string | undefined {
+  const copyRuns = new Set(
+    rig.log.events.flatMap(({ name, fields }) =>
+      name === 'copyOrdered'
+        ? [`${String(fields['task'])} ${String(fields['run'])}`]
+        : [],
+    ),
+  )
+  const active = new Map<string, Map<number, string>>()
+  for (const { at, what, task, run, target } of rig.ledger.entries) {
+    const runs = active.get(task) ?? new Map<number, string>()
+    active.set(task, runs)
+    if (what !== 'start') {
+      runs.delete(run)
+      continue
+    }
+    for (const [other, where] of runs) if (dead.has(where)) runs.delete(other)
+    const all = [...runs.keys(), run]
+    const isCopy = copyRuns.has(`${task} ${run}`)
+    if (all.length > 2 || (all.length > 1 && !isCopy))
+      return `${task} run ${run} started on ${target} while others run: ${all.join(' ')}`
+    const doneAt = recorded.get(task) ?? Infinity
+    if (at > doneAt + MAX_START_AFTER_DONE_MS && !silent.has(target))
+      return `${task} run ${run} started on ${target} ${at - doneAt} ms after it was done`
+    runs.set(run, target)
+  }
+  for (const [task, runs] of active)
+    for (const [run, target] of runs)
+      if (!dead.has(target)) return `${task} run ${run} goes on on ${target}`
+  return undefined
+}
+
 const stepsOf = (actions: Record<string, Action>): fc.Arbitrary<Step[]> =>
   fc.array(
     fc.record({
@@ -134,9 +225,19 @@
 
 async function runScenario(
   scenario: Step[],
-  actions: Record<string, Action>,
+  { actions, features = [], noteCopies }: Model,
 ): Promise<string | undefined> {
   const rig = createJobRig()
+  rig.features = new Set(features)
+  const isCopying = features.length > 0
+  /** Times at which ends `done` were first acknowledged, by task. */
+  const recorded = new Map<string, number>()
+  const done = new Set<string>()
+  rig.ledger.watch = ({ what, task, run, at }) => {
+    if (what === 'done') done.add(`${task} ${run}`)
+    const isDone = what === 'noted' && done.has(`${task} ${run}`)
+    if (isDone && !recorded.has(task)) recorded.set(task, at)
+  }
   let calls = 0
   rig.table.faults.random = () => ((calls++ * 7919) % 100) / 100
   for (const id of ['t1', 't2', 't3']) rig.addTarget(id)
@@ -155,12 +256,17 @@
     await sleep(waitMs)
   }
   ACTIONS.speak(sim)
-  ACTIONS.wellAgain(sim)
+  COPY_ACTIONS.wellAgain(sim)
   ACTIONS.storeWell(sim)
   PART_ACTIONS.partIsBack(sim)
   const settled = await rig.waitForOutcomes(sim.jobs, 30_000)
-  const broken = findGuaranteeViolation(rig.ledger, sim.dead, sim.silent)
+  // The runs that are not needed any more are being stopped.
+  if (isCopying) await sleep(STOPPED_WITHIN_MS)
+  const broken = isCopying
+    ? findCopyViolation(sim, recorded)
+    : findGuaranteeViolation(rig.ledger, sim.dead, sim.silent)
   await rig.stop()
+  noteCopies?.(rig.log.events.filter(({ name }) => name === 'copyOrdered').length)
   if (broken !== undefined) {
     const task = broken.split(' ')[0]
     const about = rig.ledger.entries.filter((entry) => entry.task === task)
@@ -172,7 +278,16 @@
     return `${broken}: ${JSON.stringify({ about, told })}`
   }
   if (!settled) return 'jobs are not settled'
-  const bad = sim.jobs.find((job) => rig.outcomeOf(job) !== 'completed')
+  const failures = new Map<string, number>()
+  for (const { what, task } of rig.ledger.entries)
+    if (what === 'failed') failures.set(task, (failures.get(task) ?? 0) + 1)
+  const hasUsedUpAttempts = ({ id }: JobSpec): boolean =>
+    [...failures].some(
+      ([task, count]) => task.startsWith(id) && count >= QUEUE.maxAttempts,
+    )
+  const bad = sim.jobs.find(
+    (job) => rig.outcomeOf(job) !== 'completed' && !hasUsedUpAttempts(job),
+  )
   return bad && `${bad.id} ended ${rig.outcomeOf(bad)}`
 }
 
@@ -180,21 +295,41 @@
 const SEED = Number(process.env['MODEL_SEED'] ?? 20261202)
 const RUNS = Number(process.env['MODEL_RUNS'] ?? 12)
 
+interface Model {
+  actions: Record<string, Action>
+  features?: Feature[]
+  /** Receives the number of copies that a scenario has ordered. */
+  noteCopies?(count: number): void
+}
+
+/** Time in which runs that are not needed are stopped once all faults are over, in ms. */
+const STOPPED_WITHIN_MS = 3000
+
+let copies = 0
+
 describe('leases and epochs under lost answers and late orders', () => {
-  const MODELS = {
-    'never run a task twice, and lose no job': ACTIONS,
-    'never run a task twice while the part of the service comes and goes': PART_ACTIONS,
+  const MODELS: Record<string, Model> = {
+    'never run a task twice, and lose no job': { actions: ACTIONS },
+    'never run a task twice while the part of the service comes and goes': {
+      actions: PART_ACTIONS,
+    },
+    'never run a task beside itself except as a copy, and stop what is not needed': {
+      actions: COPY_ACTIONS,
+      features: ['speculation'],
+      noteCopies: (count) => void (copies += count),
+    },
   }
 
-  for (const [title, actions] of Object.entries(MODELS)) {
+  for (const [title, model] of Object.entries(MODELS)) {
     it(title, async (t) => {
-      const scenarios = fc.sample(stepsOf(actions), { seed: SEED, numRuns: RUNS })
-      const results = await Promise.all(
-        scenarios.map((each) => runScenario(each, actions)),
-      )
+      const scenarios = fc.sample(stepsOf(model.actions), { seed: SEED, numRuns: RUNS })
+      const results = await Promise.all(scenarios.map((each) => runScenario(each, model)))
       for (const [index, problem] of results.entries()) {
         t.is(problem, undefined, JSON.stringify(scenarios[index]))
       }
+      // Without copies the model would show nothing about them.
+      if (model.noteCopies) t.true(copies > 0)
+      t.log(`${copies} copies`)
     })
   }
 })
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -71,6 +71,7 @@
     book,
     authority,
     quotaUsage: { add: noop, remove: noop },
+    adoptsCopies: false,
     log,
     unwanted: noop,
     ended: noop,
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -82,6 +82,8 @@
 export const MAX_HELD_JOB_READS = 10
 /** Run numbers that each new owner skips, for starts of its predecessor that it does not know. */
 export const RUNS_PER_TERM = 1000
+/** The lowest number of the runs that the owner of a term starts. */
+export const firstRunOf = (term: number): number => (term - 1) * RUNS_PER_TERM + 1
 /** Fencing tokens per term: the token is raised within a term when an order gets no answer. */
 export const TOKENS_PER_TERM = 65_536
 /** Interval between checks for due repetitions, finished rows and silent targets. */
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -169,7 +169,7 @@
   function undoPlacement(placement: Placement): void {
     const { task, run } = placement
     runs.remove(placement)
-    if (task?.run === run) book.unplace(task)
+    if (task) book.unplace(task, run)
   }
 
   const refusalHandlers: Record<StartRefusal, (task: Task) => void> = {
@@ -181,6 +181,16 @@
     ticket: (task) => opts.ticketRefused(task),
   }
 
+  /**
+   * Whether the start of a run may be sent as far as copies are concerned: the task still needs the
+   * run, and no successor may have recorded its end. Always true for steps without copies.
+   */
+  function mayCopyStart({ task, run, state }: Placement): boolean {
+    if (!task?.step.spec.duplicates) return true
+    if (state === 'stopping' || task.phase === 'done') return false
+    return task.copy?.run !== run || authority.isConfirmed()
+  }
+
   async function sendStart(
     task: Task,
     placement: Placement,
@@ -188,7 +198,9 @@
   ): Promise<void> {
     const { name, run } = placement
     const isCurrent = (): boolean =>
-      runs.placements.get(name) === placement && authority.mayOrder()
+      runs.placements.get(name) === placement &&
+      authority.mayOrder() &&
+      mayCopyStart(placement)
     const isWanted = isCurrent() && !task.step.job.outcome
     const leaseUntilMs = isWanted ? lease.extend() : undefined
     if (leaseUntilMs === undefined) return undoPlacement(placement)
@@ -246,7 +258,7 @@
     if (reason !== 'fenced' || sentToken === token()) refusalHandlers[reason](task)
     if (unansweredCalls > 0) return markUnsure(placement)
     runs.remove(placement)
-    book.unplace(task)
+    book.unplace(task, run)
     opts.changed()
   }
 
@@ -279,7 +291,7 @@
     if (mayArrive && error.failure !== 'gone') return markUnsure(placement)
     if (error.failure === 'notDone') {
       runs.remove(placement)
-      book.unplace(task)
+      book.unplace(task, run)
     }
     opts.failed(error)
     opts.changed()
--- a/src/scheduler/runMonitor.ts
+++ b/src/scheduler/runMonitor.ts
@@ -2,6 +2,7 @@
  * Finds stalled and slow runs and determines the cause: the target if other runs are slow there too
  * or the same step is faster elsewhere, the job if its tasks simply take long.
  */
+import { startOfRun } from '../jobs/index.js'
 import type { Step, Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { RunTimes } from './runTimes.js'
@@ -127,7 +128,8 @@
       progress.set(placement, { percent, since: reportedAt })
       return 0
     }
-    const percentMs = percent > 0 ? (before.since - task.startedAt) / percent : 0
+    const percentMs =
+      percent > 0 ? (before.since - startOfRun(task, placement.run)) / percent : 0
     const doubled = 2 ** Math.min(MAX_DOUBLINGS, movesOf(task))
     const limitMs = Math.max(STALL_MS, STALL_FACTOR * percentMs) * doubled
     const ms = reportedAt - before.since
@@ -136,13 +138,14 @@
 
   /** Returns the pace of a run; undefined before it can be measured. */
   function paceOf(agent: TargetAgent, placement: Placement): Pace | undefined {
-    const { task, state, reportedAt, percent } = placement
+    const { task, run, state, reportedAt, percent } = placement
     if (!task || state !== 'running' || !hasMeasurableSpeed(task.step)) return undefined
-    const ranMs = reportedAt - task.startedAt
+    const startedAt = startOfRun(task, run)
+    const ranMs = reportedAt - startedAt
     if (ranMs < MIN_MEASURED_RUN_MS || !runTimes.hasEnoughRuns(task.step))
       return undefined
     const pace = (percent * runTimes.meanRunMs(task.step)) / (100 * ranMs)
-    return { step: task.step, agent, pace, startedAt: task.startedAt, at: reportedAt }
+    return { step: task.step, agent, pace, startedAt, at: reportedAt }
   }
 
   const pacesOn = (agent: TargetAgent): Pace[] =>
@@ -218,12 +221,13 @@
   function stalledRuns(agent: TargetAgent, all: Paces): StalledRun[] {
     const found: StalledRun[] = []
     for (const placement of agent.placements.values()) {
-      const { task, state, reportedAt } = placement
+      const { task, run, state, reportedAt } = placement
       if (!task || state !== 'running' || reportedAt === 0) continue
       const ms = hasMeasurableSpeed(task.step) ? stalledMs(placement, task) : 0
       if (ms === 0) continue
-      const areOthersNormal = isNormalPace(otherJobsOn(agent, task, all))
-      const isStepFaulty = areOthersNormal && isSlowAmongNormalRuns(task, agent, all)
+      const runStart = { step: task.step, startedAt: startOfRun(task, run) }
+      const areOthersNormal = isNormalPace(otherJobsOn(agent, runStart, all))
+      const isStepFaulty = areOthersNormal && isSlowAmongNormalRuns(runStart, agent, all)
       const mayRestartInPlace = areOthersNormal || ms > RESTART_IN_PLACE_AFTER_MS
       found.push({ agent, placement, task, mayRestartInPlace, isStepFaulty })
       recordSlowTarget(task.step, agent)
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -49,6 +49,7 @@
 import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
 import { createStartWindow } from './startWindow.js'
+import { createSpeculativeCopies } from './speculativeCopies.js'
 import { createStarter } from './starter.js'
 import { hasAllQueueRows, readInheritedUntilDone } from './takeover.js'
 import type { TargetAgent } from './types.js'
@@ -128,6 +129,8 @@
   const startedAt = monotonicMs()
 
   const load = createOwnerLoadMeter()
+  const isTakingOver = (): boolean => !gateOpen || book.mayLackJobs
+
   const wake = createThrottled(() => load.measurePlan(plan), {
     gapMs: MIN_PLAN_INTERVAL_MS,
     maxShare: MAX_PLAN_SHARE,
@@ -156,7 +159,8 @@
     now: monotonicMs,
     wallMs: Date.now,
     progressChanged: progress.markDirty,
-    runUnwanted: (task) => agents.get(task.targetId ?? '')?.stop(task.name),
+    runUnwanted: (task, targetId) => agents.get(targetId)?.stop(task.name),
+    copyEnded: (...ended) => copies?.noteCopyEnded(...ended),
     wake,
     outcomeReached: (job, outcome, cause) =>
       log.event('jobEnded', {
@@ -179,7 +183,7 @@
   const demand = createDemandMeter({
     runTimes,
     isBehind: startWindow.isBehind,
-    isTakingOver: () => !gateOpen || book.mayLackJobs,
+    isTakingOver,
     isSuspect: (agent) => health.standingOf(agent) !== 'sound',
     isTimely(job, now) {
       if (shares.isBeyondShare(job)) return false
@@ -282,6 +286,9 @@
     usableCpu: demand.usableCpu,
     ordered: load.noteOrdered,
   })
+  const copies = opts.features.has('speculation')
+    ? createSpeculativeCopies({ ...shared, starter, isTakingOver })
+    : undefined
   const waitWatch = createWaitWatch({
     book,
     policyNow: starter.policyNow,
@@ -304,6 +311,8 @@
     agents,
     targets,
     mayMissTargets: () => mayMissTargets,
+    adoptsCopies: copies !== undefined,
+    taskDone: copies?.noteDone,
     orders: opts.orders,
     progress,
     changed: wake,
@@ -381,6 +390,7 @@
       newJobs.admitDeferred()
       evacuateLeaving({ targets, agents: allAgents(), log })
       moveUnhealthyRuns({ agents: allAgents(), health, starter, log })
+      copies?.check(allAgents())
       waitWatch.check(allAgents())
       logRoomUse(allAgents())
       await livenessCheck.run(allAgents())
--- a/src/scheduler/serviceQuotas.ts
+++ b/src/scheduler/serviceQuotas.ts
@@ -24,7 +24,7 @@
 import type { QuotaAnswer, QuotaHold, QuotaReport } from '../quotas/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import { RUNS_PER_TERM } from './constants.js'
+import { firstRunOf } from './constants.js'
 import { createQuotaRowWriter } from './quotaRow.js'
 import type { QuotaBounds } from './quotaRow.js'
 
@@ -126,7 +126,7 @@
 /** Creates the quotas of one service, without any allotment. */
 export function createServiceQuotas(opts: ServiceQuotasOptions): ServiceQuotas {
   const { authority, configuration } = opts
-  const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
+  const firstRun = firstRunOf(authority.term)
   const states = new Map<string, OrganisationState>()
   let areInheritedKnown = false
   let loweredAt = -Infinity
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -1,10 +1,10 @@
 /** Starts ready tasks on permitted targets, with a ticket if their queue requires one. */
 import type { ConfigurationHolder } from '../directory/index.js'
-import type { Job, JobBook, Step } from '../jobs/index.js'
+import type { Job, JobBook, Step, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
-import { RUNS_PER_TERM } from './constants.js'
+import { firstRunOf } from './constants.js'
 import type { FairShares } from './fairShares.js'
 import type { Health } from './health.js'
 import type { PlacementPolicy } from './placementRules.js'
@@ -46,6 +46,8 @@
 export interface Starter {
   /** Returns the placement policy that applies at this moment. */
   policyNow(agents: readonly TargetAgent[]): PlacementPolicy
+  /** Starts a second run of a placed task; returns its number. */
+  startCopy(task: Task, agent: TargetAgent): number
   /** Starts the ready tasks that the given targets can run now. */
   start(agents: TargetAgent[]): void
 }
@@ -54,7 +56,7 @@
 export function createStarter(opts: StarterOptions): Starter {
   const { authority, configuration, book, roster, runTimes, health, tickets } = opts
   const { isolation, startWindow, quotas, shares, log } = opts
-  const firstRun = (authority.term - 1) * RUNS_PER_TERM + 1
+  const firstRun = firstRunOf(authority.term)
 
   const needsTicket = (step: Step): boolean =>
     configuration.queue(step.job.spec.queue)?.advice !== undefined
@@ -87,6 +89,8 @@
       needsTicket(step) && tickets.find(step, agent) === undefined,
   })
 
+  const nextRunOf = (task: Task): number => Math.max(task.run + 1, firstRun)
+
   const ticketFor = (step: Step, agent: TargetAgent): string =>
     needsTicket(step) ? (tickets.find(step, agent) ?? '') : ''
 
@@ -139,7 +143,7 @@
     for (const step of waiting) if (needsTicket(step)) tickets.request(step, agents)
     if (starts.length > 0) opts.ordered(starts.length)
     for (const { task, agent } of starts) {
-      const run = Math.max(task.run + 1, firstRun)
+      const run = nextRunOf(task)
       agent.start(task, run, ticketFor(task.step, agent))
       log.event('taskPlaced', {
         task: task.name,
@@ -158,6 +162,12 @@
         isolation.begin(agents),
         quotas.begin(),
       ),
+    startCopy(task, agent) {
+      const run = nextRunOf(task)
+      opts.ordered(1)
+      agent.startCopy(task, run, ticketFor(task.step, agent))
+      return run
+    },
     start,
   }
 }
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -59,6 +59,8 @@
   /** Starts in flight on all targets of the owner. */
   startWindow: StartWindow
   quotaUsage: QuotaUsage
+  /** Whether a second run of a task, of the previous owner, is adopted and not stopped. */
+  adoptsCopies: boolean
   /** Longest time for which unknown runs of the previous owner can go on, in ms. */
   inheritedLeaseMs: number
   /** Initial token offset, above those that earlier incarnations of the id have seen. */
@@ -118,6 +120,7 @@
     book,
     authority,
     quotaUsage: opts.quotaUsage,
+    adoptsCopies: opts.adoptsCopies,
     log,
     unwanted: (name, run) => sender.stop(name, run),
     ended: (task, kind) => opts.ended(agent, task, kind),
@@ -391,6 +394,11 @@
       book.place(task, targetId, runNumber)
       sender.start(task, placement, ticket)
     },
+    startCopy(task, runNumber, ticket) {
+      const placement = runs.add(task, runNumber, 'starting')
+      book.placeCopy(task, targetId, runNumber)
+      sender.start(task, placement, ticket)
+    },
     stop(name) {
       const placement = placements.get(name)
       if (!placement || placement.state === 'stopping') return
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -3,7 +3,7 @@
  * roster of the previous owner names the target, and closes it once no run can be left there.
  */
 import type { TargetList } from '../directory/index.js'
-import type { JobBook } from '../jobs/index.js'
+import type { JobBook, Task } from '../jobs/index.js'
 import { GRACE_MS } from '../ownership/index.js'
 import type { Authority } from '../ownership/index.js'
 import type { Target, TargetOrders } from '../ports/index.js'
@@ -66,6 +66,10 @@
   isolation: Isolation
   startWindow: StartWindow
   quotas: ServiceQuotas
+  /** Whether second runs of tasks, of the previous owner, are adopted and not stopped. */
+  adoptsCopies: boolean
+  /** Called when a task is done; undefined if nothing needs it. */
+  taskDone: ((task: Task) => void) | undefined
   log: Logger
   /** Called when the free room, the state or the reports of a target have changed. */
   changed(): void
@@ -157,6 +161,7 @@
       progress: opts.progress,
       startWindow: opts.startWindow,
       quotaUsage: opts.quotas.usage,
+      adoptsCopies: opts.adoptsCopies,
       initialTokenOffset: nextTokenOffsets.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
@@ -166,6 +171,7 @@
         // The report of the end may have been the first news of the run.
         if (kind === 'done' && Number.isFinite(task.startedAt))
           opts.runTimes.note(task, monotonicMs() - task.startedAt)
+        if (kind === 'done') opts.taskDone?.(task)
         health.noteEnd(each, task, kind)
       },
       restarted: health.forget,
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -10,7 +10,7 @@
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { SharedRun } from '../sharing/index.js'
-import { MAX_LISTED_ENDS } from './constants.js'
+import { MAX_LISTED_ENDS, firstRunOf } from './constants.js'
 import { confirmedUptimeMs, findCrashedRuns, isRecentlyStarted } from './crashSuspects.js'
 import type { CrashedRun } from './crashSuspects.js'
 import { createRoom, needOf } from './room.js'
@@ -122,6 +122,8 @@
   authority: Authority
   /** Notified of every run that may be on the target. */
   quotaUsage: QuotaUsage
+  /** Whether a second run of a task, of the previous owner, is adopted and not stopped. */
+  adoptsCopies: boolean
   log: Logger
   /** Called for a run on the target that must be stopped. */
   unwanted(name: string, run: number): void
@@ -135,6 +137,7 @@
   const { id: targetId, capacity } = opts.target
   const placements = new Map<string, Placement>()
   const room = createRoom(capacity)
+  const firstRun = firstRunOf(authority.term)
   let lastEndSeq = 0
   /** Last known time of the target's clock, in ms. */
   let clockMs = 0
@@ -168,9 +171,9 @@
     remove(placement)
     const { task, name, run } = placement
     log.event('runVanished', { task: name, run, target: targetId, reason })
-    if (task?.targetId !== targetId) return
+    if (!task || (task.targetId !== targetId && task.copy?.targetId !== targetId)) return
     if (placement.checkpoint !== '') task.checkpoint = placement.checkpoint
-    book.runVanished(task)
+    book.runVanished(task, targetId)
   }
 
   function noteUnheardDelay(name: string, silentMs: number): void {
@@ -200,12 +203,14 @@
     if (book.isHeld(name)) return void heldRuns.set(name, reported)
     const task = book.task(name)
     const wanted = task && (task.phase === 'ready' || task.phase === 'blocked')
-    if (task && wanted && !task.step.job.outcome) {
+    const isCopy = task !== undefined && isInheritedCopy(task, run)
+    if (task && (wanted || isCopy) && !task.step.job.outcome) {
       const placement = add(task, run, 'running')
       placement.confirmedClockMs = Infinity
-      book.place(task, targetId, Math.max(task.run, run))
-      book.noteBegun(task, task.run)
-      log.event('runAdopted', { task: name, run, target: targetId })
+      if (isCopy) book.placeCopy(task, targetId, run)
+      else book.place(task, targetId, run)
+      book.noteBegun(task, run)
+      log.event('runAdopted', { task: name, run, target: targetId, isCopy })
       return
     }
     log.event('runUnwanted', { task: name, run, target: targetId })
@@ -214,6 +219,15 @@
     opts.unwanted(name, run)
   }
 
+  /** Whether a run is the second one that the previous owner has left of the task. */
+  const isInheritedCopy = (task: Task, run: number): boolean =>
+    opts.adoptsCopies &&
+    task.step.spec.duplicates &&
+    task.phase === 'placed' &&
+    !task.copy &&
+    task.targetId !== targetId &&
+    run < firstRun
+
   function clearUnwanted(): void {
     for (const { run, task } of unwantedRuns.splice(0)) {
       if (task) quotaUsage.remove(task.step, run)
@@ -229,6 +243,19 @@
     }
   }
 
+  /**
+   * Marks a run to be stopped if its task does not need it any more. Its start was unanswered when
+   * the other run of the task ended, and it has begun nevertheless.
+   */
+  function noteUnneeded(placement: Placement): void {
+    const { task, run, state } = placement
+    if (!task?.step.spec.duplicates || state === 'stopping') return
+    const isOpen = task.phase === 'placed' && !task.step.job.outcome
+    if (isOpen && (run === task.presentRun || run === task.copy?.run)) return
+    placement.state = 'stopping'
+    placement.stopOrderedAt = -Infinity
+  }
+
   /** Sends a stop again that may have been lost; otherwise its run keeps its room forever. */
   function retryStop(placement: Placement): void {
     if (placement.state !== 'stopping') return
@@ -247,6 +274,7 @@
       if (!placement) adopt(run)
       else if (placement.run === run.run) {
         updatePlacement(placement, run)
+        noteUnneeded(placement)
         retryStop(placement)
       }
       if (placement?.task) book.noteBegun(placement.task, run.run)
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -57,6 +57,8 @@
   update(target: Target): void
   /** Places the task on the target and orders its start. */
   start(task: Task, run: number, ticket: string): void
+  /** Places a second run of the task on the target and orders its start. */
+  startCopy(task: Task, run: number, ticket: string): void
   /** Orders the run of the task to stop, unless that was done before. */
   stop(name: string): void
   /** Whether a crash suspect is placed on the target. */
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -150,6 +150,8 @@
     'warn',
     'run of a task ended without a report of the target',
   ),
+  copyOrdered: spec('RS-8084', 'info', 'second run of a slow task ordered'),
+  copyEnded: spec('RS-8085', 'info', 'task has no second run any more'),
   runAdopted: spec('RS-8013', 'info', 'run of a previous owner taken over'),
   runUnwanted: spec('RS-8014', 'warn', 'unwanted run is stopped'),
   startRefused: spec('RS-8015', 'warn', 'target refused to start a task'),
