fix(scheduler): change no step without the feature, and test starts of copies

The checks that a start is still needed, and that a listed run is, held for all steps with `duplicates`, also in deployments without `speculation`. They now hold for runs ordered as copies and for owners with the feature only.

The pace of a step is computed only once one of its runs has lasted 0.4 s, so that short tasks cost nothing.

Tests: an unanswered start of a copy is not sent again once its task is done, nor sent by an owner that is not confirmed; both fail with the check taken out.

--- a/src/scheduler/__tests__/model.spec.ts
+++ b/src/scheduler/__tests__/model.spec.ts
@@ -164,6 +164,11 @@
     COPY_ACTIONS.submitCopied(sim, pick)
     setTimeout(() => void (faults.failsAll = false), 30)
   },
+  async takeOver(sim: Simulation, pick: number) {
+    // A node of an earlier build, or without the feature, stops the second run of a task.
+    sim.rig.features = new Set(pick % 5 === 0 ? [] : ['speculation'])
+    await ACTIONS.takeOver(sim, pick)
+  },
   wellAgain(sim: Simulation) {
     ACTIONS.wellAgain(sim)
     for (const { faults } of sim.rig.targets.values())
@@ -329,7 +334,6 @@
       }
       // Without copies the model would show nothing about them.
       if (model.noteCopies) t.true(copies > 0)
-      t.log(`${copies} copies`)
     })
   }
 })
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -4,7 +4,7 @@
 import { createJobBook } from '../../jobs/index.js'
 import type { Task } from '../../jobs/index.js'
 import type { Authority } from '../../ownership/index.js'
-import type { TargetLink } from '../../ports/index.js'
+import type { ReportedEnd, TargetLink } from '../../ports/index.js'
 import {
   PlatformError,
   createMemoryLogger,
@@ -30,10 +30,11 @@
 function startSender(answers: () => unknown = () => ok({ accepted: true, clockMs: 2 })) {
   const sent: string[] = []
   let fences = 0
+  let isConfirmed = true
   const log = createMemoryLogger()
   const authority = {
     mayOrder: () => true,
-    isConfirmed: () => true,
+    isConfirmed: () => isConfirmed,
   } as unknown as Authority
   const book = createJobBook({
     rulesOf: () => ({ maxAttempts: QUEUE.maxAttempts }),
@@ -71,7 +72,7 @@
     book,
     authority,
     quotaUsage: { add: noop, remove: noop },
-    adoptsCopies: false,
+    usesCopies: false,
     log,
     unwanted: noop,
     ended: noop,
@@ -107,6 +108,14 @@
     book.place(task, 't1', task.run + 1)
     sender.start(task, placement, '')
   }
+  /** Starts a copy of a task whose present run is on another target. */
+  const startCopy = (task: Task): void => {
+    book.place(task, 't2', 1)
+    const placement = runs.add(task, 2, 'starting')
+    placement.isCopy = true
+    book.placeCopy(task, 't1', 2)
+    sender.start(task, placement, '')
+  }
   const stop = (task: Task): void => {
     const placement = runs.placements.get(task.name)
     if (!placement) return
@@ -115,7 +124,18 @@
   }
   const tasks = (count: number): Task[] =>
     book.add(makeJob({}, [{ count }])).occurrences[0]!.steps[0]!.tasks
-  return { sent, sender, book, runs, start, stop, tasks, fences: () => fences }
+  return {
+    sent,
+    sender,
+    book,
+    runs,
+    start,
+    startCopy,
+    stop,
+    tasks,
+    fences: () => fences,
+    setConfirmed: (confirmed: boolean) => void (isConfirmed = confirmed),
+  }
 }
 
 describe('createOrderSender', () => {
@@ -197,6 +217,40 @@
     })
   })
 
+  describe('the start of a copy', () => {
+    const failure = { failure: 'unanswered', reason: 'no answer', cause: NO_ANSWER }
+
+    // Otherwise the task runs again after its end was recorded.
+    it('is fenced and not sent again once the task is done', async (t) => {
+      const { sent, sender, book, startCopy, tasks, fences } = startSender(() =>
+        err(failure),
+      )
+      const [first] = tasks(2)
+      startCopy(first!)
+      await sleep(ANSWER_MS / 3)
+      const end = { seq: 1, task: first!.name, run: 1, kind: 'done', checkpoint: '' }
+      book.applyEnd('t2', end as ReportedEnd)
+      t.is(first!.phase, 'done')
+      await sender.idle()
+      t.deepEqual(sent, ['start 0', 'stop 0'])
+      t.is(fences(), 1)
+    })
+
+    // A successor may have recorded that the task is done.
+    it('is not sent while the owner is not confirmed, and the other run goes on', async (t) => {
+      const { sent, sender, runs, startCopy, tasks, setConfirmed } = startSender()
+      const [first] = tasks(1)
+      setConfirmed(false)
+      startCopy(first!)
+      await sender.idle()
+      t.deepEqual(sent, [])
+      t.is(runs.placements.size, 0)
+      t.is(first!.copy, undefined)
+      t.is(first!.targetId, 't2')
+      t.is(first!.phase, 'placed')
+    })
+  })
+
   // Otherwise each of four queued starts for a silent target waits for the time-outs before it.
   it('makes the tasks of queued starts ready when the target does not answer', async (t) => {
     const failure = { failure: 'unanswered', reason: 'no answer', cause: NO_ANSWER }
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -182,14 +182,12 @@
   }
 
   /**
-   * Whether the start of a run may be sent as far as copies are concerned: the task still needs the
-   * run, and no successor may have recorded its end. Always true for steps without copies.
+   * Whether the start of a run, if it is a copy, may be sent: its task still needs it, and no
+   * successor may have recorded the end of the task.
    */
-  function mayCopyStart({ task, run, state }: Placement): boolean {
-    if (!task?.step.spec.duplicates) return true
-    if (state === 'stopping' || task.phase === 'done') return false
-    return task.copy?.run !== run || authority.isConfirmed()
-  }
+  const mayStartCopy = ({ task, state, isCopy }: Placement): boolean =>
+    !isCopy ||
+    (task?.phase === 'placed' && state !== 'stopping' && authority.isConfirmed())
 
   async function sendStart(
     task: Task,
@@ -200,7 +198,7 @@
     const isCurrent = (): boolean =>
       runs.placements.get(name) === placement &&
       authority.mayOrder() &&
-      mayCopyStart(placement)
+      mayStartCopy(placement)
     const isWanted = isCurrent() && !task.step.job.outcome
     const leaseUntilMs = isWanted ? lease.extend() : undefined
     if (leaseUntilMs === undefined) return undoPlacement(placement)
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -311,7 +311,7 @@
     agents,
     targets,
     mayMissTargets: () => mayMissTargets,
-    adoptsCopies: copies !== undefined,
+    usesCopies: copies !== undefined,
     taskDone: copies?.noteDone,
     orders: opts.orders,
     progress,
--- a/src/scheduler/speculation.ts
+++ b/src/scheduler/speculation.ts
@@ -22,7 +22,7 @@
  * Minimum time of a slow run, in ms. The owner hears of ends with up to 0.3 s of delay on a link that
  * loses an answer, and a shorter run ends before its copy has begun.
  */
-const MIN_SLOW_MS = 400
+export const MIN_SLOW_MS = 400
 /** Assumed time from the decision to the start of a copy, in ms. */
 const COPY_START_MS = 100
 /** Largest share of the room in use that copies may take. */
--- a/src/scheduler/speculativeCopies.ts
+++ b/src/scheduler/speculativeCopies.ts
@@ -15,7 +15,7 @@
 import type { PlacementPolicy } from './placementRules.js'
 import { rackOf } from './planner.js'
 import { needOf } from './room.js'
-import { allowsCopies, chooseCopies, paceOfStep } from './speculation.js'
+import { MIN_SLOW_MS, allowsCopies, chooseCopies, paceOfStep } from './speculation.js'
 import type { CopyBudget, CopyCandidate } from './speculation.js'
 import type { Starter } from './starter.js'
 import type { StartWindow } from './startWindow.js'
@@ -116,11 +116,15 @@
     now: number,
   ): SlowRun[] {
     if (step.crashSuspects.size > 0) return []
+    const tasks = step.tasks.filter(
+      (task) => task.phase === 'placed' && now - task.startedAt > MIN_SLOW_MS,
+    )
+    if (tasks.length === 0) return []
     const pace = paceOfStep(runTimes, step.tasks.length, step.doneCount)
     if (!pace) return []
     const found: SlowRun[] = []
-    for (const task of step.tasks) {
-      if (task.phase !== 'placed' || task.copy || copied.has(task)) continue
+    for (const task of tasks) {
+      if (task.copy || copied.has(task)) continue
       const elapsedMs = now - task.startedAt
       if (elapsedMs <= pace.slowAfterMs || isLastAttempt(task)) continue
       const agent = agents.get(task.targetId ?? '')
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -59,8 +59,8 @@
   /** Starts in flight on all targets of the owner. */
   startWindow: StartWindow
   quotaUsage: QuotaUsage
-  /** Whether a second run of a task, of the previous owner, is adopted and not stopped. */
-  adoptsCopies: boolean
+  /** Whether tasks may have copies; those of the previous owner are adopted and not stopped. */
+  usesCopies: boolean
   /** Longest time for which unknown runs of the previous owner can go on, in ms. */
   inheritedLeaseMs: number
   /** Initial token offset, above those that earlier incarnations of the id have seen. */
@@ -120,7 +120,7 @@
     book,
     authority,
     quotaUsage: opts.quotaUsage,
-    adoptsCopies: opts.adoptsCopies,
+    usesCopies: opts.usesCopies,
     log,
     unwanted: (name, run) => sender.stop(name, run),
     ended: (task, kind) => opts.ended(agent, task, kind),
@@ -396,6 +396,7 @@
     },
     startCopy(task, runNumber, ticket) {
       const placement = runs.add(task, runNumber, 'starting')
+      placement.isCopy = true
       book.placeCopy(task, targetId, runNumber)
       sender.start(task, placement, ticket)
     },
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -66,8 +66,8 @@
   isolation: Isolation
   startWindow: StartWindow
   quotas: ServiceQuotas
-  /** Whether second runs of tasks, of the previous owner, are adopted and not stopped. */
-  adoptsCopies: boolean
+  /** Whether tasks may have copies; those of the previous owner are adopted and not stopped. */
+  usesCopies: boolean
   /** Called when a task is done; undefined if nothing needs it. */
   taskDone: ((task: Task) => void) | undefined
   log: Logger
@@ -161,7 +161,7 @@
       progress: opts.progress,
       startWindow: opts.startWindow,
       quotaUsage: opts.quotas.usage,
-      adoptsCopies: opts.adoptsCopies,
+      usesCopies: opts.usesCopies,
       initialTokenOffset: nextTokenOffsets.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -32,6 +32,8 @@
   name: string
   run: number
   state: 'starting' | 'running' | 'unsure' | 'stopping'
+  /** Whether it was ordered as a copy. */
+  isCopy: boolean
   /** Whether its start may have reached the target. */
   mayHaveBegun: boolean
   /** Monotonic time at which the start was sent, in ms; -Infinity before. */
@@ -122,8 +124,8 @@
   authority: Authority
   /** Notified of every run that may be on the target. */
   quotaUsage: QuotaUsage
-  /** Whether a second run of a task, of the previous owner, is adopted and not stopped. */
-  adoptsCopies: boolean
+  /** Whether tasks may have copies; those of the previous owner are adopted and not stopped. */
+  usesCopies: boolean
   log: Logger
   /** Called for a run on the target that must be stopped. */
   unwanted(name: string, run: number): void
@@ -221,7 +223,7 @@
 
   /** Whether a run is the second one that the previous owner has left of the task. */
   const isInheritedCopy = (task: Task, run: number): boolean =>
-    opts.adoptsCopies &&
+    opts.usesCopies &&
     task.step.spec.duplicates &&
     task.phase === 'placed' &&
     !task.copy &&
@@ -249,7 +251,7 @@
    */
   function noteUnneeded(placement: Placement): void {
     const { task, run, state } = placement
-    if (!task?.step.spec.duplicates || state === 'stopping') return
+    if (!opts.usesCopies || !task?.step.spec.duplicates || state === 'stopping') return
     const isOpen = task.phase === 'placed' && !task.step.job.outcome
     if (isOpen && (run === task.presentRun || run === task.copy?.run)) return
     placement.state = 'stopping'
@@ -394,6 +396,7 @@
     name: task.name,
     run,
     state,
+    isCopy: false,
     mayHaveBegun: state !== 'starting',
     sentAt: -Infinity,
     stopOrderedAt: -Infinity,
