--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -171,7 +171,7 @@
   function undoPlacement(placement: Placement): void {
     const { task, run } = placement
     runs.remove(placement)
-    if (task?.run === run) book.unplace(task)
+    if (task) book.unplace(task, run)
   }
 
   const refusalHandlers: Record<StartRefusal, (task: Task) => void> = {
@@ -183,6 +183,14 @@
     ticket: (task) => opts.ticketRefused(task),
   }
 
+  /**
+   * Whether the start of a run, if it is a copy, may be sent: its task still needs it, and no
+   * successor may have recorded the end of the task.
+   */
+  const mayStartCopy = ({ task, state, isCopy }: Placement): boolean =>
+    !isCopy ||
+    (task?.phase === 'placed' && state !== 'stopping' && authority.isConfirmed())
+
   async function sendStart(
     task: Task,
     placement: Placement,
@@ -193,7 +201,8 @@
     const maySend = (): boolean =>
       runs.placements.get(name) === placement &&
       authority.mayOrder() &&
-      !opts.isCordoned()
+      !opts.isCordoned() &&
+      mayStartCopy(placement)
     const isWanted = maySend() && !task.step.job.outcome
     const leaseUntilMs = isWanted ? lease.extend() : undefined
     if (leaseUntilMs === undefined) return undoPlacement(placement)
@@ -251,7 +260,7 @@
     if (reason !== 'fenced' || sentToken === token()) refusalHandlers[reason](task)
     if (unansweredCalls > 0) return markUnsure(placement)
     runs.remove(placement)
-    book.unplace(task)
+    book.unplace(task, run)
     opts.changed()
   }
 
@@ -284,7 +293,7 @@
     if (mayArrive && error.failure !== 'gone') return markUnsure(placement)
     if (error.failure === 'notDone') {
       runs.remove(placement)
-      book.unplace(task)
+      book.unplace(task, run)
     }
     opts.failed(error)
     opts.changed()
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -63,6 +63,8 @@
   quotaUsage: QuotaUsage
   /** Whether operators have cordoned a data hall, as far as this node knows now. */
   isHallCordoned(hall: string): boolean
+  /** Whether tasks may have copies; those of the previous owner are adopted and not stopped. */
+  usesCopies: boolean
   /** Longest time for which unknown runs of the previous owner can go on, in ms. */
   inheritedLeaseMs: number
   /** Initial token offset, above those that earlier incarnations of the id have seen. */
@@ -123,6 +125,7 @@
     book,
     authority,
     quotaUsage: opts.quotaUsage,
+    usesCopies: opts.usesCopies,
     log,
     unwanted: (name, run) => sender.stop(name, run),
     ended: (task, kind) => opts.ended(agent, task, kind),
@@ -400,6 +403,12 @@
       coldTargets.noteStart(targetId)
       sender.start(task, placement, ticket)
     },
+    startCopy(task, runNumber, ticket) {
+      const placement = runs.add(task, runNumber, 'starting')
+      placement.isCopy = true
+      book.placeCopy(task, targetId, runNumber)
+      sender.start(task, placement, ticket)
+    },
     stop(name) {
       const placement = placements.get(name)
       if (!placement || placement.state === 'stopping') return
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -3,7 +3,7 @@
  * roster of the previous owner names the target, and closes it once no run can be left there.
  */
 import type { ConfigurationHolder, TargetList } from '../directory/index.js'
-import type { JobBook } from '../jobs/index.js'
+import type { JobBook, Task } from '../jobs/index.js'
 import { GRACE_MS } from '../ownership/index.js'
 import type { Authority } from '../ownership/index.js'
 import type { Target, TargetOrders } from '../ports/index.js'
@@ -70,6 +70,10 @@
   startWindow: StartWindow
   /** Notified of every run that may be on a target. */
   quotaUsage: QuotaUsage
+  /** Whether tasks may have copies; those of the previous owner are adopted and not stopped. */
+  usesCopies: boolean
+  /** Called when a task is done; undefined if nothing needs it. */
+  taskDone: ((task: Task) => void) | undefined
   log: Logger
   /** Called when the free room, the state or the reports of a target have changed. */
   changed(): void
@@ -163,6 +167,7 @@
       coldTargets,
       quotaUsage: opts.quotaUsage,
       isHallCordoned: (hall) => opts.configuration.cordons().has(hall),
+      usesCopies: opts.usesCopies,
       initialTokenOffset: nextTokenOffsets.get(target.id) ?? 0,
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
@@ -175,6 +180,7 @@
           !coldTargets.wasColdSince(target.id, task.startedAt)
         if (kind === 'done' && isMeasured)
           opts.runTimes.note(task, monotonicMs() - task.startedAt)
+        if (kind === 'done') opts.taskDone?.(task)
         health.noteEnd(each, task, kind)
       },
       restarted: health.forget,
