fix(scheduler): let copies pass targets without room, and start none on cold ones

Copies are chosen one by one now, are charged only if ordered, and pass cold targets; only steps that allow copies keep a second run; a run is measured on its own target.

--- a/src/node/nodeMetrics.ts
+++ b/src/node/nodeMetrics.ts
@@ -2,17 +2,13 @@
  * Metrics of a node, with prom-client. Most are derived from logged events, so that the log and
  * the metrics always agree; calls to external services are recorded directly.
  */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
-import { REFUSAL_TEXTS } from '../admission/index.js'
+import { Counter, Histogram, Registry } from 'prom-client'
 import type { EventFields, EventName, Logger } from '../shared/index.js'
+import { createOptionalMetrics } from './optionalMetrics.js'
 
 /** Upper bounds of histogram buckets, in seconds: calls take some ms, jobs some seconds. */
 const BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32]
 
-/** Most queues with a label value of their own; further ones share one. */
-const MAX_QUEUE_LABELS = 200
-const OTHER_QUEUES = 'other'
-
 /** The metrics of one node. */
 export interface NodeMetrics {
   registry: Registry
@@ -81,17 +77,6 @@
     labelNames: ['kind'],
     registers,
   })
-  const copies = new Counter({
-    name: 'rillshunt_copies_ended_total',
-    help: 'second runs of slow tasks that ended, by outcome',
-    labelNames: ['outcome'],
-    registers,
-  })
-  const copiesWasted = new Counter({
-    name: 'rillshunt_copies_wasted_seconds_total',
-    help: 'time of runs thrown away because of second runs of slow tasks',
-    registers,
-  })
   const configurationAge = new Histogram({
     name: 'rillshunt_configuration_age_seconds',
     help: 'age of the configuration by which a request was accepted or its caller refused',
@@ -104,22 +89,9 @@
     labelNames: ['hold'],
     registers,
   })
-  const cordons = new Gauge({
-    name: 'rillshunt_hall_cordoned',
-    help: '1 for a data hall that is cordoned as far as this node knows, 0 once that is lifted',
-    labelNames: ['hall'],
-    registers,
-  })
-  const sharesExceeded = new Counter({
-    name: 'rillshunt_share_exceeded_total',
-    help: 'lines about jobs that wait beyond the share of their organisation',
-    labelNames: ['organisation'],
-    registers,
-  })
   return {
     registry,
     events,
-    sharesExceeded,
     calls,
     bytes,
     waits,
@@ -128,70 +100,28 @@
     late,
     jobs,
     runEnds,
-    copies,
-    copiesWasted,
     configurationAge,
-    cordons,
-  }
-}
-
-/**
- * Counts jobs that admission refuses. The counter is registered with the first one, so that the
- * metrics of nodes without admission do not change.
- */
-function createRefusalCounter(registry: Registry): (fields: EventFields) => void {
-  const queues = new Set<string>()
-  let counter: Counter | undefined
-
-  const labelOf = (queue: string): string => {
-    if (queues.size < MAX_QUEUE_LABELS) queues.add(queue)
-    return queues.has(queue) ? queue : OTHER_QUEUES
-  }
-  return (fields) => {
-    const reason = String(fields['reason'])
-    if (!Object.hasOwn(REFUSAL_TEXTS, reason)) return
-    counter ??= new Counter({
-      name: 'rillshunt_jobs_refused_total',
-      help: 'jobs refused before their rows were written, by queue and reason',
-      labelNames: ['queue', 'reason'],
-      registers: [registry],
-    })
-    counter.inc({ queue: labelOf(String(fields['queue'])), reason })
   }
 }
 
 /** Creates the metrics of a node, all at zero. */
 export function createNodeMetrics(): NodeMetrics {
   const { registry, configurationAge, ...instruments } = createInstruments()
-  const { events, calls, bytes, waits, holds, intake, late, jobs, runEnds, cordons } =
-    instruments
-  const { sharesExceeded, copies, copiesWasted } = instruments
+  const { events, calls, bytes, waits, holds, intake, late, jobs, runEnds } = instruments
   const noteConfigurationAge = (fields: EventFields): void =>
     configurationAge.observe(secondsOf(fields, 'configurationAgeMs'))
 
   /** Updates of metrics by event, in addition to the count of events. */
   const HANDLERS: Partial<Record<EventName, (fields: EventFields) => void>> = {
+    ...createOptionalMetrics(registry),
     taskPlaced: (fields) => waits.observe(secondsOf(fields, 'waitedMs')),
     jobAccepted: noteConfigurationAge,
-    jobRefused: createRefusalCounter(registry),
     callerRefused: noteConfigurationAge,
-    hallCordoned: (fields) => cordons.set({ hall: String(fields['hall']) }, 1),
-    hallUncordoned: (fields) => cordons.set({ hall: String(fields['hall']) }, 0),
     taskWaits: (fields) => holds.inc({ hold: String(fields['hold']) }),
     jobTaken: (fields) =>
       intake.observe({ from: String(fields['from']) }, secondsOf(fields, 'lateMs')),
     processLate: (fields) => late.observe(secondsOf(fields, 'lateMs')),
-    sharesExceeded(fields) {
-      for (const { organisation } of fields['organisations'] as {
-        organisation: string
-      }[])
-        sharesExceeded.inc({ organisation })
-    },
     runEnded: (fields) => runEnds.inc({ kind: String(fields['kind']) }),
-    copyEnded(fields) {
-      copies.inc({ outcome: String(fields['outcome']) })
-      copiesWasted.inc(secondsOf(fields, 'wastedMs'))
-    },
     jobSettled: (fields) =>
       jobs.observe({ outcome: String(fields['outcome']) }, secondsOf(fields, 'tookMs')),
   }
--- a/src/scheduler/__tests__/packing.spec.ts
+++ b/src/scheduler/__tests__/packing.spec.ts
@@ -44,6 +44,17 @@
     t.deepEqual(surplusOf(1), [true, false, true, true])
   })
 
+  // Otherwise tasks wait for cold targets at their start limit beside idle warm ones.
+  it('counts on cold targets last, however full they are', (t) => {
+    const isCold = (agent: TargetAgent): boolean => agent === agents[1]
+    const isSurplus = createPacking(agents, 10_000, () => true, isCold)
+    const step = stepWith({})
+    t.deepEqual(
+      agents.map((agent) => isSurplus(agent, step)),
+      [false, true, true, false],
+    )
+  })
+
   // Otherwise a job that suspicion keeps off all targets is not tried on any of them.
   it('keeps no task off a target that works badly', (t) => {
     const isSurplus = createPacking(agents, 1, () => false)
--- a/src/scheduler/__tests__/speculation.spec.ts
+++ b/src/scheduler/__tests__/speculation.spec.ts
@@ -85,6 +85,19 @@
     t.deepEqual(chooseCopies([nearer, further], { ...AMPLE, workDone }), [further])
   })
 
+  // Slow runs whose label only one target has would keep all other tasks from their copies.
+  it('charges nothing for candidates that no target can take', (t) => {
+    const unplaceable = candidate({ percent: 5 })
+    const placeable = candidate({ percent: 50 })
+    const workDone = (100 * 100) / 0.05
+    const chosen = chooseCopies(
+      [unplaceable, placeable],
+      { ...AMPLE, workDone },
+      (each) => each === placeable,
+    )
+    t.deepEqual(chosen, [placeable])
+  })
+
   it('orders nothing before work has been done, or without room in use', (t) => {
     t.deepEqual(chooseCopies([candidate()], { ...AMPLE, workDone: 0 }), [])
     t.deepEqual(chooseCopies([candidate()], { ...AMPLE, usedRoom: NOTHING }), [])
--- a/src/scheduler/moveUnhealthyRuns.ts
+++ b/src/scheduler/moveUnhealthyRuns.ts
@@ -1,4 +1,5 @@
 /** Stops stalled and slow runs that are finished sooner if they are restarted. */
+import { startOfRun } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import type { Health } from './health.js'
@@ -40,7 +41,7 @@
       task: placement.name,
       target: agent.target.id,
       percent: placement.percent,
-      ranMs: Math.round(monotonicMs() - task.startedAt),
+      ranMs: Math.round(monotonicMs() - startOfRun(task, placement.run)),
     })
     health.noteMoved(run)
     agent.stop(placement.name)
--- a/src/scheduler/packing.ts
+++ b/src/scheduler/packing.ts
@@ -23,17 +23,21 @@
  * Chooses the targets that the owner needs, those in use first.
  * @param usableCpu room that the owner can use, in thousandths of a core; Infinity without a limit
  * @param isSound whether no evidence keeps tasks off the target; others are left to that evidence
+ * @param isCold whether the target is slow after its start; cold targets are chosen last
  */
 export function createPacking(
   agents: readonly TargetAgent[],
   usableCpu: number,
   isSound: (agent: TargetAgent) => boolean,
+  isCold: (agent: TargetAgent) => boolean = () => false,
 ): IsSurplus {
   if (usableCpu === Infinity) return () => false
   const usable = agents.filter((agent) => agent.isUsable() && isSound(agent))
   const surplus = new Set<TargetAgent>()
   let missingCpu = usableCpu / PLANNED_UTILIZATION
-  for (const agent of usable.sort((a, b) => takenCpuOf(b.room) - takenCpuOf(a.room))) {
+  const byUse = (a: TargetAgent, b: TargetAgent): number =>
+    Number(isCold(a)) - Number(isCold(b)) || takenCpuOf(b.room) - takenCpuOf(a.room)
+  for (const agent of usable.sort(byUse)) {
     if (missingCpu <= 0) surplus.add(agent)
     missingCpu -= agent.room.capacity.cpu
   }
--- a/src/scheduler/runMonitor.ts
+++ b/src/scheduler/runMonitor.ts
@@ -162,7 +162,7 @@
     const ranMs = reportedAt - startedAt
     if (ranMs < MIN_MEASURED_RUN_MS || !runTimes.hasEnoughRuns(task.step))
       return undefined
-    if (wasColdSince(agent, task.startedAt)) return undefined
+    if (wasColdSince(agent, startedAt)) return undefined
     const pace = (percent * runTimes.meanRunMs(task.step)) / (100 * ranMs)
     return { step: task.step, agent, pace, startedAt, at: reportedAt }
   }
--- a/src/scheduler/speculation.ts
+++ b/src/scheduler/speculation.ts
@@ -103,10 +103,14 @@
   return leftMs - pace.expectedMs - COPY_START_MS
 }
 
-/** Returns the candidates that deserve a copy now, those that save most time first. */
+/**
+ * Returns the candidates that deserve a copy now, those that save most time first.
+ * @param accept whether the candidate gets its copy; those that do not use up no budget
+ */
 export function chooseCopies<T extends CopyCandidate>(
   candidates: readonly T[],
   { usedRoom, copyRoom, workDone, copyWork }: CopyBudget,
+  accept: (candidate: T) => boolean = () => true,
 ): T[] {
   const room = { ...copyRoom }
   let work = copyWork
@@ -123,6 +127,7 @@
         need[kind] === 0 || room[kind] + need[kind] <= usedRoom[kind] * MAX_ROOM_SHARE,
     )
     if (!fits || work + cost > workDone * MAX_WORK_SHARE) continue
+    if (!accept(candidate)) continue
     for (const kind of RESOURCE_KINDS) room[kind] += need[kind]
     work += cost
     chosen.push(candidate)
--- a/src/scheduler/speculativeCopies.ts
+++ b/src/scheduler/speculativeCopies.ts
@@ -9,6 +9,7 @@
 import { RESOURCE_KINDS, zeroAmounts } from '../quotas/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import type { ColdTargets } from './coldTargets.js'
 import { firstRunOf } from './constants.js'
 import type { Health } from './health.js'
 import { UNRESTRICTED_POLICY, stepHoldOf } from './placementRules.js'
@@ -24,8 +25,11 @@
 
 /** Most run times kept of one step; more do not change the median much. */
 const MAX_RUN_TIMES = 200
-/** Most copies ordered by one check, so that a check stays short. */
+/** Most copies ordered by one check, and most slow runs tried, so that a check stays short. */
 const MAX_COPIES_PER_CHECK = 4
+const MAX_TRIED_PER_CHECK = 16
+/** Time after which a slow run for whose copy no target had room is tried again, in ms. */
+const RETRY_MS = 1000
 /**
  * Number of waiting tasks above which no copy is ordered. With fewer, each is checked for whether it
  * could use the room of the copy.
@@ -55,6 +59,7 @@
   starter: Pick<Starter, 'policyNow' | 'startCopy'>
   startWindow: Pick<StartWindow, 'isBehind'>
   health: Pick<Health, 'penaltyOf'>
+  coldTargets: Pick<ColdTargets, 'isCold'>
   /** Whether jobs or runs of the predecessor may still be unknown. */
   isTakingOver(): boolean
   log: Logger
@@ -83,6 +88,8 @@
   const firstRun = firstRunOf(authority.term)
   /** Run times of ended tasks by step, in ms, of open steps that allow copies. */
   const endedMs = new Map<Step, number[]>()
+  /** Monotonic time at which a copy of a task was last tried, in ms. */
+  const triedAt = new WeakMap<Task, number>()
   /** Tasks that have had a copy. */
   const copied = new WeakSet<Task>()
   /** Expected work of the copies that run. */
@@ -178,6 +185,7 @@
       const view = { agent, free, countOf, startsLeft: agent.startsLeft() }
       if (stepHoldOf(view, task.step, policy) !== undefined) continue
       if (opts.health.penaltyOf(agent, task) > 0) continue
+      if (opts.coldTargets.isCold(agent.target.id)) continue
       const cost = -distanceOf(agent, origin) * 1e9 - free.cpu
       if (cost >= bestCost) continue
       best = agent
@@ -198,13 +206,13 @@
     )
   }
 
-  /** Orders a copy if a target has room that no waiting task could use. */
-  function order(run: SlowRun, agents: readonly TargetAgent[]): void {
+  /** Orders a copy if a target has room that no waiting task could use; returns whether it did. */
+  function order(run: SlowRun, agents: readonly TargetAgent[]): boolean {
     const { task, pace, elapsedMs, workRate } = run
     const policy = starter.policyNow(agents)
-    if (policy.exceedsQuota(task.step)) return
+    if (policy.exceedsQuota(task.step)) return false
     const agent = chooseTarget(run, agents, policy)
-    if (!agent || isRoomAwaited(agent, policy)) return
+    if (!agent || isRoomAwaited(agent, policy)) return false
     copied.add(task)
     expectedWork.set(task, pace.expectedMs * workRate)
     const number = starter.startCopy(task, agent)
@@ -216,6 +224,31 @@
       elapsedMs: Math.round(elapsedMs),
       expectedMs: Math.round(pace.expectedMs),
     })
+    return true
+  }
+
+  /** Orders the copies that are worth it among the slow runs that were not tried recently. */
+  function orderAmong(
+    slow: readonly SlowRun[],
+    agents: readonly TargetAgent[],
+    now: number,
+  ): void {
+    let ordered = 0
+    let tried = 0
+    const wasTried = ({ task }: SlowRun): boolean =>
+      now - (triedAt.get(task) ?? -Infinity) < RETRY_MS
+    chooseCopies(
+      slow.filter((run) => !wasTried(run)),
+      budgetNow(agents, now),
+      (run) => {
+        if (ordered >= MAX_COPIES_PER_CHECK || tried >= MAX_TRIED_PER_CHECK) return false
+        tried++
+        triedAt.set(run.task, now)
+        if (!order(run, agents)) return false
+        ordered++
+        return true
+      },
+    )
   }
 
   return {
@@ -256,8 +289,7 @@
         slowRunsOf(step, runTimes, byId, now),
       )
       if (slow.length === 0) return
-      const chosen = chooseCopies(slow, budgetNow(agents, now))
-      for (const run of chosen.slice(0, MAX_COPIES_PER_CHECK)) order(run, agents)
+      orderAmong(slow, agents, now)
     },
   }
 }
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -78,6 +78,8 @@
       maxAttemptsOf: (job) => configuration.queue(job.spec.queue)?.maxAttempts ?? 1,
     })
 
+  const isCold = ({ target }: TargetAgent): boolean => coldTargets.isCold(target.id)
+
   const isSound = (agent: TargetAgent): boolean => health.standingOf(agent) === 'sound'
 
   const policyOf = (
@@ -88,7 +90,7 @@
   ): PlacementPolicy => ({
     exceedsQuota: exceeds,
     isRostered: (agent) => roster.has(agent.target.id),
-    isSurplus: createPacking(agents, opts.usableCpu(), isSound),
+    isSurplus: createPacking(agents, opts.usableCpu(), isSound, isCold),
     isIsolated: forbids,
     isSuspect,
     lacksTicket: (agent, step) =>
@@ -135,7 +137,8 @@
     const paced = pacedUrgencies({
       ready: book.ready,
       perSecond,
-      urgencyOf: delayedUrgencyOf,
+      urgencyOf: (job, delayMs) =>
+        (delayMs === 0 ? known?.get(job) : undefined) ?? delayedUrgencyOf(job, delayMs),
     })
     return (job) => paced.get(job) ?? delayedUrgencyOf(job, 0)
   }
@@ -154,9 +157,7 @@
       urgencyOf: createUrgencyLookup(agents, now, quotaRound),
       policy: policyOf(agents, round, isolationRound, quotaRound),
       penaltyOf: health.penaltyOf,
-      ...(coldTargets.any() && {
-        isCold: ({ target }: TargetAgent) => coldTargets.isCold(target.id),
-      }),
+      ...(coldTargets.any() && { isCold }),
       hasStepPolicy: (step) => needsTicket(step) || step.crashSuspects.size > 0,
       mayTry: round.mayUseSuspects,
       startsLeft,
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -407,6 +407,7 @@
       const placement = runs.add(task, runNumber, 'starting')
       placement.isCopy = true
       book.placeCopy(task, targetId, runNumber)
+      coldTargets.noteStart(targetId)
       sender.start(task, placement, ticket)
     },
     stop(name) {
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -174,13 +174,15 @@
       changed: opts.changed,
       ticketRefused: (step, id) => opts.tickets.discard(step, id),
       ended(each, task, kind) {
-        // The report of the end may have been the first news of the run.
+        // Another run may have become the present one, and the report of the end may have been the
+        // first news of the run.
         const isMeasured =
+          task.targetId === target.id &&
           Number.isFinite(task.startedAt) &&
           !coldTargets.wasColdSince(target.id, task.startedAt)
         if (kind === 'done' && isMeasured)
           opts.runTimes.note(task, monotonicMs() - task.startedAt)
-        if (kind === 'done') opts.taskDone?.(task)
+        if (kind === 'done' && isMeasured) opts.taskDone?.(task)
         health.noteEnd(each, task, kind)
       },
       restarted: health.forget,
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -16,6 +16,7 @@
 import { createRoom, needOf } from './room.js'
 import type { Room } from './room.js'
 import type { QuotaUsage } from './serviceQuotas.js'
+import { allowsCopies } from './speculation.js'
 
 /**
  * Time after which the stop of a run that is still listed is sent again, in ms. A stop on a
@@ -212,7 +213,12 @@
       if (isCopy) book.placeCopy(task, targetId, run)
       else book.place(task, targetId, run)
       book.noteBegun(task, run)
-      log.event('runAdopted', { task: name, run, target: targetId, isCopy })
+      log.event('runAdopted', {
+        task: name,
+        run,
+        target: targetId,
+        ...(isCopy && { isCopy }),
+      })
       return
     }
     log.event('runUnwanted', { task: name, run, target: targetId })
@@ -224,7 +230,7 @@
   /** Whether a run is the second one that the previous owner has left of the task. */
   const isInheritedCopy = (task: Task, run: number): boolean =>
     opts.usesCopies &&
-    task.step.spec.duplicates &&
+    allowsCopies(task.step) &&
     task.phase === 'placed' &&
     !task.copy &&
     task.targetId !== targetId &&
