fix(admission): count no work of other organisations before one that is served next

Symptom: of 20 organisations 19 wait with 1,140 jobs; the idle one sends a job and is refused (`backlog`, waitMs 5950 of usefulMs 4500), although at most 19 jobs come before it. Cause: all work within shares of the same priority counted as before the job, while weighted shares serve the organisations by turns. Evidence: the new test of decideAdmission was refused instead of admitted before the change. Why it works: with weighted shares the load names the organisations with ready tasks of jobs of use, by priority. For an organisation within its share that is not among them, and for a job without one, only higher priorities count, which stays a lower bound. Organisations with waiting jobs are judged as before. The field is optional, so that nodes of older builds ignore it.

--- a/src/admission/__tests__/decision.spec.ts
+++ b/src/admission/__tests__/decision.spec.ts
@@ -106,6 +106,23 @@
       t.is(hot.kind === 'refuse' && hot.reason, 'beyondShare')
     })
 
+    // Weighted shares serve the organisations by turns, so that an idle one is served next however
+    // much the others have sent.
+    it('of other organisations does not count for one without waiting jobs', (t) => {
+      const turns = [{ priority: QUEUE.priority, organisations: ['busy'] }]
+      const kindFor = (organisation: string | undefined, more: Partial<ServiceLoad>) =>
+        kindOf({ load: loadOf({ turns, ...more }), job: { ...JOB, organisation } })
+      t.is(kindFor('idle', {}), 'admit')
+      t.is(kindFor(undefined, {}), 'admit')
+      t.is(kindFor('busy', {}), 'refuse')
+      t.is(kindFor('idle', { turns: undefined }), 'refuse')
+      const priority = QUEUE.priority - 1
+      const higher = [partOf({ priority, timelyWork: 200_000 })]
+      t.is(kindFor('idle', { backlog: higher }), 'refuse')
+      const otherTurns = [{ priority, organisations: ['idle'] }]
+      t.is(kindFor('idle', { turns: otherTurns }), 'admit')
+    })
+
     it('of late jobs does not count for a job that can be in time', (t) => {
       t.is(kindOf(withBacklog({ lateWork: 200_000 })), 'admit')
       const both = { lateWork: 200_000, timelyWork: 30_000 }
--- a/src/admission/decision.ts
+++ b/src/admission/decision.ts
@@ -152,6 +152,23 @@
   return Math.min(MAX_RETRY_S, seconds) * 1000
 }
 
+/**
+ * Whether work of the same priority may all come after a job: where organisations are served by
+ * turns, that of others does if its organisation has no waiting jobs. Jobs without an organisation
+ * come before the turns.
+ */
+function isServedNext(
+  { turns }: ServiceLoad,
+  priority: number,
+  organisation: string | undefined,
+): boolean {
+  if (!turns) return false
+  if (organisation === undefined) return true
+  return !turns.some(
+    (each) => each.priority === priority && each.organisations.includes(organisation),
+  )
+}
+
 /** Decides whether a job is admitted. */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
   const pressed = pressedLoad(input)
@@ -166,9 +183,10 @@
 
   const { organisation } = job
   const isBeyond = organisation !== undefined && load.beyondShare.includes(organisation)
+  const isNext = !isBeyond && isServedNext(load, queue.priority, organisation)
   const isAhead = ({ priority, beyondShare }: BacklogPart): boolean =>
     priority < queue.priority ||
-    (priority === queue.priority && (isBeyond || !beyondShare))
+    (priority === queue.priority && !isNext && (isBeyond || !beyondShare))
   const parts = load.backlog.filter(isAhead)
   const ageMs = Math.max(0, Number.isFinite(input.jobAgeMs) ? input.jobAgeMs : 0)
   const timely = waitsBehind(sumAhead(parts, false), load)
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -24,6 +24,14 @@
 /** Waiting work of jobs that come at the same place in the order. */
 export type BacklogPart = z.infer<typeof backlogPartSchema>
 
+const turnsSchema = z.object({
+  priority: z.number(),
+  /** Names of the organisations with tasks that may start. */
+  organisations: z.array(z.string()).max(MAX_ENTRIES),
+})
+/** Organisations that are served by turns in one priority. */
+export type Turns = z.infer<typeof turnsSchema>
+
 export const serviceLoadSchema = z.object({
   /** Term of the owner that computed the load. */
   term: z.number(),
@@ -44,6 +52,11 @@
   /** Work left of the tasks that run, in cores times ms. */
   runningWork: amountSchema.default(0),
   backlog: z.array(backlogPartSchema).max(MAX_ENTRIES).default([]),
+  /**
+   * Organisations with waiting jobs, by priority; undefined where organisations are not served by
+   * turns. An organisation that is not among them waits for no work of its priority.
+   */
+  turns: z.array(turnsSchema).max(MAX_ENTRIES).optional(),
   /** Names of the organisations whose newest jobs are beyond their shares. */
   beyondShare: z.array(z.string()).max(MAX_ENTRIES).default([]),
   /** Mean run time of a task by queue, in ms; without queues that have had few runs. */
--- /dev/null
+++ b/src/scheduler/__tests__/loadMeterSums.spec.ts
@@ -0,0 +1,92 @@
+import { describe, it } from '../../../test/describe.js'
+import { QUEUE, makeJob } from '../../../test/jobRig.js'
+import type { Job, TaskPhase } from '../../jobs/index.js'
+import type { StepSpec } from '../../jobs/index.js'
+import { createLoadMeter } from '../loadMeter.js'
+import type { LoadMeterOptions } from '../loadMeter.js'
+import type { TargetAgent } from '../types.js'
+import type { Urgency } from '../urgency.js'
+
+const TASK_CPU = 1000
+const RUN_MS = 400
+
+interface JobInput {
+  organisation?: string
+  priority?: number
+  standing?: Urgency['standing']
+  isBeyond?: boolean
+  phases?: TaskPhase[]
+  targetId?: string
+  step?: Partial<StepSpec>
+}
+
+/** A job with one step, as far as the meter reads it. */
+function jobOf({ organisation, phases = ['ready'], targetId, step }: JobInput): Job {
+  const spec = makeJob({ cpu: TASK_CPU }, [{ count: phases.length, ...step }], {
+    organisation,
+  })
+  const tasks = phases.map((phase) => ({ phase, targetId, startedAt: 0 }))
+  const job = { spec }
+  const steps = [{ job, spec: spec.steps[0], tasks, doneCount: 0 }]
+  const occurrences = [{ due: true, openSteps: 1, steps }]
+  return Object.assign(job, { occurrences }) as unknown as Job
+}
+
+/** A target with the given idle room. */
+function agentOf(id: string, isUsable = true, freeCpu = 0): TargetAgent {
+  const capacity = { cpu: 4000, memMb: 4000, gpu: 0 }
+  const free = { cpu: freeCpu, memMb: freeCpu, gpu: 0 }
+  const agent = { target: { id }, room: { capacity, free }, isUsable: () => isUsable }
+  return agent as unknown as TargetAgent
+}
+
+/** Load of a service with the given jobs and one full target. */
+function loadWith(inputs: JobInput[], more: Partial<LoadMeterOptions> = {}) {
+  const jobs = new Map(inputs.map((input) => [jobOf(input), input]))
+  const meter = createLoadMeter({
+    term: 1,
+    book: { open: new Set(jobs.keys()) },
+    shares: { isBeyondShare: (job) => jobs.get(job)?.isBeyond ?? false },
+    areSharesWeighted: true,
+    runTimes: { hasEnoughRuns: () => true, meanRunMs: () => RUN_MS },
+    startWindow: { isBehind: () => false, perSecond: () => 0 },
+    urgencyOf(job) {
+      const { priority = QUEUE.priority, standing = 'timely' } = jobs.get(job)!
+      return { priority, standing, deadline: 0 }
+    },
+    agents: () => [agentOf('t1')],
+    isSettled: () => true,
+    hasFleet: false,
+    now: () => 0,
+    ...more,
+  })
+  return meter.current()!
+}
+
+describe('sums of a load', () => {
+  describe('organisations with waiting jobs', () => {
+    it('are named by priority where weighted shares are in force', (t) => {
+      const inputs: JobInput[] = [
+        { organisation: 'a', priority: 1 },
+        { organisation: 'b', priority: 1 },
+        { organisation: 'a', priority: 2 },
+      ]
+      t.deepEqual(loadWith(inputs).turns, [
+        { priority: 1, organisations: ['a', 'b'] },
+        { priority: 2, organisations: ['a'] },
+      ])
+      t.is(loadWith(inputs, { areSharesWeighted: false }).turns, undefined)
+    })
+
+    // Such jobs do not take part in the order of the shares, so that nothing waits behind them.
+    it('are not named for jobs without ready tasks, useless jobs and lasting steps', (t) => {
+      const { turns } = loadWith([
+        { organisation: 'blocked', phases: ['placed', 'blocked'] },
+        { organisation: 'useless', standing: 'useless' },
+        { organisation: 'lasting', step: { lasting: true } },
+        {},
+      ])
+      t.deepEqual(turns, [])
+    })
+  })
+})
--- a/src/scheduler/loadMeter.ts
+++ b/src/scheduler/loadMeter.ts
@@ -2,7 +2,7 @@
  * Computes the load of a service for the fronts, which refuse jobs by it. All amounts that may keep a
  * job waiting are lower bounds: work of queues whose run times are not known yet is left out.
  */
-import type { BacklogPart, ServiceLoad } from '../admission/index.js'
+import type { BacklogPart, ServiceLoad, Turns } from '../admission/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import type { FairShares } from './fairShares.js'
@@ -25,6 +25,8 @@
   term: number
   book: Pick<JobBook, 'open'>
   shares: Pick<FairShares, 'isBeyondShare'>
+  /** Whether organisations are served by turns, so that none waits for all work within shares. */
+  areSharesWeighted: boolean
   runTimes: Pick<RunTimes, 'hasEnoughRuns' | 'meanRunMs'>
   startWindow: Pick<StartWindow, 'isBehind' | 'perSecond'>
   urgencyOf(job: Job, now: number): Urgency
@@ -102,6 +104,8 @@
   lastingCpu: number
   runningWork: number
   runMs: Record<string, number>
+  /** Names of the organisations with tasks that may start, by priority. */
+  waiting: Map<number, Set<string>>
   /** Whether the newest job of the organisation is beyond its share, by name. */
   beyondShare: Map<string, boolean>
 }
@@ -116,6 +120,15 @@
   return part
 }
 
+/** Records that a job that is still of use has ready tasks. */
+function noteWaiting({ waiting }: Sums, job: Job, { priority }: Urgency): void {
+  const { organisation } = job.spec
+  if (organisation === undefined) return
+  const known = waiting.get(priority)
+  if (known) known.add(organisation)
+  else waiting.set(priority, new Set([organisation]))
+}
+
 /** Adds waiting work to a part, by the standing of its job. Useless work delays no other. */
 const ADD_WAITING: Record<
   Urgency['standing'],
@@ -150,7 +163,10 @@
       sums.lastingCpu += cpu * (ready + placed)
       return
     }
-    if (urgency.standing !== 'useless') sums.readyCpu += cpu * ready
+    if (urgency.standing !== 'useless' && ready > 0) {
+      sums.readyCpu += cpu * ready
+      noteWaiting(sums, job, urgency)
+    }
     if (!isKnown) return
     sums.runMs[job.spec.queue] = Math.round(meanMs)
     sums.runningWork += (cpu * runningMs) / 1000
@@ -186,6 +202,7 @@
       lastingCpu: 0,
       runningWork: 0,
       runMs: {},
+      waiting: new Map(),
       beyondShare: new Map(),
     }
     for (const job of book.open) addJob(sums, job, room, at)
@@ -202,6 +219,7 @@
       startsPerSecond: perSecond && Math.round(perSecond),
       runningWork: Math.round(sums.runningWork),
       backlog: [...sums.parts.values()].map(roundWork),
+      ...(opts.areSharesWeighted && { turns: turnsOf(sums) }),
       beyondShare: [...sums.beyondShare].flatMap(([name, is]) => (is ? [name] : [])),
       runMs: sums.runMs,
     }
@@ -222,6 +240,9 @@
   }
 }
 
+const turnsOf = ({ waiting }: Sums): Turns[] =>
+  [...waiting].map(([priority, names]) => ({ priority, organisations: [...names] }))
+
 const roundWork = (part: BacklogPart): BacklogPart => ({
   ...part,
   timelyWork: Math.round(part.timelyWork),
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -211,6 +211,7 @@
         term: authority.term,
         book,
         shares,
+        areSharesWeighted: weightedShares !== undefined,
         runTimes,
         startWindow,
         urgencyOf: (job, now) =>
