fix(admission): tell organisations beyond their shares by priority and waiting jobs

Symptom: an organisation beyond its share in one priority is refused as beyond it in another, and one with a backlog beyond its share counts as within it once a newer job of it has started. Cause: the newest open job of any priority or phase decided, while shares are kept by priority and only for jobs with ready tasks. Why it works: the newest job of use with ready tasks decides, separately for each priority. The load names them in a new field `organisationsBeyond`, as a changed `beyondShare` would be invalid for nodes of older builds; without the old field these count every organisation as within its share and admit more. The tests that named `beyondShare` name the new field instead.

--- a/src/admission/__tests__/decision.spec.ts
+++ b/src/admission/__tests__/decision.spec.ts
@@ -10,6 +10,8 @@
 /** Room of ten cores, so that 10,000 units of work take 1 s. */
 const ATTAINABLE = 10_000
 
+const HOT_BEYOND = [{ priority: QUEUE.priority, organisations: ['hot'] }]
+
 const partOf = (part: Partial<BacklogPart>): BacklogPart => ({
   priority: QUEUE.priority,
   beyondShare: false,
@@ -27,7 +29,7 @@
   attainableCpu: ATTAINABLE,
   runningWork: 0,
   backlog: [partOf({ timelyWork: 200_000, timelyStarts: 200 })],
-  beyondShare: [],
+  organisationsBeyond: [],
   runMs: { [QUEUE.name]: RUN_MS },
   ...load,
 })
@@ -100,12 +102,22 @@
 
     it('beyond the shares of other organisations counts for jobs beyond theirs', (t) => {
       const backlog = [partOf({ beyondShare: true, timelyWork: 200_000 })]
-      const load = loadOf({ backlog, beyondShare: ['hot'] })
+      const load = loadOf({ backlog, organisationsBeyond: HOT_BEYOND })
       t.is(kindOf({ load, job: { ...JOB, organisation: 'other' } }), 'admit')
       const hot = decideAdmission(inputOf({ load, job: { ...JOB, organisation: 'hot' } }))
       t.is(hot.kind === 'refuse' && hot.reason, 'beyondShare')
     })
 
+    // Shares are kept by priority: an excess in one says nothing of the jobs of another.
+    it('beyond shares does not count for one that is beyond its share in another priority', (t) => {
+      const backlog = [partOf({ beyondShare: true, timelyWork: 200_000 })]
+      const organisationsBeyond = [
+        { priority: QUEUE.priority + 1, organisations: ['hot'] },
+      ]
+      const load = loadOf({ backlog, organisationsBeyond })
+      t.is(kindOf({ load, job: { ...JOB, organisation: 'hot' } }), 'admit')
+    })
+
     // Weighted shares serve the organisations by turns, so that an idle one is served next however
     // much the others have sent.
     it('of other organisations does not count for one without waiting jobs', (t) => {
@@ -176,7 +188,9 @@
       startsPerSecond: fc.option(amounts, { nil: undefined }),
       runningWork: amounts,
       backlog: fc.array(parts, { maxLength: 5 }),
-      beyondShare: fc.subarray(['hot']),
+      organisationsBeyond: fc.subarray(
+        [0, 1, 2, 3].map((priority) => ({ priority, organisations: ['hot'] })),
+      ),
       runMs: amounts.map((ms) => ({ [QUEUE.name]: ms })),
     })
     const inputs = fc.record({
@@ -268,7 +282,7 @@
   })
 
   it('is longer for an organisation beyond its share', (t) => {
-    const load = loadOf({ beyondShare: ['hot'] })
+    const load = loadOf({ organisationsBeyond: HOT_BEYOND })
     const hot = retryOf({ load, job: { ...JOB, organisation: 'hot' } })
     t.true(hot > retryOf({ load, job: { ...JOB, organisation: 'other' } }))
   })
--- a/src/admission/__tests__/overload.spec.ts
+++ b/src/admission/__tests__/overload.spec.ts
@@ -78,7 +78,7 @@
     attainableCpu: scenario.attainableAt(now) * 1000,
     runningWork: 0,
     backlog: [],
-    beyondShare: ['hot'],
+    organisationsBeyond: [{ priority: QUEUE.priority, organisations: ['hot'] }],
     runMs: { [QUEUE.name]: RUN_MS },
   }
   let running = 0
--- a/src/admission/decision.ts
+++ b/src/admission/decision.ts
@@ -7,7 +7,7 @@
 import type { Queue } from '../ports/index.js'
 import { LONGEST_TASK_FACTOR } from '../scheduler/runTimes.js'
 import { USELESS_FACTOR } from '../scheduler/urgency.js'
-import type { BacklogPart, ServiceLoad } from './types.js'
+import type { BacklogPart, PriorityOrganisations, ServiceLoad } from './types.js'
 
 /** Age from which a load says nothing about the present, in ms. */
 export const MAX_LOAD_AGE_MS = 1000
@@ -152,6 +152,17 @@
   return Math.min(MAX_RETRY_S, seconds) * 1000
 }
 
+/** Whether an organisation is among those of a priority. */
+const isNamed = (
+  names: readonly PriorityOrganisations[],
+  priority: number,
+  organisation: string | undefined,
+): boolean =>
+  organisation !== undefined &&
+  names.some(
+    (each) => each.priority === priority && each.organisations.includes(organisation),
+  )
+
 /**
  * Whether work of the same priority may all come after a job: where organisations are served by
  * turns, that of others does if its organisation has no waiting jobs. Jobs without an organisation
@@ -162,11 +173,7 @@
   priority: number,
   organisation: string | undefined,
 ): boolean {
-  if (!turns) return false
-  if (organisation === undefined) return true
-  return !turns.some(
-    (each) => each.priority === priority && each.organisations.includes(organisation),
-  )
+  return turns !== undefined && !isNamed(turns, priority, organisation)
 }
 
 /** Decides whether a job is admitted. */
@@ -182,7 +189,7 @@
   if (!(pathMs <= usefulMs && usefulMs < Infinity)) return ADMIT
 
   const { organisation } = job
-  const isBeyond = organisation !== undefined && load.beyondShare.includes(organisation)
+  const isBeyond = isNamed(load.organisationsBeyond, queue.priority, organisation)
   const isNext = !isBeyond && isServedNext(load, queue.priority, organisation)
   const isAhead = ({ priority, beyondShare }: BacklogPart): boolean =>
     priority < queue.priority ||
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -24,13 +24,12 @@
 /** Waiting work of jobs that come at the same place in the order. */
 export type BacklogPart = z.infer<typeof backlogPartSchema>
 
-const turnsSchema = z.object({
+const priorityOrganisationsSchema = z.object({
   priority: z.number(),
-  /** Names of the organisations with tasks that may start. */
   organisations: z.array(z.string()).max(MAX_ENTRIES),
 })
-/** Organisations that are served by turns in one priority. */
-export type Turns = z.infer<typeof turnsSchema>
+/** Names of organisations in one priority. */
+export type PriorityOrganisations = z.infer<typeof priorityOrganisationsSchema>
 
 export const serviceLoadSchema = z.object({
   /** Term of the owner that computed the load. */
@@ -56,9 +55,9 @@
    * Organisations with waiting jobs, by priority; undefined where organisations are not served by
    * turns. An organisation that is not among them waits for no work of its priority.
    */
-  turns: z.array(turnsSchema).max(MAX_ENTRIES).optional(),
-  /** Names of the organisations whose newest jobs are beyond their shares. */
-  beyondShare: z.array(z.string()).max(MAX_ENTRIES).default([]),
+  turns: z.array(priorityOrganisationsSchema).max(MAX_ENTRIES).optional(),
+  /** Organisations whose newest jobs with tasks that may start are beyond their shares. */
+  organisationsBeyond: z.array(priorityOrganisationsSchema).max(MAX_ENTRIES).default([]),
   /** Mean run time of a task by queue, in ms; without queues that have had few runs. */
   runMs: z.record(z.string(), amountSchema).default({}),
 })
--- a/src/scheduler/__tests__/loadMeterSums.spec.ts
+++ b/src/scheduler/__tests__/loadMeterSums.spec.ts
@@ -89,4 +89,26 @@
       t.deepEqual(turns, [])
     })
   })
+
+  describe('organisations beyond their shares', () => {
+    it('are decided by their newest job of the priority', (t) => {
+      const { organisationsBeyond } = loadWith([
+        { organisation: 'a', priority: 1, isBeyond: true },
+        { organisation: 'a', priority: 2 },
+        { organisation: 'b', priority: 1, isBeyond: true },
+        { organisation: 'b', priority: 1 },
+      ])
+      t.deepEqual(organisationsBeyond, [{ priority: 1, organisations: ['a'] }])
+    })
+
+    // A started job no longer has a place in the order and counts as within its share.
+    it('are not decided by jobs without ready tasks', (t) => {
+      const { organisationsBeyond } = loadWith([
+        { organisation: 'a', priority: 1, isBeyond: true },
+        { organisation: 'a', priority: 1, phases: ['placed'] },
+        { organisation: 'b', priority: 1, isBeyond: true, phases: ['placed'] },
+      ])
+      t.deepEqual(organisationsBeyond, [{ priority: 1, organisations: ['a'] }])
+    })
+  })
 })
--- a/src/scheduler/loadMeter.ts
+++ b/src/scheduler/loadMeter.ts
@@ -2,7 +2,11 @@
  * Computes the load of a service for the fronts, which refuse jobs by it. All amounts that may keep a
  * job waiting are lower bounds: work of queues whose run times are not known yet is left out.
  */
-import type { BacklogPart, ServiceLoad, Turns } from '../admission/index.js'
+import type {
+  BacklogPart,
+  PriorityOrganisations,
+  ServiceLoad,
+} from '../admission/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import type { FairShares } from './fairShares.js'
@@ -104,10 +108,11 @@
   lastingCpu: number
   runningWork: number
   runMs: Record<string, number>
-  /** Names of the organisations with tasks that may start, by priority. */
-  waiting: Map<number, Set<string>>
-  /** Whether the newest job of the organisation is beyond its share, by name. */
-  beyondShare: Map<string, boolean>
+  /**
+   * Organisations with tasks that may start, by priority; whether the newest of these jobs is beyond
+   * the share.
+   */
+  waiting: Map<number, Map<string, boolean>>
 }
 
 function partOf({ parts }: Sums, priority: number, beyondShare: boolean): BacklogPart {
@@ -121,12 +126,16 @@
 }
 
 /** Records that a job that is still of use has ready tasks. */
-function noteWaiting({ waiting }: Sums, job: Job, { priority }: Urgency): void {
-  const { organisation } = job.spec
+function noteWaiting(
+  { waiting }: Sums,
+  { spec: { organisation } }: Job,
+  priority: number,
+  isBeyond: boolean,
+): void {
   if (organisation === undefined) return
   const known = waiting.get(priority)
-  if (known) known.add(organisation)
-  else waiting.set(priority, new Set([organisation]))
+  if (known) known.set(organisation, isBeyond)
+  else waiting.set(priority, new Map([[organisation, isBeyond]]))
 }
 
 /** Adds waiting work to a part, by the standing of its job. Useless work delays no other. */
@@ -163,22 +172,20 @@
       sums.lastingCpu += cpu * (ready + placed)
       return
     }
+    const isBeyond = shares.isBeyondShare(job)
     if (urgency.standing !== 'useless' && ready > 0) {
       sums.readyCpu += cpu * ready
-      noteWaiting(sums, job, urgency)
+      noteWaiting(sums, job, urgency.priority, isBeyond)
     }
     if (!isKnown) return
     sums.runMs[job.spec.queue] = Math.round(meanMs)
     sums.runningWork += (cpu * runningMs) / 1000
     const waiting = blocked + ready
-    const part = partOf(sums, urgency.priority, shares.isBeyondShare(job))
+    const part = partOf(sums, urgency.priority, isBeyond)
     ADD_WAITING[urgency.standing](part, (cpu * waiting * meanMs) / 1000, waiting)
   }
 
   function addJob(sums: Sums, job: Job, room: TargetsRoom, at: number): void {
-    const { organisation } = job.spec
-    if (organisation !== undefined)
-      sums.beyondShare.set(organisation, shares.isBeyondShare(job))
     const urgency = urgencyOf(job, at)
     for (const { due, openSteps, steps } of job.occurrences) {
       if (!due || openSteps === 0) continue
@@ -203,14 +210,13 @@
       runningWork: 0,
       runMs: {},
       waiting: new Map(),
-      beyondShare: new Map(),
     }
     for (const job of book.open) addJob(sums, job, room, at)
     const idleCpu = Math.round(Math.max(0, room.idleCpu - sums.readyCpu))
     sequence++
     const head = { term, sequence, idleCpu }
     if (idleCpu > 0)
-      return { ...head, runningWork: 0, backlog: [], beyondShare: [], runMs: {} }
+      return { ...head, runningWork: 0, backlog: [], organisationsBeyond: [], runMs: {} }
     const whole = attainableCpu(room, at)
     const perSecond = startWindow.isBehind() ? startWindow.perSecond() : undefined
     return {
@@ -219,8 +225,8 @@
       startsPerSecond: perSecond && Math.round(perSecond),
       runningWork: Math.round(sums.runningWork),
       backlog: [...sums.parts.values()].map(roundWork),
-      ...(opts.areSharesWeighted && { turns: turnsOf(sums) }),
-      beyondShare: [...sums.beyondShare].flatMap(([name, is]) => (is ? [name] : [])),
+      ...(opts.areSharesWeighted && { turns: namesOf(sums, () => true) }),
+      organisationsBeyond: namesOf(sums, (isBeyond) => isBeyond),
       runMs: sums.runMs,
     }
   }
@@ -240,8 +246,15 @@
   }
 }
 
-const turnsOf = ({ waiting }: Sums): Turns[] =>
-  [...waiting].map(([priority, names]) => ({ priority, organisations: [...names] }))
+/** Names of the waiting organisations that match, by priority. */
+const namesOf = (
+  { waiting }: Sums,
+  matches: (isBeyond: boolean) => boolean,
+): PriorityOrganisations[] =>
+  [...waiting].flatMap(([priority, found]) => {
+    const organisations = [...found].flatMap(([name, is]) => (matches(is) ? [name] : []))
+    return organisations.length > 0 ? [{ priority, organisations }] : []
+  })
 
 const roundWork = (part: BacklogPart): BacklogPart => ({
   ...part,
