fix(admission): leave tasks that a quota holds out of the load

Symptom: an organisation at its maximum sends more jobs, and another organisation gets 503 although room is idle. Cause: ready tasks counted as demand for the idle room and as work before other jobs even if a quota kept them from starting. Why it works: each step with ready tasks is checked once per load against the quotas as of one round. The waiting tasks of a held step and of the steps after it in the occurrence are left out, whatever runs still counts.

--- a/src/scheduler/__tests__/loadMeterSums.spec.ts
+++ b/src/scheduler/__tests__/loadMeterSums.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from '../../../test/describe.js'
 import { QUEUE, makeJob } from '../../../test/jobRig.js'
-import type { Job, TaskPhase } from '../../jobs/index.js'
+import type { Job, Step, TaskPhase } from '../../jobs/index.js'
 import type { StepSpec } from '../../jobs/index.js'
 import { createLoadMeter } from '../loadMeter.js'
 import type { LoadMeterOptions } from '../loadMeter.js'
@@ -48,6 +48,7 @@
     book: { open: new Set(jobs.keys()) },
     shares: { isBeyondShare: (job) => jobs.get(job)?.isBeyond ?? false },
     areSharesWeighted: true,
+    beginQuotas: () => ({ exceeds: () => false }),
     runTimes: { hasEnoughRuns: () => true, meanRunMs: () => RUN_MS },
     startWindow: { isBehind: () => false, perSecond: () => 0 },
     urgencyOf(job) {
@@ -90,6 +91,44 @@
     })
   })
 
+  describe('tasks that a quota holds', () => {
+    const atMaximum: JobInput = { organisation: 'a', phases: Array(8).fill('ready') }
+
+    /** Load of jobs while a quota holds those of organisation `a`. */
+    function loadWhileHeld(inputs: JobInput[], freeCpu: number, asked: Step[] = []) {
+      const exceeds = (step: Step): boolean => {
+        asked.push(step)
+        return step.job.spec.organisation === 'a'
+      }
+      return loadWith(inputs, {
+        beginQuotas: () => ({ exceeds }),
+        agents: () => [agentOf('t1', true, freeCpu)],
+      })
+    }
+
+    // Other organisations were refused while room was idle that nobody could use.
+    it('take no idle room', (t) => {
+      t.is(loadWhileHeld([atMaximum], 2000).idleCpu, 2000)
+    })
+
+    it('are no work before a job, but those that run are', (t) => {
+      const running: JobInput = { organisation: 'a', phases: ['placed'], targetId: 't1' }
+      const load = loadWhileHeld([atMaximum, running, { organisation: 'b' }], 0)
+      t.deepEqual(load.turns, [{ priority: QUEUE.priority, organisations: ['b'] }])
+      t.is(load.backlog[0]?.timelyStarts, 1)
+      t.is(load.runningWork, RUN_MS * (TASK_CPU / 1000))
+    })
+
+    // A check of each task would cost too much at the peak of a queue.
+    it('are checked once for each step with ready tasks', (t) => {
+      const asked: Step[] = []
+      const blocked: JobInput = { organisation: 'a', phases: ['blocked', 'placed'] }
+      const load = loadWhileHeld([atMaximum, blocked, { organisation: 'b' }], 0, asked)
+      t.is(load.backlog[0]?.timelyStarts, 2)
+      t.is(asked.length, 2)
+    })
+  })
+
   describe('organisations beyond their shares', () => {
     it('are decided by their newest job of the priority', (t) => {
       const { organisationsBeyond } = loadWith([
--- a/src/scheduler/loadMeter.ts
+++ b/src/scheduler/loadMeter.ts
@@ -12,6 +12,7 @@
 import type { FairShares } from './fairShares.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
+import type { QuotaRound } from './serviceQuotas.js'
 import type { StartWindow } from './startWindow.js'
 import type { TargetAgent } from './types.js'
 import type { Urgency } from './urgency.js'
@@ -31,6 +32,8 @@
   shares: Pick<FairShares, 'isBeyondShare'>
   /** Whether organisations are served by turns, so that none waits for all work within shares. */
   areSharesWeighted: boolean
+  /** Returns the check whether a quota keeps tasks of a step from starting now. */
+  beginQuotas(): Pick<QuotaRound, 'exceeds'>
   runTimes: Pick<RunTimes, 'hasEnoughRuns' | 'meanRunMs'>
   startWindow: Pick<StartWindow, 'isBehind' | 'perSecond'>
   urgencyOf(job: Job, now: number): Urgency
@@ -100,6 +103,7 @@
 
 /** Sums over the open jobs. */
 interface Sums {
+  quotas: Pick<QuotaRound, 'exceeds'>
   /** By priority and share. */
   parts: Map<string, BacklogPart>
   /** Room that ready tasks of jobs that are still of use will take, in thousandths of a core. */
@@ -162,35 +166,50 @@
   let latest: ServiceLoad | undefined
   let attainable: { cpu: number; at: number } | undefined
 
-  function addStep(sums: Sums, step: Step, room: TargetsRoom, urgency: Urgency): void {
+  /**
+   * Adds the tasks of a step; returns whether a quota holds it or a step before it. Held tasks start
+   * only when others of their organisation end, whatever room is idle, so that only what runs counts.
+   */
+  function addStep(
+    sums: Sums,
+    step: Step,
+    room: TargetsRoom,
+    urgency: Urgency,
+    isHeldBefore: boolean,
+  ): boolean {
     const { job, spec } = step
     const cpu = cpuOf(step, room.capacity)
     const isKnown = runTimes.hasEnoughRuns(step)
     const meanMs = isKnown ? runTimes.meanRunMs(step) : 0
     const { blocked, ready, placed, runningMs } = countTasks(step, meanMs, now())
+    const isHeld = isHeldBefore || (ready > 0 && sums.quotas.exceeds(step))
     if (spec.lasting) {
-      sums.lastingCpu += cpu * (ready + placed)
-      return
+      sums.lastingCpu += cpu * (placed + (isHeld ? 0 : ready))
+      return isHeld
     }
     const isBeyond = shares.isBeyondShare(job)
-    if (urgency.standing !== 'useless' && ready > 0) {
+    if (urgency.standing !== 'useless' && ready > 0 && !isHeld) {
       sums.readyCpu += cpu * ready
       noteWaiting(sums, job, urgency.priority, isBeyond)
     }
-    if (!isKnown) return
+    if (!isKnown) return isHeld
     sums.runMs[job.spec.queue] = Math.round(meanMs)
     sums.runningWork += (cpu * runningMs) / 1000
+    if (isHeld) return true
     const waiting = blocked + ready
     const part = partOf(sums, urgency.priority, isBeyond)
     ADD_WAITING[urgency.standing](part, (cpu * waiting * meanMs) / 1000, waiting)
+    return false
   }
 
   function addJob(sums: Sums, job: Job, room: TargetsRoom, at: number): void {
     const urgency = urgencyOf(job, at)
     for (const { due, openSteps, steps } of job.occurrences) {
       if (!due || openSteps === 0) continue
+      let isHeld = false
       for (const step of steps)
-        if (step.doneCount < step.tasks.length) addStep(sums, step, room, urgency)
+        if (step.doneCount < step.tasks.length)
+          isHeld = addStep(sums, step, room, urgency, isHeld)
     }
   }
 
@@ -204,6 +223,7 @@
   function compute(at: number): ServiceLoad {
     const room = roomOf(opts.agents())
     const sums: Sums = {
+      quotas: opts.beginQuotas(),
       parts: new Map(),
       readyCpu: 0,
       lastingCpu: 0,
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -211,6 +211,7 @@
         term: authority.term,
         book,
         shares,
+        beginQuotas: () => quotas.begin(),
         areSharesWeighted: weightedShares !== undefined,
         runTimes,
         startWindow,
