fix(admission): count running tasks only on targets whose room counts

Symptom: lasting tasks on cordoned, draining or silent targets reduce the attainable room, and other tasks there lengthen the estimated wait. Cause: the room is that of the targets that take new tasks, but the tasks on all targets were subtracted from it or added to the work before a job. Evidence: both new tests of loadMeterSums.spec failed before the change. Why it works: a placed task counts only if its target is one of those whose room was summed up, which is the same set in one load. Result: loadMeterSums.spec and loadMeter.spec pass, 15 tests.

--- a/src/scheduler/__tests__/loadMeterSums.spec.ts
+++ b/src/scheduler/__tests__/loadMeterSums.spec.ts
@@ -129,6 +129,27 @@
     })
   })
 
+  // The room of targets that take no new tasks does not count, so that subtracting what runs there
+  // would leave less room than there is.
+  describe('tasks on targets that take no new ones', () => {
+    const agents = () => [agentOf('t1'), agentOf('cordoned', false)]
+    const onTarget = (targetId: string, lasting = false): JobInput => ({
+      phases: ['placed'],
+      targetId,
+      step: { lasting },
+    })
+
+    it('are not subtracted from the room if they last', (t) => {
+      const inputs = [onTarget('t1', true), onTarget('cordoned', true)]
+      t.is(loadWith(inputs, { agents }).attainableCpu, 3000)
+    })
+
+    it('are no running work before a job', (t) => {
+      const { runningWork } = loadWith([onTarget('t1'), onTarget('cordoned')], { agents })
+      t.is(runningWork, RUN_MS * (TASK_CPU / 1000))
+    })
+  })
+
   describe('organisations beyond their shares', () => {
     it('are decided by their newest job of the priority', (t) => {
       const { organisationsBeyond } = loadWith([
--- a/src/scheduler/loadMeter.ts
+++ b/src/scheduler/loadMeter.ts
@@ -59,20 +59,24 @@
   capacity: Resources
   /** Idle room, in thousandths of a core; memory is converted to the processor room beside it. */
   idleCpu: number
+  /** Ids of the targets. */
+  ids: ReadonlySet<string>
 }
 
 function roomOf(agents: readonly TargetAgent[]): TargetsRoom {
   const capacity = { cpu: 0, memMb: 0, gpu: 0 }
   let idleCpu = 0
+  const ids = new Set<string>()
   for (const agent of agents) {
     if (!agent.isUsable()) continue
+    ids.add(agent.target.id)
     const { free, capacity: whole } = agent.room
     capacity.cpu += whole.cpu
     capacity.memMb += whole.memMb
     const byMemory = whole.memMb > 0 ? (free.memMb * whole.cpu) / whole.memMb : Infinity
     idleCpu += Math.max(0, Math.min(free.cpu, byMemory))
   }
-  return { capacity, idleCpu }
+  return { capacity, idleCpu, ids }
 }
 
 /** Room that a task takes, in thousandths of a core; the scarcer resource counts. */
@@ -85,15 +89,22 @@
 interface StepCounts {
   blocked: number
   ready: number
+  /** Only those on targets whose room counts. */
   placed: number
   /** Expected time left of the placed tasks together, in ms. */
   runningMs: number
 }
 
-function countTasks(step: Step, meanMs: number, now: number): StepCounts {
+function countTasks(
+  step: Step,
+  { ids }: TargetsRoom,
+  meanMs: number,
+  now: number,
+): StepCounts {
   const counts = { blocked: 0, ready: 0, placed: 0, runningMs: 0 }
-  for (const { phase, startedAt } of step.tasks) {
+  for (const { phase, startedAt, targetId } of step.tasks) {
     if (phase === 'done' || phase === 'failed') continue
+    if (phase === 'placed' && (targetId === undefined || !ids.has(targetId))) continue
     counts[phase]++
     if (phase === 'placed')
       counts.runningMs += Math.max(0, meanMs - Math.max(0, now - startedAt))
@@ -181,7 +192,7 @@
     const cpu = cpuOf(step, room.capacity)
     const isKnown = runTimes.hasEnoughRuns(step)
     const meanMs = isKnown ? runTimes.meanRunMs(step) : 0
-    const { blocked, ready, placed, runningMs } = countTasks(step, meanMs, now())
+    const { blocked, ready, placed, runningMs } = countTasks(step, room, meanMs, now())
     const isHeld = isHeldBefore || (ready > 0 && sums.quotas.exceeds(step))
     if (spec.lasting) {
       sums.lastingCpu += cpu * (placed + (isHeld ? 0 : ready))
