fix(admission): keep tries whose rows are being written

Symptom: with more than 5,000 tries a job whose row is being written, or may be stored, can be refused, although a refusal says that it never runs; and a job that returns can lose the age of its first try. Cause: the oldest try was evicted whatever its writes did, and before the try that was asked for was looked up. Tries whose rows are being written are kept apart and never evicted; there are no more than requests in progress.

--- a/src/admission/__tests__/frontAdmission.spec.ts
+++ b/src/admission/__tests__/frontAdmission.spec.ts
@@ -79,6 +79,36 @@
     t.is(admission.attempt(job, QUEUE).refusal, undefined)
   })
 
+  describe('with more tries than are remembered', () => {
+    const MORE_THAN_REMEMBERED = 5000
+
+    // An evicted try says nothing of the write, so that the refusal might be untrue.
+    it('never refuses a job while its row is written, or after a write of unknown outcome', (t) => {
+      const { state, admission, tryOnce } = startAdmission()
+      const jobs = { writing: makeTinyJob(), unknown: makeTinyJob() }
+      state.known = undefined
+      admission.attempt(jobs.writing, QUEUE).writing()
+      const unknown = admission.attempt(jobs.unknown, QUEUE)
+      unknown.writing()
+      unknown.written('unknown')
+      state.known = { load: FULL, ageMs: 0 }
+      for (let count = 0; count < MORE_THAN_REMEMBERED; count++) tryOnce(makeTinyJob())
+      t.is(admission.attempt(jobs.writing, QUEUE).refusal, undefined)
+      t.is(admission.attempt(jobs.unknown, QUEUE).refusal, undefined)
+      state.now = 1e6
+      t.is(admission.attempt(jobs.writing, QUEUE).refusal, undefined)
+    })
+
+    it('does not evict the try that returns', (t) => {
+      const { state, tryOnce } = startAdmission()
+      const job = makeTinyJob()
+      tryOnce(job)
+      for (let count = 1; count < MORE_THAN_REMEMBERED; count++) tryOnce(makeTinyJob())
+      state.now = 1500
+      t.is(tryOnce(job)?.inputs['jobAgeMs'], 1500)
+    })
+  })
+
   it('does not confirm a refusal if another request stored the job meanwhile', (t) => {
     const { state, admission } = startAdmission()
     const job = makeTinyJob()
--- a/src/admission/frontAdmission.ts
+++ b/src/admission/frontAdmission.ts
@@ -124,11 +124,15 @@
           known.isReturning = true
           return true
         },
-        writing: () => void known.writing++,
+        writing() {
+          known.writing++
+          tries.noteWrites(key, known)
+        },
         written(outcome) {
           known.writing--
           known.isWritten ||= outcome !== 'notStored'
           if (outcome === 'stored') tries.forget(key)
+          else tries.noteWrites(key, known)
         },
       }
     },
