fix(front): bound the read before a refusal and share it

Symptom: when the store has just gone silent, the read before a refusal takes as long as the time-out of the store's client, and twice as long if all halls are cordoned, which may be all the time of a caller. Cause: the read had no limit of its own, and the checks for cordons and for overload each read the rows. Evidence: both new tests of admission.spec failed before the change: no result came with a read that is never answered, and the store was read twice. Why it works: the read counts as unavailable after 500 ms, so that the job is committed as without admission. The answer for cordons is kept for overload; if it shows no job, cordons refuse already, so that overload never refuses by an answer from before the attempt.

--- a/src/front/__tests__/admission.spec.ts
+++ b/src/front/__tests__/admission.spec.ts
@@ -120,11 +120,22 @@
   const local = { service: () => undefined, fleet: () => undefined }
   const owners = createOwnerCalls({ registry, local, clients, log })
   const table = createRowTable()
+  const store = table.forNode('n')
+  const reads = { count: 0, areSilent: false }
+  const cordons = new Map<string, number>()
   const jobs = createJobService({
-    store: table.forNode('n'),
+    store: {
+      ...store,
+      read(...args) {
+        reads.count++
+        return reads.areSilent ? new Promise(() => undefined) : store.read(...args)
+      },
+    },
+    halls: ['h1'],
     configuration: {
       current: () => undefined,
       freshAt: () => 0,
+      cordons: () => cordons,
     } as unknown as ConfigurationHolder,
     owners,
     admission: createFrontAdmission({ loadOf: owners.load }),
@@ -136,7 +147,7 @@
     (await jobs.submit(QUEUE, job)).kind
   const isStored = (job: JobSpec): boolean =>
     table.get(intakeKey(job.queue, job.id)) !== undefined
-  return { peer, asked, owners, table, log, learn, submit, isStored }
+  return { peer, asked, owners, table, reads, cordons, log, learn, submit, isStored }
 }
 
 const makeTinyJob = (): JobSpec => makeJob({ cpu: 1000 })
@@ -218,6 +229,29 @@
       const [event] = log.events.filter(({ name }) => name === 'jobRefused')
       t.is(event?.fields['failure'], 'refused')
     })
+
+    // The deadlines of callers are about 3 s, and a read of a silent store takes as long.
+    it('does not wait for a read that is not answered, with or without cordons', async (t) => {
+      for (const halls of [[], ['h1']]) {
+        const { reads, cordons, learn, submit, isStored } = startFront()
+        for (const hall of halls) cordons.set(hall, 0)
+        await learn()
+        reads.areSilent = true
+        const job = makeTinyJob()
+        t.is(await Promise.race([submit(job), sleep(2500)]), 'accepted')
+        t.true(isStored(job))
+      }
+    })
+
+    it('reads once for cordons and overload together', async (t) => {
+      const { table, reads, cordons, learn, submit } = startFront()
+      cordons.set('h1', 0)
+      await learn()
+      table.faults.down = true
+      const before = reads.count
+      await submit(makeTinyJob())
+      t.is(reads.count - before, 1)
+    })
   })
 
   describe('does not refuse a job that is stored already', () => {
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -29,6 +29,7 @@
   describeError,
   jittered,
   monotonicMs,
+  sleep,
   sleepUntil,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -38,13 +39,13 @@
 import {
   RETRY_AFTER_MS,
   UNREADABLE,
+  findAnyStoredJob,
   findStoredJob,
-  isAbsent,
   mayAccess,
   readStoredStatus,
   unavailable,
 } from './storedJobs.js'
-import type { Answer } from './storedJobs.js'
+import type { Answer, StoredJob } from './storedJobs.js'
 
 /**
  * Time for which a commit of unknown outcome is repeated, in ms: half of a caller's usual
@@ -53,6 +54,11 @@
 const UNKNOWN_COMMIT_TIMEOUT_MS = 1500
 /** Shortest time between two such commits, in ms; jittered. */
 const UNKNOWN_COMMIT_RETRY_MS = 100
+/**
+ * Longest time for the read before a refusal, in ms. A silent store answers after seconds, and the
+ * commit must still fit into a caller's usual deadline of 3 s.
+ */
+const REFUSAL_READ_TIMEOUT_MS = 500
 /**
  * Longest `Retry-After` of callers that are refused because all halls are cordoned, as a multiple
  * of the usual one. The times are spread, so that callers do not return at the same moment.
@@ -126,6 +132,27 @@
   return entry.kind === 'job' ? entry.job : undefined
 }
 
+/** Reads the stored job of a request; further calls return the first answer. */
+type StoredLookup = () => Promise<Answer<StoredJob>>
+
+/** Creates the lookup of a new job before it is refused; unavailable if the store is silent. */
+function createStoredLookup(store: RowStore, queue: Queue, id: string): StoredLookup {
+  async function find(): Promise<Answer<StoredJob>> {
+    const ended = new AbortController()
+    const { signal } = ended
+    const silence = sleep(REFUSAL_READ_TIMEOUT_MS, signal).then(() =>
+      unavailable('the store does not answer in time'),
+    )
+    try {
+      return await Promise.race([findAnyStoredJob(store, queue, id), silence])
+    } finally {
+      ended.abort()
+    }
+  }
+  let answer: Promise<Answer<StoredJob>> | undefined
+  return () => (answer ??= find())
+}
+
 /** Creates the service, which holds no state of jobs. */
 export function createJobService(opts: JobServiceOptions): JobService {
   const { store, configuration, owners, admission, log } = opts
@@ -143,10 +170,12 @@
    * Whether a job is refused because of cordons. A job that an earlier request may have stored is
    * not: it may run, so that the refusal would be wrong.
    */
-  async function isCordonedOff(queue: Queue, job: JobSpec): Promise<boolean> {
+  async function isCordonedOff(job: JobSpec, findStored: StoredLookup): Promise<boolean> {
     if (!areAllHallsCordoned() || canWait(job)) return false
-    const stored = await findStoredJob(store, queue, job.id, job.organisation)
-    return stored.kind === 'unknownJob'
+    const stored = await findStored()
+    const isForeign =
+      stored.kind === 'ok' && !mayAccess(stored.value.organisation, job.organisation)
+    return isForeign || stored.kind === 'unknownJob'
   }
 
   /**
@@ -214,9 +243,11 @@
     queue: Queue,
     job: JobSpec,
     attempt: Attempt | undefined,
+    findStored: StoredLookup,
   ): Promise<SubmitResult | undefined> {
     const { refusal } = attempt ?? {}
-    if (!attempt || !refusal || !(await isAbsent(store, queue, job.id))) return undefined
+    if (!attempt || !refusal) return undefined
+    if ((await findStored()).kind !== 'unknownJob') return undefined
     if (!attempt.confirmRefusal()) return undefined
     const { reason, retryAfterMs, inputs } = refusal
     const { id, organisation } = job
@@ -255,14 +286,17 @@
       log.event('jobRefused', { job: id, queue: name, reason: problem })
       return { kind: 'invalid', reason: problem }
     }
-    if (await isCordonedOff(queue, job)) {
+    // A lookup for cordons that finds no job refuses it, so that overload never relies on an answer
+    // from before the attempt.
+    const findStored = createStoredLookup(store, queue, id)
+    if (await isCordonedOff(job, findStored)) {
       const reason = 'all data halls are cordoned'
       log.event('jobRefused', { job: id, queue: name, failure: 'refused', reason })
       const factor = 1 + Math.floor(Math.random() * MAX_CORDON_RETRY_FACTOR)
       return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS * factor, reason }
     }
     const attempt = admission?.attempt(job, queue)
-    const refused = await refuseOverload(queue, job, attempt)
+    const refused = await refuseOverload(queue, job, attempt, findStored)
     if (refused) return refused
     attempt?.writing()
     const { res, mayHaveCommitted } = await commitIntake(job)
--- a/src/front/storedJobs.ts
+++ b/src/front/storedJobs.ts
@@ -81,17 +81,8 @@
   return isForeign ? { kind: 'unknownJob' } : found
 }
 
-/** Whether the store certainly holds no job of the id; false if that cannot be read. */
-export async function isAbsent(
-  store: RowStore,
-  queue: Queue,
-  id: string,
-): Promise<boolean> {
-  return (await findAnyStoredJob(store, queue, id)).kind === 'unknownJob'
-}
-
 /** Reads a job's row from the intake or, if the job has finished, from the ended table. */
-async function findAnyStoredJob(
+export async function findAnyStoredJob(
   store: RowStore,
   queue: Queue,
   id: string,
