fix(admission): count attainable VMs once for all reports of a round

Symptom: with admission, the owner of the fleet spends 0.3 ms on each report at 140 services and 1,300 VMs. Cause: each report filtered, copied and counted all VMs. No test asserts on it. The age decides instead of the round, since a round may wait for orders while a cordon is lifted. The tests pass unfit VMs by name instead of a predicate, with the same results expected.

--- a/src/vms/__tests__/attainable.spec.ts
+++ b/src/vms/__tests__/attainable.spec.ts
@@ -1,7 +1,7 @@
 import { describe, it } from '../../../test/describe.js'
 import { VM_CPU, vmOf } from '../../../test/fixtures.js'
 import type { Vm } from '../../ports/index.js'
-import { attainableCpuOf } from '../attainable.js'
+import { attainableCpuOf, countAttainable } from '../attainable.js'
 import type { ServiceReport } from '../types.js'
 
 const reportOf = (service: string, vms: number): ServiceReport => {
@@ -14,15 +14,14 @@
 function attainableVms(
   vms: Vm[],
   reports: ServiceReport[],
-  more: Partial<Parameters<typeof attainableCpuOf>[1]> = {},
+  more: { movingTo?: Map<string, string>; unfitVms?: string[] } = {},
 ): number {
+  const { movingTo = new Map(), unfitVms = [] } = more
   const input = {
-    vms,
+    vms: countAttainable({ vms, movingTo }),
     reports: new Map(reports.map((each) => [each.service, each])),
     sparePool: 'idle',
-    movingTo: new Map<string, string>(),
-    fitsPool: () => true,
-    ...more,
+    unfitVms,
   }
   return attainableCpuOf('a', input) / VM_CPU
 }
@@ -55,7 +54,18 @@
     const withDown = vms.map((vm): Vm =>
       vm.name === 'm1' ? { ...vm, state: 'down' } : vm,
     )
-    const fitsPool = (vm: Vm): boolean => vm.name !== 'm7'
-    t.is(attainableVms(withDown, [reportOf('b', 4)], { fitsPool }), 1 + 2)
+    t.is(attainableVms(withDown, [reportOf('b', 4)], { unfitVms: ['m7'] }), 1 + 2)
+    // A VM that is in the pool already has its room there.
+    t.is(attainableVms(vms, [reportOf('b', 4)], { unfitVms: ['m1'] }), 2 + 3)
+  })
+
+  // There are reports of up to 140 services in each round, and 1,300 VMs to count.
+  it('gives the rooms of several services from one count', (t) => {
+    const counted = countAttainable({ vms, movingTo: new Map() })
+    const reports = new Map(['a', 'b'].map((name) => [name, reportOf(name, 1)]))
+    const roomOf = (service: string): number =>
+      attainableCpuOf(service, { vms: counted, reports, sparePool: 'idle', unfitVms: [] })
+    t.is(roomOf('a') / VM_CPU, 2 + 3 + 3)
+    t.is(roomOf('b') / VM_CPU, 1 + 4 + 3)
   })
 })
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -24,7 +24,8 @@
   PEAK_HOLD_MS,
   ROUND_INTERVAL_MS,
 } from './constants.js'
-import { attainableCpuOf } from './attainable.js'
+import { attainableCpuOf, countAttainable } from './attainable.js'
+import type { AttainableVms } from './attainable.js'
 import { createOrderRateLimiter } from './orderRateLimiter.js'
 import { createPeakHold } from './peakHold.js'
 import { cpuPerVmOf, neededVms, planPools } from './poolPlanner.js'
@@ -80,8 +81,8 @@
     Math.floor(opts.ordersPerSecond * MOVES_SHARE),
   )
   const logShortages = createShortageLog(log)
-  /** Pairs of VM and pool for which the cloud has refused a move. */
-  const incompatible = new Set<string>()
+  /** VMs by pool for which the cloud has refused a move. */
+  const incompatible = new Map<string, Set<string>>()
   /** VMs that the cloud reported as busy, with the monotonic time until which they get no order. */
   const busyUntil = new Map<string, number>()
   /** VMs being emptied for a wave. */
@@ -105,7 +106,7 @@
 
   const isCordoned = ({ hall }: Vm): boolean => configuration.cordons().has(hall)
   const fitsPool = (vm: Vm, pool: string): boolean =>
-    !incompatible.has(`${vm.name} ${pool}`)
+    !incompatible.get(pool)?.has(vm.name)
 
   function supplyOf({ pool }: Vm): VmSupply | undefined {
     const report = reports.fresh().get(pool)
@@ -153,9 +154,15 @@
     orders.applyList(vms, sentAt)
   }
 
+  function noteIncompatible(vm: string, pool: string): void {
+    const known = incompatible.get(pool)
+    if (known) known.add(vm)
+    else incompatible.set(pool, new Set([vm]))
+  }
+
   async function moveOne({ vm, pool }: PlannedMove): Promise<void> {
     const answer = await orders.move(vm, pool)
-    if (answer === 'unknownVm') incompatible.add(`${vm.name} ${pool}`)
+    if (answer === 'unknownVm') noteIncompatible(vm.name, pool)
     // Without a pause, one busy VM uses up 45 orders in 2 s.
     if (answer === 'busy') busyUntil.set(vm.name, monotonicMs() + BUSY_BACKOFF_MS)
   }
@@ -228,17 +235,25 @@
   }
   const task = run()
 
+  /** The last count; a round may wait for orders, so that its age decides. */
+  let counted: { at: number; vms: AttainableVms } | undefined
+
   /** Room that the service can get; undefined until the list of VMs has been read. */
-  const attainableCpu = (service: string): number | undefined =>
-    vms.size === 0
-      ? undefined
-      : attainableCpuOf(service, {
-          vms: [...vms.values()].filter((vm) => !isCordoned(vm)),
-          reports: reports.fresh(),
-          sparePool: sparePool(),
-          movingTo: orders.movingTo(),
-          fitsPool,
-        })
+  function attainableCpu(service: string): number | undefined {
+    if (vms.size === 0) return undefined
+    const now = monotonicMs()
+    if (!counted || now - counted.at >= MIN_ROUND_INTERVAL_MS) {
+      const usable = [...vms.values()].filter((vm) => !isCordoned(vm))
+      const movingTo = orders.movingTo()
+      counted = { at: now, vms: countAttainable({ vms: usable, movingTo }) }
+    }
+    return attainableCpuOf(service, {
+      vms: counted.vms,
+      reports: reports.fresh(),
+      sparePool: sparePool(),
+      unfitVms: incompatible.get(service) ?? [],
+    })
+  }
 
   const targetsOf = (names: Iterable<string>): string[] =>
     [...names].flatMap((name) => vms.get(name)?.targetId || [])
