--- a/src/admission/decision.ts
+++ b/src/admission/decision.ts
@@ -7,7 +7,7 @@
 import type { Queue } from '../ports/index.js'
 import { LONGEST_TASK_FACTOR } from '../scheduler/runTimes.js'
 import { USELESS_FACTOR } from '../scheduler/urgency.js'
-import type { BacklogPart, ServiceLoad } from './types.js'
+import type { BacklogPart, PriorityOrganisations, ServiceLoad } from './types.js'
 
 /** Age from which a load says nothing about the present, in ms. */
 export const MAX_LOAD_AGE_MS = 1000
@@ -152,6 +152,30 @@
   return Math.min(MAX_RETRY_S, seconds) * 1000
 }
 
+/** Whether an organisation is among those of a priority. */
+const isNamed = (
+  names: readonly PriorityOrganisations[],
+  priority: number,
+  organisation: string | undefined,
+): boolean =>
+  organisation !== undefined &&
+  names.some(
+    (each) => each.priority === priority && each.organisations.includes(organisation),
+  )
+
+/**
+ * Whether work of the same priority may all come after a job: where organisations are served by
+ * turns, that of others does if its organisation has no waiting jobs. Jobs without an organisation
+ * come before the turns.
+ */
+function isServedNext(
+  { turns }: ServiceLoad,
+  priority: number,
+  organisation: string | undefined,
+): boolean {
+  return turns !== undefined && !isNamed(turns, priority, organisation)
+}
+
 /** Decides whether a job is admitted. */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
   const pressed = pressedLoad(input)
@@ -165,10 +189,11 @@
   if (!(pathMs <= usefulMs && usefulMs < Infinity)) return ADMIT
 
   const { organisation } = job
-  const isBeyond = organisation !== undefined && load.beyondShare.includes(organisation)
+  const isBeyond = isNamed(load.organisationsBeyond, queue.priority, organisation)
+  const isNext = !isBeyond && isServedNext(load, queue.priority, organisation)
   const isAhead = ({ priority, beyondShare }: BacklogPart): boolean =>
     priority < queue.priority ||
-    (priority === queue.priority && (isBeyond || !beyondShare))
+    (priority === queue.priority && !isNext && (isBeyond || !beyondShare))
   const parts = load.backlog.filter(isAhead)
   const ageMs = Math.max(0, Number.isFinite(input.jobAgeMs) ? input.jobAgeMs : 0)
   const timely = waitsBehind(sumAhead(parts, false), load)
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -24,6 +24,13 @@
 /** Waiting work of jobs that come at the same place in the order. */
 export type BacklogPart = z.infer<typeof backlogPartSchema>
 
+const priorityOrganisationsSchema = z.object({
+  priority: z.number(),
+  organisations: z.array(z.string()).max(MAX_ENTRIES),
+})
+/** Names of organisations in one priority. */
+export type PriorityOrganisations = z.infer<typeof priorityOrganisationsSchema>
+
 export const serviceLoadSchema = z.object({
   /** Term of the owner that computed the load. */
   term: z.number(),
@@ -44,8 +51,13 @@
   /** Work left of the tasks that run, in cores times ms. */
   runningWork: amountSchema.default(0),
   backlog: z.array(backlogPartSchema).max(MAX_ENTRIES).default([]),
-  /** Names of the organisations whose newest jobs are beyond their shares. */
-  beyondShare: z.array(z.string()).max(MAX_ENTRIES).default([]),
+  /**
+   * Organisations with waiting jobs, by priority; undefined where organisations are not served by
+   * turns. An organisation that is not among them waits for no work of its priority.
+   */
+  turns: z.array(priorityOrganisationsSchema).max(MAX_ENTRIES).optional(),
+  /** Organisations whose newest jobs with tasks that may start are beyond their shares. */
+  organisationsBeyond: z.array(priorityOrganisationsSchema).max(MAX_ENTRIES).default([]),
   /** Mean run time of a task by queue, in ms; without queues that have had few runs. */
   runMs: z.record(z.string(), amountSchema).default({}),
 })
--- a/src/scheduler/loadMeter.ts
+++ b/src/scheduler/loadMeter.ts
@@ -2,12 +2,17 @@
  * Computes the load of a service for the fronts, which refuse jobs by it. All amounts that may keep a
  * job waiting are lower bounds: work of queues whose run times are not known yet is left out.
  */
-import type { BacklogPart, ServiceLoad } from '../admission/index.js'
+import type {
+  BacklogPart,
+  PriorityOrganisations,
+  ServiceLoad,
+} from '../admission/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
 import type { FairShares } from './fairShares.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
+import type { QuotaRound } from './serviceQuotas.js'
 import type { StartWindow } from './startWindow.js'
 import type { TargetAgent } from './types.js'
 import type { Urgency } from './urgency.js'
@@ -25,6 +30,10 @@
   term: number
   book: Pick<JobBook, 'open'>
   shares: Pick<FairShares, 'isBeyondShare'>
+  /** Whether organisations are served by turns, so that none waits for all work within shares. */
+  areSharesWeighted: boolean
+  /** Returns the check whether a quota keeps tasks of a step from starting now. */
+  beginQuotas(): Pick<QuotaRound, 'exceeds'>
   runTimes: Pick<RunTimes, 'hasEnoughRuns' | 'meanRunMs'>
   startWindow: Pick<StartWindow, 'isBehind' | 'perSecond'>
   urgencyOf(job: Job, now: number): Urgency
@@ -50,20 +59,24 @@
   capacity: Resources
   /** Idle room, in thousandths of a core; memory is converted to the processor room beside it. */
   idleCpu: number
+  /** Ids of the targets. */
+  ids: ReadonlySet<string>
 }
 
 function roomOf(agents: readonly TargetAgent[]): TargetsRoom {
   const capacity = { cpu: 0, memMb: 0, gpu: 0 }
   let idleCpu = 0
+  const ids = new Set<string>()
   for (const agent of agents) {
     if (!agent.isUsable()) continue
+    ids.add(agent.target.id)
     const { free, capacity: whole } = agent.room
     capacity.cpu += whole.cpu
     capacity.memMb += whole.memMb
     const byMemory = whole.memMb > 0 ? (free.memMb * whole.cpu) / whole.memMb : Infinity
     idleCpu += Math.max(0, Math.min(free.cpu, byMemory))
   }
-  return { capacity, idleCpu }
+  return { capacity, idleCpu, ids }
 }
 
 /** Room that a task takes, in thousandths of a core; the scarcer resource counts. */
@@ -76,15 +89,22 @@
 interface StepCounts {
   blocked: number
   ready: number
+  /** Only those on targets whose room counts. */
   placed: number
   /** Expected time left of the placed tasks together, in ms. */
   runningMs: number
 }
 
-function countTasks(step: Step, meanMs: number, now: number): StepCounts {
+function countTasks(
+  step: Step,
+  { ids }: TargetsRoom,
+  meanMs: number,
+  now: number,
+): StepCounts {
   const counts = { blocked: 0, ready: 0, placed: 0, runningMs: 0 }
-  for (const { phase, startedAt } of step.tasks) {
+  for (const { phase, startedAt, targetId } of step.tasks) {
     if (phase === 'done' || phase === 'failed') continue
+    if (phase === 'placed' && (targetId === undefined || !ids.has(targetId))) continue
     counts[phase]++
     if (phase === 'placed')
       counts.runningMs += Math.max(0, meanMs - Math.max(0, now - startedAt))
@@ -94,6 +114,7 @@
 
 /** Sums over the open jobs. */
 interface Sums {
+  quotas: Pick<QuotaRound, 'exceeds'>
   /** By priority and share. */
   parts: Map<string, BacklogPart>
   /** Room that ready tasks of jobs that are still of use will take, in thousandths of a core. */
@@ -102,8 +123,11 @@
   lastingCpu: number
   runningWork: number
   runMs: Record<string, number>
-  /** Whether the newest job of the organisation is beyond its share, by name. */
-  beyondShare: Map<string, boolean>
+  /**
+   * Organisations with tasks that may start, by priority; whether the newest of these jobs is beyond
+   * the share.
+   */
+  waiting: Map<number, Map<string, boolean>>
 }
 
 function partOf({ parts }: Sums, priority: number, beyondShare: boolean): BacklogPart {
@@ -116,6 +140,19 @@
   return part
 }
 
+/** Records that a job that is still of use has ready tasks. */
+function noteWaiting(
+  { waiting }: Sums,
+  { spec: { organisation } }: Job,
+  priority: number,
+  isBeyond: boolean,
+): void {
+  if (organisation === undefined) return
+  const known = waiting.get(priority)
+  if (known) known.set(organisation, isBeyond)
+  else waiting.set(priority, new Map([[organisation, isBeyond]]))
+}
+
 /** Adds waiting work to a part, by the standing of its job. Useless work delays no other. */
 const ADD_WAITING: Record<
   Urgency['standing'],
@@ -140,34 +177,50 @@
   let latest: ServiceLoad | undefined
   let attainable: { cpu: number; at: number } | undefined
 
-  function addStep(sums: Sums, step: Step, room: TargetsRoom, urgency: Urgency): void {
+  /**
+   * Adds the tasks of a step; returns whether a quota holds it or a step before it. Held tasks start
+   * only when others of their organisation end, whatever room is idle, so that only what runs counts.
+   */
+  function addStep(
+    sums: Sums,
+    step: Step,
+    room: TargetsRoom,
+    urgency: Urgency,
+    isHeldBefore: boolean,
+  ): boolean {
     const { job, spec } = step
     const cpu = cpuOf(step, room.capacity)
     const isKnown = runTimes.hasEnoughRuns(step)
     const meanMs = isKnown ? runTimes.meanRunMs(step) : 0
-    const { blocked, ready, placed, runningMs } = countTasks(step, meanMs, now())
+    const { blocked, ready, placed, runningMs } = countTasks(step, room, meanMs, now())
+    const isHeld = isHeldBefore || (ready > 0 && sums.quotas.exceeds(step))
     if (spec.lasting) {
-      sums.lastingCpu += cpu * (ready + placed)
-      return
+      sums.lastingCpu += cpu * (placed + (isHeld ? 0 : ready))
+      return isHeld
     }
-    if (urgency.standing !== 'useless') sums.readyCpu += cpu * ready
-    if (!isKnown) return
+    const isBeyond = shares.isBeyondShare(job)
+    if (urgency.standing !== 'useless' && ready > 0 && !isHeld) {
+      sums.readyCpu += cpu * ready
+      noteWaiting(sums, job, urgency.priority, isBeyond)
+    }
+    if (!isKnown) return isHeld
     sums.runMs[job.spec.queue] = Math.round(meanMs)
     sums.runningWork += (cpu * runningMs) / 1000
+    if (isHeld) return true
     const waiting = blocked + ready
-    const part = partOf(sums, urgency.priority, shares.isBeyondShare(job))
+    const part = partOf(sums, urgency.priority, isBeyond)
     ADD_WAITING[urgency.standing](part, (cpu * waiting * meanMs) / 1000, waiting)
+    return false
   }
 
   function addJob(sums: Sums, job: Job, room: TargetsRoom, at: number): void {
-    const { organisation } = job.spec
-    if (organisation !== undefined)
-      sums.beyondShare.set(organisation, shares.isBeyondShare(job))
     const urgency = urgencyOf(job, at)
     for (const { due, openSteps, steps } of job.occurrences) {
       if (!due || openSteps === 0) continue
+      let isHeld = false
       for (const step of steps)
-        if (step.doneCount < step.tasks.length) addStep(sums, step, room, urgency)
+        if (step.doneCount < step.tasks.length)
+          isHeld = addStep(sums, step, room, urgency, isHeld)
     }
   }
 
@@ -181,19 +234,20 @@
   function compute(at: number): ServiceLoad {
     const room = roomOf(opts.agents())
     const sums: Sums = {
+      quotas: opts.beginQuotas(),
       parts: new Map(),
       readyCpu: 0,
       lastingCpu: 0,
       runningWork: 0,
       runMs: {},
-      beyondShare: new Map(),
+      waiting: new Map(),
     }
     for (const job of book.open) addJob(sums, job, room, at)
     const idleCpu = Math.round(Math.max(0, room.idleCpu - sums.readyCpu))
     sequence++
     const head = { term, sequence, idleCpu }
     if (idleCpu > 0)
-      return { ...head, runningWork: 0, backlog: [], beyondShare: [], runMs: {} }
+      return { ...head, runningWork: 0, backlog: [], organisationsBeyond: [], runMs: {} }
     const whole = attainableCpu(room, at)
     const perSecond = startWindow.isBehind() ? startWindow.perSecond() : undefined
     return {
@@ -202,7 +256,8 @@
       startsPerSecond: perSecond && Math.round(perSecond),
       runningWork: Math.round(sums.runningWork),
       backlog: [...sums.parts.values()].map(roundWork),
-      beyondShare: [...sums.beyondShare].flatMap(([name, is]) => (is ? [name] : [])),
+      ...(opts.areSharesWeighted && { turns: namesOf(sums, () => true) }),
+      organisationsBeyond: namesOf(sums, (isBeyond) => isBeyond),
       runMs: sums.runMs,
     }
   }
@@ -222,6 +277,16 @@
   }
 }
 
+/** Names of the waiting organisations that match, by priority. */
+const namesOf = (
+  { waiting }: Sums,
+  matches: (isBeyond: boolean) => boolean,
+): PriorityOrganisations[] =>
+  [...waiting].flatMap(([priority, found]) => {
+    const organisations = [...found].flatMap(([name, is]) => (matches(is) ? [name] : []))
+    return organisations.length > 0 ? [{ priority, organisations }] : []
+  })
+
 const roundWork = (part: BacklogPart): BacklogPart => ({
   ...part,
   timelyWork: Math.round(part.timelyWork),
