refactor: share checks that the parts for the new deployments wrote again

Cause: whether a job can wait was written in the front, in admission and in the order of jobs; the conversion of memory to processor room in shares, the load of a service and the demand; the rule that foreign jobs are unknown and the longest cold time twice each; fixtures of loads and organisations in two specs.

Change: isLastingJob and canWait in jobs/schema, memoryAsCpu and dominantCpu in shares, hideForeign and the lookup before a refusal in front/storedJobs, one MAX_COLD_MS in ports, fixtures in test/fixtures. The placement policy for copies is computed again only after an order, not for each slow run that is tried. Two comments no longer tell how a value came about. Behaviour and assertions of tests are unchanged.

--- a/src/admission/__tests__/frontAdmission.spec.ts
+++ b/src/admission/__tests__/frontAdmission.spec.ts
@@ -1,25 +1,10 @@
 import { describe, it } from '../../../test/describe.js'
+import { fullLoad } from '../../../test/fixtures.js'
 import { QUEUE, makeJob } from '../../../test/jobRig.js'
 import { createFrontAdmission, serviceLoadSchema } from '../index.js'
 import type { KnownLoad } from '../index.js'
 
-const FULL = serviceLoadSchema.parse({
-  term: 1,
-  sequence: 1,
-  idleCpu: 0,
-  attainableCpu: 1000,
-  backlog: [
-    {
-      priority: 0,
-      beyondShare: false,
-      timelyWork: 1e6,
-      lateWork: 0,
-      timelyStarts: 100,
-      lateStarts: 0,
-    },
-  ],
-  runMs: { [QUEUE.name]: 500 },
-})
+const FULL = serviceLoadSchema.parse(fullLoad(QUEUE.name))
 const makeTinyJob = () => makeJob({ cpu: 1000 })
 
 /** An admission with a clock and a load that tests set. */
--- a/src/admission/decision.ts
+++ b/src/admission/decision.ts
@@ -3,6 +3,7 @@
  * lower bounds of the wait: all room that the service can get counts as if it were there and full,
  * so that a job is refused only if it would certainly end too late.
  */
+import { canWait } from '../jobs/index.js'
 import type { JobSpec, StepSpec } from '../jobs/index.js'
 import type { Queue } from '../ports/index.js'
 import { LONGEST_TASK_FACTOR } from '../scheduler/runTimes.js'
@@ -81,8 +82,7 @@
 
 /** Reasons to admit a job whatever else the load says; checked in this order. */
 const EXEMPTIONS: Record<string, (input: AdmissionInput) => boolean> = {
-  lasting: ({ job }) => job.steps.some(({ lasting }) => lasting),
-  dueLater: ({ job }) => job.repetitions > 0,
+  canWait: ({ job }) => canWait(job),
   takesNoRoom: ({ job }) => job.steps.every(({ fills }) => fills),
   unknownLoad: ({ load }) => load === undefined,
   // The comparison also holds for an age that is not a number.
--- a/src/admission/frontAdmission.ts
+++ b/src/admission/frontAdmission.ts
@@ -1,5 +1,6 @@
 /** Admission of the jobs that callers submit to this node. */
 import { createHash } from 'node:crypto'
+import { canWait } from '../jobs/index.js'
 import type { JobSpec } from '../jobs/index.js'
 import type { Queue } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
@@ -102,7 +103,7 @@
       }
       return { reason, retryAfterMs: decision.retryAfterMs, isFirst, inputs }
     }
-    if (isFirst || hasIdleRoom(state) || isExempt(job) || retryLimit.take(at))
+    if (isFirst || hasIdleRoom(state) || canWait(job) || retryLimit.take(at))
       return undefined
     const inputs = { ...ages, priority: queue.priority }
     return {
@@ -138,7 +139,3 @@
     },
   }
 }
-
-/** Whether the job is lasting or due later; such jobs are never refused. */
-const isExempt = ({ steps, repetitions }: JobSpec): boolean =>
-  repetitions > 0 || steps.some(({ lasting }) => lasting)
--- a/src/config/values.ts
+++ b/src/config/values.ts
@@ -89,19 +89,21 @@
 /** Longest name, in bytes: it is used as a store key, which may have 200 bytes. */
 const MAX_NODE_NAME_LENGTH = 150
 
+const PRINTABLE_NAME = /^[!-~]+$/
+
 /** A name that the platform gives to a node or a data hall: printable, without blanks. */
 export const nodeName = () =>
   textValue(
     `a printable name without blanks, at most ${MAX_NODE_NAME_LENGTH} long`,
     (text) =>
-      /^[!-~]+$/.test(text) && text.length <= MAX_NODE_NAME_LENGTH ? text : undefined,
+      PRINTABLE_NAME.test(text) && text.length <= MAX_NODE_NAME_LENGTH ? text : undefined,
   )
 
 /** A list of such names, separated by commas. */
 export const nodeNameList = () =>
   textValue('a list of names, such as a-1,a-2', (text) => {
     const names = text.split(',').map((name) => name.trim())
-    return names.every((name) => /^[!-~]+$/.test(name)) ? names : undefined
+    return names.every((name) => PRINTABLE_NAME.test(name)) ? names : undefined
   })
 
 /** An HTTP URL with an IP address as its host, resolved to the origin. */
--- a/src/front/__tests__/admission.spec.ts
+++ b/src/front/__tests__/admission.spec.ts
@@ -8,6 +8,7 @@
 import { toJson } from '@bufbuild/protobuf'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
+import { fullLoad } from '../../../test/fixtures.js'
 import { QUEUE, SERVICE, makeJob } from '../../../test/jobRig.js'
 import { createFrontAdmission } from '../../admission/index.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
@@ -67,23 +68,7 @@
 
 /** Load of a service that serves no further job in time. */
 const loadText = (term: number, sequence = 1): string =>
-  JSON.stringify({
-    term,
-    sequence,
-    idleCpu: 0,
-    attainableCpu: 1000,
-    backlog: [
-      {
-        priority: 0,
-        beyondShare: false,
-        timelyWork: 1e6,
-        lateWork: 0,
-        timelyStarts: 100,
-        lateStarts: 0,
-      },
-    ],
-    runMs: { [QUEUE.name]: 500 },
-  })
+  JSON.stringify(fullLoad(QUEUE.name, term, sequence))
 const idleText = (term: number, sequence: number): string =>
   JSON.stringify({ term, sequence, idleCpu: 1000 })
 
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -8,6 +8,7 @@
 import {
   ENDED_TABLE,
   INTAKE_TABLE,
+  canWait,
   cancelKey,
   decodeEnded,
   decodeIntake,
@@ -29,7 +30,6 @@
   describeError,
   jittered,
   monotonicMs,
-  sleep,
   sleepUntil,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -39,13 +39,14 @@
 import {
   RETRY_AFTER_MS,
   UNREADABLE,
-  findAnyStoredJob,
+  createStoredLookup,
   findStoredJob,
+  hideForeign,
   mayAccess,
   readStoredStatus,
   unavailable,
 } from './storedJobs.js'
-import type { Answer, StoredJob } from './storedJobs.js'
+import type { Answer, StoredLookup } from './storedJobs.js'
 
 /**
  * Time for which a commit of unknown outcome is repeated, in ms: half of a caller's usual
@@ -54,11 +55,6 @@
 const UNKNOWN_COMMIT_TIMEOUT_MS = 1500
 /** Shortest time between two such commits, in ms; jittered. */
 const UNKNOWN_COMMIT_RETRY_MS = 100
-/**
- * Longest time for the read before a refusal, in ms. A silent store answers after seconds, and the
- * commit must still fit into a caller's usual deadline of 3 s.
- */
-const REFUSAL_READ_TIMEOUT_MS = 500
 /**
  * Longest `Retry-After` of callers that are refused because all halls are cordoned, as a multiple
  * of the usual one. The times are spread, so that callers do not return at the same moment.
@@ -112,10 +108,6 @@
   log: Logger
 }
 
-/** Whether a job is worth accepting although nothing can be started: it lasts, or is due later. */
-const canWait = ({ steps, repetitions }: JobSpec): boolean =>
-  repetitions > 0 || steps.some(({ lasting }) => lasting)
-
 /**
  * Version of the row that makes the job durable, written by this commit or by an earlier
  * attempt that was not answered. Undefined if an earlier request of the caller wrote the row.
@@ -132,27 +124,6 @@
   return entry.kind === 'job' ? entry.job : undefined
 }
 
-/** Reads the stored job of a request; further calls return the first answer. */
-type StoredLookup = () => Promise<Answer<StoredJob>>
-
-/** Creates the lookup of a new job before it is refused; unavailable if the store is silent. */
-function createStoredLookup(store: RowStore, queue: Queue, id: string): StoredLookup {
-  async function find(): Promise<Answer<StoredJob>> {
-    const ended = new AbortController()
-    const { signal } = ended
-    const silence = sleep(REFUSAL_READ_TIMEOUT_MS, signal).then(() =>
-      unavailable('the store does not answer in time'),
-    )
-    try {
-      return await Promise.race([findAnyStoredJob(store, queue, id), silence])
-    } finally {
-      ended.abort()
-    }
-  }
-  let answer: Promise<Answer<StoredJob>> | undefined
-  return () => (answer ??= find())
-}
-
 /** Creates the service, which holds no state of jobs. */
 export function createJobService(opts: JobServiceOptions): JobService {
   const { store, configuration, owners, admission, log } = opts
@@ -172,10 +143,8 @@
    */
   async function isCordonedOff(job: JobSpec, findStored: StoredLookup): Promise<boolean> {
     if (!areAllHallsCordoned() || canWait(job)) return false
-    const stored = await findStored()
-    const isForeign =
-      stored.kind === 'ok' && !mayAccess(stored.value.organisation, job.organisation)
-    return isForeign || stored.kind === 'unknownJob'
+    const stored = hideForeign(await findStored(), job.organisation)
+    return stored.kind === 'unknownJob'
   }
 
   /**
--- a/src/front/storedJobs.ts
+++ b/src/front/storedJobs.ts
@@ -12,7 +12,7 @@
 import type { JobOutcome, JobStatus } from '../jobs/index.js'
 import { keyRange } from '../ports/index.js'
 import type { Queue, RowStore } from '../ports/index.js'
-import { describeError } from '../shared/index.js'
+import { describeError, sleep } from '../shared/index.js'
 
 /** Time after which a refused caller should retry, in ms: about one renewal of a connection. */
 export const RETRY_AFTER_MS = 1000
@@ -37,6 +37,11 @@
   outcome: JobOutcome | undefined
 }
 
+/**
+ * Longest time for the read before a refusal, in ms. A silent store answers after seconds, and the
+ * commit must still fit into a caller's usual deadline of 3 s.
+ */
+const REFUSAL_READ_TIMEOUT_MS = 500
 /** Whether a caller may access a job. A job without an organisation has no key to protect it. */
 export const mayAccess = (
   ofJob: string | undefined,
@@ -69,6 +74,15 @@
   return { kind: 'ok', value }
 }
 
+/** Reports a job that the caller may not access as unknown. */
+export function hideForeign(
+  found: Answer<StoredJob>,
+  caller: string | undefined,
+): Answer<StoredJob> {
+  const isForeign = found.kind === 'ok' && !mayAccess(found.value.organisation, caller)
+  return isForeign ? { kind: 'unknownJob' } : found
+}
+
 /** Reads a job that the caller may access; any other one is reported as unknown. */
 export async function findStoredJob(
   store: RowStore,
@@ -76,13 +90,11 @@
   id: string,
   caller: string | undefined,
 ): Promise<Answer<StoredJob>> {
-  const found = await findAnyStoredJob(store, queue, id)
-  const isForeign = found.kind === 'ok' && !mayAccess(found.value.organisation, caller)
-  return isForeign ? { kind: 'unknownJob' } : found
+  return hideForeign(await findAnyStoredJob(store, queue, id), caller)
 }
 
 /** Reads a job's row from the intake or, if the job has finished, from the ended table. */
-export async function findAnyStoredJob(
+async function findAnyStoredJob(
   store: RowStore,
   queue: Queue,
   id: string,
@@ -107,6 +119,31 @@
   return { kind: 'ok', value }
 }
 
+/** Reads the stored job of a request; further calls return the first answer. */
+export type StoredLookup = () => Promise<Answer<StoredJob>>
+
+/** Creates the lookup of a new job before it is refused; unavailable if the store is silent. */
+export function createStoredLookup(
+  store: RowStore,
+  queue: Queue,
+  id: string,
+): StoredLookup {
+  async function find(): Promise<Answer<StoredJob>> {
+    const ended = new AbortController()
+    const { signal } = ended
+    const silence = sleep(REFUSAL_READ_TIMEOUT_MS, signal).then(() =>
+      unavailable('the store does not answer in time'),
+    )
+    try {
+      return await Promise.race([findAnyStoredJob(store, queue, id), silence])
+    } finally {
+      ended.abort()
+    }
+  }
+  let answer: Promise<Answer<StoredJob>> | undefined
+  return () => (answer ??= find())
+}
+
 /** State of a job derived from its stored rows alone. */
 export async function readStoredStatus(
   store: RowStore,
--- a/src/jobs/schema.ts
+++ b/src/jobs/schema.ts
@@ -77,6 +77,14 @@
 /** An accepted job. */
 export type JobSpec = z.infer<typeof jobSchema>
 
+/** Whether the job has tasks that run until it is cancelled. */
+export const isLastingJob = ({ steps }: Pick<JobSpec, 'steps'>): boolean =>
+  steps.some(({ lasting }) => lasting)
+
+/** Whether the job loses nothing if its tasks start later: it lasts, or is due later. */
+export const canWait = (job: Pick<JobSpec, 'steps' | 'repetitions'>): boolean =>
+  job.repetitions > 0 || isLastingJob(job)
+
 /** State of a job as callers see it. */
 export type JobStatus = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled'
 
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -2,6 +2,9 @@
 import type { Result } from 'neverthrow'
 import type { PlatformError } from '../shared/index.js'
 
+/** Longest time for which a target counts as cold, in ms; a larger value is taken for an error. */
+export const MAX_COLD_MS = 60_000
+
 /** One incarnation of a VM in the target list. */
 export interface Target {
   /** The next incarnation of the VM may reuse it; unique only together with `lifeStartMs`. */
--- a/src/scheduler/__tests__/weightedShares.spec.ts
+++ b/src/scheduler/__tests__/weightedShares.spec.ts
@@ -1,8 +1,8 @@
 import { describe, it } from '../../../test/describe.js'
-import { createFrozenJobBook } from '../../../test/fixtures.js'
+import { createFrozenJobBook, organisationsOf } from '../../../test/fixtures.js'
 import { QUEUE, createJobRig, makeJob } from '../../../test/jobRig.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
-import type { Configuration, Organisation } from '../../ports/index.js'
+import type { Configuration } from '../../ports/index.js'
 import { createMemoryLogger, sleep } from '../../shared/index.js'
 import { NO_EVACUATION, fleetAnswerSchema, serviceReportSchema } from '../../vms/index.js'
 import { createRoom } from '../room.js'
@@ -12,17 +12,6 @@
 import type { Urgency } from '../urgency.js'
 import { createWeightedShares } from '../weightedShares.js'
 
-const organisation = (name: string, weight: number): Organisation => ({
-  name,
-  keyDigests: [],
-  weight,
-  maximum: { cpu: 0, memMb: 0, gpu: 0 },
-})
-const organisationsOf = (weights: Record<string, number>): Map<string, Organisation> =>
-  new Map(
-    Object.entries(weights).map(([name, weight]) => [name, organisation(name, weight)]),
-  )
-
 const jobOf = (name: string | undefined, count = 2, ms = 100) =>
   makeJob({ ms, cpu: 1000 }, [{ count, estimateMs: ms }], { organisation: name })
 
--- a/src/scheduler/coldTargets.ts
+++ b/src/scheduler/coldTargets.ts
@@ -3,16 +3,15 @@
  * prefer warm ones, and it gets starts at a limited rate that rises over that time (slow start). It is
  * never excluded: if all targets are cold, they are used.
  */
+import { MAX_COLD_MS } from '../ports/index.js'
 import type { ServicePool, Target } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
 
-/** Longest time for which a target counts as cold, in ms; a larger value is taken for an error. */
-const MAX_COLD_MS = 60_000
 /** Share of the limit of the service that a target gets at the beginning of its cold time. */
 const INITIAL_SHARE = 0.25
 /**
  * Starts per second of a cold target of a service without a limit, at the beginning and at the end of
- * its cold time. Assumed, not measured: the first suffices to keep a task running, and the last is
+ * its cold time. The first suffices to keep a task running, and the last is
  * about one start per second and core of the largest targets.
  */
 const UNLIMITED_PER_SECOND = { initial: 2, final: 64 }
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -2,6 +2,7 @@
 import { hasSoleSuspect, isStepDone } from '../jobs/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
+import { dominantCpu, memoryAsCpu } from '../shares/index.js'
 import { PLANNED_UTILIZATION } from '../vms/constants.js'
 import type { ServiceReport, TargetLoad } from '../vms/types.js'
 import { createArrivalMeter } from './arrivals.js'
@@ -201,8 +202,8 @@
       let work = 0
       for (const step of job.occurrences[0]?.steps ?? []) {
         if (step.spec.lasting) continue
-        const { cpu, memory } = roomOf(step, targetRoom)
-        work += step.tasks.length * Math.max(cpu, memory) * runTimes.meanRunMs(step)
+        const cpu = dominantCpu(needOf(step), targetRoom)
+        work += step.tasks.length * cpu * runTimes.meanRunMs(step)
       }
       if (work > 0) meterOf(job.spec.queue).note(work, now)
     },
@@ -294,9 +295,9 @@
 }
 
 /** Returns the room that a task of the step takes by resource, in thousandths of a core. */
-function roomOf(step: Step, { cpu, memMb }: TargetRoom): { cpu: number; memory: number } {
+function roomOf(step: Step, target: TargetRoom): { cpu: number; memory: number } {
   const need = needOf(step)
-  return { cpu: need.cpu, memory: memMb > 0 ? (need.memMb * cpu) / memMb : 0 }
+  return { cpu: need.cpu, memory: memoryAsCpu(need.memMb, target) }
 }
 
 function addStep(
--- a/src/scheduler/loadMeter.ts
+++ b/src/scheduler/loadMeter.ts
@@ -9,6 +9,7 @@
 } from '../admission/index.js'
 import type { Job, JobBook, Step } from '../jobs/index.js'
 import type { Resources } from '../ports/index.js'
+import { dominantCpu, memoryAsCpu } from '../shares/index.js'
 import type { FairShares } from './fairShares.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
@@ -73,18 +74,12 @@
     const { free, capacity: whole } = agent.room
     capacity.cpu += whole.cpu
     capacity.memMb += whole.memMb
-    const byMemory = whole.memMb > 0 ? (free.memMb * whole.cpu) / whole.memMb : Infinity
+    const byMemory = whole.memMb > 0 ? memoryAsCpu(free.memMb, whole) : Infinity
     idleCpu += Math.max(0, Math.min(free.cpu, byMemory))
   }
   return { capacity, idleCpu, ids }
 }
 
-/** Room that a task takes, in thousandths of a core; the scarcer resource counts. */
-function cpuOf(step: Step, { cpu, memMb }: Resources): number {
-  const need = needOf(step)
-  return Math.max(need.cpu, memMb > 0 ? (need.memMb * cpu) / memMb : 0)
-}
-
 /** Number of the tasks of a step by phase. */
 interface StepCounts {
   blocked: number
@@ -189,7 +184,7 @@
     isHeldBefore: boolean,
   ): boolean {
     const { job, spec } = step
-    const cpu = cpuOf(step, room.capacity)
+    const cpu = dominantCpu(needOf(step), room.capacity)
     const isKnown = runTimes.hasEnoughRuns(step)
     const meanMs = isKnown ? runTimes.meanRunMs(step) : 0
     const { blocked, ready, placed, runningMs } = countTasks(step, room, meanMs, now())
--- a/src/scheduler/speculation.ts
+++ b/src/scheduler/speculation.ts
@@ -23,7 +23,7 @@
  * loses an answer, and a shorter run ends before its copy has begun.
  */
 export const MIN_SLOW_MS = 400
-/** Assumed time from the decision to the start of a copy, in ms. */
+/** Expected time from the decision to the start of a copy, in ms. */
 const COPY_START_MS = 100
 /** Largest share of the room in use that copies may take. */
 const MAX_ROOM_SHARE = 0.05
--- a/src/scheduler/speculativeCopies.ts
+++ b/src/scheduler/speculativeCopies.ts
@@ -207,9 +207,12 @@
   }
 
   /** Orders a copy if a target has room that no waiting task could use; returns whether it did. */
-  function order(run: SlowRun, agents: readonly TargetAgent[]): boolean {
+  function order(
+    run: SlowRun,
+    agents: readonly TargetAgent[],
+    policy: PlacementPolicy,
+  ): boolean {
     const { task, pace, elapsedMs, workRate } = run
-    const policy = starter.policyNow(agents)
     if (policy.exceedsQuota(task.step)) return false
     const agent = chooseTarget(run, agents, policy)
     if (!agent || isRoomAwaited(agent, policy)) return false
@@ -235,6 +238,8 @@
   ): void {
     let ordered = 0
     let tried = 0
+    /** Holds until an order changes the room and the quotas. */
+    let policy: PlacementPolicy | undefined
     const wasTried = ({ task }: SlowRun): boolean =>
       now - (triedAt.get(task) ?? -Infinity) < RETRY_MS
     chooseCopies(
@@ -244,7 +249,9 @@
         if (ordered >= MAX_COPIES_PER_CHECK || tried >= MAX_TRIED_PER_CHECK) return false
         tried++
         triedAt.set(run.task, now)
-        if (!order(run, agents)) return false
+        policy ??= starter.policyNow(agents)
+        if (!order(run, agents, policy)) return false
+        policy = undefined
         ordered++
         return true
       },
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -5,6 +5,7 @@
  * With weighted shares, begun jobs that can still meet it come first of all, and otherwise equal jobs
  * are ordered by the virtual time of their organisations before their deadlines.
  */
+import { isLastingJob } from '../jobs/index.js'
 import type { Job, Task } from '../jobs/index.js'
 import type { Queue } from '../ports/index.js'
 import type { RunTimes } from './runTimes.js'
@@ -58,8 +59,8 @@
   delayMs = 0,
 ): Urgency {
   const priority = queue?.priority ?? LOWEST_PRIORITY
-  const lasting = job.spec.steps.some((step) => step.lasting)
-  if (!queue || lasting) return { priority, standing: 'timely', deadline: job.arrivedAt }
+  if (!queue || isLastingJob(job.spec))
+    return { priority, standing: 'timely', deadline: job.arrivedAt }
   const objectiveMs = queue.stretch * runTimes.criticalPathMs(job) + queue.latencyMs
   const endsAt = now + delayMs + runTimes.remainingPathMs(job, now)
   const deadline = job.arrivedAt + objectiveMs
--- a/src/scheduler/weightedShares.ts
+++ b/src/scheduler/weightedShares.ts
@@ -4,6 +4,7 @@
  * answers of the fleet's owner. The state is in memory only.
  */
 import type { ConfigurationHolder } from '../directory/index.js'
+import { isLastingJob } from '../jobs/index.js'
 import type { Job, Step, Task } from '../jobs/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -263,8 +264,7 @@
         const { priority, standing } = urgency
         urgencies.set(job, urgency)
         arrivedBeyond.delete(job)
-        const isLasting = job.spec.steps.some((step) => step.lasting)
-        const organisation = isLasting ? undefined : organisationOf(job)
+        const organisation = isLastingJob(job.spec) ? undefined : organisationOf(job)
         waiting.push({ job, organisation, priority, standing, cost })
       }
       round = shareOrder.begin({
@@ -281,7 +281,7 @@
     },
     order(job, { priority, standing, deadline }) {
       const share = round.shares.get(job)
-      // A literal: spreading `urgency` took 85 % of the time of a round.
+      // Spreading `urgency` would be most of the time of a round, which does this for every job.
       const ordered: Urgency = {
         priority,
         standing,
--- a/src/shares/__tests__/shareOrder.spec.ts
+++ b/src/shares/__tests__/shareOrder.spec.ts
@@ -1,23 +1,11 @@
 import fc from 'fast-check'
 import { describe, it } from '../../../test/describe.js'
-import type { Organisation } from '../../ports/index.js'
+import { organisationsOf } from '../../../test/fixtures.js'
 import { createAccounts, createShareOrder, dominantCpu, weightsOf } from '../index.js'
 import type { WaitingJob, Weights } from '../index.js'
 
 const ROOM_CPU = 10_000
 
-const organisation = (name: string, weight: number): Organisation => ({
-  name,
-  keyDigests: [],
-  weight,
-  maximum: { cpu: 0, memMb: 0, gpu: 0 },
-})
-
-const organisationsOf = (weights: Record<string, number>): Map<string, Organisation> =>
-  new Map(
-    Object.entries(weights).map(([name, weight]) => [name, organisation(name, weight)]),
-  )
-
 type Waiting = WaitingJob<string>
 
 const jobOf = (
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -1,7 +1,7 @@
 /** Fixtures shared by the tests of several areas. */
 import { createJobBook } from '../src/jobs/index.js'
 import type { JobBook } from '../src/jobs/index.js'
-import type { Vm } from '../src/ports/index.js'
+import type { Organisation, Vm } from '../src/ports/index.js'
 
 /** CPU capacity of a VM from {@link vmOf}, in thousandths of a core. */
 export const VM_CPU = 10_000
@@ -28,3 +28,36 @@
     wake: () => undefined,
     outcomeReached: () => undefined,
   })
+
+/** Organisations without keys and maxima, by name. */
+export const organisationsOf = (
+  weights: Record<string, number>,
+): Map<string, Organisation> =>
+  new Map(
+    Object.entries(weights).map(([name, weight]) => {
+      const maximum = { cpu: 0, memMb: 0, gpu: 0 }
+      return [name, { name, keyDigests: [], weight, maximum }]
+    }),
+  )
+
+/**
+ * Load of a service that serves no further job in time, as its owner sends it.
+ * @param queue queue whose run times are known
+ */
+export const fullLoad = (queue: string, term = 1, sequence = 1) => ({
+  term,
+  sequence,
+  idleCpu: 0,
+  attainableCpu: 1000,
+  backlog: [
+    {
+      priority: 0,
+      beyondShare: false,
+      timelyWork: 1e6,
+      lateWork: 0,
+      timelyStarts: 100,
+      lateStarts: 0,
+    },
+  ],
+  runMs: { [queue]: 500 },
+})
