review: a job runs twice after its route was replaced by another one

Cause: the rows by which a job's id is known are named by its route, not by what its clients send. Change: a script with its claim; both scripts share their configurations.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,63 +3,40 @@
  * queue run. Each task fails once in that time, which is less than its queue's three attempts.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { createClients } from '../lib/clients.mjs'
+import {
+  MAX_ATTEMPTS,
+  POOLS,
+  configuration,
+  jobId,
+  oneTaskJob,
+  route,
+} from '../lib/configuration.mjs'
 import { openRecord } from '../lib/record.mjs'
-import { BOUNDS, HOST, call, runCase, startSystem } from '../lib/system.mjs'
+import { BOUNDS, runCase, startSystem } from '../lib/system.mjs'
 
 const isTrouble = process.env.TROUBLE !== '0'
 const record = openRecord(new URL('record.txt', import.meta.url).pathname)
 const JOBS = 4
 const TASK_MS = 4000
-const MAX_ATTEMPTS = 3
 /** Time for all jobs to end after the last configuration, in ms: many times what they need. */
 const END_TIMEOUT_MS = 25_000
 
-const route = (name, path, service) => ({
-  name,
-  host: HOST,
-  path_prefix: path,
-  kind: 'unsafe',
-  timeout_ms: 3000,
-  target_latency_ms: 600,
-  priority: 0,
-  service,
-  max_attempts: MAX_ATTEMPTS,
-  stretch: 1.6,
-})
-
-const configuration = (version, routes) => ({
-  version,
-  routes,
-  services: [
-    { name: 'timing-svc', admission_check: true, spare: false },
-    { name: 'verify-svc', admission_check: true, spare: false },
-    { name: 'misc-svc', admission_check: true, spare: true },
-  ],
-  limits: { max_header_bytes: 16_384, max_body_bytes: 262_144 },
-})
-
 const split = route('r-split', '/split/', 'timing-svc')
 const video = route('r-video', '/video/', 'verify-svc')
 
-const jobId = (index) => `5c0e7a21d94b36${index.toString(16).padStart(2, '0')}`
-
 runCase(async () => {
   const system = await startSystem({
-    pools: { 'timing-svc': 4, 'verify-svc': 4, 'misc-svc': 4 },
+    pools: POOLS,
     configuration: configuration(3, [split, video]),
     record,
   })
-  const { platform, nodes, watchers } = system
+  const { platform, watchers } = system
   const put = (version, routes) => {
     platform.putConfiguration(configuration(version, routes))
     record(`operator: configuration ${version} with ${routes.map(({ name }) => name)}`)
   }
-  const send = async (index, method, path, body) => {
-    const { name, address } = nodes[index % nodes.length]
-    const answer = await call(address, method, path, body)
-    record(`client: ${method} ${path} to ${name}: ${answer.status} ${answer.text}`)
-    return answer
-  }
+  const send = createClients(system, record)
   /** Ends `failed` by task, as the minions have listed them. */
   const failures = new Map()
   watchers.push(({ what, task }) => {
@@ -81,12 +58,7 @@
       failRun(target)
     })
     for (const [index, id] of ids.entries()) {
-      const spec = JSON.stringify({ ms: TASK_MS, cpu: 2000 })
-      const body = {
-        spec,
-        steps: [{ count: 1, cpu: 2000, mem_mb: 256, estimated_ms: TASK_MS }],
-      }
-      const answer = await send(index, 'POST', `/split/${id}`, body)
+      const answer = await send(index, 'POST', `/split/${id}`, oneTaskJob(TASK_MS))
       if (answer.status !== 200) return 2
     }
     const startsBy = performance.now() + 10_000
