--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
 import { fillTemplate } from './template.mjs'
 
 /** Zones of the small deployment tsb-sofia. */
@@ -18,7 +19,7 @@
   cancelMs: 3000,
   stopMs: 900,
 }
-const REPOSITORY = new URL('../../', import.meta.url).pathname
+const REPOSITORY = fileURLToPath(new URL('../../', import.meta.url))
 const READY_TIMEOUT_MS = 20_000
 const CALL_TIMEOUT_MS = 3000
 
@@ -108,6 +109,10 @@
   const { program, args, template } = deployedCommand()
   const net = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`
   const children = []
+  const killAll = () => {
+    for (const child of children) child.kill('SIGKILL')
+  }
+  process.once('exit', killAll)
 
   async function startNode(zone, index) {
     const name = `frontend-${zone}-1`
@@ -165,7 +170,7 @@
   }
 
   async function stop() {
-    for (const child of children) child.kill('SIGKILL')
+    killAll()
     await Promise.race([platform.close(), sleep(2000)])
     if (!process.env.KEEP_LOGS) rmSync(directory, { recursive: true, force: true })
     else process.stdout.write(`logs of the nodes: ${directory}\n`)
@@ -192,6 +197,7 @@
 /** Runs a case and ends the process with its code. */
 export async function runCase(body) {
   let code = 2
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2))
   try {
     code = await body()
   } catch (cause) {
