fix(scheduler): keep the settings of a job's queue in the row of the job

Callers saw jobs `failed` after one of three attempts: a configuration removed their route, the first run of each task failed in that time, and the outcome was durable when the route came back.

Cause: the job book asked the present configuration for the attempts of the job's queue and took 1 for a queue that it does not name. The row of an accepted job held its service and organisation, not the settings.

The row now keeps priority, attempts, objective and advice policy as they were at acceptance; src/scheduler/jobSettings.ts alone finds them. It works because an owner needs nothing but the row, in any process, under any later configuration.

Lookups that fell back to a default, and what each does now: - attempts (job book, suspect targets, copies): the job's; no limit if they are not known, instead of 1 - ticket needed (starter): the job's advice policy - priority and objective (urgency, demand, load, weighted shares): the job's; lowest priority without objective if they are not known, as before - maximum and weight of a removed organisation (quotas, fair shares): as last configured in the life of the process, instead of no limit - weight of a removed organisation (weighted shares): the least weight, as before; documented there - cold start of a service (coldTargets): none if the service is not configured, as before; it limits nothing but the pace of starts

Rows of earlier builds have no settings. That ends once the jobs accepted by earlier builds have ended. Earlier builds pass over the new field.

--- a/src/directory/__tests__/configurationHolder.spec.ts
+++ b/src/directory/__tests__/configurationHolder.spec.ts
@@ -1,6 +1,7 @@
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
 import { platformDocuments } from '../../../platform/index.js'
+import { maximumOf } from '../../quotas/index.js'
 import { createMemoryLogger, sleep } from '../../shared/index.js'
 import { createConfigurationHolder } from '../index.js'
 
@@ -40,6 +41,31 @@
     await holder.stop()
   })
 
+  describe('route or organisation that a later configuration removes', () => {
+    const tenant = { name: 'o', api_keys: ['key'], weight: 2, maximum: { cpu: 500 } }
+    const withTenants = (version: number, prefixes: string[], tenants: object[]) =>
+      JSON.stringify({ ...JSON.parse(configuration(version, prefixes)), tenants })
+
+    // Guards against jobs without limits of attempts and quotas once nothing names them.
+    it('stays known as last configured, and callers cannot use it', async (t) => {
+      const { table, holder } = start()
+      table.put(KEY, withTenants(1, ['/a/'], [tenant]))
+      await sleep(300)
+      table.put(KEY, withTenants(2, ['/b/'], []))
+      await sleep(50)
+      t.is(holder.current()?.version, 2)
+      t.is(holder.match('h.example', '/a/x'), undefined)
+      t.is(holder.lastKnownQueue('r/a/')?.pathPrefix, '/a/')
+      t.is(holder.organisationOfKey('key'), undefined)
+      t.like(maximumOf(holder.current(), 'o'), { cpu: 500 })
+      table.put(KEY, withTenants(3, ['/a/'], [{ ...tenant, maximum: { cpu: 900 } }]))
+      await sleep(50)
+      t.like(maximumOf(holder.current(), 'o'), { cpu: 900 })
+      t.is(holder.current()?.formerOrganisations?.size, 0)
+      await holder.stop()
+    })
+  })
+
   it('keeps its configuration if a document is older or invalid', async (t) => {
     const { table, holder } = start()
     table.put(KEY, configuration(5, ['/a/']))
--- a/src/directory/configurationHolder.ts
+++ b/src/directory/configurationHolder.ts
@@ -1,5 +1,12 @@
 /** The configuration in force on this node, and the waves and cordons that operators request. */
-import type { Configuration, Documents, Queue, RowStore, Wave } from '../ports/index.js'
+import type {
+  Configuration,
+  Documents,
+  Organisation,
+  Queue,
+  RowStore,
+  Wave,
+} from '../ports/index.js'
 import { createInvalidRows, digestKey, monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { createRowMirror } from './rowMirror.js'
@@ -28,7 +35,11 @@
   cordons(): ReadonlyMap<string, number>
   /** The queue of a host whose path prefix is the longest match for a path. */
   match(host: string, path: string): Queue | undefined
-  queue(name: string): Queue | undefined
+  /**
+   * The queue according to the newest configuration of this process's life that names it, which
+   * need not be the present one.
+   */
+  lastKnownQueue(name: string): Queue | undefined
   /** Name of the organisation that holds a key; undefined if none does. */
   organisationOfKey(key: string): string | undefined
   /** Time up to which the configuration is known to be current, in ms of the monotonic clock. */
@@ -51,7 +62,7 @@
   const unreadRows = createInvalidRows(log, documents.table)
   let current: Configuration | undefined
   let byHost = new Map<string, Queue[]>()
-  let byName = new Map<string, Queue>()
+  const lastKnown = new Map<string, Queue>()
   let byKeyDigest = new Map<string, string>()
 
   const adopt = (next: Configuration): void => {
@@ -66,8 +77,8 @@
     if (next.invalidParts.length > 0) {
       unreadRows.note(documents.configurationKey, next.invalidParts.join('; '))
     } else unreadRows.clear(documents.configurationKey)
-    current = next
-    byName = new Map(next.queues.map((queue) => [queue.name, queue]))
+    current = { ...next, formerOrganisations: formerOrganisations(next) }
+    for (const queue of next.queues) lastKnown.set(queue.name, queue)
     byKeyDigest = new Map(keyDigestsOf(next))
     byHost = new Map()
     for (const queue of next.queues) {
@@ -81,6 +92,14 @@
     for (const listener of listeners) listener()
   }
 
+  /** Returns the organisations that `next` lacks, as last configured. */
+  function formerOrganisations(next: Configuration): Map<string, Organisation> {
+    const found = new Map(current?.formerOrganisations)
+    for (const [name, each] of current?.organisations ?? []) found.set(name, each)
+    for (const name of next.organisations?.keys() ?? []) found.delete(name)
+    return found
+  }
+
   const readWave = (key: string, value: string | undefined): void => {
     if (value === undefined) {
       unreadRows.clear(key)
@@ -132,7 +151,7 @@
     cordons: () => cordons,
     match: (host, path) =>
       byHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix)),
-    queue: (name) => byName.get(name),
+    lastKnownQueue: (name) => lastKnown.get(name),
     organisationOfKey: (key) => byKeyDigest.get(digestKey(key)),
     freshAt: mirror.freshAt,
     subscribe(listener) {
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -16,6 +16,7 @@
   encodeJob,
   endedKey,
   intakeKey,
+  settingsOfQueue,
 } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
 import type {
@@ -80,7 +81,10 @@
   | { kind: 'uncertain'; reason: string }
 
 /** A job as a caller submits it. */
-export type NewJob = Omit<JobSpec, 'queue' | 'service' | 'organisation' | 'acceptedAtMs'>
+export type NewJob = Omit<
+  JobSpec,
+  'queue' | 'service' | 'settings' | 'organisation' | 'acceptedAtMs'
+>
 
 /**
  * Requests of callers. `caller` is the organisation of the caller, undefined for a caller without
@@ -246,6 +250,7 @@
       ...newJob,
       queue: name,
       service,
+      settings: settingsOfQueue(queue),
       organisation,
       acceptedAtMs: Date.now(),
     }
--- a/src/jobs/__tests__/rows.spec.ts
+++ b/src/jobs/__tests__/rows.spec.ts
@@ -24,6 +24,14 @@
     t.is(decodeIntake(cancelKey(JOB.queue, JOB.id), 'anything').kind, 'cancel')
   })
 
+  // Guards against jobs that lose their settings as an owner of another build reads their row.
+  it('is read with and without the settings of its queue', (t) => {
+    const settings = { priority: 1, maxAttempts: 4, stretch: 2, latencyMs: 300 }
+    const decoded = decodeIntake(KEY, encodeJob({ ...JOB, settings }))
+    t.deepEqual(decoded, { kind: 'job', id: JOB.id, job: { ...JOB, settings } })
+    t.is(JOB.settings, undefined)
+  })
+
   const step = JOB.steps[0]!
   const wrong: [what: string, change: object][] = [
     ['the id of another job', { id: '00000000000000ff' }],
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -99,8 +99,9 @@
   delays: JobDelays
 }
 
-/** The settings of a queue that the job book uses. */
+/** The settings of a job that the job book uses. */
 export interface JobRules {
+  /** Infinity if not known. */
   maxAttempts: number
 }
 
--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -14,8 +14,8 @@
 
 /** Settings, clocks and callbacks of a job book. */
 export interface JobBookOptions {
-  /** The present settings of a queue. */
-  rulesOf(queue: string): JobRules
+  /** The settings by which a job runs. */
+  rulesOf(spec: JobSpec): JobRules
   /** Monotonic clock, in ms. */
   now(): number
   /** Wall clock, in ms since 1970. */
@@ -249,9 +249,10 @@
     if (spec.lasting) return
     const counted = spec.gang ? (tasks[0] ?? task) : task
     counted.failedRuns.add(run)
-    const { maxAttempts } = opts.rulesOf(job.spec.queue)
-    if (counted.failedRuns.size < maxAttempts) return
-    failJob(task, run, `${task.name} failed ${counted.failedRuns.size} times`)
+    const { maxAttempts } = opts.rulesOf(job.spec)
+    const { size } = counted.failedRuns
+    if (size < maxAttempts) return
+    failJob(task, run, `${task.name} failed ${size} times, ${maxAttempts} allowed`)
   }
 
   /** The tasks that a `done` end completes: all members of a gang, otherwise the task itself. */
--- a/src/jobs/schema.ts
+++ b/src/jobs/schema.ts
@@ -52,6 +52,41 @@
 /** One step of a job. */
 export type StepSpec = z.infer<typeof stepSchema>
 
+/**
+ * Settings of a queue by which its jobs run. A job keeps those that were in force when it was
+ * accepted, whatever later configurations say of its queue.
+ */
+const queueSettingsSchema = z.object({
+  /** 0 is the highest priority. */
+  priority: z.number(),
+  /** Number of failed runs of a task after which its job fails. */
+  maxAttempts: z.number().min(1),
+  /** Latency objective of a job: `stretch` times its longest chain plus `latencyMs`. */
+  stretch: z.number(),
+  latencyMs: z.number(),
+  /** Time limits of the advice service; undefined when the queue has no advice policy. */
+  advice: z
+    .object({ decideMs: z.number(), eachMs: z.number(), validMs: z.number() })
+    .optional(),
+})
+/** Settings of a queue by which its jobs run. */
+export type QueueSettings = z.infer<typeof queueSettingsSchema>
+
+/** Picks the settings that a job keeps. */
+export const settingsOfQueue = ({
+  priority,
+  maxAttempts,
+  stretch,
+  latencyMs,
+  advice,
+}: QueueSettings): QueueSettings => ({
+  priority,
+  maxAttempts,
+  stretch,
+  latencyMs,
+  advice,
+})
+
 /** Excludes dots, because names of tasks begin with the job's id and a dot. */
 const jobIdSchema = idSchema.regex(/^[^.]+$/, 'a job id must not contain a dot')
 
@@ -61,6 +96,8 @@
   queue: z.string(),
   /** Service whose targets run the job, as configured when the job was accepted. */
   service: z.string(),
+  /** Undefined in rows of software versions that did not store them. */
+  settings: queueSettingsSchema.optional(),
   /** Organisation that submitted the job; undefined if its queue needed no key. */
   organisation: z.string().optional(),
   /** Text passed to every task. */
--- a/src/ports/configuration.ts
+++ b/src/ports/configuration.ts
@@ -51,6 +51,11 @@
   services: Map<string, ServicePool>
   /** By name; undefined where callers need no keys. */
   organisations?: Map<string, Organisation>
+  /**
+   * Organisations that this configuration lacks, according to the newest earlier one that names
+   * them. Their jobs go on; their keys are not accepted.
+   */
+  formerOrganisations?: Map<string, Organisation>
   limits: { headerBytes: number; bodyBytes: number; headerMs: number; idleMs: number }
   /** One message for each invalid part, which is left out. */
   invalidParts: string[]
--- a/src/quotas/maximum.ts
+++ b/src/quotas/maximum.ts
@@ -4,13 +4,15 @@
 
 /**
  * Returns what an organisation may use at most, with {@link UNLIMITED} for no limit; undefined if it
- * has no limit of any kind, because the configuration sets none or does not name the organisation.
+ * has no limit of any kind, because no configuration that is known sets one. An organisation that a
+ * later configuration removed keeps its last limit.
  */
 export function maximumOf(
   cfg: Configuration | undefined,
   organisation: string,
 ): Resources | undefined {
-  const found = cfg?.organisations?.get(organisation)
+  const found =
+    cfg?.organisations?.get(organisation) ?? cfg?.formerOrganisations?.get(organisation)
   // An organisation that cannot be read may have any maximum.
   if (!found) return cfg?.lacksOrganisations ? zeroAmounts() : undefined
   const { maximum } = found
--- a/src/scheduler/__tests__/weightedShares.spec.ts
+++ b/src/scheduler/__tests__/weightedShares.spec.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from '../../ports/index.js'
 import { createMemoryLogger, sleep } from '../../shared/index.js'
 import { NO_EVACUATION, fleetAnswerSchema, serviceReportSchema } from '../../vms/index.js'
+import { createJobSettings } from '../jobSettings.js'
 import { createRoom } from '../room.js'
 import { createRunTimes } from '../runTimes.js'
 import type { TargetAgent } from '../types.js'
@@ -25,7 +26,6 @@
   }
   const configuration = {
     current: () => ({ organisations: state.organisations }) as Configuration,
-    queue: () => QUEUE,
   } as unknown as ConfigurationHolder
   const log = createMemoryLogger()
   const runTimes = createRunTimes()
@@ -33,6 +33,7 @@
   const shares = createWeightedShares({
     service: 's',
     configuration,
+    settings: createJobSettings({ lastKnownQueue: () => QUEUE }, log),
     runTimes,
     log,
     now: () => state.now,
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -35,6 +35,7 @@
 import { markUnlistedGone, evacuateLeaving } from './leavingTargets.js'
 import { createHeldJobs } from './heldJobs.js'
 import { createInheritedJobs } from './inheritedJobs.js'
+import { createJobSettings } from './jobSettings.js'
 import { createLoadMeter } from './loadMeter.js'
 import { createLivenessCheck } from './livenessCheck.js'
 import { createIsolation } from './isolation.js'
@@ -136,6 +137,7 @@
   const inheritedRead = new Promise<void>((resolve) => (resolveInheritedRead = resolve))
   const startedAt = monotonicMs()
 
+  const settings = createJobSettings(configuration, log)
   const load = createOwnerLoadMeter()
   const isTakingOver = (): boolean => !gateOpen || book.mayLackJobs
 
@@ -160,10 +162,7 @@
   })
 
   const book = createJobBook({
-    rulesOf(queue) {
-      const found = configuration.queue(queue)
-      return { maxAttempts: found?.maxAttempts ?? 1 }
-    },
+    rulesOf: (spec) => ({ maxAttempts: settings.maxAttemptsOf(spec) }),
     now: monotonicMs,
     wallMs: Date.now,
     progressChanged: progress.markDirty,
@@ -176,6 +175,7 @@
         queue: job.spec.queue,
         outcome,
         cause,
+        settingsFrom: settings.sourceOf(job.spec),
         tookMs: Math.round(monotonicMs() - job.arrivedAt),
         ...job.delays,
       }),
@@ -188,11 +188,10 @@
     wake,
   })
   const weightedShares = opts.features.has('weightedShares')
-    ? createWeightedShares({ service, configuration, runTimes, log })
+    ? createWeightedShares({ service, configuration, settings, runTimes, log })
     : undefined
   const shares =
-    weightedShares ??
-    createFairShares((name) => configuration.current()?.organisations?.get(name)?.weight)
+    weightedShares ?? createFairShares((name) => weightOf(configuration, name))
   const health = createHealth({ runTimes, coldTargets, log })
   const startWindow = createStartWindow({ freed: wake, log })
   const demand = createDemandMeter({
@@ -202,8 +201,7 @@
     isSuspect: (agent) => health.standingOf(agent) !== 'sound',
     isTimely(job, now) {
       if (shares.isBeyondShare(job)) return false
-      const queue = configuration.queue(job.spec.queue)
-      return urgencyOf(job, queue, runTimes, now).standing === 'timely'
+      return urgencyOf(job, settings.of(job.spec), runTimes, now).standing === 'timely'
     },
   })
   const loadMeter = features.has('admission')
@@ -215,8 +213,7 @@
         areSharesWeighted: weightedShares !== undefined,
         runTimes,
         startWindow,
-        urgencyOf: (job, now) =>
-          urgencyOf(job, configuration.queue(job.spec.queue), runTimes, now),
+        urgencyOf: (job, now) => urgencyOf(job, settings.of(job.spec), runTimes, now),
         agents: allAgents,
         isSettled: () => gateOpen && !book.mayLackJobs && authority.isConfirmed(),
         hasFleet: opts.cloud !== undefined,
@@ -302,6 +299,7 @@
   const shared = {
     authority,
     configuration,
+    settings,
     book,
     roster,
     runTimes,
@@ -497,6 +495,12 @@
   }
 }
 
+/** Weight of an organisation as last configured, also if a later configuration removed it. */
+function weightOf(configuration: ConfigurationHolder, name: string): number | undefined {
+  const { organisations, formerOrganisations } = configuration.current() ?? {}
+  return (organisations?.get(name) ?? formerOrganisations?.get(name))?.weight
+}
+
 /** Names of the queues that are currently configured for the service. */
 function queuesOf(configuration: ConfigurationHolder, service: string): string[] {
   const { queues = [] } = configuration.current() ?? {}
--- a/src/scheduler/speculativeCopies.ts
+++ b/src/scheduler/speculativeCopies.ts
@@ -2,7 +2,6 @@
  * Orders copies of slow tasks for one service owner and records what they cost. The job book keeps the
  * copy of a task; this part decides, from the run times of the ended tasks of its step.
  */
-import type { ConfigurationHolder } from '../directory/index.js'
 import { isStepDone } from '../jobs/index.js'
 import type { CopyOutcome, JobBook, Step, Task, TaskCopy } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
@@ -12,6 +11,7 @@
 import type { ColdTargets } from './coldTargets.js'
 import { firstRunOf } from './constants.js'
 import type { Health } from './health.js'
+import type { JobSettings } from './jobSettings.js'
 import { UNRESTRICTED_POLICY, stepHoldOf } from './placementRules.js'
 import type { PlacementPolicy } from './placementRules.js'
 import { rackOf } from './planner.js'
@@ -54,7 +54,7 @@
 /** Dependencies of the copies of one service. */
 export interface SpeculativeCopiesOptions {
   authority: Authority
-  configuration: ConfigurationHolder
+  settings: JobSettings
   book: JobBook
   starter: Pick<Starter, 'policyNow' | 'startCopy'>
   startWindow: Pick<StartWindow, 'isBehind'>
@@ -112,8 +112,7 @@
 
   /** Whether a failed copy would use up the attempts of a task whose other run may succeed. */
   function isLastAttempt({ failedRuns, step }: Task): boolean {
-    const queue = opts.configuration.queue(step.job.spec.queue)
-    return failedRuns.size + 1 >= (queue?.maxAttempts ?? 1)
+    return failedRuns.size + 1 >= opts.settings.maxAttemptsOf(step.job.spec)
   }
 
   function slowRunsOf(
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -1,5 +1,4 @@
 /** Starts ready tasks on permitted targets, with a ticket if their queue requires one. */
-import type { ConfigurationHolder } from '../directory/index.js'
 import type { Job, JobBook, Step, Task } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import { monotonicMs } from '../shared/index.js'
@@ -9,6 +8,7 @@
 import type { FairShares } from './fairShares.js'
 import type { Health } from './health.js'
 import type { PlacementPolicy } from './placementRules.js'
+import type { JobSettings } from './jobSettings.js'
 import type { Isolation, IsolationRound } from './isolation.js'
 import { createPacking } from './packing.js'
 import { planStarts } from './planner.js'
@@ -27,7 +27,7 @@
 /** Dependencies of the starter. */
 export interface StarterOptions {
   authority: Authority
-  configuration: ConfigurationHolder
+  settings: JobSettings
   book: JobBook
   roster: Roster
   runTimes: RunTimes
@@ -59,13 +59,13 @@
 
 /** Creates the starter of one owner. */
 export function createStarter(opts: StarterOptions): Starter {
-  const { authority, configuration, book, roster, runTimes, health, tickets } = opts
+  const { authority, settings, book, roster, runTimes, health, tickets } = opts
   const { coldTargets, isolation, startWindow, quotas } = opts
   const { shares, weightedShares, log } = opts
   const firstRun = firstRunOf(authority.term)
 
   const needsTicket = (step: Step): boolean =>
-    configuration.queue(step.job.spec.queue)?.advice !== undefined
+    settings.of(step.job.spec)?.advice !== undefined
 
   const tries = new WeakMap<Job, number>()
 
@@ -75,7 +75,7 @@
       agents,
       now,
       tries,
-      maxAttemptsOf: (job) => configuration.queue(job.spec.queue)?.maxAttempts ?? 1,
+      maxAttemptsOf: (job) => settings.maxAttemptsOf(job.spec),
     })
 
   const isCold = ({ target }: TargetAgent): boolean => coldTargets.isCold(target.id)
@@ -115,13 +115,7 @@
   ): (job: Job) => Urgency {
     const startDelayMs = startWindow.delayMs()
     const ownUrgencyOf = (job: Job, delayMs: number): Urgency =>
-      urgencyOf(
-        job,
-        configuration.queue(job.spec.queue),
-        runTimes,
-        now,
-        delayMs + startDelayMs,
-      )
+      urgencyOf(job, settings.of(job.spec), runTimes, now, delayMs + startDelayMs)
     const delayedUrgencyOf = (job: Job, delayMs: number): Urgency =>
       addShare(job, ownUrgencyOf(job, delayMs))
     const known = weightedShares?.begin({
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -6,13 +6,12 @@
  * are ordered by the virtual time of their organisations before their deadlines.
  */
 import { isLastingJob } from '../jobs/index.js'
-import type { Job, Task } from '../jobs/index.js'
-import type { Queue } from '../ports/index.js'
+import type { Job, QueueSettings, Task } from '../jobs/index.js'
 import type { RunTimes } from './runTimes.js'
 
 /** A job is of no use to its caller once this multiple of its objective has passed. */
 export const USELESS_FACTOR = 3
-/** Priority of jobs whose queue is no longer configured. */
+/** Priority of jobs whose settings are not known. */
 const LOWEST_PRIORITY = 1000
 
 /**
@@ -53,15 +52,15 @@
  */
 export function urgencyOf(
   job: Job,
-  queue: Queue | undefined,
+  settings: QueueSettings | undefined,
   runTimes: RunTimes,
   now: number,
   delayMs = 0,
 ): Urgency {
-  const priority = queue?.priority ?? LOWEST_PRIORITY
-  if (!queue || isLastingJob(job.spec))
+  const priority = settings?.priority ?? LOWEST_PRIORITY
+  if (!settings || isLastingJob(job.spec))
     return { priority, standing: 'timely', deadline: job.arrivedAt }
-  const objectiveMs = queue.stretch * runTimes.criticalPathMs(job) + queue.latencyMs
+  const objectiveMs = settings.stretch * runTimes.criticalPathMs(job) + settings.latencyMs
   const endsAt = now + delayMs + runTimes.remainingPathMs(job, now)
   const deadline = job.arrivedAt + objectiveMs
   if (endsAt <= deadline) return { priority, standing: 'timely', deadline }
--- a/src/scheduler/weightedShares.ts
+++ b/src/scheduler/weightedShares.ts
@@ -25,6 +25,7 @@
   WaitingJob,
 } from '../shares/index.js'
 import type { FairShares } from './fairShares.js'
+import type { JobSettings } from './jobSettings.js'
 import { needOf } from './room.js'
 import type { RunTimes } from './runTimes.js'
 import type { QuotaUsage } from './serviceQuotas.js'
@@ -85,6 +86,7 @@
 export interface WeightedSharesOptions {
   service: string
   configuration: ConfigurationHolder
+  settings: JobSettings
   runTimes: RunTimes
   log: Logger
   /** Monotonic clock, in ms. */
@@ -143,7 +145,7 @@
     step.spec.lasting ? 0 : dominantCpu(needOf(step), room)
 
   const priorityOf = (job: Job): number | undefined =>
-    configuration.queue(job.spec.queue)?.priority
+    opts.settings.of(job.spec)?.priority
 
   /** The organisation of a job; undefined where none is configured. */
   const organisationOf = ({ spec }: Job): string | undefined =>
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -139,6 +139,11 @@
   intakeRead: spec('RS-8061', 'warn', 'intake read completely after a gap'),
   orderLate: spec('RS-8062', 'warn', 'order waited long behind earlier orders'),
   processLate: spec('RS-8063', 'warn', 'event loop of the process runs late'),
+  jobSettingsUnknown: spec(
+    'RS-8086',
+    'warn',
+    'settings of the jobs of a queue are not known',
+  ),
   jobEnded: spec('RS-8004', 'info', 'job reached its outcome'),
   jobSettled: spec('RS-8005', 'info', 'outcome of the job is durable'),
   jobCancelled: spec('RS-8006', 'info', 'request to cancel a job is durable'),
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -89,6 +89,8 @@
   cordons: Map<string, number>
   /** Cordons a data hall, or lifts its cordon, and notifies the owners. */
   setCordoned(hall: string, isCordoned: boolean): void
+  /** Whether owners know the settings of {@link QUEUE} from a configuration. */
+  isQueueKnown: boolean
   /** Optional features of owners that are started. */
   features: ReadonlySet<Feature>
   /** List of VMs that owners read; undefined if there is none. */
@@ -161,7 +163,7 @@
     waves: () => [],
     cordons: () => rig.cordons,
     match: () => QUEUE,
-    queue: () => QUEUE,
+    lastKnownQueue: () => (rig.isQueueKnown ? QUEUE : undefined),
     organisationOfKey: () => undefined,
     freshAt: () => performance.now(),
     subscribe(listener) {
@@ -197,6 +199,7 @@
     orders: createSimOrders(targets),
     organisations: undefined,
     cordons: new Map(),
+    isQueueKnown: true,
     features: new Set(),
     setCordoned(hall, isCordoned) {
       if (isCordoned) rig.cordons.set(hall, performance.now())
