fix(front): keep an accepted id one job while its queue is replaced

Callers saw, after a configuration had replaced a queue by another one of the same host and prefix: 410 for accepted jobs that ran; the same id accepted and run a second time at the same time; DELETE answered 410 for jobs that ran on.

Cause: callers name a job by host, prefix and id, while the parts of its rows were named by the present queue. Another queue at the address led to other keys, so that the condition on absence held.

src/namespaces now decides under which name an id is recorded. Each address is bound, once and for ever, to the name of the first queue that accepted a job there; the row of the binding is durable before the row of the job, so every process under every later configuration uses the same keys. Without replaced queues all keys are what they were.

Related paths, mended with it: - the number of waiting jobs is the sum over all services for which jobs were accepted at the address - a state that the owner of the present service does not know is asked from the owner of the job's service before it is derived from rows - requests to cancel, told and read, and in `rillshunt node jobs`, are matched by queue and id, no longer by id alone - a service that only accepted jobs name keeps an owner - admission finds run times by the name of the job's rows

Calls to the store: one read by each process for each configuration with new addresses; at the first job of an address that a node does not know, one read, and one write if there is no binding.

Two builds on one store: earlier builds record ids under the name of the queue. Newer nodes look there too, if another name is bound, and unless it is the name of another address. An earlier build still accepts an id again after a replacement. The new field `queue` of messages between nodes is optional.

--- a/src/cli/nodeJobCommands.ts
+++ b/src/cli/nodeJobCommands.ts
@@ -46,12 +46,12 @@
     decodeIntake(row, row.value),
   )
   const cancels = new Set(
-    entries.flatMap((each) => (each.kind === 'cancel' ? each.id : [])),
+    entries.flatMap((each) => (each.kind === 'cancel' ? `${each.queue}/${each.id}` : [])),
   )
   return entries.flatMap((entry) => {
     if (entry.kind !== 'job') return []
     const jobProgress = progress.get(entry.id)
-    const cancelled = cancels.has(entry.id)
+    const cancelled = cancels.has(`${entry.job.queue}/${entry.id}`)
     const isUnreadable = progress.has(entry.id) && !jobProgress
     const status = isUnreadable ? 'unreadable' : storedStatus(cancelled, jobProgress)
     return { job: entry.job, cancelled, progress: jobProgress, status }
--- a/src/front/__tests__/admission.spec.ts
+++ b/src/front/__tests__/admission.spec.ts
@@ -8,7 +8,7 @@
 import { toJson } from '@bufbuild/protobuf'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
-import { fullLoad } from '../../../test/fixtures.js'
+import { fullLoad, queueNamespaces } from '../../../test/fixtures.js'
 import { QUEUE, SERVICE, makeJob } from '../../../test/jobRig.js'
 import { createFrontAdmission } from '../../admission/index.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
@@ -109,6 +109,7 @@
   const reads = { count: 0, areSilent: false }
   const cordons = new Map<string, number>()
   const jobs = createJobService({
+    namespaces: queueNamespaces,
     store: {
       ...store,
       read(...args) {
--- a/src/front/__tests__/admissionAtOwner.spec.ts
+++ b/src/front/__tests__/admissionAtOwner.spec.ts
@@ -4,6 +4,7 @@
  */
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
+import { queueNamespaces } from '../../../test/fixtures.js'
 import { NODE, QUEUE, createJobRig, makeJob } from '../../../test/jobRig.js'
 import type { JobRig, RigOwner } from '../../../test/jobRig.js'
 import { createFrontAdmission } from '../../admission/index.js'
@@ -29,6 +30,7 @@
   })
   const configuration = { current: () => undefined, freshAt: () => 0 }
   return createJobService({
+    namespaces: queueNamespaces,
     store: rig.table.forNode(NODE),
     configuration: configuration as unknown as ConfigurationHolder,
     owners,
--- a/src/front/__tests__/jobService.spec.ts
+++ b/src/front/__tests__/jobService.spec.ts
@@ -1,5 +1,6 @@
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
+import { queueNamespaces } from '../../../test/fixtures.js'
 import { makeJob } from '../../../test/jobRig.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
 import type { Configuration, Queue } from '../../ports/index.js'
@@ -42,6 +43,7 @@
   const cancelled: string[] = []
   const log = createMemoryLogger()
   const jobs = createJobService({
+    namespaces: queueNamespaces,
     store: table.forNode('n'),
     configuration: configuration as unknown as ConfigurationHolder,
     owners: {
--- a/src/front/__tests__/ownerCalls.spec.ts
+++ b/src/front/__tests__/ownerCalls.spec.ts
@@ -118,7 +118,7 @@
 
   it('is notified until it answers', async (t) => {
     const { ownerCalls, received } = startLate(3)
-    ownerCalls.cancel('svc', 'a')
+    ownerCalls.cancel('svc', 'a', 'q')
     ownerCalls.offer(makeJob({}), 1)
     await sleep(3000)
     t.deepEqual(received.sort(), ['cancel', 'offer'])
@@ -126,7 +126,7 @@
 
   it('has more time for a notification than for the question of a waiting caller', async (t) => {
     const { ownerCalls, timeouts } = startLate(0)
-    ownerCalls.cancel('svc', 'a')
+    ownerCalls.cancel('svc', 'a', 'q')
     await ownerCalls.status('svc', 'b')
     t.true(timeouts['cancel']![0]! >= 2000)
     t.true(timeouts['status']![0]! < 1000)
@@ -135,7 +135,7 @@
   it('is notified without waiting for a question in flight', async (t) => {
     const { ownerCalls, received } = startLate(0)
     void ownerCalls.status('svc', 'b')
-    ownerCalls.cancel('svc', 'a')
+    ownerCalls.cancel('svc', 'a', 'q')
     await sleep(5)
     t.deepEqual(received, ['status', 'cancel'])
   })
--- a/src/front/__tests__/unreadableRows.spec.ts
+++ b/src/front/__tests__/unreadableRows.spec.ts
@@ -4,6 +4,7 @@
  */
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
+import { queueNamespaces } from '../../../test/fixtures.js'
 import { QUEUE, SERVICE, makeJob } from '../../../test/jobRig.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
 import {
@@ -46,6 +47,7 @@
   const job = makeJob({ ms: 10 })
   const cancelled: string[] = []
   const jobs = createJobService({
+    namespaces: queueNamespaces,
     store: table.forNode('n'),
     configuration: {
       current: () => undefined,
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -19,6 +19,7 @@
   settingsOfQueue,
 } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
+import type { Namespace, Namespaces } from '../namespaces/index.js'
 import type {
   Queue,
   RowCommit,
@@ -31,12 +32,13 @@
   describeError,
   jittered,
   monotonicMs,
+  sleep,
   sleepUntil,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { checkCaller, configurationAgeMs, isConfigurationStale } from './callerCheck.js'
 import type { CallerCheck } from './callerCheck.js'
-import type { OwnerCalls } from './ownerCalls.js'
+import type { KnownJob, OwnerCalls } from './ownerCalls.js'
 import {
   RETRY_AFTER_MS,
   UNREADABLE,
@@ -54,6 +56,11 @@
  * deadline of 3 s. A caller without an answer does not know whether to send the job again.
  */
 const UNKNOWN_COMMIT_TIMEOUT_MS = 1500
+/**
+ * Longest wait for the namespace of a new job, in ms. The commit must still fit into a caller's
+ * usual deadline of 3 s.
+ */
+const BINDING_TIMEOUT_MS = 1000
 /** Shortest time between two such commits, in ms; jittered. */
 const UNKNOWN_COMMIT_RETRY_MS = 100
 /**
@@ -105,6 +112,7 @@
   store: RowStore
   configuration: ConfigurationHolder
   owners: OwnerCalls
+  namespaces: Namespaces
   /** All data halls of the deployment; undefined if they are not known. */
   halls?: readonly string[] | undefined
   /** Undefined where every job is admitted. */
@@ -130,7 +138,7 @@
 
 /** Creates the service, which holds no state of jobs. */
 export function createJobService(opts: JobServiceOptions): JobService {
-  const { store, configuration, owners, admission, log } = opts
+  const { store, configuration, owners, namespaces, admission, log } = opts
   const unreadRows = createInvalidRows(log, INTAKE_TABLE)
 
   /** Whether nothing can be started anywhere, because operators have cordoned every hall. */
@@ -237,6 +245,53 @@
     return { kind: 'refused', retryAfterMs, reason: REFUSAL_TEXTS[reason] }
   }
 
+  /**
+   * The namespace for a new job. A silent store must not use up the time in which the caller can
+   * send the job elsewhere.
+   */
+  async function bindNamespace(queue: Queue): Promise<Answer<Namespace>> {
+    const ended = new AbortController()
+    const silence = sleep(BINDING_TIMEOUT_MS, ended.signal).then(() =>
+      unavailable('the store does not answer in time'),
+    )
+    const bound = namespaces.bind(queue).then((res) =>
+      res.match<Answer<Namespace>>(
+        (value) => ({ kind: 'ok', value }),
+        (error) => unavailable(describeError(error)),
+      ),
+    )
+    const answer = await Promise.race([bound, silence])
+    ended.abort()
+    return answer
+  }
+
+  /**
+   * Result for a job that a node of an earlier software version recorded under the name of its
+   * queue although the address has another namespace; undefined if there is none.
+   */
+  async function resultOfOtherName(
+    { names: [, ...others] }: Namespace,
+    { id, organisation }: JobSpec,
+  ): Promise<SubmitResult | undefined> {
+    if (others.length === 0) return undefined
+    const found = await findStoredJob(store, others, id, undefined)
+    if (found.kind === 'unknownJob') return undefined
+    if (found.kind === 'unavailable') {
+      const { retryAfterMs, reason } = found
+      return { kind: 'refused', retryAfterMs, reason }
+    }
+    const isOwn = mayAccess(found.value.organisation, organisation)
+    return { kind: isOwn ? 'accepted' : 'idInUse' }
+  }
+
+  /** Notes a refusal by the store, after which the owner expects the job again. */
+  function refuseUnstored(queue: Queue, job: JobSpec, reason: string): SubmitResult {
+    const { id } = job
+    log.event('jobRefused', { job: id, queue: queue.name, failure: 'refused', reason })
+    owners.expect(job)
+    return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS, reason }
+  }
+
   async function submit(
     queue: Queue,
     newJob: NewJob,
@@ -246,7 +301,7 @@
     const organisation = queue.public ? undefined : caller
     const { version } = configuration.current() ?? {}
     const ageMs = Math.round(configurationAgeMs(configuration))
-    const job: JobSpec = {
+    const unboundJob: JobSpec = {
       ...newJob,
       queue: name,
       service,
@@ -254,22 +309,37 @@
       organisation,
       acceptedAtMs: Date.now(),
     }
-    const { id } = job
-    const problem = describeJobProblem(job)
+    const { id } = unboundJob
+    const problem = describeJobProblem(unboundJob)
     if (problem !== undefined) {
       log.event('jobRefused', { job: id, queue: name, reason: problem })
       return { kind: 'invalid', reason: problem }
     }
+    const bound = await bindNamespace(queue)
+    if (bound.kind !== 'ok')
+      return refuseUnstored(queue, unboundJob, 'reason' in bound ? bound.reason : '')
+    const namespace = bound.value
+    const job: JobSpec = { ...unboundJob, queue: namespace.name }
+    const other = await resultOfOtherName(namespace, job)
+    if (other) {
+      log.event('jobFoundUnderOtherName', {
+        job: id,
+        queue: name,
+        namespace: namespace.name,
+        result: other.kind,
+      })
+      return other
+    }
     // A lookup for cordons that finds no job refuses it, so that overload never relies on an answer
     // from before the attempt.
-    const findStored = createStoredLookup(store, queue, id)
+    const findStored = createStoredLookup(store, namespace.names, id)
     if (await isCordonedOff(job, findStored)) {
       const reason = 'all data halls are cordoned'
       log.event('jobRefused', { job: id, queue: name, failure: 'refused', reason })
       const factor = 1 + Math.floor(Math.random() * MAX_CORDON_RETRY_FACTOR)
       return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS * factor, reason }
     }
-    const attempt = admission?.attempt(job, queue)
+    const attempt = admission?.attempt(job, { ...queue, name: namespace.name })
     const refused = await refuseOverload(queue, job, attempt, findStored)
     if (refused) return refused
     attempt?.writing()
@@ -297,6 +367,7 @@
     log.event('jobAccepted', {
       job: id,
       queue: name,
+      namespace: namespace.name,
       service,
       organisation,
       configuration: version,
@@ -307,26 +378,85 @@
     return { kind: 'accepted' }
   }
 
+  /**
+   * Whether a job that an owner knows by its id is the one at the queue's address. While the store
+   * cannot tell, it counts as the one.
+   */
+  async function isOfAddress(
+    { queue: recordedIn }: KnownJob,
+    queue: Queue,
+  ): Promise<boolean> {
+    if (recordedIn === undefined) return true
+    const known = namespaces.known(queue)
+    if (!known && recordedIn === queue.name) return true
+    const namespace = known ?? (await namespaces.find(queue)).unwrapOr(undefined)
+    return !namespace || namespace.names.includes(recordedIn)
+  }
+
+  /**
+   * State of a job that the owner of the queue's service does not know. The owner of the service by
+   * which the job was accepted knows more than the rows.
+   */
+  async function statusOfStored(
+    queue: Queue,
+    id: string,
+    caller: string | undefined,
+  ): Promise<Answer<JobStatus>> {
+    const namespace = await namespaces.find(queue)
+    if (namespace.isErr()) return unavailable(describeError(namespace.error))
+    const found = await findStoredJob(store, namespace.value.names, id, caller)
+    if (found.kind !== 'ok') return found
+    const { service, outcome, queue: recordedIn } = found.value
+    if (!outcome && service !== queue.service) {
+      const known = await owners.status(service, id)
+      const isSame = known && (known.queue ?? recordedIn) === recordedIn
+      if (isSame) return { kind: 'ok', value: known.status }
+    }
+    return readStoredStatus(store, found.value, id)
+  }
+
+  /** Counts the waiting jobs of the address in all services that may have some. */
+  async function waiting(queue: Queue): Promise<Answer<number>> {
+    const found = await namespaces.find(queue)
+    const { names, services } = found.unwrapOr({
+      names: [queue.name],
+      services: [queue.service],
+    })
+    const counts = await Promise.all(
+      services.flatMap((service) => names.map((name) => owners.waiting(service, name))),
+    )
+    let sum = 0
+    for (const count of counts) {
+      if (count === undefined)
+        return unavailable('the owner of the service does not answer')
+      sum += count
+    }
+    return { kind: 'ok', value: sum }
+  }
+
   async function cancel(
     queue: Queue,
     id: string,
     caller?: string,
   ): Promise<Answer<undefined>> {
+    const namespace = await namespaces.find(queue)
+    if (namespace.isErr()) return unavailable(describeError(namespace.error))
+    const { names } = namespace.value
     for (;;) {
-      const found = logIfUnreadable(id, await findStoredJob(store, queue, id, caller))
+      const found = logIfUnreadable(id, await findStoredJob(store, names, id, caller))
       if (found.kind !== 'ok') return found
-      const { service, cancelled, outcome, version } = found.value
+      const { queue: recordedIn, service, cancelled, outcome, version } = found.value
       if (outcome) return { kind: 'ok', value: undefined }
       if (!cancelled) {
-        const put = { ...cancelKey(queue.name, id), value: '{}' }
-        const conditions = [{ ...intakeKey(queue.name, id), version }]
+        const put = { ...cancelKey(recordedIn, id), value: '{}' }
+        const conditions = [{ ...intakeKey(recordedIn, id), version }]
         const { res } = await commitUntilKnown({ conditions, puts: [put], removals: [] })
         if (res.isErr()) return unavailable(describeError(res.error))
         // The job has finished since the read, and its row has moved to the ended table.
         if (!res.value.committed) continue
-        log.event('jobCancelled', { job: id, queue: queue.name })
+        log.event('jobCancelled', { job: id, queue: queue.name, namespace: recordedIn })
       }
-      owners.cancel(service, id)
+      owners.cancel(service, id, recordedIn)
       return { kind: 'ok', value: undefined }
     }
   }
@@ -363,19 +493,17 @@
 
     async status(queue, id, caller) {
       const known = await owners.status(queue.service, id)
-      const answer: Answer<JobStatus> =
-        known && mayAccess(known.organisation, caller)
-          ? { kind: 'ok', value: known.status }
-          : logIfUnreadable(id, await readStoredStatus(store, queue, id, caller))
-      log.event('jobAnswered', { job: id, fromOwner: known !== undefined, ...answer })
+      const isKnown =
+        known !== undefined &&
+        mayAccess(known.organisation, caller) &&
+        (await isOfAddress(known, queue))
+      const answer: Answer<JobStatus> = isKnown
+        ? { kind: 'ok', value: known.status }
+        : logIfUnreadable(id, await statusOfStored(queue, id, caller))
+      log.event('jobAnswered', { job: id, fromOwner: isKnown, ...answer })
       return answer
     },
 
-    async waiting(queue) {
-      const count = await owners.waiting(queue.service, queue.name)
-      if (count === undefined)
-        return unavailable('the owner of the service does not answer')
-      return { kind: 'ok', value: count }
-    },
+    waiting,
   }
 }
--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -46,6 +46,8 @@
 export interface KnownJob {
   status: JobStatus
   organisation: string | undefined
+  /** Queue under which it is recorded; undefined if the owner's software version does not tell. */
+  queue?: string
 }
 
 /** Calls to owners on this node and on others. */
@@ -64,8 +66,9 @@
   /**
    * Notifies the owner of a request to cancel, with retries. If the notification is lost, the
    * owner finds the request in the store later.
+   * @param queue queue under which the job is recorded
    */
-  cancel(service: string, id: string): void
+  cancel(service: string, id: string, queue: string): void
   /**
    * State of a job; undefined if the owner does not answer, does not know the job, or cannot tell
    * whose it is.
@@ -129,10 +132,10 @@
   async function askAddress(
     batches: QuestionBatches,
     address: string,
-    service: string,
-    about: NewQuestion['about'],
+    question: NewQuestion,
   ): Promise<Answer | undefined> {
-    const answer = await batches.ask(address, { service, about })
+    const { service, about } = question
+    const answer = await batches.ask(address, question)
     if (answer.isErr()) {
       backoffUntil.set(address, monotonicMs() + QUESTION_BACKOFF_MS)
       notePeerLost(about.case ?? '', service, describeError(answer.error))
@@ -149,17 +152,17 @@
     batches: QuestionBatches,
     service: string,
     about: NewQuestion['about'],
+    queue?: string,
   ): Promise<Answer | undefined> {
+    const question = { service, about, ...(queue !== undefined && { queue }) }
     const address = addressFor(service)
     const answer =
-      address === undefined
-        ? undefined
-        : await askAddress(batches, address, service, about)
+      address === undefined ? undefined : await askAddress(batches, address, question)
     if (answer || registry.ownerOf(service)?.id === registry.self.id) return answer
     await registry.refreshIfStale()
     const next = addressFor(service)
     if (next === undefined || next === address) return undefined
-    return askAddress(batches, next, service, about)
+    return askAddress(batches, next, question)
   }
 
   /**
@@ -169,10 +172,11 @@
   async function notifyOwner(
     service: string,
     about: NewQuestion['about'],
+    queue?: string,
   ): Promise<void> {
     const endsAt = monotonicMs() + NOTIFICATION_RETRY_LIMIT_MS
     for (let pauseMs = NOTIFICATION_RETRY_MS; ; pauseMs *= 2) {
-      const answer = await ask(notifications, service, about)
+      const answer = await ask(notifications, service, about, queue)
       if (answer || monotonicMs() + pauseMs > endsAt) return
       await sleep(jittered(pauseMs))
       if (addressFor(service) === undefined) return
@@ -197,23 +201,26 @@
       if (owner) return owner.expect(job)
       void ask(notifications, job.service, { case: 'expect', value: JSON.stringify(job) })
     },
-    cancel(service, id) {
+    cancel(service, id, queue) {
       const owner = local.service(service)
-      if (owner) return void owner.cancel(id)
-      void notifyOwner(service, { case: 'cancel', value: id })
+      if (owner) return void owner.cancel(id, queue)
+      void notifyOwner(service, { case: 'cancel', value: id }, queue)
     },
     async status(service, id) {
       const owner = local.service(service)
       if (owner) {
         const status = owner.status(id)
-        return status && { status, organisation: owner.organisationOf(id) }
+        const queue = owner.queueOf(id)
+        if (!status || queue === undefined) return undefined
+        return { status, organisation: owner.organisationOf(id), queue }
       }
       if (isBackingOff(service)) return undefined
       const answer = await ask(questions, service, { case: 'status', value: id })
       if (!answer || answer.status === '' || answer.organisation === undefined)
         return undefined
       const organisation = answer.organisation || undefined
-      return { status: answer.status as JobStatus, organisation }
+      const status = answer.status as JobStatus
+      return { status, organisation, ...(answer.queue && { queue: answer.queue }) }
     },
     async waiting(service, queue) {
       const owner = local.service(service)
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -25,7 +25,7 @@
 
 /** Fields of an answer besides `owns`. */
 type AnswerFields = Partial<
-  Pick<Answer, 'status' | 'organisation' | 'waiting' | 'wait' | 'loads'>
+  Pick<Answer, 'status' | 'organisation' | 'queue' | 'waiting' | 'wait' | 'loads'>
 >
 
 const offeredJobSchema = z.object({
@@ -50,30 +50,31 @@
 /** Handlers of questions, by kind of question. */
 const ANSWER_HANDLERS: Record<
   NonNullable<Question['about']['case']>,
-  (owner: ServiceOwner, text: string) => AnswerFields
+  (owner: ServiceOwner, text: string, queue: string | undefined) => AnswerFields
 > = {
   offer: (owner, text) =>
     withParsed(offeredJobSchema, text, ({ job, rowVersion }) =>
       owner.offer(job, rowVersion),
     ),
   expect: (owner, text) => withParsed(jobSchema, text, (job) => owner.expect(job)),
-  cancel(owner, id) {
-    owner.cancel(id)
+  cancel(owner, id, queue) {
+    owner.cancel(id, queue)
     return {}
   },
   status: (owner, id) => ({
     status: owner.status(id) ?? '',
     organisation: owner.organisationOf(id) ?? '',
+    queue: owner.queueOf(id) ?? '',
   }),
   waiting: (owner, queue) => ({ waiting: owner.waiting(queue) }),
   explain: (owner, id) => ({ wait: JSON.stringify(owner.explain(id)) ?? '' }),
   loads: (owner) => ({ loads: JSON.stringify(owner.loads()) }),
 }
 
-function answer(local: LocalOwners, { service, about }: Question) {
+function answer(local: LocalOwners, { service, about, queue }: Question) {
   const owner = local.service(service)
   if (!owner || about.case === undefined) return { owns: false }
-  return { owns: true, ...ANSWER_HANDLERS[about.case](owner, about.value) }
+  return { owns: true, ...ANSWER_HANDLERS[about.case](owner, about.value, queue) }
 }
 
 /** Answers the questions of one call; the first answer about a service carries its load. */
--- a/src/front/storedJobs.ts
+++ b/src/front/storedJobs.ts
@@ -11,7 +11,7 @@
 } from '../jobs/index.js'
 import type { JobOutcome, JobStatus } from '../jobs/index.js'
 import { keyRange } from '../ports/index.js'
-import type { Queue, RowStore } from '../ports/index.js'
+import type { RowStore } from '../ports/index.js'
 import { describeError, sleep } from '../shared/index.js'
 
 /** Time after which a refused caller should retry, in ms: about one renewal of a connection. */
@@ -28,6 +28,8 @@
 
 /** A job according to its stored rows. */
 export interface StoredJob {
+  /** Queue under which it is recorded. */
+  queue: string
   service: string
   organisation: string | undefined
   cancelled: boolean
@@ -58,10 +60,10 @@
 /** Reads the row of a finished job. */
 async function findEndedJob(
   store: RowStore,
-  queue: Queue,
+  queue: string,
   id: string,
 ): Promise<Answer<StoredJob>> {
-  const { table, part, key } = endedKey(queue.name, id)
+  const { table, part, key } = endedKey(queue, id)
   const rows = await store.read(table, part, keyRange(key))
   if (rows.isErr()) return unavailable(describeError(rows.error))
   const row = rows.value.rows[0]
@@ -70,7 +72,7 @@
   if (!ended) return unavailable(UNREADABLE)
   const { service, organisation, outcome } = ended
   const cancelled = outcome === 'cancelled'
-  const value = { service, organisation, cancelled, version: 0, outcome }
+  const value = { queue, service, organisation, cancelled, version: 0, outcome }
   return { kind: 'ok', value }
 }
 
@@ -83,24 +85,40 @@
   return isForeign ? { kind: 'unknownJob' } : found
 }
 
-/** Reads a job that the caller may access; any other one is reported as unknown. */
+/**
+ * Reads a job that the caller may access; any other one is reported as unknown.
+ * @param queues names under which the job may be recorded
+ */
 export async function findStoredJob(
   store: RowStore,
-  queue: Queue,
+  queues: readonly string[],
   id: string,
   caller: string | undefined,
 ): Promise<Answer<StoredJob>> {
-  return hideForeign(await findAnyStoredJob(store, queue, id), caller)
+  return hideForeign(await findAnyStoredJob(store, queues, id), caller)
 }
 
-/** Reads a job's row from the intake or, if the job has finished, from the ended table. */
+/** Reads a job that may be recorded under one of several names; the first one found counts. */
 async function findAnyStoredJob(
   store: RowStore,
-  queue: Queue,
+  queues: readonly string[],
+  id: string,
+): Promise<Answer<StoredJob>> {
+  for (const queue of queues) {
+    const found = await findJobOfQueue(store, queue, id)
+    if (found.kind !== 'unknownJob') return found
+  }
+  return { kind: 'unknownJob' }
+}
+
+/** Reads a job's row from the intake or, if the job has finished, from the ended table. */
+async function findJobOfQueue(
+  store: RowStore,
+  queue: string,
   id: string,
 ): Promise<Answer<StoredJob>> {
-  const { table, part, key } = intakeKey(queue.name, id)
-  const cancel = cancelKey(queue.name, id)
+  const { table, part, key } = intakeKey(queue, id)
+  const cancel = cancelKey(queue, id)
   const range = keyRange(key, cancel.key)
   const rows = await store.read(table, part, range)
   if (rows.isErr()) return unavailable(describeError(rows.error))
@@ -115,7 +133,14 @@
   const cancelled = rows.value.rows.some((each) => each.key === cancel.key)
   const { version } = row
   const { service, organisation } = entry.job
-  const value = { service, organisation, cancelled, version, outcome: undefined }
+  const value = {
+    queue,
+    service,
+    organisation,
+    cancelled,
+    version,
+    outcome: undefined,
+  }
   return { kind: 'ok', value }
 }
 
@@ -125,7 +150,7 @@
 /** Creates the lookup of a new job before it is refused; unavailable if the store is silent. */
 export function createStoredLookup(
   store: RowStore,
-  queue: Queue,
+  queues: readonly string[],
   id: string,
 ): StoredLookup {
   async function find(): Promise<Answer<StoredJob>> {
@@ -135,7 +160,7 @@
       unavailable('the store does not answer in time'),
     )
     try {
-      return await Promise.race([findAnyStoredJob(store, queue, id), silence])
+      return await Promise.race([findAnyStoredJob(store, queues, id), silence])
     } finally {
       ended.abort()
     }
@@ -144,16 +169,12 @@
   return () => (answer ??= find())
 }
 
-/** State of a job derived from its stored rows alone. */
+/** State of a stored job derived from its rows alone. */
 export async function readStoredStatus(
   store: RowStore,
-  queue: Queue,
+  { service, cancelled, outcome }: StoredJob,
   id: string,
-  caller: string | undefined,
 ): Promise<Answer<JobStatus>> {
-  const found = await findStoredJob(store, queue, id, caller)
-  if (found.kind !== 'ok') return found
-  const { service, cancelled, outcome } = found.value
   if (outcome) return { kind: 'ok', value: outcome }
   const { table, part, key } = progressKey(service, id)
   const rows = await store.read(table, part, keyRange(key))
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -69,7 +69,7 @@
 /** A decoded row of the intake table. */
 export type IntakeRow =
   | { kind: 'job'; id: string; job: JobSpec }
-  | { kind: 'cancel'; id: string }
+  | { kind: 'cancel'; id: string; queue: string }
   | { kind: 'invalid'; id: string; reason: string }
 
 /** Encodes the intake row of a job. */
@@ -97,7 +97,8 @@
 export function decodeIntake(row: PartAndKey, value: string): IntakeRow {
   const { key } = row
   if (key.endsWith(CANCEL_SUFFIX)) {
-    return { kind: 'cancel', id: key.slice(0, -CANCEL_SUFFIX.length) }
+    const queue = queueOfPart(row.part)
+    return { kind: 'cancel', id: key.slice(0, -CANCEL_SUFFIX.length), queue }
   }
   return decodeJob(row, value).match<IntakeRow>(
     (job) => ({ kind: 'job', id: key, job }),
--- a/src/node/endpointServices.ts
+++ b/src/node/endpointServices.ts
@@ -39,7 +39,7 @@
 export const callersService = (cfg: NodeConfig) =>
   defineService({
     name: 'callers',
-    needs: ['nodePlatform', 'storeAccess', 'configuration', 'ownerCalls'],
+    needs: ['nodePlatform', 'storeAccess', 'configuration', 'namespaces', 'ownerCalls'],
     async start({ get, log }) {
       const { openCallers } = get('nodePlatform')
       const { store } = get('storeAccess')
@@ -53,6 +53,7 @@
         store,
         configuration,
         owners,
+        namespaces: get('namespaces'),
         halls,
         admission,
         log,
--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -20,6 +20,7 @@
 import {
   configurationService,
   latenessService,
+  namespacesService,
   platformService,
   stateService,
   storeAccessService,
@@ -36,6 +37,7 @@
       stateService(),
       ownersService(),
       configurationService(),
+      namespacesService(),
       registryService(cfg),
       targetSourceService(),
       ownershipService(cfg),
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -10,6 +10,7 @@
   ownerRoutes,
 } from '../front/index.js'
 import { defineService } from '../kernel/index.js'
+import type { Namespaces } from '../namespaces/index.js'
 import { FLEET, createNodeRegistry, createOwnership } from '../ownership/index.js'
 import { closeServer } from './closeServer.js'
 import { startFleetReports } from './fleetReports.js'
@@ -58,12 +59,17 @@
   })
 
 /**
- * Names that need an owner: every service that is not a spare pool, and the fleet of VMs. None
- * before the first complete read of the operators' table, as an owner must know all cordons.
+ * Names that need an owner: every service that is not a spare pool, also if only accepted jobs name
+ * it, and the fleet of VMs. None before the first complete read of the operators' table, as an
+ * owner must know all cordons.
  */
-function ownedNames(configuration: ConfigurationHolder, hasCloud: boolean): string[] {
+function ownedNames(
+  configuration: ConfigurationHolder,
+  namespaces: Namespaces,
+  hasCloud: boolean,
+): string[] {
   if (!Number.isFinite(configuration.freshAt())) return []
-  const names = ownedServices(configuration.current())
+  const names = ownedServices(configuration.current(), namespaces.services())
   if (names.length > 0 && hasCloud) names.push(FLEET)
   return names.sort()
 }
@@ -78,6 +84,7 @@
       'nodeState',
       'registry',
       'configuration',
+      'namespaces',
       'targetSource',
       'owners',
     ],
@@ -85,13 +92,14 @@
       const platform = get('nodePlatform')
       const { store } = get('storeAccess')
       const configuration = get('configuration')
+      const namespaces = get('namespaces')
       const targets = get('targetSource')
       const owners = get('owners')
       const dependencies = { cfg, platform, store, configuration, targets, owners, log }
       return createOwnership({
         store,
         registry: get('registry'),
-        names: () => ownedNames(configuration, platform.cloud !== undefined),
+        names: () => ownedNames(configuration, namespaces, platform.cloud !== undefined),
         start: (authority) => startOwner(dependencies, authority),
         log,
       })
--- a/src/node/serviceMap.ts
+++ b/src/node/serviceMap.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http'
 import type { ConfigurationHolder, TargetSource } from '../directory/index.js'
 import type { JobService, NodeClients, OwnerCalls } from '../front/index.js'
+import type { Namespaces } from '../namespaces/index.js'
 import type { NodeRegistry, Ownership } from '../ownership/index.js'
 import type {
   Advice,
@@ -46,6 +47,7 @@
     nodeState: NodeState
     lateness: ProcessDelayWatch
     configuration: ConfigurationHolder
+    namespaces: Namespaces
     registry: NodeRegistry
     targetSource: TargetSource
     ownership: Ownership
--- a/src/node/sourceServices.ts
+++ b/src/node/sourceServices.ts
@@ -5,6 +5,7 @@
   createTargetSource,
 } from '../directory/index.js'
 import { defineService } from '../kernel/index.js'
+import { createNamespaces } from '../namespaces/index.js'
 import { watchProcessDelay } from '../shared/index.js'
 import { createStoreAccess } from '../storeAccess/index.js'
 import type { NodePlatform } from './serviceMap.js'
@@ -54,6 +55,18 @@
     stop: (each) => each.stop(),
   })
 
+/** Decides under which names the ids of jobs are recorded. */
+export const namespacesService = () =>
+  defineService({
+    name: 'namespaces',
+    needs: ['storeAccess', 'configuration'],
+    async start({ get, log }) {
+      const { store } = get('storeAccess')
+      return createNamespaces({ store, configuration: get('configuration'), log })
+    },
+    stop: (namespaces) => namespaces.stop(),
+  })
+
 /** Provides the list of targets to the owners that run on this node. */
 export const targetSourceService = () =>
   defineService({
--- a/src/scheduler/__tests__/cancelledRuns.spec.ts
+++ b/src/scheduler/__tests__/cancelledRuns.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from '../../../test/describe.js'
 import { createJobRig, makeJob } from '../../../test/jobRig.js'
 import type { JobRig } from '../../../test/jobRig.js'
+import { cancelKey } from '../../jobs/index.js'
 import { sleep } from '../../shared/index.js'
 
 /** Run time of a task, in ms; longer than any run may last after its job is cancelled. */
@@ -23,6 +24,39 @@
   return countRunning(rig) === 0
 }
 
+describe('request to cancel a job of another queue', () => {
+  // Guards against a cancel that stops the job of the same id in a queue of another service.
+  it('leaves the job of the same id alone', async (t) => {
+    const rig = createJobRig()
+    rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    const [early, running] = [1, 2].map(() => makeJob({ ms: 300, cpu: 500 }))
+    rig.submit(owner, running!)
+    for (const { id } of [early!, running!]) {
+      rig.table.put(cancelKey('other', id), '{}')
+      owner.cancel(id, 'other')
+    }
+    rig.submit(owner, early!)
+    t.true(await rig.waitForOutcomes([early!, running!], 4000))
+    t.deepEqual([early!, running!].map(rig.outcomeOf), ['completed', 'completed'])
+    await rig.stop()
+  })
+
+  // Guards against requests of earlier versions, which name no queue, that have no effect.
+  it('without a queue cancels the job, also before it arrives', async (t) => {
+    const rig = createJobRig()
+    rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    const [early, running] = [1, 2].map(() => makeJob({ ms: 2000, cpu: 500 }))
+    rig.submit(owner, running!)
+    for (const { id } of [early!, running!]) owner.cancel(id)
+    rig.submit(owner, early!)
+    t.true(await rig.waitForOutcomes([early!, running!], 2000))
+    t.deepEqual([early!, running!].map(rig.outcomeOf), ['cancelled', 'cancelled'])
+    await rig.stop()
+  })
+})
+
 describe('run of a cancelled job', () => {
   it('is stopped when the target starts it late', async (t) => {
     const rig = createJobRig()
--- a/src/scheduler/__tests__/finishedJobs.spec.ts
+++ b/src/scheduler/__tests__/finishedJobs.spec.ts
@@ -6,6 +6,7 @@
  */
 import type { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
+import { queueNamespaces } from '../../../test/fixtures.js'
 import { QUEUE, SERVICE, createJobRig, makeJob } from '../../../test/jobRig.js'
 import { createJobService } from '../../front/index.js'
 import type { OwnerCalls } from '../../front/index.js'
@@ -33,6 +34,7 @@
     cancel: () => undefined,
   } as unknown as OwnerCalls
   const jobs = createJobService({
+    namespaces: queueNamespaces,
     store: table.forNode('n'),
     configuration: {
       current: () => undefined,
--- a/src/scheduler/heldJobs.ts
+++ b/src/scheduler/heldJobs.ts
@@ -39,8 +39,9 @@
   /**
    * Cancels a job. False when it is not held, or held without a spec: it then looks like a job
    * that has not arrived yet.
+   * @param queue queue of the job; undefined for any
    */
-  cancel(id: string): boolean
+  cancel(id: string, queue?: string): boolean
   /** Stops holding a job whose row has been removed. */
   drop(id: string): void
   stop(): Promise<void>
@@ -137,8 +138,9 @@
       held.set(spec.id, spec)
       return true
     },
-    cancel(id) {
+    cancel(id, queue) {
       const spec = held.get(id)
+      if (spec && queue !== undefined && spec.queue !== queue) return false
       held.delete(id)
       book.releaseEnds(id)
       if (!spec) return false
--- a/src/scheduler/intakeReading.ts
+++ b/src/scheduler/intakeReading.ts
@@ -33,7 +33,7 @@
 export interface IntakeHandler {
   job(job: JobSpec): void
   /** Called for a cancel request; the job may belong to any service. */
-  cancel(id: string): void
+  cancel(id: string, queue: string): void
   /** Called for a job, of any service, whose row cannot be read. */
   unreadableJob(id: string): void
   /** Called after each batch of parts, with the queues of the parts that remain. */
@@ -70,7 +70,7 @@
 
   function handleRow(row: StoredRow): void {
     const entry = decodeIntake(row, row.value)
-    if (entry.kind === 'cancel') return handler.cancel(entry.id)
+    if (entry.kind === 'cancel') return handler.cancel(entry.id, entry.queue)
     if (entry.kind === 'job') {
       unreadableRows.clear(row.key)
       if (entry.job.service === service) handler.job(entry.job)
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -59,8 +59,11 @@
   offer(job: JobSpec, rowVersion: number): void
   /** Counts a job that was refused because of a store outage towards the demand. */
   expect(job: JobSpec): void
-  /** Cancels a job. False when it is not known yet; it is then cancelled on arrival. */
-  cancel(id: string): boolean
+  /**
+   * Cancels a job. False when it is not known yet; it is then cancelled on arrival.
+   * @param queue queue of the job; undefined for any, as requests of earlier software versions
+   */
+  cancel(id: string, queue?: string): boolean
   /** Retries the admission of deferred jobs if the ownership is confirmed. */
   admitDeferred(): void
   /** Number of deferred jobs of a queue, which are not in the job book yet. */
@@ -118,8 +121,19 @@
   const { queueRows } = opts
   /** Jobs that wait for the ownership to be confirmed, or for the row of their queue. */
   const deferred = new Map<string, { job: JobSpec; from: Source }>()
-  /** Ids cancelled before the job arrived; jobs of other services among them never arrive. */
+  /**
+   * Jobs cancelled before they arrived, as `QUEUE/ID`, or `/ID` for any queue; jobs of other
+   * services among them never arrive.
+   */
   const cancelledEarly = new Set<string>()
+  const earlyKey = (id: string, queue = ''): string => `${queue}/${id}`
+
+  /** Whether the job was cancelled before it arrived; forgets the request. */
+  function takeEarlyCancel({ id, queue }: JobSpec): boolean {
+    const ofQueue = cancelledEarly.delete(earlyKey(id, queue))
+    const ofAny = cancelledEarly.delete(earlyKey(id))
+    return ofQueue || ofAny
+  }
   /** Store version at the takeover; open jobs of older rows are read by the full read. */
   let takeoverVersion = 0
   /** Aborts the full read in progress. */
@@ -147,7 +161,7 @@
     const taken = book.add(job)
     const beyondShare = shares.note(taken, monotonicMs())
     if (!expected.delete(job.id)) demand.noteArrival(taken, monotonicMs())
-    if (cancelledEarly.delete(job.id)) book.cancel(job.id)
+    if (takeEarlyCancel(job)) book.cancel(job.id)
     const lateMs = Math.max(0, Date.now() - job.acceptedAtMs)
     log.event('jobTaken', {
       job: job.id,
@@ -166,7 +180,7 @@
   function adoptInherited(job: JobSpec): void {
     queueRows.add(job.queue)
     inherited.adopt(job)
-    if (cancelledEarly.delete(job.id)) cancel(job.id, 'read')
+    if (takeEarlyCancel(job)) cancel(job.id, 'read', job.queue)
   }
 
   /**
@@ -185,11 +199,12 @@
   }
 
   /** Cancels a job; false when the request arrives before the job. */
-  function cancel(id: string, from: Source): boolean {
-    if (held.cancel(id)) return true
+  function cancel(id: string, from: Source, queue?: string): boolean {
+    if (held.cancel(id, queue)) return true
     const known = book.jobs.get(id)
-    if (!known) {
-      cancelledEarly.add(id)
+    // The request may be for a job of the same id in a queue of another service.
+    if (!known || (queue !== undefined && known.spec.queue !== queue)) {
+      cancelledEarly.add(earlyKey(id, queue))
       return false
     }
     if (!known.cancelRequested) log.event('cancelTaken', { job: id, from })
@@ -200,7 +215,7 @@
   function applyRow(part: string, key: string, value: string | undefined): void {
     if (value === undefined) return applyRemoval(part, key)
     const entry = decodeIntake({ part, key }, value)
-    if (entry.kind === 'cancel') return void cancel(entry.id, 'read')
+    if (entry.kind === 'cancel') return void cancel(entry.id, 'read', entry.queue)
     if (entry.kind === 'invalid') {
       unreadableRows.note(key, entry.reason)
       return opts.rowUnreadable(entry.id)
@@ -212,7 +227,8 @@
   /** Handles the removal of a row; a job whose cancel row is gone cannot arrive any more. */
   function applyRemoval(part: string, key: string): void {
     const entry = decodeIntake({ part, key }, '')
-    if (entry.kind === 'cancel') return void cancelledEarly.delete(entry.id)
+    if (entry.kind === 'cancel')
+      return void cancelledEarly.delete(earlyKey(entry.id, entry.queue))
     unreadableRows.clear(key)
     held.drop(entry.id)
   }
@@ -262,9 +278,9 @@
         if (isInherited) adoptInherited(job)
         else admit(job, 'read')
       },
-      cancel(id) {
+      cancel(id, queue) {
         cancels++
-        cancel(id, 'read')
+        cancel(id, 'read', queue)
       },
       unreadableJob(id) {
         if (inherited.isComplete() || book.jobs.has(id)) opts.rowUnreadable(id)
@@ -325,7 +341,7 @@
       if (rowVersion > takeoverVersion) admit(job, 'told')
     },
     expect,
-    cancel: (id) => cancel(id, 'told'),
+    cancel: (id, queue) => cancel(id, 'told', queue),
     admitDeferred() {
       if (!authority.isConfirmed()) return
       const entries = [...deferred.values()]
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -76,12 +76,17 @@
   offer(job: JobSpec, rowVersion: number): void
   /** Notes a job that was refused by a front; its caller will retry. */
   expect(job: JobSpec): void
-  /** Cancels a job; false when the job is not known here. */
-  cancel(id: string): boolean
+  /**
+   * Cancels a job; false when the job is not known here.
+   * @param queue queue under which the job is recorded; undefined for a job of any queue
+   */
+  cancel(id: string, queue?: string): boolean
   /** Status of a job; undefined when it is not known here. */
   status(id: string): JobStatus | undefined
   /** Organisation of a job; undefined if it has none or is not known here. */
   organisationOf(id: string): string | undefined
+  /** Queue under which a job is recorded; undefined if it is not known here. */
+  queueOf(id: string): string | undefined
   /** Why a job is waiting; undefined when it is not waiting or not known here. */
   explain(id: string): WaitReport | undefined
   /** Number of jobs of the queue with no task begun; undefined while some may be unknown. */
@@ -449,6 +454,7 @@
       return job && statusOf(job)
     },
     organisationOf: (id) => book.jobs.get(id)?.spec.organisation,
+    queueOf: (id) => book.jobs.get(id)?.spec.queue,
     explain(id) {
       const job = book.jobs.get(id)
       return job && waitWatch.explain(job, allAgents())
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -139,6 +139,17 @@
   intakeRead: spec('RS-8061', 'warn', 'intake read completely after a gap'),
   orderLate: spec('RS-8062', 'warn', 'order waited long behind earlier orders'),
   processLate: spec('RS-8063', 'warn', 'event loop of the process runs late'),
+  namespaceBound: spec(
+    'RS-8087',
+    'info',
+    'name under which the jobs of an address are recorded is durable',
+  ),
+  namespacesNotRead: spec('RS-8088', 'warn', 'names of the addresses not read'),
+  jobFoundUnderOtherName: spec(
+    'RS-8089',
+    'warn',
+    'job is recorded under the name of its queue, not of its address',
+  ),
   jobSettingsUnknown: spec(
     'RS-8086',
     'warn',
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -1,4 +1,6 @@
 /** Fixtures shared by the tests of several areas. */
+import { ok } from 'neverthrow'
+import type { AddressedQueue, Namespace, Namespaces } from '../src/namespaces/index.js'
 import { createJobBook } from '../src/jobs/index.js'
 import type { JobBook } from '../src/jobs/index.js'
 import type { Organisation, Vm } from '../src/ports/index.js'
@@ -61,3 +63,18 @@
   ],
   runMs: { [queue]: 500 },
 })
+
+const ownNamespace = ({ name, service }: AddressedQueue): Namespace => ({
+  name,
+  names: [name],
+  services: [service],
+})
+
+/** Namespaces where each queue has kept its address, so that no row is needed. */
+export const queueNamespaces: Namespaces = {
+  known: ownNamespace,
+  find: async (queue) => ok(ownNamespace(queue)),
+  bind: async (queue) => ok(ownNamespace(queue)),
+  services: () => new Set(),
+  stop: async () => undefined,
+}
