test(soak): change the routes that clients use

Routes are removed and added again, replaced by others of another name, moved to the other service, both within half a second, and swap their names, in series that overlap with all other faults. Their generator is one of its own, so that the other faults of a seed stay the same.

Callers may be told 404 while a route is away and 4 s longer. A job whose route changed the service as it was sent counts for no pool in the check for jobs that stand still, as either service may run it.

--- a/playground/soak/clients.ts
+++ b/playground/soak/clients.ts
@@ -8,6 +8,7 @@
 import { DEADLINE_MS } from './nodes.js'
 import type { SoakNode } from './nodes.js'
 import { isInForce } from './organisations.js'
+import type { SoakRoutes } from './routes.js'
 import type { Report, RunChecks } from './runChecks.js'
 
 /** Host header of requests to all queues. */
@@ -70,13 +71,14 @@
 export function createClients(opts: {
   nodes: SoakNode[]
   checks: RunChecks
+  routes: SoakRoutes
   disturbances: DisturbanceTracker
   /** Like `disturbances`, but without planned stops. */
   unplannedDisturbances: DisturbanceTracker
   report: Report
   writeTrace(what: string, more: object): void
 }): Clients {
-  const { nodes, disturbances, unplannedDisturbances, report, writeTrace } = opts
+  const { nodes, routes, disturbances, unplannedDisturbances, report, writeTrace } = opts
   let nextNode = 0
 
   /** Checks a request that ended without an answer against the guarantees of nodes. */
@@ -99,6 +101,9 @@
     }
   }
 
+  const isRejection = ({ queue }: JobView, status: CallResult['status']): boolean =>
+    REJECTIONS.includes(status) || (status === 404 && routes.mayBeMissing(queue))
+
   async function call(method: Dispatcher.HttpMethod, job: JobView): Promise<CallResult> {
     const key = job.organisation?.key
     const res = await send(method, job, key)
@@ -181,6 +186,7 @@
     call: send,
     async submit(job) {
       let isOutcomeUnknown = job.mayBeTaken
+      job.sentAt ??= performance.now()
       for (let each = 0; each < MAX_SUBMIT_ATTEMPTS; each++) {
         job.mayBeTaken = true
         const { status, retryAfterMs } = await call('POST', job)
@@ -189,7 +195,7 @@
           return
         }
         if (UNKNOWN_OUTCOMES.includes(status)) isOutcomeUnknown = true
-        else if (!REJECTIONS.includes(status)) {
+        else if (!isRejection(job, status)) {
           return report('wrong answer', `POST ${job.id}: ${status}`)
         }
         job.mayBeTaken = isOutcomeUnknown
--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -8,6 +8,7 @@
 import type { FaultLink } from './faultLink.js'
 import { foreignEntry } from './foreignEntry.js'
 import type { SoakNode } from './nodes.js'
+import type { SoakRoutes } from './routes.js'
 import type { SoakOrganisations } from './organisations.js'
 import type { Fault } from './plan.js'
 import type { WatchedTarget } from './stallDetector.js'
@@ -30,6 +31,7 @@
   foreignAddress: string
   changeConfiguration(fault: Fault): void
   organisations: SoakOrganisations
+  routes: SoakRoutes
   orderWave(fault: Fault): void
   cordons: Cordons
   /** Halls of nodes and targets. */
@@ -39,7 +41,7 @@
 /**
  * What a fault affects; `planned`: actions of operators and other programs; `wave`: waves of
  * maintenance; `restart`: restarts of targets under the same id; `organisation`: changes of keys and
- * maxima; `cordon`: cordons of data halls.
+ * maxima; `cordon`: cordons of data halls; `route`: changes of routes that clients use.
  */
 export type FaultGroup =
   | 'node'
@@ -51,6 +53,7 @@
   | 'restart'
   | 'organisation'
   | 'cordon'
+  | 'route'
 /** Function that ends a fault. */
 type Undo = () => unknown
 
@@ -154,6 +157,24 @@
   },
 })
 
+/** A change of the routes; `act` may return another change, with which the fault ends. */
+const onRoutes = (
+  usualMs: number,
+  act: (routes: SoakRoutes, which: number) => (() => void) | void,
+): FaultKind => ({
+  group: 'route',
+  usualMs,
+  begin(ctx, fault) {
+    const undo = act(ctx.routes, fault.which)
+    ctx.changeConfiguration(fault)
+    if (!undo) return
+    return () => {
+      undo()
+      ctx.changeConfiguration(fault)
+    }
+  },
+})
+
 const restartNode = (node: SoakNode): Promise<boolean> => {
   node.start()
   return node.waitUntilReady()
@@ -338,4 +359,19 @@
     usualMs: 3000,
     begin: ({ cordons, halls }) => cordons.cordon(halls),
   },
+  routeRemoved: onRoutes(3000, (routes, which) => {
+    routes.remove(which)
+    return () => routes.add(which)
+  }),
+  routeReplaced: onRoutes(100, (routes, which) => routes.rename(which)),
+  routeMoved: onRoutes(100, (routes, which) => routes.move(which)),
+  routesSwapped: onRoutes(100, (routes, which) => routes.swapNames(which)),
+  routeReplacedElsewhere: onRoutes(400, (routes, which) => {
+    routes.remove(which)
+    return () => {
+      routes.rename(which)
+      routes.move(which)
+      routes.add(which)
+    }
+  }),
 }
--- a/playground/soak/jobView.ts
+++ b/playground/soak/jobView.ts
@@ -48,6 +48,8 @@
   tasks: TaskView[]
   /** Whether some attempt to submit it may have been accepted. */
   mayBeTaken: boolean
+  /** Monotonic time at which it was sent first, in ms. */
+  sentAt?: number
   acceptedAt?: number
   cancelSentAt?: number
   cancelAckedAt?: number
--- a/playground/soak/plan.ts
+++ b/playground/soak/plan.ts
@@ -67,6 +67,12 @@
  */
 const CORDON_INTERVAL_MS = 12_000
 const CORDON_SEED_FACTOR = 0x9e3779b1
+/**
+ * Mean interval of changes of the routes that clients use, in ms, and the seed offset of their own
+ * generator, which leaves the other faults of a seed unchanged.
+ */
+const ROUTE_INTERVAL_MS = 4000
+const ROUTE_SEED_OFFSET = 6_000_000
 /** Mean interval of faults of nodes and the store within a series, in ms. */
 const SERIES_INTERVAL_MS = 1200
 /** Mean length of a series of faults of nodes and the store, and of the time between two, in ms. */
@@ -126,6 +132,7 @@
   const restarts = createRandom(seed + RESTART_SEED_OFFSET)
   const changes = createRandom(seed + ORGANISATION_SEED_OFFSET)
   const cordons = createRandom(seed * CORDON_SEED_FACTOR)
+  const routes = createRandom((seed + ROUTE_SEED_OFFSET) * CORDON_SEED_FACTOR)
   const drawnOrganisations = Math.floor(changes() * (MAX_ORGANISATIONS + 1))
   // Without the cloud interface nobody divides quotas, and equal parts may be too small for a task.
   const organisations = idleVms === 0 ? 0 : drawnOrganisations
@@ -148,6 +155,7 @@
         ? []
         : drawSeries(waves, ['wave'], WAVE_INTERVAL_MS, [1000, lengthMs])),
       ...drawSeries(restarts, ['restart'], RESTART_INTERVAL_MS, [1000, lengthMs]),
+      ...drawSeries(routes, ['route'], ROUTE_INTERVAL_MS, [1000, lengthMs]),
       ...drawSeries(cordons, ['cordon'], CORDON_INTERVAL_MS, [1000, lengthMs]),
       ...(organisations === 0
         ? []
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -10,6 +10,7 @@
 import { startSoakNode } from './nodes.js'
 import type { SoakPlan } from './plan.js'
 import { injectFault } from './injectFault.js'
+import { createRoutes } from './routes.js'
 import { runIntruders } from './intruders.js'
 import { createOrganisations } from './organisations.js'
 import { createRunChecks } from './runChecks.js'
@@ -74,6 +75,7 @@
   }
 
   const organisations = createOrganisations(plan.organisations)
+  const routes = createRoutes(QUEUES)
   const platform = await startPlatform(plan, organisations)
   const targets = await linkTargets(platform)
   const foreignTarget = await openForeignTarget(report)
@@ -111,6 +113,7 @@
   const clients = createClients({
     nodes,
     checks,
+    routes,
     disturbances,
     unplannedDisturbances,
     report,
@@ -128,6 +131,7 @@
   const isServed = (): boolean => nodes.some((node) => node.isUp())
   const stallDetector = createStallDetector({
     checks,
+    routes,
     disturbances,
     targets,
     cordons,
@@ -139,7 +143,9 @@
   let version = 1
   const changeConfiguration = (change: SoakPlan['faults'][number]): void => {
     version += 1 + (change.which % 7)
-    platform.putConfiguration(configurationOf(version, organisations, change))
+    platform.putConfiguration(
+      configurationOf(version, organisations, routes.entries(), change),
+    )
   }
   const waves = createWaves(platform, report)
   const ctx = {
@@ -151,6 +157,7 @@
     foreignAddress,
     changeConfiguration,
     organisations,
+    routes,
     orderWave: waves.orderWave,
     cordons,
     halls: HALLS,
--- a/playground/soak/setUp.ts
+++ b/playground/soak/setUp.ts
@@ -25,10 +25,11 @@
 export function configurationOf(
   version: number,
   organisations: SoakOrganisations,
+  queues: readonly SoakQueue[],
   change?: Fault,
 ): object {
   const { forMs = 0, level = 0, which = 0 } = change ?? {}
-  const routes = QUEUES.map(({ name, path, service, maxAttempts }) => ({
+  const routes = queues.map(({ name, path, service, maxAttempts }) => ({
     name,
     host: QUEUE_HOST,
     path_prefix: path,
@@ -65,7 +66,7 @@
     capacity: { cpu: 8000, memMb: 32_000, gpu: 0 },
     offlineMs: 1500,
   })
-  platform.putConfiguration(configurationOf(1, organisations))
+  platform.putConfiguration(configurationOf(1, organisations, QUEUES))
   return platform
 }
 
--- a/playground/soak/stallDetector.ts
+++ b/playground/soak/stallDetector.ts
@@ -6,6 +6,7 @@
 import type { SimVm } from '../sim/simFleet.js'
 import type { SimTarget } from '../sim/simTarget.js'
 import type { Cordons } from './cordons.js'
+import type { SoakRoutes } from './routes.js'
 import type { DisturbanceTracker } from './disturbances.js'
 import { countEnds, hasExhaustedAttempts, areDependenciesDone } from './jobView.js'
 import type { JobView, TaskView } from './jobView.js'
@@ -42,13 +43,14 @@
 /** Creates a detector. */
 export function createStallDetector(opts: {
   checks: RunChecks
+  routes: SoakRoutes
   disturbances: DisturbanceTracker
   targets: WatchedTarget[]
   cordons: Cordons
   isServed(): boolean
   report: Report
 }): StallDetector {
-  const { checks, disturbances, targets, cordons, report } = opts
+  const { checks, routes, disturbances, targets, cordons, report } = opts
   /** Monotonic time since which each incarnation of a target has been usable, in ms. */
   const usableSince = new WeakMap<SimTarget, number>()
   /** Monotonic time since which a job, or a task that runs until stopped, is stalled, in ms. */
@@ -71,9 +73,15 @@
     return found !== undefined && now - (usableSince.get(found) ?? Infinity) > GRACE_MS
   }
 
+  /** Pool that runs the job; undefined if its route changed the service as it was sent. */
+  function poolOf({ queue, sentAt = -Infinity, acceptedAt = Infinity }: JobView) {
+    const [pool, ...others] = routes.servicesBetween(queue, sentAt, acceptedAt)
+    return others.length === 0 ? pool : undefined
+  }
+
   const findVmWithRoom = (job: JobView, task: TaskView, now: number): SimVm | undefined =>
     targets.find(({ vm }) => {
-      if (vm.pool !== job.queue.service || !cordons.isOpen(vm)) return false
+      if (vm.pool !== poolOf(job) || !cordons.isOpen(vm)) return false
       if (!vm.target || !isKnown(vm.target.id, now)) return false
       const free = vm.capacity.cpu - (checks.usedCpu.get(vm.target.id) ?? 0)
       return free >= ROOM_FACTOR * job.steps[task.step]!.cpu
