refactor(front): questions about jobs in a module of their own

jobService.ts had grown by the lookups of namespaces; statuses and counts are in jobQueries.ts now. Namespaces keep their lookups until a binding changes, as each request makes several, and compute digests only for rows.

--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -2,6 +2,8 @@
  * Requests of callers about jobs. A job is accepted once its row is durable; the owner of its
  * service then runs it. A job is reported as unknown only after a fresh read of the store.
  */
+import { err } from 'neverthrow'
+import type { Result } from 'neverthrow'
 import { REFUSAL_TEXTS } from '../admission/index.js'
 import type { Attempt, FrontAdmission } from '../admission/index.js'
 import type { ConfigurationHolder } from '../directory/index.js'
@@ -38,7 +40,8 @@
 import type { Logger } from '../shared/index.js'
 import { checkCaller, configurationAgeMs, isConfigurationStale } from './callerCheck.js'
 import type { CallerCheck } from './callerCheck.js'
-import type { KnownJob, OwnerCalls } from './ownerCalls.js'
+import { createJobQueries } from './jobQueries.js'
+import type { OwnerCalls } from './ownerCalls.js'
 import {
   RETRY_AFTER_MS,
   UNREADABLE,
@@ -46,7 +49,6 @@
   findStoredJob,
   hideForeign,
   mayAccess,
-  readStoredStatus,
   unavailable,
 } from './storedJobs.js'
 import type { Answer, StoredLookup } from './storedJobs.js'
@@ -140,6 +142,7 @@
 export function createJobService(opts: JobServiceOptions): JobService {
   const { store, configuration, owners, namespaces, admission, log } = opts
   const unreadRows = createInvalidRows(log, INTAKE_TABLE)
+  const queries = createJobQueries({ store, owners, namespaces })
 
   /** Whether nothing can be started anywhere, because operators have cordoned every hall. */
   function areAllHallsCordoned(): boolean {
@@ -246,23 +249,26 @@
   }
 
   /**
-   * The namespace for a new job. A silent store must not use up the time in which the caller can
-   * send the job elsewhere.
+   * The namespace for a new job, or why there is none. A silent store must not use up the time in
+   * which the caller can send the job elsewhere.
    */
-  async function bindNamespace(queue: Queue): Promise<Answer<Namespace>> {
+  async function bindNamespace(queue: Queue): Promise<Result<Namespace, string>> {
     const ended = new AbortController()
     const silence = sleep(BINDING_TIMEOUT_MS, ended.signal).then(() =>
-      unavailable('the store does not answer in time'),
+      err<Namespace, string>('the store does not answer in time'),
     )
-    const bound = namespaces.bind(queue).then((res) =>
-      res.match<Answer<Namespace>>(
-        (value) => ({ kind: 'ok', value }),
-        (error) => unavailable(describeError(error)),
-      ),
-    )
-    const answer = await Promise.race([bound, silence])
+    const bound = namespaces.bind(queue).then((res) => res.mapErr(describeError))
+    const res = await Promise.race([bound, silence])
     ended.abort()
-    return answer
+    return res
+  }
+
+  /** Notes a refusal by the store, after which the owner expects the job again. */
+  function refuseUnstored(queue: Queue, job: JobSpec, reason: string): SubmitResult {
+    const { id } = job
+    log.event('jobRefused', { job: id, queue: queue.name, failure: 'refused', reason })
+    owners.expect(job)
+    return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS, reason }
   }
 
   /**
@@ -270,26 +276,20 @@
    * queue although the address has another namespace; undefined if there is none.
    */
   async function resultOfOtherName(
-    { names: [, ...others] }: Namespace,
-    { id, organisation }: JobSpec,
+    queue: Queue,
+    { name: namespace, names: [, ...others] }: Namespace,
+    job: JobSpec,
   ): Promise<SubmitResult | undefined> {
     if (others.length === 0) return undefined
+    const { id, organisation } = job
     const found = await findStoredJob(store, others, id, undefined)
     if (found.kind === 'unknownJob') return undefined
-    if (found.kind === 'unavailable') {
-      const { retryAfterMs, reason } = found
-      return { kind: 'refused', retryAfterMs, reason }
-    }
+    if (found.kind === 'unavailable') return refuseUnstored(queue, job, found.reason)
     const isOwn = mayAccess(found.value.organisation, organisation)
-    return { kind: isOwn ? 'accepted' : 'idInUse' }
-  }
-
-  /** Notes a refusal by the store, after which the owner expects the job again. */
-  function refuseUnstored(queue: Queue, job: JobSpec, reason: string): SubmitResult {
-    const { id } = job
-    log.event('jobRefused', { job: id, queue: queue.name, failure: 'refused', reason })
-    owners.expect(job)
-    return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS, reason }
+    const kind = isOwn ? 'accepted' : 'idInUse'
+    const fields = { job: id, queue: queue.name, namespace, result: kind }
+    log.event('jobFoundUnderOtherName', fields)
+    return { kind }
   }
 
   async function submit(
@@ -316,20 +316,11 @@
       return { kind: 'invalid', reason: problem }
     }
     const bound = await bindNamespace(queue)
-    if (bound.kind !== 'ok')
-      return refuseUnstored(queue, unboundJob, 'reason' in bound ? bound.reason : '')
+    if (bound.isErr()) return refuseUnstored(queue, unboundJob, bound.error)
     const namespace = bound.value
     const job: JobSpec = { ...unboundJob, queue: namespace.name }
-    const other = await resultOfOtherName(namespace, job)
-    if (other) {
-      log.event('jobFoundUnderOtherName', {
-        job: id,
-        queue: name,
-        namespace: namespace.name,
-        result: other.kind,
-      })
-      return other
-    }
+    const other = await resultOfOtherName(queue, namespace, job)
+    if (other) return other
     // A lookup for cordons that finds no job refuses it, so that overload never relies on an answer
     // from before the attempt.
     const findStored = createStoredLookup(store, namespace.names, id)
@@ -378,62 +369,6 @@
     return { kind: 'accepted' }
   }
 
-  /**
-   * Whether a job that an owner knows by its id is the one at the queue's address. While the store
-   * cannot tell, it counts as the one.
-   */
-  async function isOfAddress(
-    { queue: recordedIn }: KnownJob,
-    queue: Queue,
-  ): Promise<boolean> {
-    if (recordedIn === undefined) return true
-    const known = namespaces.known(queue)
-    if (!known && recordedIn === queue.name) return true
-    const namespace = known ?? (await namespaces.find(queue)).unwrapOr(undefined)
-    return !namespace || namespace.names.includes(recordedIn)
-  }
-
-  /**
-   * State of a job that the owner of the queue's service does not know. The owner of the service by
-   * which the job was accepted knows more than the rows.
-   */
-  async function statusOfStored(
-    queue: Queue,
-    id: string,
-    caller: string | undefined,
-  ): Promise<Answer<JobStatus>> {
-    const namespace = await namespaces.find(queue)
-    if (namespace.isErr()) return unavailable(describeError(namespace.error))
-    const found = await findStoredJob(store, namespace.value.names, id, caller)
-    if (found.kind !== 'ok') return found
-    const { service, outcome, queue: recordedIn } = found.value
-    if (!outcome && service !== queue.service) {
-      const known = await owners.status(service, id)
-      const isSame = known && (known.queue ?? recordedIn) === recordedIn
-      if (isSame) return { kind: 'ok', value: known.status }
-    }
-    return readStoredStatus(store, found.value, id)
-  }
-
-  /** Counts the waiting jobs of the address in all services that may have some. */
-  async function waiting(queue: Queue): Promise<Answer<number>> {
-    const found = await namespaces.find(queue)
-    const { names, services } = found.unwrapOr({
-      names: [queue.name],
-      services: [queue.service],
-    })
-    const counts = await Promise.all(
-      services.flatMap((service) => names.map((name) => owners.waiting(service, name))),
-    )
-    let sum = 0
-    for (const count of counts) {
-      if (count === undefined)
-        return unavailable('the owner of the service does not answer')
-      sum += count
-    }
-    return { kind: 'ok', value: sum }
-  }
-
   async function cancel(
     queue: Queue,
     id: string,
@@ -492,18 +427,15 @@
     cancel,
 
     async status(queue, id, caller) {
-      const known = await owners.status(queue.service, id)
-      const isKnown =
-        known !== undefined &&
-        mayAccess(known.organisation, caller) &&
-        (await isOfAddress(known, queue))
-      const answer: Answer<JobStatus> = isKnown
-        ? { kind: 'ok', value: known.status }
-        : logIfUnreadable(id, await statusOfStored(queue, id, caller))
-      log.event('jobAnswered', { job: id, fromOwner: isKnown, ...answer })
+      const known = await queries.statusAtOwner(queue, id, caller)
+      const answer: Answer<JobStatus> =
+        known !== undefined
+          ? { kind: 'ok', value: known }
+          : logIfUnreadable(id, await queries.statusOfStored(queue, id, caller))
+      log.event('jobAnswered', { job: id, fromOwner: known !== undefined, ...answer })
       return answer
     },
 
-    waiting,
+    waiting: queries.waiting,
   }
 }
--- a/src/namespaces/namespaces.ts
+++ b/src/namespaces/namespaces.ts
@@ -81,23 +81,30 @@
   const { store, configuration, log } = opts
   const stopping = createStopController()
   const unreadRows = createInvalidRows(log, NAMESPACES_TABLE)
-  /** Bindings by the key of their row. */
+  /** Bindings by address. */
   const bindings = new Map<string, StoredBinding>()
   /** Keys of the rows that cannot be read. */
   const unreadable = new Set<string>()
-  /** Name of the first queue of each address in the life of this process, by key. */
+  /** Name of the first queue of each address in the life of this process. */
   const firstNames = new Map<string, string>()
-  /** Writes in progress, by key. */
+  /** Namespaces that have been looked up since the last change of a binding, by queue. */
+  const lookups = new Map<string, Namespace>()
+  /** Writes in progress, by address and service. */
   const binding = new Map<string, Promise<Result<Namespace, PlatformError>>>()
   let reading: Promise<Result<void, PlatformError>> | undefined
   let readAt = -Infinity
   let learning: Promise<void> | undefined
 
-  const keyOf = (address: Address): string => bindingKey(address).key
+  const addressOf = ({ host, pathPrefix }: Address): string => `${host}\n${pathPrefix}`
+
+  function setBinding(binding: Binding, version: number): void {
+    bindings.set(addressOf(binding), { binding, version })
+    lookups.clear()
+  }
 
   function noteRow({ key, value, version }: StoredRow): void {
     const decoded = decodeBinding(value)
-    if (!decoded || keyOf(decoded) !== key) {
+    if (!decoded || bindingKey(decoded).key !== key) {
       unreadable.add(key)
       return unreadRows.note(
         key,
@@ -106,9 +113,8 @@
     }
     unreadable.delete(key)
     unreadRows.clear(key)
-    const known = bindings.get(key)
-    if (!known || known.version < version)
-      bindings.set(key, { binding: decoded, version })
+    const known = bindings.get(addressOf(decoded))
+    if (!known || known.version < version) setBinding(decoded, version)
   }
 
   async function readAll(): Promise<Result<void, PlatformError>> {
@@ -157,17 +163,21 @@
   }
 
   const firstNameOf = (queue: AddressedQueue): string =>
-    firstNames.get(keyOf(queue)) ?? queue.name
+    firstNames.get(addressOf(queue)) ?? queue.name
 
   const bindingOf = (queue: AddressedQueue): Binding | undefined =>
-    bindings.get(keyOf(queue))?.binding
+    bindings.get(addressOf(queue))?.binding
 
   const isBound = (queue: AddressedQueue): boolean =>
     bindingOf(queue)?.services.includes(queue.service) === true
 
   function known(queue: AddressedQueue): Namespace | undefined {
-    const found = bindingOf(queue)
-    return found && namespaceOf(queue, found.namespace)
+    const binding = bindingOf(queue)
+    if (!binding) return undefined
+    const key = `${addressOf(queue)}\n${queue.name}\n${queue.service}`
+    const found = lookups.get(key) ?? namespaceOf(queue, binding.namespace)
+    lookups.set(key, found)
+    return found
   }
 
   /** Writes the binding, or adds the queue's service to it; false if another node was first. */
@@ -175,7 +185,7 @@
     queue: AddressedQueue,
   ): Promise<Result<boolean, PlatformError>> {
     const key = bindingKey(queue)
-    const stored = bindings.get(key.key)
+    const stored = bindings.get(addressOf(queue))
     const { host, pathPrefix, service } = queue
     const next: Binding = {
       host,
@@ -193,7 +203,7 @@
       for (const row of res.value.current) noteRow(row)
       return ok(false)
     }
-    bindings.set(key.key, { binding: next, version: res.value.version })
+    setBinding(next, res.value.version)
     const { namespace, services } = next
     log.event('namespaceBound', { queue: queue.name, namespace, services })
     return ok(true)
@@ -214,10 +224,10 @@
   function noteConfiguration(): void {
     let hasNew = false
     for (const queue of configuration.current()?.queues ?? []) {
-      const key = keyOf(queue)
-      if (firstNames.has(key)) continue
-      firstNames.set(key, queue.name)
-      hasNew ||= !bindings.has(key)
+      const address = addressOf(queue)
+      if (firstNames.has(address)) continue
+      firstNames.set(address, queue.name)
+      hasNew ||= !bindings.has(address)
     }
     if (hasNew) learning ??= learn().finally(() => (learning = undefined))
   }
@@ -242,14 +252,14 @@
         const fresh = await refresh()
         if (fresh.isErr() && !bindingOf(queue)) return err(fresh.error)
       }
-      if (unreadable.has(keyOf(queue)) && !bindingOf(queue))
+      if (!bindingOf(queue) && unreadable.has(bindingKey(queue).key))
         return err(bindingError('the binding of the address cannot be read'))
       return ok(known(queue) ?? namespaceOf(queue, firstNameOf(queue)))
     },
     async bind(queue) {
       const found = isBound(queue) ? known(queue) : undefined
       if (found) return ok(found)
-      const key = `${keyOf(queue)} ${queue.service}`
+      const key = `${addressOf(queue)}\n${queue.service}`
       const pending = binding.get(key) ?? write(queue).finally(() => binding.delete(key))
       binding.set(key, pending)
       return pending
