fix(front): accept jobs of a moved route while its binding cannot be written

A route that moves to another service adds this service to the binding of its address. While that part of the store is away, all its jobs were refused, although the name of their rows is known and never changes. They are accepted now; the service is added with the next job. Found by reading.

The new case of replacedQueues.spec fails without the change (refused) and passes with it; 95 tests of front and namespaces pass.

--- a/src/front/__tests__/replacedQueues.spec.ts
+++ b/src/front/__tests__/replacedQueues.spec.ts
@@ -152,6 +152,20 @@
   })
 })
 
+describe('job of a bound address whose queue has another service', () => {
+  // Guards against refusals of all jobs of a route that is moved while one part of the store is away.
+  it('is accepted while the binding cannot be written', async (t) => {
+    const scene = startScene()
+    const node = scene.startNode(FIRST)
+    await node.submit(FIRST, JOB)
+    scene.table.faults.refusedParts.add('addresses')
+    const id = '00000000000000a2'
+    t.is((await node.submit(NEXT, { ...JOB, id })).kind, 'accepted')
+    t.deepEqual(scene.offered, [`one ${ID}`, `two ${id}`])
+    t.truthy(scene.table.get(intakeKey('r-first', id)))
+  })
+})
+
 describe('job of an address that is not bound', () => {
   // Guards against an accepted job that a later queue of the address would not find.
   it('is refused while the binding cannot be written, and leaves no row', async (t) => {
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -2,7 +2,7 @@
  * Requests of callers about jobs. A job is accepted once its row is durable; the owner of its
  * service then runs it. A job is reported as unknown only after a fresh read of the store.
  */
-import { err } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { REFUSAL_TEXTS } from '../admission/index.js'
 import type { Attempt, FrontAdmission } from '../admission/index.js'
@@ -250,7 +250,8 @@
 
   /**
    * The namespace for a new job, or why there is none. A silent store must not use up the time in
-   * which the caller can send the job elsewhere.
+   * which the caller can send the job elsewhere. If only the service of a bound address cannot be
+   * added to its binding, the job is accepted all the same, as its name is certain.
    */
   async function bindNamespace(queue: Queue): Promise<Result<Namespace, string>> {
     const ended = new AbortController()
@@ -260,7 +261,8 @@
     const bound = namespaces.bind(queue).then((res) => res.mapErr(describeError))
     const res = await Promise.race([bound, silence])
     ended.abort()
-    return res
+    const known = namespaces.known(queue)
+    return res.isErr() && known ? ok(known) : res
   }
 
   /** Notes a refusal by the store, after which the owner expects the job again. */
--- a/src/namespaces/namespaces.ts
+++ b/src/namespaces/namespaces.ts
@@ -57,7 +57,7 @@
    * every later configuration, finds the job.
    */
   bind(queue: AddressedQueue): Promise<Result<Namespace, PlatformError>>
-  /** Services that have accepted jobs, according to the bindings that this node has read. */
+  /** Services for which jobs were accepted, according to the bindings that this node has read. */
   services(): ReadonlySet<string>
   stop(): Promise<void>
 }
@@ -90,7 +90,7 @@
   /** Namespaces that have been looked up since the last change of a binding, by queue. */
   const lookups = new Map<string, Namespace>()
   /** Writes in progress, by address and service. */
-  const binding = new Map<string, Promise<Result<Namespace, PlatformError>>>()
+  const writes = new Map<string, Promise<Result<Namespace, PlatformError>>>()
   let reading: Promise<Result<void, PlatformError>> | undefined
   let readAt = -Infinity
   let learning: Promise<void> | undefined
@@ -260,8 +260,8 @@
       const found = isBound(queue) ? known(queue) : undefined
       if (found) return ok(found)
       const key = `${addressOf(queue)}\n${queue.service}`
-      const pending = binding.get(key) ?? write(queue).finally(() => binding.delete(key))
-      binding.set(key, pending)
+      const pending = writes.get(key) ?? write(queue).finally(() => writes.delete(key))
+      writes.set(key, pending)
       return pending
     },
     services: () =>
