refactor: derive the services of bindings once, one lookup of organisations

Every node asked for the services of all bindings at each check for services without an owner, and built the set anew; it is kept now, as it only grows. The maximum and the weight of an organisation that a configuration removed were looked up by two copies of one expression. The soak's check for jobs that stand still found the pool of a job once for each target. Behaviour is the same.

--- a/playground/soak/stallDetector.ts
+++ b/playground/soak/stallDetector.ts
@@ -79,13 +79,15 @@
     return others.length === 0 ? pool : undefined
   }
 
-  const findVmWithRoom = (job: JobView, task: TaskView, now: number): SimVm | undefined =>
-    targets.find(({ vm }) => {
-      if (vm.pool !== poolOf(job) || !cordons.isOpen(vm)) return false
+  function findVmWithRoom(job: JobView, task: TaskView, now: number): SimVm | undefined {
+    const pool = poolOf(job)
+    return targets.find(({ vm }) => {
+      if (vm.pool !== pool || !cordons.isOpen(vm)) return false
       if (!vm.target || !isKnown(vm.target.id, now)) return false
       const free = vm.capacity.cpu - (checks.usedCpu.get(vm.target.id) ?? 0)
       return free >= ROOM_FACTOR * job.steps[task.step]!.cpu
     })?.vm
+  }
 
   /** Whether the owner must assume that a run of the task is still active. */
   function mayRun({ active, ends }: TaskView, now: number): boolean {
--- a/src/namespaces/namespaces.ts
+++ b/src/namespaces/namespaces.ts
@@ -83,6 +83,8 @@
   const unreadRows = createInvalidRows(log, NAMESPACES_TABLE)
   /** Bindings by address. */
   const bindings = new Map<string, StoredBinding>()
+  /** Services of all bindings; a binding never loses one. */
+  const services = new Set<string>()
   /** Keys of the rows that cannot be read. */
   const unreadable = new Set<string>()
   /** Name of the first queue of each address in the life of this process. */
@@ -99,6 +101,7 @@
 
   function setBinding(binding: Binding, version: number): void {
     bindings.set(addressOf(binding), { binding, version })
+    for (const service of binding.services) services.add(service)
     lookups.clear()
   }
 
@@ -153,12 +156,11 @@
 
   function namespaceOf(queue: AddressedQueue, name: string): Namespace {
     const other = unboundName(queue, name)
-    const services = new Set([queue.service])
-    for (const each of sharing(name)) for (const one of each.services) services.add(one)
+    const ofNamespace = sharing(name).flatMap((each) => each.services)
     return {
       name,
       names: other === undefined ? [name] : [name, other],
-      services: [...services],
+      services: [...new Set([queue.service, ...ofNamespace])],
     }
   }
 
@@ -204,8 +206,11 @@
       return ok(false)
     }
     setBinding(next, res.value.version)
-    const { namespace, services } = next
-    log.event('namespaceBound', { queue: queue.name, namespace, services })
+    log.event('namespaceBound', {
+      queue: queue.name,
+      namespace: next.namespace,
+      services: next.services,
+    })
     return ok(true)
   }
 
@@ -264,8 +269,7 @@
       writes.set(key, pending)
       return pending
     },
-    services: () =>
-      new Set([...bindings.values()].flatMap(({ binding: { services } }) => services)),
+    services: () => services,
     async stop() {
       stopping.abort()
       unsubscribe()
--- a/src/quotas/maximum.ts
+++ b/src/quotas/maximum.ts
@@ -1,4 +1,5 @@
 /** Maxima of organisations according to the configuration. */
+import { lastKnownOrganisation } from '../directory/index.js'
 import type { Configuration, Resources } from '../ports/index.js'
 import { UNLIMITED, eachKind, isZeroAmounts, zeroAmounts } from './amounts.js'
 
@@ -11,8 +12,7 @@
   cfg: Configuration | undefined,
   organisation: string,
 ): Resources | undefined {
-  const found =
-    cfg?.organisations?.get(organisation) ?? cfg?.formerOrganisations?.get(organisation)
+  const found = lastKnownOrganisation(cfg, organisation)
   // An organisation that cannot be read may have any maximum.
   if (!found) return cfg?.lacksOrganisations ? zeroAmounts() : undefined
   const { maximum } = found
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -5,6 +5,7 @@
 import type { ServiceLoad } from '../admission/index.js'
 import type { Advice, RowStore, TargetOrders, VmCloud } from '../ports/index.js'
 import type { Feature } from '../config/index.js'
+import { lastKnownOrganisation } from '../directory/index.js'
 import type { ConfigurationHolder, TargetList } from '../directory/index.js'
 import { INTAKE_TABLE, createJobBook, statusOf } from '../jobs/index.js'
 import type { JobSpec, JobStatus } from '../jobs/index.js'
@@ -196,7 +197,10 @@
     ? createWeightedShares({ service, configuration, settings, runTimes, log })
     : undefined
   const shares =
-    weightedShares ?? createFairShares((name) => weightOf(configuration, name))
+    weightedShares ??
+    createFairShares(
+      (name) => lastKnownOrganisation(configuration.current(), name)?.weight,
+    )
   const health = createHealth({ runTimes, coldTargets, log })
   const startWindow = createStartWindow({ freed: wake, log })
   const demand = createDemandMeter({
@@ -501,12 +505,6 @@
   }
 }
 
-/** Weight of an organisation as last configured, also if a later configuration removed it. */
-function weightOf(configuration: ConfigurationHolder, name: string): number | undefined {
-  const { organisations, formerOrganisations } = configuration.current() ?? {}
-  return (organisations?.get(name) ?? formerOrganisations?.get(name))?.weight
-}
-
 /** Names of the queues that are currently configured for the service. */
 function queuesOf(configuration: ConfigurationHolder, service: string): string[] {
   const { queues = [] } = configuration.current() ?? {}
