fix(vms): decide about VMs only by a list that this owner has read

What operators saw: while the list of VMs could not be read, a new owner of the fleet wrote that a wave was completed although 6 to 13 of its 20 VMs had not begun their maintenance. They never began.

Cause: the owner began with an empty map of VMs, and acted on it when its first read of the list had failed. The wave tracker counted only VMs in the map as pending, found none, and wrote 'completed'.

Change: the VMs are an inventory, which exists only once a whole list has been read. Waves, pools, moves and the attainable room take an inventory, so that there is no such decision without one. Until then no target is closed either, as no order can follow. The rows of waves are read at the same time as the list. vmsNotRead says how old the last list is.

--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -1,10 +1,10 @@
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
 import { VM_CPU, vmOf } from '../../../test/fixtures.js'
 import { startFleetOwner } from '../../../test/fleetRig.js'
 import { VM_ORDER_TIMEOUT_MS } from '../../ports/index.js'
 import type { Vm, VmCloud, Wave } from '../../ports/index.js'
-import { sleep } from '../../shared/index.js'
+import { callError, sleep } from '../../shared/index.js'
 import { PEAK_HOLD_MS } from '../index.js'
 import type { FleetOwner, ServiceReport, TargetLoad } from '../index.js'
 
@@ -39,9 +39,12 @@
   cordons: ReadonlyMap<string, number> = new Map(),
 ) {
   const orders: { kind: string; vm: string; pool?: string }[] = []
-  const state = { confirmed: true, apply: true, busy: false }
+  const state = { confirmed: true, apply: true, busy: false, listed: true }
   const cloud: VmCloud = {
-    list: async () => ok(vms.map((vm) => ({ ...vm }))),
+    async list() {
+      if (!state.listed) return err(callError('cloud.list', 'cloud', 'unknown', 'silent'))
+      return ok(vms.map((vm) => ({ ...vm })))
+    },
     async move(name, pool) {
       orders.push({ kind: 'move', vm: name, pool })
       if (state.busy) return ok('busy')
@@ -360,6 +363,42 @@
     await fleet.stop(false)
   })
 
+  // Otherwise VMs that a new owner has not read count as absent, and it says that a wave is completed
+  // of which no VM has been maintained.
+  describe('whose list of VMs cannot be read', () => {
+    const WAVE = { id: 1, vms: ['m1', 'm2'], durationMs: 10_000, maxDown: 2 }
+    const vms = () => [vmOf(1, 'idle'), vmOf(2, 'idle'), vmOf(3, 'a')]
+    const make = () => [
+      { ...reportOf('a', 2000, [load('i3', 0, true)]), asksAttainable: true },
+    ]
+
+    it('says nothing of a wave until it has read the list', async (t) => {
+      const { fleet, state, statusOf, orders } = startFleet(vms(), [WAVE])
+      state.listed = false
+      await reportFor(fleet, 400, make)
+      t.is(statusOf(1), undefined)
+      t.deepEqual(orders, [])
+      state.listed = true
+      await reportFor(fleet, 500, make)
+      t.deepEqual(orders.map(({ kind, vm }) => `${kind} ${vm}`).sort(), [
+        'maintain m1',
+        'maintain m2',
+      ])
+      t.is(statusOf(1), 'completed')
+      await fleet.stop(false)
+    })
+
+    it('closes no target, and names no attainable room', async (t) => {
+      const { fleet, state } = startFleet(vms(), [WAVE])
+      state.listed = false
+      await reportFor(fleet, 300, make)
+      const answer = fleet.report(make()[0]!)
+      t.deepEqual(answer?.evacuate, [])
+      t.is(answer?.attainableCpu, undefined)
+      await fleet.stop(false)
+    })
+  })
+
   describe('with a cordoned data hall', () => {
     const vmIn = (hall: string, number: number, pool: string): Vm => ({
       ...vmOf(number, pool),
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -35,6 +35,8 @@
 import { createLatestReports } from './latestReports.js'
 import { createShortageLog } from './shortageLog.js'
 import type { FleetAnswer, ServiceReport } from './types.js'
+import { createVmInventoryReader } from './vmInventory.js'
+import type { VmInventory } from './vmInventory.js'
 import { createVmOrders } from './vmOrders.js'
 import { createWaveTracker } from './waves.js'
 import { advanceWaves } from './waveSteps.js'
@@ -91,8 +93,7 @@
   const hurried = new Set<string>()
   /** VMs that move once they are empty and their service starts no new tasks there. */
   let reserved = new Set<string>()
-  let vms = new Map<string, Vm>()
-  let listedAt = -Infinity
+  const inventories = createVmInventoryReader()
   /** Monotonic time of the first decision, in ms. */
   let firstDecisionAt = Infinity
   /** Whether a report has arrived since the last round started. */
@@ -108,7 +109,7 @@
   const fitsPool = (vm: Vm, pool: string): boolean =>
     !incompatible.get(pool)?.has(vm.name)
 
-  function supplyOf({ pool }: Vm): VmSupply | undefined {
+  function supplyOf({ vms }: VmInventory, { pool }: Vm): VmSupply | undefined {
     const report = reports.fresh().get(pool)
     if (!report) return undefined
     const all = [...vms.values()]
@@ -125,11 +126,11 @@
   }
 
   /** Returns the VMs with the loads that the services have reported. */
-  const getView = (): FleetView => {
+  const getView = (inventory: VmInventory): FleetView => {
     const loads = reports.loads()
     const recent = reports.loads(EMPTY_REPORT_MAX_AGE_MS)
     return {
-      vms,
+      vms: inventory.vms,
       runsOn: (vm) => loads.get(vm.targetId)?.runs ?? 0,
       isEmpty(vm) {
         if (vm.pool === sparePool()) return true
@@ -137,21 +138,29 @@
         return load !== undefined && load.evacuating && load.runs === 0
       },
       isCordoned,
-      supplyOf,
+      supplyOf: (vm) => supplyOf(inventory, vm),
     }
   }
 
-  async function readList(): Promise<void> {
-    const away = [...vms.values()].some(({ state }) => state !== 'up')
-    const intervalMs =
-      away || orders.pending.size > 0 ? LIST_BUSY_INTERVAL_MS : LIST_INTERVAL_MS
-    if (monotonicMs() - listedAt < intervalMs) return
+  /** Returns the newest inventory after a read of the list if one is due. */
+  async function readInventory(): Promise<VmInventory | undefined> {
+    const known = inventories.newest()
+    if (known && monotonicMs() - known.requestedAt < listIntervalMs(known)) return known
     const sentAt = monotonicMs()
     const res = await cloud.list()
-    if (res.isErr()) return log.event('vmsNotRead', { reason: describeError(res.error) })
-    listedAt = sentAt
-    vms = new Map(res.value.map((vm) => [vm.name, vm]))
-    orders.applyList(vms, sentAt)
+    if (res.isErr()) {
+      const listAgeMs = known && Math.round(monotonicMs() - known.requestedAt)
+      log.event('vmsNotRead', { reason: describeError(res.error), listAgeMs })
+      return known
+    }
+    const inventory = inventories.adopt(res.value, sentAt)
+    orders.applyList(inventory)
+    return inventory
+  }
+
+  function listIntervalMs({ vms }: VmInventory): number {
+    const away = [...vms.values()].some(({ state }) => state !== 'up')
+    return away || orders.pending.size > 0 ? LIST_BUSY_INTERVAL_MS : LIST_INTERVAL_MS
   }
 
   function noteIncompatible(vm: string, pool: string): void {
@@ -182,10 +191,10 @@
     return monotonicMs() - firstDecisionAt < PEAK_HOLD_MS ? Infinity : peak
   }
 
-  async function balancePools(): Promise<void> {
+  async function balancePools(inventory: VmInventory): Promise<void> {
     const now = monotonicMs()
     const input = {
-      vms: [...vms.values()],
+      vms: [...inventory.vms.values()],
       reports: reports.fresh(),
       movingTo: orders.movingTo(),
       sparePool: sparePool(),
@@ -199,7 +208,7 @@
       vmsToKeep,
     })
     reserved = new Set(moves.map(({ vm }) => vm.name))
-    const { isEmpty } = getView()
+    const { isEmpty } = getView(inventory)
     const possible = moves.filter(({ vm }) => isEmpty(vm))
     const ordered = possible.slice(0, rateLimiter.take(possible.length, now))
     logShortages({ ...input, now, planned: moves, possible, ordered })
@@ -225,9 +234,14 @@
     while (!stopping.signal.aborted) {
       hasNewReport = false
       if (authority.isConfirmed()) {
-        await readList()
-        await advanceWaves(steps, configuration.waves())
-        if (vms.size > 0) await balancePools()
+        const [inventory] = await Promise.all([
+          readInventory(),
+          waves.update(configuration.waves()),
+        ])
+        if (inventory) {
+          await advanceWaves(steps, inventory)
+          await balancePools(inventory)
+        }
       }
       await sleep(MIN_ROUND_INTERVAL_MS, stopping.signal)
       await waitForNextRound()
@@ -238,12 +252,13 @@
   /** The last count; a round may wait for orders, so that its age decides. */
   let counted: { at: number; vms: AttainableVms } | undefined
 
-  /** Room that the service can get; undefined until the list of VMs has been read. */
+  /** Room that the service can get; undefined without an inventory. */
   function attainableCpu(service: string): number | undefined {
-    if (vms.size === 0) return undefined
+    const inventory = inventories.newest()
+    if (!inventory) return undefined
     const now = monotonicMs()
     if (!counted || now - counted.at >= MIN_ROUND_INTERVAL_MS) {
-      const usable = [...vms.values()].filter((vm) => !isCordoned(vm))
+      const usable = [...inventory.vms.values()].filter((vm) => !isCordoned(vm))
       const movingTo = orders.movingTo()
       counted = { at: now, vms: countAttainable({ vms: usable, movingTo }) }
     }
@@ -255,8 +270,11 @@
     })
   }
 
-  const targetsOf = (names: Iterable<string>): string[] =>
-    [...names].flatMap((name) => vms.get(name)?.targetId || [])
+  /** Targets on the VMs; none without an inventory, as no order can follow then. */
+  function targetsOf(names: Iterable<string>): string[] {
+    const vms = inventories.newest()?.vms
+    return [...names].flatMap((name) => vms?.get(name)?.targetId || [])
+  }
 
   /**
    * VMs that are kept closed for an order. VMs that are only planned to move are open while no order
--- a/src/vms/vmOrders.ts
+++ b/src/vms/vmOrders.ts
@@ -4,6 +4,7 @@
 import { describeError, monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { ORDER_VISIBLE_WITHIN_MS, REPORT_ENDED_MS } from './constants.js'
+import type { VmInventory } from './vmInventory.js'
 
 /** An order whose effect the list does not show yet. */
 export interface PendingOrder {
@@ -26,8 +27,8 @@
   move(vm: Vm, pool: string): Promise<VmOrderAnswer | undefined>
   /** Maintains a VM for a wave; undefined when the order was not sent or not answered. */
   maintain(vm: Vm, wave: number): Promise<VmOrderAnswer | undefined>
-  /** Removes pending orders that a list requested at `sentAt` shows, or that have expired. */
-  applyList(vms: ReadonlyMap<string, Vm>, sentAt: number): void
+  /** Removes pending orders that the list shows, or that have expired. */
+  applyList(inventory: VmInventory): void
   /** Pools that VMs are being moved to, by VM. */
   movingTo(): Map<string, string>
   /** Lives that orders have recently ended, according to the list. */
@@ -74,12 +75,12 @@
   function applyListTo(
     name: string,
     order: PendingOrder,
-    vm: Vm | undefined,
-    readAt: number,
+    { vms, requestedAt }: VmInventory,
   ): void {
+    const vm = vms.get(name)
     const isOver = !vm || vm.state !== 'up' || vm.targetId !== order.targetId
     if (isOver && order.targetId !== '') ended.set(order.targetId, monotonicMs())
-    if (isOver || readAt > order.until) pending.delete(name)
+    if (isOver || requestedAt > order.until) pending.delete(name)
   }
 
   return {
@@ -90,10 +91,10 @@
       sendOrder(vm, { kind: 'maintain', pool: vm.pool }, () =>
         cloud.maintain(vm.name, wave, sender),
       ),
-    applyList(vms, sentAt) {
+    applyList(inventory) {
       for (const [name, order] of pending) {
         // A list that was requested before the order does not show its effect.
-        if (sentAt >= order.at) applyListTo(name, order, vms.get(name), sentAt)
+        if (inventory.requestedAt >= order.at) applyListTo(name, order, inventory)
       }
     },
     movingTo() {
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -7,6 +7,7 @@
   WAVE_SPARE_ONLY_UNTIL,
   WAVE_TARGET,
 } from './constants.js'
+import type { VmInventory } from './vmInventory.js'
 import type { VmOrders } from './vmOrders.js'
 import type { WaveTracker, WaveProgress } from './waves.js'
 
@@ -39,17 +40,16 @@
   emptying: Set<string>
   /** VMs whose running tasks no longer delay their wave. */
   hurried: Set<string>
-  getView(): FleetView
+  getView(inventory: VmInventory): FleetView
 }
 
 /** Carries out one step of every wave and writes the changes. */
 export async function advanceWaves(
   opts: WaveStepOptions,
-  requested: Wave[],
+  inventory: VmInventory,
 ): Promise<void> {
   const { waves, emptying, hurried } = opts
-  await waves.update(requested)
-  for (const progress of waves.active()) await advanceWave(opts, progress)
+  for (const progress of waves.active()) await advanceWave(opts, inventory, progress)
   for (const name of [...emptying, ...hurried]) {
     const wanted = waves.active().some(({ wave, begun }) => {
       return wave.vms.includes(name) && !begun.has(name)
@@ -58,16 +58,20 @@
     emptying.delete(name)
     hurried.delete(name)
   }
-  await waves.save(opts.getView().vms)
+  await waves.save(inventory)
 }
 
-async function advanceWave(opts: WaveStepOptions, progress: WaveProgress): Promise<void> {
+async function advanceWave(
+  opts: WaveStepOptions,
+  inventory: VmInventory,
+  progress: WaveProgress,
+): Promise<void> {
   const { waves, orders, emptying, hurried } = opts
-  const view = opts.getView()
+  const view = opts.getView(inventory)
   const { wave } = progress
   const elapsedShare = (monotonicMs() - progress.seenAt) / wave.durationMs
   const pending = waves
-    .pending(progress, view.vms)
+    .pending(progress, inventory)
     .filter((vm) => vm.state === 'up' && !orders.pending.has(vm.name))
     .sort((a, b) => compareCost(a, b, view))
   let free = wave.maxDown - countDown(wave, view, orders)
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -13,6 +13,7 @@
   parseJson,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import type { VmInventory } from './vmInventory.js'
 
 /** Table with the progress of waves; the part is that of the fleet. */
 export const WAVES_TABLE = 'waves'
@@ -43,11 +44,11 @@
   /** Adds new waves from those that the operators request. */
   update(waves: Wave[]): Promise<void>
   /** VMs of a wave that exist and have not begun. */
-  pending(progress: WaveProgress, vms: ReadonlyMap<string, Vm>): Vm[]
+  pending(progress: WaveProgress, inventory: VmInventory): Vm[]
   /** Records that a VM's maintenance was ordered. */
   markBegun(progress: WaveProgress, vm: string): void
   /** Writes the changed progress, and the status that the operators read. */
-  save(vms: ReadonlyMap<string, Vm>): Promise<void>
+  save(inventory: VmInventory): Promise<void>
 }
 
 /** Creates an empty tracker; the row of a wave is read when the wave is first requested. */
@@ -120,7 +121,7 @@
     log.event('waveNotWritten', { wave: id, reason })
   }
 
-  const pending = (progress: WaveProgress, vms: ReadonlyMap<string, Vm>): Vm[] =>
+  const pending = (progress: WaveProgress, { vms }: VmInventory): Vm[] =>
     progress.wave.vms.flatMap((name) => {
       const vm = vms.get(name)
       return vm && !progress.begun.has(name) ? [vm] : []
@@ -136,11 +137,11 @@
       progress.begun.add(vm)
       progress.dirty = true
     },
-    async save(vms) {
+    async save(inventory) {
       for (const progress of waves.values()) {
         if (progress.dirty) await writeBegun(progress)
         if (progress.status === 'completed') continue
-        const complete = !progress.dirty && pending(progress, vms).length === 0
+        const complete = !progress.dirty && pending(progress, inventory).length === 0
         const state = complete ? 'completed' : 'running'
         if (progress.status !== state) await writeStatus(progress, state)
       }
