fix(vms): keep idle VMs until the peaks of services are known

A new owner of the fleet parks no VM until it has seen the needs of services for PEAK_HOLD_MS. That time began with the owner, not with its first decision, so that an owner that could not read the list of VMs for a while parked VMs with its first list: 1 of 2 idle VMs in the new test, which fails before and passes now. The time begins with the first decision on the pools.

--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -397,6 +397,18 @@
       t.is(answer?.attainableCpu, undefined)
       await fleet.stop(false)
     })
+
+    // Otherwise the VMs that the next queue needs are parked as soon as the list can be read.
+    it('parks no VM before it has seen the peaks after the list can be read', async (t) => {
+      const { fleet, state, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')])
+      const idle = () => [reportOf('a', 0, [load('i1', 0, true), load('i2', 0, true)])]
+      state.listed = false
+      await reportFor(fleet, PEAK_HOLD_MS + 200, idle)
+      state.listed = true
+      await reportFor(fleet, 700, idle)
+      t.deepEqual(orders, [])
+      await fleet.stop(false)
+    })
   })
 
   describe('with a cordoned data hall', () => {
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -94,7 +94,7 @@
   /** VMs that move once they are empty and their service starts no new tasks there. */
   let reserved = new Set<string>()
   const inventories = createVmInventoryReader()
-  /** Monotonic time of the first decision, in ms. */
+  /** Monotonic time of the first decision on the pools, in ms; Infinity before. */
   let firstDecisionAt = Infinity
   /** Whether a report has arrived since the last round started. */
   let hasNewReport = false
@@ -193,6 +193,7 @@
 
   async function balancePools(inventory: VmInventory): Promise<void> {
     const now = monotonicMs()
+    firstDecisionAt = Math.min(firstDecisionAt, now)
     const input = {
       vms: [...inventory.vms.values()],
       reports: reports.fresh(),
@@ -229,7 +230,6 @@
     const ordersOverAt = authority.predecessorLeaseOverAt + VM_ORDER_TIMEOUT_MS
     await sleep(Math.max(0, ordersOverAt - monotonicMs()), stopping.signal)
     quotas.open()
-    firstDecisionAt = monotonicMs()
     const steps = { waves, orders, emptying, hurried, getView }
     while (!stopping.signal.aborted) {
       hasNewReport = false
