fix(vms): treat a VM as gone only when all lists of a while lack it

What operators could see: a wave said to be completed, or too many of its VMs in maintenance, because one read of the list lacked a VM. A row that could not be parsed was dropped in silence, and a VM may change its place between two pages that are read one after another.

Cause: 'not in the list' stood for 'does not exist' in the progress of waves, in the count of VMs that are away, and in the end of a pending order.

Change: the list says which rows could not be read and whether each row names its VM. A VM counts as gone once all lists of GONE_AFTER_MS lack it, none of them with a row without a name. Until then it is pending in its wave, counts as one that may be in maintenance, and keeps its pending order. The check of silent targets no longer takes a list with unreadable rows for proof that a VM is gone.

--- a/src/cli/hallCommands.ts
+++ b/src/cli/hallCommands.ts
@@ -151,7 +151,7 @@
     if (address === undefined) return undefined
     const cloud = createCloudClient({ address })
     try {
-      return unwrap(await cloud.list())
+      return unwrap(await cloud.list()).vms
     } finally {
       cloud.close()
     }
--- a/src/cli/nodeCommands.ts
+++ b/src/cli/nodeCommands.ts
@@ -143,7 +143,7 @@
       open: (address: string) => createCloudClient({ address }),
     }
     return this.withClient(service, async (cloud) => {
-      const vms = unwrap(await cloud.list())
+      const { vms } = unwrap(await cloud.list())
       if (this.byPool) this.printPools(vms)
       else this.printVms(vms)
       return EXIT.ok
--- a/src/ports/vmCloud.ts
+++ b/src/ports/vmCloud.ts
@@ -33,10 +33,19 @@
 /** Outcome of an order for a VM. */
 export type VmOrderAnswer = 'accepted' | 'busy' | 'fenced' | 'notDue' | 'unknownVm'
 
+/** All pages of the list of VMs. */
+export interface VmList {
+  vms: Vm[]
+  /** Names of VMs whose rows cannot be read apart from the name. */
+  unreadable: string[]
+  /** Whether every row names its VM; otherwise a VM that the list lacks may still be listed. */
+  isComplete: boolean
+}
+
 export type CloudResult<T> = Promise<Result<T, PlatformError>>
 
 export interface VmCloud {
-  list(): CloudResult<Vm[]>
+  list(): CloudResult<VmList>
   move(vm: string, pool: string, by: VmAuthority): CloudResult<VmOrderAnswer>
   maintain(vm: string, wave: number, by: VmAuthority): CloudResult<VmOrderAnswer>
 }
--- a/src/scheduler/__tests__/livenessCheck.spec.ts
+++ b/src/scheduler/__tests__/livenessCheck.spec.ts
@@ -1,6 +1,7 @@
 import { ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
-import type { Vm, VmCloud } from '../../ports/index.js'
+import { listOf } from '../../../test/fixtures.js'
+import type { Vm, VmCloud, VmList } from '../../ports/index.js'
 import { createMemoryLogger, monotonicMs, sleep } from '../../shared/index.js'
 import { createLivenessCheck } from '../livenessCheck.js'
 import type { TargetAgent } from '../types.js'
@@ -23,9 +24,11 @@
   return agent
 }
 
-function createCheck(listedIds: string[]) {
+function createCheck(listedIds: string[], more: Partial<VmList> = {}) {
   const vms = listedIds.map((targetId) => ({ targetId }) as Vm)
-  const cloud = { list: async () => ok(vms) } as unknown as VmCloud
+  const cloud = {
+    list: async () => ok({ ...listOf(vms), ...more }),
+  } as unknown as VmCloud
   return createLivenessCheck(cloud, createMemoryLogger())
 }
 
@@ -51,6 +54,14 @@
       t.true(await runChecks(createCheck(['other']), createSilentAgent('t1', 5000), 2))
     })
 
+    // Otherwise its tasks start elsewhere while they run on: the row that no one can read is its own.
+    it('is not gone while the list has rows that cannot be read', async (t) => {
+      const named = createCheck(['other'], { unreadable: ['m1'] })
+      t.false(await runChecks(named, createSilentAgent('t1', 5000), 3))
+      const unnamed = createCheck(['other'], { isComplete: false })
+      t.false(await runChecks(unnamed, createSilentAgent('t1', 5000), 3))
+    })
+
     it('is not gone after the second read if the list may not show it yet', async (t) => {
       t.false(await runChecks(createCheck(['other']), createSilentAgent('t1', 200), 2))
     })
--- a/src/scheduler/__tests__/ownerTakeover.spec.ts
+++ b/src/scheduler/__tests__/ownerTakeover.spec.ts
@@ -2,6 +2,7 @@
 import { ok } from 'neverthrow'
 import { createSimOrders } from '../../../playground/sim/simLinks.js'
 import { describe, it } from '../../../test/describe.js'
+import { listOf } from '../../../test/fixtures.js'
 import {
   SERVICE,
   createJobRig,
@@ -48,7 +49,11 @@
     it('starts nothing before the owner of the fleet has answered', async (t) => {
       const rig = createJobRig()
       rig.addTarget('t1')
-      rig.cloud = { list: async () => ok([]), move: failIfCalled, maintain: failIfCalled }
+      rig.cloud = {
+        list: async () => ok(listOf([])),
+        move: failIfCalled,
+        maintain: failIfCalled,
+      }
       const owner = await rig.startOwner()
       const job = makeJob({ ms: 20, cpu: 400 })
       rig.submit(owner, job)
@@ -165,7 +170,11 @@
   it('does not wait for leases of a target incarnation that no VM has any more', async (t) => {
     const rig = createJobRig()
     const lost = rig.addTarget('t1')
-    rig.cloud = { list: async () => ok([]), move: failIfCalled, maintain: failIfCalled }
+    rig.cloud = {
+      list: async () => ok(listOf([])),
+      move: failIfCalled,
+      maintain: failIfCalled,
+    }
     const owner = await rig.startOwner()
     owner.evacuate(NO_EVACUATION)
     rig.submit(owner, makeJob({ ms: 0, cpu: 400 }, [{ count: 1 }]))
--- a/src/scheduler/livenessCheck.ts
+++ b/src/scheduler/livenessCheck.ts
@@ -17,7 +17,7 @@
 const MAX_LIST_LAG_MS = 1500
 /**
  * Time for which the list must lack a VM before its target counts as gone, in ms. It takes two
- * reads, as one may leave out a row that could not be read.
+ * reads, as a VM may change its place in the list between two pages of one.
  */
 const MIN_ABSENT_MS = 200
 /** The same for a target that first answered lately or never, and may not be listed yet. */
@@ -81,13 +81,17 @@
       lastReadIds = new Set(doubtful.map(({ target }) => target.id))
       for (const id of absentSince.keys())
         if (!lastReadIds.has(id)) absentSince.delete(id)
-      const vms = await cloud.list()
+      const list = await cloud.list()
       lastReadTookMs = monotonicMs() - sentAt
-      if (vms.isErr())
-        return log.event('vmsNotRead', { reason: describeError(vms.error) })
-      const listedIds = new Set(vms.value.map(({ targetId }) => targetId))
+      if (list.isErr())
+        return log.event('vmsNotRead', { reason: describeError(list.error) })
+      const { vms, unreadable, isComplete } = list.value
+      const listedIds = new Set(vms.map(({ targetId }) => targetId))
+      // A row that cannot be read may be that of the VM.
+      const showsAbsence = isComplete && unreadable.length === 0
       for (const agent of doubtful) {
-        if (listedIds.has(agent.target.id)) absentSince.delete(agent.target.id)
+        if (listedIds.has(agent.target.id) || !showsAbsence)
+          absentSince.delete(agent.target.id)
         else noteAbsence(agent, sentAt)
       }
     },
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -1,11 +1,11 @@
 import { err, ok } from 'neverthrow'
 import { describe, it } from '../../../test/describe.js'
-import { VM_CPU, vmOf } from '../../../test/fixtures.js'
+import { VM_CPU, listOf, vmOf } from '../../../test/fixtures.js'
 import { startFleetOwner } from '../../../test/fleetRig.js'
 import { VM_ORDER_TIMEOUT_MS } from '../../ports/index.js'
-import type { Vm, VmCloud, Wave } from '../../ports/index.js'
+import type { Vm, VmCloud, VmList, Wave } from '../../ports/index.js'
 import { callError, sleep } from '../../shared/index.js'
-import { PEAK_HOLD_MS } from '../index.js'
+import { GONE_AFTER_MS, PEAK_HOLD_MS } from '../index.js'
 import type { FleetOwner, ServiceReport, TargetLoad } from '../index.js'
 
 let sequence = 0
@@ -39,11 +39,21 @@
   cordons: ReadonlyMap<string, number> = new Map(),
 ) {
   const orders: { kind: string; vm: string; pool?: string }[] = []
-  const state = { confirmed: true, apply: true, busy: false, listed: true }
+  const state = {
+    confirmed: true,
+    apply: true,
+    busy: false,
+    listed: true,
+    omitted: new Set<string>(),
+    list: {} as Partial<VmList>,
+  }
   const cloud: VmCloud = {
-    async list() {
+    async list(): ReturnType<VmCloud['list']> {
       if (!state.listed) return err(callError('cloud.list', 'cloud', 'unknown', 'silent'))
-      return ok(vms.map((vm) => ({ ...vm })))
+      return ok({
+        ...listOf(vms.filter(({ name }) => !state.omitted.has(name))),
+        ...state.list,
+      })
     },
     async move(name, pool) {
       orders.push({ kind: 'move', vm: name, pool })
@@ -411,6 +421,60 @@
     })
   })
 
+  // Otherwise a wave counts as completed although a VM of it has only been left out of one list.
+  describe('whose list of VMs lacks a VM of a wave', () => {
+    const WAVE = { id: 1, vms: ['m1', 'm2'], durationMs: 20_000, maxDown: 2 }
+    const startWith = (change: Partial<ReturnType<typeof startFleet>['state']>) => {
+      const started = startFleet([vmOf(1, 'idle'), vmOf(2, 'idle')], [WAVE])
+      Object.assign(started.state, change)
+      return started
+    }
+
+    it('goes on with the wave once it is listed again', async (t) => {
+      const { fleet, state, statusOf, orders } = startWith({ omitted: new Set(['m2']) })
+      await reportFor(fleet, 1000, () => [])
+      t.deepEqual(orders, [{ kind: 'maintain', vm: 'm1' }])
+      t.is(statusOf(1), 'running')
+      state.omitted.clear()
+      await reportFor(fleet, 500, () => [])
+      t.deepEqual(orders.at(-1), { kind: 'maintain', vm: 'm2' })
+      t.is(statusOf(1), 'completed')
+      await fleet.stop(false)
+    })
+
+    it('completes it without the VM once all lists of a while lack it', async (t) => {
+      const { fleet, statusOf } = startWith({ omitted: new Set(['m2']) })
+      await reportFor(fleet, GONE_AFTER_MS - 500, () => [])
+      t.is(statusOf(1), 'running')
+      await reportFor(fleet, 1500, () => [])
+      t.is(statusOf(1), 'completed')
+      await fleet.stop(false)
+    })
+
+    it('does not complete it while a row names no VM, or names this one', async (t) => {
+      const omitted = new Set(['m2'])
+      const unnamed = startWith({ omitted, list: { isComplete: false } })
+      const named = startWith({ omitted, list: { unreadable: ['m2'] } })
+      await reportFor(unnamed.fleet, GONE_AFTER_MS + 1000, () => [])
+      t.is(unnamed.statusOf(1), 'running')
+      t.is(named.statusOf(1), 'running')
+      await unnamed.fleet.stop(false)
+      await named.fleet.stop(false)
+    })
+
+    it('counts it as one that may be in maintenance', async (t) => {
+      const wave = { ...WAVE, maxDown: 1 }
+      const { fleet, state, orders } = startFleet(
+        [vmOf(1, 'idle'), vmOf(2, 'idle')],
+        [wave],
+      )
+      state.omitted.add('m2')
+      await reportFor(fleet, 600, () => [])
+      t.deepEqual(orders, [])
+      await fleet.stop(false)
+    })
+  })
+
   describe('with a cordoned data hall', () => {
     const vmIn = (hall: string, number: number, pool: string): Vm => ({
       ...vmOf(number, pool),
--- a/src/vms/constants.ts
+++ b/src/vms/constants.ts
@@ -54,6 +54,11 @@
 export const EMPTY_AND_MAINTAIN_MS = 6000
 /** Time within which the list must show the effect of an order, in ms. */
 export const ORDER_VISIBLE_WITHIN_MS = 1500
+/**
+ * Time for which all lists must lack a VM before it counts as gone, in ms: longer than a move or a
+ * maintenance, during which its row may change.
+ */
+export const GONE_AFTER_MS = 3000
 /** Time for which a VM that the cloud reported as busy gets no further order, in ms. */
 export const BUSY_BACKOFF_MS = 1000
 /** Time for which owners are told that a life has ended, in ms: many reports. */
--- a/src/vms/vmOrders.ts
+++ b/src/vms/vmOrders.ts
@@ -75,12 +75,12 @@
   function applyListTo(
     name: string,
     order: PendingOrder,
-    { vms, requestedAt }: VmInventory,
+    { vms, requestedAt, isGone }: VmInventory,
   ): void {
     const vm = vms.get(name)
-    const isOver = !vm || vm.state !== 'up' || vm.targetId !== order.targetId
+    const isOver = vm ? vm.state !== 'up' || vm.targetId !== order.targetId : isGone(name)
     if (isOver && order.targetId !== '') ended.set(order.targetId, monotonicMs())
-    if (isOver || requestedAt > order.until) pending.delete(name)
+    if (isOver || (vm && requestedAt > order.until)) pending.delete(name)
   }
 
   return {
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -72,9 +72,10 @@
   const elapsedShare = (monotonicMs() - progress.seenAt) / wave.durationMs
   const pending = waves
     .pending(progress, inventory)
+    .flatMap((name) => inventory.vms.get(name) ?? [])
     .filter((vm) => vm.state === 'up' && !orders.pending.has(vm.name))
     .sort((a, b) => compareCost(a, b, view))
-  let free = wave.maxDown - countDown(wave, view, orders)
+  let free = wave.maxDown - countDown(wave, inventory, orders)
   let busy = Math.min(free, busyAtOnce(progress, pending.length))
   for (const vm of pending) {
     if (free <= 0) break
@@ -128,11 +129,12 @@
   if (answer === 'accepted') opts.emptying.delete(vm.name)
 }
 
-/** Number of VMs of a wave that are in maintenance, or may be because of a pending order. */
-function countDown(wave: Wave, { vms }: FleetView, orders: VmOrders): number {
+/** Number of VMs of a wave that are in maintenance, or may be: not listed, or with a pending order. */
+function countDown(wave: Wave, { vms, isGone }: VmInventory, orders: VmOrders): number {
   return wave.vms.filter((name) => {
-    const away = vms.get(name)?.state === 'maintenance'
-    return away || orders.pending.get(name)?.kind === 'maintain'
+    const vm = vms.get(name)
+    const mayBeAway = vm ? vm.state === 'maintenance' : !isGone(name)
+    return mayBeAway || orders.pending.get(name)?.kind === 'maintain'
   }).length
 }
 
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -4,7 +4,7 @@
  */
 import { z } from 'zod'
 import { keyRange } from '../ports/index.js'
-import type { Documents, RowKey, RowStore, Vm, Wave } from '../ports/index.js'
+import type { Documents, RowKey, RowStore, Wave } from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
 import {
   createInvalidRows,
@@ -43,8 +43,8 @@
   active(): WaveProgress[]
   /** Adds new waves from those that the operators request. */
   update(waves: Wave[]): Promise<void>
-  /** VMs of a wave that exist and have not begun. */
-  pending(progress: WaveProgress, inventory: VmInventory): Vm[]
+  /** Names of the VMs of a wave that have not begun and are not gone, listed or not. */
+  pending(progress: WaveProgress, inventory: VmInventory): string[]
   /** Records that a VM's maintenance was ordered. */
   markBegun(progress: WaveProgress, vm: string): void
   /** Writes the changed progress, and the status that the operators read. */
@@ -121,11 +121,8 @@
     log.event('waveNotWritten', { wave: id, reason })
   }
 
-  const pending = (progress: WaveProgress, { vms }: VmInventory): Vm[] =>
-    progress.wave.vms.flatMap((name) => {
-      const vm = vms.get(name)
-      return vm && !progress.begun.has(name) ? [vm] : []
-    })
+  const pending = ({ wave, begun }: WaveProgress, { isGone }: VmInventory): string[] =>
+    wave.vms.filter((name) => !begun.has(name) && !isGone(name))
 
   return {
     active: () => [...waves.values()].filter((each) => each.status !== 'completed'),
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -3,7 +3,7 @@
 import type { AddressedQueue, Namespace, Namespaces } from '../src/namespaces/index.js'
 import { createJobBook } from '../src/jobs/index.js'
 import type { JobBook } from '../src/jobs/index.js'
-import type { Organisation, Vm } from '../src/ports/index.js'
+import type { Organisation, Vm, VmList } from '../src/ports/index.js'
 
 /** CPU capacity of a VM from {@link vmOf}, in thousandths of a core. */
 export const VM_CPU = 10_000
@@ -19,6 +19,13 @@
   targetId: `i${number}`,
 })
 
+/** A list of VMs without unreadable rows. */
+export const listOf = (vms: readonly Vm[]): VmList => ({
+  vms: vms.map((vm) => ({ ...vm })),
+  unreadable: [],
+  isComplete: true,
+})
+
 /** An empty job book with both clocks fixed at 0 and callbacks that do nothing. */
 export const createFrozenJobBook = (): JobBook =>
   createJobBook({
--- a/test/fleetRig.ts
+++ b/test/fleetRig.ts
@@ -7,6 +7,7 @@
 import { createMemoryLogger } from '../src/shared/index.js'
 import { createFleetOwner } from '../src/vms/index.js'
 import type { FleetOwner } from '../src/vms/index.js'
+import { listOf } from './fixtures.js'
 import { SERVICE } from './jobRig.js'
 import type { JobRig } from './jobRig.js'
 
@@ -123,7 +124,7 @@
   })
   vms.forEach(boot)
   const cloud: VmCloud = {
-    list: async () => ok(vms.map((vm) => ({ ...vm }))),
+    list: async () => ok(listOf(vms)),
     async move(name, pool) {
       const vm = vms.find((each) => each.name === name)!
       shutDown(vm)
