fix(vms): let no late write decide the status of a wave

What operators could see: 'running' for good after a wave was completed, or 'completed' for one that was not, and a wave to which they had added VMs completed without these.

Cause: the status was written without any condition, so that a write of an earlier owner that the store carries out seconds later replaced the one of its successor. A completed wave was never looked at again, and a changed row of the operators was ignored.

Change: the status is written on condition that its row has the version that this owner knows; the first write of each owner changes the version, so that nothing later of an earlier owner takes effect. Owners of earlier builds write without a condition: 10 s after an owner has first read a wave it checks the version once. The row of the progress gets the same condition beside the epoch, so that an own write that arrives late replaces no newer one, and an epoch of another owner ends the authority as elsewhere. An owner that is no longer confirmed writes no status. Whether a wave is active follows from its VMs, in each round, also after it was completed. waveStatus says which row and which list it follows from.

Calls: one refused write more for each wave whose status row exists when an owner takes over, and one read for each wave and owner; the first owner of a wave writes as often as before.

--- a/src/ports/documents.ts
+++ b/src/ports/documents.ts
@@ -5,6 +5,9 @@
 import type { RowKey } from './rowStore.js'
 import type { Target } from './targetOrders.js'
 
+/** State of a wave as operators read it. */
+export type WaveState = 'running' | 'completed'
+
 export interface Documents {
   /** Target list: one row per incarnation, under its id. */
   targets: {
@@ -27,6 +30,6 @@
   /** Status of a wave, which operators read. */
   waveStatus: {
     row(id: number): RowKey
-    encode(state: 'running' | 'completed'): string
+    encode(state: WaveState): string
   }
 }
--- /dev/null
+++ b/src/vms/__tests__/waveOrders.spec.ts
@@ -0,0 +1,157 @@
+/** Waves under one owner of the fleet or two, with a cloud and a store that fail, in virtual time. */
+import { createRowTable } from '../../../playground/sim/rowTable.js'
+import { describe, itAlone } from '../../../test/describe.js'
+import { startFleetOwner } from '../../../test/fleetRig.js'
+import { inVirtualTime } from '../../../test/virtualTime.js'
+import type { RowKey, RowStore, Wave } from '../../ports/index.js'
+import { STATUS_CHECK_AFTER_MS, WAVES_TABLE } from '../index.js'
+import { createSimCloud } from './simCloud.js'
+import type { ListFate, OrderFate } from './simCloud.js'
+
+const STATUS: RowKey = { table: 'status', part: '', key: '1' }
+const waveOf = (vms: string[], maxDown: number): Wave => ({
+  id: 1,
+  vms,
+  durationMs: 20_000,
+  maxDown,
+})
+
+/** Starts a cloud of idle VMs, and owners of the fleet one after another. */
+function startRig(wave: Wave) {
+  const cloud = createSimCloud(wave.vms.map(() => 'idle'))
+  const table = createRowTable()
+  const waves = [wave]
+  const cordons = new Map<string, number>()
+  const log: string[] = []
+  let term = 0
+  const startOwner = (more: { store?: RowStore; isConfirmed?(): boolean } = {}) => {
+    term++
+    const reached = cloud.forOwner(() => false)
+    const { fleet } = startFleetOwner({
+      cloud: {
+        ...reached,
+        maintain(vm, id, by) {
+          log.push(vm)
+          return reached.maintain(vm, id, by)
+        },
+      },
+      services: ['idle'],
+      waves,
+      cordons,
+      table,
+      term,
+      ...more,
+    })
+    return fleet
+  }
+  const setFault = (order: OrderFate, list: ListFate = 'whole', lateMs = 0): void =>
+    void Object.assign(cloud.faults, { order, list, lateMs })
+  return {
+    cloud,
+    table,
+    waves,
+    cordons,
+    /** VMs in the order of the orders to maintain them. */
+    ordered: log,
+    startOwner,
+    setFault,
+    status: () => table.get(STATUS)?.value,
+  }
+}
+
+describe('wave of maintenance', () => {
+  describe('status', () => {
+    // Otherwise 'running' stands for good after a wave has been completed.
+    itAlone(
+      'is not changed by a write of an earlier owner that arrives late',
+      async (t) => {
+        await inVirtualTime(async ({ advance }) => {
+          const rig = startRig(waveOf(['m1'], 1))
+          const held: (() => Promise<unknown>)[] = []
+          const direct = rig.table.forNode('n')
+          const store: RowStore = {
+            ...direct,
+            commit(tx) {
+              if (tx.puts.every(({ table }) => table !== STATUS.table))
+                return direct.commit(tx)
+              held.push(() => direct.commit(tx))
+              return new Promise(() => undefined)
+            },
+          }
+          rig.setFault('lost')
+          let isConfirmed = true
+          void rig.startOwner({ store, isConfirmed: () => isConfirmed })
+          await advance(1000)
+          t.is(held.length, 1)
+          isConfirmed = false
+          rig.setFault('done')
+          const fleet = rig.startOwner()
+          await advance(4000)
+          t.is(rig.status(), 'completed')
+          void held[0]!()
+          await advance(1000)
+          t.is(rig.status(), 'completed')
+          void fleet.stop(false)
+          await advance(500)
+        })
+      },
+    )
+
+    // Otherwise it stands for good what an owner of an older software version has written late.
+    itAlone(
+      'is put right after an unconditional write of an earlier owner',
+      async (t) => {
+        await inVirtualTime(async ({ advance }) => {
+          const rig = startRig(waveOf(['m1'], 1))
+          const fleet = rig.startOwner()
+          await advance(5000)
+          t.is(rig.status(), 'completed')
+          rig.table.put(STATUS, 'running')
+          await advance(STATUS_CHECK_AFTER_MS)
+          t.is(rig.status(), 'completed')
+          void fleet.stop(false)
+          await advance(500)
+        })
+      },
+    )
+
+    // Otherwise VMs that an earlier owner has wrongly left out are never maintained.
+    itAlone('is put right by a new owner if it is wrong', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const rig = startRig(waveOf(['m1', 'm2'], 1))
+        rig.table.put(STATUS, 'completed')
+        rig.table.put(
+          { table: WAVES_TABLE, part: '~fleet', key: '1' },
+          '{"begun":["m1"]}',
+        )
+        const fleet = rig.startOwner()
+        rig.setFault('lost')
+        await advance(1000)
+        t.is(rig.status(), 'running')
+        rig.setFault('done')
+        await advance(6000)
+        t.deepEqual([...new Set(rig.ordered)], ['m2'])
+        t.is(rig.status(), 'completed')
+        void fleet.stop(false)
+        await advance(500)
+      })
+    })
+  })
+
+  // Otherwise the VMs that operators add to a wave are left out.
+  itAlone('goes on with the VMs that operators add to it', async (t) => {
+    await inVirtualTime(async ({ advance }) => {
+      const rig = startRig(waveOf(['m1', 'm2'], 2))
+      rig.waves[0] = waveOf(['m1'], 2)
+      const fleet = rig.startOwner()
+      await advance(4000)
+      t.is(rig.status(), 'completed')
+      rig.waves[0] = waveOf(['m1', 'm2'], 2)
+      await advance(4000)
+      t.is(rig.cloud.begun.length, 2)
+      t.is(rig.status(), 'completed')
+      void fleet.stop(false)
+      await advance(500)
+    })
+  })
+})
--- a/src/vms/constants.ts
+++ b/src/vms/constants.ts
@@ -55,11 +55,15 @@
 /** Time within which the list must show the effect of an order, in ms. */
 export const ORDER_VISIBLE_WITHIN_MS = 1500
 /**
- * Time for which all lists must lack a VM before it counts as gone, in ms: longer than a move or a
- * maintenance, during which its row may change.
+ * Time for which all lists must lack a VM before it counts as gone, in ms: longer than a usual outage
+ * of the cloud, during which lists may be incomplete.
  */
-export const GONE_AFTER_MS = 3000
+export const GONE_AFTER_MS = 6000
+/** Time after which an owner checks that the status of a wave is still as it wrote it, in ms. */
+export const STATUS_CHECK_AFTER_MS = 10_000
 /** Time for which a VM that the cloud reported as busy gets no further order, in ms. */
 export const BUSY_BACKOFF_MS = 1000
+/** Time after which a VM whose maintenance the cloud refuses gets the next order, in ms. */
+export const REFUSED_BACKOFF_MS = 2000
 /** Time for which owners are told that a life has ended, in ms: many reports. */
 export const REPORT_ENDED_MS = 5000
--- a/src/vms/index.ts
+++ b/src/vms/index.ts
@@ -2,4 +2,4 @@
 export * from './fleetOwner.js'
 export * from './types.js'
 export * from './constants.js'
-export { WAVES_TABLE, decodeWaveRow } from './waves.js'
+export { WAVES_TABLE, decodeWaveRow } from './waveRows.js'
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -49,9 +49,9 @@
   inventory: VmInventory,
 ): Promise<void> {
   const { waves, emptying, hurried } = opts
-  for (const progress of waves.active()) await advanceWave(opts, inventory, progress)
+  for (const progress of waves.active(inventory)) await advanceWave(opts, inventory, progress)
   for (const name of [...emptying, ...hurried]) {
-    const wanted = waves.active().some(({ wave, begun }) => {
+    const wanted = waves.active(inventory).some(({ wave, begun }) => {
       return wave.vms.includes(name) && !begun.has(name)
     })
     if (wanted) continue
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -2,50 +2,56 @@
  * Progress of maintenance waves. The VMs that have begun are stored in a row, so that a new owner
  * of the fleet neither skips nor repeats any of them.
  */
-import { z } from 'zod'
-import { keyRange } from '../ports/index.js'
-import type { Documents, RowKey, RowStore, Wave } from '../ports/index.js'
+import type { Documents, RowStore, Wave, WaveState } from '../ports/index.js'
 import type { Authority } from '../ownership/index.js'
-import {
-  createInvalidRows,
-  describeError,
-  monotonicMs,
-  parseJson,
-} from '../shared/index.js'
+import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import { STATUS_CHECK_AFTER_MS } from './constants.js'
 import type { VmInventory } from './vmInventory.js'
+import { createWaveRows } from './waveRows.js'
+import type { StoredProgress, WaveRows } from './waveRows.js'
 
-/** Table with the progress of waves; the part is that of the fleet. */
-export const WAVES_TABLE = 'waves'
-
-const waveRowSchema = z.object({ begun: z.array(z.string()) })
-
-/** Parses the row of a wave; returns undefined when it has the wrong shape. */
-export function decodeWaveRow(value: string): z.infer<typeof waveRowSchema> | undefined {
-  return waveRowSchema.safeParse(parseJson(value)).data
+/** Status row of a wave as this owner knows it. */
+interface KnownStatus {
+  /** State that this owner has written last; undefined before, or if another one may stand there. */
+  state: WaveState | undefined
+  /** Version of the row; 0 until it is known. */
+  version: number
+  /** Whether a late write of an earlier owner would have shown by now. */
+  isChecked: boolean
 }
 
 /** A wave and its progress under this owner. */
 export interface WaveProgress {
   wave: Wave
-  /** VMs whose maintenance was ordered. */
+  /** VMs whose maintenance the cloud has accepted. */
   begun: Set<string>
+  /** VMs with an order of this owner that was not answered, and that may still be carried out. */
+  unanswered: Set<string>
+  /** VMs whose last order was refused, with the monotonic time of the next one, in ms. */
+  retryAt: Map<string, number>
   /** Monotonic time at which this owner first read the wave, in ms. */
   seenAt: number
-  status: 'new' | 'running' | 'completed'
+}
+
+/** A wave with the state of its rows. */
+interface TrackedWave extends WaveProgress {
+  /** Version of the row with the progress; 0 without one. */
+  rowVersion: number
   /** Whether `begun` contains changes that are not in the row yet. */
-  dirty: boolean
+  isDirty: boolean
+  status: KnownStatus
 }
 
 /** The waves that this owner has read. */
 export interface WaveTracker {
-  /** Waves that are not completed. */
-  active(): WaveProgress[]
-  /** Adds new waves from those that the operators request. */
+  /** Waves with VMs that have not begun. */
+  active(inventory: VmInventory): WaveProgress[]
+  /** Adds new waves from those that the operators request, and adopts changes of known ones. */
   update(waves: Wave[]): Promise<void>
   /** Names of the VMs of a wave that have not begun and are not gone, listed or not. */
   pending(progress: WaveProgress, inventory: VmInventory): string[]
-  /** Records that a VM's maintenance was ordered. */
+  /** Records that the cloud has accepted the maintenance of a VM. */
   markBegun(progress: WaveProgress, vm: string): void
   /** Writes the changed progress, and the status that the operators read. */
   save(inventory: VmInventory): Promise<void>
@@ -58,90 +64,111 @@
   status: Documents['waveStatus']
   log: Logger
 }): WaveTracker {
-  const { store, authority, status, log } = opts
-  const waves = new Map<number, WaveProgress>()
-  const unreadableRows = createInvalidRows(log, WAVES_TABLE)
-
-  const rowKey = (id: number): RowKey => ({
-    table: WAVES_TABLE,
-    part: authority.service,
-    key: String(id),
-  })
+  const { log } = opts
+  const rows = createWaveRows(opts)
+  const waves = new Map<number, TrackedWave>()
 
   async function load(wave: Wave): Promise<void> {
-    const { table, part, key } = rowKey(wave.id)
-    const rows = await store.read(table, part, keyRange(key))
-    if (rows.isErr()) {
-      return log.event('waveNotRead', {
-        wave: wave.id,
-        reason: describeError(rows.error),
-      })
-    }
-    const row = rows.value.rows[0]
-    const known = row && decodeWaveRow(row.value)
-    // The cloud accepts an order again that it has already carried out, so no VM is left out.
-    if (row && !known)
-      unreadableRows.note(row.key, 'maintenance of its VMs is ordered again')
-    const begun = new Set(known?.begun)
-    const seenAt = monotonicMs()
-    waves.set(wave.id, { wave, begun, seenAt, status: 'new', dirty: false })
-    log.event('waveSeen', { wave: wave.id, vms: wave.vms.length, begun: begun.size })
-  }
-
-  async function writeStatus(
-    progress: WaveProgress,
-    state: 'running' | 'completed',
-  ): Promise<void> {
-    const row = status.row(progress.wave.id)
-    const res = await store.commit({
-      conditions: [],
-      puts: [{ ...row, value: status.encode(state) }],
-      removals: [],
-    })
-    if (res.isErr()) {
-      const reason = describeError(res.error)
-      return log.event('waveNotWritten', { wave: progress.wave.id, reason })
-    }
-    progress.status = state
-    log.event('waveStatus', { wave: progress.wave.id, state, begun: progress.begun.size })
-  }
-
-  async function writeBegun(progress: WaveProgress): Promise<void> {
-    const { id } = progress.wave
-    progress.dirty = false
-    const value = JSON.stringify({ begun: [...progress.begun] })
-    const res = await store.commit({
-      conditions: [authority.epoch()],
-      puts: [{ ...rowKey(id), value }],
-      removals: [],
+    const stored = await rows.read(wave.id)
+    if (!stored) return
+    const { begun, version } = stored
+    waves.set(wave.id, {
+      wave,
+      begun,
+      unanswered: new Set(),
+      retryAt: new Map(),
+      rowVersion: version,
+      isDirty: false,
+      seenAt: monotonicMs(),
+      status: { state: undefined, version: 0, isChecked: false },
     })
-    if (res.isOk() && res.value.committed) return
-    progress.dirty = true
-    const reason = res.isErr() ? describeError(res.error) : 'the epoch row has changed'
-    log.event('waveNotWritten', { wave: id, reason })
+    const fields = { vms: wave.vms.length, begun: begun.size, rowVersion: version }
+    log.event('waveSeen', { wave: wave.id, ...fields })
   }
 
   const pending = ({ wave, begun }: WaveProgress, { isGone }: VmInventory): string[] =>
     wave.vms.filter((name) => !begun.has(name) && !isGone(name))
 
   return {
-    active: () => [...waves.values()].filter((each) => each.status !== 'completed'),
+    active: (inventory) =>
+      [...waves.values()].filter((each) => pending(each, inventory).length > 0),
     async update(requested) {
-      for (const wave of requested) if (!waves.has(wave.id)) await load(wave)
+      const loads = requested.map((wave) => {
+        const known = waves.get(wave.id)
+        if (!known) return load(wave)
+        known.wave = wave
+        return undefined
+      })
+      await Promise.all(loads)
     },
     pending,
-    markBegun(progress, vm) {
-      progress.begun.add(vm)
-      progress.dirty = true
+    markBegun({ wave, begun }, vm) {
+      begun.add(vm)
+      const tracked = waves.get(wave.id)
+      if (tracked) tracked.isDirty = true
     },
     async save(inventory) {
-      for (const progress of waves.values()) {
-        if (progress.dirty) await writeBegun(progress)
-        if (progress.status === 'completed') continue
-        const complete = !progress.dirty && pending(progress, inventory).length === 0
-        const state = complete ? 'completed' : 'running'
-        if (progress.status !== state) await writeStatus(progress, state)
+      for (const tracked of waves.values()) {
+        if (tracked.isDirty) await writeBegun(rows, tracked)
+        const isComplete = !tracked.isDirty && pending(tracked, inventory).length === 0
+        await checkStatus(rows, tracked)
+        await writeStatus(tracked, isComplete ? 'completed' : 'running', inventory)
       }
     },
   }
+
+  /** Writes the status if it has changed; once more if the row had another version. */
+  async function writeStatus(
+    { wave, begun, rowVersion, status }: TrackedWave,
+    state: WaveState,
+    inventory: VmInventory,
+  ): Promise<void> {
+    for (let tries = 0; tries < 2 && status.state !== state; tries++) {
+      const { isWritten, version } = await rows.writeStatus(
+        wave.id,
+        state,
+        status.version,
+      )
+      if (version === undefined) return
+      status.version = version
+      if (!isWritten) continue
+      status.state = state
+      log.event('waveStatus', {
+        wave: wave.id,
+        state,
+        begun: begun.size,
+        rowVersion,
+        listAgeMs: Math.round(monotonicMs() - inventory.requestedAt),
+        listed: inventory.vms.size,
+        gone: wave.vms.filter((name) => !begun.has(name) && inventory.isGone(name)),
+      })
+    }
+  }
+}
+
+async function writeBegun(rows: WaveRows, tracked: TrackedWave): Promise<void> {
+  const { wave, begun, rowVersion } = tracked
+  const stored: StoredProgress = { begun, version: rowVersion }
+  tracked.isDirty = false
+  const { isWritten, version } = await rows.writeBegun(wave.id, stored)
+  if (!isWritten) tracked.isDirty = true
+  if (version !== undefined) tracked.rowVersion = version
+}
+
+/**
+ * Reads the version of the status row once, a while after this owner has written it: an earlier owner of
+ * an older software version writes without a condition, so that its last write may arrive later.
+ */
+async function checkStatus(
+  rows: WaveRows,
+  { wave, seenAt, status }: TrackedWave,
+): Promise<void> {
+  const isDue = monotonicMs() - seenAt >= STATUS_CHECK_AFTER_MS
+  if (status.isChecked || status.state === undefined || !isDue) return
+  const version = await rows.readStatusVersion(wave.id)
+  if (version === undefined) return
+  status.isChecked = true
+  if (version === status.version) return
+  status.version = version
+  status.state = undefined
 }
--- a/test/fleetRig.ts
+++ b/test/fleetRig.ts
@@ -1,9 +1,17 @@
 /** Owner of the fleet with an in-memory store, and a cloud for the targets of a job rig. */
 import { ok } from 'neverthrow'
 import { createRowTable } from '../playground/sim/rowTable.js'
+import type { RowTable } from '../playground/sim/rowTable.js'
 import type { ConfigurationHolder } from '../src/directory/index.js'
 import type { Authority } from '../src/ownership/index.js'
-import type { Documents, Resources, Vm, VmCloud, Wave } from '../src/ports/index.js'
+import type {
+  Documents,
+  Resources,
+  RowStore,
+  Vm,
+  VmCloud,
+  Wave,
+} from '../src/ports/index.js'
 import { createMemoryLogger } from '../src/shared/index.js'
 import { createFleetOwner } from '../src/vms/index.js'
 import type { FleetOwner } from '../src/vms/index.js'
@@ -20,7 +28,14 @@
   cloud: VmCloud
   services: string[]
   sparePool?: string
+  /** Waves that operators request; read in each round. */
   waves?: Wave[]
+  /** Rows of the store. @default an empty table */
+  table?: RowTable
+  /** Store as this owner reaches it. @default that of the table */
+  store?: RowStore
+  /** Term of this owner. @default 1 */
+  term?: number
   /** Cordoned data halls. @default none */
   cordons?: ReadonlyMap<string, number>
   predecessorLeaseOverAt?: number
@@ -28,17 +43,17 @@
   isConfirmed?(): boolean
 }): {
   fleet: FleetOwner
-  table: ReturnType<typeof createRowTable>
+  table: RowTable
   log: ReturnType<typeof createMemoryLogger>
 } {
-  const { sparePool = SPARE_POOL, isConfirmed = () => true } = opts
-  const table = createRowTable()
-  const version = table.put(EPOCH, '1')
+  const { sparePool = SPARE_POOL, isConfirmed = () => true, term = 1 } = opts
+  const { table = createRowTable() } = opts
+  const version = table.put(EPOCH, String(term))
   const log = createMemoryLogger()
   const authority: Authority = {
     service: '~fleet',
     node: 'n',
-    term: 1,
+    term,
     predecessorMayLive: false,
     predecessorLeaseOverAt: opts.predecessorLeaseOverAt ?? -Infinity,
     epoch: () => ({ ...EPOCH, version }),
@@ -69,7 +84,7 @@
     },
   } as unknown as Documents
   const fleet = createFleetOwner({
-    store: table.forNode('n'),
+    store: opts.store ?? table.forNode('n'),
     cloud: opts.cloud,
     configuration,
     documents,
