fix(vms): settle orders that are refused, unanswered or not shown yet

What operators could see: a wave said to be completed with a VM that the cloud had refused to maintain, and more VMs in maintenance than the wave allows.

Causes: the answer that a VM is not of the wave counted as begun. A list that is older than the one before showed a VM as up whose order was settled by that one. A busy VM got an order in every round. VMs of a service that had not reported yet counted as not needed, so that a new owner of the fleet emptied them.

Change: the answers are handled by a table. Only 'accepted' means begun; other refusals are asked again after a pause. An unanswered order keeps its place among those that the wave allows until a later order to the same VM, which comes first, is answered. An order stays pending until the list shows the next life of the VM. A service without a fresh report gives up no VM early in a wave.

Late orders of an owner that has been replaced are not known to its successor, which waits until the connection of the last one must have been reset; no more is done about them.

The four tests fail without their part of the change in the compiled code.

--- a/src/vms/__tests__/waveOrders.spec.ts
+++ b/src/vms/__tests__/waveOrders.spec.ts
@@ -60,6 +60,79 @@
 }
 
 describe('wave of maintenance', () => {
+  describe('orders', () => {
+    // Otherwise a wave counts as completed whose VMs the cloud has refused to maintain.
+    itAlone('that the cloud refuses as not due have begun nothing', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const rig = startRig(waveOf(['m1', 'm2'], 2))
+        rig.setFault('notDue')
+        const fleet = rig.startOwner()
+        await advance(1900)
+        t.is(rig.status(), 'running')
+        t.is(rig.ordered.length, 2)
+        rig.setFault('done')
+        await advance(3000)
+        t.is(rig.status(), 'completed')
+        t.is(rig.cloud.begun.length, 2)
+        void fleet.stop(false)
+        await advance(500)
+      })
+    })
+
+    // Otherwise a busy VM uses up the orders that the cloud accepts per second.
+    itAlone('to a busy VM are repeated after a pause', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const rig = startRig(waveOf(['m1'], 1))
+        rig.setFault('busy')
+        const fleet = rig.startOwner()
+        await advance(2500)
+        t.is(rig.ordered.length, 3)
+        void fleet.stop(false)
+        await advance(500)
+      })
+    })
+
+    // Otherwise a late order brings one VM too many into maintenance.
+    itAlone('without an answer count as down until they are settled', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const rig = startRig(waveOf(['m1', 'm2'], 1))
+        rig.cloud.vms[1]!.hall = 'h2'
+        rig.setFault('late', 'whole', 4000)
+        const fleet = rig.startOwner()
+        await advance(1000)
+        // Waves take VMs in cordoned halls first.
+        rig.cordons.set('h2', 0)
+        rig.setFault('lost')
+        await advance(2500)
+        t.deepEqual([...new Set(rig.ordered)], ['m1'])
+        rig.setFault('done')
+        await advance(8000)
+        t.true(rig.cloud.begun.every(({ others }) => others === 0))
+        t.is(rig.status(), 'completed')
+        void fleet.stop(false)
+        await advance(500)
+      })
+    })
+
+    // Otherwise a list that is older than the one before shows a VM as up that is in maintenance.
+    itAlone('stay pending until the list shows the next life', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const rig = startRig(waveOf(['m1', 'm2'], 1))
+        const fleet = rig.startOwner()
+        await advance(400)
+        t.is(rig.cloud.vms[0]!.state, 'maintenance')
+        rig.setFault('done', 'stale')
+        await advance(900)
+        rig.setFault('done')
+        await advance(6000)
+        t.true(rig.cloud.begun.every(({ others }) => others === 0))
+        t.is(rig.cloud.begun.length, 2)
+        void fleet.stop(false)
+        await advance(500)
+      })
+    })
+  })
+
   describe('status', () => {
     // Otherwise 'running' stands for good after a wave has been completed.
     itAlone(
--- a/src/vms/vmOrders.ts
+++ b/src/vms/vmOrders.ts
@@ -70,7 +70,8 @@
 
   /**
    * Compares an order with a later read of the list. Only the list shows that a life has ended: an
-   * order that was already carried out is accepted again and ends nothing.
+   * order that was already carried out is accepted again and ends nothing. The order stays pending
+   * until the list shows the next life, as a list may be older than the one before.
    */
   function applyListTo(
     name: string,
@@ -78,11 +79,17 @@
     { vms, requestedAt, isGone }: VmInventory,
   ): void {
     const vm = vms.get(name)
-    const isOver = vm ? vm.state !== 'up' || vm.targetId !== order.targetId : isGone(name)
-    if (isOver && order.targetId !== '') ended.set(order.targetId, monotonicMs())
+    const isAway = vm !== undefined && vm.state !== 'up'
+    const isOver = vm ? !isAway && vm.targetId !== order.targetId : isGone(name)
+    if ((isAway || isOver) && order.targetId !== '') noteEnded(order.targetId)
+    if (isAway) order.until = requestedAt + ORDER_VISIBLE_WITHIN_MS
     if (isOver || (vm && requestedAt > order.until)) pending.delete(name)
   }
 
+  function noteEnded(life: string): void {
+    if (!ended.has(life)) ended.set(life, monotonicMs())
+  }
+
   return {
     pending,
     move: (vm, pool) =>
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -1,8 +1,10 @@
 /** Advances maintenance waves: which VMs are emptied and which are maintained now. */
-import type { Vm, Wave } from '../ports/index.js'
+import type { Vm, VmOrderAnswer } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
 import {
+  BUSY_BACKOFF_MS,
   EMPTY_AND_MAINTAIN_MS,
+  REFUSED_BACKOFF_MS,
   WAVE_HURRY_AFTER,
   WAVE_SPARE_ONLY_UNTIL,
   WAVE_TARGET,
@@ -49,7 +51,8 @@
   inventory: VmInventory,
 ): Promise<void> {
   const { waves, emptying, hurried } = opts
-  for (const progress of waves.active(inventory)) await advanceWave(opts, inventory, progress)
+  for (const progress of waves.active(inventory))
+    await advanceWave(opts, inventory, progress)
   for (const name of [...emptying, ...hurried]) {
     const wanted = waves.active(inventory).some(({ wave, begun }) => {
       return wave.vms.includes(name) && !begun.has(name)
@@ -66,34 +69,56 @@
   inventory: VmInventory,
   progress: WaveProgress,
 ): Promise<void> {
-  const { waves, orders, emptying, hurried } = opts
+  const { orders, emptying, hurried } = opts
   const view = opts.getView(inventory)
-  const { wave } = progress
+  const { wave, unanswered } = progress
   const elapsedShare = (monotonicMs() - progress.seenAt) / wave.durationMs
-  const pending = waves
-    .pending(progress, inventory)
-    .flatMap((name) => inventory.vms.get(name) ?? [])
-    .filter((vm) => vm.state === 'up' && !orders.pending.has(vm.name))
-    .sort((a, b) => compareCost(a, b, view))
-  let free = wave.maxDown - countDown(wave, inventory, orders)
-  let busy = Math.min(free, busyAtOnce(progress, pending.length))
-  for (const vm of pending) {
-    if (free <= 0) break
+  const due = dueVms(opts, inventory, progress).sort(
+    (a, b) =>
+      Number(unanswered.has(b.name)) - Number(unanswered.has(a.name)) ||
+      compareCost(a, b, view),
+  )
+  let free = wave.maxDown - countDown(progress, inventory, orders)
+  let busy = Math.min(free, busyAtOnce(progress, due.length))
+  for (const vm of due) {
+    // Its last order may still be carried out, so that it counts as down already.
+    const isCounted = unanswered.has(vm.name)
+    if (free <= 0 && !isCounted) break
     if (view.isEmpty(vm)) {
-      free--
+      if (!isCounted) free--
       await maintain(opts, progress, vm)
     } else if (
+      isCounted ||
       view.isCordoned(vm) ||
       (busy > 0 && (emptying.has(vm.name) || canSpare(vm, view, elapsedShare)))
     ) {
-      busy--
-      free--
+      if (!isCounted) {
+        busy--
+        free--
+      }
       emptying.add(vm.name)
     } else emptying.delete(vm.name)
     if (elapsedShare > WAVE_HURRY_AFTER) hurried.add(vm.name)
   }
 }
 
+/** VMs of the wave that can get an order now. */
+function dueVms(
+  { waves, orders }: WaveStepOptions,
+  inventory: VmInventory,
+  progress: WaveProgress,
+): Vm[] {
+  return waves
+    .pending(progress, inventory)
+    .flatMap((name) => inventory.vms.get(name) ?? [])
+    .filter(
+      ({ name, state }) =>
+        state === 'up' &&
+        !orders.pending.has(name) &&
+        (progress.retryAt.get(name) ?? -Infinity) <= monotonicMs(),
+    )
+}
+
 /**
  * Compares what it costs to take VMs: idle ones come first, so that a task that does not end holds
  * up no other VM of its wave. Among idle VMs and among those in use, the ones in cordoned data halls
@@ -115,7 +140,37 @@
  */
 function canSpare(vm: Vm, view: FleetView, elapsedShare: number): boolean {
   const supply = view.supplyOf(vm)
-  return !supply || supply.usable > supply.needed || elapsedShare > WAVE_SPARE_ONLY_UNTIL
+  const isSpare = supply !== undefined && supply.usable > supply.needed
+  return isSpare || elapsedShare > WAVE_SPARE_ONLY_UNTIL
+}
+
+/** What follows from the answer to an order, or from none. */
+const ON_ANSWER: Record<
+  VmOrderAnswer | 'none',
+  (opts: WaveStepOptions, progress: WaveProgress, vm: string) => void
+> = {
+  accepted({ waves, emptying }, progress, vm) {
+    waves.markBegun(progress, vm)
+    progress.unanswered.delete(vm)
+    emptying.delete(vm)
+  },
+  none: (_opts, { unanswered }, vm) => void unanswered.add(vm),
+  // An earlier order without an answer may be the reason.
+  busy: (_opts, { retryAt }, vm) => void retryAt.set(vm, monotonicMs() + BUSY_BACKOFF_MS),
+  // Nothing has begun: the request of the operators names the VM, whatever the cloud knows of it.
+  notDue: refuse,
+  unknownVm: refuse,
+  fenced: () => undefined,
+}
+
+function refuse(
+  { emptying }: WaveStepOptions,
+  { unanswered, retryAt }: WaveProgress,
+  vm: string,
+): void {
+  unanswered.delete(vm)
+  emptying.delete(vm)
+  retryAt.set(vm, monotonicMs() + REFUSED_BACKOFF_MS)
 }
 
 async function maintain(
@@ -123,18 +178,24 @@
   progress: WaveProgress,
   vm: Vm,
 ): Promise<void> {
-  const answer = await opts.orders.maintain(vm, progress.wave.id)
-  const begun = answer === 'accepted' || answer === 'notDue'
-  if (begun) opts.waves.markBegun(progress, vm.name)
-  if (answer === 'accepted') opts.emptying.delete(vm.name)
+  const { orders } = opts
+  const answer = await orders.maintain(vm, progress.wave.id)
+  // Without a pending order, none was sent.
+  if (answer === undefined && !orders.pending.has(vm.name)) return
+  ON_ANSWER[answer ?? 'none'](opts, progress, vm.name)
 }
 
-/** Number of VMs of a wave that are in maintenance, or may be: not listed, or with a pending order. */
-function countDown(wave: Wave, { vms, isGone }: VmInventory, orders: VmOrders): number {
+/** Number of VMs of a wave that are in maintenance, or may be: unlisted, or with an open order. */
+function countDown(
+  { wave, unanswered }: WaveProgress,
+  { vms, isGone }: VmInventory,
+  orders: VmOrders,
+): number {
   return wave.vms.filter((name) => {
-    const vm = vms.get(name)
-    const mayBeAway = vm ? vm.state === 'maintenance' : !isGone(name)
-    return mayBeAway || orders.pending.get(name)?.kind === 'maintain'
+    if (isGone(name)) return false
+    const state = vms.get(name)?.state
+    const isOrdered = orders.pending.get(name)?.kind === 'maintain'
+    return !state || state === 'maintenance' || isOrdered || unanswered.has(name)
   }).length
 }
 
