fix(vms): leave services their VMs while their owners read their jobs

A new owner of a service reports from its start, and what it has not read yet counts as no need: its idle VMs went to the spare pool or to other services while its jobs were being read. The report now says that the owner may lack jobs, in an optional field that earlier builds leave out and ignore. Such a service shows no surplus of VMs, and a wave takes none of its VMs early.

The quota ledger gives nothing out before all configured services have reported, and the fleet is claimed only with a configuration. Sums of shares start at 0 by design. Cordons and waves come from one complete read with the configuration. Bindings are read before one is written, and an unreadable one refuses jobs. Progress is removed only after the whole intake was read, rows of ended jobs and nodes only by their own contents and version. No change there.

The new test fails before: m2 and m3 leave the service.

--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -472,6 +472,7 @@
     loads: () => demand.loads(allAgents()),
     report: () => ({
       ...demand.report(service, authority.term, book.open, allAgents(), monotonicMs()),
+      ...(book.mayLackJobs && { mayLackJobs: true }),
       quotas: quotas.report(book.ready),
       ...(weightedShares && { shares: weightedShares.report() }),
       ...(loadMeter && { asksAttainable: true }),
--- a/src/vms/__tests__/poolPlanner.spec.ts
+++ b/src/vms/__tests__/poolPlanner.spec.ts
@@ -89,6 +89,17 @@
     t.deepEqual(movesOf(inputOf(vms, reports)), [])
   })
 
+  // Otherwise a new owner loses the VMs that the jobs need which it has not read yet.
+  it('takes no idle VM from a service whose owner has not read all its jobs', (t) => {
+    const idle = [2, 3, 4].map((number) => loadOf(number))
+    const reports = (mayLackJobs: boolean) => [
+      reportOf('a', TIMELY, [loadOf(1, { runs: 9 })]),
+      { ...reportOf('b', { cpu: 0, timelyCpu: 0 }, idle), mayLackJobs },
+    ]
+    t.deepEqual(movesOf(inputOf(vms, reports(true))), [])
+    t.deepEqual(movesOf(inputOf(vms, reports(false))), ['m2 a', 'm3 a'])
+  })
+
   it('gives spare VMs to timely work before late work', (t) => {
     const spare = [vmOf(1, 'a'), vmOf(2, 'b'), vmOf(3, 'idle')]
     const reports = [
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -111,7 +111,7 @@
 
   function supplyOf({ vms }: VmInventory, { pool }: Vm): VmSupply | undefined {
     const report = reports.fresh().get(pool)
-    if (!report) return undefined
+    if (!report || report.mayLackJobs) return undefined
     const all = [...vms.values()]
     const usable = all.filter(
       (vm) =>
--- a/src/vms/poolPlanner.ts
+++ b/src/vms/poolPlanner.ts
@@ -88,9 +88,14 @@
         !loads.get(vm.targetId)?.suspect,
     ).length
     const needed = neededBy.get(service) ?? 0
-    gaps.timely.set(service, neededVms(report, report.timelyCpu, cpuPerVm) - usable)
-    gaps.now.set(service, needed - usable)
-    gaps.kept.set(service, input.vmsToKeep(service, needed) - usable)
+    const gapOf = (vmsNeeded: number): number => {
+      const gap = vmsNeeded - usable
+      // Jobs that have not been read may need the VMs.
+      return report.mayLackJobs ? Math.max(0, gap) : gap
+    }
+    gaps.timely.set(service, gapOf(neededVms(report, report.timelyCpu, cpuPerVm)))
+    gaps.now.set(service, gapOf(needed))
+    gaps.kept.set(service, gapOf(input.vmsToKeep(service, needed)))
   }
   return gaps
 }
--- a/src/vms/types.ts
+++ b/src/vms/types.ts
@@ -31,6 +31,8 @@
   neededCpu: z.number(),
   /** The part of `neededCpu` for jobs that can still meet their objective. */
   timelyCpu: z.number(),
+  /** Whether the owner has not read all of its jobs yet, so that it may need more than it reports. */
+  mayLackJobs: z.boolean().optional(),
   /** Smallest number of targets on which its lasting steps fit. */
   minTargets: z.number(),
   targets: z.array(targetLoadSchema),
