fix(vms): keep the time of a wave when its owner is replaced

Cause: each owner counted the time of a wave from when it first read it.

Change: the row of the progress also holds when the first owner read the wave, by the wall clock, in an optional field that earlier builds ignore and drop. It only decides how soon VMs are emptied, so that clocks that differ or jump do no harm beyond the wave's own time. The first owner writes the row when it first reads the wave: one write more, if no VM has begun in that round.

A status row or progress row that another write has changed first is no failure any more and logs nothing; the next write is on condition of its version.

The new test fails without the stored time.

--- a/src/vms/__tests__/waveOrders.spec.ts
+++ b/src/vms/__tests__/waveOrders.spec.ts
@@ -17,8 +17,8 @@
 })
 
 /** Starts a cloud of idle VMs, and owners of the fleet one after another. */
-function startRig(wave: Wave) {
-  const cloud = createSimCloud(wave.vms.map(() => 'idle'))
+function startRig(wave: Wave, pool = 'idle') {
+  const cloud = createSimCloud(wave.vms.map(() => pool))
   const table = createRowTable()
   const waves = [wave]
   const cordons = new Map<string, number>()
@@ -35,7 +35,7 @@
           return reached.maintain(vm, id, by)
         },
       },
-      services: ['idle'],
+      services: ['idle', 'a'],
       waves,
       cordons,
       table,
@@ -211,6 +211,29 @@
     })
   })
 
+  // Otherwise each new owner gives a wave its whole time again, and it ends too late.
+  itAlone('keeps its time when its owner is replaced', async (t) => {
+    await inVirtualTime(async ({ advance }) => {
+      const rig = startRig(waveOf(['m1'], 1), 'a')
+      const first = rig.startOwner()
+      await advance(11_000)
+      void first.stop(true)
+      const second = rig.startOwner()
+      await advance(2000)
+      const targets = [
+        { id: 'i1', runs: 1, lasting: 1, evacuating: true, usedCpu: 1, suspect: false },
+      ]
+      const need = { neededCpu: 1, timelyCpu: 1, minTargets: 1 }
+      const report = (sequence: number) =>
+        second.report({ service: 'a', term: 1, sequence, ...need, targets })
+      report(1)
+      await advance(300)
+      t.deepEqual(report(2)?.hurry, ['i1'])
+      void second.stop(false)
+      await advance(500)
+    })
+  })
+
   // Otherwise the VMs that operators add to a wave are left out.
   itAlone('goes on with the VMs that operators add to it', async (t) => {
     await inVirtualTime(async ({ advance }) => {
--- a/src/vms/waveRows.ts
+++ b/src/vms/waveRows.ts
@@ -6,14 +6,18 @@
 import { commitUnderEpoch } from '../ownership/index.js'
 import type { Authority } from '../ownership/index.js'
 import { keyRange } from '../ports/index.js'
-import type { Documents, RowCommit, RowKey, RowStore, WaveState } from '../ports/index.js'
+import type { Documents, RowKey, RowStore, WaveState } from '../ports/index.js'
 import { createInvalidRows, describeError, parseJson } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 
 /** Table with the progress of waves; the part is that of the fleet. */
 export const WAVES_TABLE = 'waves'
 
-const waveRowSchema = z.object({ begun: z.array(z.string()) })
+const waveRowSchema = z.object({
+  begun: z.array(z.string()),
+  /** Wall clock at which the first owner read the wave, in ms; earlier builds leave it out. */
+  seenAtMs: z.number().optional(),
+})
 
 /** Parses the row of a wave; returns undefined when it has the wrong shape. */
 export function decodeWaveRow(value: string): z.infer<typeof waveRowSchema> | undefined {
@@ -23,6 +27,8 @@
 /** Progress of a wave as stored. */
 export interface StoredProgress {
   begun: Set<string>
+  /** Wall clock at which the first owner read the wave, in ms; undefined without it in the row. */
+  seenAtMs: number | undefined
   /** Version of the row; 0 without one. */
   version: number
 }
@@ -71,11 +77,13 @@
     { table, key }: RowKey,
     res: Awaited<ReturnType<RowStore['commit']>>,
   ): WriteResult {
-    const answer: RowCommit | undefined = res.isOk() ? res.value : undefined
-    if (answer?.committed) return { isWritten: true, version: answer.version }
-    const reason = res.isErr() ? describeError(res.error) : 'the row has changed'
-    log.event('waveNotWritten', { wave, table, reason })
-    if (!answer) return { isWritten: false, version: undefined }
+    if (res.isErr()) {
+      log.event('waveNotWritten', { wave, table, reason: describeError(res.error) })
+      return { isWritten: false, version: undefined }
+    }
+    const answer = res.value
+    if (answer.committed) return { isWritten: true, version: answer.version }
+    // Another write has been carried out first; the next one is on condition of its version.
     const row = answer.current.find((each) => each.table === table && each.key === key)
     return { isWritten: false, version: row?.version ?? 0 }
   }
@@ -93,13 +101,14 @@
       // The cloud accepts an order again that it has already carried out, so no VM is left out.
       if (row && !known)
         unreadableRows.note(row.key, 'maintenance of its VMs is ordered again')
-      return { begun: new Set(known?.begun), version: row?.version ?? 0 }
+      const { begun, seenAtMs } = known ?? {}
+      return { begun: new Set(begun), seenAtMs, version: row?.version ?? 0 }
     },
-    async writeBegun(wave, { begun, version }) {
+    async writeBegun(wave, { begun, seenAtMs, version }) {
       const key = rowKey(wave)
       const res = await commitUnderEpoch(store, authority, {
         conditions: [{ ...key, version }],
-        puts: [{ ...key, value: JSON.stringify({ begun: [...begun] }) }],
+        puts: [{ ...key, value: JSON.stringify({ begun: [...begun], seenAtMs }) }],
       })
       return toResult(wave, key, res)
     },
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -30,12 +30,16 @@
   unanswered: Set<string>
   /** VMs whose last order was refused, with the monotonic time of the next one, in ms. */
   retryAt: Map<string, number>
-  /** Monotonic time at which this owner first read the wave, in ms. */
+  /** Monotonic time at which the first owner read the wave, in ms. */
   seenAt: number
 }
 
 /** A wave with the state of its rows. */
 interface TrackedWave extends WaveProgress {
+  /** Wall clock at which the first owner read the wave, in ms. */
+  seenAtMs: number
+  /** Monotonic time at which this owner read the wave, in ms. */
+  loadedAt: number
   /** Version of the row with the progress; 0 without one. */
   rowVersion: number
   /** Whether `begun` contains changes that are not in the row yet. */
@@ -71,18 +75,27 @@
   async function load(wave: Wave): Promise<void> {
     const stored = await rows.read(wave.id)
     if (!stored) return
-    const { begun, version } = stored
+    const { begun, seenAtMs = Date.now(), version } = stored
+    const loadedAt = monotonicMs()
     waves.set(wave.id, {
       wave,
       begun,
       unanswered: new Set(),
       retryAt: new Map(),
       rowVersion: version,
-      isDirty: false,
-      seenAt: monotonicMs(),
+      isDirty: stored.seenAtMs === undefined,
+      seenAtMs,
+      seenAt: loadedAt - clamp(Date.now() - seenAtMs, 0, wave.durationMs),
+      loadedAt,
       status: { state: undefined, version: 0, isChecked: false },
     })
-    const fields = { vms: wave.vms.length, begun: begun.size, rowVersion: version }
+    const elapsedMs = Math.round(loadedAt - waves.get(wave.id)!.seenAt)
+    const fields = {
+      vms: wave.vms.length,
+      begun: begun.size,
+      rowVersion: version,
+      elapsedMs,
+    }
     log.event('waveSeen', { wave: wave.id, ...fields })
   }
 
@@ -146,9 +159,13 @@
   }
 }
 
+/** Clocks of nodes differ, and may jump. */
+const clamp = (value: number, least: number, most: number): number =>
+  Math.min(most, Math.max(least, value))
+
 async function writeBegun(rows: WaveRows, tracked: TrackedWave): Promise<void> {
-  const { wave, begun, rowVersion } = tracked
-  const stored: StoredProgress = { begun, version: rowVersion }
+  const { wave, begun, seenAtMs, rowVersion } = tracked
+  const stored: StoredProgress = { begun, seenAtMs, version: rowVersion }
   tracked.isDirty = false
   const { isWritten, version } = await rows.writeBegun(wave.id, stored)
   if (!isWritten) tracked.isDirty = true
@@ -161,9 +178,9 @@
  */
 async function checkStatus(
   rows: WaveRows,
-  { wave, seenAt, status }: TrackedWave,
+  { wave, loadedAt, status }: TrackedWave,
 ): Promise<void> {
-  const isDue = monotonicMs() - seenAt >= STATUS_CHECK_AFTER_MS
+  const isDue = monotonicMs() - loadedAt >= STATUS_CHECK_AFTER_MS
   if (status.isChecked || status.state === undefined || !isDue) return
   const version = await rows.readStatusVersion(wave.id)
   if (version === undefined) return
--- a/test/virtualTime.ts
+++ b/test/virtualTime.ts
@@ -12,7 +12,7 @@
   run: (clock: VirtualClock) => Promise<T>,
 ): Promise<T> {
   const clock = fakeTimers.install({
-    toFake: ['setTimeout', 'clearTimeout', 'performance'],
+    toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'],
   })
   try {
     return await run({ advance: async (ms) => void (await clock.tickAsync(ms)) })
