test(soak): list of VMs away, slow and incomplete, orders late

In series with signals, faults of the store and waves, where nodes may move VMs: the list is refused, silent, slow, lacks a VM or has a row that cannot be read, and orders are carried out late without an answer unless a newer owner has sent one. A wave that is said to be completed too early is reported at once, not only at the end. The faults have a generator of their own, so that those of a seed stay.

--- a/playground/__tests__/soak.spec.ts
+++ b/playground/__tests__/soak.spec.ts
@@ -10,7 +10,7 @@
 import { drawPlan, readPlan } from '../soak/plan.js'
 import { runSoak } from '../soak/run.js'
 
-const SEEDS = [1, 3]
+const SEEDS = [1, 3, 7]
 const LENGTH_MS = 20_000
 const KEPT = 'playground/soak/kept'
 
--- a/playground/sim/wireServer.ts
+++ b/playground/sim/wireServer.ts
@@ -4,7 +4,8 @@
  */
 import type { Server } from 'node:http'
 import type { Resources, RowKey } from '../../src/ports/index.js'
-import { cloudHandlers } from './cloudHandlers.js'
+import { HEALTHY_CLOUD, cloudHandlers } from './cloudHandlers.js'
+import type { CloudFaults } from './cloudHandlers.js'
 import { createRowTable } from './rowTable.js'
 import type { RowTable } from './rowTable.js'
 import { createSimFleet } from './simFleet.js'
@@ -24,6 +25,7 @@
   vms: SimVm[]
   storeAddress: string
   cloudAddress: string
+  cloudFaults: CloudFaults
   /** Maintenance of VMs, in the order in which it began. */
   maintained: MaintenanceRecord[]
   putConfiguration(text: unknown): void
@@ -59,7 +61,8 @@
   const fleet = createSimFleet({ table, ledger, offlineMs: opts.offlineMs })
   const { vms, maintained } = fleet
   const store = await listen(storeHandlers(table.forNode('any')))
-  const cloud = await listen(cloudHandlers(fleet, Object.keys(opts.pools)))
+  const cloudFaults = { ...HEALTHY_CLOUD }
+  const cloud = await listen(cloudHandlers(fleet, Object.keys(opts.pools), cloudFaults))
   const servers: Server[] = [store, cloud]
 
   const addVm = async (pool: string, hall: string): Promise<void> => {
@@ -83,6 +86,7 @@
     vms,
     maintained,
     storeAddress: `${HOST}:${portOf(store)}`,
+    cloudFaults,
     cloudAddress: `${HOST}:${portOf(cloud)}`,
     putConfiguration: (value) =>
       void table.put(operatorRow('config'), JSON.stringify(value)),
--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -1,5 +1,7 @@
 /** Kinds of faults: the group they affect, their usual duration and their effect. */
 import { sleep } from '../../src/shared/index.js'
+import { HEALTHY_CLOUD } from '../sim/cloudHandlers.js'
+import type { CloudFaults } from '../sim/cloudHandlers.js'
 import type { StoreFaults } from '../sim/rowTable.js'
 import type { SimVm } from '../sim/simFleet.js'
 import type { TargetFaults } from '../sim/simTarget.js'
@@ -41,7 +43,8 @@
 /**
  * What a fault affects; `planned`: actions of operators and other programs; `wave`: waves of
  * maintenance; `restart`: restarts of targets under the same id; `organisation`: changes of keys and
- * maxima; `cordon`: cordons of data halls; `route`: changes of routes that clients use.
+ * maxima; `cordon`: cordons of data halls; `route`: changes of routes that clients use; `cloud`: the
+ * list of VMs and orders for them.
  */
 export type FaultGroup =
   | 'node'
@@ -54,6 +57,7 @@
   | 'organisation'
   | 'cordon'
   | 'route'
+  | 'cloud'
 /** Function that ends a fault. */
 type Undo = () => unknown
 
@@ -142,6 +146,20 @@
   },
 })
 
+const onCloud = (
+  usualMs: number,
+  faultsOf: (fault: Fault) => Partial<CloudFaults>,
+): FaultKind => ({
+  group: 'cloud',
+  usualMs,
+  begin({ platform: { cloudFaults } }, fault) {
+    const faults = faultsOf(fault)
+    Object.assign(cloudFaults, faults)
+    const switched = Object.entries(HEALTHY_CLOUD).filter(([key]) => key in faults)
+    return () => Object.assign(cloudFaults, Object.fromEntries(switched))
+  },
+})
+
 const plannedFault = (usualMs: number, begin: FaultKind['begin']): FaultKind => ({
   group: 'planned',
   usualMs,
@@ -374,4 +392,10 @@
       routes.add(which)
     }
   }),
+  vmListRefused: onCloud(3000, () => ({ list: 'refused' })),
+  vmListSilent: onCloud(3000, () => ({ list: 'silent' })),
+  vmListSlow: onCloud(3000, ({ level }) => ({ listDelayMs: 300 + 1500 * level })),
+  vmListPartial: onCloud(2500, ({ which }) => ({ list: 'partial', which })),
+  vmListUnreadable: onCloud(2500, ({ which }) => ({ list: 'unreadable', which })),
+  vmOrdersLate: onCloud(1500, ({ level }) => ({ orderDelayMs: 300 + 3000 * level })),
 }
--- a/playground/soak/injectFault.ts
+++ b/playground/soak/injectFault.ts
@@ -2,19 +2,23 @@
 import { sleep } from '../../src/shared/index.js'
 import type { DisturbanceTracker } from './disturbances.js'
 import { FAULT_KINDS } from './faultKinds.js'
-import type { FaultContext } from './faultKinds.js'
+import type { FaultContext, FaultGroup } from './faultKinds.js'
 import type { Fault } from './plan.js'
 
 /** Kinds that disturb only when they begin and end; in between, the other nodes take over. */
 const DISTURBS_AT_EDGES: readonly string[] = ['nodeAway']
 
+/** Groups whose faults disturb all the time that they last. */
+const DISTURBING: readonly FaultGroup[] = ['node', 'store', 'cloud']
+
 /** The trackers that record a kind of fault. Planned stops are recorded in `disturbances` only. */
 function trackersOf(
   name: string,
   { disturbances, unplannedDisturbances }: Trackers,
 ): DisturbanceTracker[] {
   const group = FAULT_KINDS[name]?.group
-  if (group === 'node' || group === 'store') return [disturbances, unplannedDisturbances]
+  if (group !== undefined && DISTURBING.includes(group))
+    return [disturbances, unplannedDisturbances]
   return name === 'nodeStop' ? [disturbances] : []
 }
 
--- a/playground/soak/plan.ts
+++ b/playground/soak/plan.ts
@@ -73,6 +73,12 @@
  */
 const ROUTE_INTERVAL_MS = 4000
 const ROUTE_SEED_OFFSET = 6_000_000
+/**
+ * Mean interval of faults of the list of VMs and of orders, in ms, and the seed offset of their own
+ * generator, which leaves the other faults of a seed unchanged.
+ */
+const CLOUD_INTERVAL_MS = 5000
+const CLOUD_SEED_OFFSET = 7_000_000
 /** Mean interval of faults of nodes and the store within a series, in ms. */
 const SERIES_INTERVAL_MS = 1200
 /** Mean length of a series of faults of nodes and the store, and of the time between two, in ms. */
@@ -133,6 +139,7 @@
   const changes = createRandom(seed + ORGANISATION_SEED_OFFSET)
   const cordons = createRandom(seed * CORDON_SEED_FACTOR)
   const routes = createRandom((seed + ROUTE_SEED_OFFSET) * CORDON_SEED_FACTOR)
+  const cloud = createRandom((seed + CLOUD_SEED_OFFSET) * CORDON_SEED_FACTOR)
   const drawnOrganisations = Math.floor(changes() * (MAX_ORGANISATIONS + 1))
   // Without the cloud interface nobody divides quotas, and equal parts may be too small for a task.
   const organisations = idleVms === 0 ? 0 : drawnOrganisations
@@ -150,10 +157,13 @@
       ...groups.flatMap(([group, gapMs]) =>
         drawSeries(random, [group], gapMs, [1000, lengthMs]),
       ),
-      // Without the cloud interface no node can carry out a wave.
+      // Without the cloud interface no node reads the list of VMs or carries out a wave.
       ...(idleVms === 0
         ? []
-        : drawSeries(waves, ['wave'], WAVE_INTERVAL_MS, [1000, lengthMs])),
+        : [
+            ...drawSeries(waves, ['wave'], WAVE_INTERVAL_MS, [1000, lengthMs]),
+            ...drawSeries(cloud, ['cloud'], CLOUD_INTERVAL_MS, [1000, lengthMs]),
+          ]),
       ...drawSeries(restarts, ['restart'], RESTART_INTERVAL_MS, [1000, lengthMs]),
       ...drawSeries(routes, ['route'], ROUTE_INTERVAL_MS, [1000, lengthMs]),
       ...drawSeries(cordons, ['cordon'], CORDON_INTERVAL_MS, [1000, lengthMs]),
--- a/playground/soak/waves.ts
+++ b/playground/soak/waves.ts
@@ -13,7 +13,10 @@
 /** Orders and checks waves. */
 export interface Waves {
   orderWave(fault: Fault): void
-  /** Checks that no wave has more VMs in maintenance than it allows; to be called periodically. */
+  /**
+   * Checks that no wave has more VMs in maintenance than it allows, and that none is said to be
+   * completed too early; to be called periodically.
+   */
   check(): void
   /** Waits until the status of all waves is completed; reports those that are not in time. */
   settle(ms: number): Promise<void>
@@ -34,6 +37,21 @@
     )
   }
 
+  const unmaintained = (names: string[], id: number): string[] =>
+    names.filter(
+      (name) => !maintained.some((each) => each.vm === name && each.wave === id),
+    )
+  /** Waves that were said to be completed too early. */
+  const early = new Set<number>()
+
+  function checkStatus(id: number, names: string[]): void {
+    if (early.has(id) || !isCompleted(id)) return
+    const left = unmaintained(names, id)
+    if (left.length === 0) return
+    early.add(id)
+    report('wave said to be completed', `${id}: ${left}`)
+  }
+
   return {
     orderWave({ which, level }) {
       const id = ordered.size + 1
@@ -50,6 +68,7 @@
         const inMaintenance = names.filter((name) => isInMaintenance(name, id))
         if (inMaintenance.length > maximum)
           report('wave too wide', `${id}: ${inMaintenance}`)
+        checkStatus(id, names)
       }
     },
     async settle(ms) {
@@ -57,12 +76,9 @@
       for (const [id, { names }] of ordered) {
         while (!isCompleted(id) && performance.now() < endsAt)
           await sleep(STATUS_INTERVAL_MS)
-        const unmaintained = names.filter(
-          (name) => !maintained.some((each) => each.vm === name && each.wave === id),
-        )
-        if (!isCompleted(id)) report('wave not carried out', `${id}: ${unmaintained}`)
-        else if (unmaintained.length > 0)
-          report('wave said to be completed', `${id}: ${unmaintained}`)
+        if (!isCompleted(id))
+          report('wave not carried out', `${id}: ${unmaintained(names, id)}`)
+        else checkStatus(id, names)
       }
     },
   }
