test(vms): owner of the fleet without fixed waits

On a busy machine 'sends no order while one of the previous owner may be in flight' failed twice: its 700 ms of waiting took longer than the second after which an order is right. It and the new tests that wait for the list run on a virtual clock now. The first asks for no order at 999 ms and for one at 1,399 ms; it fails without the wait for the previous owner's last order.

In the owner of the fleet: the active waves are found once a round, a listed VM is never looked up in earlier lists, the view no longer carries the VMs, and the model names calls that are never answered.

--- a/src/vms/__tests__/fleetModel.spec.ts
+++ b/src/vms/__tests__/fleetModel.spec.ts
@@ -114,6 +114,9 @@
   faults.refusedParts.clear()
 }
 
+/** A call of a process that has ended. */
+const neverAnswered = (): Promise<never> => new Promise(() => undefined)
+
 /** Plays the events and returns the first promise that was broken. */
 async function play(
   events: readonly Event[],
@@ -127,7 +130,6 @@
   const cloud = createSimCloud(POOLS)
   const waves: (Wave & { orderedAt: number })[] = []
   const problems: string[] = []
-  const runsUntil = new Map<string, number>()
   let term = 0
   let owner: ModelOwner | undefined
   let nextOwnerAt = 0
@@ -168,14 +170,12 @@
     return {
       list: () => whenThawed(of, () => reached.list()),
       move: (vm, pool, by) =>
-        whenThawed(of, async () =>
-          of.isReplaced
-            ? reached.list().then(() => new Promise(() => undefined))
-            : reached.move(vm, pool, by),
+        whenThawed(of, () =>
+          of.isReplaced ? neverAnswered() : reached.move(vm, pool, by),
         ),
       maintain: (vm, wave, by) =>
-        whenThawed(of, async () => {
-          if (of.isReplaced) return new Promise(() => undefined)
+        whenThawed(of, () => {
+          if (of.isReplaced) return neverAnswered()
           if (known.get(wave)?.has(vm)) problems.push(`${vm} ordered again in ${wave}`)
           return reached.maintain(vm, wave, by)
         }),
@@ -277,7 +277,6 @@
       if (pool !== service || state !== 'up') return []
       const closedAt = closed.get(targetId)
       const isIdle = closedAt !== undefined && now() - closedAt > RUN_MS
-      if (!isIdle) runsUntil.set(targetId, now())
       return [
         {
           id: targetId,
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -1,7 +1,9 @@
 import { err, ok } from 'neverthrow'
-import { describe, it } from '../../../test/describe.js'
+import { describe, it, itAlone } from '../../../test/describe.js'
 import { VM_CPU, listOf, vmOf } from '../../../test/fixtures.js'
 import { startFleetOwner } from '../../../test/fleetRig.js'
+import { inVirtualTime } from '../../../test/virtualTime.js'
+import type { VirtualClock } from '../../../test/virtualTime.js'
 import { VM_ORDER_TIMEOUT_MS } from '../../ports/index.js'
 import type { Vm, VmCloud, VmList, Wave } from '../../ports/index.js'
 import { callError, sleep } from '../../shared/index.js'
@@ -98,6 +100,17 @@
   }
 }
 
+/** Like {@link reportFor}, on a virtual clock. */
+async function reportOn(
+  advance: VirtualClock['advance'],
+  fleet: FleetOwner,
+  ms: number,
+  make: (evacuate: string[]) => ServiceReport[],
+): Promise<void> {
+  void reportFor(fleet, ms, make)
+  await advance(ms)
+}
+
 describe('createFleetOwner', () => {
   // Owners without admission, and those of earlier builds, must get the same answers as before.
   it('names the room that a service can get only to owners that ask for it', async (t) => {
@@ -299,22 +312,30 @@
     await fleet.stop(false)
   })
 
-  it('sends no order while one of the previous owner may be in flight', async (t) => {
-    // An order sent just before the end of the lease may be in flight for 1 s from now.
-    const leaseOverAt = performance.now() + 1000 - VM_ORDER_TIMEOUT_MS
-    const { fleet, orders } = startFleet(
-      [vmOf(1, 'a'), vmOf(2, 'idle')],
-      [],
-      'idle',
-      leaseOverAt,
-    )
-    const make = () => [reportOf('a', 15_000, [load('i1', 3, false)])]
-    await reportFor(fleet, 700, make)
-    t.deepEqual(orders, [])
-    await reportFor(fleet, 700, make)
-    t.is(orders.length, 1)
-    await fleet.stop(false)
-  })
+  // In virtual time: on a busy machine, fixed waits last longer than the lease.
+  itAlone(
+    'sends no order while one of the previous owner may be in flight',
+    async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        // An order sent just before the end of the lease may be in flight for 1 s from now.
+        const leaseOverAt = performance.now() + 1000 - VM_ORDER_TIMEOUT_MS
+        const { fleet, orders } = startFleet(
+          [vmOf(1, 'a'), vmOf(2, 'idle')],
+          [],
+          'idle',
+          leaseOverAt,
+        )
+        const make = () => [reportOf('a', 15_000, [load('i1', 3, false)])]
+        void reportFor(fleet, 1400, make)
+        await advance(999)
+        t.deepEqual(orders, [])
+        await advance(400)
+        t.is(orders.length, 1)
+        void fleet.stop(false)
+        await advance(500)
+      })
+    },
+  )
 
   // Otherwise a service whose only two VMs are both due starts nothing for 2 s.
   it('empties no VM that its service needs early in a wave', async (t) => {
@@ -382,43 +403,54 @@
       { ...reportOf('a', 2000, [load('i3', 0, true)]), asksAttainable: true },
     ]
 
-    it('says nothing of a wave until it has read the list', async (t) => {
-      const { fleet, state, statusOf, orders } = startFleet(vms(), [WAVE])
-      state.listed = false
-      await reportFor(fleet, 400, make)
-      t.is(statusOf(1), undefined)
-      t.deepEqual(orders, [])
-      state.listed = true
-      await reportFor(fleet, 500, make)
-      t.deepEqual(orders.map(({ kind, vm }) => `${kind} ${vm}`).sort(), [
-        'maintain m1',
-        'maintain m2',
-      ])
-      t.is(statusOf(1), 'completed')
-      await fleet.stop(false)
+    itAlone('says nothing of a wave until it has read the list', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const { fleet, state, statusOf, orders } = startFleet(vms(), [WAVE])
+        state.listed = false
+        await reportOn(advance, fleet, 400, make)
+        t.is(statusOf(1), undefined)
+        t.deepEqual(orders, [])
+        state.listed = true
+        await reportOn(advance, fleet, 500, make)
+        t.deepEqual(orders.map(({ kind, vm }) => `${kind} ${vm}`).sort(), [
+          'maintain m1',
+          'maintain m2',
+        ])
+        t.is(statusOf(1), 'completed')
+        void fleet.stop(false)
+      })
     })
 
-    it('closes no target, and names no attainable room', async (t) => {
-      const { fleet, state } = startFleet(vms(), [WAVE])
-      state.listed = false
-      await reportFor(fleet, 300, make)
-      const answer = fleet.report(make()[0]!)
-      t.deepEqual(answer?.evacuate, [])
-      t.is(answer?.attainableCpu, undefined)
-      await fleet.stop(false)
+    itAlone('closes no target, and names no attainable room', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const { fleet, state } = startFleet(vms(), [WAVE])
+        state.listed = false
+        await reportOn(advance, fleet, 300, make)
+        const answer = fleet.report(make()[0]!)
+        t.deepEqual(answer?.evacuate, [])
+        t.is(answer?.attainableCpu, undefined)
+        void fleet.stop(false)
+      })
     })
 
     // Otherwise the VMs that the next queue needs are parked as soon as the list can be read.
-    it('parks no VM before it has seen the peaks after the list can be read', async (t) => {
-      const { fleet, state, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')])
-      const idle = () => [reportOf('a', 0, [load('i1', 0, true), load('i2', 0, true)])]
-      state.listed = false
-      await reportFor(fleet, PEAK_HOLD_MS + 200, idle)
-      state.listed = true
-      await reportFor(fleet, 700, idle)
-      t.deepEqual(orders, [])
-      await fleet.stop(false)
-    })
+    itAlone(
+      'parks no VM before it has seen the peaks after the list can be read',
+      async (t) => {
+        await inVirtualTime(async ({ advance }) => {
+          const { fleet, state, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')])
+          const idle = () => [
+            reportOf('a', 0, [load('i1', 0, true), load('i2', 0, true)]),
+          ]
+          state.listed = false
+          await reportOn(advance, fleet, PEAK_HOLD_MS + 200, idle)
+          state.listed = true
+          await reportOn(advance, fleet, 700, idle)
+          t.deepEqual(orders, [])
+          void fleet.stop(false)
+        })
+      },
+    )
   })
 
   // Otherwise a wave counts as completed although a VM of it has only been left out of one list.
@@ -430,48 +462,62 @@
       return started
     }
 
-    it('goes on with the wave once it is listed again', async (t) => {
-      const { fleet, state, statusOf, orders } = startWith({ omitted: new Set(['m2']) })
-      await reportFor(fleet, 1000, () => [])
-      t.deepEqual(orders, [{ kind: 'maintain', vm: 'm1' }])
-      t.is(statusOf(1), 'running')
-      state.omitted.clear()
-      await reportFor(fleet, 500, () => [])
-      t.deepEqual(orders.at(-1), { kind: 'maintain', vm: 'm2' })
-      t.is(statusOf(1), 'completed')
-      await fleet.stop(false)
+    itAlone('goes on with the wave once it is listed again', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const { fleet, state, statusOf, orders } = startWith({ omitted: new Set(['m2']) })
+        await reportOn(advance, fleet, 1000, () => [])
+        t.deepEqual(orders, [{ kind: 'maintain', vm: 'm1' }])
+        t.is(statusOf(1), 'running')
+        state.omitted.clear()
+        await reportOn(advance, fleet, 500, () => [])
+        t.deepEqual(orders.at(-1), { kind: 'maintain', vm: 'm2' })
+        t.is(statusOf(1), 'completed')
+        void fleet.stop(false)
+      })
     })
 
-    it('completes it without the VM once all lists of a while lack it', async (t) => {
-      const { fleet, statusOf } = startWith({ omitted: new Set(['m2']) })
-      await reportFor(fleet, GONE_AFTER_MS - 500, () => [])
-      t.is(statusOf(1), 'running')
-      await reportFor(fleet, 1500, () => [])
-      t.is(statusOf(1), 'completed')
-      await fleet.stop(false)
-    })
+    itAlone(
+      'completes it without the VM once all lists of a while lack it',
+      async (t) => {
+        await inVirtualTime(async ({ advance }) => {
+          const { fleet, statusOf } = startWith({ omitted: new Set(['m2']) })
+          await reportOn(advance, fleet, GONE_AFTER_MS - 500, () => [])
+          t.is(statusOf(1), 'running')
+          await reportOn(advance, fleet, 1500, () => [])
+          t.is(statusOf(1), 'completed')
+          void fleet.stop(false)
+        })
+      },
+    )
 
-    it('does not complete it while a row names no VM, or names this one', async (t) => {
-      const omitted = new Set(['m2'])
-      const unnamed = startWith({ omitted, list: { isComplete: false } })
-      const named = startWith({ omitted, list: { unreadable: ['m2'] } })
-      await reportFor(unnamed.fleet, GONE_AFTER_MS + 1000, () => [])
-      t.is(unnamed.statusOf(1), 'running')
-      t.is(named.statusOf(1), 'running')
-      await unnamed.fleet.stop(false)
-      await named.fleet.stop(false)
-    })
+    itAlone(
+      'does not complete it while a row names no VM, or names this one',
+      async (t) => {
+        await inVirtualTime(async ({ advance }) => {
+          const omitted = new Set(['m2'])
+          const unnamed = startWith({ omitted, list: { isComplete: false } })
+          const named = startWith({ omitted, list: { unreadable: ['m2'] } })
+          await reportOn(advance, unnamed.fleet, GONE_AFTER_MS + 1000, () => [])
+          t.is(unnamed.statusOf(1), 'running')
+          t.is(named.statusOf(1), 'running')
+          void unnamed.fleet.stop(false)
+          void named.fleet.stop(false)
+        })
+      },
+    )
 
-    it('counts it as one that may be in maintenance', async (t) => {
-      const wave = { ...WAVE, maxDown: 1 }
-      const { fleet, state, orders } = startFleet(
-        [vmOf(1, 'idle'), vmOf(2, 'idle')],
-        [wave],
-      )
-      state.omitted.add('m2')
-      await reportFor(fleet, 600, () => [])
-      t.deepEqual(orders, [])
-      await fleet.stop(false)
+    itAlone('counts it as one that may be in maintenance', async (t) => {
+      await inVirtualTime(async ({ advance }) => {
+        const wave = { ...WAVE, maxDown: 1 }
+        const { fleet, state, orders } = startFleet(
+          [vmOf(1, 'idle'), vmOf(2, 'idle')],
+          [wave],
+        )
+        state.omitted.add('m2')
+        await reportOn(advance, fleet, 600, () => [])
+        t.deepEqual(orders, [])
+        void fleet.stop(false)
+      })
     })
   })
 
--- a/src/vms/fleetOwner.ts
+++ b/src/vms/fleetOwner.ts
@@ -130,7 +130,6 @@
     const loads = reports.loads()
     const recent = reports.loads(EMPTY_REPORT_MAX_AGE_MS)
     return {
-      vms: inventory.vms,
       runsOn: (vm) => loads.get(vm.targetId)?.runs ?? 0,
       isEmpty(vm) {
         if (vm.pool === sparePool()) return true
--- a/src/vms/vmInventory.ts
+++ b/src/vms/vmInventory.ts
@@ -48,10 +48,12 @@
     newest: () => newest,
     adopt(list, requestedAt) {
       noteRead(list, requestedAt)
+      const vms = new Map(list.vms.map((vm) => [vm.name, vm]))
       newest = {
-        vms: new Map(list.vms.map((vm) => [vm.name, vm])),
+        vms,
         requestedAt,
         isGone(name) {
+          if (vms.has(name)) return false
           const lastNamedAt = namedAt.get(name) ?? -Infinity
           const absentSince = completeAt.find((at) => at > lastNamedAt) ?? Infinity
           return requestedAt - absentSince >= GONE_AFTER_MS
--- a/src/vms/waveSteps.ts
+++ b/src/vms/waveSteps.ts
@@ -23,7 +23,6 @@
 
 /** State of the VMs at the start of a step. */
 export interface FleetView {
-  vms: ReadonlyMap<string, Vm>
   /** Number of runs that are or may be present on the VM. */
   runsOn(vm: Vm): number
   /** Whether nothing runs on the VM and its service starts no new tasks there. */
@@ -53,11 +52,12 @@
   const { waves, emptying, hurried } = opts
   for (const progress of waves.active(inventory))
     await advanceWave(opts, inventory, progress)
+  const active = waves.active(inventory)
   for (const name of [...emptying, ...hurried]) {
-    const wanted = waves.active(inventory).some(({ wave, begun }) => {
-      return wave.vms.includes(name) && !begun.has(name)
-    })
-    if (wanted) continue
+    const isWanted = active.some(
+      ({ wave, begun }) => wave.vms.includes(name) && !begun.has(name),
+    )
+    if (isWanted) continue
     emptying.delete(name)
     hurried.delete(name)
   }
--- a/src/vms/waves.ts
+++ b/src/vms/waves.ts
@@ -77,6 +77,7 @@
     if (!stored) return
     const { begun, seenAtMs = Date.now(), version } = stored
     const loadedAt = monotonicMs()
+    const elapsedMs = clamp(Date.now() - seenAtMs, 0, wave.durationMs)
     waves.set(wave.id, {
       wave,
       begun,
@@ -85,51 +86,22 @@
       rowVersion: version,
       isDirty: stored.seenAtMs === undefined,
       seenAtMs,
-      seenAt: loadedAt - clamp(Date.now() - seenAtMs, 0, wave.durationMs),
+      seenAt: loadedAt - elapsedMs,
       loadedAt,
       status: { state: undefined, version: 0, isChecked: false },
     })
-    const elapsedMs = Math.round(loadedAt - waves.get(wave.id)!.seenAt)
-    const fields = {
+    log.event('waveSeen', {
+      wave: wave.id,
       vms: wave.vms.length,
       begun: begun.size,
       rowVersion: version,
       elapsedMs,
-    }
-    log.event('waveSeen', { wave: wave.id, ...fields })
+    })
   }
 
   const pending = ({ wave, begun }: WaveProgress, { isGone }: VmInventory): string[] =>
     wave.vms.filter((name) => !begun.has(name) && !isGone(name))
 
-  return {
-    active: (inventory) =>
-      [...waves.values()].filter((each) => pending(each, inventory).length > 0),
-    async update(requested) {
-      const loads = requested.map((wave) => {
-        const known = waves.get(wave.id)
-        if (!known) return load(wave)
-        known.wave = wave
-        return undefined
-      })
-      await Promise.all(loads)
-    },
-    pending,
-    markBegun({ wave, begun }, vm) {
-      begun.add(vm)
-      const tracked = waves.get(wave.id)
-      if (tracked) tracked.isDirty = true
-    },
-    async save(inventory) {
-      for (const tracked of waves.values()) {
-        if (tracked.isDirty) await writeBegun(rows, tracked)
-        const isComplete = !tracked.isDirty && pending(tracked, inventory).length === 0
-        await checkStatus(rows, tracked)
-        await writeStatus(tracked, isComplete ? 'completed' : 'running', inventory)
-      }
-    },
-  }
-
   /** Writes the status if it has changed; once more if the row had another version. */
   async function writeStatus(
     { wave, begun, rowVersion, status }: TrackedWave,
@@ -157,6 +129,34 @@
       })
     }
   }
+
+  return {
+    active: (inventory) =>
+      [...waves.values()].filter((each) => pending(each, inventory).length > 0),
+    async update(requested) {
+      const loads = requested.map((wave) => {
+        const known = waves.get(wave.id)
+        if (!known) return load(wave)
+        known.wave = wave
+        return undefined
+      })
+      await Promise.all(loads)
+    },
+    pending,
+    markBegun({ wave, begun }, vm) {
+      begun.add(vm)
+      const tracked = waves.get(wave.id)
+      if (tracked) tracked.isDirty = true
+    },
+    async save(inventory) {
+      for (const tracked of waves.values()) {
+        if (tracked.isDirty) await writeBegun(rows, tracked)
+        const isComplete = !tracked.isDirty && pending(tracked, inventory).length === 0
+        await checkStatus(rows, tracked)
+        await writeStatus(tracked, isComplete ? 'completed' : 'running', inventory)
+      }
+    },
+  }
 }
 
 /** Clocks of nodes differ, and may jump. */
