--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -350,6 +350,20 @@
     await fleet.stop(false)
   })
 
+  // Otherwise a new owner of the fleet empties the VMs of a service that has not reported its need yet.
+  itAlone('empties no VM of a service without a report early in a wave', async (t) => {
+    await inVirtualTime(async ({ advance }) => {
+      const wave = { id: 1, vms: ['m1'], durationMs: 3000, maxDown: 1 }
+      const { fleet } = startFleet([vmOf(1, 'a'), vmOf(2, 'a'), vmOf(3, 'b')], [wave])
+      const make = () => [reportOf('b', 2000, [load('i3', 1, false)])]
+      await reportOn(advance, fleet, 400, make)
+      t.deepEqual(fleet.report(make()[0]!)?.evacuate, [])
+      await reportOn(advance, fleet, 1000, make)
+      t.deepEqual(fleet.report(make()[0]!)?.evacuate, ['i1'])
+      void fleet.stop(false)
+    })
+  })
+
   // Otherwise, after a loss of all nodes, the new owner parks nine VMs that the next queue needs
   // 1.7 s later.
   it('parks no VM before it can know the peaks', async (t) => {
