refactor(test): one way to run a test in virtual time, one to switch faults on

18 tests of the owner of the fleet repeated the same two nested calls, and the faults of the store and of the cloud in the soak the same steps. The comment on pending orders says until when they stay.

--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -92,6 +92,17 @@
   lostShare: 0,
 }
 
+/** Sets faults; the function that it returns puts back the healthy values of these alone. */
+function switchOn<T extends object>(
+  current: T,
+  faults: Partial<T>,
+  healthy: Partial<T>,
+): Undo {
+  Object.assign(current, faults)
+  const switched = Object.entries(healthy).filter(([key]) => key in faults)
+  return () => Object.assign(current, Object.fromEntries(switched))
+}
+
 const onStore = (
   usualMs: number,
   faultsOf: (level: number) => Partial<StoreFaults>,
@@ -99,10 +110,7 @@
   group: 'store',
   usualMs,
   begin({ platform: { table } }, { level }) {
-    const faults = faultsOf(level)
-    Object.assign(table.faults, faults)
-    const switched = Object.entries(HEALTHY_STORE).filter(([key]) => key in faults)
-    return () => Object.assign(table.faults, Object.fromEntries(switched))
+    return switchOn(table.faults, faultsOf(level), HEALTHY_STORE)
   },
 })
 
@@ -153,10 +161,7 @@
   group: 'cloud',
   usualMs,
   begin({ platform: { cloudFaults } }, fault) {
-    const faults = faultsOf(fault)
-    Object.assign(cloudFaults, faults)
-    const switched = Object.entries(HEALTHY_CLOUD).filter(([key]) => key in faults)
-    return () => Object.assign(cloudFaults, Object.fromEntries(switched))
+    return switchOn(cloudFaults, faultsOf(fault), HEALTHY_CLOUD)
   },
 })
 
--- a/src/vms/__tests__/fleetOwner.spec.ts
+++ b/src/vms/__tests__/fleetOwner.spec.ts
@@ -1,8 +1,8 @@
 import { err, ok } from 'neverthrow'
-import { describe, it, itAlone } from '../../../test/describe.js'
+import { describe, it } from '../../../test/describe.js'
 import { VM_CPU, listOf, vmOf } from '../../../test/fixtures.js'
 import { startFleetOwner } from '../../../test/fleetRig.js'
-import { inVirtualTime } from '../../../test/virtualTime.js'
+import { itInVirtualTime } from '../../../test/virtualTime.js'
 import type { VirtualClock } from '../../../test/virtualTime.js'
 import { VM_ORDER_TIMEOUT_MS } from '../../ports/index.js'
 import type { Vm, VmCloud, VmList, Wave } from '../../ports/index.js'
@@ -313,27 +313,25 @@
   })
 
   // In virtual time: on a busy machine, fixed waits last longer than the lease.
-  itAlone(
+  itInVirtualTime(
     'sends no order while one of the previous owner may be in flight',
-    async (t) => {
-      await inVirtualTime(async ({ advance }) => {
-        // An order sent just before the end of the lease may be in flight for 1 s from now.
-        const leaseOverAt = performance.now() + 1000 - VM_ORDER_TIMEOUT_MS
-        const { fleet, orders } = startFleet(
-          [vmOf(1, 'a'), vmOf(2, 'idle')],
-          [],
-          'idle',
-          leaseOverAt,
-        )
-        const make = () => [reportOf('a', 15_000, [load('i1', 3, false)])]
-        void reportFor(fleet, 1400, make)
-        await advance(999)
-        t.deepEqual(orders, [])
-        await advance(400)
-        t.is(orders.length, 1)
-        void fleet.stop(false)
-        await advance(500)
-      })
+    async (t, { advance }) => {
+      // An order sent just before the end of the lease may be in flight for 1 s from now.
+      const leaseOverAt = performance.now() + 1000 - VM_ORDER_TIMEOUT_MS
+      const { fleet, orders } = startFleet(
+        [vmOf(1, 'a'), vmOf(2, 'idle')],
+        [],
+        'idle',
+        leaseOverAt,
+      )
+      const make = () => [reportOf('a', 15_000, [load('i1', 3, false)])]
+      void reportFor(fleet, 1400, make)
+      await advance(999)
+      t.deepEqual(orders, [])
+      await advance(400)
+      t.is(orders.length, 1)
+      void fleet.stop(false)
+      await advance(500)
     },
   )
 
@@ -351,8 +349,9 @@
   })
 
   // Otherwise a new owner of the fleet empties the VMs of a service that has not reported its need yet.
-  itAlone('empties no VM of a service without a report early in a wave', async (t) => {
-    await inVirtualTime(async ({ advance }) => {
+  itInVirtualTime(
+    'empties no VM of a service without a report early in a wave',
+    async (t, { advance }) => {
       const wave = { id: 1, vms: ['m1'], durationMs: 3000, maxDown: 1 }
       const { fleet } = startFleet([vmOf(1, 'a'), vmOf(2, 'a'), vmOf(3, 'b')], [wave])
       const make = () => [reportOf('b', 2000, [load('i3', 1, false)])]
@@ -361,8 +360,8 @@
       await reportOn(advance, fleet, 1000, make)
       t.deepEqual(fleet.report(make()[0]!)?.evacuate, ['i1'])
       void fleet.stop(false)
-    })
-  })
+    },
+  )
 
   // Otherwise, after a loss of all nodes, the new owner parks nine VMs that the next queue needs
   // 1.7 s later.
@@ -417,8 +416,9 @@
       { ...reportOf('a', 2000, [load('i3', 0, true)]), asksAttainable: true },
     ]
 
-    itAlone('says nothing of a wave until it has read the list', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'says nothing of a wave until it has read the list',
+      async (t, { advance }) => {
         const { fleet, state, statusOf, orders } = startFleet(vms(), [WAVE])
         state.listed = false
         await reportOn(advance, fleet, 400, make)
@@ -432,11 +432,12 @@
         ])
         t.is(statusOf(1), 'completed')
         void fleet.stop(false)
-      })
-    })
+      },
+    )
 
-    itAlone('closes no target, and names no attainable room', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'closes no target, and names no attainable room',
+      async (t, { advance }) => {
         const { fleet, state } = startFleet(vms(), [WAVE])
         state.listed = false
         await reportOn(advance, fleet, 300, make)
@@ -444,25 +445,21 @@
         t.deepEqual(answer?.evacuate, [])
         t.is(answer?.attainableCpu, undefined)
         void fleet.stop(false)
-      })
-    })
+      },
+    )
 
     // Otherwise the VMs that the next queue needs are parked as soon as the list can be read.
-    itAlone(
+    itInVirtualTime(
       'parks no VM before it has seen the peaks after the list can be read',
-      async (t) => {
-        await inVirtualTime(async ({ advance }) => {
-          const { fleet, state, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')])
-          const idle = () => [
-            reportOf('a', 0, [load('i1', 0, true), load('i2', 0, true)]),
-          ]
-          state.listed = false
-          await reportOn(advance, fleet, PEAK_HOLD_MS + 200, idle)
-          state.listed = true
-          await reportOn(advance, fleet, 700, idle)
-          t.deepEqual(orders, [])
-          void fleet.stop(false)
-        })
+      async (t, { advance }) => {
+        const { fleet, state, orders } = startFleet([vmOf(1, 'a'), vmOf(2, 'a')])
+        const idle = () => [reportOf('a', 0, [load('i1', 0, true), load('i2', 0, true)])]
+        state.listed = false
+        await reportOn(advance, fleet, PEAK_HOLD_MS + 200, idle)
+        state.listed = true
+        await reportOn(advance, fleet, 700, idle)
+        t.deepEqual(orders, [])
+        void fleet.stop(false)
       },
     )
   })
@@ -476,8 +473,9 @@
       return started
     }
 
-    itAlone('goes on with the wave once it is listed again', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'goes on with the wave once it is listed again',
+      async (t, { advance }) => {
         const { fleet, state, statusOf, orders } = startWith({ omitted: new Set(['m2']) })
         await reportOn(advance, fleet, 1000, () => [])
         t.deepEqual(orders, [{ kind: 'maintain', vm: 'm1' }])
@@ -487,41 +485,38 @@
         t.deepEqual(orders.at(-1), { kind: 'maintain', vm: 'm2' })
         t.is(statusOf(1), 'completed')
         void fleet.stop(false)
-      })
-    })
+      },
+    )
 
-    itAlone(
+    itInVirtualTime(
       'completes it without the VM once all lists of a while lack it',
-      async (t) => {
-        await inVirtualTime(async ({ advance }) => {
-          const { fleet, statusOf } = startWith({ omitted: new Set(['m2']) })
-          await reportOn(advance, fleet, GONE_AFTER_MS - 500, () => [])
-          t.is(statusOf(1), 'running')
-          await reportOn(advance, fleet, 1500, () => [])
-          t.is(statusOf(1), 'completed')
-          void fleet.stop(false)
-        })
+      async (t, { advance }) => {
+        const { fleet, statusOf } = startWith({ omitted: new Set(['m2']) })
+        await reportOn(advance, fleet, GONE_AFTER_MS - 500, () => [])
+        t.is(statusOf(1), 'running')
+        await reportOn(advance, fleet, 1500, () => [])
+        t.is(statusOf(1), 'completed')
+        void fleet.stop(false)
       },
     )
 
-    itAlone(
+    itInVirtualTime(
       'does not complete it while a row names no VM, or names this one',
-      async (t) => {
-        await inVirtualTime(async ({ advance }) => {
-          const omitted = new Set(['m2'])
-          const unnamed = startWith({ omitted, list: { isComplete: false } })
-          const named = startWith({ omitted, list: { unreadable: ['m2'] } })
-          await reportOn(advance, unnamed.fleet, GONE_AFTER_MS + 1000, () => [])
-          t.is(unnamed.statusOf(1), 'running')
-          t.is(named.statusOf(1), 'running')
-          void unnamed.fleet.stop(false)
-          void named.fleet.stop(false)
-        })
+      async (t, { advance }) => {
+        const omitted = new Set(['m2'])
+        const unnamed = startWith({ omitted, list: { isComplete: false } })
+        const named = startWith({ omitted, list: { unreadable: ['m2'] } })
+        await reportOn(advance, unnamed.fleet, GONE_AFTER_MS + 1000, () => [])
+        t.is(unnamed.statusOf(1), 'running')
+        t.is(named.statusOf(1), 'running')
+        void unnamed.fleet.stop(false)
+        void named.fleet.stop(false)
       },
     )
 
-    itAlone('counts it as one that may be in maintenance', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'counts it as one that may be in maintenance',
+      async (t, { advance }) => {
         const wave = { ...WAVE, maxDown: 1 }
         const { fleet, state, orders } = startFleet(
           [vmOf(1, 'idle'), vmOf(2, 'idle')],
@@ -531,8 +526,8 @@
         await reportOn(advance, fleet, 600, () => [])
         t.deepEqual(orders, [])
         void fleet.stop(false)
-      })
-    })
+      },
+    )
   })
 
   describe('with a cordoned data hall', () => {
--- a/src/vms/__tests__/waveOrders.spec.ts
+++ b/src/vms/__tests__/waveOrders.spec.ts
@@ -1,8 +1,8 @@
 /** Waves under one owner of the fleet or two, with a cloud and a store that fail, in virtual time. */
 import { createRowTable } from '../../../playground/sim/rowTable.js'
-import { describe, itAlone } from '../../../test/describe.js'
+import { describe } from '../../../test/describe.js'
 import { startFleetOwner } from '../../../test/fleetRig.js'
-import { inVirtualTime } from '../../../test/virtualTime.js'
+import { itInVirtualTime } from '../../../test/virtualTime.js'
 import type { RowKey, RowStore, Wave } from '../../ports/index.js'
 import { STATUS_CHECK_AFTER_MS, WAVES_TABLE } from '../index.js'
 import { createSimCloud } from './simCloud.js'
@@ -62,8 +62,9 @@
 describe('wave of maintenance', () => {
   describe('orders', () => {
     // Otherwise a wave counts as completed whose VMs the cloud has refused to maintain.
-    itAlone('that the cloud refuses as not due have begun nothing', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'that the cloud refuses as not due have begun nothing',
+      async (t, { advance }) => {
         const rig = startRig(waveOf(['m1', 'm2'], 2))
         rig.setFault('notDue')
         const fleet = rig.startOwner()
@@ -76,25 +77,24 @@
         t.is(rig.cloud.begun.length, 2)
         void fleet.stop(false)
         await advance(500)
-      })
-    })
+      },
+    )
 
     // Otherwise a busy VM uses up the orders that the cloud accepts per second.
-    itAlone('to a busy VM are repeated after a pause', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
-        const rig = startRig(waveOf(['m1'], 1))
-        rig.setFault('busy')
-        const fleet = rig.startOwner()
-        await advance(2500)
-        t.is(rig.ordered.length, 3)
-        void fleet.stop(false)
-        await advance(500)
-      })
+    itInVirtualTime('to a busy VM are repeated after a pause', async (t, { advance }) => {
+      const rig = startRig(waveOf(['m1'], 1))
+      rig.setFault('busy')
+      const fleet = rig.startOwner()
+      await advance(2500)
+      t.is(rig.ordered.length, 3)
+      void fleet.stop(false)
+      await advance(500)
     })
 
     // Otherwise a late order brings one VM too many into maintenance.
-    itAlone('without an answer count as down until they are settled', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'without an answer count as down until they are settled',
+      async (t, { advance }) => {
         const rig = startRig(waveOf(['m1', 'm2'], 1))
         rig.cloud.vms[1]!.hall = 'h2'
         rig.setFault('late', 'whole', 4000)
@@ -111,12 +111,13 @@
         t.is(rig.status(), 'completed')
         void fleet.stop(false)
         await advance(500)
-      })
-    })
+      },
+    )
 
     // Otherwise a list that is older than the one before shows a VM as up that is in maintenance.
-    itAlone('stay pending until the list shows the next life', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'stay pending until the list shows the next life',
+      async (t, { advance }) => {
         const rig = startRig(waveOf(['m1', 'm2'], 1))
         const fleet = rig.startOwner()
         await advance(400)
@@ -129,68 +130,65 @@
         t.is(rig.cloud.begun.length, 2)
         void fleet.stop(false)
         await advance(500)
-      })
-    })
+      },
+    )
   })
 
   describe('status', () => {
     // Otherwise 'running' stands for good after a wave has been completed.
-    itAlone(
+    itInVirtualTime(
       'is not changed by a write of an earlier owner that arrives late',
-      async (t) => {
-        await inVirtualTime(async ({ advance }) => {
-          const rig = startRig(waveOf(['m1'], 1))
-          const held: (() => Promise<unknown>)[] = []
-          const direct = rig.table.forNode('n')
-          const store: RowStore = {
-            ...direct,
-            commit(tx) {
-              if (tx.puts.every(({ table }) => table !== STATUS.table))
-                return direct.commit(tx)
-              held.push(() => direct.commit(tx))
-              return new Promise(() => undefined)
-            },
-          }
-          rig.setFault('lost')
-          let isConfirmed = true
-          void rig.startOwner({ store, isConfirmed: () => isConfirmed })
-          await advance(1000)
-          t.is(held.length, 1)
-          isConfirmed = false
-          rig.setFault('done')
-          const fleet = rig.startOwner()
-          await advance(4000)
-          t.is(rig.status(), 'completed')
-          void held[0]!()
-          await advance(1000)
-          t.is(rig.status(), 'completed')
-          void fleet.stop(false)
-          await advance(500)
-        })
+      async (t, { advance }) => {
+        const rig = startRig(waveOf(['m1'], 1))
+        const held: (() => Promise<unknown>)[] = []
+        const direct = rig.table.forNode('n')
+        const store: RowStore = {
+          ...direct,
+          commit(tx) {
+            if (tx.puts.every(({ table }) => table !== STATUS.table))
+              return direct.commit(tx)
+            held.push(() => direct.commit(tx))
+            return new Promise(() => undefined)
+          },
+        }
+        rig.setFault('lost')
+        let isConfirmed = true
+        void rig.startOwner({ store, isConfirmed: () => isConfirmed })
+        await advance(1000)
+        t.is(held.length, 1)
+        isConfirmed = false
+        rig.setFault('done')
+        const fleet = rig.startOwner()
+        await advance(4000)
+        t.is(rig.status(), 'completed')
+        void held[0]!()
+        await advance(1000)
+        t.is(rig.status(), 'completed')
+        void fleet.stop(false)
+        await advance(500)
       },
     )
 
     // Otherwise it stands for good what an owner of an older software version has written late.
-    itAlone(
+    itInVirtualTime(
       'is put right after an unconditional write of an earlier owner',
-      async (t) => {
-        await inVirtualTime(async ({ advance }) => {
-          const rig = startRig(waveOf(['m1'], 1))
-          const fleet = rig.startOwner()
-          await advance(5000)
-          t.is(rig.status(), 'completed')
-          rig.table.put(STATUS, 'running')
-          await advance(STATUS_CHECK_AFTER_MS)
-          t.is(rig.status(), 'completed')
-          void fleet.stop(false)
-          await advance(500)
-        })
+      async (t, { advance }) => {
+        const rig = startRig(waveOf(['m1'], 1))
+        const fleet = rig.startOwner()
+        await advance(5000)
+        t.is(rig.status(), 'completed')
+        rig.table.put(STATUS, 'running')
+        await advance(STATUS_CHECK_AFTER_MS)
+        t.is(rig.status(), 'completed')
+        void fleet.stop(false)
+        await advance(500)
       },
     )
 
     // Otherwise VMs that an earlier owner has wrongly left out are never maintained.
-    itAlone('is put right by a new owner if it is wrong', async (t) => {
-      await inVirtualTime(async ({ advance }) => {
+    itInVirtualTime(
+      'is put right by a new owner if it is wrong',
+      async (t, { advance }) => {
         const rig = startRig(waveOf(['m1', 'm2'], 1))
         rig.table.put(STATUS, 'completed')
         rig.table.put(
@@ -207,36 +205,35 @@
         t.is(rig.status(), 'completed')
         void fleet.stop(false)
         await advance(500)
-      })
-    })
+      },
+    )
   })
 
   // Otherwise each new owner gives a wave its whole time again, and it ends too late.
-  itAlone('keeps its time when its owner is replaced', async (t) => {
-    await inVirtualTime(async ({ advance }) => {
-      const rig = startRig(waveOf(['m1'], 1), 'a')
-      const first = rig.startOwner()
-      await advance(11_000)
-      void first.stop(true)
-      const second = rig.startOwner()
-      await advance(2000)
-      const targets = [
-        { id: 'i1', runs: 1, lasting: 1, evacuating: true, usedCpu: 1, suspect: false },
-      ]
-      const need = { neededCpu: 1, timelyCpu: 1, minTargets: 1 }
-      const report = (sequence: number) =>
-        second.report({ service: 'a', term: 1, sequence, ...need, targets })
-      report(1)
-      await advance(300)
-      t.deepEqual(report(2)?.hurry, ['i1'])
-      void second.stop(false)
-      await advance(500)
-    })
+  itInVirtualTime('keeps its time when its owner is replaced', async (t, { advance }) => {
+    const rig = startRig(waveOf(['m1'], 1), 'a')
+    const first = rig.startOwner()
+    await advance(11_000)
+    void first.stop(true)
+    const second = rig.startOwner()
+    await advance(2000)
+    const targets = [
+      { id: 'i1', runs: 1, lasting: 1, evacuating: true, usedCpu: 1, suspect: false },
+    ]
+    const need = { neededCpu: 1, timelyCpu: 1, minTargets: 1 }
+    const report = (sequence: number) =>
+      second.report({ service: 'a', term: 1, sequence, ...need, targets })
+    report(1)
+    await advance(300)
+    t.deepEqual(report(2)?.hurry, ['i1'])
+    void second.stop(false)
+    await advance(500)
   })
 
   // Otherwise the VMs that operators add to a wave are left out.
-  itAlone('goes on with the VMs that operators add to it', async (t) => {
-    await inVirtualTime(async ({ advance }) => {
+  itInVirtualTime(
+    'goes on with the VMs that operators add to it',
+    async (t, { advance }) => {
       const rig = startRig(waveOf(['m1', 'm2'], 2))
       rig.waves[0] = waveOf(['m1'], 2)
       const fleet = rig.startOwner()
@@ -248,6 +245,6 @@
       t.is(rig.status(), 'completed')
       void fleet.stop(false)
       await advance(500)
-    })
-  })
+    },
+  )
 })
--- a/src/vms/vmOrders.ts
+++ b/src/vms/vmOrders.ts
@@ -6,7 +6,7 @@
 import { ORDER_VISIBLE_WITHIN_MS, REPORT_ENDED_MS } from './constants.js'
 import type { VmInventory } from './vmInventory.js'
 
-/** An order whose effect the list does not show yet. */
+/** An order that may still be carried out, or whose VM has no next life in the list yet. */
 export interface PendingOrder {
   kind: 'move' | 'maintain'
   /** Pool of the VM once the order is carried out. */
--- a/test/virtualTime.ts
+++ b/test/virtualTime.ts
@@ -1,5 +1,7 @@
 /** Runs code on a clock that advances without waiting. */
 import fakeTimers from '@sinonjs/fake-timers'
+import type { ExecutionContext } from 'ava'
+import { itAlone } from './describe.js'
 
 /** The clock of a run. */
 export interface VirtualClock {
@@ -20,3 +22,11 @@
     clock.uninstall()
   }
 }
+
+/** Registers a test that runs in virtual time, and not concurrently with others of the same file. */
+export function itInVirtualTime(
+  title: string,
+  body: (t: ExecutionContext, clock: VirtualClock) => Promise<void>,
+): void {
+  itAlone(title, (t) => inVirtualTime((clock) => body(t, clock)))
+}
