feat(config): memory and descriptors of the VM as settings

Cause: the template hands a node neither the memory nor the descriptors of its VM, so that nothing in the process can be sized by them.

A node replaces a wrong value by the default and logs it, as for other keys that it can serve without.

--- a/src/config/nodeSchema.ts
+++ b/src/config/nodeSchema.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { FEATURES, FEATURE_CONTRACTS } from './features.js'
 import type { Feature } from './features.js'
+import { limitKeys } from './schema.js'
 import {
   identifierList,
   ipAddress,
@@ -105,6 +106,7 @@
     /** Optional features to enable. @default those that the contracts in force call for */
     enabled: featureList().optional(),
   }),
+  limits: section(limitKeys),
   log: section({
     /** Least severe level that is logged: error, warn, info or debug. @default 'info' */
     level: z.enum(['error', 'warn', 'info', 'debug']).prefault('info'),
@@ -122,6 +124,7 @@
   cloud: ['orders_per_second'],
   contracts: ['in_force'],
   features: ['enabled'],
+  limits: ['memory_mb', 'file_descriptors'],
   log: ['level'],
 }
 
--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -16,6 +16,25 @@
   wholeNumber,
 } from './values.js'
 
+/** Least memory with which a process can run, in MB. */
+const MIN_MEMORY_MB = 128
+/** Fewest descriptors with which a process can run. */
+const MIN_DESCRIPTORS = 256
+
+/** Limits of the VM; both kinds of settings have these keys. */
+export const limitKeys = {
+  /**
+   * Memory of the VM that the process may use, in MB.
+   * @default 160
+   */
+  memory_mb: wholeNumber(MIN_MEMORY_MB, 1_000_000).prefault('160'),
+  /**
+   * Descriptors that the process may have open.
+   * @default 1024
+   */
+  file_descriptors: wholeNumber(MIN_DESCRIPTORS, 10_000_000).prefault('1024'),
+}
+
 /** A strict object, so that a misspelt key is an error. */
 const section = <T extends z.ZodRawShape>(shape: T) => z.strictObject(shape)
 
@@ -150,6 +169,9 @@
   reboot_timeout: duration().prefault('10m'),
 })
 
+/** Limits of the VM, which this process must not exceed. */
+const limits = section(limitKeys)
+
 /** Structured log. */
 const log = section({
   /**
@@ -177,6 +199,7 @@
   peers: z.record(z.string(), peerAddress()),
   requests,
   keeper,
+  limits,
   log,
 })
 
