--- a/playground/sim/nodeProcess.ts
+++ b/playground/sim/nodeProcess.ts
@@ -54,6 +54,8 @@
   readiness: string
   /** URL of the metrics. */
   metrics: string
+  /** Address for other nodes, as `host:port`. */
+  nodeAddress: string
   file: string
 }
 
@@ -94,6 +96,7 @@
     callers: `${HOST}:${callers}`,
     readiness: `${HOST}:${readiness}`,
     metrics: `http://${HOST}:${metricsPort}/metrics`,
+    nodeAddress: `${HOST}:${nodePort}`,
     file,
   }
 }
