test(crowds): a process that has ended fails a test at once

Cause: the ordinary request was tried for half a minute at a process that had ended already.

Change: that the process lives is checked before the request too.

Result: the same failures, sooner.

--- a/playground/crowds/node.spec.ts
+++ b/playground/crowds/node.spec.ts
@@ -42,8 +42,12 @@
   return { platform, node }
 }
 
-function checkUsage(t: ExecutionContext, process: LimitedProcess): void {
+function checkAlive(t: ExecutionContext, process: LimitedProcess): void {
   t.true(process.isAlive(), process.output().slice(-2000))
+}
+
+function checkUsage(t: ExecutionContext, process: LimitedProcess): void {
+  checkAlive(t, process)
   const peakMb = process.peakMemoryMb()
   const descriptors = process.openDescriptors()
   t.log(`peak ${peakMb.toFixed(0)} MB, ${descriptors} descriptors`)
@@ -111,6 +115,7 @@
         const { node } = await startOne(t)
         const crowd = CROWDS[kind](callersOf(node))
         await crowd.settled()
+        checkAlive(t, node)
         const beside = await submitStatus(node, 1)
         checkUsage(t, node)
         crowd.close()
@@ -137,6 +142,7 @@
         const { node } = await startOne(t)
         const crowds = CROWD_KINDS.map((kind) => CROWDS[kind](of(node)))
         for (const crowd of crowds) await crowd.settled()
+        checkAlive(t, node)
         const beside = await ask(node)
         const job = await submitStatus(node, 1)
         checkUsage(t, node)
@@ -158,6 +164,7 @@
       t.is(await ordinaryStatus({ url, method: 'GET' }, 503), 503, node.output())
       const crowds = CROWD_KINDS.map((kind) => CROWDS[kind](callersOf(node)))
       for (const crowd of crowds) await crowd.settled()
+      checkAlive(t, node)
       const beside = await ordinaryStatus({ url, method: 'GET' }, 503)
       checkUsage(t, node)
       crowds.forEach((each) => each.close())
@@ -185,6 +192,7 @@
         CROWD_KINDS.map((kind) => CROWDS[kind](callersOf(node))),
       )
       for (const crowd of crowds) await crowd.settled()
+      for (const node of nodes) checkAlive(t, node)
       const statuses = await Promise.all(
         nodes.map((node, each) => submitStatus(node, 2 + each)),
       )
