test(crowds): jobs that are sent ahead are valid requests

Cause: the head of a job in the crowd ended in bare line feeds, so that each connection got 400 and was closed; the crowd did nothing.

Change: it ends as the others do. The size of the crowd and the bounds stay.

Result: a node accepts the jobs.

--- a/playground/crowds/crowds.ts
+++ b/playground/crowds/crowds.ts
@@ -121,9 +121,7 @@
     return openMany(address, 30, (socket) => {
       const requests = Array.from(
         { length: UPLOADS_AHEAD },
-        () => `${upload(++uploads)}Content-Length: ${body.length}
-
-${body}`,
+        () => `${upload(++uploads)}Content-Length: ${body.length}\r\n\r\n${body}`,
       )
       socket.write(requests.join(''))
     })
