fix(limits): requests sent ahead end no process

Seen: 30 connections that send 10,000 GETs or 1,000 jobs ahead and read nothing end a node within seconds (SIGABRT, heap); without Host, or as HTTP/1.0, it grows to 216 and 219 MB on a VM of 160.

Cause: Node's parser hands over all requests that one read of a socket has brought, thousands of them, before any answer is sent, and nothing limits how many are handled at the same time.

Change: src/limits creates every server that clients reach: callers, other nodes, readiness and metrics of a node; callers, peers and operations of an entry. Requests in progress are limited over all connections by the memory of the VM; the first request of a connection beyond it gets 503 with Retry-After before it is passed on, so that it has not run.

--- a/bench/entryCluster.ts
+++ b/bench/entryCluster.ts
@@ -6,6 +6,7 @@
 import { resolveConfig } from '../src/config/index.js'
 import { createFront, createRouter, createTarget } from '../src/entry/index.js'
 import type { Front, PolicyName, Router, Target, TargetView } from '../src/entry/index.js'
+import { createServerLimits } from '../src/limits/index.js'
 import { createMemoryLogger, createMetrics } from '../src/shared/index.js'
 import type { Metrics } from '../src/shared/index.js'
 import { checkTable, createTableHolder, hashTable } from '../src/table/index.js'
@@ -121,6 +122,8 @@
       requests: { queue: '2000', retry_share: String(opts.retryShare ?? 0.1) },
     })._unsafeUnwrap()
     const metrics = createMetrics()
+    const vm = { memory_mb: 4096, file_descriptors: 20_000 }
+    const serverLimits = createServerLimits({ vm, log: silentLog })
     const slotShare =
       Math.floor(limit / opts.entries) + (e < limit % opts.entries ? 1 : 0)
     const router = createRouter({
@@ -137,7 +140,7 @@
       router,
       targets,
       metrics,
-      front: await createFront({ router, host: HOST, port: 0 }),
+      front: await createFront({ router, host: HOST, port: 0, serverLimits }),
     })
   }
 
--- a/src/bin/nodeProgram.ts
+++ b/src/bin/nodeProgram.ts
@@ -14,6 +14,8 @@
 import { loadNodeConfig, unknownContracts } from '../config/index.js'
 import type { LoadedNodeConfig, NodeConfig } from '../config/index.js'
 import type { Kernel } from '../kernel/index.js'
+import { createServerLimits } from '../limits/index.js'
+import type { ServerLimits } from '../limits/index.js'
 import { createNode, createNodeMetrics, waitForSettings } from '../node/index.js'
 import type { NodeMetrics, NodePlatform } from '../node/index.js'
 import type { Logger } from '../shared/index.js'
@@ -32,6 +34,7 @@
 function createPlatform(
   cfg: NodeConfig,
   metrics: NodeMetrics,
+  serverLimits: ServerLimits,
   log: Logger,
 ): NodePlatform {
   const onTraffic = metrics.noteCall
@@ -57,14 +60,27 @@
     advice,
     documents: platformDocuments,
     openCallers: (jobs, maxBodyBytes) =>
-      serveApp(createJobApp(jobs, maxBodyBytes), cfg.listen.callers),
+      serveApp(
+        createJobApp(jobs, maxBodyBytes),
+        cfg.listen.callers,
+        'callers',
+        serverLimits,
+      ),
     openReadiness: (notReady) =>
-      serveApp(createReadinessApp(notReady), cfg.listen.readiness),
+      serveApp(
+        createReadinessApp(notReady),
+        cfg.listen.readiness,
+        'readiness',
+        serverLimits,
+      ),
     openMetrics: () =>
       serveApp(
         createMetricsApp(() => metrics.registry.metrics()),
         `${cfg.listen.address}:${cfg.listen.metrics_port}`,
+        'metrics',
+        serverLimits,
       ),
+    serverLimits,
     close() {
       store.close()
       cloud?.close()
@@ -116,6 +132,11 @@
     log.event('unexpectedError', { reason: cause.stack ?? String(cause) }),
   )
   logIgnoredSettings(loaded, log)
+  const serverLimits = createServerLimits({
+    vm: cfg.limits,
+    log,
+    registry: metrics.registry,
+  })
   let kernel: Kernel | undefined
   let stop: Promise<void> | undefined
   // A second SIGTERM does not interrupt the stop under way: exiting at once would cut off
@@ -129,7 +150,7 @@
   })
   signals.handle('SIGHUP', () => void reload(file, cfg, log))
   while (!stop) {
-    kernel = createNode(cfg, createPlatform(cfg, metrics, log), log)
+    kernel = createNode(cfg, createPlatform(cfg, metrics, serverLimits, log), log)
     const started = await kernel.start()
     if (started.isOk()) return
     await sleep(START_RETRY_MS)
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -11,6 +11,7 @@
   | 'unknown service'
   | 'no target'
   | 'queue full'
+  | 'overloaded'
   | 'deadline before sending'
   | 'stopping'
   | 'no answer'
@@ -30,6 +31,7 @@
   'unknown service': { status: 404, outcome: 'not-run', retryLater: false },
   'no target': { status: 503, outcome: 'not-run', retryLater: true },
   'queue full': { status: 503, outcome: 'not-run', retryLater: true },
+  overloaded: { status: 503, outcome: 'not-run', retryLater: true },
   'deadline before sending': { status: 504, outcome: 'not-run', retryLater: true },
   stopping: { status: 503, outcome: 'not-run', retryLater: true },
   'no answer': { status: 502, outcome: 'unknown', retryLater: false },
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -4,10 +4,12 @@
  * docs/measurements.md).
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { serve } from '@hono/node-server'
+import { getRequestListener } from '@hono/node-server'
 import type { HttpBindings } from '@hono/node-server'
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
 import { Hono } from 'hono'
+import type { ServerLimits } from '../limits/index.js'
+import { refuse } from './answers.js'
 import { KEEP_ALIVE_TIMEOUT_MS } from './constants.js'
 import type { Router } from './router.js'
 
@@ -24,8 +26,9 @@
   router: Router
   host: string
   port: number
+  serverLimits: ServerLimits
 }): Promise<Front> {
-  const { router, host, port } = opts
+  const { router, host, port, serverLimits } = opts
   let stopping = false
   const app = new Hono<{ Bindings: HttpBindings }>()
   app.all('*', async (c) => {
@@ -36,10 +39,13 @@
     if (stopping) endConnection(req, res)
     return RESPONSE_ALREADY_SENT
   })
-  const server = await listen(app, host, port)
-  // Large uploads may take long; each request is bounded by its deadline instead.
-  server.requestTimeout = 0
-  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS
+  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false })
+  const server = serverLimits.createServer('callers', listener, {
+    // Large uploads may take long; each request is bounded by its deadline instead.
+    http: { requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS },
+    refuse: (res) => void refuse(res, 'overloaded', undefined, 'too many requests'),
+  })
+  await listen(server, host, port)
   const address = server.address() as { address: string; port: number }
 
   return {
@@ -61,17 +67,10 @@
   else res.once('finish', () => req.socket.destroySoon())
 }
 
-/** Serves a hono application at an address; rejects if the address cannot be used. */
-export function listen(
-  app: { fetch: Parameters<typeof serve>[0]['fetch'] },
-  host: string,
-  port: number,
-): Promise<Server> {
+/** Opens the port of a server; rejects if the address cannot be used. */
+export function listen(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
-    const server = serve(
-      { fetch: app.fetch, hostname: host, port, overrideGlobalObjects: false },
-      () => resolve(server as Server),
-    )
     server.once('error', reject)
+    server.listen(port, host, resolve)
   })
 }
--- a/src/entry/ops.ts
+++ b/src/entry/ops.ts
@@ -1,5 +1,7 @@
 /** HTTP server for operations: /healthz, /readyz and /metrics. */
+import { getRequestListener } from '@hono/node-server'
 import { Hono } from 'hono'
+import type { ServerLimits } from '../limits/index.js'
 import type { Metrics } from '../shared/index.js'
 import { listen } from './front.js'
 
@@ -23,6 +25,7 @@
   metrics: Metrics
   host: string
   port: number
+  serverLimits: ServerLimits
 }): Promise<Ops> {
   const { state, metrics } = opts
   const app = new Hono()
@@ -36,7 +39,9 @@
     const text = await metrics.render()
     return c.body(text, 200, { 'content-type': metrics.registry.contentType })
   })
-  const server = await listen(app, opts.host, opts.port)
+  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false })
+  const server = opts.serverLimits.createServer('readiness', listener)
+  await listen(server, opts.host, opts.port)
   return {
     port: (server.address() as { port: number }).port,
     close: () =>
--- a/src/front/__tests__/admission.spec.ts
+++ b/src/front/__tests__/admission.spec.ts
@@ -8,7 +8,7 @@
 import { toJson } from '@bufbuild/protobuf'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
-import { fullLoad, queueNamespaces } from '../../../test/fixtures.js'
+import { fullLoad, queueNamespaces, smallVmLimits } from '../../../test/fixtures.js'
 import { QUEUE, SERVICE, makeJob } from '../../../test/jobRig.js'
 import { createFrontAdmission } from '../../admission/index.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
@@ -34,7 +34,7 @@
     const owner = { cancel: () => true, waiting: () => 3, load: () => load }
     const local = { service: () => owner, fleet: () => undefined }
     const routes = ownerRoutes(local as unknown as LocalOwners, {} as StoreAccess)
-    const server = await listenForNodes('127.0.0.1', 0, routes)
+    const server = await listenForNodes('127.0.0.1', 0, routes, smallVmLimits())
     const clients = createNodeClients()
     t.teardown(() => {
       clients.close()
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -1,10 +1,10 @@
 /** RPC server for other nodes: questions about owned services, fleet reports, store calls. */
-import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { z } from 'zod'
 import { jobSchema } from '../jobs/index.js'
+import type { ServerLimits } from '../limits/index.js'
 import { NodeService } from '../peer/gen/node_pb.js'
 import type { Answer, Question } from '../peer/gen/node_pb.js'
 import type { ServiceOwner } from '../scheduler/index.js'
@@ -114,8 +114,10 @@
   host: string,
   port: number,
   routes: (router: ConnectRouter) => void,
+  limits: ServerLimits,
 ): Promise<Server> {
-  const server = createServer(
+  const server = limits.createServer(
+    'nodes',
     connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES }),
   )
   await new Promise<void>((resolve, reject) => {
--- /dev/null
+++ b/src/limits/budget.ts
@@ -0,0 +1,77 @@
+/**
+ * Divides the memory and the descriptors of the process between its endpoints. What is not divided
+ * is the reserve for the process's own work: store, targets, peers, leases.
+ */
+
+/** Limits of the VM, from the settings. */
+export interface VmLimits {
+  memory_mb: number
+  file_descriptors: number
+}
+
+/** Endpoints at which clients connect. */
+export type Endpoint = 'callers' | 'nodes' | 'readiness' | 'metrics'
+
+/** What the clients of one endpoint can take. */
+export interface EndpointLimits {
+  /** Open connections. */
+  connections: number
+  /** Requests that have begun and are not answered, over all connections. */
+  requests: number
+  /** Bytes of requests that are not answered, over all connections. */
+  heldBytes: number
+  /** Bytes of answers that clients have not taken, over all connections. */
+  unreadBytes: number
+}
+
+const MB = 1024 * 1024
+/** Part of the memory that clients can take. */
+const MEMORY_SHARE = 0.15
+/** Part of the descriptors that connections of clients can take. */
+const DESCRIPTOR_SHARE = 0.5
+/** Descriptors that the platform keeps for files. */
+const FILE_DESCRIPTORS = 200
+/** Memory of an open connection besides the bytes in it, in bytes. */
+const CONNECTION_BYTES = 16 * 1024
+/** Memory of a request in progress besides its bytes, in bytes. */
+const REQUEST_BYTES = 32 * 1024
+/** Fewest descriptors that are divided between the endpoints. */
+const MIN_DESCRIPTORS = 64
+
+/** Parts of an endpoint's memory, by what it is used for. */
+const USES = { connections: 0.3, requests: 0.3, held: 0.25, unread: 0.15 }
+
+interface EndpointShare {
+  /** Part of the memory and the descriptors of all clients. */
+  share: number
+  /** Fewest bytes of requests: those of a few of the largest ones. */
+  minHeldBytes: number
+  /** Most connections and requests that the endpoint can use. */
+  most: number
+}
+
+const SHARES: Record<Endpoint, EndpointShare> = {
+  callers: { share: 0.7, minHeldBytes: 4 * MB, most: Infinity },
+  nodes: { share: 0.2, minHeldBytes: 2 * MB, most: 1024 },
+  readiness: { share: 0.05, minHeldBytes: 64 * 1024, most: 32 },
+  metrics: { share: 0.05, minHeldBytes: 64 * 1024, most: 16 },
+}
+
+/** Returns what the clients of an endpoint can take. */
+export function limitsOf(endpoint: Endpoint, vm: VmLimits): EndpointLimits {
+  const { share, minHeldBytes, most } = SHARES[endpoint]
+  const bytes = vm.memory_mb * MB * MEMORY_SHARE * share
+  const free = Math.max(MIN_DESCRIPTORS, vm.file_descriptors - FILE_DESCRIPTORS)
+  const descriptors = free * DESCRIPTOR_SHARE * share
+  const connections = Math.min(
+    most,
+    descriptors,
+    (bytes * USES.connections) / CONNECTION_BYTES,
+  )
+  return {
+    connections: Math.ceil(connections),
+    requests: Math.ceil(Math.min(most, (bytes * USES.requests) / REQUEST_BYTES)),
+    heldBytes: Math.max(minHeldBytes, Math.floor(bytes * USES.held)),
+    unreadBytes: Math.floor(bytes * USES.unread),
+  }
+}
--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,5 @@
+/** Bounds what clients can take of the process: connections, requests and memory. */
+export type { Endpoint, VmLimits } from './budget.js'
+export { createServerLimits } from './serverLimits.js'
+export type { ServerLimits } from './serverLimits.js'
+export { releaseBytes } from './connection.js'
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -111,7 +111,7 @@
 export const ownerCallsService = (cfg: NodeConfig) =>
   defineService({
     name: 'ownerCalls',
-    needs: ['storeAccess', 'registry', 'owners'],
+    needs: ['nodePlatform', 'storeAccess', 'registry', 'owners'],
     async start({ get, log }) {
       const { local } = get('owners')
       const registry = get('registry')
@@ -119,7 +119,12 @@
       const clients = createNodeClients()
       const calls = createOwnerCalls({ registry, local, clients, log })
       const { address, node_port: port } = cfg.listen
-      const server = await listenForNodes(address, port, ownerRoutes(local, access))
+      const server = await listenForNodes(
+        address,
+        port,
+        ownerRoutes(local, access),
+        get('nodePlatform').serverLimits,
+      )
       access.setRelay(createStoreRelay(registry, clients, log))
       return { ...calls, server, clients }
     },
--- a/src/node/serviceMap.ts
+++ b/src/node/serviceMap.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http'
 import type { ConfigurationHolder, TargetSource } from '../directory/index.js'
 import type { JobService, NodeClients, OwnerCalls } from '../front/index.js'
+import type { ServerLimits } from '../limits/index.js'
 import type { Namespaces } from '../namespaces/index.js'
 import type { NodeRegistry, Ownership } from '../ownership/index.js'
 import type {
@@ -32,6 +33,8 @@
   openReadiness(notReady: () => string | undefined): Promise<Server>
   /** Opens the endpoint for metrics. */
   openMetrics(): Promise<Server>
+  /** Limits that all servers of the process share. */
+  serverLimits: ServerLimits
   close(): void
 }
 
--- a/src/peer/__tests__/blockedProcess.spec.ts
+++ b/src/peer/__tests__/blockedProcess.spec.ts
@@ -7,6 +7,7 @@
 import { createMetrics, monotonicMs, sleep } from '../../shared/index.js'
 import { NodeReportSchema } from '../gen/peer_pb.js'
 import { callWithTimeout } from '../callWithTimeout.js'
+import { smallVmLimits } from '../../../test/fixtures.js'
 import { listenForPeers, createPeer } from '../peerLink.js'
 import { createMeteredAgent, createTrafficMeter } from '../traffic.js'
 
@@ -107,7 +108,7 @@
       listen: { peer_port: '0' },
       platform: { url: 'http://127.0.0.1:1' },
     })._unsafeUnwrap()
-    const server = await listenForPeers(cfg, () => {}, meter)
+    const server = await listenForPeers(cfg, () => {}, meter, smallVmLimits())
     t.teardown(() => server.close())
     const { address, port } = server.address() as AddressInfo
     const keepAliveHeader = await new Promise<string>((resolve, reject) => {
--- a/src/peer/network.ts
+++ b/src/peer/network.ts
@@ -7,6 +7,7 @@
 import type { CallOptions, ConnectRouter } from '@connectrpc/connect'
 import type { ResolvedConfig } from '../config/index.js'
 import type { Allotments, Once, OncePeers } from '../entry/index.js'
+import type { ServerLimits } from '../limits/index.js'
 import type { Platform, RowWatch } from '../platform/index.js'
 import { createStopController, describeError, jittered, sleep } from '../shared/index.js'
 import type { Logger, Metrics } from '../shared/index.js'
@@ -73,6 +74,7 @@
   platform: Platform
   rows: RowWatch
   table: TableHolder
+  serverLimits: ServerLimits
   log: Logger
   metrics: Metrics
 }
@@ -242,7 +244,7 @@
       ...sharing.routes,
     })
 
-  const server = await listenForPeers(cfg, routes, meter)
+  const server = await listenForPeers(cfg, routes, meter, opts.serverLimits)
   metrics.beforeScrape.push(meter.collect)
   const syncLoops = [...peers.values()].map(runSyncLoop)
 
--- a/src/peer/peerLink.ts
+++ b/src/peer/peerLink.ts
@@ -1,10 +1,10 @@
 /** One peer: address, client and last report. */
-import { createServer } from 'node:http'
 import type { Agent, Server } from 'node:http'
 import type { Client, ConnectRouter } from '@connectrpc/connect'
 import { createClient } from '@connectrpc/connect'
 import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node'
 import type { PeerAddress, ResolvedConfig } from '../config/index.js'
+import type { ServerLimits } from '../limits/index.js'
 import { monotonicMs } from '../shared/index.js'
 import {
   SERVER_IDLE_TIMEOUT_MS,
@@ -94,9 +94,12 @@
   cfg: ResolvedConfig,
   routes: (router: ConnectRouter) => void,
   meter: TrafficMeter,
+  limits: ServerLimits,
 ): Promise<Server> {
   const adapter = connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES })
-  const server = createServer({ keepAliveTimeout: SERVER_IDLE_TIMEOUT_MS }, adapter)
+  const server = limits.createServer('nodes', adapter, {
+    http: { keepAliveTimeout: SERVER_IDLE_TIMEOUT_MS },
+  })
   server.on('connection', meter.track)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/src/programs/entryServices.ts
+++ b/src/programs/entryServices.ts
@@ -250,12 +250,13 @@
 export const frontService = (cfg: ResolvedConfig) =>
   defineService({
     name: 'front',
-    needs: ['router'],
+    needs: ['router', 'serverLimits'],
     start: ({ get }) =>
       createFront({
         router: get('router'),
         host: cfg.listen.address,
         port: cfg.listen.port,
+        serverLimits: get('serverLimits'),
       }),
     stop: (front) => front.close(),
   })
--- a/src/programs/programs.ts
+++ b/src/programs/programs.ts
@@ -19,12 +19,14 @@
   peersService,
   platformService,
   rowsService,
+  serverLimitsService,
   tableService,
 } from './services.js'
 
 const commonServices = (cfg: ResolvedConfig, runsKeeper: boolean) => [
   lifecycleService(),
   metricsService(),
+  serverLimitsService(cfg),
   platformService(cfg),
   rowsService(cfg, runsKeeper),
   tableService(),
--- a/src/programs/services.ts
+++ b/src/programs/services.ts
@@ -7,6 +7,8 @@
 import type { Keeper } from '../keeper/index.js'
 import { defineService } from '../kernel/index.js'
 import { jobPrefix, vmPrefix } from '../fleet/index.js'
+import { createServerLimits } from '../limits/index.js'
+import type { ServerLimits } from '../limits/index.js'
 import { createPeerNetwork } from '../peer/index.js'
 import type { PeerNetwork } from '../peer/index.js'
 import { createHttpPlatform, createRowWatch } from '../platform/index.js'
@@ -33,6 +35,7 @@
     rows: RowWatch
     table: TableHolder & { stop(): void }
     peers: PeerNetwork
+    serverLimits: ServerLimits
     ops: Ops
     keeper: Keeper
   }
@@ -55,6 +58,16 @@
 export const metricsService = () =>
   defineService({ name: 'metrics', needs: [], start: async () => createMetrics() })
 
+/** Limits what clients can take of the process. */
+export const serverLimitsService = (cfg: ResolvedConfig) =>
+  defineService({
+    name: 'serverLimits',
+    needs: ['metrics'],
+    start: async ({ get, log }) =>
+      createServerLimits({ vm: cfg.limits, log, registry: get('metrics').registry }),
+    stop: async (limits) => limits.close(),
+  })
+
 export const platformService = (cfg: ResolvedConfig) =>
   defineService({
     name: 'platform',
@@ -115,7 +128,7 @@
 export const peersService = (cfg: ResolvedConfig) =>
   defineService({
     name: 'peers',
-    needs: ['lifecycle', 'platform', 'rows', 'table', 'metrics'],
+    needs: ['lifecycle', 'platform', 'rows', 'table', 'metrics', 'serverLimits'],
     start: ({ get, log }) =>
       createPeerNetwork({
         cfg,
@@ -123,6 +136,7 @@
         platform: get('platform'),
         rows: get('rows'),
         table: get('table'),
+        serverLimits: get('serverLimits'),
         log,
         metrics: get('metrics'),
       }),
@@ -141,6 +155,7 @@
       'metrics',
       'table',
       'rows',
+      'serverLimits',
       ...(needsFront ? ['front' as const] : []),
     ],
     async start({ get }) {
@@ -155,6 +170,7 @@
         metrics: get('metrics'),
         host: cfg.listen.address,
         port: cfg.listen.ops_port,
+        serverLimits: get('serverLimits'),
       })
     },
     stop: (ops) => ops.close(),
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -29,6 +29,11 @@
   serviceFailed: spec('RS-1004', 'error', 'a service failed to start'),
   serviceStopFailed: spec('RS-1005', 'warn', 'a service failed while stopping'),
   unexpectedError: spec('RS-1006', 'error', 'unhandled error'),
+  clientsLimited: spec(
+    'RS-1010',
+    'warn',
+    'connections or requests of clients exceeded the limits of the process',
+  ),
   routed: spec('RS-2001', 'info', 'request routed to a target'),
   notRouted: spec('RS-2002', 'info', 'request refused before any byte was sent'),
   attemptFailed: spec('RS-2003', 'warn', 'attempt at a target failed'),
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -3,7 +3,17 @@
 import type { AddressedQueue, Namespace, Namespaces } from '../src/namespaces/index.js'
 import { createJobBook } from '../src/jobs/index.js'
 import type { JobBook } from '../src/jobs/index.js'
+import { createServerLimits } from '../src/limits/index.js'
+import type { ServerLimits } from '../src/limits/index.js'
 import type { Organisation, Vm, VmList } from '../src/ports/index.js'
+import { createMemoryLogger } from '../src/shared/index.js'
+
+/** Limits of servers on a small VM. */
+export const smallVmLimits = (): ServerLimits =>
+  createServerLimits({
+    vm: { memory_mb: 160, file_descriptors: 1024 },
+    log: createMemoryLogger(),
+  })
 
 /** CPU capacity of a VM from {@link vmOf}, in thousandths of a core. */
 export const VM_CPU = 10_000
