fix(limits): connections that ask for nothing keep no caller out

Seen: 1,500 silent connections, or as many with heads that never end, take all 800 descriptors of a node, as do waves of connections of which half leave; an ordinary request is not answered while they stay.

Cause: nothing limits the connections of an endpoint; they take the descriptors that the store, targets and peers need too.

For a new one that is closed which asks for nothing: the longest idle one without any request, then the longest idle one, then the unfinished one that holds most, then the one with most unsent bytes. One that waits for an answer is not closed; if all do, the new one is answered 503.

--- a/src/limits/__tests__/connectionPool.spec.ts
+++ b/src/limits/__tests__/connectionPool.spec.ts
@@ -65,9 +65,46 @@
   }
 }
 
+const answer: RequestListener = (_req, res) => void res.end('ok')
 const keepWaiting: RequestListener = () => undefined
 
 describe('connections of an endpoint', () => {
+  describe('at the limit of connections', () => {
+    it('make room by the longest idle one that has asked for nothing', async (t) => {
+      const { reasons, open } = await setUp(t, answer)
+      const asked = await open(GET)
+      await waitUntil(() => asked.received().endsWith('ok'))
+      const silent = await open('')
+      await open('')
+      await open('')
+      await waitUntil(silent.isClosed)
+      t.deepEqual(reasons, ['closed idle'])
+      t.false(asked.isClosed())
+    })
+
+    it('make room by an unfinished request if none is idle', async (t) => {
+      const { pool, reasons, open } = await setUp(t, keepWaiting)
+      const unfinished = await open('GET / HTTP/1.1\r\nHost:')
+      await open(GET)
+      await open(GET)
+      await waitUntil(() => pool.usage().requests === 2)
+      await open('')
+      await waitUntil(unfinished.isClosed)
+      t.deepEqual(reasons, ['closed unfinished'])
+    })
+
+    it('are all kept if each waits for an answer; the new one gets 503', async (t) => {
+      const { pool, reasons, open } = await setUp(t, keepWaiting, { requests: 9 })
+      const asking = [await open(GET), await open(GET), await open(GET)]
+      await waitUntil(() => pool.usage().requests === 3)
+      const refused = await open(GET)
+      await waitUntil(refused.isClosed)
+      t.regex(refused.received(), /^HTTP\/1\.1 503 .*\r\nRetry-After: 1\r\n/)
+      t.deepEqual(reasons, ['refused connections'])
+      t.true(asking.every((each) => !each.isClosed()))
+    })
+  })
+
   describe('at the limit of requests', () => {
     it('have a first request refused without running it', async (t) => {
       let runs = 0
--- a/src/limits/connectionPool.ts
+++ b/src/limits/connectionPool.ts
@@ -22,7 +22,7 @@
 /** Why a connection was closed. */
 export type CloseReason = Exclude<ConnectionState, 'asking'> | 'timeout'
 /** Why something was refused. */
-export type RefusalReason = 'requests'
+export type RefusalReason = 'connections' | 'requests'
 
 /** Handles a request; a promise resolves once that has ended. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => unknown
@@ -37,8 +37,8 @@
 
 /** Connections of an endpoint. */
 export interface ConnectionPool {
-  /** Takes a socket. */
-  admit(socket: Socket): Connection
+  /** Takes a socket; undefined if it is refused. */
+  admit(socket: Socket): Connection | undefined
   /** Passes a request on, or has it refused. */
   serve(
     req: IncomingMessage,
@@ -51,6 +51,15 @@
   closeUnread(): void
 }
 
+/** Order in which connections are closed for a new one. */
+const CLOSED_FIRST: readonly Exclude<ConnectionState, 'idle' | 'asking'>[] = [
+  'unfinished',
+  'unread',
+]
+
+const REFUSAL =
+  'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
+
 /** Creates a pool without connections. */
 export function createConnectionPool(
   limits: EndpointLimits,
@@ -99,6 +108,15 @@
   const held = (connection: Connection): number =>
     connection.heldBytes + connection.unsentBytes
 
+  function closeOneForAnother(): boolean {
+    const [longestIdle] = silent.size > 0 ? silent : kept
+    if (longestIdle) {
+      close(longestIdle, 'idle')
+      return true
+    }
+    return CLOSED_FIRST.some((state) => closeLargest(state))
+  }
+
   /** Closes the connection that holds most among the others in a state; false if there is none. */
   function closeLargest(
     state: Exclude<ConnectionState, 'asking'>,
@@ -163,6 +181,13 @@
 
   return {
     admit(socket) {
+      if (open.size >= limits.connections && !closeOneForAnother()) {
+        hooks.onRefused('connections')
+        socket.on('error', () => socket.destroy())
+        socket.end(REFUSAL)
+        socket.destroySoon()
+        return undefined
+      }
       const connection = createConnection(socket, {
         mayAsk: () => requests < limits.requests * FURTHER_REQUESTS_SHARE,
         onHeld,
