fix(limits): unfinished requests and untaken answers fill no memory

Seen: 60 bodies in chunks of 64 KB that never end take a node to 528 MB on a VM of 160, 300 bodies that stop one byte short of their end to 171 MB; they are held as long as the client likes. A planned stop and the endpoints for readiness, metrics and other nodes have the same fault.

Cause: what a client has sent of a request, and what it has not taken of an answer, is counted nowhere.

Change: an endpoint counts both over all connections. Beyond its limit the unfinished request that holds most is reset, or the connection with most unsent bytes.

--- a/src/limits/__tests__/connectionPool.spec.ts
+++ b/src/limits/__tests__/connectionPool.spec.ts
@@ -160,4 +160,34 @@
       t.true(most <= 5, `${most}`)
     })
   })
+
+  describe('at the limit of bytes', () => {
+    it('lose the unfinished request that holds most', async (t) => {
+      const { reasons, open } = await setUp(t, keepWaiting, { heldBytes: 20_000 })
+      const upload = 'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50000\r\n\r\n'
+      const small = await open(`${upload}${'x'.repeat(2000)}`)
+      const large = await open(`${upload}${'x'.repeat(12_000)}`)
+      large.socket.write('x'.repeat(12_000))
+      await waitUntil(large.isClosed)
+      t.deepEqual(reasons, ['closed bytes'])
+      t.false(small.isClosed())
+    })
+
+    it('hold nothing once all is answered', async (t) => {
+      const { pool, open } = await setUp(t, (req, res) => {
+        req.resume()
+        req.once('end', () => res.end('ok'))
+      })
+      const upload = 'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n\r\n'
+      const client = await open(`${upload}${'x'.repeat(9000)}`.repeat(3))
+      await waitUntil(() => client.received().split('HTTP/1.1 200').length === 4)
+      await waitUntil(() => pool.usage().requests === 0)
+      t.deepEqual(pool.usage(), {
+        connections: 1,
+        requests: 0,
+        heldBytes: 0,
+        unsentBytes: 0,
+      })
+    })
+  })
 })
--- a/src/limits/connectionPool.ts
+++ b/src/limits/connectionPool.ts
@@ -20,7 +20,7 @@
 const FURTHER_REQUESTS_SHARE = 0.5
 
 /** Why a connection was closed. */
-export type CloseReason = Exclude<ConnectionState, 'asking'> | 'timeout'
+export type CloseReason = Exclude<ConnectionState, 'asking'> | 'bytes' | 'timeout'
 /** Why something was refused. */
 export type RefusalReason = 'connections' | 'requests'
 
@@ -145,13 +145,23 @@
     silent.delete(connection)
     kept.delete(connection)
     hold(connection, bytes)
+    if (heldBytes <= limits.heldBytes) return
+    const sizeOf = (each: Connection): number => each.heldBytes
+    close(
+      largest('unfinished', sizeOf) ?? largest('unread', sizeOf) ?? connection,
+      'bytes',
+    )
   }
 
   function onUnsent(connection: Connection, bytes: number): void {
     if (!open.has(connection)) return
     connection.unsentBytes += bytes
     unsentBytes += bytes
-    if (bytes < 0) noteIdle(connection)
+    if (bytes < 0) return noteIdle(connection)
+    if (unsentBytes <= limits.unreadBytes) return
+    let most = connection
+    for (const each of open) if (each.unsentBytes > most.unsentBytes) most = each
+    close(most, 'unread')
   }
 
   /** Counts a request until its answer has ended and its handler too. */
