--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -1,4 +1,6 @@
 /** Fixtures shared by the tests of several areas. */
+import { Readable } from 'node:stream'
+import type { HttpBindings } from '@hono/node-server'
 import { ok } from 'neverthrow'
 import type { AddressedQueue, Namespace, Namespaces } from '../src/namespaces/index.js'
 import { createJobBook } from '../src/jobs/index.js'
@@ -15,6 +17,12 @@
     log: createMemoryLogger(),
   })
 
+/** Bindings of an application whose request has this body. */
+export function bindingsOf(body: string): HttpBindings {
+  const incoming = Object.assign(Readable.from([Buffer.from(body)]), { headers: {} })
+  return { incoming } as unknown as HttpBindings
+}
+
 /** CPU capacity of a VM from {@link vmOf}, in thousandths of a core. */
 export const VM_CPU = 10_000
 
