fix(node): clients cannot end a node that waits for valid settings

Seen: all kinds of crowds at the addresses at which such a node answers 503 end it (SIGABRT, heap).

Cause: its servers are created apart from the others, without any limit.

Change: they are created by src/limits too, with the memory and descriptors that the file names as far as it is readable, else those of the smallest VM; readiness has its own part.

--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -8,6 +8,7 @@
 } from './resolveConfig.js'
 export { loadNodeConfig, parseNodeConfig } from './nodeConfig.js'
 export type { LoadedNodeConfig } from './nodeConfig.js'
+export { vmLimitsOf } from './schema.js'
 export type { ResolvedConfig, UserConfig } from './schema.js'
 export type { PeerAddress } from './values.js'
 export { featuresOf } from './features.js'
--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -35,6 +35,13 @@
   file_descriptors: wholeNumber(MIN_DESCRIPTORS, 10_000_000).prefault('1024'),
 }
 
+/** Limits of the VM in a section of settings; the defaults if it is not valid. */
+export function vmLimitsOf(settings: unknown) {
+  const schema = z.object(limitKeys)
+  const parsed = schema.safeParse(settings)
+  return parsed.success ? parsed.data : schema.parse({})
+}
+
 /** A strict object, so that a misspelt key is an error. */
 const section = <T extends z.ZodRawShape>(shape: T) => z.strictObject(shape)
 
--- a/src/node/waitForSettings.ts
+++ b/src/node/waitForSettings.ts
@@ -4,11 +4,12 @@
  * make the process restart in a loop.
  */
 import { readFileSync } from 'node:fs'
-import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import { parse } from 'ini'
-import { loadNodeConfig } from '../config/index.js'
+import { loadNodeConfig, vmLimitsOf } from '../config/index.js'
 import type { LoadedNodeConfig } from '../config/index.js'
+import { createServerLimits } from '../limits/index.js'
+import type { Endpoint, ServerLimits, VmLimits } from '../limits/index.js'
 import { createStopController, describeError, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import { closeServer } from './closeServer.js'
@@ -18,6 +19,9 @@
 /** Time between two reads of the file, in ms; the file may change without a signal. */
 const REREAD_INTERVAL_MS = 1000
 
+/** Endpoints that are answered; their addresses have the same names in the settings. */
+const ANSWERED_ENDPOINTS = ['callers', 'readiness'] as const
+
 /** A wait for valid settings. */
 export interface SettingsWait {
   /** Resolves once the file is valid. */
@@ -33,16 +37,15 @@
   log.event('settingsRejected', { file, reason })
 
   async function wait(): Promise<LoadedNodeConfig> {
-    let servers: Server[] = []
+    let answering: Answering | undefined
     for (;;) {
-      if (servers.length === 0)
-        servers = listenAddresses(file).map((each) => serve503(each, reason, log))
+      answering ??= startAnswering(readableSettings(file), reason, log)
       await sleep(REREAD_INTERVAL_MS, pause.signal)
       const isRetryRequested = pause.signal.aborted
       if (isRetryRequested) pause = createStopController()
       const next = await loadNodeConfig(file)
       if (next.isOk()) {
-        for (const server of servers) closeServer(server)
+        answering?.stop()
         log.event('settingsReloaded', { file })
         return next.value
       }
@@ -55,9 +58,39 @@
   return { settings: wait(), retry: () => pause.abort() }
 }
 
-function serve503(address: string, reason: string, log: Logger): Server {
+/** Servers that answer 503. */
+interface Answering {
+  stop(): void
+}
+
+/** Opens the addresses in the settings; undefined if there are none. */
+function startAnswering(
+  { addresses, vm }: ReadableSettings,
+  reason: string,
+  log: Logger,
+): Answering | undefined {
+  if (addresses.length === 0) return undefined
+  const limits = createServerLimits({ vm, log })
+  const servers = addresses.map(([endpoint, address]) =>
+    serve503(endpoint, address, reason, limits, log),
+  )
+  return {
+    stop() {
+      for (const server of servers) closeServer(server)
+      limits.close()
+    },
+  }
+}
+
+function serve503(
+  endpoint: Endpoint,
+  address: string,
+  reason: string,
+  limits: ServerLimits,
+  log: Logger,
+): Server {
   const colon = address.lastIndexOf(':')
-  const server = createServer((req, res) => {
+  const server = limits.createServer(endpoint, (req, res) => {
     req.resume()
     res.writeHead(503, { 'retry-after': String(RETRY_AFTER_S) })
     res.end(`${JSON.stringify({ error: reason })}\n`)
@@ -68,16 +101,26 @@
   return server.listen(Number(address.slice(colon + 1)), address.slice(0, colon))
 }
 
-/** Addresses in the file; none if it cannot be parsed, which is logged as rejected settings. */
-function listenAddresses(file: string): string[] {
+/** What can be used of invalid settings. */
+interface ReadableSettings {
+  addresses: [Endpoint, string][]
+  vm: VmLimits
+}
+
+/** Reads the file as far as it is readable; why it is invalid is logged as rejected settings. */
+function readableSettings(file: string): ReadableSettings {
   try {
-    const { listen = {} } = parse(readFileSync(file, 'utf8')) as {
+    const { listen = {}, limits } = parse(readFileSync(file, 'utf8')) as {
       listen?: Record<string, unknown>
+      limits?: unknown
     }
-    return [listen['callers'], listen['readiness']].filter(
-      (each): each is string => typeof each === 'string' && /^[\d.]+:\d+$/.test(each),
-    )
+    const addresses = ANSWERED_ENDPOINTS.flatMap((endpoint): [Endpoint, string][] => {
+      const address = listen[endpoint]
+      const isUsable = typeof address === 'string' && /^[\d.]+:\d+$/.test(address)
+      return isUsable ? [[endpoint, address]] : []
+    })
+    return { addresses, vm: vmLimitsOf(limits) }
   } catch {
-    return []
+    return { addresses: [], vm: vmLimitsOf(undefined) }
   }
 }
