fix(entry): bodies without an end are given up at the deadline, small chunks are joined

Seen: with crowds at a path of a service an entry ends (SIGABRT, heap).

Cause: an entry waits for the rest of a body that it buffers for as long as the connection lives, without regard to the deadline, and passes each chunk of a streamed body on as an object of its own.

Change: a buffered body that is not whole at the deadline is refused (504, not run). Chunks that arrive together are joined before they go to the target; what was passed on no longer counts as held. When the target has answered before the end of the body, the rest is read without use.

--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -4,6 +4,8 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { Readable } from 'node:stream'
+import type { Cancellation } from './cancellation.js'
+import { BODY_TOO_LARGE, CALLER_LEFT, readBody, releaseBytes } from '../limits/index.js'
 
 /** A request body. */
 export type RequestBody =
@@ -17,35 +19,43 @@
       isStarted(): boolean
     }
 
-/** The caller disconnected while its body was being read. */
-export const CALLER_LEFT = Symbol('caller left')
+/** The deadline passed before the end of the body. */
+export const DEADLINE_PASSED = Symbol('deadline passed')
+
+/** A body, or why there is none. */
+type OpenedBody = RequestBody | typeof CALLER_LEFT | typeof DEADLINE_PASSED
 
 /**
  * Reads a body of known length up to `bufferLimit` bytes whole; prepares any other for
  * streaming.
  */
-export async function readBody(
+export async function openBody(
   req: IncomingMessage,
   bufferLimit: number,
-): Promise<RequestBody | typeof CALLER_LEFT> {
+  cancellation: Cancellation,
+): Promise<OpenedBody> {
   const chunked = req.headers['transfer-encoding'] !== undefined
   const length = Number(req.headers['content-length'] ?? 0)
   if (!chunked && length === 0) return { kind: 'none' }
-  if (!chunked && length <= bufferLimit) return readBuffered(req)
+  if (!chunked && length <= bufferLimit)
+    return readBuffered(req, bufferLimit, cancellation)
   return streamBody(req, chunked ? undefined : length)
 }
 
-function readBuffered(req: IncomingMessage): Promise<RequestBody | typeof CALLER_LEFT> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    req.on('data', (chunk: Buffer) => chunks.push(chunk))
-    req.on('end', () => {
-      const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
-      resolve({ kind: 'buffered', bytes })
-    })
-    req.on('close', () => resolve(CALLER_LEFT))
-    req.on('error', () => resolve(CALLER_LEFT))
+async function readBuffered(
+  req: IncomingMessage,
+  maxBytes: number,
+  cancellation: Cancellation,
+): Promise<OpenedBody> {
+  let unsubscribe = (): void => undefined
+  const passed = new Promise<typeof DEADLINE_PASSED>((resolve) => {
+    unsubscribe = cancellation.subscribe(() => resolve(DEADLINE_PASSED))
   })
+  const bytes = await Promise.race([readBody(req, maxBytes), passed])
+  unsubscribe()
+  if (bytes === DEADLINE_PASSED) return bytes
+  if (bytes === CALLER_LEFT || bytes === BODY_TOO_LARGE) return CALLER_LEFT
+  return { kind: 'buffered', bytes }
 }
 
 /**
@@ -56,10 +66,17 @@
   let isStarted = false
   const start = (stream: Readable) => {
     isStarted = true
-    req.on('data', (chunk: Buffer) => {
-      if (!stream.push(chunk)) req.pause()
+    const passOn = joinChunks((bytes) => {
+      releaseBytes(req, bytes.length)
+      if (!stream.push(bytes)) req.pause()
+    })
+    req.on('data', passOn.add)
+    // A target may answer before the end of the body; the rest is then read without use.
+    stream.once('close', () => req.off('data', passOn.add))
+    req.on('end', () => {
+      passOn.flush()
+      stream.push(null)
     })
-    req.on('end', () => stream.push(null))
     req.on('close', () => {
       if (!req.complete) stream.destroy(new Error('the caller broke off its body'))
     })
@@ -74,3 +91,20 @@
     })
   return { kind: 'streamed', length, open, isStarted: () => isStarted }
 }
+
+/** Joins the chunks that arrive together: a caller may send chunks of one byte. */
+function joinChunks(use: (bytes: Buffer) => void) {
+  let chunks: Buffer[] = []
+  const flush = (): void => {
+    if (chunks.length === 0) return
+    const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+    chunks = []
+    use(bytes)
+  }
+  return {
+    add(chunk: Buffer) {
+      if (chunks.push(chunk) === 1) process.nextTick(flush)
+    },
+    flush,
+  }
+}
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -10,7 +10,8 @@
 import type { ServiceLine, TableHolder } from '../table/index.js'
 import { refuse } from './answers.js'
 import type { Outcome, RefusalKind } from './answers.js'
-import { CALLER_LEFT, readBody } from './body.js'
+import { CALLER_LEFT } from '../limits/index.js'
+import { DEADLINE_PASSED, openBody } from './body.js'
 import { readCall } from './call.js'
 import type { Call } from './call.js'
 import { createCancellation } from './cancellation.js'
@@ -190,8 +191,12 @@
       const kind = table.current() ? 'unknown service' : 'no target'
       return refuseAs(exchange, kind, detail)
     }
-    const body = await readBody(req, cfg.requests.buffer_body)
+    const body = await openBody(req, cfg.requests.buffer_body, cancellation)
     if (body === CALLER_LEFT) return 'caller-left'
+    if (body === DEADLINE_PASSED) {
+      if (res.destroyed) return 'caller-left'
+      return refuseAs(exchange, 'deadline before sending', 'the body is incomplete')
+    }
     budget.deposit()
     const limiter = limiterOf(call.service)
     const priority = call.priority ?? line.priority
