fix(entry): a planned stop ends although clients keep connections open

Seen: an entry that is asked to stop beside crowds still runs 60 s later.

Cause: the stop waits until all connections are closed, and closes only idle ones itself; a connection with a head that never ends is not idle.

Change: once no request is open the other connections are closed.

--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -55,7 +55,8 @@
       const closed = new Promise((resolve) => server.close(resolve))
       server.closeIdleConnections()
       await router.drained()
-      server.closeIdleConnections()
+      // Those that are left have sent no whole request.
+      server.closeAllConnections()
       await closed
     },
   }
