fix(programs): an entry whose log is not read goes on

Cause: an entry and a keeper write their log to standard output synchronously, so that a reader that has stopped reading stops the process; each refused request writes a line.

Change: they use the sink of a node, which holds 1 MiB of lines, then drops and counts them.

Result: by reading; the sink has tests of its own (bounded.spec).

--- a/src/programs/main.ts
+++ b/src/programs/main.ts
@@ -3,7 +3,7 @@
 import { loadConfig, printConfig } from '../config/index.js'
 import type { ResolvedConfig } from '../config/index.js'
 import type { Kernel } from '../kernel/index.js'
-import { EXIT, createLogger } from '../shared/index.js'
+import { EXIT, createFdSink, createLogger } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 
 const USAGE = `Options:
@@ -27,7 +27,8 @@
 
   const { level, routing } = cfg.log
   const base = { program: name, node: cfg.node.id, hall: cfg.node.hall }
-  const log = createLogger({ level, routing, base })
+  const stream = createFdSink(process.stdout.fd)
+  const log = createLogger({ level, routing, base, stream })
   const kernel = create(cfg, log)
   const stop = stopOnSignal(kernel, log)
   const started = await kernel.start()
