fix(front): jobs sent without end do not fill the memory of their owner

Seen: 30 connections that send valid jobs ahead bring a node with 160 MB to 169 MB after 70 s, with 9,800 open jobs (a trial, growing on); each is small and accepted.

Cause: an owner keeps each accepted job until its outcome is durable, and nothing limits their number.

A full node says so in its answers to other nodes, for 2 s each; without that no byte of them changes. A new job of such a service is refused with 503 before it is stored, to return after 1 to 3 s, unless the store holds it already.

--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -66,10 +66,13 @@
 /** Shortest time between two such commits, in ms; jittered. */
 const UNKNOWN_COMMIT_RETRY_MS = 100
 /**
- * Longest `Retry-After` of callers that are refused because all halls are cordoned, as a multiple
- * of the usual one. The times are spread, so that callers do not return at the same moment.
+ * Longest `Retry-After` of callers that are refused for a reason that holds for all of them, as a
+ * multiple of the usual one. The times are spread, so that callers do not return at the same moment.
  */
-const MAX_CORDON_RETRY_FACTOR = 3
+const MAX_RETRY_FACTOR = 3
+
+const spreadRetryMs = (): number =>
+  RETRY_AFTER_MS * (1 + Math.floor(Math.random() * MAX_RETRY_FACTOR))
 
 /** Result of looking up a queue by host and path. */
 export type QueueMatch =
@@ -162,6 +165,13 @@
     return stored.kind === 'unknownJob'
   }
 
+  /** Whether the owner of a job that is certainly not stored could not hold it. */
+  async function isOwnerFull(job: JobSpec, findStored: StoredLookup): Promise<boolean> {
+    if (!owners.isFull?.(job.service)) return false
+    const stored = hideForeign(await findStored(), job.organisation)
+    return stored.kind === 'unknownJob'
+  }
+
   /**
    * Result for a job whose id is in use according to the rows that conflict with its new row: it
    * was accepted before, or another organisation has a job of this id. If none of the rows can be
@@ -329,8 +339,12 @@
     if (await isCordonedOff(job, findStored)) {
       const reason = 'all data halls are cordoned'
       log.event('jobRefused', { job: id, queue: name, failure: 'refused', reason })
-      const factor = 1 + Math.floor(Math.random() * MAX_CORDON_RETRY_FACTOR)
-      return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS * factor, reason }
+      return { kind: 'refused', retryAfterMs: spreadRetryMs(), reason }
+    }
+    if (await isOwnerFull(job, findStored)) {
+      const reason = 'the owner of the service holds as many jobs as it can'
+      log.event('jobRefused', { job: id, queue: name, failure: 'refused', reason })
+      return { kind: 'refused', retryAfterMs: spreadRetryMs(), reason }
     }
     const attempt = admission?.attempt(job, { ...queue, name: namespace.name })
     const refused = await refuseOverload(queue, job, attempt, findStored)
--- a/src/front/ownerCalls.ts
+++ b/src/front/ownerCalls.ts
@@ -78,20 +78,29 @@
   waiting(service: string, queue: string): Promise<number | undefined>
   /** Newest load of the service that its present owner has sent; asks nobody. */
   load(service: string): KnownLoad | undefined
+  /** Whether the owner of the service holds as many jobs as its memory allows; asks nobody. */
+  isFull(service: string): boolean
   /** Whether a live node owns the fleet. */
   hasFleetOwner(): boolean
   /** Sends a service's report; undefined if the owner of the fleet does not answer. */
   reportToFleet(report: ServiceReport): Promise<FleetAnswer | undefined>
 }
 
+/** Time for which a node counts as full after it said so, in ms. */
+const FULL_MS = 2000
+
 /** Creates the calls; owners on this node are called directly. */
 export function createOwnerCalls(opts: {
   registry: NodeRegistry
   local: LocalOwners
   clients: NodeClients
   log: Logger
+  /** Whether the owners on this node hold as many jobs as its memory allows. */
+  isFull?: () => boolean
 }): OwnerCalls {
-  const { registry, local, clients, log } = opts
+  const { registry, local, clients, log, isFull = () => false } = opts
+  /** Monotonic times until which nodes count as full, by address. */
+  const fullUntil = new Map<string, number>()
   const loads = createLatestLoads()
 
   const send = async (
@@ -101,6 +110,9 @@
   ): Promise<Answer[]> => {
     const askedAt = monotonicMs()
     const { answers } = await clients.at(address).ask({ questions }, { timeoutMs })
+    if (answers.some(({ full }) => full === true))
+      fullUntil.set(address, askedAt + FULL_MS)
+    else fullUntil.delete(address)
     for (const [index, { owns, load }] of answers.entries()) {
       const { service } = questions[index] ?? {}
       if (owns && load !== undefined && service !== undefined)
@@ -233,6 +245,11 @@
       const load = owner.load()
       return load && { load, ageMs: 0 }
     },
+    isFull(service) {
+      if (local.service(service)) return isFull()
+      const address = addressFor(service)
+      return address !== undefined && monotonicMs() < (fullUntil.get(address) ?? 0)
+    },
     hasFleetOwner: () =>
       local.fleet() !== undefined || registry.ownerOf(FLEET) !== undefined,
     async reportToFleet(report) {
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -78,7 +78,17 @@
 }
 
 /** Answers the questions of one call; the first answer about a service carries its load. */
-function answerAll(local: LocalOwners, questions: readonly Question[]) {
+function answerAll(
+  local: LocalOwners,
+  questions: readonly Question[],
+  isFull: () => boolean,
+) {
+  const answers = answerEach(local, questions)
+  if (!isFull()) return answers
+  return answers.map((each) => (each.owns ? { ...each, full: true } : each))
+}
+
+function answerEach(local: LocalOwners, questions: readonly Question[]) {
   const loaded = new Set<string>()
   return questions.map((each) => {
     const answered = answer(local, each)
@@ -93,10 +103,11 @@
 export function ownerRoutes(
   local: LocalOwners,
   access: StoreAccess,
+  isFull: () => boolean = () => false,
 ): (router: ConnectRouter) => void {
   return (router) =>
     router.service(NodeService, {
-      ask: ({ questions }) => ({ answers: answerAll(local, questions) }),
+      ask: ({ questions }) => ({ answers: answerAll(local, questions, isFull) }),
       fleetReport(req) {
         const report = serviceReportSchema.safeParse(parseJson(req.report))
         const answer = report.success ? local.fleet()?.report(report.data) : undefined
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -1,4 +1,5 @@
 /** Kernel services with which a node owns services and calls the owners on other nodes. */
+import { getHeapStatistics } from 'node:v8'
 import { nanoid } from 'nanoid'
 import type { NodeConfig } from '../config/index.js'
 import { ownedServices } from '../directory/index.js'
@@ -10,6 +11,7 @@
   ownerRoutes,
 } from '../front/index.js'
 import { defineService } from '../kernel/index.js'
+import { maxHeldJobs } from '../limits/index.js'
 import type { Namespaces } from '../namespaces/index.js'
 import { FLEET, createNodeRegistry, createOwnership } from '../ownership/index.js'
 import { closeServer } from './closeServer.js'
@@ -34,7 +36,11 @@
 
 /** Holds the owners that run on this node. */
 export const ownersService = () =>
-  defineService({ name: 'owners', needs: [], start: async () => createOwnerTable() })
+  defineService({
+    name: 'owners',
+    needs: [],
+    start: async () => createOwnerTable(maxHeldJobs(getHeapStatistics().heap_size_limit)),
+  })
 
 /** Writes this node's row and reads those of the other nodes. */
 export const registryService = (cfg: NodeConfig) =>
@@ -113,16 +119,16 @@
     name: 'ownerCalls',
     needs: ['nodePlatform', 'storeAccess', 'registry', 'owners'],
     async start({ get, log }) {
-      const { local } = get('owners')
+      const { local, isFull } = get('owners')
       const registry = get('registry')
       const access = get('storeAccess')
       const clients = createNodeClients()
-      const calls = createOwnerCalls({ registry, local, clients, log })
+      const calls = createOwnerCalls({ registry, local, clients, log, isFull })
       const { address, node_port: port } = cfg.listen
       const server = await listenForNodes(
         address,
         port,
-        ownerRoutes(local, access),
+        ownerRoutes(local, access, isFull),
         get('nodePlatform').serverLimits,
       )
       access.setRelay(createStoreRelay(registry, clients, log))
--- a/src/node/ownerTable.ts
+++ b/src/node/ownerTable.ts
@@ -6,6 +6,8 @@
 /** Owners that run on this node, and the names that it claims. */
 export interface OwnerTable {
   local: LocalOwners
+  /** Whether the owners on this node hold as many jobs as its memory allows. */
+  isFull(): boolean
   setFleet(owner: FleetOwner | undefined): void
   /** Names that this node claims, including those whose takeover is not finished. */
   names(): string[]
@@ -19,14 +21,22 @@
   onDemandGrown(listener: (service: string) => void): void
 }
 
-/** Creates a table without owners. */
-export function createOwnerTable(): OwnerTable {
+/**
+ * Creates a table without owners.
+ * @param maxJobs jobs that the owners hold at most
+ */
+export function createOwnerTable(maxJobs: number): OwnerTable {
   const owners = new Map<string, ServiceOwner>()
   const claimed = new Set<string>()
   const listeners: ((service: string) => void)[] = []
   let fleet: FleetOwner | undefined
   return {
     local: { service: (name) => owners.get(name), fleet: () => fleet },
+    isFull() {
+      let held = 0
+      for (const owner of owners.values()) held += owner.heldJobs()
+      return held >= maxJobs
+    },
     setFleet: (owner) => void (fleet = owner),
     names: () => [...claimed],
     claim: (service) => void claimed.add(service),
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -92,6 +92,8 @@
   explain(id: string): WaitReport | undefined
   /** Number of jobs of the queue with no task begun; undefined while some may be unknown. */
   waiting(queue: string): number | undefined
+  /** Number of jobs in memory, ended ones whose outcome is not durable included. */
+  heldJobs(): number
   /** Agents of the service's current targets. */
   agents(): TargetAgent[]
   /** Loads of the service's current targets, for operators. */
@@ -467,6 +469,7 @@
       if (!newJobs.knowsAll(queue)) return undefined
       return book.waiting(queue) + newJobs.countDeferred(queue)
     },
+    heldJobs: () => book.jobs.size,
     agents: allAgents,
     load: () => loadMeter?.current(),
     loads: () => demand.loads(allAgents()),
