--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -16,7 +16,7 @@
   format: 'cjs',
 }
 /** Flags of the program in deploy/system.toml: V8 rejects a code cache of other flags. */
-const V8_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=16']
+const V8_FLAGS = ['--max-old-space-size=88', '--max-semi-space-size=8']
 /** Time-out of the run that writes the code cache. */
 const CACHE_RUN_TIMEOUT_MS = 20_000
 /** Settings of a node whose store and cloud are unreachable. */
