--- a/src/entry/__tests__/entry.spec.ts
+++ b/src/entry/__tests__/entry.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import { Readable } from 'node:stream'
 import type { ExecutionContext } from 'ava'
@@ -54,6 +55,21 @@
       t.true(Number(kept?.[1]) > 60)
     })
 
+    // A caller that keeps its connection open would be waited for without end.
+    it('refuses a request whose body is not whole at its deadline', async (t) => {
+      const rig = await setUp(t)
+      await rig.addTarget('v1')
+      const { hostname, port } = new URL(rig.url)
+      const socket = connect(Number(port), hostname)
+      t.teardown(() => socket.destroy())
+      socket.write(
+        'POST /s/a HTTP/1.1\r\nHost: x\r\nrillshunt-deadline-ms: 100\r\nContent-Length: 9\r\n\r\nabc',
+      )
+      const [answer] = (await once(socket, 'data')) as [Buffer]
+      t.regex(answer.toString(), /^HTTP\/1\.1 504 /)
+      t.regex(answer.toString(), /rillshunt-outcome: not-run/)
+    })
+
     it('streams a large body with backpressure instead of buffering it', async (t) => {
       const rig = await setUp(t)
       let letRead = () => {}
