refactor(limits): one pause for refused clients, one queue for tests of the front

Cause: the pause stood in two places, a queue without options in two specs; a callback was named after its cause.

Change: one constant, one fixture, noteClosed.

--- a/src/front/__tests__/fullOwner.spec.ts
+++ b/src/front/__tests__/fullOwner.spec.ts
@@ -2,11 +2,14 @@
 import type { AddressInfo } from 'node:net'
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
-import { queueNamespaces, smallVmLimits } from '../../../test/fixtures.js'
+import {
+  ONE_QUEUE as QUEUE,
+  queueNamespaces,
+  smallVmLimits,
+} from '../../../test/fixtures.js'
 import { makeJob } from '../../../test/jobRig.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
 import type { NodeRegistry } from '../../ownership/index.js'
-import type { Queue } from '../../ports/index.js'
 import { createMemoryLogger } from '../../shared/index.js'
 import type { StoreAccess } from '../../storeAccess/index.js'
 import {
@@ -18,17 +21,6 @@
 } from '../index.js'
 import type { LocalOwners, NewJob } from '../index.js'
 
-const QUEUE: Queue = {
-  name: 'q',
-  host: 'q.example',
-  pathPrefix: '/q/',
-  service: 'one',
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 1.6,
-  latencyMs: 600,
-  advice: undefined,
-}
 const jobOf = (id: string): NewJob => makeJob({}, [{ count: 1 }], { id })
 
 /** A front, and an owner on another node that is full or not. */
--- a/src/front/__tests__/jobService.spec.ts
+++ b/src/front/__tests__/jobService.spec.ts
@@ -1,24 +1,13 @@
 import { createRowTable } from '../../../playground/sim/rowTable.js'
 import { describe, it } from '../../../test/describe.js'
-import { queueNamespaces } from '../../../test/fixtures.js'
+import { ONE_QUEUE as QUEUE, queueNamespaces } from '../../../test/fixtures.js'
 import { makeJob } from '../../../test/jobRig.js'
 import type { ConfigurationHolder } from '../../directory/index.js'
-import type { Configuration, Queue } from '../../ports/index.js'
+import type { Configuration } from '../../ports/index.js'
 import { createMemoryLogger, sleep } from '../../shared/index.js'
 import { createJobService } from '../index.js'
 import type { NewJob, OwnerCalls } from '../index.js'
 
-const QUEUE: Queue = {
-  name: 'q',
-  host: 'q.example',
-  pathPrefix: '/q/',
-  service: 'one',
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 1.6,
-  latencyMs: 600,
-  advice: undefined,
-}
 const JOB: NewJob = {
   id: '00000000000000a1',
   spec: '{}',
--- a/src/limits/connection.ts
+++ b/src/limits/connection.ts
@@ -27,8 +27,8 @@
   res: ServerResponse
   /** Bytes of it that are held. */
   heldBytes: number
-  /** Resolves when the connection closes. */
-  left(): void
+  /** Called when the connection closes. */
+  noteClosed(): void
 }
 
 /** A connection. */
--- a/src/limits/connectionPool.ts
+++ b/src/limits/connectionPool.ts
@@ -19,6 +19,9 @@
  */
 const FURTHER_REQUESTS_SHARE = 0.5
 
+/** Time after which a refused client should come back, in s. */
+export const RETRY_AFTER_S = 1
+
 /** Why a connection was closed. */
 export type CloseReason = Exclude<ConnectionState, 'asking'> | 'bytes' | 'timeout'
 /** Why something was refused. */
@@ -57,8 +60,14 @@
   'unread',
 ]
 
-const REFUSAL =
-  'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
+/** Answer to a connection that is refused. */
+const REFUSAL = [
+  'HTTP/1.1 503 Service Unavailable',
+  `Retry-After: ${RETRY_AFTER_S}`,
+  'Content-Length: 0',
+  'Connection: close',
+  '\r\n',
+].join('\r\n')
 
 /** Creates a pool without connections. */
 export function createConnectionPool(
@@ -84,7 +93,7 @@
     if (!open.delete(connection)) return
     silent.delete(connection)
     kept.delete(connection)
-    for (const { left } of connection.requests) left()
+    for (const { noteClosed } of connection.requests) noteClosed()
     heldBytes -= connection.heldBytes
     unsentBytes -= connection.unsentBytes
     connection.heldBytes = 0
@@ -171,12 +180,12 @@
     res: ServerResponse,
     handle: RequestHandler,
   ): Promise<void> {
-    let left = (): void => undefined
+    let noteClosed = (): void => undefined
     const closed = new Promise<void>((resolve) => {
-      left = resolve
+      noteClosed = resolve
       res.once('close', resolve)
     })
-    const request: OpenRequest = { req, res, heldBytes: connection.headBytes, left }
+    const request: OpenRequest = { req, res, heldBytes: connection.headBytes, noteClosed }
     connection.headBytes = 0
     connection.requests.add(request)
     requests++
--- a/src/limits/serverLimits.ts
+++ b/src/limits/serverLimits.ts
@@ -16,7 +16,7 @@
 import type { Logger } from '../shared/index.js'
 import { limitsOf } from './budget.js'
 import type { Endpoint, VmLimits } from './budget.js'
-import { createConnectionPool } from './connectionPool.js'
+import { RETRY_AFTER_S, createConnectionPool } from './connectionPool.js'
 import type { ConnectionPool, PoolUsage } from './connectionPool.js'
 
 /** Size of the largest head of a request, in bytes; callers may send 16 KiB. */
@@ -27,8 +27,6 @@
 const REQUEST_TIMEOUT_MS = 30_000
 /** Interval in which time-outs are checked and a line about what was limited is logged, in ms. */
 const CHECK_INTERVAL_MS = 1000
-/** Time after which a refused client should come back, in s. */
-const RETRY_AFTER_S = 1
 
 /** How one server differs from the others. */
 export interface LimitedServerOptions {
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -7,9 +7,22 @@
 import type { JobBook } from '../src/jobs/index.js'
 import { createServerLimits } from '../src/limits/index.js'
 import type { ServerLimits } from '../src/limits/index.js'
-import type { Organisation, Vm, VmList } from '../src/ports/index.js'
+import type { Organisation, Queue, Vm, VmList } from '../src/ports/index.js'
 import { createMemoryLogger } from '../src/shared/index.js'
 
+/** A queue without any options. */
+export const ONE_QUEUE: Queue = {
+  name: 'q',
+  host: 'q.example',
+  pathPrefix: '/q/',
+  service: 'one',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 1.6,
+  latencyMs: 600,
+  advice: undefined,
+}
+
 /** Limits of servers on a small VM. */
 export const smallVmLimits = (): ServerLimits =>
   createServerLimits({
