--- a/src/limits/connection.ts
+++ b/src/limits/connection.ts
@@ -27,6 +27,8 @@
   res: ServerResponse
   /** Bytes of it that are held. */
   heldBytes: number
+  /** Whether its answer and its handler have ended. */
+  isEnded: boolean
   /** Called when the connection closes. */
   noteClosed(): void
 }
@@ -35,6 +37,8 @@
 export interface Connection {
   stream: PacedStream
   requests: Set<OpenRequest>
+  /** The last request, also if it is answered. */
+  newest: OpenRequest | undefined
   /** Bytes that have arrived of requests that are not answered. */
   heldBytes: number
   /** Bytes given to the parser that belong to no known request yet. */
@@ -69,17 +73,16 @@
 export function createConnection(socket: Socket, hooks: ConnectionHooks): Connection {
   const stream = createPacedStream(socket, {
     mayParse() {
-      const { requests, unsentBytes } = connection
-      const newest = newestOf(connection)
+      const { requests, newest, unsentBytes } = connection
       // The rest of a body is read in any case.
-      if (newest && !newest.req.complete) return true
+      if (newest && !newest.isEnded && !newest.req.complete) return true
       if (requests.size >= MAX_REQUESTS || unsentBytes >= MAX_UNSENT_BYTES) return false
       return requests.size === 0 || hooks.mayAsk()
     },
     onArrived: (bytes) => hooks.onHeld(connection, bytes),
     onParse(bytes) {
-      const newest = newestOf(connection)
-      if (newest && !newest.req.complete) newest.heldBytes += bytes
+      const { newest } = connection
+      if (newest && !newest.isEnded && !newest.req.complete) newest.heldBytes += bytes
       else connection.headBytes += bytes
     },
     onUnsent(bytes) {
@@ -91,6 +94,7 @@
   const connection: Connection = {
     stream,
     requests: new Set(),
+    newest: undefined,
     heldBytes: 0,
     headBytes: 0,
     unsentBytes: 0,
@@ -101,9 +105,6 @@
   return connection
 }
 
-const newestOf = ({ requests }: Connection): OpenRequest | undefined =>
-  [...requests].at(-1)
-
 /** What the connection is waiting for. */
 export function stateOf({
   requests,
--- a/src/limits/connectionPool.ts
+++ b/src/limits/connectionPool.ts
@@ -174,22 +174,39 @@
   }
 
   /** Counts a request until its answer has ended and its handler too. */
-  async function run(
+  function run(
     connection: Connection,
     req: IncomingMessage,
     res: ServerResponse,
     handle: RequestHandler,
-  ): Promise<void> {
-    let noteClosed = (): void => undefined
-    const closed = new Promise<void>((resolve) => {
-      noteClosed = resolve
-      res.once('close', resolve)
-    })
-    const request: OpenRequest = { req, res, heldBytes: connection.headBytes, noteClosed }
+  ): void {
+    let isClosed = false
+    let isHandled = false
+    const endIfDone = (): void => {
+      if (isClosed && isHandled && !request.isEnded) end(connection, request)
+    }
+    const noteClosed = (): void => {
+      isClosed = true
+      endIfDone()
+    }
+    const noteHandled = (): void => {
+      isHandled = true
+      endIfDone()
+    }
+    const heldBytes = connection.headBytes
+    const request: OpenRequest = { req, res, heldBytes, isEnded: false, noteClosed }
     connection.headBytes = 0
+    connection.newest = request
     connection.requests.add(request)
     requests++
-    await Promise.allSettled([handle(req, res), closed])
+    res.once('close', noteClosed)
+    const handled = handle(req, res)
+    if (handled instanceof Promise) void handled.then(noteHandled, noteHandled)
+    else noteHandled()
+  }
+
+  function end(connection: Connection, request: OpenRequest): void {
+    request.isEnded = true
     requests--
     connection.requests.delete(request)
     if (!open.has(connection)) return
@@ -222,7 +239,7 @@
       if (!connection) return
       connection.hasAsked = true
       if (requests < limits.requests || closeLargest('unfinished', connection))
-        return void run(connection, req, res, handle)
+        return run(connection, req, res, handle)
       hooks.onRefused('requests')
       hold(connection, -connection.headBytes)
       connection.headBytes = 0
--- a/src/limits/pacedStream.ts
+++ b/src/limits/pacedStream.ts
@@ -53,6 +53,15 @@
   return bytes.length
 }
 
+/** A chunk of an answer. */
+interface WrittenChunk {
+  chunk: Buffer | string
+  encoding: BufferEncoding
+}
+
+const lengthOf = (chunk: Buffer | string, encoding: BufferEncoding): number =>
+  typeof chunk === 'string' ? Buffer.byteLength(chunk, encoding) : chunk.length
+
 /** Wraps a socket. */
 export function createPacedStream(socket: Socket, hooks: PacedStreamHooks): PacedStream {
   /** Bytes that have arrived and not been given to the parser. */
@@ -64,27 +73,33 @@
   const stream = new Duplex({
     allowHalfOpen: true,
     readableHighWaterMark: MAX_UNREAD_BODY_BYTES,
+    decodeStrings: false,
     read() {
       isWanted = true
       if (rest) schedule()
       else socket.resume()
     },
-    write(chunk: Buffer, encoding, done) {
-      hooks.onUnsent(chunk.length)
+    write(chunk: Buffer | string, encoding, done) {
+      const bytes = lengthOf(chunk, encoding)
+      hooks.onUnsent(bytes)
       socket.write(chunk, encoding, (cause) => {
-        hooks.onUnsent(-chunk.length)
+        hooks.onUnsent(-bytes)
         done(cause)
       })
     },
-    writev(chunks, done) {
-      const bytes = chunks.reduce((sum, each) => sum + (each.chunk as Buffer).length, 0)
+    writev(chunks: WrittenChunk[], done) {
+      const bytes = chunks.reduce(
+        (sum, { chunk, encoding }) => sum + lengthOf(chunk, encoding),
+        0,
+      )
       hooks.onUnsent(bytes)
       socket.cork()
-      for (const each of chunks.slice(0, -1)) socket.write(each.chunk as Buffer)
-      socket.write(chunks.at(-1)!.chunk as Buffer, (cause) => {
+      const noteSent = (cause?: Error | null): void => {
         hooks.onUnsent(-bytes)
         done(cause)
-      })
+      }
+      for (const [index, { chunk, encoding }] of chunks.entries())
+        socket.write(chunk, encoding, index === chunks.length - 1 ? noteSent : undefined)
       socket.uncork()
     },
     final(done) {
