fix(limits): room for the calls of all other nodes on a small VM

Cause: by reading: an endpoint's connections follow the memory, so that on a VM of 160 MB an owner would keep 93 connections and 46 requests of other nodes, fewer than the nodes of a large deployment need. Between entries the largest message, 8 MiB, was above the bytes that may be held.

Change: 512 connections and requests at least, as far as descriptors allow (390 with 4,100), and 10 MiB.

Result: the new test of the budget fails before (93 connections) and passes.

--- a/src/limits/__tests__/budget.spec.ts
+++ b/src/limits/__tests__/budget.spec.ts
@@ -25,6 +25,14 @@
         for (const limit of Object.values(limitsOf(endpoint, vm))) t.true(limit >= 1)
   })
 
+  // Calls between nodes would fail if the owner of a busy service closed their connections.
+  it('has room for the calls of all other nodes on the smallest VM', (t) => {
+    const { connections, requests, heldBytes } = limitsOf('nodes', VMS[0]!)
+    t.true(connections >= 300, `${connections} connections`)
+    t.true(requests >= 300, `${requests} requests`)
+    t.true(heldBytes >= 8 * 1024 * 1024, `${heldBytes} bytes`)
+  })
+
   it('grows with the VM', (t) => {
     const small = limitsOf('callers', VMS[0]!)
     const large = limitsOf('callers', VMS[1]!)
--- a/src/limits/budget.ts
+++ b/src/limits/budget.ts
@@ -55,31 +55,36 @@
   share: number
   /** Fewest bytes of requests: those of a few of the largest ones. */
   minHeldBytes: number
+  /** Connections and requests that the endpoint has on every VM, as far as descriptors allow. */
+  least: number
   /** Most connections and requests that the endpoint can use. */
   most: number
 }
 
 const SHARES: Record<Endpoint, EndpointShare> = {
-  callers: { share: 0.7, minHeldBytes: 4 * MB, most: Infinity },
-  nodes: { share: 0.2, minHeldBytes: 2 * MB, most: 1024 },
-  readiness: { share: 0.05, minHeldBytes: 64 * 1024, most: 32 },
-  metrics: { share: 0.05, minHeldBytes: 64 * 1024, most: 16 },
+  callers: { share: 0.7, minHeldBytes: 4 * MB, least: 0, most: Infinity },
+  // An owner has a few connections of each other node, and the largest message is 8 MiB.
+  nodes: { share: 0.2, minHeldBytes: 10 * MB, least: 512, most: 1024 },
+  readiness: { share: 0.05, minHeldBytes: 64 * 1024, least: 0, most: 32 },
+  metrics: { share: 0.05, minHeldBytes: 64 * 1024, least: 0, most: 16 },
 }
 
 /** Returns what the clients of an endpoint can take. */
 export function limitsOf(endpoint: Endpoint, vm: VmLimits): EndpointLimits {
-  const { share, minHeldBytes, most } = SHARES[endpoint]
+  const { share, minHeldBytes, least, most } = SHARES[endpoint]
   const bytes = vm.memory_mb * MB * MEMORY_SHARE * share
   const free = Math.max(MIN_DESCRIPTORS, vm.file_descriptors - FILE_DESCRIPTORS)
   const descriptors = free * DESCRIPTOR_SHARE * share
   const connections = Math.min(
     most,
     descriptors,
-    (bytes * USES.connections) / CONNECTION_BYTES,
+    Math.max(least, (bytes * USES.connections) / CONNECTION_BYTES),
   )
   return {
     connections: Math.ceil(connections),
-    requests: Math.ceil(Math.min(most, (bytes * USES.requests) / REQUEST_BYTES)),
+    requests: Math.ceil(
+      Math.min(most, Math.max(least, (bytes * USES.requests) / REQUEST_BYTES)),
+    ),
     heldBytes: Math.max(minHeldBytes, Math.floor(bytes * USES.held)),
     unreadBytes: Math.floor(bytes * USES.unread),
   }
