--- a/playground/sim/slowOrders.ts
+++ b/playground/sim/slowOrders.ts
@@ -3,7 +3,8 @@
  * it sends one order or reads one answer after another, each for some time.
  */
 import type { TargetOrders } from '../../src/ports/index.js'
-import { monotonicMs, sleep } from '../../src/shared/index.js'
+import { createLimitedProcessor } from './limitedProcessor.js'
+import type { LimitedProcessor } from './limitedProcessor.js'
 
 /** Processor time that each call takes, in ms. */
 export interface CallCosts {
@@ -13,34 +14,26 @@
   reportMs: number
 }
 
-/** Wraps the orders of one owner. */
+/** Wraps the orders of one owner, whose processor it shares with other work. */
 export function createSlowOrders(
   orders: TargetOrders,
   { startMs, reportMs }: CallCosts,
+  processor: LimitedProcessor = createLimitedProcessor(),
 ): TargetOrders {
-  let idleAt = 0
-
-  /** Resolves once all calls before this one and its own `ms` are through. */
-  async function takeTurn(ms: number): Promise<void> {
-    const now = monotonicMs()
-    idleAt = Math.max(idleAt, now) + ms
-    await sleep(idleAt - now)
-  }
-
   return {
     open(target) {
       const link = orders.open(target)
       return {
         ...link,
         async start(order, timeoutMs) {
-          await takeTurn(startMs / 2)
+          await processor.work(startMs / 2)
           const res = await link.start(order, timeoutMs)
-          await takeTurn(startMs / 2)
+          await processor.work(startMs / 2)
           return res
         },
         async sync(order, timeoutMs) {
           const res = await link.sync(order, timeoutMs)
-          await takeTurn(reportMs)
+          await processor.work(reportMs)
           return res
         },
       }
