fix(scheduler): a superseded owner acknowledges no end that it has not written

Cause: when a newer owner has taken over, the write of progress is given up, and its jobs no longer count as unwritten. The next wait for durable progress then acknowledged all ends, and an unanswered start made the agent poll its target (to fence the start) although the owner had no authority left. The target forgot ends that are in no row, and the next owner ran their tasks again: two runs of a task that was done.

Change: once progress was given up, nothing counts as durable, and a target is not polled by an owner that may give it no orders.

Result: 'acknowledges no end that a newer owner kept from being written' fails on the code before.

--- a/src/scheduler/__tests__/progressWriter.spec.ts
+++ b/src/scheduler/__tests__/progressWriter.spec.ts
@@ -30,7 +30,37 @@
   return { writer, waiting, writes: () => writes }
 }
 
+/** Creates a writer whose writes are refused, as the service has a newer owner. */
+function startSuperseded() {
+  const store = {
+    commit: async (): StoreResult<RowCommit> => ok({ committed: false, current: [] }),
+  } as unknown as RowStore
+  const authority = {
+    epoch: () => ({ table: 'epochs', part: SERVICE, key: 'epoch', version: 1 }),
+    adoptEpoch: () => false,
+    markLost: () => undefined,
+  }
+  return createProgressWriter({
+    store,
+    service: SERVICE,
+    authority: authority as unknown as Authority,
+    log: createMemoryLogger(),
+    settled: () => undefined,
+  })
+}
+
 describe('createProgressWriter', () => {
+  it('acknowledges no end that a newer owner kept from being written', async (t) => {
+    const writer = startSuperseded()
+    t.teardown(() => writer.stop(false))
+    let acknowledged = 0
+    writer.addSource({ capture: () => () => void acknowledged++ })
+    writer.markDirty(createFrozenJobBook().add(makeJob({})))
+    t.false(await writer.flushed(200))
+    t.false(await writer.flushed(50))
+    t.is(acknowledged, 0)
+  })
+
   it('does not make the ends of many jobs wait for one write after another', async (t) => {
     const { writer, waiting, writes } = startWriter()
     t.teardown(() => writer.stop(false))
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -72,6 +72,8 @@
   let waiters: ((isDurable: boolean) => void)[] = []
   let timer: NodeJS.Timeout | undefined
   let flushing: Promise<void> | undefined
+  /** Whether progress was given up, as the epoch was lost: what was noted is not durable then. */
+  let hasGivenUp = false
 
   const schedule = (): void => {
     if (flushing || timer || dirty.size === 0 || stopping.signal.aborted) return
@@ -90,7 +92,7 @@
     const acks = [...sources].map((source) => source.capture())
     const waiting = waiters
     waiters = []
-    if (!(await writeAll(batch))) return
+    if (!(await writeAll(batch))) return void (hasGivenUp = true)
     for (const ack of acks) ack()
     for (const resolve of waiting) resolve(true)
   }
@@ -180,7 +182,7 @@
     addSource: (source) => void sources.add(source),
     removeSource: (source) => void sources.delete(source),
     flushed(ms) {
-      if (dirty.size === 0 && !flushing) {
+      if (dirty.size === 0 && !flushing && !hasGivenUp) {
         // Nothing is left to write, so all progress noted so far is durable.
         for (const source of sources) source.capture()()
         return Promise.resolve(true)
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -344,7 +344,7 @@
   async function fenceUnanswered(): Promise<void> {
     tokenOffset++
     runs.fence(token())
-    await syncOnce(0)
+    if (authority.mayOrder()) await syncOnce(0)
   }
 
   /** Whether the list shows an incarnation that is not the answering one; capacities may differ. */
