feat(forwarding): targets of a busy owner are called by other nodes

Callers saw too little served in the turn of a queue. The owner of a service makes two HTTP exchanges for each run itself, which takes all of its processor time at about a thousand starts a second, while the other nodes idle.

Change: a node that is busy for half of the time has its targets called by other nodes, as many as its targets need. Calls to all targets of one node share messages. The owner keeps the book, plans, tokens and leases; a call through another node was made once, had no effect, or went unanswered, as any call, and is then repeated directly. A lost node shows within 0.6 s. Starts for one target are sent up to eight at a time, as a message takes longer than a call.

--- a/playground/soak/nodes.ts
+++ b/playground/soak/nodes.ts
@@ -45,6 +45,8 @@
   /** All halls of the deployment. */
   halls: readonly string[]
   withCloud: boolean
+  /** Whether it calls targets through other nodes whenever it can. */
+  forwards: boolean
   dir: string
   /** Called when the process exits without having been stopped or killed. */
   onUnexpectedExit(name: string, reason: string): void
@@ -56,6 +58,7 @@
   const settings = await writeNodeSettings(addresses, name, opts.hall, [
     '[node]',
     `halls = ${opts.halls.join(',')}`,
+    ...(opts.forwards ? ['[owner]', 'forward_from_share = 0'] : []),
   ])
   const clients = new Pool(`http://${settings.callers}`, {
     connections: CONNECTIONS,
--- a/src/config/nodeSchema.ts
+++ b/src/config/nodeSchema.ts
@@ -4,6 +4,7 @@
 import type { Feature } from './features.js'
 import { limitKeys } from './schema.js'
 import {
+  fraction,
   identifierList,
   ipAddress,
   nodeName,
@@ -63,6 +64,8 @@
     role: nodeName().prefault('entry'),
     /** Cores that the node may use; nodes with more cores come first as owners. @default 1 */
     cpu_share: positiveNumber().prefault('1'),
+    /** Speed of a core, as a multiple of the slowest kind of core. @default 1 */
+    cores: positiveNumber().prefault('1'),
     /** Bandwidth of the node's link, in Mbit/s. @default 1000 */
     link_mbps: positiveNumber().prefault('1000'),
   }),
@@ -102,6 +105,10 @@
     /** Contracts of the platform in force. @default all that enable no optional feature */
     in_force: identifierList().prefault(BASE_CONTRACTS.join(',')),
   }),
+  owner: section({
+    /** Share of its processor time from which a node calls targets through others. @default 0.5 */
+    forward_from_share: fraction().prefault('0.5'),
+  }),
   features: section({
     /** Optional features to enable. @default those that the contracts in force call for */
     enabled: featureList().optional(),
@@ -119,10 +126,11 @@
  * cannot be used, is an error that keeps the node from starting.
  */
 export const KEYS_WITH_FALLBACK: Record<string, readonly string[]> = {
-  node: ['halls', 'role', 'cpu_share', 'link_mbps'],
+  node: ['halls', 'role', 'cpu_share', 'cores', 'link_mbps'],
   listen: ['metrics_port'],
   cloud: ['orders_per_second'],
   contracts: ['in_force'],
+  owner: ['forward_from_share'],
   features: ['enabled'],
   limits: ['memory_mb', 'file_descriptors'],
   log: ['level'],
--- /dev/null
+++ b/src/forwarding/__tests__/forwarderChoice.spec.ts
@@ -0,0 +1,118 @@
+import { describe, it } from '../../../test/describe.js'
+import { createMemoryLogger } from '../../shared/index.js'
+import { TARGETS_PER_FORWARDER } from '../constants.js'
+import type { Forwarder } from '../forwarder.js'
+import { createForwarderChoice } from '../forwarderChoice.js'
+import type { ForwarderCandidate } from '../forwarderChoice.js'
+
+interface Node extends ForwarderCandidate {
+  isUsable: boolean
+  busyShare: number
+}
+
+const nodeAt = (address: string, more: Partial<Node> = {}): Node => ({
+  address,
+  room: 1,
+  owned: 0,
+  isUsable: true,
+  busyShare: 0,
+  ...more,
+})
+
+function setUp(nodes: Node[], targets: number) {
+  const state = { share: 0, nodes }
+  const forwarders = new Map<string, Forwarder>(
+    nodes.map((node) => [
+      node.address,
+      {
+        address: node.address,
+        isUsable: () => node.isUsable,
+        busyShare: () => node.busyShare,
+        call: async () => 'notSent',
+        tell: () => undefined,
+      },
+    ]),
+  )
+  const choice = createForwarderChoice({
+    busyShare: () => state.share,
+    candidates: () => state.nodes,
+    connect: (address) => forwarders.get(address)!,
+    salt: '',
+    log: createMemoryLogger(),
+  })
+  for (let count = 0; count < targets; count++) choice.noteOpened()
+  choice.update()
+  const used = (): string[] => {
+    const ids = Array.from({ length: targets }, (_, index) => `t${index}`)
+    return [
+      ...new Set(ids.flatMap((id) => choice.forwarderFor(id)?.address ?? [])),
+    ].sort()
+  }
+  return { state, choice, used }
+}
+
+const manyNodes = (count: number): Node[] =>
+  Array.from({ length: count }, (_, index) => nodeAt(`n${index}`))
+
+describe('createForwarderChoice', () => {
+  it('calls targets directly while the node has processor time to spare', (t) => {
+    const { used } = setUp(manyNodes(5), 100)
+    t.deepEqual(used(), [])
+  })
+
+  it('uses as many nodes as the targets need', (t) => {
+    const { state, choice, used } = setUp(manyNodes(40), 10 * TARGETS_PER_FORWARDER)
+    state.share = 1
+    choice.update()
+    t.is(choice.inUse(), 10)
+    t.is(used().length, 10)
+  })
+
+  it('goes on with those that it has when the use falls for a moment', (t) => {
+    const { state, choice, used } = setUp(manyNodes(5), 2 * TARGETS_PER_FORWARDER)
+    state.share = 1
+    choice.update()
+    const before = used()
+    state.share = 0
+    choice.update()
+    t.deepEqual(used(), before)
+  })
+
+  it('prefers strong nodes that own nothing', (t) => {
+    const nodes = [
+      nodeAt('weak', { room: 0.3 }),
+      nodeAt('owner', { room: 1, owned: 3 }),
+      nodeAt('strong'),
+    ]
+    const { state, choice, used } = setUp(nodes, TARGETS_PER_FORWARDER)
+    state.share = 1
+    choice.update()
+    t.deepEqual(used(), ['strong'])
+  })
+
+  it('replaces a node that is lost, and takes none that is busy itself', (t) => {
+    const nodes = [
+      nodeAt('a'),
+      nodeAt('b', { busyShare: 0.9 }),
+      nodeAt('c', { room: 0.5 }),
+    ]
+    const { state, choice, used } = setUp(nodes, TARGETS_PER_FORWARDER)
+    state.share = 1
+    choice.update()
+    t.deepEqual(used(), ['a'])
+    nodes[0]!.isUsable = false
+    t.deepEqual(used(), [])
+    choice.update()
+    t.deepEqual(used(), ['c'])
+  })
+
+  it('drops a node that leaves', (t) => {
+    const nodes = [nodeAt('a'), nodeAt('b', { room: 0.5 })]
+    const { state, choice, used } = setUp(nodes, TARGETS_PER_FORWARDER)
+    state.share = 1
+    choice.update()
+    state.nodes = nodes.slice(1)
+    choice.update()
+    t.deepEqual(used(), ['b'])
+  })
+})
--- /dev/null
+++ b/src/forwarding/constants.ts
@@ -0,0 +1,43 @@
+/** Time-outs, intervals and limits of forwarded orders. Times are in ms of the monotonic clock. */
+
+/** Time for which answers are collected before they are sent back. */
+export const BATCH_MS = 8
+/** Shortest interval between two messages to one forwarder. */
+export const MIN_MESSAGE_INTERVAL_MS = 15
+/** Longest time for which a forwarder holds a message without answers. */
+export const HOLD_MS = 200
+/**
+ * Time without an answer to a message after which its forwarder is lost. With the time that the
+ * forwarder may hold a message, within the 1.2 s in which an owner is replaced.
+ */
+export const MESSAGE_TIMEOUT_MS = HOLD_MS + 400
+/** Time for which a lost forwarder is not used. */
+export const LOST_PAUSE_MS = 5000
+/** Time for which a target is called directly after a forwarded call to it went unanswered. */
+export const DIRECT_AFTER_FAILURE_MS = 2000
+/** Messages under way to one forwarder: one that is held there, and one that brings new calls. */
+export const MAX_MESSAGES_UNDER_WAY = 2
+/** Starts that are sent to one target at a time: a message takes longer than a call to a target. */
+export const STARTS_AT_ONCE = 8
+/** Most calls in one message, and most text in it, in characters: half of the largest message. */
+export const MAX_CALLS_PER_MESSAGE = 200
+export const MAX_TEXT_PER_MESSAGE = 512 * 1024
+/** Time without a message after which a forwarder forgets an owner, or a target's connections. */
+export const IDLE_MS = 3000
+/** Interval between checks for owners and targets to forget. */
+export const IDLE_CHECK_MS = 1000
+/** Use of its processor from which an owner asks for forwarders, as a share. */
+export const ASK_FROM_SHARE = 0.5
+/** Use of its processor below which an owner no longer needs them, as a share. */
+export const RELEASE_BELOW_SHARE = 0.2
+/** Time for which the use must stay below that share. */
+export const RELEASE_AFTER_MS = 5000
+/** Use of its processor from which a forwarder gets no further targets, as a share. */
+export const MAX_FORWARDER_SHARE = 0.75
+/**
+ * Targets per forwarder: each takes about 15 calls a second in a turn. With fewer, more messages are
+ * needed for the same calls.
+ */
+export const TARGETS_PER_FORWARDER = 48
+/** Interval between two choices of the forwarders. */
+export const CHOICE_INTERVAL_MS = 250
--- /dev/null
+++ b/src/forwarding/forwardedOrders.ts
@@ -0,0 +1,97 @@
+/**
+ * Calls to targets, directly or through other nodes. A forwarded call keeps what its owner knows of
+ * every call: it was made once, had no effect, or went unanswered and is then repeated directly.
+ */
+import type {
+  OrderFailure,
+  OrderResult,
+  TargetLink,
+  TargetOrders,
+} from '../ports/index.js'
+import { err } from 'neverthrow'
+import { monotonicMs } from '../shared/index.js'
+import { DIRECT_AFTER_FAILURE_MS, STARTS_AT_ONCE } from './constants.js'
+import type { ForwarderChoice } from './forwarderChoice.js'
+import type { Forwarder, NewCall } from './forwarder.js'
+import { decodeResult, unansweredError } from './messages.js'
+import type { AnswerValues, CallKind, CalledTarget } from './messages.js'
+
+/** Orders of one kind. */
+type OrderOf<K extends CallKind> = Parameters<TargetLink[K]>[0]
+
+/** Failures that the target itself has told. */
+const FINAL_FAILURES: ReadonlySet<OrderFailure> = new Set(['gone', 'fenced'])
+
+/** Creates the calls of a node to its targets. */
+export function createForwardedOrders(opts: {
+  /** Calls targets directly. */
+  direct: TargetOrders
+  choice: Pick<ForwarderChoice, 'forwarderFor' | 'noteOpened' | 'noteClosed'>
+}): TargetOrders {
+  return {
+    open: ({ id, address }) => createForwardedLink({ ...opts, target: { id, address } }),
+  }
+}
+
+function createForwardedLink({
+  direct,
+  choice,
+  target,
+}: Parameters<typeof createForwardedOrders>[0] & { target: CalledTarget }): TargetLink {
+  let link: TargetLink | undefined
+  /** Forwarder that may keep connections to the target. */
+  let lastUsed: Forwarder | undefined
+  let directUntil = -Infinity
+  choice.noteOpened()
+
+  const currentForwarder = (): Forwarder | undefined =>
+    monotonicMs() < directUntil ? undefined : choice.forwarderFor(target.id)
+
+  function callDirectly<K extends CallKind>(
+    kind: K,
+    order: OrderOf<K>,
+    timeoutMs: number,
+  ): OrderResult<AnswerValues[K]> {
+    link ??= direct.open(target)
+    const call = link[kind] as (
+      each: OrderOf<K>,
+      ms: number,
+    ) => OrderResult<AnswerValues[K]>
+    return call(order, timeoutMs)
+  }
+
+  async function call<K extends CallKind>(
+    kind: K,
+    order: OrderOf<K>,
+    timeoutMs: number,
+  ): OrderResult<AnswerValues[K]> {
+    const forwarder = currentForwarder()
+    if (!forwarder) return callDirectly(kind, order, timeoutMs)
+    lastUsed = forwarder
+    const outcome = await forwarder.call({ kind, target, order, timeoutMs } as NewCall)
+    if (typeof outcome !== 'string') {
+      const res = decodeResult(kind, outcome, target)
+      if (res.isOk() || FINAL_FAILURES.has(res.error.failure)) return res
+      // The target may be out of reach of the forwarder alone.
+      directUntil = monotonicMs() + DIRECT_AFTER_FAILURE_MS
+      if (res.error.cause.failure !== 'unreachable') return res
+    }
+    directUntil = monotonicMs() + DIRECT_AFTER_FAILURE_MS
+    if (outcome !== 'lost') return callDirectly(kind, order, timeoutMs)
+    const reason = `no answer from forwarder ${forwarder.address}`
+    return err(unansweredError(`orders.${kind}`, target.address, reason))
+  }
+
+  return {
+    startsAtOnce: () => (currentForwarder() ? STARTS_AT_ONCE : 1),
+    start: (order, timeoutMs) => call('start', order, timeoutMs),
+    stop: (order, timeoutMs) => call('stop', order, timeoutMs),
+    pace: (order, timeoutMs) => call('pace', order, timeoutMs),
+    sync: (order, timeoutMs) => call('sync', order, timeoutMs),
+    close() {
+      choice.noteClosed()
+      link?.close()
+      lastUsed?.tell({ kind: 'close', target, timeoutMs: 0 })
+    },
+  }
+}
--- /dev/null
+++ b/src/forwarding/forwarder.ts
@@ -0,0 +1,167 @@
+/**
+ * Sends calls to targets through another node. Calls to all targets of that node share messages,
+ * so that a call costs the owner a part of a message instead of an exchange over HTTP. While answers
+ * are due, one message is always under way: its silence shows within `MESSAGE_TIMEOUT_MS` that
+ * the node is lost, and then no answer to an earlier call can come any more.
+ */
+import { nanoid } from 'nanoid'
+import { describeError, monotonicMs, parseJson } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import {
+  LOST_PAUSE_MS,
+  MAX_CALLS_PER_MESSAGE,
+  MAX_MESSAGES_UNDER_WAY,
+  MAX_TEXT_PER_MESSAGE,
+  MIN_MESSAGE_INTERVAL_MS,
+} from './constants.js'
+import type { ForwardClient, ForwardResponse } from './forwardClient.js'
+import { answersSchema } from './messages.js'
+import type { ForwardedAnswer, ForwardedCall } from './messages.js'
+
+/** Length of the id of a session, in characters: 60 random bits. */
+const SESSION_LENGTH = 10
+
+/**
+ * What became of a call. `notSent`: the forwarder has not got it. `lost`: it may have been made, and
+ * its answer will not come back.
+ */
+export type CallOutcome = 'notSent' | 'lost' | ForwardedAnswer
+
+/** A call without its number. */
+export type NewCall = ForwardedCall extends infer C
+  ? C extends ForwardedCall
+    ? Omit<C, 'seq'>
+    : never
+  : never
+
+/** Another node that calls targets for this one. */
+export interface Forwarder {
+  readonly address: string
+  /** Whether calls may be sent through it now. */
+  isUsable(): boolean
+  /** Share of its processor time that it uses, as last heard. */
+  busyShare(): number
+  /** Makes a call. */
+  call(call: NewCall): Promise<CallOutcome>
+  /** Sends a call that has no answer. */
+  tell(call: NewCall): void
+}
+
+/** Dependencies of a forwarder. */
+export interface ForwarderOptions {
+  address: string
+  /** Sends a message; fails if no answer comes in time. */
+  send: ForwardClient['send']
+  log: Logger
+}
+
+/** A call that waits to be sent. */
+interface Waiting {
+  seq: number
+  text: string
+  settle(outcome: CallOutcome): void
+}
+
+const ignoreOutcome = (): void => undefined
+
+/** Removes from the front as many calls as fit into one message, and at least one if there is one. */
+function takeBatch(waiting: Waiting[]): Waiting[] {
+  let text = 0
+  let count = 0
+  for (const each of waiting) {
+    text += each.text.length
+    if (count > 0 && (text > MAX_TEXT_PER_MESSAGE || count >= MAX_CALLS_PER_MESSAGE))
+      break
+    count++
+  }
+  return waiting.splice(0, count)
+}
+
+/** Creates a forwarder; nothing is sent before the first call. */
+export function createForwarder({ address, send, log }: ForwarderOptions): Forwarder {
+  let session = nanoid(SESSION_LENGTH)
+  let life: string | undefined
+  let nextSeq = 1
+  let waiting: Waiting[] = []
+  /** Calls that were sent, by number. */
+  const pending = new Map<number, Waiting['settle']>()
+  /** Messages of the present session without an answer so far. */
+  let underWay = 0
+  let sentAt = -Infinity
+  let timer: NodeJS.Timeout | undefined
+  let lostUntil = -Infinity
+  let busyShare = 0
+
+  /** Gives up all calls; the session is not continued. */
+  function lose(reason: string): void {
+    log.event('forwarderLost', { peer: address, reason, calls: pending.size })
+    lostUntil = monotonicMs() + LOST_PAUSE_MS
+    session = nanoid(SESSION_LENGTH)
+    life = undefined
+    underWay = 0
+    const unsent = waiting
+    const lost = [...pending.values()]
+    waiting = []
+    pending.clear()
+    for (const settle of lost) settle('lost')
+    for (const { settle } of unsent) settle('notSent')
+  }
+
+  async function exchange(batch: Waiting[]): Promise<void> {
+    const sentIn = session
+    for (const { seq, settle } of batch)
+      if (settle !== ignoreOutcome) pending.set(seq, settle)
+    underWay++
+    sentAt = monotonicMs()
+    const calls = `[${batch.map(({ text }) => text).join(',')}]`
+    const res = await send({ session: sentIn, calls })
+    if (sentIn !== session) return
+    underWay--
+    if (res.isOk()) receive(res.value)
+    else lose(describeError(res.error))
+    pump()
+  }
+
+  function receive(res: ForwardResponse): void {
+    const isFirst = life === undefined
+    const answers = answersSchema.safeParse(parseJson(res.answers))
+    if (!answers.success) return lose('the answer has the wrong shape')
+    if (!isFirst && life !== res.life && pending.size > 0)
+      return lose('the calls so far were forgotten')
+    life = res.life
+    busyShare = res.busyShare
+    for (const answer of answers.data) {
+      const settle = pending.get(answer.seq)
+      pending.delete(answer.seq)
+      settle?.(answer)
+    }
+  }
+
+  /** Sends what waits, or asks for answers that are due. */
+  function pump(): void {
+    if (timer || underWay >= MAX_MESSAGES_UNDER_WAY) return
+    const asksForAnswers = underWay === 0 && pending.size > 0
+    if (waiting.length === 0 && !asksForAnswers) return
+    const waitMs = sentAt + MIN_MESSAGE_INTERVAL_MS - monotonicMs()
+    if (waitMs <= 0) return void exchange(takeBatch(waiting))
+    timer = setTimeout(() => {
+      timer = undefined
+      pump()
+    }, waitMs)
+  }
+
+  function enqueue(call: NewCall, settle: Waiting['settle']): void {
+    const seq = nextSeq++
+    waiting.push({ seq, text: JSON.stringify({ ...call, seq }), settle })
+    // Calls of one turn of the event loop share a message.
+    if (waiting.length === 1) setImmediate(pump)
+  }
+
+  return {
+    address,
+    isUsable: () => monotonicMs() >= lostUntil,
+    busyShare: () => busyShare,
+    call: (call) => new Promise((resolve) => enqueue(call, resolve)),
+    tell: (call) => enqueue(call, ignoreOutcome),
+  }
+}
--- /dev/null
+++ b/src/forwarding/forwarderChoice.ts
@@ -0,0 +1,141 @@
+/**
+ * Chooses the nodes that call targets for this one: none while it has processor time to spare, and as
+ * many as its targets need once it uses half of it. Each target keeps its forwarder while the choice
+ * stays the same (rendezvous hashing, D. Thaler and C. Ravishankar, 1998).
+ */
+import { monotonicMs } from '../shared/index.js'
+import type { Logger } from '../shared/index.js'
+import {
+  ASK_FROM_SHARE,
+  MAX_FORWARDER_SHARE,
+  RELEASE_AFTER_MS,
+  RELEASE_BELOW_SHARE,
+  TARGETS_PER_FORWARDER,
+} from './constants.js'
+import type { Forwarder } from './forwarder.js'
+
+/** A node that may forward calls. */
+export interface ForwarderCandidate {
+  address: string
+  /** Capacity of the node; 1 for a whole core. */
+  room: number
+  /** Number of services that it owns itself. */
+  owned: number
+}
+
+/** Chooses forwarders. */
+export interface ForwarderChoice {
+  /** The forwarder of a target; undefined if it is to be called directly. */
+  forwarderFor(targetId: string): Forwarder | undefined
+  /** Counts the targets that are called. */
+  noteOpened(): void
+  noteClosed(): void
+  /** Chooses again; to be called periodically. */
+  update(): void
+  /** Number of forwarders in use. */
+  inUse(): number
+}
+
+/** Dependencies of the choice. */
+export interface ForwarderChoiceOptions {
+  /** Share of its processor time that this node uses. */
+  busyShare(): number
+  candidates(): ForwarderCandidate[]
+  /** Returns the forwarder at an address. */
+  connect(address: string): Forwarder
+  /** Varies the order of equal candidates, so that two owners choose different ones. */
+  salt: string
+  log: Logger
+  /** Use of its processor time from which this node asks for forwarders, as a share. */
+  askFromShare?: number
+}
+
+/** Hash of a text: 32 bits of FNV-1a. */
+function hashOf(text: string): number {
+  let hash = 0x811c9dc5
+  for (let index = 0; index < text.length; index++)
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193)
+  return hash >>> 0
+}
+
+/** Creates a choice of no forwarders. */
+export function createForwarderChoice(opts: ForwarderChoiceOptions): ForwarderChoice {
+  const { busyShare, candidates, connect, salt, log } = opts
+  const askFromShare = opts.askFromShare ?? ASK_FROM_SHARE
+  let targets = 0
+  let chosen: Forwarder[] = []
+  let assigned = new Map<string, Forwarder>()
+  let isAsking = false
+  /** Monotonic time since which this node has processor time to spare, in ms. */
+  let calmSince = Infinity
+
+  function updateAsking(now: number): void {
+    const share = busyShare()
+    if (share >= askFromShare) isAsking = true
+    if (share >= Math.min(RELEASE_BELOW_SHARE, askFromShare)) calmSince = Infinity
+    else calmSince = Math.min(calmSince, now)
+    if (now - calmSince >= RELEASE_AFTER_MS) isAsking = false
+  }
+
+  /** Candidates with the most capacity to spare first. */
+  function rank(): Forwarder[] {
+    const spareOf = ({ room, owned }: ForwarderCandidate): number => room / (1 + owned)
+    return candidates()
+      .map((each) => ({
+        forwarder: connect(each.address),
+        spare: spareOf(each),
+        order: hashOf(salt + each.address),
+      }))
+      .filter(({ forwarder }) => forwarder.isUsable())
+      .sort((a, b) => b.spare - a.spare || a.order - b.order)
+      .map(({ forwarder }) => forwarder)
+  }
+
+  function choose(): Forwarder[] {
+    if (!isAsking) return []
+    const wanted = Math.ceil(targets / TARGETS_PER_FORWARDER)
+    const kept = chosen.filter((each) => each.isUsable())
+    const ranked = rank()
+    const known = new Set(ranked)
+    const next = kept.filter((each) => known.has(each)).slice(0, wanted)
+    for (const each of ranked) {
+      if (next.length >= wanted) break
+      if (!next.includes(each) && each.busyShare() < MAX_FORWARDER_SHARE) next.push(each)
+    }
+    return next
+  }
+
+  return {
+    forwarderFor(targetId) {
+      if (chosen.length === 0) return undefined
+      const known = assigned.get(targetId)
+      if (known) return known.isUsable() ? known : undefined
+      let best: { forwarder: Forwarder; weight: number } | undefined
+      for (const forwarder of chosen) {
+        const weight = hashOf(`${targetId} ${forwarder.address}`)
+        if (!best || weight > best.weight) best = { forwarder, weight }
+      }
+      if (!best) return undefined
+      assigned.set(targetId, best.forwarder)
+      return best.forwarder.isUsable() ? best.forwarder : undefined
+    },
+    noteOpened: () => void targets++,
+    noteClosed: () => void targets--,
+    update() {
+      updateAsking(monotonicMs())
+      const next = choose()
+      const isSame =
+        next.length === chosen.length && next.every((each) => chosen.includes(each))
+      if (isSame) return
+      log.event('forwardersChosen', {
+        forwarders: next.map(({ address }) => address),
+        before: chosen.length,
+        targets,
+        busyShare: Math.round(busyShare() * 100) / 100,
+      })
+      chosen = next
+      assigned = new Map()
+    },
+    inUse: () => chosen.length,
+  }
+}
--- a/src/front/ownerRoutes.ts
+++ b/src/front/ownerRoutes.ts
@@ -1,8 +1,10 @@
 /** RPC server for other nodes: questions about owned services, fleet reports, store calls. */
 import type { Server } from 'node:http'
+import { Code, ConnectError } from '@connectrpc/connect'
 import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { z } from 'zod'
+import type { ForwardServer } from '../forwarding/index.js'
 import { jobSchema } from '../jobs/index.js'
 import type { ServerLimits } from '../limits/index.js'
 import { NodeService } from '../peer/gen/node_pb.js'
@@ -23,6 +25,13 @@
   fleet(): FleetOwner | undefined
 }
 
+/** Calls targets for the owners on other nodes. */
+export interface ForwardRoute {
+  handle: ForwardServer['handle']
+  /** Share of its processor time that this node uses. */
+  busyShare(): number
+}
+
 /** Fields of an answer besides `owns`. */
 type AnswerFields = Partial<
   Pick<Answer, 'status' | 'organisation' | 'queue' | 'waiting' | 'wait' | 'loads'>
@@ -104,6 +113,7 @@
   local: LocalOwners,
   access: StoreAccess,
   isFull: () => boolean = () => false,
+  forwarding?: ForwardRoute,
 ): (router: ConnectRouter) => void {
   return (router) =>
     router.service(NodeService, {
@@ -114,6 +124,12 @@
         if (!answer) return { taken: false, answer: '' }
         return { taken: true, answer: JSON.stringify(answer) }
       },
+      async forwardOrders({ session, calls }) {
+        if (!forwarding)
+          throw new ConnectError('calls are not forwarded', Code.Unimplemented)
+        const reply = await forwarding.handle(session, calls)
+        return { ...reply, busyShare: forwarding.busyShare() }
+      },
       async storeCall(req) {
         return { answer: await answerPeerCall(access, req.call) }
       },
--- a/src/node/nodeServices.ts
+++ b/src/node/nodeServices.ts
@@ -9,6 +9,7 @@
   metricsService,
   readinessService,
 } from './endpointServices.js'
+import { forwardingService } from './forwardingService.js'
 import {
   ownerCallsService,
   ownersService,
@@ -20,6 +21,7 @@
 import {
   configurationService,
   latenessService,
+  processorService,
   namespacesService,
   platformService,
   stateService,
@@ -33,12 +35,14 @@
     [
       platformService(platform),
       latenessService(),
+      processorService(),
       storeAccessService(),
       stateService(),
       ownersService(),
       configurationService(),
       namespacesService(),
       registryService(cfg),
+      forwardingService(cfg),
       targetSourceService(),
       ownershipService(cfg),
       ownerCallsService(cfg),
--- a/src/node/optionalMetrics.ts
+++ b/src/node/optionalMetrics.ts
@@ -93,6 +93,18 @@
   }
 }
 
+function showForwarders(use: Use): EventHandlers {
+  const gauge = new Gauge({
+    name: 'rillshunt_forwarders',
+    help: 'other nodes through which this one calls its targets',
+    registers: [],
+  })
+  return {
+    forwardersChosen: (fields) =>
+      use(gauge).set((fields['forwarders'] as string[]).length),
+  }
+}
+
 /** Creates the metrics; returns the handlers that update them. */
 export function createOptionalMetrics(registry: Registry): EventHandlers {
   const used = new Set<Metric>()
@@ -106,5 +118,6 @@
     ...showCordons(use),
     ...countExceededShares(use),
     ...countCopies(use),
+    ...showForwarders(use),
   }
 }
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -32,7 +32,7 @@
 
 /** Capacity of this node for ownership: its share of a core, reduced if its link is slow. */
 const roomOf = ({ node }: NodeConfig): number =>
-  node.cpu_share * Math.min(1, node.link_mbps / OWNER_LINK_MBPS)
+  node.cpu_share * node.cores * Math.min(1, node.link_mbps / OWNER_LINK_MBPS)
 
 /** Holds the owners that run on this node. */
 export const ownersService = () =>
@@ -93,15 +93,28 @@
       'namespaces',
       'targetSource',
       'owners',
+      'forwarding',
+      'processor',
     ],
     async start({ get, log }) {
-      const platform = get('nodePlatform')
+      const { orders, inUse } = get('forwarding')
+      const platform = { ...get('nodePlatform'), orders }
+      const processor = get('processor')
       const { store } = get('storeAccess')
       const configuration = get('configuration')
       const namespaces = get('namespaces')
       const targets = get('targetSource')
       const owners = get('owners')
-      const dependencies = { cfg, platform, store, configuration, targets, owners, log }
+      const dependencies = {
+        cfg,
+        platform,
+        store,
+        configuration,
+        targets,
+        owners,
+        processor: { ...processor, forwarders: inUse },
+        log,
+      }
       return createOwnership({
         store,
         registry: get('registry'),
@@ -117,7 +130,14 @@
 export const ownerCallsService = (cfg: NodeConfig) =>
   defineService({
     name: 'ownerCalls',
-    needs: ['nodePlatform', 'storeAccess', 'registry', 'owners'],
+    needs: [
+      'nodePlatform',
+      'storeAccess',
+      'registry',
+      'owners',
+      'forwarding',
+      'processor',
+    ],
     async start({ get, log }) {
       const { local, isFull } = get('owners')
       const registry = get('registry')
@@ -128,7 +148,10 @@
       const server = await listenForNodes(
         address,
         port,
-        ownerRoutes(local, access, isFull),
+        ownerRoutes(local, access, isFull, {
+          handle: get('forwarding').server.handle,
+          busyShare: get('processor').share,
+        }),
         get('nodePlatform').serverLimits,
       )
       access.setRelay(createStoreRelay(registry, clients, log))
--- a/src/node/serviceMap.ts
+++ b/src/node/serviceMap.ts
@@ -1,6 +1,7 @@
 /** Types of a node's services, by their names in the kernel. */
 import type { Server } from 'node:http'
 import type { ConfigurationHolder, TargetSource } from '../directory/index.js'
+import type { ForwardServer } from '../forwarding/index.js'
 import type { JobService, NodeClients, OwnerCalls } from '../front/index.js'
 import type { ServerLimits } from '../limits/index.js'
 import type { Namespaces } from '../namespaces/index.js'
@@ -12,7 +13,7 @@
   TargetOrders,
   VmCloud,
 } from '../ports/index.js'
-import type { ProcessDelayWatch } from '../shared/index.js'
+import type { ProcessDelayWatch, ProcessorUse } from '../shared/index.js'
 import type { StoreAccess } from '../storeAccess/index.js'
 import type { FleetReports } from './fleetReports.js'
 import type { OwnerTable } from './ownerTable.js'
@@ -52,6 +53,14 @@
     configuration: ConfigurationHolder
     namespaces: Namespaces
     registry: NodeRegistry
+    processor: ProcessorUse
+    forwarding: {
+      orders: TargetOrders
+      server: ForwardServer
+      /** Number of nodes through which targets are called. */
+      inUse(): number
+      close(): void
+    }
     targetSource: TargetSource
     ownership: Ownership
     owners: OwnerTable
--- a/src/node/sourceServices.ts
+++ b/src/node/sourceServices.ts
@@ -6,7 +6,7 @@
 } from '../directory/index.js'
 import { defineService } from '../kernel/index.js'
 import { createNamespaces } from '../namespaces/index.js'
-import { watchProcessDelay } from '../shared/index.js'
+import { watchProcessDelay, watchProcessorUse } from '../shared/index.js'
 import { createStoreAccess } from '../storeAccess/index.js'
 import type { NodePlatform } from './serviceMap.js'
 
@@ -42,6 +42,15 @@
     stop: async (lateness) => lateness.stop(),
   })
 
+/** Measures how much of its processor time this process uses. */
+export const processorService = () =>
+  defineService({
+    name: 'processor',
+    needs: [],
+    start: async ({ log }) => watchProcessorUse(log),
+    stop: async (processor) => processor.stop(),
+  })
+
 /** Follows the operators' configuration and waves. */
 export const configurationService = () =>
   defineService({
--- a/src/node/startOwner.ts
+++ b/src/node/startOwner.ts
@@ -5,6 +5,7 @@
 import { FLEET } from '../ownership/index.js'
 import type { Authority, Owner } from '../ownership/index.js'
 import { createServiceOwner } from '../scheduler/index.js'
+import type { OwnerProcessor } from '../scheduler/index.js'
 import { KernelError } from '../shared/index.js'
 import type { RowStore } from '../ports/index.js'
 import type { Logger } from '../shared/index.js'
@@ -20,6 +21,7 @@
   configuration: ConfigurationHolder
   targets: TargetSource
   owners: OwnerTable
+  processor: OwnerProcessor
   log: Logger
 }
 
@@ -55,6 +57,7 @@
   authority: Authority,
 ): Promise<Owner> {
   const { cfg, platform, store, configuration, targets, owners, log } = dependencies
+  const { processor } = dependencies
   const { orders, cloud, advice } = platform
   const list = targets.acquire()
   await list.ready
@@ -67,6 +70,7 @@
     targets: list,
     authority,
     features: featuresOf(cfg),
+    processor,
     log,
     demandGrown: () => owners.emitDemandGrown(authority.service),
   })
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -128,6 +128,7 @@
       owns,
       leaving: opts.leaving(),
       readsNodeRosters: true,
+      forwardsOrders: true,
     }
     const res = await writer.write(JSON.stringify(row))
     if (res.isErr()) {
--- a/src/ownership/nodeRow.ts
+++ b/src/ownership/nodeRow.ts
@@ -32,6 +32,8 @@
    * nodes. Earlier versions read only those in the part of the service.
    */
   readsNodeRosters: z.boolean().default(false),
+  /** Whether the node calls targets for owners on other nodes. Earlier versions do not. */
+  forwardsOrders: z.boolean().default(false),
 })
 /** Contents of a node row. */
 export type NodeRow = z.infer<typeof nodeSchema>
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -133,6 +133,8 @@
   /** Returns true when the target took the order, false when it refused the token. */
   stop(order: StopOrder, timeoutMs: number): OrderResult<boolean>
   pace(order: PaceOrder, timeoutMs: number): OrderResult<boolean>
+  /** Number of starts that may be sent before the first is answered; 1 if undefined. */
+  startsAtOnce?(): number
   sync(order: SyncOrder, timeoutMs: number): OrderResult<TargetReport>
   close(): void
 }
--- a/src/scheduler/__tests__/model.spec.ts
+++ b/src/scheduler/__tests__/model.spec.ts
@@ -1,4 +1,6 @@
 import fc from 'fast-check'
+import { createBusyNodes } from '../../../test/busyNodes.js'
+import type { BusyNodes, OtherNode } from '../../../test/busyNodes.js'
 import { describe, it } from '../../../test/describe.js'
 import {
   QUEUE,
@@ -27,6 +29,8 @@
   dead: Set<string>
   silent: Set<string>
   targets: number
+  /** Nodes through which targets are called; undefined without any. */
+  nodes: BusyNodes | undefined
 }
 
 const targetAt = ({ rig }: Simulation, pick: number) => {
@@ -34,6 +38,11 @@
   return all[pick % all.length]!
 }
 
+const otherNodeAt = ({ nodes }: Simulation, pick: number): OtherNode => {
+  const { others = [] } = nodes ?? {}
+  return others[pick % others.length]!
+}
+
 type Action = (sim: Simulation, pick: number) => void | Promise<void>
 
 /** Actions of a scenario; the simulation can recover from any of them. */
@@ -97,6 +106,24 @@
   },
 } satisfies Record<string, Action>
 
+/** The same while targets are called through other nodes, with faults of these nodes. */
+const FORWARDING_ACTIONS = {
+  ...ACTIONS,
+  nodeEnds: (sim: Simulation, pick: number) =>
+    void (otherNodeAt(sim, pick).faults.isDown = true),
+  nodeIsMute: (sim: Simulation, pick: number) =>
+    void (otherNodeAt(sim, pick).faults.isMute = true),
+  nodeIsLate: (sim: Simulation, pick: number) =>
+    void (otherNodeAt(sim, pick).faults.lateMs = 100 + pick * 150),
+  nodeIsCutOff: (sim: Simulation, pick: number) =>
+    void (otherNodeAt(sim, pick).faults.isCutOff = true),
+  nodeIsReplaced: (sim: Simulation, pick: number) => otherNodeAt(sim, pick).restart(),
+  nodesAreWell({ nodes }: Simulation) {
+    for (const { faults } of nodes?.others ?? [])
+      Object.assign(faults, { isDown: false, isMute: false, lateMs: 0, isCutOff: false })
+  },
+} satisfies Record<string, Action>
+
 /** The same with outages of the part of the service, while targets come and leave the list. */
 const PART_ACTIONS = {
   ...ACTIONS,
@@ -228,9 +255,23 @@
     { minLength: 15, maxLength: 35 },
   )
 
+/** Has the owners of a rig call their targets through other nodes whenever these answer. */
+function startOtherNodes(rig: JobRig): BusyNodes {
+  const costs = { startMs: 0, reportMs: 0 }
+  const nodes = createBusyNodes({
+    orders: rig.orders,
+    costs,
+    others: 3,
+    askFromShare: 0,
+    log: rig.log,
+  })
+  rig.orders = nodes.orders
+  return nodes
+}
+
 async function runScenario(
   scenario: Step[],
-  { actions, features = [], noteCopies }: Model,
+  { actions, features = [], noteCopies, forwards = false }: Model,
 ): Promise<string | undefined> {
   const rig = createJobRig()
   rig.features = new Set(features)
@@ -245,6 +286,7 @@
   }
   let calls = 0
   rig.table.faults.random = () => ((calls++ * 7919) % 100) / 100
+  const nodes = forwards ? startOtherNodes(rig) : undefined
   for (const id of ['t1', 't2', 't3']) rig.addTarget(id)
   const owner = await rig.startOwner()
   const sim: Simulation = {
@@ -254,6 +296,7 @@
     dead: new Set(),
     silent: new Set(),
     targets: 3,
+    nodes,
   }
   for (let each = 0; each < 6; each++) ACTIONS.submit(sim, each)
   for (const { kind, pick, waitMs } of scenario) {
@@ -264,6 +307,7 @@
   COPY_ACTIONS.wellAgain(sim)
   ACTIONS.storeWell(sim)
   PART_ACTIONS.partIsBack(sim)
+  FORWARDING_ACTIONS.nodesAreWell(sim)
   const settled = await rig.waitForOutcomes(sim.jobs, 30_000)
   // The runs that are not needed any more are being stopped.
   if (isCopying) await sleep(STOPPED_WITHIN_MS)
@@ -271,6 +315,7 @@
     ? findCopyViolation(sim, recorded)
     : findGuaranteeViolation(rig.ledger, sim.dead, sim.silent)
   await rig.stop()
+  nodes?.stop()
   noteCopies?.(rig.log.events.filter(({ name }) => name === 'copyOrdered').length)
   if (broken !== undefined) {
     const task = broken.split(' ')[0]
@@ -303,6 +348,8 @@
 interface Model {
   actions: Record<string, Action>
   features?: Feature[]
+  /** Whether targets are called through other nodes. */
+  forwards?: boolean
   /** Receives the number of copies that a scenario has ordered. */
   noteCopies?(count: number): void
 }
@@ -318,6 +365,10 @@
     'never run a task twice while the part of the service comes and goes': {
       actions: PART_ACTIONS,
     },
+    'never run a task twice while targets are called through other nodes': {
+      actions: FORWARDING_ACTIONS,
+      forwards: true,
+    },
     'never run a task beside itself except as a copy, and stop what is not needed': {
       actions: COPY_ACTIONS,
       features: ['speculation'],
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -1,6 +1,6 @@
 /**
- * Queues the orders for one target, sends them one at a time and records the outcome of each
- * start. Stops are sent first: queued behind starts on a loaded owner, they were 1.3 s late.
+ * Queues the orders for one target, sends them one after another, or a few starts at a time, and
+ * records the outcome of each start. Stops are sent first: queued behind starts on a loaded owner, they were 1.3 s late.
  * A stop never overtakes the start of its run: a start that is still queued is cancelled
  * instead, and one that has been sent is answered before the stop is sent.
  */
@@ -136,7 +136,10 @@
     for (;;) {
       const kind = ORDER_KINDS.find((each) => queues[each].length > 0)
       if (kind === undefined) break
-      await sendNext(kind)
+      // Starts of different tasks may overtake each other; a stop waits for those before it.
+      const atOnce = kind === 'start' ? (link.startsAtOnce?.() ?? 1) : 1
+      const count = Math.min(atOnce, queues[kind].length)
+      await Promise.all(Array.from({ length: count }, () => sendNext(kind)))
     }
     sending = undefined
   }
--- a/src/scheduler/roomUse.ts
+++ b/src/scheduler/roomUse.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '../shared/index.js'
 import type { ColdTargets } from './coldTargets.js'
 import type { OwnerLoad } from './ownerLoad.js'
+import type { OwnerProcessor } from './serviceOwner.js'
 import { needOf, takenCpuOf } from './room.js'
 import type { TargetAgent } from './types.js'
 
@@ -27,6 +28,7 @@
   coldTargets: Pick<ColdTargets, 'any' | 'isCold'>
   /** Work of the owner since the last call. */
   takeLoad(): OwnerLoad
+  processor: Pick<OwnerProcessor, 'share' | 'forwarders'>
   log: Logger
 }
 
@@ -39,6 +41,7 @@
   hasRow,
   coldTargets,
   takeLoad,
+  processor,
   log,
 }: RoomUseOptions): (agents: readonly TargetAgent[]) => void {
   let loggedAt = -Infinity
@@ -81,6 +84,8 @@
       ...(anyCold && { cold }),
       requestedCpu: requestedCpu(),
       ...takeLoad(),
+      busy: Math.round(processor.share() * 100) / 100,
+      forwarders: processor.forwarders(),
       starting,
       ready: book.ready.size,
       open: book.open.size,
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -106,6 +106,22 @@
   evacuate(answer: FleetAnswer): void
 }
 
+/** Processor of the node on which an owner runs. */
+export interface OwnerProcessor {
+  /** Share of its time that is used. */
+  share(): number
+  /** Whether nearly all of it has been used for a while. */
+  isSaturated(): boolean
+  /** Number of nodes through which targets are called. */
+  forwarders(): number
+}
+
+const IDLE_PROCESSOR: OwnerProcessor = {
+  share: () => 0,
+  isSaturated: () => false,
+  forwarders: () => 0,
+}
+
 /** Dependencies of a service owner. */
 export interface ServiceOwnerOptions {
   store: RowStore
@@ -119,6 +135,8 @@
   authority: Authority
   /** Optional features that are enabled. */
   features: ReadonlySet<Feature>
+  /** Use of this node's processor; an owner with plenty by default. */
+  processor?: OwnerProcessor
   log: Logger
   /** Called when the service needs much more than it last reported. */
   demandGrown(): void
@@ -133,6 +151,7 @@
 ): Promise<ServiceOwner> {
   const { store, targets, authority, configuration, features, log } = opts
   const { service } = authority
+  const { processor = IDLE_PROCESSOR } = opts
   const stopping = createStopController()
   const agents = new Map<string, TargetAgent>()
   const allAgents = (): TargetAgent[] => [...agents.values()]
@@ -352,6 +371,7 @@
     hasRow: roster.has,
     coldTargets,
     takeLoad: load.take,
+    processor,
     log,
   })
   const follower = createTargetFollower({
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -187,6 +187,21 @@
     'warn',
     'owner cannot order starts as fast as they become due',
   ),
+  processorSaturated: spec(
+    'RS-8090',
+    'warn',
+    'process uses nearly all of its processor time',
+  ),
+  forwardersChosen: spec(
+    'RS-8091',
+    'info',
+    'nodes chosen through which targets are called',
+  ),
+  forwarderLost: spec(
+    'RS-8092',
+    'warn',
+    'node that calls targets for this one does not answer; they are called directly',
+  ),
   roomUse: spec('RS-8070', 'info', 'room of the service and its use while tasks wait'),
   targetReborn: spec(
     'RS-8065',
