fix(forwarding): a call that was not sent is repeated only by an owner that still may

By reading: a call that waited for its message, or whose target the other node could not reach, was then made directly without another look at the owner's authority; a process that had been frozen would have sent it after a successor had taken over. And a node was taken for lost whenever it had forgotten a session that had no calls under way, which is usual after 3 s.

Change: such calls count as unanswered, so that the owner's agent repeats them after its usual checks; calls that have waited for half a second are not sent.

Result: 'sends no call that waited while the process was frozen' and 'does not take a node for lost that has forgotten a session without calls' fail on the code before.

--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -17,6 +17,8 @@
 export const DIRECT_AFTER_FAILURE_MS = 2000
 /** Messages under way to one forwarder: one that is held there, and one that brings new calls. */
 export const MAX_MESSAGES_UNDER_WAY = 2
+/** Longest wait of a call to be sent. The process may have been frozen, and its owner superseded. */
+export const MAX_QUEUE_MS = 500
 /** Starts that are sent to one target at a time: a message takes longer than a call to a target. */
 export const STARTS_AT_ONCE = 8
 /** Most calls in one message, and most text in it, in characters: half of the largest message. */
--- a/src/forwarding/forwardedOrders.ts
+++ b/src/forwarding/forwardedOrders.ts
@@ -1,6 +1,7 @@
 /**
- * Calls to targets, directly or through other nodes. A forwarded call keeps what its owner knows of
- * every call: it was made once, had no effect, or went unanswered and is then repeated directly.
+ * Calls to targets, directly or through other nodes. A forwarded call that fails counts as unanswered,
+ * also if it was not sent: its owner repeats such a call, directly then, after it has checked that it
+ * still may.
  */
 import type {
   OrderFailure,
@@ -22,6 +23,11 @@
 /** Failures that the target itself has told. */
 const FINAL_FAILURES: ReadonlySet<OrderFailure> = new Set(['gone', 'fenced'])
 
+const OUTCOME_TEXTS: Record<'lost' | 'notSent', (address: string) => string> = {
+  lost: (address) => `no answer from forwarder ${address}`,
+  notSent: (address) => `not sent to forwarder ${address}`,
+}
+
 /** Creates the calls of a node to its targets. */
 export function createForwardedOrders(opts: {
   /** Calls targets directly. */
@@ -69,17 +75,18 @@
     if (!forwarder) return callDirectly(kind, order, timeoutMs)
     lastUsed = forwarder
     const outcome = await forwarder.call({ kind, target, order, timeoutMs } as NewCall)
+    const unanswered = (reason: string) =>
+      err(unansweredError(`orders.${kind}`, target.address, reason))
     if (typeof outcome !== 'string') {
       const res = decodeResult(kind, outcome, target)
       if (res.isOk() || FINAL_FAILURES.has(res.error.failure)) return res
       // The target may be out of reach of the forwarder alone.
       directUntil = monotonicMs() + DIRECT_AFTER_FAILURE_MS
       if (res.error.cause.failure !== 'unreachable') return res
+      return unanswered(`out of reach of forwarder ${forwarder.address}`)
     }
     directUntil = monotonicMs() + DIRECT_AFTER_FAILURE_MS
-    if (outcome !== 'lost') return callDirectly(kind, order, timeoutMs)
-    const reason = `no answer from forwarder ${forwarder.address}`
-    return err(unansweredError(`orders.${kind}`, target.address, reason))
+    return unanswered(OUTCOME_TEXTS[outcome](forwarder.address))
   }
 
   return {
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -11,6 +11,7 @@
   LOST_PAUSE_MS,
   MAX_CALLS_PER_MESSAGE,
   MAX_MESSAGES_UNDER_WAY,
+  MAX_QUEUE_MS,
   MAX_TEXT_PER_MESSAGE,
   MIN_MESSAGE_INTERVAL_MS,
 } from './constants.js'
@@ -60,6 +61,7 @@
   seq: number
   text: string
   settle(outcome: CallOutcome): void
+  queuedAt: number
 }
 
 const ignoreOutcome = (): void => undefined
@@ -107,8 +109,19 @@
     for (const { settle } of unsent) settle('notSent')
   }
 
+  /** Settles calls that have waited for so long that their owner must check them again. */
+  function dropExpired(): void {
+    const cutoff = monotonicMs() - MAX_QUEUE_MS
+    const expired = waiting.filter(({ queuedAt }) => queuedAt < cutoff)
+    if (expired.length === 0) return
+    waiting = waiting.filter(({ queuedAt }) => queuedAt >= cutoff)
+    for (const { settle } of expired) settle('notSent')
+  }
+
   async function exchange(batch: Waiting[]): Promise<void> {
     const sentIn = session
+    // No earlier call can be forgotten.
+    if (pending.size === 0 && underWay === 0) life = undefined
     for (const { seq, settle } of batch)
       if (settle !== ignoreOutcome) pending.set(seq, settle)
     underWay++
@@ -140,6 +153,7 @@
   /** Sends what waits, or asks for answers that are due. */
   function pump(): void {
     if (timer || underWay >= MAX_MESSAGES_UNDER_WAY) return
+    dropExpired()
     const asksForAnswers = underWay === 0 && pending.size > 0
     if (waiting.length === 0 && !asksForAnswers) return
     const waitMs = sentAt + MIN_MESSAGE_INTERVAL_MS - monotonicMs()
@@ -152,7 +166,8 @@
 
   function enqueue(call: NewCall, settle: Waiting['settle']): void {
     const seq = nextSeq++
-    waiting.push({ seq, text: JSON.stringify({ ...call, seq }), settle })
+    const text = JSON.stringify({ ...call, seq })
+    waiting.push({ seq, text, settle, queuedAt: monotonicMs() })
     // Calls of one turn of the event loop share a message.
     if (waiting.length === 1) setImmediate(pump)
   }
