fix(forwarding): only nodes with processor time to spare call targets for others

Cause: nodes were chosen by their size and services, not by how busy they are, and kept however long their orders took.

Change: a node is asked how busy it is before it is chosen, and not chosen from 0.75 on; one through which orders take 250 ms on average is left alone for 5 s; there are more forwarders once those in use are busy for half of the time. Orders that wait behind one without an answer go back to their owner at once.

'uses further nodes once those that it has are busy' fails on the code before.

--- a/src/forwarding/__tests__/forwarderChoice.spec.ts
+++ b/src/forwarding/__tests__/forwarderChoice.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from '../../../test/describe.js'
 import { createMemoryLogger } from '../../shared/index.js'
-import { TARGETS_PER_FORWARDER } from '../constants.js'
+import { MAX_FORWARDER_SHARE, TARGETS_PER_FORWARDER } from '../constants.js'
 import type { Forwarder } from '../forwarder.js'
 import { createForwarderChoice } from '../forwarderChoice.js'
 import type { ForwarderCandidate } from '../forwarderChoice.js'
@@ -27,6 +27,8 @@
       {
         address: node.address,
         isUsable: () => node.isUsable,
+        isFit: () => node.isUsable && node.busyShare < MAX_FORWARDER_SHARE,
+        probe: () => undefined,
         busyShare: () => node.busyShare,
         call: async () => 'notSent',
         tell: () => undefined,
@@ -106,6 +108,18 @@
     t.deepEqual(used(), ['c'])
   })
 
+  it('uses further nodes once those that it has are busy', (t) => {
+    const nodes = manyNodes(5)
+    const { state, choice, used } = setUp(nodes, TARGETS_PER_FORWARDER)
+    state.share = 1
+    choice.update()
+    const [first] = used()
+    nodes.find(({ address }) => address === first)!.busyShare = 0.9
+    choice.update()
+    t.is(choice.inUse(), 2)
+    t.true(used().includes(first!))
+  })
+
   it('drops a node that leaves', (t) => {
     const nodes = [nodeAt('a'), nodeAt('b', { room: 0.5 })]
     const { state, choice, used } = setUp(nodes, TARGETS_PER_FORWARDER)
--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -34,12 +34,22 @@
 export const RELEASE_BELOW_SHARE = 0.2
 /** Time for which the use must stay below that share. */
 export const RELEASE_AFTER_MS = 5000
-/** Use of its processor from which a forwarder gets no further targets, as a share. */
+/** Use of its processor up to which forwarders are loaded, as a share; beyond it there are more of them. */
+export const FORWARDER_LOAD = 0.5
+/** Use of its processor from which a node becomes no forwarder, as a share. */
 export const MAX_FORWARDER_SHARE = 0.75
+/** Mean time of forwarded orders, in ms, from which their forwarder costs more than it saves. */
+export const MAX_ORDER_MS = 250
+/** Weight of the newest order in that mean. */
+export const NEWEST_ORDER_WEIGHT = 0.1
+/** Time for which a node counts as heard; one that has not been heard gets an empty message first. */
+export const HEARD_MS = 2000
 /**
  * Targets per forwarder: each takes about 15 calls a second in a turn. With fewer, more messages are
  * needed for the same calls.
  */
 export const TARGETS_PER_FORWARDER = 48
+/** Nodes that are asked how busy they are, for each forwarder that is wanted. */
+export const PROBES_PER_FORWARDER = 2
 /** Interval between two choices of the forwarders. */
 export const CHOICE_INTERVAL_MS = 250
--- a/src/forwarding/forwardServer.ts
+++ b/src/forwarding/forwardServer.ts
@@ -4,9 +4,16 @@
  * refuses one that arrives after a newer token.
  */
 import { nanoid } from 'nanoid'
+import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { OrderError, OrderResult, TargetLink, TargetOrders } from '../ports/index.js'
-import { PeerError, monotonicMs, parseJson, sleep } from '../shared/index.js'
+import {
+  PeerError,
+  PlatformError,
+  monotonicMs,
+  parseJson,
+  sleep,
+} from '../shared/index.js'
 import {
   BATCH_MS,
   HOLD_MS,
@@ -45,6 +52,8 @@
   link: TargetLink
   /** Resolves once all orders so far are answered or have failed. */
   ordersSent: Promise<unknown>
+  /** Monotonic time at which an order was last given up without an answer, in ms. */
+  unansweredAt: number
   underWay: number
   usedAt: number
 }
@@ -53,6 +62,8 @@
 interface Session {
   life: string
   links: Map<string, HeldLink>
+  /** Calls without an answer so far. */
+  underWay: number
   /** Encoded answers that have not been sent back. */
   answers: string[]
   messagedAt: number
@@ -80,6 +91,16 @@
     link.sync({ ...order, leaseUntilMs }, timeoutMs),
 }
 
+/** The result of an order that waited behind one without an answer; its owner repeats it. */
+async function notSent({ kind, target }: AnsweredCall): OrderResult<never> {
+  const reason = 'an earlier order went unanswered'
+  const props = { step: `orders.${kind}`, peer: target.address }
+  const cause = new PlatformError(reason, {
+    props: { ...props, failure: 'unreachable' as const },
+  })
+  return err({ failure: 'notDone', reason, cause })
+}
+
 /** Removes as many answers from the front as fit into one message, and at least one. */
 function takeAnswers(answers: string[]): string[] {
   let text = 0
@@ -102,6 +123,7 @@
     const created: Session = {
       life: nanoid(LIFE_LENGTH),
       links: new Map(),
+      underWay: 0,
       answers: [],
       messagedAt: monotonicMs(),
       arrived: undefined,
@@ -118,6 +140,7 @@
     const opened: HeldLink = {
       link: orders.open(target),
       ordersSent: Promise.resolve(),
+      unansweredAt: -Infinity,
       underWay: 0,
       usedAt: monotonicMs(),
     }
@@ -137,8 +160,14 @@
   ): Promise<Result<unknown, OrderError>> {
     const make = (): OrderResult<unknown> => SENDERS[call.kind](held.link, call as never)
     if (call.kind === 'sync') return make()
-    const sent = held.ordersSent.then(make)
-    held.ordersSent = sent
+    const queuedAt = monotonicMs()
+    const sent = held.ordersSent.then(() =>
+      queuedAt < held.unansweredAt ? notSent(call) : make(),
+    )
+    held.ordersSent = sent.then((res) => {
+      const isUnanswered = res.isErr() && res.error.failure === 'unanswered'
+      if (isUnanswered) held.unansweredAt = monotonicMs()
+    })
     return sent
   }
 
@@ -146,8 +175,10 @@
     if (call.kind === 'close') return closeLink(session, linkKeyOf(call.target))
     const held = linkTo(session, call.target)
     held.underWay++
+    session.underWay++
     const res = await send(held, call)
     held.underWay--
+    session.underWay--
     held.usedAt = monotonicMs()
     session.answers.push(JSON.stringify(encodeResult(call.seq, res)))
     if (session.answers.length === 1) session.arrived?.()
@@ -163,7 +194,8 @@
       // Another message may take the answers while they are being collected.
       if (session.answers.length > 0) await sleep(BATCH_MS)
       const leftMs = endsAt - monotonicMs()
-      if (session.answers.length > 0 || isReplaced || leftMs <= 0) return
+      const isIdle = session.underWay === 0
+      if (session.answers.length > 0 || isReplaced || isIdle || leftMs <= 0) return
       await new Promise<void>((resolve) => {
         timer = setTimeout(resolve, leftMs)
         session.arrived = resolve
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -8,12 +8,16 @@
 import { describeError, monotonicMs, parseJson } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import {
+  HEARD_MS,
   LOST_PAUSE_MS,
   MAX_CALLS_PER_MESSAGE,
+  MAX_FORWARDER_SHARE,
   MAX_MESSAGES_UNDER_WAY,
+  MAX_ORDER_MS,
   MAX_QUEUE_MS,
   MAX_TEXT_PER_MESSAGE,
   MIN_MESSAGE_INTERVAL_MS,
+  NEWEST_ORDER_WEIGHT,
 } from './constants.js'
 import type { ForwardClient, ForwardResponse } from './forwardClient.js'
 import { answersSchema } from './messages.js'
@@ -40,8 +44,12 @@
   readonly address: string
   /** Whether calls may be sent through it now. */
   isUsable(): boolean
+  /** Whether it is also known to have processor time to spare, and to be quick enough. */
+  isFit(): boolean
   /** Share of its processor time that it uses, as last heard. */
   busyShare(): number
+  /** Asks the node how busy it is, unless it has been heard lately. */
+  probe(): void
   /** Makes a call. */
   call(call: NewCall): Promise<CallOutcome>
   /** Sends a call that has no answer. */
@@ -93,6 +101,21 @@
   let timer: NodeJS.Timeout | undefined
   let lostUntil = -Infinity
   let busyShare = 0
+  let heardAt = -Infinity
+  /** Moving average of the time that an order takes, in ms. */
+  let meanOrderMs = 0
+
+  const isUsable = (): boolean => monotonicMs() >= lostUntil
+  const isHeard = (): boolean => monotonicMs() - heardAt < HEARD_MS
+
+  /** Counts an order's time; a forwarder that takes long is left alone for a while. */
+  function noteOrder(tookMs: number): void {
+    meanOrderMs += (tookMs - meanOrderMs) * NEWEST_ORDER_WEIGHT
+    if (meanOrderMs < MAX_ORDER_MS) return
+    log.event('forwarderSlow', { peer: address, meanMs: Math.round(meanOrderMs) })
+    lostUntil = monotonicMs() + LOST_PAUSE_MS
+    meanOrderMs = 0
+  }
 
   /** Gives up all calls; the session is not continued. */
   function lose(reason: string): void {
@@ -143,6 +166,7 @@
       return lose('the calls so far were forgotten')
     life = res.life
     busyShare = res.busyShare
+    heardAt = monotonicMs()
     for (const answer of answers.data) {
       const settle = pending.get(answer.seq)
       pending.delete(answer.seq)
@@ -172,11 +196,24 @@
     if (waiting.length === 1) setImmediate(pump)
   }
 
+  async function call(each: NewCall): Promise<CallOutcome> {
+    const calledAt = monotonicMs()
+    const outcome = await new Promise<CallOutcome>((resolve) => enqueue(each, resolve))
+    // A poll takes as long as its target waits.
+    if (each.kind !== 'sync' && typeof outcome !== 'string')
+      noteOrder(monotonicMs() - calledAt)
+    return outcome
+  }
+
   return {
     address,
-    isUsable: () => monotonicMs() >= lostUntil,
+    isUsable,
+    isFit: () => isUsable() && isHeard() && busyShare < MAX_FORWARDER_SHARE,
     busyShare: () => busyShare,
-    call: (call) => new Promise((resolve) => enqueue(call, resolve)),
-    tell: (call) => enqueue(call, ignoreOutcome),
+    probe() {
+      if (isUsable() && !isHeard() && underWay === 0) void exchange([])
+    },
+    call,
+    tell: (each) => enqueue(each, ignoreOutcome),
   }
 }
--- a/src/forwarding/forwarderChoice.ts
+++ b/src/forwarding/forwarderChoice.ts
@@ -7,7 +7,8 @@
 import type { Logger } from '../shared/index.js'
 import {
   ASK_FROM_SHARE,
-  MAX_FORWARDER_SHARE,
+  FORWARDER_LOAD,
+  PROBES_PER_FORWARDER,
   RELEASE_AFTER_MS,
   RELEASE_BELOW_SHARE,
   TARGETS_PER_FORWARDER,
@@ -92,17 +93,19 @@
   }
 
   function choose(): Forwarder[] {
-    if (!isAsking) return []
-    const wanted = Math.ceil(targets / TARGETS_PER_FORWARDER)
-    const kept = chosen.filter((each) => each.isUsable())
+    // Nodes are asked how busy they are before they are needed.
+    if (!isAsking && busyShare() < askFromShare / 2) return []
+    const usedShare = chosen.reduce((sum, each) => sum + each.busyShare(), 0)
+    const wanted = Math.ceil(
+      Math.max(targets / TARGETS_PER_FORWARDER, usedShare / FORWARDER_LOAD),
+    )
     const ranked = rank()
-    const known = new Set(ranked)
-    const next = kept.filter((each) => known.has(each)).slice(0, wanted)
-    for (const each of ranked) {
-      if (next.length >= wanted) break
-      if (!next.includes(each) && each.busyShare() < MAX_FORWARDER_SHARE) next.push(each)
-    }
-    return next
+    for (const each of ranked.slice(0, PROBES_PER_FORWARDER * wanted)) each.probe()
+    if (!isAsking) return []
+    const fit = ranked.filter((each) => each.isFit())
+    const kept = chosen.filter((each) => ranked.includes(each))
+    const others = fit.filter((each) => !kept.includes(each))
+    return [...kept, ...others].slice(0, wanted)
   }
 
   return {
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -202,6 +202,11 @@
     'warn',
     'node that calls targets for this one does not answer; they are called directly',
   ),
+  forwarderSlow: spec(
+    'RS-8093',
+    'warn',
+    'node that calls targets for this one takes long; it is left alone for a while',
+  ),
   roomUse: spec('RS-8070', 'info', 'room of the service and its use while tasks wait'),
   targetReborn: spec(
     'RS-8065',
