fix(forwarding): weaker nodes help once all strong ones are busy

By reading: only the strongest nodes were asked how busy they are, so that an owner got no help while these were busy themselves. Now those that are known to be busy are passed over. 'asks weaker nodes once all strong ones are known to be busy' fails on the code before.

--- a/src/forwarding/__tests__/forwarderChoice.spec.ts
+++ b/src/forwarding/__tests__/forwarderChoice.spec.ts
@@ -20,7 +20,7 @@
 })
 
 function setUp(nodes: Node[], targets: number) {
-  const state = { share: 0, nodes }
+  const state = { share: 0, nodes, probed: new Set<string>() }
   const forwarders = new Map<string, Forwarder>(
     nodes.map((node) => [
       node.address,
@@ -28,7 +28,7 @@
         address: node.address,
         isUsable: () => node.isUsable,
         isFit: () => node.isUsable && node.busyShare < MAX_FORWARDER_SHARE,
-        probe: () => undefined,
+        probe: () => void state.probed.add(node.address),
         busyShare: () => node.busyShare,
         call: async () => 'notSent',
         tell: () => undefined,
@@ -120,6 +120,17 @@
     t.true(used().includes(first!))
   })
 
+  it('asks weaker nodes once all strong ones are known to be busy', (t) => {
+    const strong = manyNodes(4)
+    const { state, choice } = setUp([...strong, nodeAt('weak', { room: 0.3 })], 1)
+    state.share = 1
+    choice.update()
+    t.false(state.probed.has('weak'))
+    for (const node of strong) node.busyShare = 0.9
+    choice.update()
+    t.true(state.probed.has('weak'))
+  })
+
   it('drops a node that leaves', (t) => {
     const nodes = [nodeAt('a'), nodeAt('b', { room: 0.5 })]
     const { state, choice, used } = setUp(nodes, TARGETS_PER_FORWARDER)
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -46,7 +46,7 @@
   isUsable(): boolean
   /** Whether it is also known to have processor time to spare, and to be quick enough. */
   isFit(): boolean
-  /** Share of its processor time that it uses, as last heard. */
+  /** Share of its processor time that it uses; 0 if it has not been heard lately. */
   busyShare(): number
   /** Asks the node how busy it is, unless it has been heard lately. */
   probe(): void
@@ -209,7 +209,7 @@
     address,
     isUsable,
     isFit: () => isUsable() && isHeard() && busyShare < MAX_FORWARDER_SHARE,
-    busyShare: () => busyShare,
+    busyShare: () => (isHeard() ? busyShare : 0),
     probe() {
       if (isUsable() && !isHeard() && underWay === 0) void exchange([])
     },
--- a/src/forwarding/forwarderChoice.ts
+++ b/src/forwarding/forwarderChoice.ts
@@ -8,6 +8,7 @@
 import {
   ASK_FROM_SHARE,
   FORWARDER_LOAD,
+  MAX_FORWARDER_SHARE,
   PROBES_PER_FORWARDER,
   RELEASE_AFTER_MS,
   RELEASE_BELOW_SHARE,
@@ -100,7 +101,8 @@
       Math.max(targets / TARGETS_PER_FORWARDER, usedShare / FORWARDER_LOAD),
     )
     const ranked = rank()
-    for (const each of ranked.slice(0, PROBES_PER_FORWARDER * wanted)) each.probe()
+    const notBusy = ranked.filter((each) => each.busyShare() < MAX_FORWARDER_SHARE)
+    for (const each of notBusy.slice(0, PROBES_PER_FORWARDER * wanted)) each.probe()
     if (!isAsking) return []
     const fit = ranked.filter((each) => each.isFit())
     const kept = chosen.filter((each) => ranked.includes(each))
