refactor(forwarding): one way to fill a message, to make a call's error, to drive a virtual clock

Three loops took as many items as fit into a message: questions to owners, forwarded calls, their answers. takeFitting in src/shared serves all three. Errors of forwarded calls are made by callError, as those of every other call. Two specs drove their virtual clock by the same loop; runToEnd in test/ does.

Taken out: isSaturated of the owner's processor and the traffic hook of the forward client, which nothing used. A comment that told a figure gives the reason only.

--- a/src/forwarding/__tests__/forwarding.spec.ts
+++ b/src/forwarding/__tests__/forwarding.spec.ts
@@ -1,6 +1,6 @@
 import type { ExecutionContext } from 'ava'
 import { describe, it } from '../../../test/describe.js'
-import { itInVirtualTime } from '../../../test/virtualTime.js'
+import { itInVirtualTime, runToEnd } from '../../../test/virtualTime.js'
 import { createBusyNodes } from '../../../test/busyNodes.js'
 import type { BusyNodes, NodeFaults } from '../../../test/busyNodes.js'
 import { createJobRig, findGuaranteeViolation, makeJob } from '../../../test/jobRig.js'
@@ -14,8 +14,6 @@
 const TASK = { ms: 300, cpu: 1000 }
 /** Time within which a lost owner or forwarder must have a successor, in ms. */
 const TAKEOVER_MS = 1200
-/** Step of the virtual clock, in ms. */
-const STEP_MS = 5
 /** Time for the choice of forwarders, in ms. */
 const CHOICE_MS = 600
 
@@ -121,12 +119,7 @@
     for (const [title, faults] of Object.entries(FAULTS)) {
       itInVirtualTime(
         `${title}, go on without it within the time of a takeover`,
-        async (t, clock) => {
-          let isOver = false
-          const run = runWithout(t, faults).finally(() => (isOver = true))
-          while (!isOver) await clock.advance(STEP_MS)
-          await run
-        },
+        (t, clock) => runToEnd(clock, runWithout(t, faults)),
       )
     }
 
--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -1,14 +1,14 @@
 /**
  * Sends messages to a forwarder: the unary JSON form of the Connect protocol, over the HTTP client
- * that calls the targets. An owner sends hundreds of messages a second, each of which takes the
- * general client of that protocol about 0.6 ms of processor time more.
+ * that calls the targets. An owner sends hundreds of messages a second, and the general client of
+ * that protocol takes several times as much processor time for each.
  */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { z } from 'zod'
 import { NodeService } from '../peer/gen/node_pb.js'
 import { callError, createHttpClient } from '../shared/index.js'
-import type { PlatformError, TrafficHook } from '../shared/index.js'
+import type { PlatformError } from '../shared/index.js'
 import { MAX_MESSAGES_UNDER_WAY, MESSAGE_TIMEOUT_MS } from './constants.js'
 
 const STEP = 'node.forwardOrders'
@@ -42,15 +42,8 @@
 }
 
 /** Creates a client, which opens connections on demand. */
-export function createForwardClient(
-  address: string,
-  onTraffic?: TrafficHook,
-): ForwardClient {
-  const http = createHttpClient({
-    address,
-    connections: MAX_MESSAGES_UNDER_WAY,
-    ...(onTraffic && { onTraffic }),
-  })
+export function createForwardClient(address: string): ForwardClient {
+  const http = createHttpClient({ address, connections: MAX_MESSAGES_UNDER_WAY })
   return {
     async send(req) {
       const res = await http.call({
--- a/src/forwarding/forwardServer.ts
+++ b/src/forwarding/forwardServer.ts
@@ -9,10 +9,11 @@
 import type { OrderError, OrderResult, TargetLink, TargetOrders } from '../ports/index.js'
 import {
   PeerError,
-  PlatformError,
+  callError,
   monotonicMs,
   parseJson,
   sleep,
+  takeFitting,
 } from '../shared/index.js'
 import {
   BATCH_MS,
@@ -94,25 +95,10 @@
 /** The result of an order that waited behind one without an answer; its owner repeats it. */
 async function notSent({ kind, target }: AnsweredCall): OrderResult<never> {
   const reason = 'an earlier order went unanswered'
-  const props = { step: `orders.${kind}`, peer: target.address }
-  const cause = new PlatformError(reason, {
-    props: { ...props, failure: 'unreachable' as const },
-  })
+  const cause = callError(`orders.${kind}`, target.address, 'unreachable', reason)
   return err({ failure: 'notDone', reason, cause })
 }
 
-/** Removes as many answers from the front as fit into one message, and at least one. */
-function takeAnswers(answers: string[]): string[] {
-  let text = 0
-  let count = 0
-  for (const each of answers) {
-    text += each.length
-    if (count > 0 && text > MAX_TEXT_PER_MESSAGE) break
-    count++
-  }
-  return answers.splice(0, count)
-}
-
 /** Creates a server without sessions. */
 export function createForwardServer(orders: TargetOrders): ForwardServer {
   const sessions = new Map<string, Session>()
@@ -230,10 +216,10 @@
       for (const call of calls.data) void execute(session, call)
       await waitForAnswers(session)
       session.messagedAt = monotonicMs()
-      return {
-        life: session.life,
-        answers: `[${takeAnswers(session.answers).join(',')}]`,
-      }
+      const answers = takeFitting(session.answers, (each) => each.length, {
+        size: MAX_TEXT_PER_MESSAGE,
+      })
+      return { life: session.life, answers: `[${answers.join(',')}]` }
     },
     stop() {
       clearInterval(timer)
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -5,7 +5,7 @@
  * the node is lost, and then no answer to an earlier call can come any more.
  */
 import { nanoid } from 'nanoid'
-import { describeError, monotonicMs, parseJson } from '../shared/index.js'
+import { describeError, monotonicMs, parseJson, takeFitting } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import {
   HEARD_MS,
@@ -72,20 +72,9 @@
   queuedAt: number
 }
 
-const ignoreOutcome = (): void => undefined
+const MESSAGE_LIMITS = { size: MAX_TEXT_PER_MESSAGE, count: MAX_CALLS_PER_MESSAGE }
 
-/** Removes from the front as many calls as fit into one message, and at least one if there is one. */
-function takeBatch(waiting: Waiting[]): Waiting[] {
-  let text = 0
-  let count = 0
-  for (const each of waiting) {
-    text += each.text.length
-    if (count > 0 && (text > MAX_TEXT_PER_MESSAGE || count >= MAX_CALLS_PER_MESSAGE))
-      break
-    count++
-  }
-  return waiting.splice(0, count)
-}
+const ignoreOutcome = (): void => undefined
 
 /** Creates a forwarder; nothing is sent before the first call. */
 export function createForwarder({ address, send, log }: ForwarderOptions): Forwarder {
@@ -181,7 +170,10 @@
     const asksForAnswers = underWay === 0 && pending.size > 0
     if (waiting.length === 0 && !asksForAnswers) return
     const waitMs = sentAt + MIN_MESSAGE_INTERVAL_MS - monotonicMs()
-    if (waitMs <= 0) return void exchange(takeBatch(waiting))
+    if (waitMs <= 0)
+      return void exchange(
+        takeFitting(waiting, ({ text }) => text.length, MESSAGE_LIMITS),
+      )
     timer = setTimeout(() => {
       timer = undefined
       pump()
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -3,7 +3,7 @@
 import type { Result } from 'neverthrow'
 import { z } from 'zod'
 import type { OrderError, TargetReport, StartAnswer } from '../ports/index.js'
-import { PlatformError } from '../shared/index.js'
+import { callError } from '../shared/index.js'
 
 const targetSchema = z.object({ id: z.string(), address: z.string() })
 /** The target of a call. */
@@ -112,8 +112,11 @@
 
 /** Creates the error of a call whose answer did not come back. */
 export function unansweredError(step: string, peer: string, reason: string): OrderError {
-  const props = { step, peer, failure: 'unknown' as const }
-  return { failure: 'unanswered', reason, cause: new PlatformError(reason, { props }) }
+  return {
+    failure: 'unanswered',
+    reason,
+    cause: callError(step, peer, 'unknown', reason),
+  }
 }
 
 /** Encodes the result of a call. */
@@ -136,12 +139,8 @@
   const step = `orders.${kind}`
   if (failure) {
     const { reason, isUnreachable } = failure
-    const props = {
-      step,
-      peer: target.address,
-      failure: isUnreachable ? ('unreachable' as const) : ('unknown' as const),
-    }
-    const cause = new PlatformError(reason, { props })
+    const kindOfFailure = isUnreachable ? 'unreachable' : 'unknown'
+    const cause = callError(step, target.address, kindOfFailure, reason)
     return err({ failure: failure.failure, reason, cause })
   }
   const parsed = VALUE_SCHEMAS[kind].safeParse(value)
--- a/src/front/questionBatches.ts
+++ b/src/front/questionBatches.ts
@@ -5,7 +5,12 @@
  */
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
-import { PlatformError, describeError, monotonicMs } from '../shared/index.js'
+import {
+  PlatformError,
+  describeError,
+  monotonicMs,
+  takeFitting,
+} from '../shared/index.js'
 import type { Answer, Question } from '../peer/gen/node_pb.js'
 
 /** A question without the fields that the generated code adds. */
@@ -18,6 +23,8 @@
 /** Most text in one call, in characters: in ASCII, half of the largest message. */
 const MAX_TEXT_PER_CALL = 512 * 1024
 
+const MESSAGE_LIMITS = { size: MAX_TEXT_PER_CALL, count: MAX_QUESTIONS_PER_CALL }
+
 /** Sends questions to other nodes, in batches. */
 export interface QuestionBatches {
   /** Asks the node at the address; an error if it does not answer in time. */
@@ -39,18 +46,6 @@
 
 const textOf = ({ about }: NewQuestion): string => about.value ?? ''
 
-/** Removes from the front as many questions as fit into one call, and at least one. */
-function takeBatch(waiting: Pending[]): Pending[] {
-  let text = 0
-  let count = 0
-  for (const { question } of waiting) {
-    text += textOf(question).length
-    if (count > 0 && (text > MAX_TEXT_PER_CALL || count >= MAX_QUESTIONS_PER_CALL)) break
-    count++
-  }
-  return waiting.splice(0, count)
-}
-
 /**
  * Creates the batches; nothing is sent before the first question.
  * @param send calls a node; rejects if it does not answer in time
@@ -100,7 +95,14 @@
   async function sendQueued(address: string, line: PeerQueue): Promise<void> {
     line.isSending = true
     while (line.waiting.length > 0) {
-      await sendBatch(address, takeBatch(line.waiting))
+      await sendBatch(
+        address,
+        takeFitting(
+          line.waiting,
+          ({ question }) => textOf(question).length,
+          MESSAGE_LIMITS,
+        ),
+      )
       failExpired(address, line)
     }
     line.isSending = false
--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -112,7 +112,7 @@
         configuration,
         targets,
         owners,
-        processor: { ...processor, forwarders: inUse },
+        processor: { share: processor.share, forwarders: inUse },
         log,
       }
       return createOwnership({
--- a/src/scheduler/__tests__/idleNodes.spec.ts
+++ b/src/scheduler/__tests__/idleNodes.spec.ts
@@ -1,7 +1,7 @@
 /** Guards against an owner that serves no more than its own processor can while other nodes idle. */
 import type { ExecutionContext } from 'ava'
 import { describe } from '../../../test/describe.js'
-import { itInVirtualTime } from '../../../test/virtualTime.js'
+import { itInVirtualTime, runToEnd } from '../../../test/virtualTime.js'
 import { createBusyNodes } from '../../../test/busyNodes.js'
 import {
   QUEUE,
@@ -29,8 +29,6 @@
 /** Ratio of the longest task of a job to the mean that owners reckon with. */
 const LONGEST_TASK_FACTOR = 1.4
 const OBJECTIVE_MS = QUEUE.stretch * TASK.ms * LONGEST_TASK_FACTOR + QUEUE.latencyMs
-/** Step of the virtual clock, in ms. */
-const STEP_MS = 5
 /** Share of the jobs after the rise that must be done in time. */
 const MIN_SHARE_IN_TIME = 0.9
 
@@ -77,11 +75,6 @@
 describe('owner that is short of processor time while other nodes idle', () => {
   itInVirtualTime(
     'serves in time what the processors of all nodes are enough for',
-    async (t, clock) => {
-      let isOver = false
-      const run = serve(t).finally(() => (isOver = true))
-      while (!isOver) await clock.advance(STEP_MS)
-      await run
-    },
+    (t, clock) => runToEnd(clock, serve(t)),
   )
 })
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -1,6 +1,7 @@
 /**
  * Queues the orders for one target, sends them one after another, or a few starts at a time, and
- * records the outcome of each start. Stops are sent first: queued behind starts on a loaded owner, they were 1.3 s late.
+ * records the outcome of each start. Stops are sent first: queued behind starts on a loaded owner,
+ * they were 1.3 s late.
  * A stop never overtakes the start of its run: a start that is still queued is cancelled
  * instead, and one that has been sent is answered before the stop is sent.
  */
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -110,15 +110,12 @@
 export interface OwnerProcessor {
   /** Share of its time that is used. */
   share(): number
-  /** Whether nearly all of it has been used for a while. */
-  isSaturated(): boolean
   /** Number of nodes through which targets are called. */
   forwarders(): number
 }
 
 const IDLE_PROCESSOR: OwnerProcessor = {
   share: () => 0,
-  isSaturated: () => false,
   forwarders: () => 0,
 }
 
--- a/test/busyNodes.ts
+++ b/test/busyNodes.ts
@@ -16,7 +16,7 @@
 import type { ForwardClient, ForwardRequest, Forwarder } from '../src/forwarding/index.js'
 import type { OrderError, TargetOrders } from '../src/ports/index.js'
 import {
-  PlatformError,
+  callError,
   createMemoryLogger,
   createStopController,
   sleep,
@@ -89,8 +89,7 @@
 function withCutOff(orders: TargetOrders, faults: NodeFaults): TargetOrders {
   const noAnswer = async (timeoutMs: number): Promise<Result<never, OrderError>> => {
     await sleep(timeoutMs)
-    const props = { step: 'test', peer: 'target', failure: 'unknown' as const }
-    const cause = new PlatformError('cut off', { props })
+    const cause = callError('test', 'target', 'unknown', 'cut off')
     return err({ failure: 'unanswered', reason: 'cut off', cause })
   }
   return {
@@ -118,8 +117,7 @@
   const own = createSlowOrders(withCutOff(opts.orders, faults), opts.costs, processor)
   let server = createForwardServer(own)
 
-  const failed = (reason: string) =>
-    err(new PlatformError(reason, { props: { step: 'test', peer: address } }))
+  const failed = (reason: string) => err(callError('test', address, 'unknown', reason))
 
   async function exchange({
     session,
--- a/test/virtualTime.ts
+++ b/test/virtualTime.ts
@@ -23,6 +23,17 @@
   }
 }
 
+/** Step in which {@link runToEnd} advances the clock, in ms. */
+const STEP_MS = 5
+
+/** Advances the clock until the run has ended, for code that waits by itself. */
+export async function runToEnd(clock: VirtualClock, run: Promise<void>): Promise<void> {
+  let isOver = false
+  const end = run.finally(() => (isOver = true))
+  while (!isOver) await clock.advance(STEP_MS)
+  await end
+}
+
 /** Registers a test that runs in virtual time, and not concurrently with others of the same file. */
 export function itInVirtualTime(
   title: string,
