--- a/playground/sim/limitedProcessor.ts
+++ b/playground/sim/limitedProcessor.ts
@@ -12,8 +12,11 @@
   share(): number
 }
 
-/** Creates an idle processor. */
-export function createLimitedProcessor(): LimitedProcessor {
+/**
+ * Creates an idle processor.
+ * @param cores its speed, 1 for a whole core
+ */
+export function createLimitedProcessor(cores = 1): LimitedProcessor {
   /** Monotonic time at which all work is done, in ms. */
   let idleAt = 0
   /** Work as intervals of monotonic time, in ms. */
@@ -23,7 +26,7 @@
     async work(ms) {
       const now = monotonicMs()
       const from = Math.max(idleAt, now)
-      idleAt = from + ms
+      idleAt = from + ms / cores
       const last = busy.at(-1)
       if (last?.until === from) last.until = idleAt
       else busy.push({ from, until: idleAt })
--- a/test/busyNodes.ts
+++ b/test/busyNodes.ts
@@ -63,6 +63,8 @@
 export interface BusyNodes {
   /** How the owner calls its targets. */
   orders: TargetOrders
+  /** Processor of the owner. */
+  processor: LimitedProcessor
   others: OtherNode[]
   /** Number of nodes through which targets are called. */
   forwarders(): number
@@ -77,6 +79,10 @@
   costs: CallCosts
   /** Number of nodes besides the owner. */
   others: number
+  /** Processor time of the owner for each start, whichever node makes the call, in ms. */
+  bookMs?: number
+  /** Processor of the owner, in cores. */
+  ownerCores?: number
   /**
    * Share of the owner's processor time from which it calls targets through the others.
    * @default that of the product
@@ -106,6 +112,26 @@
   }
 }
 
+/** Has each start take time of the owner's processor before it is ordered. */
+function withBook(
+  orders: TargetOrders,
+  processor: LimitedProcessor,
+  bookMs: number,
+): TargetOrders {
+  return {
+    open(target) {
+      const link = orders.open(target)
+      return {
+        ...link,
+        async start(order, ms) {
+          await processor.work(bookMs)
+          return link.start(order, ms)
+        },
+      }
+    },
+  }
+}
+
 /** Carries messages to a node; returns its forwarder and a way to stop it. */
 function createOtherNode(
   address: string,
@@ -158,7 +184,8 @@
 /** Creates the nodes, all without work. */
 export function createBusyNodes(opts: BusyNodesOptions): BusyNodes {
   const { orders, costs, others, askFromShare, log = createMemoryLogger() } = opts
-  const processor = createLimitedProcessor()
+  const { bookMs = 0, ownerCores } = opts
+  const processor = createLimitedProcessor(ownerCores)
   const nodes = Array.from({ length: others }, (_, index) =>
     createOtherNode(`n${index}:1`, processor, opts),
   )
@@ -187,11 +214,13 @@
     }
   }
 
+  const forwarded = createForwardedOrders({
+    direct: createSlowOrders(orders, costs, processor),
+    choice,
+  })
   return {
-    orders: createForwardedOrders({
-      direct: createSlowOrders(orders, costs, processor),
-      choice,
-    }),
+    orders: withBook(forwarded, processor, bookMs),
+    processor,
     others: nodes.map(({ node }) => node),
     forwarders: choice.inUse,
     stop() {
