fix(forwarding): an owner at its limit gives up no forwarders

Callers saw jobs late in the turn of a queue: starts fell from 1,300 to 2,292 a second to 780 to 880 while 400 to 700 tasks were ready and half of the room was idle.

Cause: the time of an order was taken on the owner's clock, from the call until its answer was handled, and a node was given up at 250 ms on average, which is also the delay that the start window allows. An owner at its limit called nodes slow that were not; their targets were called directly, which costs it three times as much a start, so that it was later still.

A forwarder is judged by what it reports of its processor, and by the time of its orders beside that of the others: if all are late, the owner is. The targets of one that is given up or lost go to other nodes at once, as do calls that one forwarder cannot make; a call is made directly only if a second one fails too, or if no node answers. Nodes of about the same capacity are chosen in an order that differs between owners, by a hash of node:crypto.

--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -13,8 +13,11 @@
 export const MESSAGE_TIMEOUT_MS = HOLD_MS + 400
 /** Time for which a lost forwarder is not used. */
 export const LOST_PAUSE_MS = 5000
-/** Time for which a target is called directly after a forwarded call to it went unanswered. */
-export const DIRECT_AFTER_FAILURE_MS = 2000
+/**
+ * Time for which a target is called through another forwarder after a call to it went unanswered, and
+ * directly after a second one, in ms.
+ */
+export const AVOID_AFTER_FAILURE_MS = 2000
 /** Messages under way to one forwarder: one that is held there, and one that brings new calls. */
 export const MAX_MESSAGES_UNDER_WAY = 2
 /** Longest wait of a call to be sent. The process may have been frozen, and its owner superseded. */
@@ -38,12 +41,20 @@
 export const FORWARDER_LOAD = 0.5
 /** Use of its processor from which a node becomes no forwarder, as a share. */
 export const MAX_FORWARDER_SHARE = 0.75
-/** Mean time of forwarded orders, in ms, from which their forwarder costs more than it saves. */
-export const MAX_ORDER_MS = 250
+/**
+ * Mean time by which orders through one forwarder may take longer than through the others, in ms,
+ * and as a multiple of theirs.
+ */
+export const MAX_EXCESS_MS = 250
+export const MAX_EXCESS_FACTOR = 2
 /** Weight of the newest order in that mean. */
 export const NEWEST_ORDER_WEIGHT = 0.1
-/** Time for which a node counts as heard; one that has not been heard gets an empty message first. */
+/** Number of orders from which the mean is known. */
+export const MIN_ORDERS = 10
+/** Time for which what a node has told of itself counts. */
 export const HEARD_MS = 2000
+/** Interval between empty messages to nodes that may be needed, which show that they still answer. */
+export const PROBE_INTERVAL_MS = 400
 /**
  * Targets per forwarder: each takes about 15 calls a second in a turn. With fewer, more messages are
  * needed for the same calls.
--- a/src/forwarding/forwardedOrders.ts
+++ b/src/forwarding/forwardedOrders.ts
@@ -11,7 +11,7 @@
 } from '../ports/index.js'
 import { err } from 'neverthrow'
 import { monotonicMs } from '../shared/index.js'
-import { DIRECT_AFTER_FAILURE_MS, STARTS_AT_ONCE } from './constants.js'
+import { AVOID_AFTER_FAILURE_MS, STARTS_AT_ONCE } from './constants.js'
 import type { ForwarderChoice } from './forwarderChoice.js'
 import type { Forwarder, NewCall } from './forwarder.js'
 import { decodeResult, unansweredError } from './messages.js'
@@ -47,11 +47,23 @@
   let link: TargetLink | undefined
   /** Forwarder that may keep connections to the target. */
   let lastUsed: Forwarder | undefined
-  let directUntil = -Infinity
+  /** Forwarder that did not reach the target lately, and whether another one did not either. */
+  let avoided: { forwarder: Forwarder; until: number; isDirect: boolean } | undefined
   choice.noteOpened()
 
-  const currentForwarder = (): Forwarder | undefined =>
-    monotonicMs() < directUntil ? undefined : choice.forwarderFor(target.id)
+  function currentForwarder(): Forwarder | undefined {
+    if (avoided && monotonicMs() >= avoided.until) avoided = undefined
+    if (avoided?.isDirect) return undefined
+    return choice.forwarderFor(target.id, avoided?.forwarder)
+  }
+
+  function avoid(forwarder: Forwarder): void {
+    // What a lost forwarder leaves unanswered tells nothing of the target.
+    if (!forwarder.isUsable()) return
+    const until = monotonicMs() + AVOID_AFTER_FAILURE_MS
+    const isDirect = avoided !== undefined && avoided.forwarder !== forwarder
+    avoided = { forwarder, until, isDirect }
+  }
 
   function callDirectly<K extends CallKind>(
     kind: K,
@@ -81,11 +93,10 @@
       const res = decodeResult(kind, outcome, target)
       if (res.isOk() || FINAL_FAILURES.has(res.error.failure)) return res
       // The target may be out of reach of the forwarder alone.
-      directUntil = monotonicMs() + DIRECT_AFTER_FAILURE_MS
+      avoid(forwarder)
       if (res.error.cause.failure !== 'unreachable') return res
       return unanswered(`out of reach of forwarder ${forwarder.address}`)
     }
-    directUntil = monotonicMs() + DIRECT_AFTER_FAILURE_MS
     return unanswered(OUTCOME_TEXTS[outcome](forwarder.address))
   }
 
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -13,11 +13,13 @@
   MAX_CALLS_PER_MESSAGE,
   MAX_FORWARDER_SHARE,
   MAX_MESSAGES_UNDER_WAY,
-  MAX_ORDER_MS,
   MAX_QUEUE_MS,
   MAX_TEXT_PER_MESSAGE,
+  MESSAGE_TIMEOUT_MS,
   MIN_MESSAGE_INTERVAL_MS,
+  MIN_ORDERS,
   NEWEST_ORDER_WEIGHT,
+  PROBE_INTERVAL_MS,
 } from './constants.js'
 import type { ForwardClient, ForwardResponse } from './forwardClient.js'
 import { answersSchema } from './messages.js'
@@ -44,10 +46,17 @@
   readonly address: string
   /** Whether calls may be sent through it now. */
   isUsable(): boolean
-  /** Whether it is also known to have processor time to spare, and to be quick enough. */
+  /** Whether it also answered just now, with processor time to spare. */
   isFit(): boolean
   /** Share of its processor time that it uses; 0 if it has not been heard lately. */
   busyShare(): number
+  /**
+   * Mean time of recent orders on the clock of this node, in ms; undefined with too few of them. It has
+   * the delay of this node in it, so that it only tells something beside that of other forwarders.
+   */
+  orderMs(): number | undefined
+  /** Uses the node no more for a while. */
+  leaveAlone(): void
   /** Asks the node how busy it is, unless it has been heard lately. */
   probe(): void
   /** Makes a call. */
@@ -91,19 +100,18 @@
   let lostUntil = -Infinity
   let busyShare = 0
   let heardAt = -Infinity
-  /** Moving average of the time that an order takes, in ms. */
+  /** Moving average of the time that an order takes, in ms, and the number of orders in it. */
   let meanOrderMs = 0
+  let orders = 0
+  let orderedAt = -Infinity
 
   const isUsable = (): boolean => monotonicMs() >= lostUntil
-  const isHeard = (): boolean => monotonicMs() - heardAt < HEARD_MS
+  const isHeardWithin = (ms: number): boolean => monotonicMs() - heardAt < ms
 
-  /** Counts an order's time; a forwarder that takes long is left alone for a while. */
   function noteOrder(tookMs: number): void {
-    meanOrderMs += (tookMs - meanOrderMs) * NEWEST_ORDER_WEIGHT
-    if (meanOrderMs < MAX_ORDER_MS) return
-    log.event('forwarderSlow', { peer: address, meanMs: Math.round(meanOrderMs) })
-    lostUntil = monotonicMs() + LOST_PAUSE_MS
-    meanOrderMs = 0
+    orders++
+    orderedAt = monotonicMs()
+    meanOrderMs += (tookMs - meanOrderMs) * Math.max(1 / orders, NEWEST_ORDER_WEIGHT)
   }
 
   /** Gives up all calls; the session is not continued. */
@@ -200,10 +208,20 @@
   return {
     address,
     isUsable,
-    isFit: () => isUsable() && isHeard() && busyShare < MAX_FORWARDER_SHARE,
-    busyShare: () => (isHeard() ? busyShare : 0),
+    isFit: () =>
+      isUsable() && isHeardWithin(MESSAGE_TIMEOUT_MS) && busyShare < MAX_FORWARDER_SHARE,
+    busyShare: () => (isHeardWithin(HEARD_MS) ? busyShare : 0),
+    orderMs() {
+      const isKnown = orders >= MIN_ORDERS && monotonicMs() - orderedAt < HEARD_MS
+      return isKnown ? meanOrderMs : undefined
+    },
+    leaveAlone() {
+      lostUntil = monotonicMs() + LOST_PAUSE_MS
+      orders = 0
+    },
     probe() {
-      if (isUsable() && !isHeard() && underWay === 0) void exchange([])
+      if (isUsable() && !isHeardWithin(PROBE_INTERVAL_MS) && underWay === 0)
+        void exchange([])
     },
     call,
     tell: (each) => enqueue(each, ignoreOutcome),
--- a/src/forwarding/forwarderChoice.ts
+++ b/src/forwarding/forwarderChoice.ts
@@ -3,11 +3,14 @@
  * many as its targets need once it uses half of it. Each target keeps its forwarder while the choice
  * stays the same (rendezvous hashing, D. Thaler and C. Ravishankar, 1998).
  */
+import { createHash } from 'node:crypto'
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
 import {
   ASK_FROM_SHARE,
   FORWARDER_LOAD,
+  MAX_EXCESS_FACTOR,
+  MAX_EXCESS_MS,
   MAX_FORWARDER_SHARE,
   PROBES_PER_FORWARDER,
   RELEASE_AFTER_MS,
@@ -27,8 +30,11 @@
 
 /** Chooses forwarders. */
 export interface ForwarderChoice {
-  /** The forwarder of a target; undefined if it is to be called directly. */
-  forwarderFor(targetId: string): Forwarder | undefined
+  /**
+   * The forwarder of a target; undefined if it is to be called directly.
+   * @param avoided forwarder that does not reach the target
+   */
+  forwarderFor(targetId: string, avoided?: Forwarder): Forwarder | undefined
   /** Counts the targets that are called. */
   noteOpened(): void
   noteClosed(): void
@@ -52,13 +58,9 @@
   askFromShare?: number
 }
 
-/** Hash of a text: 32 bits of FNV-1a. */
-function hashOf(text: string): number {
-  let hash = 0x811c9dc5
-  for (let index = 0; index < text.length; index++)
-    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193)
-  return hash >>> 0
-}
+/** Hash of a text: the first 32 bits of its SHA-1. */
+const hashOf = (text: string): number =>
+  createHash('sha1').update(text).digest().readUInt32BE()
 
 /** Creates a choice of no forwarders. */
 export function createForwarderChoice(opts: ForwarderChoiceOptions): ForwarderChoice {
@@ -79,17 +81,20 @@
     if (now - calmSince >= RELEASE_AFTER_MS) isAsking = false
   }
 
-  /** Candidates with the most capacity to spare first. */
+  /**
+   * Candidates with the most capacity to spare first. Those of about the same capacity are in an order
+   * of this node's own, so that owners whose load rises together choose different ones.
+   */
   function rank(): Forwarder[] {
     const spareOf = ({ room, owned }: ForwarderCandidate): number => room / (1 + owned)
     return candidates()
       .map((each) => ({
         forwarder: connect(each.address),
-        spare: spareOf(each),
+        band: Math.floor(Math.log2(spareOf(each))),
         order: hashOf(salt + each.address),
       }))
       .filter(({ forwarder }) => forwarder.isUsable())
-      .sort((a, b) => b.spare - a.spare || a.order - b.order)
+      .sort((a, b) => b.band - a.band || a.order - b.order)
       .map(({ forwarder }) => forwarder)
   }
 
@@ -110,37 +115,70 @@
     return [...kept, ...others].slice(0, wanted)
   }
 
+  /**
+   * Leaves those alone through which orders take much longer than through the others. All of them are
+   * late if this node is.
+   */
+  function leaveSlowAlone(): void {
+    const timed = chosen.flatMap((forwarder) => {
+      const ms = forwarder.orderMs()
+      return ms === undefined ? [] : [{ forwarder, ms }]
+    })
+    timed.sort((a, b) => a.ms - b.ms)
+    const usualMs = timed[Math.floor((timed.length - 1) / 2)]?.ms ?? 0
+    const limitMs = Math.max(usualMs + MAX_EXCESS_MS, usualMs * MAX_EXCESS_FACTOR)
+    for (const { forwarder, ms } of timed) {
+      if (ms <= limitMs) continue
+      log.event('forwarderSlow', {
+        peer: forwarder.address,
+        meanMs: Math.round(ms),
+        usualMs: Math.round(usualMs),
+      })
+      forwarder.leaveAlone()
+    }
+  }
+
+  function update(): void {
+    updateAsking(monotonicMs())
+    leaveSlowAlone()
+    const next = choose()
+    const isSame =
+      next.length === chosen.length && next.every((each) => chosen.includes(each))
+    if (isSame) return
+    log.event('forwardersChosen', {
+      forwarders: next.map(({ address }) => address),
+      before: chosen.length,
+      targets,
+      busyShare: Math.round(busyShare() * 100) / 100,
+    })
+    chosen = next
+    assigned = new Map()
+  }
+
+  function assign(targetId: string, avoided?: Forwarder): Forwarder | undefined {
+    let best: { forwarder: Forwarder; weight: number } | undefined
+    for (const forwarder of chosen) {
+      if (forwarder === avoided) continue
+      const weight = hashOf(`${targetId} ${forwarder.address}`)
+      if (!best || weight > best.weight) best = { forwarder, weight }
+    }
+    return best?.forwarder
+  }
+
   return {
-    forwarderFor(targetId) {
-      if (chosen.length === 0) return undefined
+    forwarderFor(targetId, avoided) {
+      // The targets of a node that was lost go to others at once.
+      if (!chosen.every((each) => each.isUsable())) update()
+      if (avoided) return assign(targetId, avoided)
       const known = assigned.get(targetId)
-      if (known) return known.isUsable() ? known : undefined
-      let best: { forwarder: Forwarder; weight: number } | undefined
-      for (const forwarder of chosen) {
-        const weight = hashOf(`${targetId} ${forwarder.address}`)
-        if (!best || weight > best.weight) best = { forwarder, weight }
-      }
-      if (!best) return undefined
-      assigned.set(targetId, best.forwarder)
-      return best.forwarder.isUsable() ? best.forwarder : undefined
+      if (known) return known
+      const found = assign(targetId)
+      if (found) assigned.set(targetId, found)
+      return found
     },
     noteOpened: () => void targets++,
     noteClosed: () => void targets--,
-    update() {
-      updateAsking(monotonicMs())
-      const next = choose()
-      const isSame =
-        next.length === chosen.length && next.every((each) => chosen.includes(each))
-      if (isSame) return
-      log.event('forwardersChosen', {
-        forwarders: next.map(({ address }) => address),
-        before: chosen.length,
-        targets,
-        busyShare: Math.round(busyShare() * 100) / 100,
-      })
-      chosen = next
-      assigned = new Map()
-    },
+    update,
     inUse: () => chosen.length,
   }
 }
