fix(scheduler): a suspended process does not put off its next plans

Plans may take a fifth of the time, by the length of the last one. A host that gives a process 32 ms in each 100 suspends it in the middle of one plan in three, which then seemed to take 70 ms and put off the next one by a third of a second. The mean of recent plans counts now if it is shorter. The new test fails before: a call of 200 ms among others of 1 ms puts off the next one by a second.

--- a/src/scheduler/__tests__/throttle.spec.ts
+++ b/src/scheduler/__tests__/throttle.spec.ts
@@ -27,4 +27,27 @@
   it('leaves the rest of the time to other work, however long its calls take', async (t) => {
     t.true((await measureShare(20, 0.2)) <= 0.25)
   })
+
+  it('makes up for one call during which the process was suspended', async (t) => {
+    let calls = 0
+    const request = createThrottled(
+      () => {
+        calls++
+        const endsAt = monotonicMs() + (calls === 20 ? 200 : 1)
+        while (monotonicMs() < endsAt);
+      },
+      { gapMs: 5, maxShare: 0.2 },
+    )
+    while (calls < 20) {
+      request()
+      await sleep(1)
+    }
+    const endsAt = monotonicMs() + 500
+    while (monotonicMs() < endsAt) {
+      request()
+      await sleep(1)
+    }
+    // By the length of that call alone, the next one would come after a second.
+    t.true(calls > 20)
+  })
 })
--- a/src/scheduler/throttle.ts
+++ b/src/scheduler/throttle.ts
@@ -9,6 +9,9 @@
   maxShare: number
 }
 
+/** Weight of the newest call in the mean time of a call. */
+const NEWEST_CALL_WEIGHT = 0.2
+
 /**
  * Returns a function that requests a call. The call is made at the end of this turn of the event
  * loop or, if the last one was too recent, once the limits allow it. All requests until then share
@@ -21,12 +24,17 @@
   let isScheduled = false
   /** Monotonic time from which the next call may be made, in ms. */
   let nextAt = -Infinity
+  /** Moving average of the time of a call, in ms: the host may suspend the process during a call. */
+  let meanMs: number | undefined
 
   const callOnce = (): void => {
     isScheduled = false
     const calledAt = monotonicMs()
     call()
-    nextAt = calledAt + Math.max(gapMs, (monotonicMs() - calledAt) / maxShare)
+    const tookMs = monotonicMs() - calledAt
+    meanMs ??= tookMs
+    meanMs += (tookMs - meanMs) * NEWEST_CALL_WEIGHT
+    nextAt = calledAt + Math.max(gapMs, tookMs, Math.min(tookMs, meanMs) / maxShare)
   }
 
   return () => {
