fix(scheduler): a late event loop does not shrink the start window

Symptom: a weak owner with a backlog ordered 4 to 14 starts a second until the end, with four starts in flight.

Cause: the window shrinks to the starts that are answered within 250 ms of their order. If they take 600 ms for a reason that has nothing to do with their number, as with a busy event loop, a smaller window answers fewer of them, so that it shrinks again, to its least size, and stays there.

The least delay of the last ten seconds, up to 750 ms, is left out: the window holds what is answered within 250 ms beyond it, and grows by its usual steps up to that. Whether the owner is behind is judged as before. The new test fails before: four starts in flight after 10 s, where 24 were at first.

--- a/src/scheduler/__tests__/startWindow.spec.ts
+++ b/src/scheduler/__tests__/startWindow.spec.ts
@@ -33,7 +33,33 @@
   }
 }
 
+/** Number of starts in flight of an owner that handles every answer late, however few there are. */
+function countInFlightOfLateOwner(lateMs: number, forMs: number): number {
+  let now = 0
+  const window = createStartWindow({
+    freed: () => undefined,
+    log: createMemoryLogger(),
+    now: () => now,
+  })
+  const orderedAt: number[] = []
+  for (; now < forMs; now += 5) {
+    while (orderedAt.length > 0 && now - orderedAt[0]! >= lateMs)
+      window.noteEnded(now - orderedAt.shift()!)
+    while (window.available() > 0) {
+      window.noteOrdered()
+      orderedAt.push(now)
+    }
+  }
+  return orderedAt.length
+}
+
 describe('createStartWindow', () => {
+  describe('for an owner whose event loop is late for other reasons than its starts', () => {
+    it('orders no fewer starts than at first', (t) => {
+      t.true(countInFlightOfLateOwner(600, 10_000) >= countInFlightOfLateOwner(600, 500))
+    })
+  })
+
   describe('for an owner with little processor time', () => {
     it('keeps so few starts in flight that none waits for seconds', (t) => {
       const owner = createOwner(15)
--- a/src/scheduler/startWindow.ts
+++ b/src/scheduler/startWindow.ts
@@ -6,6 +6,10 @@
  * algorithms for congestion avoidance in computer networks", 1989; the congestion signal is the
  * delay, as in TCP Vegas. By Little's law, the starts that are answered within a delay are their rate
  * times that delay: a late owner's window shrinks to them at once, as the turn of a queue is short.
+ *
+ * A start also takes long if the owner's event loop is late for other reasons, or its links are slow. Fewer
+ * starts in flight would not shorten that part, but lower the rate, so that it is left out as in TCP
+ * Vegas: it is the least delay of recent periods.
  */
 import { monotonicMs } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
@@ -39,6 +43,9 @@
 const MIN_LATE_SHARE = 0.75
 /** Time for which the owner counts as behind once most starts were answered late, in ms. */
 const BEHIND_MS = 2000
+/** Time for which a measured delay counts as the least one, in ms, and the longest that is left out. */
+const LEAST_DELAY_WINDOW_MS = 10_000
+const MAX_LEAST_DELAY_MS = 750
 /** Time for which a measured rate is kept, in ms: later ones are lower if targets have no room. */
 const RATE_WINDOW_MS = 3000
 
@@ -86,6 +93,8 @@
   let behindUntil = -Infinity
   /** Usual time from an order to its answer in the last period, in ms, and when that was measured. */
   let delay = { at: -Infinity, ms: 0 }
+  /** Delays of recent periods. */
+  let delays: (typeof delay)[] = []
 
   const perSecond = (): number => Math.max(0, ...rates.map((each) => each.perSecond))
 
@@ -101,14 +110,19 @@
     behindUntil = at + BEHIND_MS
   }
 
+  /** The part of the delay that does not come from the starts in flight, in ms. */
+  const leastDelayMs = (): number =>
+    Math.min(MAX_LEAST_DELAY_MS, ...delays.map(({ ms }) => ms))
+
   /**
    * Resizes the window after a period. While the owner is behind it is as large as is answered in time;
    * an owner that keeps up may need more.
    */
   function resize(at: number, answeredPerMs: number): void {
-    const inTime = answeredPerMs * LATE_AFTER_MS
+    const inTime = answeredPerMs * (leastDelayMs() + LATE_AFTER_MS)
     if (isLate()) {
-      size = Math.max(MIN_SIZE, Math.floor(Math.min(size * DECREASE_FACTOR, inTime)))
+      const most = size * (inTime < size ? DECREASE_FACTOR : INCREASE_FACTOR)
+      size = Math.min(MAX_SIZE, Math.max(MIN_SIZE, Math.floor(Math.min(most, inTime))))
       return noteBehind(at)
     }
     if (!wasFull) return
@@ -130,6 +144,8 @@
     rates = rates.filter((each) => at - each.at < RATE_WINDOW_MS)
     rates.push({ at, perSecond: answeredPerMs * 1000 })
     delay = { at, ms: quantileOf(answerTimes, 0.5) }
+    delays = delays.filter((each) => at - each.at < LEAST_DELAY_WINDOW_MS)
+    delays.push(delay)
     resize(at, answeredPerMs)
     answerTimes = []
     periodStart = at
