fix(scheduler): the cost of a plan follows what it can order

Symptom: most of a weak owner's processor time went into plans that ordered four starts each, and the less it ordered the more tasks were ready.

Cause: each plan computed the urgency of all jobs with ready tasks, sorted them, and looked up the settings of a job for each target that it tried.

With more than 256 ready tasks several plans share one ranking, for 100 ms or as long as rankings take a twentieth of the time. They look at the most urgent tasks that it left waiting, four times as many as the window allows, and at those that have become ready since. Whether a step needs a ticket is looked up once a plan.

--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -31,6 +31,8 @@
   copyEnded?(task: Task, copy: TaskCopy, outcome: CopyOutcome, droppedSince: number): void
   /** Called when tasks may have become startable. */
   wake(): void
+  /** Called for each task that may start from now on. */
+  becameReady?(task: Task): void
   /** Called when a job reaches its outcome, before the outcome is durable. */
   outcomeReached(job: Job, outcome: JobOutcome, cause: string): void
 }
@@ -133,12 +135,17 @@
     if (job.placed === 0) job.idleSince = opts.now()
   }
 
+  const addReady = (task: Task): void => {
+    ready.add(task)
+    opts.becameReady?.(task)
+  }
+
   const makeReady = (task: Task): void => {
     countUnplaced(task)
     task.phase = 'ready'
     task.targetId = undefined
     task.readySince = opts.now()
-    if (!task.step.job.gated) ready.add(task)
+    if (!task.step.job.gated) addReady(task)
   }
 
   /** Clears the copy of a task; returns it. */
@@ -314,7 +321,7 @@
         if (!job.gated) continue
         job.gated = false
         if (job.outcome) continue
-        for (const task of tasksOf(job)) if (task.phase === 'ready') ready.add(task)
+        for (const task of tasksOf(job)) if (task.phase === 'ready') addReady(task)
       }
       opts.wake()
     },
--- a/src/scheduler/__tests__/ownerAtLimit.spec.ts
+++ b/src/scheduler/__tests__/ownerAtLimit.spec.ts
@@ -131,6 +131,8 @@
 const WEAK_BOOK_MS = 0.5
 /** Share of those starts that it must order with all the rest of its work. */
 const MIN_WEAK_SHARE = 0.25
+/** Jobs whose urgency an owner computes for each start that it orders. */
+const MAX_LOOKS_PER_START = 30
 /** Time of the takeover, in ms. */
 const TAKEOVER_MS = 3000
 
@@ -145,6 +147,7 @@
     },
     async (rig, { processor }) => {
       let looks = 0
+      let allLooks = 0
       Object.defineProperty(rig, 'isQueueKnown', {
         get: () => {
           looks++
@@ -167,6 +170,7 @@
         void processor.work(
           Math.min(looks * LOOK_MS, STEP_MS * WEAK_CORES * MAX_PLAN_SHARE),
         )
+        allLooks += looks
         looks = 0
         if (monotonicMs() - startedAt > (perSecond.length + 1) * 1000) {
           perSecond.push(startsIn(rig) - starts)
@@ -174,8 +178,10 @@
         }
         await sleep(STEP_MS)
       }
-      t.log({ perSecond, tasks, started: startsIn(rig), limitMs })
+      const looksPerStart = Math.round(allLooks / tasks)
+      t.log({ perSecond, tasks, started: startsIn(rig), limitMs, looksPerStart })
       t.is(startsIn(rig), tasks)
+      t.true(looksPerStart <= MAX_LOOKS_PER_START)
       t.is(findGuaranteeViolation(rig.ledger), undefined)
     },
   )
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -39,7 +39,11 @@
 
 export interface Plan {
   starts: PlannedStart[]
-  /** Steps with tasks that found no target or would have exceeded `startsLeft`. */
+  /** Urgencies of the jobs with ready tasks. */
+  urgencies: ReadonlyMap<Job, Urgency>
+  /**
+   * Steps with tasks that found no target or would have exceeded `startsLeft`, by descending urgency.
+   */
   waiting: Set<Step>
 }
 
@@ -249,7 +253,7 @@
         Number(a.isLast) - Number(b.isLast) || compareUrgency(a.urgency, b.urgency),
     )
     .map(({ step }) => step)
-  const plan: Plan = { starts: [], waiting: new Set() }
+  const plan: Plan = { starts: [], urgencies, waiting: new Set() }
   const { startsLeft = Infinity } = input
   const failed: FailedNeeds = new Map()
   for (const step of ordered) {
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -53,6 +53,7 @@
 import { createRoomUseLog } from './roomUse.js'
 import { createRowRestorer } from './rowRestorer.js'
 import { createRunTimes } from './runTimes.js'
+import { createShortlist } from './shortlist.js'
 import { createStartWindow } from './startWindow.js'
 import { createSpeculativeCopies } from './speculativeCopies.js'
 import { createStarter } from './starter.js'
@@ -185,6 +186,7 @@
     },
   })
 
+  const shortlist = createShortlist()
   const book = createJobBook({
     rulesOf: (spec) => ({ maxAttempts: settings.maxAttemptsOf(spec) }),
     now: monotonicMs,
@@ -193,6 +195,7 @@
     runUnwanted: (task, targetId) => agents.get(targetId)?.stop(task.name),
     copyEnded: (...ended) => copies?.noteCopyEnded(...ended),
     wake,
+    becameReady: shortlist.noteReady,
     outcomeReached: (job, outcome, cause) =>
       log.event('jobEnded', {
         job: job.spec.id,
@@ -335,6 +338,7 @@
     tickets,
     isolation: createIsolation(),
     startWindow,
+    shortlist,
     quotas,
     shares,
     weightedShares,
--- a/src/scheduler/starter.ts
+++ b/src/scheduler/starter.ts
@@ -12,7 +12,9 @@
 import type { Isolation, IsolationRound } from './isolation.js'
 import { createPacking } from './packing.js'
 import { planStarts } from './planner.js'
+import type { Plan } from './planner.js'
 import type { QuotaRound, ServiceQuotas } from './serviceQuotas.js'
+import type { Shortlist } from './shortlist.js'
 import type { StartWindow } from './startWindow.js'
 import type { Roster } from './roster.js'
 import type { RunTimes } from './runTimes.js'
@@ -36,6 +38,7 @@
   tickets: Tickets
   isolation: Isolation
   startWindow: StartWindow
+  shortlist: Shortlist
   quotas: ServiceQuotas
   shares: FairShares
   /** The same shares where room is divided by weight; undefined elsewhere. */
@@ -60,7 +63,7 @@
 /** Creates the starter of one owner. */
 export function createStarter(opts: StarterOptions): Starter {
   const { authority, settings, book, roster, runTimes, health, tickets } = opts
-  const { coldTargets, isolation, startWindow, quotas } = opts
+  const { coldTargets, isolation, startWindow, shortlist, quotas } = opts
   const { shares, weightedShares, log } = opts
   const firstRun = firstRunOf(authority.term)
 
@@ -82,20 +85,31 @@
 
   const isSound = (agent: TargetAgent): boolean => health.standingOf(agent) === 'sound'
 
-  const policyOf = (
+  function policyOf(
     agents: readonly TargetAgent[],
     { isSuspect }: SuspectRound,
     { forbids }: IsolationRound,
     { exceeds }: QuotaRound,
-  ): PlacementPolicy => ({
-    exceedsQuota: exceeds,
-    isRostered: (agent) => roster.has(agent.target.id),
-    isSurplus: createPacking(agents, opts.usableCpu(), isSound, isCold),
-    isIsolated: forbids,
-    isSuspect,
-    lacksTicket: (agent, step) =>
-      needsTicket(step) && tickets.find(step, agent) === undefined,
-  })
+  ): PlacementPolicy {
+    // The rule is evaluated for each target.
+    const ticketNeeds = new Map<Step, boolean>()
+    const isTicketNeeded = (step: Step): boolean => {
+      const known = ticketNeeds.get(step)
+      if (known !== undefined) return known
+      const isNeeded = needsTicket(step)
+      ticketNeeds.set(step, isNeeded)
+      return isNeeded
+    }
+    return {
+      exceedsQuota: exceeds,
+      isRostered: (agent) => roster.has(agent.target.id),
+      isSurplus: createPacking(agents, opts.usableCpu(), isSound, isCold),
+      isIsolated: forbids,
+      isSuspect,
+      lacksTicket: (agent, step) =>
+        isTicketNeeded(step) && tickets.find(step, agent) === undefined,
+    }
+  }
 
   const nextRunOf = (task: Task): number => Math.max(task.run + 1, firstRun)
 
@@ -107,34 +121,48 @@
       ? weightedShares.order(job, urgency)
       : { ...urgency, isBeyondShare: shares.isBeyondShare(job) }
 
-  /** Returns a lookup of the urgencies of jobs with ready tasks. */
-  function createUrgencyLookup(
+  const delayedUrgencyOf = (job: Job, now: number, delayMs = 0): Urgency =>
+    urgencyOf(job, settings.of(job.spec), runTimes, now, delayMs + startWindow.delayMs())
+
+  /** Returns a lookup of the urgencies of jobs with ready tasks, by a ranking of all of them. */
+  function rankJobs(
     agents: readonly TargetAgent[],
     now: number,
     { exceeds }: QuotaRound,
   ): (job: Job) => Urgency {
-    const startDelayMs = startWindow.delayMs()
-    const ownUrgencyOf = (job: Job, delayMs: number): Urgency =>
-      urgencyOf(job, settings.of(job.spec), runTimes, now, delayMs + startDelayMs)
-    const delayedUrgencyOf = (job: Job, delayMs: number): Urgency =>
-      addShare(job, ownUrgencyOf(job, delayMs))
+    const sharedUrgencyOf = (job: Job, delayMs: number): Urgency =>
+      addShare(job, delayedUrgencyOf(job, now, delayMs))
     const known = weightedShares?.begin({
       ready: book.ready,
       agents,
       now,
-      urgencyOf: (job) => ownUrgencyOf(job, 0),
+      urgencyOf: (job) => delayedUrgencyOf(job, now),
       isHeld: (step) => exceeds(step),
     })
     const perSecond = startWindow.perSecond()
     if (!startWindow.isBehind() || perSecond === 0)
-      return (job) => known?.get(job) ?? delayedUrgencyOf(job, 0)
+      return (job) => known?.get(job) ?? sharedUrgencyOf(job, 0)
     const paced = pacedUrgencies({
       ready: book.ready,
       perSecond,
       urgencyOf: (job, delayMs) =>
-        (delayMs === 0 ? known?.get(job) : undefined) ?? delayedUrgencyOf(job, delayMs),
+        (delayMs === 0 ? known?.get(job) : undefined) ?? sharedUrgencyOf(job, delayMs),
     })
-    return (job) => paced.get(job) ?? delayedUrgencyOf(job, 0)
+    return (job) => paced.get(job) ?? sharedUrgencyOf(job, 0)
+  }
+
+  function order({ starts }: Plan): void {
+    if (starts.length > 0) opts.ordered(starts.length)
+    for (const { task, agent } of starts) {
+      const run = nextRunOf(task)
+      agent.start(task, run, ticketFor(task.step, agent))
+      log.event('taskPlaced', {
+        task: task.name,
+        run,
+        target: agent.target.id,
+        waitedMs: Math.round(monotonicMs() - task.readySince),
+      })
+    }
   }
 
   function start(agents: TargetAgent[]): void {
@@ -145,10 +173,13 @@
     const round = beginRound(agents, now)
     const isolationRound = isolation.begin(agents)
     const quotaRound = quotas.begin()
-    const { starts, waiting } = planStarts({
-      ready: book.ready,
+    const short = shortlist.next(book.ready, startsLeft)
+    const plan = planStarts({
+      ready: short?.tasks ?? book.ready,
       agents,
-      urgencyOf: createUrgencyLookup(agents, now, quotaRound),
+      urgencyOf: short
+        ? (job) => short.urgencyOf(job) ?? addShare(job, delayedUrgencyOf(job, now))
+        : rankJobs(agents, now, quotaRound),
       policy: policyOf(agents, round, isolationRound, quotaRound),
       penaltyOf: health.penaltyOf,
       ...(coldTargets.any() && { isCold }),
@@ -160,21 +191,16 @@
         isolationRound.recordPlanned(agent, step)
         quotaRound.recordPlanned(step)
         weightedShares?.notePlanned(step)
+        shortlist.notePlanned(step.job)
       },
     })
-    weightedShares?.end(waiting)
+    const { urgencies, waiting } = plan
     for (const step of waiting) if (needsTicket(step)) tickets.request(step, agents)
-    if (starts.length > 0) opts.ordered(starts.length)
-    for (const { task, agent } of starts) {
-      const run = nextRunOf(task)
-      agent.start(task, run, ticketFor(task.step, agent))
-      log.event('taskPlaced', {
-        task: task.name,
-        run,
-        target: agent.target.id,
-        waitedMs: Math.round(monotonicMs() - task.readySince),
-      })
-    }
+    order(plan)
+    if (short) return
+    weightedShares?.end(waiting)
+    const isHeld = (step: Step): boolean => quotaRound.exceeds(step)
+    shortlist.rank({ waiting, urgencies, isHeld, at: now, startsLeft })
   }
 
   return {
