feat(ownership): an owner that lacks processor time hands its service to a stronger node

Symptom: a node with 0.32 of a core that took over a service while the strong nodes were away kept it until the end, with thousands of tasks ready, for 16 s of calm with all strong nodes back.

Cause: services are given to nodes when they have no owner, and never again.

An owner whose processor has been saturated for half a second, that has open jobs and has finished its takeover, releases its service if another node would have 2.5 times the capacity for it; at most one service in 5 s. The protocol is that of a planned stop: the book is written, orders under way are answered, the epoch row names nobody, and the first candidate claims it.

ownership.spec: a service is with the stronger node 1.2 s after that is known, and stays where no other node has much more; without the change it stays.

--- a/src/node/ownerServices.ts
+++ b/src/node/ownerServices.ts
@@ -112,7 +112,11 @@
         configuration,
         targets,
         owners,
-        processor: { share: processor.share, forwarders: inUse },
+        processor: {
+          share: processor.share,
+          isSaturated: processor.isSaturated,
+          forwarders: inUse,
+        },
         log,
       }
       return createOwnership({
--- a/src/node/startOwner.ts
+++ b/src/node/startOwner.ts
@@ -76,6 +76,7 @@
   })
   owners.add(owner)
   return {
+    lacksProcessor: owner.lacksProcessor,
     async stop(handOver) {
       owners.remove(owner)
       owners.release(authority.service)
--- a/src/ownership/__tests__/ownership.spec.ts
+++ b/src/ownership/__tests__/ownership.spec.ts
@@ -12,6 +12,9 @@
 
 const SERVICES = ['a', 'b', 'c', 'd']
 
+/** Time for a handover to another node, in ms: about a second. */
+const HANDED_OVER_MS = 1200
+
 const startNode = (table: RowTable, id: string, room = 1): OwnerNode =>
   startOwnerNode({ id, store: table.forNode(id), services: SERVICES, room })
 
@@ -41,6 +44,46 @@
     await Promise.all(nodes.map((node) => node.stop()))
   })
 
+  describe('with an owner that lacks processor time', () => {
+    const startWeak = (table: RowTable, room: number): OwnerNode =>
+      startOwnerNode({
+        id: 'n1',
+        store: table.forNode('n1'),
+        services: ['a'],
+        room,
+        lacksProcessor: () => true,
+      })
+    const joinedBy = async (weakRoom: number, room: number) => {
+      const table = createRowTable()
+      const weak = startWeak(table, weakRoom)
+      while (!weak.authorities.has('a')) await sleep(20)
+      const other = startOwnerNode({
+        id: 'n2',
+        store: table.forNode('n2'),
+        services: ['a'],
+        room,
+      })
+      while (weak.registry.candidates().length < 2) await sleep(20)
+      await sleep(HANDED_OVER_MS)
+      const owners = ownersOf([weak, other], 'a')
+      const terms = [weak, other].map(({ authorities }) => authorities.get('a')?.term)
+      await Promise.all([weak, other].map((node) => node.stop()))
+      return { owners, terms }
+    }
+
+    it('hands the service over to a node that has much more', async (t) => {
+      const { owners, terms } = await joinedBy(0.3, 1.4)
+      t.deepEqual(owners, ['n2'])
+      t.deepEqual(terms, [undefined, 2])
+    })
+
+    it('keeps the service while no other node has much more', async (t) => {
+      const { owners, terms } = await joinedBy(0.9, 1.4)
+      t.deepEqual(owners, ['n1'])
+      t.deepEqual(terms, [1, undefined])
+    })
+  })
+
   // Every target would fence a term that is lower than the last one.
   it('does not claim a service whose last term it cannot read', async (t) => {
     const table = createRowTable()
--- a/src/ownership/claimRules.ts
+++ b/src/ownership/claimRules.ts
@@ -1,5 +1,5 @@
 /** Rules for who may claim a service, based on the rows of the nodes. */
-import { NODE_LEASE_MS } from './constants.js'
+import { HAND_OVER_FACTOR, NODE_LEASE_MS } from './constants.js'
 import type { EpochRow } from './epochRow.js'
 import type { Member, Membership } from './membership.js'
 
@@ -48,6 +48,25 @@
   return sortByLoad(candidates, counts).findIndex((each) => each.id === id)
 }
 
+/**
+ * The node on which a service of this node would have much more capacity than here; undefined if there
+ * is none.
+ * @param ownCount number of services that this node owns or is claiming
+ */
+export function findStrongerNode(
+  nodes: Membership,
+  ownCount: number,
+): Member | undefined {
+  const candidates = nodes.candidates()
+  const self = candidates.find(({ id }) => id === nodes.self.id)
+  const others = candidates.filter((each) => each !== self)
+  const counts = new Map(others.map((each) => [each.id, each.owns.length]))
+  const [best] = sortByLoad(others, counts)
+  if (!self || !best) return undefined
+  const room = best.room / (best.owns.length + 1)
+  return room >= (self.room / ownCount) * HAND_OVER_FACTOR ? best : undefined
+}
+
 /**
  * Whether the node that the epoch row names no longer has a right to the service.
  * @param unownedMs time for which no live node has listed the service, in ms
--- a/src/ownership/constants.ts
+++ b/src/ownership/constants.ts
@@ -65,6 +65,13 @@
 export const UNREADABLE_EPOCH_WAIT_MS = LATE_LEASE_MAX_MS + GRACE_MS + TAKEOVER_MARGIN_MS
 /** Interval between two checks for services without an owner, in ms. */
 export const CLAIM_CHECK_INTERVAL_MS = 150
+/**
+ * Ratio of the capacity that a service would have on another node to that on its own, from which an owner
+ * that lacks processor time hands it over: a handover interrupts starts for about a second.
+ */
+export const HAND_OVER_FACTOR = 2.5
+/** Shortest interval between two handovers by one node, in ms: they must not follow each wave of load. */
+export const HAND_OVER_INTERVAL_MS = 5000
 /** Additional delay of each further candidate for a service, in ms: two claim checks. */
 export const CANDIDATE_DELAY_MS = 300
 /**
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -16,6 +16,7 @@
 import { createAuthority } from './authority.js'
 import type { Authority, OwnedService, Owner } from './authority.js'
 import {
+  findStrongerNode,
   isHolderGone,
   isOwnedElsewhere,
   predecessorLeaseEndsAt,
@@ -25,6 +26,7 @@
 import {
   CANDIDATE_DELAY_MS,
   CLAIM_CHECK_INTERVAL_MS,
+  HAND_OVER_INTERVAL_MS,
   UNREADABLE_EPOCH_WAIT_MS,
   NODE_LEASE_MS,
   RELEASE_TIMEOUT_MS,
@@ -77,6 +79,8 @@
   const unreadableRows = createInvalidRows(log, EPOCH_TABLE)
   const { id, life } = registry.self
   let releasing = false
+  /** Lease-clock time from which a service may be handed over, in ms. */
+  let mayHandOverAt = -Infinity
 
   /** Stops the owner of a service that another node has taken over. */
   async function stopLost(service: string, reason: string): Promise<void> {
@@ -234,12 +238,39 @@
     void claim(service).finally(() => claiming.delete(service))
   }
 
+  /** Releases a service that lacks processor time here, if another node has much more of it. */
+  function considerHandOver(): void {
+    if (now() < mayHandOverAt) return
+    for (const [service, { owner, row, lost }] of ownedServices) {
+      if (lost || !owner?.lacksProcessor?.()) continue
+      const to = findStrongerNode(registry, ownedServices.size + claiming.size)
+      if (!to) return
+      mayHandOverAt = now() + HAND_OVER_INTERVAL_MS
+      log.event('serviceHandedOver', {
+        service,
+        term: row.term,
+        to: to.id,
+        room: to.room,
+        owns: to.owns.length,
+      })
+      claiming.add(service)
+      void handOver(service).finally(() => claiming.delete(service))
+      return
+    }
+  }
+
+  async function handOver(service: string): Promise<void> {
+    await releaseService(service)
+    await registry.renewNow()
+  }
+
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
       for (const service of opts.names()) {
         if (releasing || !registry.mayClaim()) break
         if (!ownedServices.has(service) && !claiming.has(service)) considerClaim(service)
       }
+      if (!releasing) considerHandOver()
       await sleep(CLAIM_CHECK_INTERVAL_MS, stopping.signal)
     }
   }
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -69,6 +69,7 @@
 /** A running owner of a service. */
 export interface ServiceOwner extends Owner {
   readonly service: string
+  lacksProcessor(): boolean
   /** Resolves once all jobs left by the predecessor have been read. */
   readonly inheritedRead: Promise<void>
   /**
@@ -111,12 +112,15 @@
 export interface OwnerProcessor {
   /** Share of its time that is used. */
   share(): number
+  /** Whether all of its time has been used for a while. */
+  isSaturated(): boolean
   /** Number of nodes through which targets are called. */
   forwarders(): number
 }
 
 const IDLE_PROCESSOR: OwnerProcessor = {
   share: () => 0,
+  isSaturated: () => false,
   forwarders: () => 0,
 }
 
@@ -474,6 +478,8 @@
   return {
     service,
     inheritedRead,
+    lacksProcessor: () =>
+      !isTakingOver() && book.open.size > 0 && processor.isSaturated(),
     offer: newJobs.offer,
     expect: newJobs.expect,
     cancel: newJobs.cancel,
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -112,6 +112,11 @@
     'info',
     'ownership of a service released in a planned stop',
   ),
+  serviceHandedOver: spec(
+    'RS-7020',
+    'info',
+    'service that lacks processor time here is released for a stronger node',
+  ),
   ownerLease: spec('RS-7010', 'info', 'lease duration adjusted to the delay of renewals'),
   claimFailed: spec('RS-7005', 'warn', 'ownership of a service could not be claimed'),
   takeoverWaits: spec('RS-7006', 'warn', 'takeover is waiting for the store'),
--- a/test/ownerNodes.ts
+++ b/test/ownerNodes.ts
@@ -12,6 +12,8 @@
   services: string[]
   /** Capacity of the node as an owner; 1 for a whole core. */
   room?: number
+  /** Whether its owners lack processor time. */
+  lacksProcessor?(): boolean
   /** Clock for leases, in ms. */
   now?: () => number
 }
@@ -39,7 +41,10 @@
     names: () => services,
     async start(authority) {
       authorities.set(authority.service, authority)
-      return { stop: async () => void authorities.delete(authority.service) }
+      return {
+        lacksProcessor: () => opts.lacksProcessor?.() ?? false,
+        stop: async () => void authorities.delete(authority.service),
+      }
     },
     log,
     now,
