feat(forwarding): help comes before the limit, by the targets that are requested

A turn of a queue began with direct calls: the first forwarder came 0.6 s into it and the third after 2.6 s, as their number followed the targets that were already there and the first was asked for at half of the processor time. An owner that has requested more targets than it has, 48 or more, asks from a quarter of its time on, for as many nodes as the requested targets need. The new test fails before: no node at 0.3 of the time with 240 targets requested.

--- a/src/forwarding/__tests__/forwarderChoice.spec.ts
+++ b/src/forwarding/__tests__/forwarderChoice.spec.ts
@@ -22,7 +22,7 @@
 })
 
 function setUp(nodes: Node[], targets: number, salt = '') {
-  const state = { share: 0, nodes, probed: new Set<string>() }
+  const state = { share: 0, nodes, requested: 0, probed: new Set<string>() }
   const forwarders = new Map<string, Forwarder>(
     nodes.map((node) => [
       node.address,
@@ -42,6 +42,7 @@
   const choice = createForwarderChoice({
     busyShare: () => state.share,
     candidates: () => state.nodes,
+    requestedTargets: () => state.requested,
     connect: (address) => forwarders.get(address)!,
     salt,
     log: createMemoryLogger(),
@@ -74,6 +75,16 @@
     t.is(used().length, 10)
   })
 
+  it('uses nodes before it is at its limit if many more targets are requested', (t) => {
+    const { state, choice } = setUp(manyNodes(40), 10)
+    state.share = 0.3
+    choice.update()
+    t.is(choice.inUse(), 0)
+    state.requested = 5 * TARGETS_PER_FORWARDER
+    choice.update()
+    t.is(choice.inUse(), 5)
+  })
+
   it('goes on with those that it has when the use falls for a moment', (t) => {
     const { state, choice, used } = setUp(manyNodes(5), 2 * TARGETS_PER_FORWARDER)
     state.share = 1
--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -36,6 +36,11 @@
 export const IDLE_CHECK_MS = 1000
 /** Use of its processor from which an owner asks for forwarders, as a share. */
 export const ASK_FROM_SHARE = 0.5
+/**
+ * The same for an owner that has requested many more targets, as a multiple: its load will have doubled
+ * by the time that they are there. Nodes are asked how busy they are from then on.
+ */
+export const EARLY_FACTOR = 0.5
 /** Use of its processor below which an owner no longer needs them, as a share. */
 export const RELEASE_BELOW_SHARE = 0.2
 /** Time for which the use must stay below that share. */
--- a/src/forwarding/forwarderChoice.ts
+++ b/src/forwarding/forwarderChoice.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '../shared/index.js'
 import {
   ASK_FROM_SHARE,
+  EARLY_FACTOR,
   FORWARDER_LOAD,
   MAX_EXCESS_FACTOR,
   MAX_EXCESS_MS,
@@ -49,6 +50,8 @@
   /** Share of its processor time that this node uses. */
   busyShare(): number
   candidates(): ForwarderCandidate[]
+  /** Number of targets that the owners on this node have requested; 0 by default. */
+  requestedTargets?(): number
   /** Returns the forwarder at an address. */
   connect(address: string): Forwarder
   /** Varies the order of equal candidates, so that two owners choose different ones. */
@@ -65,7 +68,8 @@
 /** Creates a choice of no forwarders. */
 export function createForwarderChoice(opts: ForwarderChoiceOptions): ForwarderChoice {
   const { busyShare, candidates, connect, salt, log } = opts
-  const askFromShare = opts.askFromShare ?? ASK_FROM_SHARE
+  const { requestedTargets = () => 0, askFromShare = ASK_FROM_SHARE } = opts
+  const askEarlyFromShare = askFromShare * EARLY_FACTOR
   let targets = 0
   let chosen: Forwarder[] = []
   let assigned = new Map<string, Forwarder>()
@@ -75,7 +79,8 @@
 
   function updateAsking(now: number): void {
     const share = busyShare()
-    if (share >= askFromShare) isAsking = true
+    const needsMore = requestedTargets() >= Math.max(targets, TARGETS_PER_FORWARDER)
+    if (share >= (needsMore ? askEarlyFromShare : askFromShare)) isAsking = true
     if (share >= Math.min(RELEASE_BELOW_SHARE, askFromShare)) calmSince = Infinity
     else calmSince = Math.min(calmSince, now)
     if (now - calmSince >= RELEASE_AFTER_MS) isAsking = false
@@ -100,10 +105,13 @@
 
   function choose(): Forwarder[] {
     // Nodes are asked how busy they are before they are needed.
-    if (!isAsking && busyShare() < askFromShare / 2) return []
+    if (!isAsking && busyShare() < askEarlyFromShare) return []
     const usedShare = chosen.reduce((sum, each) => sum + each.busyShare(), 0)
     const wanted = Math.ceil(
-      Math.max(targets / TARGETS_PER_FORWARDER, usedShare / FORWARDER_LOAD),
+      Math.max(
+        Math.max(targets, requestedTargets()) / TARGETS_PER_FORWARDER,
+        usedShare / FORWARDER_LOAD,
+      ),
     )
     const ranked = rank()
     const notBusy = ranked.filter((each) => each.busyShare() < MAX_FORWARDER_SHARE)
--- a/src/node/forwardingService.ts
+++ b/src/node/forwardingService.ts
@@ -27,7 +27,7 @@
 export const forwardingService = (cfg: NodeConfig) =>
   defineService({
     name: 'forwarding',
-    needs: ['nodePlatform', 'registry', 'processor'],
+    needs: ['nodePlatform', 'registry', 'processor', 'owners'],
     async start({ get, log }) {
       const { orders: direct } = get('nodePlatform')
       const registry = get('registry')
@@ -51,6 +51,7 @@
       const choice = createForwarderChoice({
         busyShare: processor.share,
         candidates: () => candidatesOf(registry),
+        requestedTargets: get('owners').requestedTargets,
         connect,
         salt: nanoid(SALT_LENGTH),
         log,
--- a/src/node/ownerTable.ts
+++ b/src/node/ownerTable.ts
@@ -8,6 +8,8 @@
   local: LocalOwners
   /** Whether the owners on this node hold as many jobs as its memory allows. */
   isFull(): boolean
+  /** Number of targets that the owners on this node have requested. */
+  requestedTargets(): number
   setFleet(owner: FleetOwner | undefined): void
   /** Names that this node claims, including those whose takeover is not finished. */
   names(): string[]
@@ -37,6 +39,11 @@
       for (const owner of owners.values()) held += owner.heldJobs()
       return held >= maxJobs
     },
+    requestedTargets() {
+      let requested = 0
+      for (const owner of owners.values()) requested += owner.requestedTargets()
+      return requested
+    },
     setFleet: (owner) => void (fleet = owner),
     names: () => [...claimed],
     claim: (service) => void claimed.add(service),
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -37,6 +37,8 @@
   hasGrown(open: OpenJobs, now: number): boolean
   /** Returns the room that the last report requested, in thousandths of a core. */
   requestedCpu(): number
+  /** Returns the number of targets of mean capacity that it requested; 0 before the first target. */
+  requestedTargets(): number
   /** Returns the room that the owner can use, in thousandths of a core; Infinity without a limit. */
   usableCpu(): number
   /** Returns the loads of the targets. */
@@ -215,6 +217,7 @@
       }
     },
     requestedCpu: () => reportedCpu,
+    requestedTargets: () => (targetRoom.cpu > 0 ? reportedCpu / targetRoom.cpu : 0),
     usableCpu: () => (usable.limit() === Infinity ? Infinity : reportedCpu),
     hasGrown: (open, now) =>
       neededCpu(open, now) > reportedCpu * (1 + IMMEDIATE_REPORT_GROWTH),
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -98,6 +98,8 @@
   heldJobs(): number
   /** Agents of the service's current targets. */
   agents(): TargetAgent[]
+  /** Number of targets that the last report requested, in targets of their mean capacity. */
+  requestedTargets(): number
   /** Loads of the service's current targets, for operators. */
   loads(): TargetLoad[]
   /** Load for the fronts; undefined during a takeover and without the feature. */
@@ -499,6 +501,7 @@
     },
     heldJobs: () => book.jobs.size,
     agents: allAgents,
+    requestedTargets: demand.requestedTargets,
     load: () => loadMeter?.current(),
     loads: () => demand.loads(allAgents()),
     report: () => ({
