fix(admission): jobs behind too many starts are refused, also beside idle room

Cause: an owner that orders fewer starts than become due leaves room idle, and idle room exempted every job from refusal: the more an owner was behind, the more it accepted that it could not serve in time.

The load of an owner that is behind names its backlog and its rate beside idle room, and only the starts before a job count there, not the work. Only where admission is in force.

--- a/src/admission/decision.ts
+++ b/src/admission/decision.ts
@@ -80,6 +80,10 @@
   runMs: number
 }
 
+/** Whether a job can have idle room at once: its owner orders starts as fast as they become due. */
+export const canUseIdleRoom = ({ idleCpu, startsPerSecond }: ServiceLoad): boolean =>
+  idleCpu > 0 && !(startsPerSecond !== undefined && startsPerSecond > 0)
+
 /** Reasons to admit a job whatever else the load says; checked in this order. */
 const EXEMPTIONS: Record<string, (input: AdmissionInput) => boolean> = {
   canWait: ({ job }) => canWait(job),
@@ -87,10 +91,10 @@
   unknownLoad: ({ load }) => load === undefined,
   // The comparison also holds for an age that is not a number.
   oldLoad: ({ loadAgeMs }) => !(loadAgeMs <= MAX_LOAD_AGE_MS),
-  idleRoom: ({ load }) => load !== undefined && load.idleCpu > 0,
+  idleRoom: ({ load }) => load !== undefined && canUseIdleRoom(load),
 }
 
-/** Returns the load if it is current and no room is idle; undefined if the job is exempt. */
+/** Returns the load if it is current and jobs may have to wait; undefined if the job is exempt. */
 function pressedLoad(input: AdmissionInput): Pressed | undefined {
   if (Object.values(EXEMPTIONS).some((isExempt) => isExempt(input))) return undefined
   const { load, queue } = input
@@ -133,11 +137,11 @@
 
 /** Shortest waits behind the given work, by what causes them, in ms. */
 function waitsBehind({ work, starts }: Ahead, load: ServiceLoad) {
-  const { attainableCpu = 0, startsPerSecond = 0, runningWork } = load
+  const { idleCpu, attainableCpu = 0, startsPerSecond = 0, runningWork } = load
   const isAhead = work > 0 || starts > 0
+  const waitsForRoom = isAhead && attainableCpu > 0 && idleCpu === 0
   return {
-    room:
-      isAhead && attainableCpu > 0 ? ((runningWork + work) * 1000) / attainableCpu : 0,
+    room: waitsForRoom ? ((runningWork + work) * 1000) / attainableCpu : 0,
     starts: startsPerSecond > 0 ? (starts * 1000) / startsPerSecond : 0,
   }
 }
--- a/src/admission/frontAdmission.ts
+++ b/src/admission/frontAdmission.ts
@@ -5,7 +5,12 @@
 import type { Queue } from '../ports/index.js'
 import { monotonicMs } from '../shared/index.js'
 import type { EventFields } from '../shared/index.js'
-import { MAX_LOAD_AGE_MS, decideAdmission, retryAfterMs } from './decision.js'
+import {
+  MAX_LOAD_AGE_MS,
+  canUseIdleRoom,
+  decideAdmission,
+  retryAfterMs,
+} from './decision.js'
 import type { RefusalReason } from './decision.js'
 import type { KnownLoad } from './latestLoads.js'
 import { createRetryLimit } from './retryLimit.js'
@@ -74,7 +79,7 @@
 
   /** Whether the load shows idle room, which a returning job may use without any limit. */
   const hasIdleRoom = (known: KnownLoad | undefined): boolean =>
-    known !== undefined && known.ageMs <= MAX_LOAD_AGE_MS && known.load.idleCpu > 0
+    known !== undefined && known.ageMs <= MAX_LOAD_AGE_MS && canUseIdleRoom(known.load)
 
   function judge(job: JobSpec, queue: Queue, known: Try): Refusal | undefined {
     if (mayBeStored(known)) return undefined
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -37,8 +37,8 @@
   /** Increases with each load of one owner. */
   sequence: z.number(),
   /**
-   * Idle room that no waiting task will take, in thousandths of a core. While there is any, the
-   * fields below are left empty.
+   * Idle room that no waiting task will take, in thousandths of a core. While there is any and the owner
+   * keeps up with its starts, the fields below are left empty.
    */
   idleCpu: amountSchema,
   /**
--- a/src/scheduler/__tests__/loadMeterSums.spec.ts
+++ b/src/scheduler/__tests__/loadMeterSums.spec.ts
@@ -65,6 +65,24 @@
 }
 
 describe('sums of a load', () => {
+  describe('beside idle room', () => {
+    const idle = { agents: () => [agentOf('t1', true, 4000)] }
+
+    it('name the work that waits for starts of an owner that is behind', (t) => {
+      const startWindow = { isBehind: () => true, perSecond: () => 20 }
+      const load = loadWith([{ phases: ['ready', 'ready'] }], { ...idle, startWindow })
+      t.true(load.idleCpu > 0)
+      t.is(load.startsPerSecond, 20)
+      t.is(load.backlog[0]?.timelyStarts, 2)
+    })
+
+    it('are empty while the owner keeps up', (t) => {
+      const load = loadWith([{ phases: ['ready', 'ready'] }], idle)
+      t.true(load.idleCpu > 0)
+      t.deepEqual(load.backlog, [])
+    })
+  })
+
   describe('organisations with waiting jobs', () => {
     it('are named by priority where weighted shares are in force', (t) => {
       const inputs: JobInput[] = [
--- a/src/scheduler/loadMeter.ts
+++ b/src/scheduler/loadMeter.ts
@@ -241,10 +241,10 @@
     const idleCpu = Math.round(Math.max(0, room.idleCpu - sums.readyCpu))
     sequence++
     const head = { term, sequence, idleCpu }
-    if (idleCpu > 0)
+    const perSecond = startWindow.isBehind() ? startWindow.perSecond() : undefined
+    if (idleCpu > 0 && !perSecond)
       return { ...head, runningWork: 0, backlog: [], organisationsBeyond: [], runMs: {} }
     const whole = attainableCpu(room, at)
-    const perSecond = startWindow.isBehind() ? startWindow.perSecond() : undefined
     return {
       ...head,
       attainableCpu: whole && Math.round(Math.max(0, whole - sums.lastingCpu)),
