fix(scheduler): a call that has not left a late owner tells nothing of its target

Cause: a forwarded call that waited for half a second to be sent, as the owner's event loop was late, counted as unanswered: the target's time-out was doubled, the target as having missed an answer, its start as one that may still arrive, which costs a fence and a sync. An owner that was late made more calls because of it.

Such a call fails as notSent now. It is sent again up to three times while the owner still may, and not counted; a start that was never sent makes its task ready again. The new tests of callWithRetries fail before.

--- a/src/forwarding/forwardedOrders.ts
+++ b/src/forwarding/forwardedOrders.ts
@@ -1,7 +1,6 @@
 /**
- * Calls to targets, directly or through other nodes. A forwarded call that fails counts as unanswered,
- * also if it was not sent: its owner repeats such a call, directly then, after it has checked that it
- * still may.
+ * Calls to targets, directly or through other nodes. The owner repeats a forwarded call that fails
+ * or was not sent, after it has checked that it still may.
  */
 import type {
   OrderFailure,
@@ -23,9 +22,19 @@
 /** Failures that the target itself has told. */
 const FINAL_FAILURES: ReadonlySet<OrderFailure> = new Set(['gone', 'fenced'])
 
-const OUTCOME_TEXTS: Record<'lost' | 'notSent', (address: string) => string> = {
-  lost: (address) => `no answer from forwarder ${address}`,
-  notSent: (address) => `not sent to forwarder ${address}`,
+/** Failures of calls without an answer, by their outcome. */
+const UNANSWERED: Record<
+  'lost' | 'notSent',
+  { failure: OrderFailure; reason(address: string): string }
+> = {
+  lost: {
+    failure: 'unanswered',
+    reason: (address) => `no answer from forwarder ${address}`,
+  },
+  notSent: {
+    failure: 'notSent',
+    reason: (address) => `not sent to forwarder ${address}`,
+  },
 }
 
 /** Creates the calls of a node to its targets. */
@@ -97,7 +106,8 @@
       if (res.error.cause.failure !== 'unreachable') return res
       return unanswered(`out of reach of forwarder ${forwarder.address}`)
     }
-    return unanswered(OUTCOME_TEXTS[outcome](forwarder.address))
+    const { failure, reason } = UNANSWERED[outcome]
+    return unanswered(reason(forwarder.address)).mapErr((each) => ({ ...each, failure }))
   }
 
   return {
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -47,7 +47,7 @@
 export const callsSchema = z.array(callSchema)
 
 const failureSchema = z.object({
-  failure: z.enum(['notDone', 'unanswered', 'gone', 'fenced']),
+  failure: z.enum(['notDone', 'unanswered', 'gone', 'fenced', 'notSent']),
   reason: z.string(),
   /** Whether no connection to the target could be opened, so that nothing was sent. */
   isUnreachable: z.boolean(),
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -102,9 +102,10 @@
 /**
  * What is known after a failed order. `notDone`: it had no effect. `unanswered`: it may have
  * taken effect. `gone`: another incarnation answers at the address. `fenced`: the target has
- * seen a higher token and did nothing.
+ * seen a higher token and did nothing. `notSent`: it has not left this node, so that it had no effect and
+ * tells nothing of the target.
  */
-export type OrderFailure = 'notDone' | 'unanswered' | 'gone' | 'fenced'
+export type OrderFailure = 'notDone' | 'unanswered' | 'gone' | 'fenced' | 'notSent'
 
 export interface OrderError {
   failure: OrderFailure
--- a/src/scheduler/__tests__/callWithRetries.spec.ts
+++ b/src/scheduler/__tests__/callWithRetries.spec.ts
@@ -49,6 +49,27 @@
     t.true(timeouts.reduce((sum, ms) => sum + ms) <= ANSWER_TIMEOUT_MS)
   })
 
+  it('counts no call that has not left this node', async (t) => {
+    const { roundTrip, timeouts, send } = createFakeTarget([
+      failedResult('notSent'),
+      failedResult('notSent'),
+      ok(true),
+    ])
+    const before = roundTrip.timeoutMs()
+    const { res, unansweredCalls } = await callWithRetries({ roundTrip, send })
+    t.true(res.isOk())
+    t.is(timeouts.length, 3)
+    t.is(unansweredCalls, 0)
+    t.is(roundTrip.timeoutMs(), before)
+  })
+
+  it('gives up a call that does not leave this node, without blaming the target', async (t) => {
+    const { roundTrip, send } = createFakeTarget(Array(9).fill(failedResult('notSent')))
+    const { res, unansweredCalls } = await callWithRetries({ roundTrip, send })
+    t.is(res.isErr() && res.error.failure, 'notSent')
+    t.is(unansweredCalls, 0)
+  })
+
   for (const failure of ['gone', 'fenced', 'notDone'] as const) {
     it(`does not retry a call that fails as ${failure}`, async (t) => {
       const { roundTrip, timeouts, send } = createFakeTarget([failedResult(failure)])
--- a/src/scheduler/callWithRetries.ts
+++ b/src/scheduler/callWithRetries.ts
@@ -12,6 +12,8 @@
 
 /** Largest number of calls before the target counts as silent. */
 const MAX_CALLS = 3
+/** Largest number of attempts to send one call, each of which may fail on this node. */
+const MAX_SENDS = 3
 
 /** Result of a call with its retries. */
 export interface CallResult<T> {
@@ -36,6 +38,18 @@
   mayRetry?(): boolean
 }
 
+/** Repeats a call that has not left this node, which is late itself. */
+async function sendUntilSent<T>(
+  send: () => OrderResult<T>,
+  mayRetry: () => boolean,
+): OrderResult<T> {
+  for (let sends = 1; ; sends++) {
+    const res = await send()
+    const isSent = res.isOk() || res.error.failure !== 'notSent'
+    if (isSent || sends === MAX_SENDS || !mayRetry()) return res
+  }
+}
+
 /**
  * Calls a target until it answers, for `waitMs` and {@link ANSWER_TIMEOUT_MS} at most. Only
  * unanswered calls are retried, not failed ones.
@@ -50,7 +64,11 @@
     const isLast =
       unansweredCalls + 1 === MAX_CALLS || timeoutMs + MIN_ANSWER_TIMEOUT_MS > leftMs
     const sentAt = monotonicMs()
-    const res = await send(Math.round(isLast ? leftMs : timeoutMs), pollMs)
+    const res = await sendUntilSent(
+      () => send(Math.round(isLast ? leftMs : timeoutMs), pollMs),
+      mayRetry,
+    )
+    if (res.isErr() && res.error.failure === 'notSent') return { res, unansweredCalls }
     const isUnanswered = res.isErr() && res.error.failure === 'unanswered'
     if (isUnanswered) roundTrip.missed()
     else if (pollMs === 0) roundTrip.note(monotonicMs() - sentAt)
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -281,6 +281,11 @@
     unansweredCalls: number,
   ): Promise<void> {
     const { name, run } = placement
+    if (error.failure === 'notSent' && unansweredCalls === 0) {
+      placement.mayHaveBegun = false
+      undoPlacement(placement)
+      return opts.changed()
+    }
     const failure = failureFields(error)
     log.event('startFailed', {
       task: name,
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -249,6 +249,8 @@
   }
 
   function noteFailure(error: OrderError): void {
+    // It tells nothing of the target.
+    if (error.failure === 'notSent') return
     crashRecorder.noteFailure(error)
     if (error.failure === 'gone') return markGone(error.reason)
     silence.markSilent(error.reason)
@@ -298,7 +300,8 @@
       mayRetry,
     })
     if (isGone || signal.aborted) return false
-    if (unansweredCalls > 0 || res.isErr()) silence.noteMissed(sentAt)
+    const isMissed = res.isErr() && res.error.failure !== 'notSent'
+    if (unansweredCalls > 0 || isMissed) silence.noteMissed(sentAt)
     if (res.isOk()) applyReport(res.value, sentToken)
     else if (res.error.failure === 'fenced') noteFenced(sentToken)
     else noteFailure(res.error)
