fix(ownership): a weak owner need not have read all jobs to hand its service over

What it has not read is in the store; what the next owner must not do again are runs that it does not know of, and these are known.

--- a/src/ownership/authority.ts
+++ b/src/ownership/authority.ts
@@ -40,8 +40,8 @@
 /** Component that runs while this node owns a service. */
 export interface Owner {
   /**
-   * Whether it has work, has taken over, and lacks processor time on this node, so that a node with more
-   * of it should be the owner; never by default.
+   * Whether it has work, knows all runs that it has inherited, and lacks processor time on this node, so
+   * that a node with more of it should be the owner; never by default.
    */
   lacksProcessor?(): boolean
   /** Stops it; `handOver` is true when another node takes over as planned. */
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -480,8 +480,7 @@
   return {
     service,
     inheritedRead,
-    lacksProcessor: () =>
-      !isTakingOver() && book.open.size > 0 && processor.isSaturated(),
+    lacksProcessor: () => gateOpen && book.open.size > 0 && processor.isSaturated(),
     offer: newJobs.offer,
     expect: newJobs.expect,
     cancel: newJobs.cancel,
