fix(forwarding): at most twice the forwarders that the present targets need

What an owner requests at the start of a turn may be twenty times what it has, and a forwarder gets its 66 messages a second whatever it holds. Its number follows twice the present targets at most; the nodes after that are asked how busy they are and chosen with the next targets, 250 ms later.

Also: a planned stop waits for a handover under way, and does not stop the same owner twice.

--- a/src/forwarding/forwarderChoice.ts
+++ b/src/forwarding/forwarderChoice.ts
@@ -107,9 +107,10 @@
     // Nodes are asked how busy they are before they are needed.
     if (!isAsking && busyShare() < askEarlyFromShare) return []
     const usedShare = chosen.reduce((sum, each) => sum + each.busyShare(), 0)
+    const comingTargets = Math.min(targets / EARLY_FACTOR, requestedTargets())
     const wanted = Math.ceil(
       Math.max(
-        Math.max(targets, requestedTargets()) / TARGETS_PER_FORWARDER,
+        Math.max(targets, comingTargets) / TARGETS_PER_FORWARDER,
         usedShare / FORWARDER_LOAD,
       ),
     )
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -79,6 +79,8 @@
   const unreadableRows = createInvalidRows(log, EPOCH_TABLE)
   const { id, life } = registry.self
   let releasing = false
+  /** Services that are being released. */
+  const releases = new Map<string, Promise<void>>()
   /** Lease-clock time from which a service may be handed over, in ms. */
   let mayHandOverAt = -Infinity
 
@@ -277,7 +279,15 @@
   const task = run()
 
   /** Stops the owner of a service and lets other nodes claim the service at once. */
-  async function releaseService(service: string): Promise<void> {
+  function releaseService(service: string): Promise<void> {
+    const known = releases.get(service)
+    if (known) return known
+    const release = stopAndRelease(service).finally(() => releases.delete(service))
+    releases.set(service, release)
+    return release
+  }
+
+  async function stopAndRelease(service: string): Promise<void> {
     const owned = ownedServices.get(service)
     if (!owned) return
     await owned.owner?.stop(true)
