perf(scheduler): one search for a target serves several tasks of a step

A plan looked at all targets for each task. Tasks of one step have the same needs, and the target of the last one has become the fullest: it is taken again as long as it has room and nothing speaks against it for the task.

--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -146,6 +146,20 @@
   return best
 }
 
+/**
+ * Whether the target of a task serves the next task of its step as well: its cost has only fallen, as it
+ * has less free room, and nothing speaks against it.
+ */
+function servesNext(candidate: Candidate, task: Task, input: PlanInput): boolean {
+  const { step } = task
+  const prefersFull = !step.spec.lasting && step.crashSuspects.size === 0
+  return (
+    prefersFull &&
+    stepHoldOf(candidate, step, input.policy) === undefined &&
+    input.penaltyOf(candidate.agent, task) === 0
+  )
+}
+
 /** Needs for which this round has found no target, by constraint key. */
 type FailedNeeds = Map<string, Resources[]>
 
@@ -269,10 +283,12 @@
     }
     const tasks = startableTasks(step, steps.get(step) ?? [])
     const { maxStarts } = urgencies.get(step.job) ?? {}
+    let last: Candidate | undefined
     for (const task of maxStarts === undefined ? tasks : tasks.slice(0, maxStarts)) {
-      const candidate = input.policy.exceedsQuota(step)
-        ? undefined
-        : chooseUnlessKnownFull(candidates, task, input, failed)
+      let candidate: Candidate | undefined
+      if (input.policy.exceedsQuota(step)) candidate = undefined
+      else if (last && servesNext(last, task, input)) candidate = last
+      else candidate = chooseUnlessKnownFull(candidates, task, input, failed)
       if (!candidate || plan.starts.length >= startsLeft) {
         plan.waiting.add(step)
         break
@@ -280,6 +296,7 @@
       reserve(candidate, step)
       input.planned(candidate.agent, step)
       plan.starts.push({ task, agent: candidate.agent })
+      last = candidate
     }
   }
   return plan
