fix(scheduler): the short list names no task twice

A listed task whose start did not take place becomes ready again, and stood on the list and among the new ones until the next look: one plan would have started it twice. Found by reading; the list is a set now. The new test counts two before.

--- a/src/scheduler/shortlist.ts
+++ b/src/scheduler/shortlist.ts
@@ -32,7 +32,7 @@
 
 /** What a plan looks at. */
 export interface ShortBacklog {
-  tasks: Task[]
+  tasks: ReadonlySet<Task>
   /** Urgencies of the jobs by the ranking; undefined for those that have become ready since. */
   urgencyOf(job: Job): Urgency | undefined
 }
@@ -79,7 +79,9 @@
       listed = listed.filter((task) => ready.has(task) && !served.has(task.step.job))
       const isExhausted = listed.length + arrived.size < startsLeft
       if (isExhausted) return undefined
-      const tasks = [...listed, ...[...arrived].filter((task) => ready.has(task))]
+      // A listed task whose start did not take place has become ready again.
+      const tasks = new Set(listed)
+      for (const task of arrived) if (ready.has(task)) tasks.add(task)
       return { tasks, urgencyOf: (job) => urgencies.get(job) }
     },
     notePlanned(job) {
