--- a/review/lib-4/store.mjs
+++ b/review/lib-4/store.mjs
@@ -22,6 +22,8 @@
   /** Changes of the last seconds, oldest first. */
   const history = []
   const waiters = new Set()
+  /** Parts that answer every call with 503. */
+  const busyParts = new Set()
   let ver = 1
   let forgottenUpTo = 0
   let tooLarge = 0
@@ -136,6 +138,12 @@
     }
   }
 
+  /** Part that a call is for; undefined if it concerns all parts. */
+  function partOf(query, { put = [], remove = [], expected_revision: expected = [] }) {
+    const [first] = [...put, ...remove, ...expected]
+    return first ? (first.part ?? '') : query.get('part')
+  }
+
   const READS = {
     '/rows-get': getRows,
     '/rows-parts': getParts,
@@ -146,6 +154,8 @@
     const { pathname, searchParams } = new URL(req.url, 'http://store')
     const { text, json } = await readBody(req)
     await sleep(CALL_MS)
+    if (busyParts.has(partOf(searchParams, json)))
+      return reply(res, 503, { error: 'the part is down' })
     if (pathname === '/rows-tx') return transact(res, json, text)
     const read = READS[pathname]
     return read ? read(res, searchParams) : reply(res, 404, { error: 'no such call' })
@@ -154,6 +164,7 @@
   return {
     address,
     close,
+    busyParts,
     put(table, private_key, json, part = '') {
       apply({ put: [{ table, part, private_key, value: toValue(json) }] })
     },
