review: the records of the cases list every run

Cause: records of bulk tasks held counts, where a record has to say what was run. Change: a deployment that closes writes each start, end and note of its minions into the record.

--- a/review/lib-4/deployment.mjs
+++ b/review/lib-4/deployment.mjs
@@ -210,6 +210,8 @@
     },
     close() {
       isClosed = true
+      for (const { what, at, task, run, how, minion } of log)
+        record(`${what} ${task} run ${run} ${how ?? ''} ${minion} at ${Math.round(at)}`)
       for (const node of nodes) node.close()
       for (const { minion } of machines.values()) minion.close()
       for (const face of [store, cloud, advice]) face.close()
