fix(scheduler): a target's runs are known once it has listed all ends

A target lists 500 ends at once, and its first report counted as complete, so that tasks whose ends came with the next one were taken for ready.

--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -121,6 +121,8 @@
   let ackedSeq = 0
   /** Monotonic time of the first report of this incarnation, in ms; Infinity before. */
   let firstReportAt = Infinity
+  /** Whether this incarnation has reported with all its ends, so that its runs are known. */
+  let hasListedAll = false
   let isGone = false
   let isAwaitingProgress = false
   let pausedUntil = 0
@@ -201,6 +203,7 @@
         listsAllEnds: report.listsAllEnds,
       })
     firstReportAt = Math.min(firstReportAt, monotonicMs())
+    hasListedAll ||= report.listsAllEnds
     pacePlacements()
     opts.changed()
   }
@@ -216,6 +219,7 @@
     incarnationStartMs = report.lifeStartMs
     incarnationHeardAt = monotonicMs()
     firstReportAt = Infinity
+    hasListedAll = false
     ackedSeq = 0
     tokenOffset++
     lease.reset(report.clockMs)
@@ -408,7 +412,8 @@
     pausedUntil: () => pausedUntil,
     leaseExpiresAt: lease.expiresAt,
     firstReportAt: () => firstReportAt,
-    isStateKnown: () => hasReported() || isGone || lease.isExpired(),
+    hasListedAll: () => hasListedAll,
+    isStateKnown: () => hasListedAll || isGone || lease.isExpired(),
     isSilent: () => !silence.isAnswering(),
     isAwaitingProgress: () => isAwaitingProgress,
     isAnswering: () => silence.isAnswering() && hasReported() && !isGone,
--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -237,8 +237,7 @@
     log.event('targetNotCalled', { target: id, listedFor, leftMs })
   }
 
-  const hasReported = (id: string): boolean =>
-    Number.isFinite(agents.get(id)?.firstReportAt() ?? Infinity)
+  const hasListedAll = (id: string): boolean => agents.get(id)?.hasListedAll() ?? false
 
   /** Whether the list has an entry under the id, readable or not. */
   const isInList = (id: string): boolean =>
@@ -277,13 +276,13 @@
       const now = monotonicMs()
       if (opts.mayMissTargets() && now < unknownTargetsUntil) return false
       const areOver = [...unknownUntil].every(
-        ([id, until]) => until <= now || hasReported(id),
+        ([id, until]) => until <= now || hasListedAll(id),
       )
       return areOver && [...agents.values()].every((agent) => agent.isStateKnown())
     },
     forgetExpired() {
       for (const [id, until] of unknownUntil) {
-        if (until > monotonicMs() && !hasReported(id)) continue
+        if (until > monotonicMs() && !hasListedAll(id)) continue
         unknownUntil.delete(id)
         if (!agents.has(id)) roster.remove(id)
       }
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -35,9 +35,11 @@
   tokenOffset(): number
   /** Monotonic time until which the target gets no new tasks after a refusal, in ms. */
   pausedUntil(): number
+  /** Whether a report of the target to this owner had all ends that were left. */
+  hasListedAll(): boolean
   /**
-   * Whether the runs on the target are known: it has reported to this owner, is gone, or its
-   * lease has expired.
+   * Whether the runs on the target are known: it has reported all its ends to this owner, is
+   * gone, or its lease has expired.
    */
   isStateKnown(): boolean
   /** Monotonic time of the first report of this incarnation, in ms; Infinity before. */
