fix(store): a write that the store can never take holds up no other

All pending queue rows went into one transaction, of more entries than the store takes, and it was repeated for ever, as 400 and 503 were both taken for a busy store.

One module knows the limits of the store, row_bytes among the settings. Queue rows, both rosters and the rows of finished jobs take their batches from it, by entries and bytes. A refusal for good has its own failure, is logged where all writes pass, is neither relayed nor repeated unchanged, and costs the row at fault alone. A job whose row can never be written is refused for good. The stand-in of the store enforces the limits.

--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -9,8 +9,10 @@
   RowKey,
   RowStore,
   RowTransaction,
+  StoreLimits,
   StoredRow,
 } from '../../src/ports/index.js'
+import { DEFAULT_STORE_LIMITS } from '../../src/ports/index.js'
 import { PlatformError, sleep } from '../../src/shared/index.js'
 import type { PlatformFailure } from '../../src/shared/index.js'
 
@@ -41,11 +43,15 @@
   lateMs: number
   /** Source of numbers from 0 up to 1 that selects the unanswered commits. */
   random: () => number
+  /** Limits beyond which a commit is refused for good. */
+  limits: StoreLimits
 }
 
 /** The rows, with access for tests and for nodes. */
 export interface RowTable {
   faults: StoreFaults
+  /** Limits that commits have exceeded, in order. */
+  readonly rejected: readonly string[]
   /** The store's interface for the node `name`. */
   forNode(name: string): RowStore
   put(key: RowKey, value: string): number
@@ -82,8 +88,12 @@
     lostMs: 0,
     lateMs: 0,
     random: () => 0.5,
+    limits: DEFAULT_STORE_LIMITS,
   }
 
+  /** Limits that commits have exceeded, in order. */
+  const rejected: string[] = []
+
   const recordChange = (change: RowChange): void => {
     const changes = history.get(change.table)
     if (changes) changes.push(change)
@@ -142,10 +152,34 @@
     return refused ? failed(step, 'refused', 'store is down') : undefined
   }
 
+  /** The limit that a transaction exceeds; undefined if none. */
+  function excessOf({ conditions, puts, removals }: RowTransaction): string | undefined {
+    const { entries, transactionBytes, rowBytes, nameBytes } = faults.limits
+    const keys = [...conditions, ...puts, ...removals]
+    if (keys.length > entries) return 'entries'
+    const isLong = (name: string): boolean => Buffer.byteLength(name) > nameBytes
+    if (keys.some(({ part, key }) => isLong(part) || isLong(key))) return 'name'
+    if (puts.some(({ value }) => Buffer.byteLength(value) > rowBytes)) return 'row'
+    const wirePuts = puts.map(({ value, ...key }) => ({
+      ...key,
+      value: Buffer.from(value).toString('base64'),
+    }))
+    const text = JSON.stringify({ conditions, puts: wirePuts, removals })
+    return text.length > transactionBytes ? 'transaction' : undefined
+  }
+
   const forNode = (node: string): RowStore => ({
+    get limits() {
+      return faults.limits
+    },
     async commit(tx) {
       await sleep(faults.delayMs)
       const [entry] = [...tx.conditions, ...tx.puts, ...tx.removals]
+      const excess = excessOf(tx)
+      if (excess !== undefined) {
+        rejected.push(excess)
+        return failed('store.commit', 'rejected', `too large: ${excess}`)
+      }
       const failure = await failureOf(node, 'store.commit', entry?.part)
       if (failure) return failure
       if (faults.random() < faults.lostShare) {
@@ -192,6 +226,7 @@
 
   return {
     faults,
+    rejected,
     forNode,
     put(key, value) {
       version++
--- a/playground/sim/storeHandlers.ts
+++ b/playground/sim/storeHandlers.ts
@@ -37,6 +37,7 @@
 export function storeHandlers(store: RowStore): Record<string, Handler> {
   const replyToFailure = async (failure: string): Promise<Reply> => {
     if (failure === 'compacted') return [410]
+    if (failure === 'rejected') return [400]
     if (failure === 'refused') return [503]
     await sleep(UNANSWERED_CUT_MS)
     return [500]
--- a/src/bin/nodeProgram.ts
+++ b/src/bin/nodeProgram.ts
@@ -18,6 +18,7 @@
 import type { ServerLimits } from '../limits/index.js'
 import { createNode, createNodeMetrics, waitForSettings } from '../node/index.js'
 import type { NodeMetrics, NodePlatform } from '../node/index.js'
+import { DEFAULT_STORE_LIMITS } from '../ports/index.js'
 import type { Logger } from '../shared/index.js'
 import { EXIT, createFdSink, createLogger, sleep } from '../shared/index.js'
 import type { Signals } from './signals.js'
@@ -42,6 +43,7 @@
     log.event('answerUnread', { step, reason })
   const store = createStoreClient({
     address: cfg.store.address,
+    limits: { ...DEFAULT_STORE_LIMITS, rowBytes: cfg.store.row_bytes },
     onTraffic,
     onInvalid: onUnread,
   })
--- a/src/config/nodeSchema.ts
+++ b/src/config/nodeSchema.ts
@@ -12,8 +12,13 @@
   port,
   positiveNumber,
   socketAddress,
+  wholeNumber,
 } from './values.js'
 
+/** Fewest bytes of a row that the rows of nodes and jobs need. */
+const MIN_ROW_BYTES = 4096
+const MAX_ROW_BYTES = 16 * 1024 * 1024
+
 const section = <T extends z.ZodRawShape>(shape: T) => z.strictObject(shape)
 
 const isFeature = (name: string): name is Feature =>
@@ -86,6 +91,8 @@
     address: socketAddress(),
     /** Kind of the store; only `table` is implemented. @default 'table' */
     form: z.literal('table', { error: "only 'table' is implemented" }).prefault('table'),
+    /** Bytes of the value of a row that the store takes. @default 65536 */
+    row_bytes: wholeNumber(MIN_ROW_BYTES, MAX_ROW_BYTES).prefault('65536'),
   }),
   targets: section({
     /** How orders are sent to targets; only `call` is implemented. @default 'call' */
--- a/src/front/__tests__/jobService.spec.ts
+++ b/src/front/__tests__/jobService.spec.ts
@@ -65,6 +65,14 @@
       t.is((await jobs.submit(QUEUE, JOB)).kind, 'refused')
       t.deepEqual([offered, expected], [[], [JOB.id]])
     })
+
+    // Its caller was told to come back, for ever.
+    it('is refused for good if its row can never be written', async (t) => {
+      const { table, jobs, offered, expected } = startService()
+      table.faults.limits = { ...table.faults.limits, rowBytes: 100 }
+      t.is((await jobs.submit(QUEUE, JOB)).kind, 'invalid')
+      t.deepEqual([offered, expected], [[], []])
+    })
   })
 
   describe('all data halls cordoned', () => {
--- a/src/front/jobService.ts
+++ b/src/front/jobService.ts
@@ -387,6 +387,7 @@
       const reason = describeError(res.error)
       const failure = mayHaveCommitted ? 'unknown' : res.error.failure
       log.event('jobRefused', { job: id, queue: name, failure, reason })
+      if (failure === 'rejected') return { kind: 'invalid', reason }
       owners.expect(job)
       if (failure === 'unknown') return { kind: 'uncertain', reason }
       return { kind: 'refused', retryAfterMs: RETRY_AFTER_MS, reason }
--- a/src/ports/rowStore.ts
+++ b/src/ports/rowStore.ts
@@ -73,8 +73,30 @@
 /** Result of a store call; an error's `failure` tells whether it may have taken effect. */
 export type StoreResult<T> = Promise<Result<T, PlatformError>>
 
+/** Limits of the store; it refuses a transaction beyond one of them for good. */
+export interface StoreLimits {
+  /** Conditions, puts and removals of a transaction. */
+  entries: number
+  /** Bytes of a transaction as it is sent. */
+  transactionBytes: number
+  /** Bytes of the value of a row. */
+  rowBytes: number
+  /** Bytes of the name of a part and of a key. */
+  nameBytes: number
+}
+
+/** Limits of a store that names no others. */
+export const DEFAULT_STORE_LIMITS: StoreLimits = {
+  entries: 100,
+  transactionBytes: 1_000_000,
+  rowBytes: 65_536,
+  nameBytes: 200,
+}
+
 /** The store. A call fails when no bytes arrive for the adapter's time-out. */
 export interface RowStore {
+  /** Undefined for {@link DEFAULT_STORE_LIMITS}. */
+  readonly limits?: StoreLimits
   commit(tx: RowTransaction): StoreResult<RowCommit>
   read(table: string, part: string, range?: RowRange): StoreResult<RowSnapshot>
   parts(table: string): StoreResult<string[]>
--- a/src/scheduler/constants.ts
+++ b/src/scheduler/constants.ts
@@ -90,10 +90,6 @@
 export const FINISHED_RETENTION_MS = 180_000
 /** Interval between checks for finished jobs whose rows are to be moved or removed. */
 export const FINISHED_CHECK_INTERVAL_MS = 250
-/** Maximum number of finished jobs moved by one write: three entries each, of the store's 100. */
-export const MOVES_PER_WRITE = 33
-/** Maximum number of rows removed by one write: the store's 100 entries less that of the epoch. */
-export const REMOVALS_PER_WRITE = 99
 /** Number of finished jobs that triggers a write; each write is a call to the store. */
 export const MIN_FINISHED_PER_WRITE = 8
 /**
--- a/src/scheduler/finishedJobs.ts
+++ b/src/scheduler/finishedJobs.ts
@@ -14,7 +14,7 @@
 } from '../jobs/index.js'
 import type { EndedJob, Job, JobBook, JobMemory } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
-import type { RowKey, RowStore } from '../ports/index.js'
+import type { RowKey, RowStore, RowTransaction } from '../ports/index.js'
 import {
   createStopController,
   createInvalidRows,
@@ -23,13 +23,12 @@
   sleep,
 } from '../shared/index.js'
 import type { Logger, PlatformError } from '../shared/index.js'
+import { createBatches } from '../storeAccess/index.js'
 import {
   MIN_FINISHED_PER_WRITE,
   FINISHED_CHECK_INTERVAL_MS,
   MAX_FINISHED_WAIT_MS,
   FINISHED_RETENTION_MS,
-  MOVES_PER_WRITE,
-  REMOVALS_PER_WRITE,
 } from './constants.js'
 
 /** Moves and removes rows of finished jobs until stopped. */
@@ -102,8 +101,8 @@
   const unreadableRows = createInvalidRows(log, ENDED_TABLE)
   /** Jobs whose rows are still in the intake, by part of the table. */
   const pendingMoves = new Map<string, Queued<FinishedJob>[]>()
-  /** Ids of the jobs whose progress rows are no longer needed. */
-  let pendingRemovals: Queued<string>[] = []
+  /** Rows of progress that are no longer needed. */
+  let pendingRemovals: Queued<RowKey>[] = []
   /** Jobs of this owner whose rows have been moved, in order of their end. */
   const moved: FinishedJob[] = []
   /** Ids of those that are still in the job book, to answer callers without a read of the store. */
@@ -118,39 +117,59 @@
   /**
    * Commits a change that is valid at any time and from any owner, since the jobs have ended.
    * False when the change was not committed, or its result is unknown.
+   * @param rejected called if the store can never take the change
    */
   async function commit(
-    puts: (RowKey & { value: string })[],
-    removals: RowKey[],
-    conditions = [] as ReturnType<Authority['epoch']>[],
+    { conditions = [], puts = [], removals = [] }: Partial<RowTransaction>,
+    rejected: () => void = () => undefined,
   ): Promise<boolean> {
     const res = await store.commit({ conditions, puts, removals })
-    if (res.isErr()) logFailure(res.error)
+    if (res.isErr()) {
+      logFailure(res.error)
+      if (res.error.failure === 'rejected') rejected()
+    }
     return res.isOk() && res.value.committed
   }
 
+  const moveOf = ({ queue, id, ended }: FinishedJob) => ({
+    puts: [{ ...endedKey(queue, id), value: encodeEnded(ended) }],
+    removals: [intakeKey(queue, id), cancelKey(queue, id)],
+  })
+  const moves = createBatches({ store, changeOf: moveOf })
+  const removalOf = (key: RowKey) => ({ removals: [key] })
+  const progressRemovals = createBatches<Queued<RowKey>>({
+    store,
+    changeOf: ({ item }) => removalOf(item),
+    common: () => ({ conditions: [authority.epoch()] }),
+  })
+  const endedRemovals = createBatches({ store, changeOf: removalOf })
+
   /** Moves rows of the part in which the most jobs are waiting. */
   async function moveBatch(): Promise<void> {
     const due = [...pendingMoves].filter(([, group]) => isDue(group))
     const fullest = due.sort(([, a], [, b]) => b.length - a.length)[0]
     if (!fullest) return
     const [part, group] = fullest
-    const jobs = group.slice(0, MOVES_PER_WRITE).map(({ item }) => item)
-    const puts = jobs.map(({ queue, id, ended }) => ({
-      ...endedKey(queue, id),
-      value: encodeEnded(ended),
-    }))
-    const removals = jobs.flatMap(({ queue, id }) => [
-      intakeKey(queue, id),
-      cancelKey(queue, id),
-    ])
-    if (!(await commit(puts, removals))) return
+    const jobs = moves.next(group.map(({ item }) => item))
+    const changes = jobs.map(moveOf)
+    const tx = {
+      puts: changes.flatMap(({ puts }) => puts),
+      removals: changes.flatMap(({ removals }) => removals),
+    }
+    const leaveOut = (): void => {
+      const atFault = moves.noteRejected(jobs)
+      const index = group.findIndex(({ item }) => item === atFault)
+      if (index >= 0) group.splice(index, 1)
+    }
+    if (!(await commit(tx, leaveOut))) return
     group.splice(0, jobs.length)
     if (group.length === 0) pendingMoves.delete(part)
     moved.push(...jobs)
     inBook.push(...jobs.map(({ id }) => id))
     const since = monotonicMs()
-    pendingRemovals.push(...jobs.map(({ id }) => ({ item: id, since })))
+    pendingRemovals.push(
+      ...jobs.map(({ id }) => ({ item: progressKey(service, id), since })),
+    )
   }
 
   /**
@@ -159,9 +178,9 @@
    */
   async function removeProgressBatch(): Promise<void> {
     if (!isDue(pendingRemovals)) return
-    const batch = pendingRemovals.slice(0, REMOVALS_PER_WRITE)
-    const removals = batch.map(({ item }) => progressKey(service, item))
-    const done = await commit([], removals, [authority.epoch()])
+    const batch = progressRemovals.next(pendingRemovals)
+    const removals = batch.map(({ item }) => item)
+    const done = await commit({ removals, conditions: [authority.epoch()] })
     if (done) pendingRemovals = pendingRemovals.slice(batch.length)
   }
 
@@ -170,7 +189,7 @@
     const [oldest] = moved
     if (!oldest || !isOutdated(oldest.ended.endedAtMs)) return
     const { queue, id } = oldest
-    if (!(await commit([], [endedKey(queue, id)]))) return
+    if (!(await commit(removalOf(endedKey(queue, id))))) return
     moved.shift()
     if (inBook[0] === id) inBook.shift()
     book.remove(id)
@@ -205,8 +224,8 @@
       if (!ended) unreadableRows.note(key, 'the row is kept until it is removed by hand')
       return ended !== undefined && isOutdated(ended.endedAtMs)
     })
-    const batch = outdated.slice(0, REMOVALS_PER_WRITE)
-    if (batch.length > 0 && !(await commit([], batch))) return
+    const batch = endedRemovals.next(outdated)
+    if (batch.length > 0 && !(await commit({ removals: batch }))) return
     if (batch.length === outdated.length) inheritedParts.shift()
   }
 
@@ -234,7 +253,9 @@
     },
     addOrphanedProgress(ids) {
       const since = monotonicMs()
-      pendingRemovals.push(...ids.map((item) => ({ item, since })))
+      pendingRemovals.push(
+        ...ids.map((id) => ({ item: progressKey(service, id), since })),
+      )
     },
     async stop() {
       stopping.abort()
--- a/src/scheduler/nodeRoster.ts
+++ b/src/scheduler/nodeRoster.ts
@@ -16,15 +16,12 @@
   parseJson,
   sleep,
 } from '../shared/index.js'
+import { createBatches } from '../storeAccess/index.js'
 import type { Logger, PlatformError } from '../shared/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
 
 /** Table with the rows; the key is the service and the target. */
 export const NODE_ROSTER_TABLE = 'nodeRoster'
-/** The store accepts 100 entries per transaction. */
-const MAX_ADDITIONS_PER_WRITE = 100
-/** Each removal takes two entries, as it carries a condition on the version of the row. */
-const MAX_REMOVALS_PER_WRITE = 50
 
 const rowSchema = z.object({ address: addressSchema })
 
@@ -96,38 +93,51 @@
   /** Durable rows, by target. */
   const durable = new Map<string, RowCondition[]>()
   const removing: RowCondition[] = []
+  /** Targets whose rows the store can never take. */
+  const unwritable = new Set<string>()
   let isRemoving = false
   let isStopped = false
 
   const note = (id: string, location: RowCondition): void =>
     void durable.set(id, [...(durable.get(id) ?? []), location])
 
+  const keyOf = ({ id }: Pick<Entry, 'id'>): RowKey => ({
+    table: NODE_ROSTER_TABLE,
+    part: parts[0] ?? '',
+    key: prefixOf(authority.service) + id,
+  })
+  const putOf = (entry: Entry) => ({
+    ...keyOf(entry),
+    value: JSON.stringify({ address: entry.address }),
+  })
+  const additions = createBatches<Entry>({
+    store,
+    changeOf: (entry) => ({ puts: [putOf(entry)] }),
+  })
+  const removals = createBatches<RowCondition>({
+    store,
+    changeOf: (row) => ({ conditions: [row], removals: [row] }),
+  })
+
   async function add(entries: readonly Entry[]): Promise<boolean> {
-    const added = entries.slice(0, MAX_ADDITIONS_PER_WRITE)
-    const [part = ''] = parts
-    const keyOf = ({ id }: Entry): RowKey => ({
-      table: NODE_ROSTER_TABLE,
-      part,
-      key: prefixOf(authority.service) + id,
-    })
-    const res = await store.commit({
-      conditions: [],
-      puts: added.map((entry) => ({
-        ...keyOf(entry),
-        value: JSON.stringify({ address: entry.address }),
-      })),
-      removals: [],
-    })
+    const added = additions.next(entries.filter(({ id }) => !unwritable.has(id)))
+    if (added.length === 0) return false
+    const keys = added.map(keyOf)
+    const puts = added.map(putOf)
+    const res = await store.commit({ conditions: [], puts, removals: [] })
     if (res.isErr()) {
       log.event('rosterNotWritten', { reason: describeError(res.error) })
-      parts.push(...parts.splice(0, 1))
+      if (res.error.failure === 'rejected') {
+        const atFault = additions.noteRejected(added)
+        if (atFault) unwritable.add(atFault.id)
+      } else parts.push(...parts.splice(0, 1))
       return false
     }
     if (!res.value.committed) return false
     const { version } = res.value
-    const rows = added.map((entry) => ({
-      id: entry.id,
-      row: { ...keyOf(entry), version },
+    const rows = added.map(({ id }, index) => ({
+      id,
+      row: { ...keys[index]!, version },
     }))
     // A successor reads the rows after the lease of this owner, and may have missed these.
     if (!authority.isConfirmed()) {
@@ -140,11 +150,12 @@
 
   /** Removes rows of one part; returns whether they are gone or have been written again. */
   async function removeOnce(rows: readonly RowCondition[]): Promise<boolean> {
-    const removals = rows.map(({ table, part, key }) => ({ table, part, key }))
-    const res = await store.commit({ conditions: [...rows], puts: [], removals })
+    const keys = rows.map(({ table, part, key }) => ({ table, part, key }))
+    const res = await store.commit({ conditions: [...rows], puts: [], removals: keys })
     if (res.isErr()) {
       log.event('rosterNotWritten', { reason: describeError(res.error) })
-      return false
+      if (res.error.failure !== 'rejected') return false
+      return removals.noteRejected(rows) !== undefined
     }
     if (res.value.committed) return true
     const { current } = res.value
@@ -165,9 +176,7 @@
     await sleep(0)
     while (!isStopped && removing.length > 0) {
       const [first] = removing
-      const batch = removing
-        .filter(({ part }) => part === first?.part)
-        .slice(0, MAX_REMOVALS_PER_WRITE)
+      const batch = removals.next(removing.filter(({ part }) => part === first?.part))
       if (await removeOnce(batch)) {
         for (const row of batch) removing.splice(removing.indexOf(row), 1)
       } else await sleep(jittered(FLUSH_RETRY_MS))
--- a/src/scheduler/queueRows.ts
+++ b/src/scheduler/queueRows.ts
@@ -10,6 +10,7 @@
 import type { Authority } from '../ownership/index.js'
 import { describeError, jittered, sleep } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import { createBatches } from '../storeAccess/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
 
 export const QUEUES_TABLE = 'queues'
@@ -41,6 +42,8 @@
   const { store, authority, log } = opts
   const durable = new Set(opts.inherited)
   const pending = new Set<string>()
+  /** Queues whose rows the store can never take. */
+  const rejected = new Set<string>()
   let isRunning = false
   let isStopped = false
 
@@ -50,12 +53,31 @@
     key: queue,
   })
 
+  const putsOf = (queue: string) => ({ puts: [{ ...key(queue), value: '{}' }] })
+  const batches = createBatches({
+    store,
+    changeOf: putsOf,
+    common: () => ({ conditions: [authority.epoch()] }),
+  })
+
+  /** Leaves out the row of a queue that the store can never take, as no job of it can be stored. */
+  function noteRejected(queues: readonly string[]): void {
+    const atFault = batches.noteRejected(queues)
+    if (atFault === undefined) return
+    pending.delete(atFault)
+    rejected.add(atFault)
+  }
+
   async function write(): Promise<boolean> {
-    const queues = [...pending]
-    const puts = queues.map((queue) => ({ ...key(queue), value: '{}' }))
+    const queues = batches.next(pending)
+    const puts = queues.flatMap((queue) => putsOf(queue).puts)
     const res = await commitUnderEpoch(store, authority, { puts })
-    if (res.isErr()) log.event('queuesNotWritten', { reason: describeError(res.error) })
-    if (res.isErr() || !res.value.committed) return false
+    if (res.isErr()) {
+      log.event('queuesNotWritten', { reason: describeError(res.error) })
+      if (res.error.failure === 'rejected') noteRejected(queues)
+      return false
+    }
+    if (!res.value.committed) return false
     for (const queue of queues) {
       durable.add(queue)
       pending.delete(queue)
@@ -77,7 +99,7 @@
     has: (queue) => durable.has(queue),
     all: () => durable,
     add(queue) {
-      if (durable.has(queue)) return
+      if (durable.has(queue) || rejected.has(queue)) return
       pending.add(queue)
       void run()
     },
--- a/src/scheduler/quotaRow.ts
+++ b/src/scheduler/quotaRow.ts
@@ -52,6 +52,8 @@
   written(bounds: QuotaBounds): void
 }): QuotaRowWriter {
   const { store, authority, log } = opts
+  /** Value that the store can never take; the bounds stay as they are until others are needed. */
+  let rejectedValue: string | undefined
   let isScheduled = false
   let isRunning = false
   let isStopped = false
@@ -59,10 +61,15 @@
   async function write(): Promise<boolean> {
     const bounds = opts.bounds()
     const value = JSON.stringify(Object.fromEntries(bounds))
+    if (value === rejectedValue) return true
     const puts = [{ ...quotaRowKey(authority.service), value }]
     const res = await commitUnderEpoch(store, authority, { puts })
-    if (res.isErr()) log.event('quotasNotWritten', { reason: describeError(res.error) })
-    if (res.isErr() || !res.value.committed) return false
+    if (res.isErr()) {
+      log.event('quotasNotWritten', { reason: describeError(res.error) })
+      if (res.error.failure === 'rejected') rejectedValue = value
+      return false
+    }
+    if (!res.value.committed) return false
     opts.written(bounds)
     return true
   }
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -21,6 +21,7 @@
   sleep,
 } from '../shared/index.js'
 import type { Logger } from '../shared/index.js'
+import { createBatches } from '../storeAccess/index.js'
 import { FLUSH_RETRY_MS } from './constants.js'
 import type { NodeRoster } from './nodeRoster.js'
 
@@ -32,10 +33,6 @@
  */
 const HEDGE_DELAY_MS = 400
 const MAX_CONCURRENT_WRITES = 3
-/** The store accepts 100 entries per transaction, including the condition on the epoch. */
-const MAX_ADDITIONS_PER_WRITE = 90
-/** Each removal takes two entries, as it carries a condition on the version of the row. */
-const MAX_REMOVALS_PER_WRITE = 45
 
 const entrySchema = z.object({ address: addressSchema })
 
@@ -109,20 +106,37 @@
   const noteVersion = (id: string, version: number): void =>
     void versions.set(id, Math.max(version, versions.get(id) ?? 0))
 
-  async function commit(change: Partial<RowTransaction>): Promise<RowCommit | undefined> {
+  /** @param rejected called if the store can never take the change */
+  async function commit(
+    change: Partial<RowTransaction>,
+    rejected: () => void,
+  ): Promise<RowCommit | undefined> {
     const res = await commitUnderEpoch(store, authority, change)
     if (res.isOk()) return res.value
     log.event('rosterNotWritten', { reason: describeError(res.error) })
+    if (res.error.failure === 'rejected') rejected()
     return undefined
   }
 
+  const common = () => ({ conditions: [authority.epoch()] })
+  const additionOf = ({ id, address }: RosterEntry) => ({
+    puts: [{ ...key(id), value: JSON.stringify({ address }) }],
+  })
+  const additions = createBatches({ store, changeOf: additionOf, common })
+  const removalOf = (id: string) => ({
+    conditions: [{ ...key(id), version: versions.get(id) ?? 0 }],
+    removals: [key(id)],
+  })
+  const removals = createBatches({ store, changeOf: removalOf, common })
+
   async function addOnce(): Promise<boolean> {
-    const added = [...adding.values()].slice(0, MAX_ADDITIONS_PER_WRITE)
-    const puts = added.map(({ id, address }) => ({
-      ...key(id),
-      value: JSON.stringify({ address }),
-    }))
-    const res = await commit({ puts })
+    const added = additions.next(adding.values())
+    const puts = added.flatMap((entry) => additionOf(entry).puts)
+    const res = await commit({ puts }, () => {
+      // Without a row, no task is started on the target.
+      const atFault = additions.noteRejected(added)
+      if (atFault) adding.delete(atFault.id)
+    })
     if (!res?.committed) return false
     for (const entry of added) {
       const { id } = entry
@@ -172,10 +186,18 @@
    * not remove the row of a target that has been added again.
    */
   async function removeOnce(): Promise<boolean> {
-    const ids = [...removing].slice(0, MAX_REMOVALS_PER_WRITE)
-    const removals = ids.map(key)
-    const conditions = ids.map((id) => ({ ...key(id), version: versions.get(id) ?? 0 }))
-    const res = await commit({ conditions, removals })
+    const ids = removals.next(removing)
+    const changes = ids.map(removalOf)
+    const res = await commit(
+      {
+        conditions: changes.flatMap(({ conditions }) => conditions),
+        removals: changes.flatMap((each) => each.removals),
+      },
+      () => {
+        const atFault = removals.noteRejected(ids)
+        if (atFault !== undefined) removing.delete(atFault)
+      },
+    )
     if (!res) return false
     if (res.committed) {
       for (const id of ids) removing.delete(id)
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -23,8 +23,10 @@
 
 /** How a platform call failed, and so what is known about its effect. */
 export type PlatformFailure =
-  /** The platform refused it; it had no effect. */
+  /** The platform refused it for now; it had no effect. */
   | 'refused'
+  /** The platform refused it for good; it had no effect, and the same call would have none. */
+  | 'rejected'
   /** It was not sent; it had no effect. */
   | 'unreachable'
   /** It was sent, and no usable reply came back; it may have taken effect. */
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -51,6 +51,11 @@
   epochInForce: spec('RS-3001', 'info', 'accepted table is in force'),
   epochIgnored: spec('RS-3002', 'warn', 'older or unverified table was not applied'),
   tableInvalid: spec('RS-3003', 'error', 'accepted table does not satisfy the schema'),
+  writeRejected: spec(
+    'RS-4007',
+    'error',
+    'the store can never take a write; it is not repeated unchanged',
+  ),
   platformDown: spec('RS-4001', 'warn', 'platform is unreachable'),
   platformBack: spec('RS-4002', 'info', 'platform answers again'),
   rowInvalid: spec('RS-4003', 'error', 'row or answer has the wrong shape'),
--- a/src/storeAccess/peerRelay.ts
+++ b/src/storeAccess/peerRelay.ts
@@ -95,6 +95,7 @@
     if (
       answer.isErr() &&
       answer.error.failure !== 'compacted' &&
+      answer.error.failure !== 'rejected' &&
       currentPeer === address
     ) {
       currentPeer = undefined
--- a/src/storeAccess/storeAccess.ts
+++ b/src/storeAccess/storeAccess.ts
@@ -3,9 +3,16 @@
  * peer makes the call instead. A commit is relayed only if the direct one certainly had no effect,
  * so that no commit is made twice.
  */
-import type { ObservedRowStore, RowStore, StoreResult } from '../ports/index.js'
+import type { Result } from 'neverthrow'
+import type {
+  ObservedRowStore,
+  RowCommit,
+  RowStore,
+  RowTransaction,
+  StoreResult,
+} from '../ports/index.js'
 import { monotonicMs, sleep } from '../shared/index.js'
-import type { Logger } from '../shared/index.js'
+import type { Logger, PlatformError, PlatformFailure } from '../shared/index.js'
 import { createCircuitBreaker, isBroken } from './circuitBreaker.js'
 import { createCommitTimeout } from './commitTimeout.js'
 import { RELAYED_POLL_MS } from './constants.js'
@@ -19,10 +26,14 @@
   probeOf,
 } from './storeCall.js'
 import type { StoreAnswer, StoreCall } from './storeCall.js'
+import { describeExcess, describeTransaction, limitsOf } from './transactions.js'
 
 /** Answer to a call that is not sent because its part of the store is down. */
 const PART_DOWN = failedAnswer('unreachable', 'not sent: a part is down', STORE_PLACE)
 
+/** Failures that a peer would be answered as well. */
+const FINAL_FAILURES: ReadonlySet<PlatformFailure> = new Set(['compacted', 'rejected'])
+
 /** Makes a store call through a peer; undefined if no peer is known to reach the store. */
 export type StoreRelay = (call: StoreCall) => Promise<StoreAnswer | undefined>
 
@@ -52,6 +63,7 @@
     probe: async (part) => isAnswered(await makeStoreCall(direct, probeOf(part), 0)),
   })
   const withCommitTimeout = createCommitTimeout()
+  const limits = limitsOf(direct)
   let relay: StoreRelay | undefined
   let isRelaying = false
 
@@ -63,7 +75,7 @@
 
   /** Whether the call had no effect, or is a read, and a peer may succeed with it. */
   const isWorthRelaying = (call: StoreCall, answer: StoreAnswer): boolean => {
-    if (answer.isOk() || answer.error.failure === 'compacted') return false
+    if (answer.isOk() || FINAL_FAILURES.has(answer.error.failure)) return false
     return call.method !== 'commit' || answer.error.failure !== 'unknown'
   }
 
@@ -102,9 +114,25 @@
   const runAs = <T>(call: StoreCall, waitMs = 0): StoreResult<T> =>
     run(call, waitMs) as StoreResult<T>
 
+  /** Commits within the limits of the store. What it refuses for good is logged here alone. */
+  async function commit(tx: RowTransaction): StoreResult<RowCommit> {
+    const excess = describeExcess(tx, limits)
+    const answer: Result<RowCommit, PlatformError> =
+      excess === undefined
+        ? await withCommitTimeout(() => runAs({ method: 'commit', tx }))
+        : failedAnswer('rejected', excess, STORE_PLACE)
+    if (answer.isErr() && answer.error.failure === 'rejected')
+      log.event('writeRejected', {
+        ...describeTransaction(tx),
+        reason: answer.error.message,
+      })
+    return answer
+  }
+
   return {
     store: {
-      commit: (tx) => withCommitTimeout(() => runAs({ method: 'commit', tx })),
+      limits,
+      commit,
       read: (table, part, range) => runAs({ method: 'read', table, part, range }),
       parts: (table) => runAs({ method: 'parts', table }),
       changes: (table, after, waitMs) =>
--- a/src/storeAccess/storeCall.ts
+++ b/src/storeAccess/storeCall.ts
@@ -42,6 +42,7 @@
 export const isAnswered = (answer: StoreAnswer): boolean =>
   answer.isOk() ||
   answer.error.failure === 'refused' ||
+  answer.error.failure === 'rejected' ||
   answer.error.failure === 'compacted'
 
 /** Returns a small read that shows whether a part answers. */
@@ -75,6 +76,8 @@
   z.object({ value: z.unknown() }),
   z.object({
     failure: z.enum(['refused', 'unreachable', 'unknown', 'compacted']),
+    /** Whether it was refused for good. Nodes of earlier software versions do not tell. */
+    isFinal: z.boolean().optional(),
     reason: z.string(),
   }),
 ])
@@ -111,10 +114,12 @@
 
 /** Encodes an answer for another node. */
 export function encodeAnswer(answer: StoreAnswer): string {
+  if (answer.isOk()) return JSON.stringify({ value: answer.value })
+  const { failure, message: reason } = answer.error
   return JSON.stringify(
-    answer.isOk()
-      ? { value: answer.value }
-      : { failure: answer.error.failure, reason: answer.error.message },
+    failure === 'rejected'
+      ? { failure: 'refused', isFinal: true, reason }
+      : { failure, reason },
   )
 }
 
@@ -128,5 +133,6 @@
     return failedAnswer('unknown', 'answer of a peer has the wrong shape', place)
   }
   if ('value' in answer.data) return ok(answer.data.value)
-  return failedAnswer(answer.data.failure, answer.data.reason, place)
+  const { failure, isFinal, reason } = answer.data
+  return failedAnswer(isFinal ? 'rejected' : failure, reason, place)
 }
