fix(scheduler): an owner gives the memory of its jobs back when it ends

A node's memory for jobs shrank with each service that it had handed over or lost, as the jobs of an owner that has ended still counted. It showed as jobs that never ended in the new model of the scheduler with little memory and small rows, where all owners shared one node's memory.

The job book gives its bytes back as the owner stops, and so do deferred jobs. Jobs left in the store are read eight at a time and wait for the row of their queue; one that can never fit holds up no other and is logged; new jobs are left only where those before them need the memory.

leftJobs.spec has a test for it.

--- a/src/jobs/jobBook.ts
+++ b/src/jobs/jobBook.ts
@@ -146,6 +146,8 @@
   /** Whether the job has been forgotten and not been removed since. */
   isForgotten(id: string): boolean
   remove(id: string): void
+  /** Gives back the memory of all jobs, as the book is not used any more. */
+  close(): void
   task(name: string): Task | undefined
 }
 
@@ -432,6 +434,7 @@
       opts.wake()
     },
     holdEnds(id) {
+      left.delete(id)
       if (jobs.has(id) || heldEnds.has(id)) return
       heldEnds.set(id, unmatchedEnds.get(id) ?? [])
       unmatchedEnds.delete(id)
@@ -561,6 +564,9 @@
       jobs.delete(id)
       memory.change(-job.bytes)
     },
+    close() {
+      for (const id of [...jobs.keys()]) book.remove(id)
+    },
     task(name) {
       const job = jobs.get(jobIdOf(name))
       return job && findTask(job, name, (number) => openReported(job, number))
--- a/src/scheduler/__tests__/leftJobs.spec.ts
+++ b/src/scheduler/__tests__/leftJobs.spec.ts
@@ -145,6 +145,19 @@
     await runToEnd(clock, rig.stop())
   })
 
+  // The memory of a node shrank with each service that it had handed over.
+  itInVirtualTime('gives back all memory when it ends', async (t, clock) => {
+    const rig = createJobRig()
+    rig.memory = createJobMemory(3 * BYTES)
+    for (let each = 0; each < 10; each++) store(rig, jobOf())
+    void rig.startOwner()
+    await clock.advance(1000)
+    t.true(rig.memory.free() < rig.memory.limit)
+    await runToEnd(clock, rig.stop())
+    t.is(rig.memory.free(), rig.memory.limit)
+    t.is(rig.memory.available(), rig.memory.limit)
+  })
+
   it('should move to a node with memory after a while', async (t) => {
     const rig = createJobRig()
     t.teardown(() => rig.stop())
--- a/src/scheduler/__tests__/model.spec.ts
+++ b/src/scheduler/__tests__/model.spec.ts
@@ -11,7 +11,9 @@
 } from '../../../test/jobRig.js'
 import type { JobRig, RigOwner } from '../../../test/jobRig.js'
 import type { Feature } from '../../config/index.js'
+import { createJobMemory, openJobBytes } from '../../jobs/index.js'
 import type { JobSpec } from '../../jobs/index.js'
+import { DEFAULT_STORE_LIMITS } from '../../ports/index.js'
 import { sleep } from '../../shared/index.js'
 
 /** An action, and the pause after it. */
@@ -103,6 +105,8 @@
     // The former owner's lease has expired: it continues in its grace period, or has stopped.
     sim.owner.confirmed = false
     if (pick % 2) sim.owner.live = false
+    // The next owner is on another node.
+    if (sim.rig.memory) sim.rig.memory = createScarceMemory()
     sim.owner = await sim.rig.startOwner(true)
   },
   loseAnswers(sim: Simulation, pick: number) {
@@ -114,6 +118,32 @@
   },
 } satisfies Record<string, Action>
 
+/** The same with jobs of many tasks and of many repetitions. */
+const WIDE_ACTIONS = {
+  ...ACTIONS,
+  submitWide(sim: Simulation, pick: number) {
+    const job = makeJob({ ms: 20, cpu: 100 }, [{ count: 70 + pick }])
+    sim.jobs.push(job)
+    sim.rig.submit(sim.owner, job)
+  },
+  submitRecurring(sim: Simulation, pick: number) {
+    const times = { repetitions: 20 + pick, startAtMs: Date.now(), intervalMs: 10 }
+    const job = makeJob(
+      { ms: 10, cpu: 100 },
+      [{ count: 2 }, { count: 1, after: [0] }],
+      times,
+    )
+    sim.jobs.push(job)
+    sim.rig.submit(sim.owner, job)
+  },
+} satisfies Record<string, Action>
+
+/** Memory for a few jobs, one of them with many tasks. */
+const createScarceMemory = () =>
+  createJobMemory(2 * openJobBytes(makeJob({}, [{ count: 100 }])))
+
+const SMALL_LIMITS = { ...DEFAULT_STORE_LIMITS, entries: 24, rowBytes: 300 }
+
 /** The same while targets are called through other nodes, with faults of these nodes. */
 const FORWARDING_ACTIONS = {
   ...ACTIONS,
@@ -279,11 +309,15 @@
 
 async function runScenario(
   scenario: Step[],
-  { actions, features = [], noteCopies, forwards = false }: Model,
+  { actions, features = [], noteCopies, forwards = false, isScarce = false }: Model,
 ): Promise<string | undefined> {
   const rig = createJobRig()
   rig.features = new Set(features)
   const isCopying = features.length > 0
+  if (isScarce) {
+    rig.memory = createScarceMemory()
+    rig.table.faults.limits = SMALL_LIMITS
+  }
   /** Times at which ends `done` were first acknowledged, by task. */
   const recorded = new Map<string, number>()
   const done = new Set<string>()
@@ -358,6 +392,8 @@
   features?: Feature[]
   /** Whether targets are called through other nodes. */
   forwards?: boolean
+  /** Whether owners have memory for a few jobs, and the store takes small rows and transactions. */
+  isScarce?: boolean
   /** Receives the number of copies that a scenario has ordered. */
   noteCopies?(count: number): void
 }
@@ -377,6 +413,10 @@
       actions: FORWARDING_ACTIONS,
       forwards: true,
     },
+    'never run a task twice, and lose no job, with little memory and small rows': {
+      actions: WIDE_ACTIONS,
+      isScarce: true,
+    },
     'never run a task beside itself except as a copy, and stop what is not needed': {
       actions: COPY_ACTIONS,
       features: ['speculation'],
--- a/src/scheduler/leftJobs.ts
+++ b/src/scheduler/leftJobs.ts
@@ -25,7 +25,7 @@
 const BEGUN_EXCESS = 0.5
 /** Interval between checks for memory, in ms; jittered. */
 const CHECK_INTERVAL_MS = 100
-/** Most jobs that are read from the store in one check. */
+/** Most jobs that are read from the store at once. */
 const MAX_READS = 8
 /** Time for which jobs are left in the store before another node should own the service, in ms. */
 const LACKING_MS = 3000
@@ -76,6 +76,8 @@
   book: JobBook
   memory: JobMemory
   log: Logger
+  /** Whether the row of the queue is durable, so that its jobs may be started. */
+  mayTake(queue: string): boolean
   /** Takes a job that has been read; `undefined` progress if it has none. */
   take(job: StoredJobState): void
   /** Holds a job of which a row cannot be read. */
@@ -90,23 +92,34 @@
   /** Monotonic time since which jobs are left, in ms. */
   let lackingSince = Infinity
 
-  const fits = ({ bytes, hasBegun }: Pick<LeftJob, 'bytes' | 'hasBegun'>): boolean =>
-    memory.free() + (hasBegun ? memory.limit * BEGUN_EXCESS : 0) >= bytes
+  /** Memory that a job may take now. */
+  const freeFor = (hasBegun: boolean): number =>
+    memory.free() + (hasBegun ? memory.limit * BEGUN_EXCESS : 0)
 
   function forget(id: string): void {
-    memory.changeAwaited(-(left.get(id)?.bytes ?? 0))
+    const { bytes = 0 } = left.get(id) ?? {}
+    if (bytes <= memory.limit) memory.changeAwaited(-bytes)
     left.delete(id)
     if (left.size === 0) lackingSince = Infinity
   }
 
-  /** The next job to be taken: needed ones, then by priority, then the one left first. */
-  function next(): LeftJob | undefined {
-    let found: LeftJob | undefined
-    for (const job of left.values()) {
-      if (job.isNeeded) return job
-      if (!found || comesBefore(job, found)) found = job
+  /**
+   * The next jobs to be taken: needed ones, then those that have begun, then by priority, and in the order
+   * in which they were left. One that does not fit holds up those after it, unless it never can.
+   */
+  function next(): LeftJob[] {
+    const chosen: LeftJob[] = []
+    let bytes = 0
+    for (const job of [...left.values()].sort(compareLeft)) {
+      if (chosen.length === MAX_READS) break
+      if (!job.isNeeded) {
+        if (job.bytes > memory.limit || !opts.mayTake(job.queue)) continue
+        if (bytes + job.bytes > freeFor(job.hasBegun)) break
+      }
+      bytes += job.bytes
+      chosen.push(job)
     }
-    return found && fits(found) ? found : undefined
+    return chosen
   }
 
   /** Reads the rows of a job and takes it; false if they could not be read. */
@@ -147,9 +160,9 @@
   }
 
   async function takeWhatFits(): Promise<void> {
-    for (let reads = 0; reads < MAX_READS; reads++) {
-      const job = next()
-      if (!job || !(await takeOne(job))) return
+    for (let jobs = next(); jobs.length > 0; jobs = next()) {
+      const taken = await Promise.all(jobs.map(takeOne))
+      if (stopping.signal.aborted || !taken.every((isTaken) => isTaken)) return
     }
   }
 
@@ -165,8 +178,8 @@
   return {
     mustLeave(job, hasBegun) {
       const bytes = openJobBytes(job)
-      if (!fits({ bytes, hasBegun })) return true
-      return !hasBegun && left.size > 0
+      // New jobs come after those that were left before.
+      return bytes > (hasBegun ? freeFor(true) : memory.available())
     },
     leave(job, hasBegun) {
       const { id, queue, settings, repetitions } = job
@@ -175,11 +188,15 @@
         log.event('jobsLeft', { service, job: id, freeBytes: Math.round(memory.free()) })
       }
       const bytes = openJobBytes(job)
+      if (bytes > memory.limit) {
+        const reason = `takes ${bytes} bytes, ${memory.limit} are allowed`
+        log.event('jobBeyondMemory', { service, job: id, reason })
+      }
       const priority = settings?.priority ?? LOWEST_PRIORITY
       const repeats = repetitions > 0
       const isNeeded = false
       left.set(id, { id, queue, bytes, priority, hasBegun, repeats, isNeeded })
-      memory.changeAwaited(bytes)
+      if (bytes <= memory.limit) memory.changeAwaited(bytes)
       book.leave(id)
     },
     need(id) {
@@ -206,8 +223,8 @@
   }
 }
 
-/** Whether a job is taken before another that was left earlier. */
-function comesBefore(job: LeftJob, other: LeftJob): boolean {
-  if (job.hasBegun !== other.hasBegun) return job.hasBegun
-  return job.priority < other.priority
-}
+/** Orders jobs by how soon they are to be taken. */
+const compareLeft = (a: LeftJob, b: LeftJob): number =>
+  Number(b.isNeeded) - Number(a.isNeeded) ||
+  Number(b.hasBegun) - Number(a.hasBegun) ||
+  a.priority - b.priority
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -374,6 +374,9 @@
       queueRows.add(spec.queue)
       inherited.adopt(spec, progress)
       inherited.flush()
+      expected.delete(spec.id)
+      const taken = book.jobs.get(spec.id)
+      if (taken && !progress) shares.note(taken, monotonicMs())
       const isCancelledEarly = takeEarlyCancel(spec)
       if (isCancelled || isCancelledEarly) cancel(spec.id, 'read', spec.queue)
       log.event('leftJobTaken', { job: spec.id, queue: spec.queue, service })
@@ -410,6 +413,8 @@
           fullRead?.abort()
           await changes.stop()
           fullRead?.abort()
+          for (const { job } of deferred.values()) memory.change(-jobBytes(job))
+          deferred.clear()
         },
       }
     },
--- a/src/scheduler/serviceOwner.ts
+++ b/src/scheduler/serviceOwner.ts
@@ -288,6 +288,7 @@
     book,
     memory,
     log,
+    mayTake: (queue) => queueRows.has(queue),
     take: (job) => newJobs.takeLeft(job),
     hold: held.hold,
   })
@@ -551,6 +552,7 @@
         nodeRosterReading,
         ...workers.map((worker) => worker.stop()),
       ])
+      book.close()
     },
   }
 }
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -199,6 +199,11 @@
     'warn',
     'no memory for all jobs of the service: some are left in the store',
   ),
+  jobBeyondMemory: spec(
+    'RS-8099',
+    'error',
+    'no node with this heap can hold a job in the store; it stays there',
+  ),
   leftJobTaken: spec('RS-8096', 'info', 'job that was left in the store is taken'),
   leftJobsNotRead: spec(
     'RS-8097',
