fix(scheduler): an owner calls no target with a token below its own

An owner gave up its service because a target had seen a higher token, though there was no newer owner: it had raised the token there itself and forgotten it, either when the list changed while the target was off it, or when it closed the agent of a target whose address was corrected. Callers saw a takeover.

A new agent starts with a token no lower than any that this owner has used at a closed agent, and for a minute above the last one of the same target.

Both tests of raisedTokens.spec fail before and pass now.

--- a/src/scheduler/targetFollower.ts
+++ b/src/scheduler/targetFollower.ts
@@ -49,6 +49,9 @@
  */
 const MAX_LISTED_AFTER_END_MS = 8000
 
+/** Time in which a target may carry out orders of an agent that has been closed, in ms. */
+const LATE_ORDER_MS = 60_000
+
 /** Dependencies and callbacks of the follower. */
 export interface TargetFollowerOptions {
   /** Agents by id of their target; the follower adds and removes entries. */
@@ -85,8 +88,10 @@
   const { service } = authority
   /** Incarnations taken for gone, by id, while the list still shows the id. */
   const goneIncarnations = new Map<string, GoneIncarnation>()
-  /** Token offsets that the next agents start with, by id of the target. */
-  const nextTokenOffsets = new Map<string, number>()
+  /** Token offsets that the next agents of targets taken for gone start with, by id. */
+  const nextTokenOffsets = new Map<string, { offset: number; since: number }>()
+  /** Highest token offset of the agents closed so far: no target has seen a higher one of theirs. */
+  let highestOffset = 0
 
   /** Ids of the targets in the previous owner's roster. */
   const inheritedIds = new Set<string>()
@@ -113,7 +118,9 @@
       key: incarnationKey(agent.target),
       detectedAt: monotonicMs(),
     })
-    nextTokenOffsets.set(id, agent.tokenOffset() + 1)
+    const offset = agent.tokenOffset() + 1
+    nextTokenOffsets.set(id, { offset, since: monotonicMs() })
+    highestOffset = Math.max(highestOffset, offset)
     health.forget(agent)
     if (!unknownUntil.has(id)) roster.remove(id)
     void agent.close()
@@ -137,6 +144,7 @@
   function closeIdleAgent(agent: TargetAgent): void {
     const { id } = agent.target
     agents.delete(id)
+    highestOffset = Math.max(highestOffset, agent.tokenOffset())
     if (!agent.isStateKnown()) unknownUntil.set(id, agent.leaseExpiresAt())
     health.forget(agent)
     void agent.close()
@@ -168,7 +176,10 @@
       quotaUsage: opts.quotaUsage,
       isHallCordoned: (hall) => opts.configuration.cordons().has(hall),
       usesCopies: opts.usesCopies,
-      initialTokenOffset: nextTokenOffsets.get(target.id) ?? 0,
+      initialTokenOffset: Math.max(
+        highestOffset,
+        nextTokenOffsets.get(target.id)?.offset ?? 0,
+      ),
       inheritedLeaseMs: mayHaveRuns(target.id) ? inheritedLeaseMs : 0,
       log,
       changed: opts.changed,
@@ -250,8 +261,9 @@
     }
     for (const id of goneIncarnations.keys())
       if (!isInList(id)) goneIncarnations.delete(id)
-    for (const id of nextTokenOffsets.keys())
-      if (!isInList(id) && !agents.has(id)) nextTokenOffsets.delete(id)
+    for (const [id, { since }] of nextTokenOffsets)
+      if (!agents.has(id) && monotonicMs() - since > LATE_ORDER_MS)
+        nextTokenOffsets.delete(id)
     coldTargets.forgetUnlisted(isInList)
     for (const agent of agents.values()) {
       const entry = listed.get(agent.target.id)
