refactor(scheduler): writes of progress and jobs left in the store read in one pass

The division of progress into transactions used figures of its own for the bytes of an entry; it takes them from the module that knows the limits, and stands beside the writer that uses it. Jobs left in the store are kept by rank, so that choosing the next ones does not sort all of them. Whether a target has unread runs is asked without a copy of their list.

A job of more than 200 steps is refused for good: its row counted as unreadable at every owner that read it (a test of jobService.spec, which fails before). In the soak each fifth answer to a poll is overtaken by others.

--- a/playground/sim/simFleet.ts
+++ b/playground/sim/simFleet.ts
@@ -2,7 +2,7 @@
 import type { Resources, RowKey } from '../../src/ports/index.js'
 import type { RowTable } from './rowTable.js'
 import { createSimTarget } from './simTarget.js'
-import type { RunLedger, SimTarget } from './simTarget.js'
+import type { RunLedger, SimTarget, TargetFaults } from './simTarget.js'
 import { HOST } from './wire.js'
 
 /** State of a VM's target in the list of targets; `none`: the list has no entry for it. */
@@ -52,6 +52,8 @@
   ledger: RunLedger
   /** Duration of a move or maintenance, in ms. */
   offlineMs: number
+  /** Faults that each incarnation of a target has from its start; none by default. */
+  targetFaults?: (() => Partial<TargetFaults>) | undefined
 }): SimFleet {
   const { table, ledger } = opts
   const vms: SimVm[] = []
@@ -82,6 +84,7 @@
 
   const startTarget = (vm: SimVm, id = nextId()): void => {
     vm.target = createSimTarget({ id, capacity: vm.capacity, ledger })
+    Object.assign(vm.target.faults, opts.targetFaults?.())
     vm.state = 'up'
     vm.listing = 'ready'
     sendHeartbeat(vm)
--- a/playground/sim/targetHandlers.ts
+++ b/playground/sim/targetHandlers.ts
@@ -1,4 +1,5 @@
 /** HTTP handlers of the stand-in platform for targets. */
+import { sleep } from '../../src/shared/index.js'
 import type { SimVm } from './simFleet.js'
 import type { SimTarget } from './simTarget.js'
 import type { Body, Handler, Reply } from './wire.js'
@@ -61,7 +62,10 @@
         end.checkpoint,
       ])
       const { lifeStartMs: born } = target
-      return [200, { born, clock_ms: target.clockMs(), running, ended }]
+      const answer = { born, clock_ms: target.clockMs(), running, ended }
+      const { isDelayed, delayMs } = target.faults
+      if (delayMs > 0 && isDelayed()) await sleep(delayMs)
+      return [200, answer]
     }),
   }
 }
--- a/playground/sim/wireServer.ts
+++ b/playground/sim/wireServer.ts
@@ -10,7 +10,7 @@
 import type { RowTable } from './rowTable.js'
 import { createSimFleet } from './simFleet.js'
 import type { Listing, MaintenanceRecord, SimVm } from './simFleet.js'
-import type { RunLedger } from './simTarget.js'
+import type { RunLedger, TargetFaults } from './simTarget.js'
 import { storeHandlers } from './storeHandlers.js'
 import { targetHandlers } from './targetHandlers.js'
 import { HOST, listen, portOf } from './wire.js'
@@ -52,13 +52,16 @@
   capacity: Resources
   /** Duration of a move or maintenance, in ms. */
   offlineMs: number
+  /** Faults that each incarnation of a target has from its start; none by default. */
+  targetFaults?: () => Partial<TargetFaults>
 }
 
 /** Starts the stand-in with a server for the store, one for the cloud and one per VM. */
 export async function startSimPlatform(opts: SimPlatformOptions): Promise<SimPlatform> {
   const table = createRowTable()
   const ledger: RunLedger = { entries: [] }
-  const fleet = createSimFleet({ table, ledger, offlineMs: opts.offlineMs })
+  const { offlineMs, targetFaults } = opts
+  const fleet = createSimFleet({ table, ledger, offlineMs, targetFaults })
   const { vms, maintained } = fleet
   const store = await listen(storeHandlers(table.forNode('any')))
   const cloudFaults = { ...HEALTHY_CLOUD }
--- a/playground/soak/setUp.ts
+++ b/playground/soak/setUp.ts
@@ -1,4 +1,5 @@
 /** Set-up of the stand-in platform for a run of the soak. */
+import type { TargetFaults } from '../sim/simTarget.js'
 import { listen } from '../sim/wire.js'
 import type { Handler } from '../sim/wire.js'
 import { startSimPlatform } from '../sim/wireServer.js'
@@ -55,6 +56,14 @@
   }
 }
 
+/** Delay of each fifth answer to a poll, which others overtake, in ms. */
+const OVERTAKEN_MS = 40
+
+function overtakeAnswers(): Partial<TargetFaults> {
+  let answers = 0
+  return { delayMs: OVERTAKEN_MS, isDelayed: () => ++answers % 5 === 0 }
+}
+
 /** Starts the stand-in with the pools of a plan and the first configuration. */
 export async function startPlatform(
   plan: SoakPlan,
@@ -65,6 +74,7 @@
     halls: HALLS,
     capacity: { cpu: 8000, memMb: 32_000, gpu: 0 },
     offlineMs: 1500,
+    targetFaults: overtakeAnswers,
   })
   platform.putConfiguration(configurationOf(1, organisations, QUEUES))
   return platform
--- a/src/front/__tests__/jobService.spec.ts
+++ b/src/front/__tests__/jobService.spec.ts
@@ -66,6 +66,21 @@
       t.deepEqual([offered, expected], [[], [JOB.id]])
     })
 
+    // It was accepted, and its row counted as unreadable at every owner that read it.
+    it('is refused for good if it has more steps than an owner reads', async (t) => {
+      const { table, jobs } = startService()
+      const [step] = makeJob({}).steps
+      const submit = async (count: number): Promise<string> => {
+        const id = count.toString(16).padStart(16, '0')
+        const steps = Array.from({ length: count }, () => step!)
+        return (await jobs.submit(QUEUE, { ...JOB, id, steps })).kind
+      }
+      t.is(await submit(200), 'accepted')
+      const version = table.version()
+      t.is(await submit(201), 'invalid')
+      t.is(table.version(), version)
+    })
+
     // Its caller was told to come back, for ever.
     it('is refused for good if its row can never be written', async (t) => {
       const { table, jobs, offered, expected } = startService()
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -246,6 +246,7 @@
     step.tasks.push(createTask(step, each, 'blocked'))
   return step
 }
+
 /** Whether a value is the position of one of `count` items. */
 const isPosition = (value: number, count: number): boolean =>
   Number.isInteger(value) && value >= 0 && value < count
--- a/src/jobs/schema.ts
+++ b/src/jobs/schema.ts
@@ -132,6 +132,7 @@
 
 /** Describes why a job cannot be accepted; undefined if it can. */
 export function describeJobProblem(job: JobSpec): string | undefined {
+  if (job.steps.length > MAX_STEPS) return `more than ${MAX_STEPS} steps`
   let tasks = 0
   for (const [index, step] of job.steps.entries()) {
     if (step.after.some((each) => each >= index)) {
--- a/src/jobs/__tests__/progressRows.spec.ts
+++ b/src/scheduler/__tests__/progressRows.spec.ts
@@ -10,10 +10,10 @@
   decodeProgress,
   decodeSegment,
   progressKey,
-  takeProgressWrites,
   tasksOf,
-} from '../index.js'
-import type { Job, JobSpec, SegmentProgress, StepSpec } from '../index.js'
+} from '../../jobs/index.js'
+import type { Job, JobSpec, SegmentProgress, StepSpec } from '../../jobs/index.js'
+import { takeProgressWrites } from '../progressWrites.js'
 
 /** Creates a book on whose clock every occurrence is due. */
 function startBook(maxAttempts = Infinity) {
--- a/src/scheduler/leftJobs.ts
+++ b/src/scheduler/leftJobs.ts
@@ -37,13 +37,17 @@
   id: string
   queue: string
   bytes: number
-  priority: number
+  /** Jobs of lower ranks are taken first. */
+  rank: number
   hasBegun: boolean
   repeats: boolean
-  /** Whether it is to be read whether or not there is memory for it. */
-  isNeeded: boolean
 }
 
+/** Rank of jobs that are taken whether or not there is memory for them. */
+const NEEDED_RANK = -Infinity
+/** Rank of jobs that have begun; that of others is their priority. */
+const BEGUN_RANK = -Number.MAX_VALUE
+
 /** The jobs of one service that are left in the store. */
 export interface LeftJobs {
   /** Whether there is no memory for a job now, or others that need it have come before. */
@@ -89,6 +93,8 @@
   const { store, service, authority, book, memory, log } = opts
   const stopping = createStopController()
   const left = new Map<string, LeftJob>()
+  /** The same by rank, in the order in which they were left. */
+  const byRank = new Map<number, Set<LeftJob>>()
   /** Monotonic time since which jobs are left, in ms. */
   let lackingSince = Infinity
 
@@ -96,10 +102,29 @@
   const freeFor = (hasBegun: boolean): number =>
     memory.free() + (hasBegun ? memory.limit * BEGUN_EXCESS : 0)
 
+  function addToRank(job: LeftJob): void {
+    const jobs = byRank.get(job.rank)
+    if (jobs) jobs.add(job)
+    else byRank.set(job.rank, new Set([job]))
+  }
+
+  function removeFromRank(job: LeftJob): void {
+    const jobs = byRank.get(job.rank)
+    jobs?.delete(job)
+    if (jobs?.size === 0) byRank.delete(job.rank)
+  }
+
+  function* inOrder(): Generator<LeftJob> {
+    for (const rank of [...byRank.keys()].sort((a, b) => a - b))
+      yield* byRank.get(rank) ?? []
+  }
+
   function forget(id: string): void {
-    const { bytes = 0 } = left.get(id) ?? {}
-    if (bytes <= memory.limit) memory.changeAwaited(-bytes)
+    const job = left.get(id)
+    if (!job) return
+    if (job.bytes <= memory.limit) memory.changeAwaited(-job.bytes)
     left.delete(id)
+    removeFromRank(job)
     if (left.size === 0) lackingSince = Infinity
   }
 
@@ -110,9 +135,9 @@
   function next(): LeftJob[] {
     const chosen: LeftJob[] = []
     let bytes = 0
-    for (const job of [...left.values()].sort(compareLeft)) {
+    for (const job of inOrder()) {
       if (chosen.length === MAX_READS) break
-      if (!job.isNeeded) {
+      if (job.rank !== NEEDED_RANK) {
         if (job.bytes > memory.limit || !opts.mayTake(job.queue)) continue
         if (bytes + job.bytes > freeFor(job.hasBegun)) break
       }
@@ -192,16 +217,19 @@
         const reason = `takes ${bytes} bytes, ${memory.limit} are allowed`
         log.event('jobBeyondMemory', { service, job: id, reason })
       }
-      const priority = settings?.priority ?? LOWEST_PRIORITY
-      const repeats = repetitions > 0
-      const isNeeded = false
-      left.set(id, { id, queue, bytes, priority, hasBegun, repeats, isNeeded })
+      const rank = hasBegun ? BEGUN_RANK : (settings?.priority ?? LOWEST_PRIORITY)
+      const entry = { id, queue, bytes, rank, hasBegun, repeats: repetitions > 0 }
+      left.set(id, entry)
+      addToRank(entry)
       if (bytes <= memory.limit) memory.changeAwaited(bytes)
       book.leave(id)
     },
     need(id) {
       const job = left.get(id)
-      if (job) job.isNeeded = true
+      if (!job) return
+      removeFromRank(job)
+      job.rank = NEEDED_RANK
+      addToRank(job)
     },
     drop(id) {
       if (!left.has(id)) return
@@ -222,9 +250,3 @@
     },
   }
 }
-
-/** Orders jobs by how soon they are to be taken. */
-const compareLeft = (a: LeftJob, b: LeftJob): number =>
-  Number(b.isNeeded) - Number(a.isNeeded) ||
-  Number(b.hasBegun) - Number(a.hasBegun) ||
-  a.priority - b.priority
--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -4,8 +4,8 @@
  * so that neither a superseded owner nor a delayed write can undo progress.
  */
 import type { RowStore, StoredRow } from '../ports/index.js'
-import { progressKey, takeProgressWrites, withheldWrite } from '../jobs/index.js'
-import type { Job, ProgressWrite } from '../jobs/index.js'
+import { progressKey } from '../jobs/index.js'
+import type { Job } from '../jobs/index.js'
 import type { Authority } from '../ownership/index.js'
 import {
   createStopController,
@@ -17,6 +17,8 @@
 import type { Logger } from '../shared/index.js'
 import { createBatches, limitsOf } from '../storeAccess/index.js'
 import { FLUSH_DELAY_MS, FLUSH_RETRY_MS } from './constants.js'
+import { takeProgressWrites, withheldWrite } from './progressWrites.js'
+import type { ProgressWrite } from './progressWrites.js'
 
 /**
  * Largest number of writes under way. A busy owner reads each answer late, and all targets wait until
--- a/src/jobs/progressWrites.ts
+++ b/src/scheduler/progressWrites.ts
@@ -1,24 +1,21 @@
 /** Determines the rows that make the progress of a job durable. */
-import type { RowKey, RowTransaction, StoreLimits } from '../ports/index.js'
-import type { Job } from './job.js'
-import { encodeSmallProgress } from './progress.js'
-import { WITHHELD_PROGRESS, progressKey } from './records.js'
-import type { JobOutcome } from './schema.js'
 import {
+  WITHHELD_PROGRESS,
   changeOfSegment,
   createLayout,
   encodeMain,
+  encodeSmallProgress,
+  progressKey,
   segmentsWithProgress,
-} from './segmentRows.js'
+} from '../jobs/index.js'
+import type { Job, JobOutcome } from '../jobs/index.js'
+import type { RowKey, RowTransaction, StoreLimits } from '../ports/index.js'
+import { countBytes } from '../storeAccess/index.js'
 
 /** Bytes of a row up to which the progress of a job is kept in one row. */
 const MAX_SMALL_BYTES = 16 * 1024
 /** Part of a transaction that the rows of one job may take, so that it goes with the main row. */
 const TRANSACTION_SHARE = 0.8
-/** Bytes of a row in a transaction besides its value. */
-const ENTRY_BYTES = 500
-/** Base64 takes four bytes for three. */
-const BASE64_FACTOR = 4 / 3
 /** Entries of a transaction besides the rows of segments: two of the main row, and the epoch. */
 const OTHER_ENTRIES = 3
 
@@ -95,13 +92,13 @@
     const change = changeOfSegment(job, layout, segment, limits.rowBytes)
     // The rows of a segment are independent of each other, and may go with different writes.
     for (const put of change.puts) {
-      makeRoom(ENTRY_BYTES + Buffer.byteLength(put.value) * BASE64_FACTOR)
+      makeRoom(countBytes({ puts: [put] }))
       puts.push(put)
     }
     // The main row tells that the segment is done before its rows are removed, or together with that.
     change.record(layout)
     for (const key of change.removals) {
-      makeRoom(ENTRY_BYTES)
+      makeRoom(countBytes({ removals: [key] }))
       removals.push(key)
     }
   }
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -390,7 +390,7 @@
     { hold: 'silent', applies: () => !silence.isAnswering() },
     { hold: 'evacuating', applies: () => agent.evacuating },
     // The room that these runs take is unknown until their jobs have been read.
-    { hold: 'unread', applies: () => runs.unreadCount() > 0 },
+    { hold: 'unread', applies: runs.hasUnread },
     // Unwanted runs have no placement, so the room that they take is not counted.
     { hold: 'unwanted', applies: () => runs.unwantedCount() > 0 },
     { hold: 'paused', applies: () => monotonicMs() < pausedUntil },
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -77,8 +77,8 @@
    * room that they take is unknown.
    */
   heldCount(): number
-  /** Number of held runs whose jobs are still to be read from the store. */
-  unreadCount(): number
+  /** Whether the last report has runs whose jobs are still to be read from the store. */
+  hasUnread(): boolean
   /** Adopts held runs whose jobs have become known since. */
   adoptKnown(): void
   /** Number of unwanted runs in the last report; they take room until they have stopped. */
@@ -337,7 +337,10 @@
       return first ? first.seq - 1 : lastEndSeq
     },
     heldCount: () => heldRuns.size,
-    unreadCount: () => [...heldRuns.keys()].filter(book.isUnread).length,
+    hasUnread() {
+      for (const name of heldRuns.keys()) if (book.isUnread(name)) return true
+      return false
+    },
     adoptKnown() {
       for (const reported of [...heldRuns.values()]) {
         if (book.isHeld(reported.task)) continue
--- a/src/storeAccess/transactions.ts
+++ b/src/storeAccess/transactions.ts
@@ -25,8 +25,8 @@
   removals = [],
 }: PartialTransaction): number => conditions.length + puts.length + removals.length
 
-/** Bytes that entries take in a transaction as it is sent. */
-function countBytes({
+/** Bytes that entries take in a transaction as it is sent, or a little more. */
+export function countBytes({
   conditions = [],
   puts = [],
   removals = [],
