fix(scheduler): runs are adopted as soon as the rows of their jobs are read

The fault came with the reading of the intake some hundreds of rows at a time: the jobs of a part were added as the part arrived, but their runs were adopted only once all parts of the batch had been read. In between the gate for inherited tasks could open, and tasks that ran started again.

The reader tells after each group of rows that they are handled, and the runs of their jobs are adopted before anything else happens.

partsReadApart.spec fails without the call and passes with it.

--- a/src/scheduler/intakeReading.ts
+++ b/src/scheduler/intakeReading.ts
@@ -39,6 +39,8 @@
   cancel(id: string, queue: string): void
   /** Called for a job, of any service, whose row cannot be read. */
   unreadableJob(id: string): void
+  /** Called after each group of rows, before anything else is done with their jobs. */
+  rowsRead(): void
   /** Called after each batch of parts, with the queues of the parts that remain. */
   partsRead(remaining: ReadonlySet<string>): void
 }
@@ -97,6 +99,7 @@
       // A job and the request to cancel it are handled together, so the last job is read again.
       const lastId = last && intakeIdOf(last.key)
       for (const row of rows) if (intakeIdOf(row.key) !== lastId) handleRow(row)
+      handler.rowsRead()
       if (lastId === undefined) return ok(undefined)
       nextKeys.set(part, lastId)
     }
--- a/src/scheduler/newJobs.ts
+++ b/src/scheduler/newJobs.ts
@@ -307,6 +307,8 @@
         if (inherited.isComplete() || book.jobs.has(id)) opts.rowUnreadable(id)
         else inherited.holdUnreadable(id)
       },
+      // Runs of these jobs that targets have listed are adopted before a task could start again.
+      rowsRead: inherited.flush,
       partsRead: (remaining) => updateRemaining(remaining, isReadFirst),
     }
     const isTakeover = !inherited.isComplete()
