--- a/playground/sim/rowTable.ts
+++ b/playground/sim/rowTable.ts
@@ -35,6 +35,8 @@
   silentParts: Set<string>
   /** Delay of every call, in ms. */
   delayMs: number
+  /** Further delay of a read of a part, in ms. */
+  readDelayMs(part: string): number
   /** Fraction of commits that are carried out but not answered, from 0 to 1. */
   lostShare: number
   /** Time after which an unanswered commit fails, in ms. */
@@ -86,6 +88,7 @@
     refusedNodes: new Set(),
     refusedParts: new Set(),
     delayMs: 0,
+    readDelayMs: () => 0,
     lostShare: 0,
     lostMs: 0,
     lateMs: 0,
@@ -194,7 +197,7 @@
       return ok(apply(tx))
     },
     async read(table, part, range = {}) {
-      await sleep(faults.delayMs)
+      await sleep(faults.delayMs + faults.readDelayMs(part))
       const failure = await failureOf(node, 'store.read', part)
       if (failure) return failure
       const found = [...rows.values()]
--- a/src/scheduler/__tests__/model.spec.ts
+++ b/src/scheduler/__tests__/model.spec.ts
@@ -113,8 +113,13 @@
     sim.rig.table.faults.lostShare = 0.4
     sim.rig.table.faults.lateMs = pick % 3 ? 150 : 0
   },
+  partsApart(sim: Simulation, pick: number) {
+    sim.rig.table.faults.readDelayMs = (part) =>
+      (part.charCodeAt(part.length - 1) % 5) * pick * 4
+  },
   storeWell(sim: Simulation) {
     sim.rig.table.faults.lostShare = 0
+    sim.rig.table.faults.readDelayMs = () => 0
   },
 } satisfies Record<string, Action>
 
