--- a/src/jobs/__tests__/repetitions.spec.ts
+++ b/src/jobs/__tests__/repetitions.spec.ts
@@ -1,8 +1,8 @@
 import { describe, it } from '../../../test/describe.js'
+import { createFrozenJobBook } from '../../../test/fixtures.js'
 import { makeJob } from '../../../test/jobRig.js'
 import type { RunEndKind } from '../../ports/index.js'
 import {
-  createJobBook,
   createJobMemory,
   decodeProgress,
   encodeProgress,
@@ -20,14 +20,9 @@
 function startBook(limit = 1e9) {
   const clock = { ms: 0 }
   const memory = createJobMemory(limit)
-  const book = createJobBook({
+  const book = createFrozenJobBook({
     rulesOf: () => ({ maxAttempts: 3 }),
-    now: () => 0,
     wallMs: () => clock.ms,
-    progressChanged: () => undefined,
-    runUnwanted: () => undefined,
-    wake: () => undefined,
-    outcomeReached: () => undefined,
     memory,
   })
   let seq = 0
--- a/src/scheduler/__tests__/leftJobs.spec.ts
+++ b/src/scheduler/__tests__/leftJobs.spec.ts
@@ -1,4 +1,5 @@
 import { describe, it } from '../../../test/describe.js'
+import { createFrozenJobBook } from '../../../test/fixtures.js'
 import { createJobRig, findGuaranteeViolation, makeJob } from '../../../test/jobRig.js'
 import type { JobRig } from '../../../test/jobRig.js'
 import { itInVirtualTime, runToEnd } from '../../../test/virtualTime.js'
@@ -12,7 +13,6 @@
   progressKey,
 } from '../../jobs/index.js'
 import type { JobSpec } from '../../jobs/index.js'
-import { createJobBook } from '../../jobs/index.js'
 import { sleep } from '../../shared/index.js'
 
 /** A job of eight tasks that each take a target of the rig for a while. */
@@ -118,15 +118,7 @@
     const jobs = Array.from({ length: 8 }, () => jobOf())
     for (const job of jobs) {
       store(rig, job)
-      const book = createJobBook({
-        rulesOf: () => ({ maxAttempts: 1 }),
-        now: () => 0,
-        wallMs: () => 0,
-        progressChanged: () => undefined,
-        runUnwanted: () => undefined,
-        wake: () => undefined,
-        outcomeReached: () => undefined,
-      })
+      const book = createFrozenJobBook()
       const known = book.add(job)
       for (const index of [0, 1, 2, 3, 4, 5, 6]) {
         const task = `${job.id}.0.0.${index}`
--- a/src/scheduler/__tests__/overtakenReports.spec.ts
+++ b/src/scheduler/__tests__/overtakenReports.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from '../../../test/describe.js'
+import { createFrozenJobBook } from '../../../test/fixtures.js'
 import { CAPACITY, SERVICE, makeJob } from '../../../test/jobRig.js'
-import { createJobBook } from '../../jobs/index.js'
 import type { Authority } from '../../ownership/index.js'
 import type { ReportedEnd, ReportedRun, TargetReport } from '../../ports/index.js'
 import { createMemoryLogger } from '../../shared/index.js'
@@ -21,15 +21,7 @@
 /** Creates the runs of a target with one job of one task, whose first run is under way. */
 function startRun() {
   const log = createMemoryLogger()
-  const book = createJobBook({
-    rulesOf: () => ({ maxAttempts: 3 }),
-    now: () => 0,
-    wallMs: () => 0,
-    progressChanged: () => undefined,
-    runUnwanted: () => undefined,
-    wake: () => undefined,
-    outcomeReached: () => undefined,
-  })
+  const book = createFrozenJobBook({ rulesOf: () => ({ maxAttempts: 3 }) })
   const runs = createTargetRuns({
     target: TARGET,
     book,
--- a/src/scheduler/__tests__/progressRows.spec.ts
+++ b/src/scheduler/__tests__/progressRows.spec.ts
@@ -1,30 +1,20 @@
 import fc from 'fast-check'
 import { z } from 'zod'
 import { describe, it } from '../../../test/describe.js'
+import { createFrozenJobBook } from '../../../test/fixtures.js'
 import { makeJob } from '../../../test/jobRig.js'
 import { DEFAULT_STORE_LIMITS } from '../../ports/index.js'
 import type { RunEndKind, StoreLimits } from '../../ports/index.js'
 import { createRandom } from '../../../playground/random.js'
-import {
-  createJobBook,
-  decodeProgress,
-  decodeSegment,
-  progressKey,
-  tasksOf,
-} from '../../jobs/index.js'
+import { decodeProgress, decodeSegment, progressKey, tasksOf } from '../../jobs/index.js'
 import type { Job, JobSpec, SegmentProgress, StepSpec } from '../../jobs/index.js'
 import { takeProgressWrites } from '../progressWrites.js'
 
 /** Creates a book on whose clock every occurrence is due. */
 function startBook(maxAttempts = Infinity) {
-  const book = createJobBook({
+  const book = createFrozenJobBook({
     rulesOf: () => ({ maxAttempts }),
-    now: () => 0,
     wallMs: () => Number.MAX_SAFE_INTEGER,
-    progressChanged: () => undefined,
-    runUnwanted: () => undefined,
-    wake: () => undefined,
-    outcomeReached: () => undefined,
   })
   let seq = 0
   const end = (task: string, kind: RunEndKind = 'done', run = 1, checkpoint = '') =>
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -4,7 +4,7 @@
 import { ok } from 'neverthrow'
 import type { AddressedQueue, Namespace, Namespaces } from '../src/namespaces/index.js'
 import { createJobBook } from '../src/jobs/index.js'
-import type { JobBook } from '../src/jobs/index.js'
+import type { JobBook, JobBookOptions } from '../src/jobs/index.js'
 import { createServerLimits } from '../src/limits/index.js'
 import type { ServerLimits } from '../src/limits/index.js'
 import type { Organisation, Queue, Vm, VmList } from '../src/ports/index.js'
@@ -58,7 +58,7 @@
 })
 
 /** An empty job book with both clocks fixed at 0 and callbacks that do nothing. */
-export const createFrozenJobBook = (): JobBook =>
+export const createFrozenJobBook = (more: Partial<JobBookOptions> = {}): JobBook =>
   createJobBook({
     rulesOf: () => ({ maxAttempts: 1 }),
     now: () => 0,
@@ -67,6 +67,7 @@
     runUnwanted: () => undefined,
     wake: () => undefined,
     outcomeReached: () => undefined,
+    ...more,
   })
 
 /** Organisations without keys and maxima, by name. */
