perf(scheduler): the critical path of a job is computed once

The critical path of every job was built with new objects at each look; its length in mean run times is kept by job now. A task is found by its name, and its segment, with fewer objects.

129 tests of the parts concerned pass.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -261,7 +261,29 @@
   name: string,
   open?: (number: number) => Occurrence,
 ): Task | undefined {
-  const [number, place, index] = name.split('.').slice(1).map(Number) as Position
+  const parts = name.split('.')
+  const place = {
+    occurrence: Number(parts[1]),
+    step: Number(parts[2]),
+    index: Number(parts[3]),
+  }
+  const present = findOccurrence(job, place.occurrence)?.steps[place.step]
+  return present?.tasks[place.index] ?? findOther(job, place, open)
+}
+
+/** A task by the indices that its name has. */
+export interface TaskPlace {
+  occurrence: number
+  step: number
+  index: number
+}
+
+/** Finds a task that is done, or whose occurrence is not open. */
+function findOther(
+  job: Job,
+  { occurrence: number, step: place, index }: TaskPlace,
+  open: ((number: number) => Occurrence) | undefined,
+): Task | undefined {
   const spec = job.spec.steps[place]
   if (!spec || !isPosition(number, occurrencesOf(job.spec))) return undefined
   if (!isPosition(index, spec.count)) return undefined
@@ -274,9 +296,6 @@
   return createTask(detached, index, 'done')
 }
 
-/** Position of a task in its job. */
-type Position = [occurrence: number, step: number, index: number]
-
 /** Time at which a run of the task was first known to run, in ms; Infinity before. */
 export const startOfRun = ({ copy, startedAt }: Task, run: number): number =>
   copy && copy.run === run ? copy.startedAt : startedAt
--- a/src/jobs/segments.ts
+++ b/src/jobs/segments.ts
@@ -3,7 +3,7 @@
  * its progress concerns a few small rows however many tasks it has.
  */
 import { findOccurrence, isStepDone, occurrencesOf } from './job.js'
-import type { Job, Task } from './job.js'
+import type { Job, Task, TaskPlace } from './job.js'
 import type { JobSpec } from './schema.js'
 
 /** Tasks of one segment. */
@@ -19,9 +19,10 @@
 
 /** Position of a task among all of its job. */
 export function positionOf({ step, index }: Pick<Task, 'step' | 'index'>): number {
-  const { spec } = step.job
-  let position = step.occurrence * tasksPerOccurrence(spec) + index
-  for (const { count } of spec.steps.slice(0, step.index)) position += count
+  const { steps } = step.job.spec
+  let position = index
+  if (step.occurrence > 0) position += step.occurrence * tasksPerOccurrence({ steps })
+  for (let place = 0; place < step.index; place++) position += steps[place]!.count
   return position
 }
 
@@ -35,13 +36,6 @@
   Math.min((segment + 1) * SEGMENT_TASKS, totalTasks(spec)),
 ]
 
-/** A task by the indices that its name has. */
-export interface TaskPlace {
-  occurrence: number
-  step: number
-  index: number
-}
-
 /** The place of the task at a position. */
 export function placeAt(spec: JobSpec, position: number): TaskPlace {
   const tasks = tasksPerOccurrence(spec)
--- a/src/scheduler/runTimes.ts
+++ b/src/scheduler/runTimes.ts
@@ -2,7 +2,7 @@
  * Estimates how long tasks run, from a moving average of the run times of each queue. Until a
  * run of the queue has ended, the caller's estimate is used, although such estimates are far off.
  */
-import type { Job, Step, StepSpec, Task } from '../jobs/index.js'
+import type { Job, JobSpec, Step, StepSpec, Task } from '../jobs/index.js'
 
 /** Weight of the newest run in the average, which covers about the last forty runs. */
 const NEWEST_RUN_WEIGHT = 0.05
@@ -33,6 +33,38 @@
   remainingPathMs(job: Job, now: number): number
 }
 
+/** Ratio of the time of a whole step to the mean run time of its tasks. */
+const longestTaskFactor = ({ count }: StepSpec): number =>
+  count > 1 ? LONGEST_TASK_FACTOR : 1
+
+/** Length of the critical path over the steps of an occurrence. */
+function longestPath(
+  steps: readonly StepSpec[],
+  lengthOf: (step: StepSpec, index: number) => number,
+): number {
+  const ends: number[] = []
+  let longest = 0
+  for (const [index, step] of steps.entries()) {
+    let end = 0
+    for (const earlier of step.after) end = Math.max(end, ends[earlier] ?? 0)
+    end += lengthOf(step, index)
+    ends.push(end)
+    longest = Math.max(longest, end)
+  }
+  return longest
+}
+
+/** Critical path of an occurrence in mean run times, by job. */
+const pathLengths = new WeakMap<JobSpec, number>()
+
+function pathLengthOf(spec: JobSpec): number {
+  const known = pathLengths.get(spec)
+  if (known !== undefined) return known
+  const length = longestPath(spec.steps, longestTaskFactor)
+  pathLengths.set(spec, length)
+  return length
+}
+
 /** Creates estimates without any runs. */
 export function createRunTimes(): RunTimes {
   /** Average run time by queue, in ms. */
@@ -43,21 +75,8 @@
     meanByQueue.get(job.spec.queue) ?? (spec.estimateMs || DEFAULT_RUN_MS)
 
   /** Expected time of a whole step, in ms: that of its longest task. */
-  const stepTimeMs = ({ job, spec }: EstimatedStep): number =>
-    expectedRunMs({ job, spec }) * (spec.count > 1 ? LONGEST_TASK_FACTOR : 1)
-
-  /** Length of the critical path over the steps of an occurrence, in ms. */
-  function pathMs<T extends { spec: StepSpec }>(
-    steps: readonly T[],
-    stepMs: (step: T) => number,
-  ): number {
-    const ends: number[] = []
-    for (const step of steps) {
-      const startsAt = Math.max(0, ...step.spec.after.map((index) => ends[index] ?? 0))
-      ends.push(startsAt + stepMs(step))
-    }
-    return Math.max(...ends)
-  }
+  const stepTimeMs = (step: Step): number =>
+    expectedRunMs(step) * longestTaskFactor(step.spec)
 
   return {
     note(task, ranMs) {
@@ -68,20 +87,27 @@
     },
     hasEnoughRuns: (step) => (runCounts.get(step.job.spec.queue) ?? 0) >= MIN_RUNS,
     meanRunMs: expectedRunMs,
-    criticalPathMs(job) {
-      const { spec, nextOccurrence } = job
+    criticalPathMs({ spec, nextOccurrence }) {
       if (nextOccurrence === 0) return 0
-      return pathMs(
-        spec.steps.map((step) => ({ job, spec: step })),
-        stepTimeMs,
+      const meanMs = meanByQueue.get(spec.queue)
+      if (meanMs !== undefined) return meanMs * pathLengthOf(spec)
+      return longestPath(
+        spec.steps,
+        (step) => (step.estimateMs || DEFAULT_RUN_MS) * longestTaskFactor(step),
       )
     },
     remainingPathMs(job, now) {
       let result = 0
       for (const { due, steps } of job.occurrences) {
-        const leftMs = (step: Step): number =>
-          Math.max(0, stepTimeMs(step) - runningMs(step, now))
-        if (due) result = Math.max(result, pathMs(steps, leftMs))
+        if (!due) continue
+        const leftMs = (index: number): number => {
+          const step = steps[index]!
+          return Math.max(0, stepTimeMs(step) - runningMs(step, now))
+        }
+        result = Math.max(
+          result,
+          longestPath(job.spec.steps, (_, index) => leftMs(index)),
+        )
       }
       return result
     },
--- a/src/storeAccess/transactions.ts
+++ b/src/storeAccess/transactions.ts
@@ -32,9 +32,11 @@
   removals = [],
 }: PartialTransaction): number {
   let bytes = 0
-  for (const entry of [...conditions, ...puts, ...removals])
-    bytes += ENTRY_BYTES + nameBytes(entry)
-  for (const { value } of puts) bytes += Buffer.byteLength(value) * BASE64_FACTOR
+  for (const entry of conditions) bytes += ENTRY_BYTES + nameBytes(entry)
+  for (const entry of removals) bytes += ENTRY_BYTES + nameBytes(entry)
+  for (const entry of puts)
+    bytes +=
+      ENTRY_BYTES + nameBytes(entry) + Buffer.byteLength(entry.value) * BASE64_FACTOR
   return bytes
 }
 
