fix(scheduler): later writes of a withheld job leave its row as it is

Found by reading the change again: when the store refuses for good one of several writes of a large job, its row marks the progress as not known, but the writes that were taken with it went on and replaced that row, so that a successor could have started done tasks again. They end with the refusal now.

--- a/src/scheduler/progressWriter.ts
+++ b/src/scheduler/progressWriter.ts
@@ -134,7 +134,11 @@
         if (!(await write(batch))) return false
       }
       for (let writes = series.pop(); writes; writes = series.pop())
-        for (const each of writes) if (!(await write([each]))) return false
+        for (const each of writes) {
+          // Its row must go on telling successors that its progress is not known.
+          if (each.job.isWithheld) break
+          if (!(await write([each]))) return false
+        }
       return true
     }
     const writers = Array.from({ length: MAX_CONCURRENT_WRITES }, writeRest)
