feat(scheduler): each start and each run that is given up tells token, incarnation and forwarder

Two runs of one task could not be traced from the logs: no line said under which token, for which incarnation of the target and through which node a start was sent, nor which report made its owner give a run up.

--- a/src/forwarding/forwardedOrders.ts
+++ b/src/forwarding/forwardedOrders.ts
@@ -111,6 +111,7 @@
   }
 
   return {
+    forwarder: () => currentForwarder()?.address,
     startsAtOnce: () => (currentForwarder() ? STARTS_AT_ONCE : 1),
     start: (order, timeoutMs) => call('start', order, timeoutMs),
     stop: (order, timeoutMs) => call('stop', order, timeoutMs),
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -136,6 +136,8 @@
   /** Returns true when the target took the order, false when it refused the token. */
   stop(order: StopOrder, timeoutMs: number): OrderResult<boolean>
   pace(order: PaceOrder, timeoutMs: number): OrderResult<boolean>
+  /** Address of the node through which the next call goes; undefined for a direct call. */
+  forwarder?(): string | undefined
   /** Number of starts that may be sent before the first is answered; 1 if undefined. */
   startsAtOnce?(): number
   sync(order: SyncOrder, timeoutMs: number): OrderResult<TargetReport>
--- a/src/scheduler/__tests__/orderSender.spec.ts
+++ b/src/scheduler/__tests__/orderSender.spec.ts
@@ -95,6 +95,7 @@
     signal,
     log,
     token: () => 1,
+    lifeStartMs: () => 1,
     isCordoned: () => state.isCordoned,
     pause: noop,
     failed: noop,
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -22,6 +22,7 @@
 import { FULL_PAUSE_MS, REFUSED_PAUSE_MS } from './constants.js'
 import type { TargetLease } from './targetLease.js'
 import type { StartWindow } from './startWindow.js'
+import { startFields } from './targetRuns.js'
 import type { Placement, TargetRuns } from './targetRuns.js'
 
 /** Wait in the queue above which an order is logged as late, in ms: a few typical answer times. */
@@ -76,6 +77,8 @@
   log: Logger
   /** Returns the current fencing token. */
   token(): number
+  /** Start of the incarnation that answers, in ms since 1970; undefined before a report. */
+  lifeStartMs(): number | undefined
   /** Whether the target's data hall is cordoned, so that no start may be sent. */
   isCordoned(): boolean
   /** Called when the target must get no new tasks for the given time, in ms. */
@@ -215,11 +218,16 @@
     const { checkpoint } = task
     placement.mayHaveBegun = true
     placement.sentAt = monotonicMs()
+    placement.sentToken = sentToken
+    placement.sentToLifeMs = opts.lifeStartMs()
     const order = { task: name, run, spec, token: sentToken, checkpoint, ticket }
     const result = await callWithRetries({
       roundTrip,
-      send: (timeoutMs) =>
-        link.start({ ...order, leaseUntilMs: lease.extend() ?? leaseUntilMs }, timeoutMs),
+      send(timeoutMs) {
+        noteForwarder(placement)
+        const until = lease.extend() ?? leaseUntilMs
+        return link.start({ ...order, leaseUntilMs: until }, timeoutMs)
+      },
       mayRetry: maySend,
     })
     // A report may have shown the end of the run meanwhile.
@@ -227,6 +235,12 @@
       await noteAnswer(task, placement, result, sentToken)
   }
 
+  function noteForwarder({ forwarders }: Placement): void {
+    const forwarder = link.forwarder?.()
+    if (forwarder !== undefined && !forwarders.includes(forwarder))
+      forwarders.push(forwarder)
+  }
+
   async function noteAnswer(
     task: Task,
     placement: Placement,
@@ -243,6 +257,15 @@
     }
     if (!res.value.accepted)
       return noteRefusal(task, placement, res.value.reason, sentToken, unansweredCalls)
+    log.event('startAccepted', {
+      task: task.name,
+      run: placement.run,
+      target: targetId,
+      term: authority.term,
+      ...startFields(placement),
+      lost: unansweredCalls,
+      clockMs: res.value.clockMs,
+    })
     book.noteBegun(task, placement.run)
     if (!isOfPresentClock) return
     if (placement.state === 'starting') placement.state = 'running'
@@ -263,6 +286,8 @@
       run,
       target: targetId,
       reason,
+      term: authority.term,
+      ...startFields(placement),
       lost: unansweredCalls,
     })
     // If the token was raised since the start was sent, this owner itself fenced it.
@@ -297,6 +322,8 @@
       run,
       target: targetId,
       ...failure,
+      term: authority.term,
+      ...startFields(placement),
       lost: unansweredCalls,
     })
     opts.pause(REFUSED_PAUSE_MS)
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -166,6 +166,7 @@
     signal,
     log,
     token,
+    lifeStartMs: () => incarnationStartMs,
     isCordoned,
     pause: (ms) => void (pausedUntil = monotonicMs() + ms),
     failed: noteFailure,
@@ -214,7 +215,15 @@
    * under that token are trusted to list all its runs.
    */
   function switchIncarnation(report: TargetReport): void {
-    log.event('targetReborn', { target: targetId, runs: placements.size })
+    log.event('targetReborn', {
+      target: targetId,
+      runs: placements.size,
+      lifeBefore: incarnationStartMs,
+      life: report.lifeStartMs,
+      clockMs: report.clockMs,
+      reportRuns: report.runs.length,
+      token: token() + 1,
+    })
     if (incarnationStartMs !== undefined) earlierIncarnations.add(incarnationStartMs)
     incarnationStartMs = report.lifeStartMs
     incarnationHeardAt = monotonicMs()
--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -41,6 +41,12 @@
   mayHaveBegun: boolean
   /** Monotonic time at which the start was sent, in ms; -Infinity before. */
   sentAt: number
+  /** Fencing token of the start; 0 before it was sent. */
+  sentToken: number
+  /** Incarnation that was known to answer when the start was sent, in ms since 1970. */
+  sentToLifeMs: number | undefined
+  /** Nodes through which the start was sent, without direct calls. */
+  forwarders: string[]
   /** Monotonic time of the last stop order, in ms; -Infinity before. */
   stopOrderedAt: number
   /** Target's clock when it confirmed the start, or listed an adopted run, in ms; 0 before. */
@@ -174,11 +180,21 @@
     quotaUsage.remove(placement.task.step, placement.run)
   }
 
-  /** Removes a run that is over although the target has not listed its end. */
-  function giveUp(placement: Placement, reason: string): void {
+  /**
+   * Removes a run that is over although the target has not listed its end.
+   * @param evidence the report that shows it, for the log
+   */
+  function giveUp(placement: Placement, reason: string, evidence: object = {}): void {
     remove(placement)
     const { task, name, run } = placement
-    log.event('runVanished', { task: name, run, target: targetId, reason })
+    log.event('runVanished', {
+      task: name,
+      run,
+      target: targetId,
+      reason,
+      ...startFields(placement),
+      ...evidence,
+    })
     if (!task || (task.targetId !== targetId && task.copy?.targetId !== targetId)) return
     if (placement.checkpoint !== '') task.checkpoint = placement.checkpoint
     book.runVanished(task, targetId)
@@ -311,6 +327,12 @@
   function applyAbsent(report: TargetReport, reportToken: number): void {
     // The ends of missing runs may not have fitted into the report.
     if (!report.listsAllEnds) return
+    const evidence = {
+      reportToken,
+      reportLife: report.lifeStartMs,
+      reportClockMs: report.clockMs,
+      reportRuns: report.runs.length,
+    }
     const reported = new Set(report.runs.map(({ task }) => task))
     for (const placement of [...placements.values()]) {
       if (reported.has(placement.name)) continue
@@ -320,9 +342,10 @@
         giveUp(
           placement,
           placement.isOfEarlierIncarnation ? EARLIER_INCARNATION_OVER : 'never started',
+          evidence,
         )
       else if (confirmed && report.clockMs > placement.confirmedClockMs) {
-        if (authority.isConfirmed()) giveUp(placement, 'no longer listed')
+        if (authority.isConfirmed()) giveUp(placement, 'no longer listed', evidence)
       }
     }
   }
@@ -410,6 +433,14 @@
   }
 }
 
+/** How the start of a run was sent, for the log; empty for a run of a previous owner. */
+export function startFields(placement: Placement): object {
+  const { sentAt, sentToken, sentToLifeMs, forwarders } = placement
+  if (!Number.isFinite(sentAt)) return {}
+  const sentMsAgo = Math.round(monotonicMs() - sentAt)
+  return { token: sentToken, life: sentToLifeMs, forwarders, sentMsAgo }
+}
+
 function createPlacement(task: Task, run: number, state: Placement['state']): Placement {
   return {
     task,
@@ -419,6 +450,9 @@
     isCopy: false,
     mayHaveBegun: state !== 'starting',
     sentAt: -Infinity,
+    sentToken: 0,
+    sentToLifeMs: undefined,
+    forwarders: [],
     stopOrderedAt: -Infinity,
     confirmedClockMs: 0,
     fencedByToken: Infinity,
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -185,6 +185,7 @@
   copyEnded: spec('RS-8085', 'info', 'task has no second run any more'),
   runAdopted: spec('RS-8013', 'info', 'run of a previous owner taken over'),
   runUnwanted: spec('RS-8014', 'warn', 'unwanted run is stopped'),
+  startAccepted: spec('RS-8101', 'info', 'target accepted a start order'),
   startRefused: spec('RS-8015', 'warn', 'target refused to start a task'),
   startFailed: spec('RS-8016', 'warn', 'start order failed'),
   stopFailed: spec('RS-8017', 'warn', 'stop order failed'),
