fix(orders): an order is received by no other incarnation of its target

What callers saw: one task ran on two targets at once while a target restarted under its id.

Cause: an order named its target by id and address, which the next incarnation has too. What refused a late order, a raised token or the lease, is known to one incarnation only: the next one has seen no token, and its clock starts anew, so that the lease of the order counts as valid. A start that lay with a forwarder, in a frozen process or on a connection in the making ran on whatever incarnation was there, after its run had been given up. Likewise a stop or a pace; and a poll whose connection had closed unnoticed acknowledged ends that nobody had heard, and extended a lease by another clock.

Change: an order carries the start of the incarnation that it is for, also through forwarders. A connection belongs to the incarnation that accepted it. Nodes of earlier versions are not chosen as forwarders, as they do not name incarnations.

--- a/src/forwarding/forwardedOrders.ts
+++ b/src/forwarding/forwardedOrders.ts
@@ -13,7 +13,7 @@
 import { AVOID_AFTER_FAILURE_MS, STARTS_AT_ONCE } from './constants.js'
 import type { ForwarderChoice } from './forwarderChoice.js'
 import type { Forwarder, NewCall } from './forwarder.js'
-import { decodeResult, unansweredError } from './messages.js'
+import { decodeResult, unansweredError, withoutEmptyTexts } from './messages.js'
 import type { AnswerValues, CallKind, CalledTarget } from './messages.js'
 
 /** Orders of one kind. */
@@ -95,7 +95,13 @@
     const forwarder = currentForwarder()
     if (!forwarder) return callDirectly(kind, order, timeoutMs)
     lastUsed = forwarder
-    const outcome = await forwarder.call({ kind, target, order, timeoutMs } as NewCall)
+    const sent = withoutEmptyTexts(order)
+    const outcome = await forwarder.call({
+      kind,
+      target,
+      order: sent,
+      timeoutMs,
+    } as NewCall)
     const unanswered = (reason: string) =>
       err(unansweredError(`orders.${kind}`, target.address, reason))
     if (typeof outcome !== 'string') {
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -9,18 +9,27 @@
 /** The target of a call. */
 export type CalledTarget = z.infer<typeof targetSchema>
 
+/** Incarnation that an order is for; undefined from nodes of earlier software versions. */
+const lifeStartMs = z.number().optional()
 const startSchema = z.object({
+  lifeStartMs,
   task: z.string(),
   run: z.number(),
-  spec: z.string(),
+  spec: z.string().default(''),
   leaseUntilMs: z.number(),
   token: z.number(),
-  checkpoint: z.string(),
-  ticket: z.string(),
+  checkpoint: z.string().default(''),
+  ticket: z.string().default(''),
+})
+const stopSchema = z.object({
+  lifeStartMs,
+  task: z.string(),
+  run: z.number(),
+  token: z.number(),
 })
-const stopSchema = z.object({ task: z.string(), run: z.number(), token: z.number() })
 const paceSchema = z.object({ ...stopSchema.shape, percent: z.number() })
 const syncSchema = z.object({
+  lifeStartMs,
   token: z.number(),
   ackedSeq: z.number(),
   leaseUntilMs: z.number().optional(),
@@ -119,6 +128,12 @@
   sync: reportSchema,
 }
 
+/** Leaves out the empty texts of an order, which the schema restores. */
+export function withoutEmptyTexts<T extends object>(order: T): T {
+  const fields = Object.entries(order).filter(([, value]) => value !== '')
+  return Object.fromEntries(fields) as T
+}
+
 /** Creates the error of a call whose answer did not come back. */
 export function unansweredError(step: string, peer: string, reason: string): OrderError {
   return {
--- a/src/node/forwardingService.ts
+++ b/src/node/forwardingService.ts
@@ -19,7 +19,8 @@
 function candidatesOf(registry: NodeRegistry): ForwarderCandidate[] {
   return registry
     .candidates()
-    .filter(({ id, forwardsOrders }) => forwardsOrders && id !== registry.self.id)
+    .filter((each) => each.forwardsOrders && each.callsIncarnations)
+    .filter(({ id }) => id !== registry.self.id)
     .map(({ address, room, owns }) => ({ address, room, owned: owns.length }))
 }
 
--- a/src/ownership/nodeRegistry.ts
+++ b/src/ownership/nodeRegistry.ts
@@ -129,6 +129,7 @@
       leaving: opts.leaving(),
       readsNodeRosters: true,
       forwardsOrders: true,
+      callsIncarnations: true,
     }
     const res = await writer.write(JSON.stringify(row))
     if (res.isErr()) {
--- a/src/ownership/nodeRow.ts
+++ b/src/ownership/nodeRow.ts
@@ -34,6 +34,11 @@
   readsNodeRosters: z.boolean().default(false),
   /** Whether the node calls targets for owners on other nodes. Earlier versions do not. */
   forwardsOrders: z.boolean().default(false),
+  /**
+   * Whether it makes a call only to the incarnation of a target that the call is for. Earlier versions
+   * call whichever answers.
+   */
+  callsIncarnations: z.boolean().default(false),
 })
 /** Contents of a node row. */
 export type NodeRow = z.infer<typeof nodeSchema>
--- a/src/ports/targetOrders.ts
+++ b/src/ports/targetOrders.ts
@@ -73,8 +73,17 @@
 export type StartRefusal =
   'fenced' | 'superseded' | 'expired' | 'full' | 'ticket' | 'other'
 
+/** An order for one incarnation of a target. */
+export interface BoundOrder {
+  /**
+   * Start of the incarnation that the order is for, in ms since 1970. No other one receives it.
+   * Undefined for an order of a node of an earlier software version, which any may receive.
+   */
+  lifeStartMs?: number | undefined
+}
+
 /** A start order. */
-export interface StartOrder {
+export interface StartOrder extends BoundOrder {
   task: string
   run: number
   spec: string
@@ -86,7 +95,7 @@
 }
 
 /** An order to stop a run. */
-export interface StopOrder {
+export interface StopOrder extends BoundOrder {
   task: string
   run: number
   token: number
@@ -117,8 +126,11 @@
 
 export type OrderResult<T> = Promise<Result<T, OrderError>>
 
-/** Renews the leases of everything on the target and reads its state. */
-export interface SyncOrder {
+/**
+ * Renews the leases of everything on the target and reads its state. If another incarnation answers
+ * than the one that the order is for, only its state is read.
+ */
+export interface SyncOrder extends BoundOrder {
   token: number
   /** The target forgets the ends up to this sequence number. */
   ackedSeq: number
--- a/src/scheduler/callWithRetries.ts
+++ b/src/scheduler/callWithRetries.ts
@@ -1,8 +1,7 @@
 /**
  * Retries calls to a target that go unanswered. Orders are idempotent: a start is confirmed if
- * its run exists and refused if the run has ended, also when it arrives late. A target that has
- * restarted carries out a repeated start again, which is safe because all runs of its earlier
- * incarnation are over.
+ * its run exists and refused if the run has ended, also when it arrives late. An order names the
+ * incarnation of the target that it is for, so that none of its calls reaches a later one.
  */
 import type { Result } from 'neverthrow'
 import type { OrderError, OrderResult } from '../ports/index.js'
--- a/src/scheduler/orderSender.ts
+++ b/src/scheduler/orderSender.ts
@@ -77,7 +77,10 @@
   log: Logger
   /** Returns the current fencing token. */
   token(): number
-  /** Start of the incarnation that answers, in ms since 1970; undefined before a report. */
+  /**
+   * Start of the incarnation that may get starts, in ms since 1970; undefined while there is none
+   * whose runs are known.
+   */
   lifeStartMs(): number | undefined
   /** Whether the target's data hall is cordoned, so that no start may be sent. */
   isCordoned(): boolean
@@ -204,13 +207,15 @@
     ticket: string,
   ): Promise<void> {
     const { name, run } = placement
+    const lifeStartMs = opts.lifeStartMs()
     // A hall may be cordoned while the start waits in the queue or for its answer.
     const maySend = (): boolean =>
       runs.placements.get(name) === placement &&
       authority.mayOrder() &&
       !opts.isCordoned() &&
+      opts.lifeStartMs() === lifeStartMs &&
       mayStartCopy(placement)
-    const isWanted = maySend() && !task.step.job.outcome
+    const isWanted = lifeStartMs !== undefined && maySend() && !task.step.job.outcome
     const leaseUntilMs = isWanted ? lease.extend() : undefined
     if (leaseUntilMs === undefined) return undoPlacement(placement)
     const { spec } = task.step.job.spec
@@ -219,8 +224,16 @@
     placement.mayHaveBegun = true
     placement.sentAt = monotonicMs()
     placement.sentToken = sentToken
-    placement.sentToLifeMs = opts.lifeStartMs()
-    const order = { task: name, run, spec, token: sentToken, checkpoint, ticket }
+    placement.sentToLifeMs = lifeStartMs
+    const order = {
+      lifeStartMs,
+      task: name,
+      run,
+      spec,
+      token: sentToken,
+      checkpoint,
+      ticket,
+    }
     const result = await callWithRetries({
       roundTrip,
       send(timeoutMs) {
@@ -354,7 +367,7 @@
 
   async function sendStop(name: string, run: number): Promise<void> {
     if (!authority.mayOrder()) return
-    const order = { task: name, run, token: token() }
+    const order = { lifeStartMs: opts.lifeStartMs(), task: name, run, token: token() }
     const res = await callAsOwner((timeoutMs) => link.stop(order, timeoutMs))
     if (res.isOk()) return
     log.event('stopFailed', { task: name, target: targetId, ...failureFields(res.error) })
@@ -363,7 +376,8 @@
 
   async function sendPace({ name, run }: Placement, percent: number): Promise<void> {
     if (!authority.mayOrder()) return
-    const order = { task: name, run, percent, token: token() }
+    const lifeStartMs = opts.lifeStartMs()
+    const order = { lifeStartMs, task: name, run, percent, token: token() }
     const res = await callAsOwner((timeoutMs) => link.pace(order, timeoutMs))
     if (res.isErr()) opts.failed(res.error)
   }
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -166,7 +166,7 @@
     signal,
     log,
     token,
-    lifeStartMs: () => incarnationStartMs,
+    lifeStartMs: () => (incarnationSwitch ? undefined : incarnationStartMs),
     isCordoned,
     pause: (ms) => void (pausedUntil = monotonicMs() + ms),
     failed: noteFailure,
@@ -210,9 +210,9 @@
   }
 
   /**
-   * Switches to another incarnation. Runs of the earlier one are over, but orders sent to it
-   * may still reach the new one. A raised token makes the new one refuse them, and only reports
-   * under that token are trusted to list all its runs.
+   * Switches to another incarnation. Runs of the earlier one are over, but orders that a node of an
+   * earlier software version was sent may still reach the new one. A raised token makes the new one
+   * refuse them, and only reports under that token are trusted to list all its runs.
    */
   function switchIncarnation(report: TargetReport): void {
     log.event('targetReborn', {
@@ -314,6 +314,7 @@
       // A silent target may take a lease without our seeing its answer. Not extending it
       // keeps the expiry known.
       const leaseUntilMs = isIncarnationKnown ? lease.extend() : undefined
+      const lifeStartMs = isIncarnationKnown ? incarnationStartMs : undefined
       call = {
         token: token(),
         ackedSeq: isIncarnationKnown ? ackedSeq : 0,
@@ -321,8 +322,16 @@
       }
       isIncarnationKnown = false
       const { token: sentToken, ackedSeq: sentSeq } = call
-      const order = { token: sentToken, ackedSeq: sentSeq, leaseUntilMs, waitMs: pollMs }
-      return link.sync(order, timeoutMs)
+      return link.sync(
+        {
+          lifeStartMs,
+          token: sentToken,
+          ackedSeq: sentSeq,
+          leaseUntilMs,
+          waitMs: pollMs,
+        },
+        timeoutMs,
+      )
     }
     const mayRetry = (): boolean => !isGone && authority.mayOrder()
     const sentAt = monotonicMs()
--- a/src/shared/httpClient.ts
+++ b/src/shared/httpClient.ts
@@ -22,14 +22,23 @@
 /** Largest answer that is read, in bytes; a page of the store has at most 1 MB of rows. */
 const MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
+/** Code of the error of a call that is bound to a connection which has closed. */
+const CONNECTION_CLOSED = 'CONNECTION_CLOSED'
+
 /** Error codes that mean that no byte of the request was sent. */
 const UNSENT_CODES = new Set([
+  CONNECTION_CLOSED,
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
 ])
 
+/** Identity of an open connection; the process that accepted it answers all calls over it. */
+export interface HttpConnection {
+  readonly address: string
+}
+
 /** One call to an outside service. */
 export interface HttpCall {
   /** Name of the operation, for errors and metrics. */
@@ -42,6 +51,11 @@
   timeoutMs: number
   /** Received bytes do not extend `timeoutMs`; for calls that must not take effect later. */
   hasFixedTimeout?: boolean
+  /**
+   * Selects the open connections over which the call may be sent, so that it cannot reach another
+   * process than the one that has accepted them. Without such a connection nothing is sent.
+   */
+  over?(connection: HttpConnection): boolean
 }
 
 /** Answer to a call, with any status. */
@@ -49,6 +63,8 @@
   status: number
   /** Parsed JSON; undefined when the answer has no body. */
   body: unknown
+  /** The connection that carried the answer; undefined if it has closed since. */
+  connection: HttpConnection | undefined
 }
 
 /** Called after each answered call with its duration and the bytes of both bodies. */
@@ -66,9 +82,21 @@
 export interface HttpClient {
   /** Fails when no complete answer came; `failure` tells whether it may have taken effect. */
   call(call: HttpCall): Promise<Result<HttpAnswer, PlatformError>>
+  /** Whether an open connection without a call satisfies the condition. */
+  hasIdle(over: (connection: HttpConnection) => boolean): boolean
   close(): void
 }
 
+/** An HTTP client with one connection, which is opened again when it has closed. */
+interface PooledClient {
+  client: Client
+  /** Open sockets; a second one may be opened before the first has closed. */
+  sockets: Set<Socket>
+  connection: HttpConnection | undefined
+  /** Whether the call under way must not open a connection. */
+  isBound: boolean
+}
+
 /** Creates the error of a failed call, with its step and peer. */
 export function callError(
   step: string,
@@ -129,22 +157,17 @@
   const { address } = opts
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
   const isAddressValid = URL.canParse(`http://${address}`)
-  const idle: Client[] = []
-  /** Open clients and their sockets. */
-  const open = new Map<Client, Set<Socket>>()
+  const idle: PooledClient[] = []
+  const open = new Set<PooledClient>()
 
-  const acquire = (): Client => {
-    const kept = idle.pop()
-    if (kept) return kept
+  function openClient(): PooledClient {
     const sockets = new Set<Socket>()
     const client = new Client(`http://${address}`, {
       connect(connectOpts, done) {
+        if (pooled.isBound) return done(connectionClosedError(), null)
         connect(connectOpts, (...res) => {
           const [, socket] = res
-          if (socket) {
-            sockets.add(socket)
-            socket.once('close', () => sockets.delete(socket))
-          }
+          if (socket) noteConnected(pooled, socket)
           done(...res)
         })
       },
@@ -155,29 +178,63 @@
       maxResponseSize: MAX_ANSWER_BYTES,
       pipelining: 1,
     })
-    open.set(client, sockets)
-    return client
+    const pooled: PooledClient = {
+      client,
+      sockets,
+      connection: undefined,
+      isBound: false,
+    }
+    open.add(pooled)
+    return pooled
+  }
+
+  function noteConnected(pooled: PooledClient, socket: Socket): void {
+    const connection: HttpConnection = { address }
+    pooled.connection = connection
+    pooled.sockets.add(socket)
+    socket.once('close', () => {
+      pooled.sockets.delete(socket)
+      if (pooled.connection === connection) pooled.connection = undefined
+    })
   }
 
-  const resetSockets = (client: Client): void => {
-    for (const socket of open.get(client) ?? []) socket.resetAndDestroy()
+  const findIdle = (over: NonNullable<HttpCall['over']>): number =>
+    idle.findLastIndex(({ connection }) => connection !== undefined && over(connection))
+
+  /** Takes a connection from the pool; undefined if a bound call finds none. */
+  function acquire(over: HttpCall['over']): PooledClient | undefined {
+    if (!over) return idle.pop() ?? openClient()
+    const index = findIdle(over)
+    if (index < 0) return undefined
+    const [pooled] = idle.splice(index, 1)
+    if (pooled) pooled.isBound = true
+    return pooled
   }
 
-  const discard = (client: Client): void => {
-    resetSockets(client)
-    open.delete(client)
-    client.destroy().catch(() => undefined)
+  const resetSockets = ({ sockets }: PooledClient): void => {
+    for (const socket of sockets) socket.resetAndDestroy()
   }
 
-  const release = (client: Client): void => {
-    if (idle.length >= opts.connections) discard(client)
-    else idle.push(client)
+  const discard = (pooled: PooledClient): void => {
+    resetSockets(pooled)
+    open.delete(pooled)
+    pooled.client.destroy().catch(() => undefined)
+  }
+
+  const release = (pooled: PooledClient): void => {
+    pooled.isBound = false
+    if (idle.length >= opts.connections) discard(pooled)
+    else idle.push(pooled)
   }
 
   async function call(httpCall: HttpCall): Promise<Result<HttpAnswer, PlatformError>> {
     if (!isAddressValid)
       return err(callError(httpCall.step, address, 'unreachable', 'not an address'))
-    const client = acquire()
+    const pooled = acquire(httpCall.over)
+    if (!pooled) {
+      const reason = 'no connection to the same process is open'
+      return err(callError(httpCall.step, address, 'unreachable', reason))
+    }
     const body = httpCall.body === undefined ? null : JSON.stringify(httpCall.body)
     const headers: Record<string, string> = { ...httpCall.headers }
     if (body !== null) headers['content-type'] = 'application/json'
@@ -185,7 +242,7 @@
     const sentAt = performance.now()
     const abandon = (): void => {
       timedOut = true
-      discard(client)
+      discard(pooled)
     }
     // An abort signal per call would take 1.6 % of an owner's processor time (50 of 3080 ms in
     // a profile of 200 jobs).
@@ -199,14 +256,15 @@
     try {
       const { method, path } = httpCall
       const req = { method, path, headers, body }
-      const { status, text } = await exchange(client, req, onBytes)
+      const { status, text } = await exchange(pooled.client, req, onBytes)
       const tookMs = performance.now() - sentAt
       opts.onTraffic?.(httpCall.step, tookMs, body?.length ?? 0, text.length)
-      const answer = { status, body: parseJsonBody(text) }
-      release(client)
+      const { connection } = pooled
+      const answer = { status, body: parseJsonBody(text), connection }
+      release(pooled)
       return ok(answer)
     } catch (cause) {
-      discard(client)
+      discard(pooled)
       const code = (cause as { code?: string }).code ?? ''
       const failure = UNSENT_CODES.has(code) ? 'unreachable' : 'unknown'
       const reason = timedOut
@@ -220,13 +278,17 @@
 
   return {
     call,
+    hasIdle: (over) => findIdle(over) >= 0,
     close() {
-      for (const client of [...open.keys()]) discard(client)
+      for (const pooled of [...open]) discard(pooled)
       idle.length = 0
     },
   }
 }
 
+const connectionClosedError = (): Error =>
+  Object.assign(new Error('connection has closed'), { code: CONNECTION_CLOSED })
+
 /**
  * Sends a request and collects the whole answer. The dispatch handler takes 0.098 ms of
  * processor time per call, a stream per answer 0.107 ms (means of three runs of 8,000 orders).
