fix(vms): a life is not told as ended once its id is up again

Orders for VMs name the lives that they have ended, by id, for 5 s. A VM that is up again under its id in that time was taken for gone as soon as one call to it was missed: its runs were given up and started elsewhere, while they went on until their lease ended.

Change: a life counts as ended no more once the list shows its id up. The order stays pending as long as before. Found by reading, in the review of orders that outlive a target; vmOrders.spec: 1 of 3 fails before.

--- a/src/vms/vmOrders.ts
+++ b/src/vms/vmOrders.ts
@@ -82,6 +82,8 @@
     const isAway = vm !== undefined && vm.state !== 'up'
     const isOver = vm ? !isAway && vm.targetId !== order.targetId : isGone(name)
     if ((isAway || isOver) && order.targetId !== '') noteEnded(order.targetId)
+    // The next life may be up under the same id.
+    if (!isAway && vm?.targetId === order.targetId) ended.delete(order.targetId)
     if (isAway) order.until = requestedAt + ORDER_VISIBLE_WITHIN_MS
     if (isOver || (vm && requestedAt > order.until)) pending.delete(name)
   }
