fix(scheduler): a former owner takes on no incarnation that it first hears after its lease

What happened: a former owner that had never heard a target, cut off from it or new itself, heard the incarnation after a restart first, took it for usable and started tasks that its successor, which had heard the incarnation before, had started elsewhere.

Cause: an owner goes on after its lease as every target that its successor has called refuses its orders; one that has restarted since does not. Taking on another incarnation waits for a valid lease, but the first report did not.

Change: the first report counts only while the lease is valid. unheardTargets.spec fails before (two runs at once) and passes with the change.

--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -193,6 +193,8 @@
       if (call.sentAt >= incarnationHeardAt) switchIncarnation(report)
       return
     }
+    // A successor may not have called this incarnation yet, which then refuses no order of this owner.
+    if (incarnationStartMs === undefined && !authority.isConfirmed()) return
     incarnationStartMs = report.lifeStartMs
     incarnationHeardAt = Math.min(incarnationHeardAt, monotonicMs())
     lease.noteClock(report.clockMs)
