fix(scheduler): a first report that names no incarnation is no evidence of a restart

The next report, which named it, counted as that of another incarnation, so that runs which had begun lately were recorded as crashed. The report is ignored if the list names the incarnation. unnamedReports.spec: its second test fails before.

--- a/src/scheduler/__tests__/unnamedReports.spec.ts
+++ b/src/scheduler/__tests__/unnamedReports.spec.ts
@@ -44,4 +44,20 @@
     t.is(rig.ledger.entries.filter(({ what }) => what === 'start').length, 4)
     t.is(findGuaranteeViolation(rig.ledger), undefined)
   })
+
+  // The next one, which named it, counted as that of another incarnation: a crash of the target.
+  it('is not the first one of a target whose incarnation is listed', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => rig.stop())
+    const faults = { isUnnamed: true }
+    rig.orders = withUnnamedReports(rig.orders, faults)
+    rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    await sleep(500)
+    faults.isUnnamed = false
+    const job = makeJob({ ms: 20 }, [{ count: 2 }])
+    rig.submit(owner, job)
+    t.true(await rig.waitForOutcomes([job], LIMIT_MS))
+    t.false(rig.log.events.some(({ name }) => name === 'targetReborn'))
+  })
 })
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -186,7 +186,7 @@
   function applyReport(report: TargetReport, call: SentCall): void {
     if (incarnationSwitch || earlierIncarnations.has(report.lifeStartMs)) return
     // It may be that of any incarnation.
-    if (incarnationStartMs && report.lifeStartMs === 0)
+    if ((incarnationStartMs || target.lifeStartMs) && report.lifeStartMs === 0)
       return silence.markSilent('does not name its incarnation')
     if (incarnationStartMs !== undefined && incarnationStartMs !== report.lifeStartMs) {
       // A call sent before this incarnation was heard may have been answered by an earlier one.
