fix(scheduler): a run whose job is unread is kept while the list of ends is full

What happened: a new owner knew a run from its first report before it had read the job. The run ended, and the next report had room for neither it nor its end. The owner forgot the run, and started the task again once it had read the job, after the task was done.

Cause: each report replaced the runs of unread jobs, also one that does not list all ends. Runs with a placement were kept in that case already.

Change: only a report with all ends removes them; an end that is listed removes its run.

--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -79,8 +79,8 @@
    */
   ackableEndSeq(): number
   /**
-   * Number of runs in the last report whose jobs are held, as a row of theirs cannot be read. The
-   * room that they take is unknown.
+   * Number of runs that are present as far as known, and whose jobs are held, as a row of theirs cannot
+   * be read. The room that they take is unknown.
    */
   heldCount(): number
   /** Whether the last report has runs whose jobs are still to be read from the store. */
@@ -155,7 +155,7 @@
   let clockMs = 0
   /** Time of the target's clock at its latest report, in ms. */
   let reportClockMs = 0
-  /** Runs in the last report whose jobs are held, by task name. */
+  /** Runs that are present as far as known, and whose jobs are held, by task name. */
   const heldRuns = new Map<string, ReportedRun>()
   /** Runs in the last report that are unwanted, with their tasks as far as known. */
   const unwantedRuns: { run: number; task: Task | undefined }[] = []
@@ -214,6 +214,8 @@
       if (book.isUnread(end.task)) unreadEnds.push(end)
       const placement = placements.get(end.task)
       if (placement && placement.run <= end.run) remove(placement)
+      const held = heldRuns.get(end.task)
+      if (held && held.run <= end.run) heldRuns.delete(end.task)
       noteUnheardDelay(end.task, silentMs)
       const task = book.applyEnd(targetId, end)
       const { task: name, run, kind } = end
@@ -230,6 +232,7 @@
       book.noteReported(name)
       return void heldRuns.set(name, reported)
     }
+    heldRuns.delete(name)
     const task = book.task(name)
     const wanted = task && (task.phase === 'ready' || task.phase === 'blocked')
     const isCopy = task !== undefined && isInheritedCopy(task, run)
@@ -292,7 +295,8 @@
   }
 
   function applyPresent(report: TargetReport): void {
-    heldRuns.clear()
+    // The ends of missing runs may not have fitted into the report.
+    if (report.listsAllEnds) heldRuns.clear()
     clearUnwanted()
     for (const run of report.runs) {
       const placement = placements.get(run.task)
@@ -366,9 +370,7 @@
     },
     adoptKnown() {
       for (const reported of [...heldRuns.values()]) {
-        if (book.isHeld(reported.task)) continue
-        heldRuns.delete(reported.task)
-        adopt(reported)
+        if (!book.isHeld(reported.task)) adopt(reported)
       }
     },
     unwantedCount: () => unwantedRuns.length,
