fix(scheduler): a run of another number than the one ordered is followed, or stopped

A target that listed a run of a task under another number than its owner had ordered, as after an order of an owner of an earlier version, which names no incarnation, was neither adopted nor stopped: with the lease of its target extended it went on, also after a cancel of the job.

--- a/src/scheduler/targetRuns.ts
+++ b/src/scheduler/targetRuns.ts
@@ -294,13 +294,31 @@
     opts.unwanted(name, run)
   }
 
-  function applyPresent(report: TargetReport): void {
+  /**
+   * Gives up a run for which the target lists another run of the task under a token that its start
+   * would be refused by. Returns whether it did.
+   */
+  function giveUpReplaced(
+    placement: Placement,
+    reported: ReportedRun,
+    reportToken: number,
+  ): boolean {
+    if (placement.run === reported.run || reportToken < placement.fencedByToken)
+      return false
+    giveUp(placement, 'the target has another run of the task', {
+      otherRun: reported.run,
+      reportToken,
+    })
+    return true
+  }
+
+  function applyPresent(report: TargetReport, reportToken: number): void {
     // The ends of missing runs may not have fitted into the report.
     if (report.listsAllEnds) heldRuns.clear()
     clearUnwanted()
     for (const run of report.runs) {
       const placement = placements.get(run.task)
-      if (!placement) adopt(run)
+      if (!placement || giveUpReplaced(placement, run, reportToken)) adopt(run)
       else if (placement.run === run.run) {
         updatePlacement(placement, run)
         noteUnneeded(placement)
@@ -385,7 +403,7 @@
         return false
       }
       reportClockMs = report.clockMs
-      applyPresent(report)
+      applyPresent(report, call.token)
       noteUptimes(report)
       noteUse(report)
       applyAbsent(report, call.token)
