--- a/playground/sim/simFleet.ts
+++ b/playground/sim/simFleet.ts
@@ -2,7 +2,8 @@
 import type { Resources, RowKey } from '../../src/ports/index.js'
 import type { RowTable } from './rowTable.js'
 import { createSimTarget } from './simTarget.js'
-import type { RunLedger, SimTarget, TargetFaults } from './simTarget.js'
+import type { RunLedger } from './runLedger.js'
+import type { SimTarget, TargetFaults } from './simTarget.js'
 import { HOST } from './wire.js'
 
 /** State of a VM's target in the list of targets; `none`: the list has no entry for it. */
--- a/playground/soak/jobView.ts
+++ b/playground/soak/jobView.ts
@@ -1,5 +1,5 @@
 /** State of each job of a run, as observed by its callers and on the targets. */
-import type { LedgerEvent, WatchedEntry } from '../sim/simTarget.js'
+import type { LedgerEvent, WatchedEntry } from '../sim/runLedger.js'
 import type { SoakOrganisation } from './organisations.js'
 
 /** A queue with the settings that callers rely on. */
--- a/playground/soak/runChecks.ts
+++ b/playground/soak/runChecks.ts
@@ -1,5 +1,5 @@
 /** Checks the starts and ends of runs on targets against the guarantees of nodes. */
-import type { WatchedEntry } from '../sim/simTarget.js'
+import type { WatchedEntry } from '../sim/runLedger.js'
 import type { DisturbanceTracker } from './disturbances.js'
 import { countEnds, areDependenciesDone, recordEntry } from './jobView.js'
 import type { JobView, TaskView } from './jobView.js'
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -28,7 +28,8 @@
 import { createRowTable } from '../playground/sim/rowTable.js'
 import { createSimOrders } from '../playground/sim/simLinks.js'
 import { createSimTarget } from '../playground/sim/simTarget.js'
-import type { RunLedger, SimTarget, SimTaskSpec } from '../playground/sim/simTarget.js'
+import type { RunLedger } from '../playground/sim/runLedger.js'
+import type { SimTarget, SimTaskSpec } from '../playground/sim/simTarget.js'
 
 export const SERVICE = 'svc'
 /** Node on which the owners run. */
