test: stand-in links do not pass orders that name another incarnation

An order that names an incarnation and finds another one is not carried out; a sync of it only reads the state. Late orders can lie in the process of the target, with which they end.

--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow'
 import type {
   OrderError,
+  OrderResult,
   StartRefusal,
   TargetLink,
   TargetOrders,
@@ -29,13 +30,19 @@
   return { open: ({ id }) => createSimLink(() => targets.get(id)) }
 }
 
+/** Whether an order that names an incarnation has found another one. */
+function isForAnotherLife(order: object, { lifeStartMs }: SimTarget): boolean {
+  const named = (order as { lifeStartMs?: number }).lifeStartMs
+  return named !== undefined && named !== lifeStartMs
+}
+
 function createSimLink(find: () => SimTarget | undefined): TargetLink {
-  /** Carries out an order subject to the faults of the target. */
+  /** Carries out an order subject to the faults of the target that answers by then. */
   async function execute<T>(timeoutMs: number, action: (target: SimTarget) => T) {
     await sleep(1)
     const target = find()
     if (!target) return err(orderError('gone', 'another incarnation answered'))
-    const { silent, mute, lateMs, isLate } = target.faults
+    const { silent, mute, lateMs, isLate, holdsLateOrders } = target.faults
     const unanswered = async () => {
       await sleep(Math.min(ANSWER_TIMEOUT_MS, timeoutMs))
       return err(orderError('unanswered', 'no answer'))
@@ -43,8 +50,8 @@
     if (silent) return unanswered()
     if (lateMs > 0 && isLate()) {
       setTimeout(() => {
-        // After a restart of the target the late order reaches the new incarnation.
-        const current = find()
+        // After a restart of the target a late order that lies on a link reaches the new incarnation.
+        const current = holdsLateOrders ? target : find()
         if (current && !current.faults.silent) action(current)
       }, lateMs).unref()
       return unanswered()
@@ -54,9 +61,23 @@
     return mute ? unanswered() : ok(answer)
   }
 
+  /** Carries out an order that has no effect on another incarnation than the one it names. */
+  async function executeNamed<T>(
+    order: object,
+    timeoutMs: number,
+    action: (target: SimTarget) => T,
+  ): OrderResult<T> {
+    const res = await execute(timeoutMs, (target) =>
+      isForAnotherLife(order, target) ? undefined : { value: action(target) },
+    )
+    if (res.isErr()) return err(res.error)
+    if (!res.value) return err(orderError('notDone', 'another incarnation answered'))
+    return ok(res.value.value)
+  }
+
   return {
     async start(each, timeoutMs) {
-      const res = await execute(timeoutMs, (target) => ({
+      const res = await executeNamed(each, timeoutMs, (target) => ({
         clockMs: target.clockMs(),
         verdict: target.start({
           task: each.task,
@@ -73,14 +94,23 @@
           : { accepted: false as const, clockMs, reason: REFUSALS[verdict] },
       )
     },
-    stop: ({ task, run, token }, timeoutMs) =>
-      execute(timeoutMs, (target) => target.stop(task, run, token)),
-    pace: ({ task, run, percent, token }, timeoutMs) =>
-      execute(timeoutMs, (target) => target.pace(task, run, percent, token)),
-    async sync({ token, ackedSeq, leaseUntilMs, waitMs }, timeoutMs) {
-      const syncOrder = { token, lastSeen: ackedSeq, untilMs: leaseUntilMs }
+    stop: (order, timeoutMs) =>
+      executeNamed(order, timeoutMs, (target) =>
+        target.stop(order.task, order.run, order.token),
+      ),
+    pace: (order, timeoutMs) =>
+      executeNamed(order, timeoutMs, (target) =>
+        target.pace(order.task, order.run, order.percent, order.token),
+      ),
+    async sync(order, timeoutMs) {
+      const { token, ackedSeq, leaseUntilMs, waitMs } = order
+      /** Of another incarnation than the named one only the state is read. */
+      const syncWith = (target: SimTarget) =>
+        isForAnotherLife(order, target)
+          ? target.sync({ token, lastSeen: 0, untilMs: undefined })
+          : target.sync({ token, lastSeen: ackedSeq, untilMs: leaseUntilMs })
       if (waitMs > 0) {
-        const first = await execute(timeoutMs, (target) => target.sync(syncOrder))
+        const first = await execute(timeoutMs, syncWith)
         if (first.isErr()) return err(first.error)
         const target = find()
         await target?.waitForEnd(waitMs)
@@ -89,7 +119,7 @@
       const res = await execute(timeoutMs, (target) => ({
         lifeStartMs: target.lifeStartMs,
         clockMs: target.clockMs(),
-        report: target.sync(syncOrder),
+        report: syncWith(target),
       }))
       if (res.isErr()) return err(res.error)
       const { lifeStartMs, clockMs, report } = res.value
