test: nodes that freeze, or reach only some targets

A frozen node reads its messages, makes its calls and passes on answers once it is resumed, by when another incarnation may be there.

--- a/test/busyNodes.ts
+++ b/test/busyNodes.ts
@@ -5,6 +5,8 @@
 import type { LimitedProcessor } from '../playground/sim/limitedProcessor.js'
 import { createSlowOrders } from '../playground/sim/slowOrders.js'
 import type { CallCosts } from '../playground/sim/slowOrders.js'
+import { createFreezer, withFreezer } from './frozenOrders.js'
+import type { Freezer } from './frozenOrders.js'
 import {
   CHOICE_INTERVAL_MS,
   MESSAGE_TIMEOUT_MS,
@@ -40,6 +42,8 @@
   isEarlierBuild: boolean
   /** It does not reach the targets. */
   isCutOff: boolean
+  /** Targets that it does not reach, by id. */
+  cutOffFrom: ReadonlySet<string>
 }
 
 const NO_FAULTS: NodeFaults = {
@@ -48,6 +52,7 @@
   lateMs: 0,
   isEarlierBuild: false,
   isCutOff: false,
+  cutOffFrom: new Set(),
 }
 
 /** Another node than the owner. */
@@ -57,6 +62,8 @@
   processor: LimitedProcessor
   /** Replaces the process: calls that the earlier one was asked to make are forgotten. */
   restart(): void
+  /** Its messages, calls and answers lie there while it is frozen. */
+  freezer: Freezer
 }
 
 /** The nodes as the owner sees them. */
@@ -101,11 +108,12 @@
   return {
     open(target) {
       const link = orders.open(target)
+      const isCutOff = () => faults.isCutOff || faults.cutOffFrom.has(target.id)
       return {
-        start: (order, ms) => (faults.isCutOff ? noAnswer(ms) : link.start(order, ms)),
-        stop: (order, ms) => (faults.isCutOff ? noAnswer(ms) : link.stop(order, ms)),
-        pace: (order, ms) => (faults.isCutOff ? noAnswer(ms) : link.pace(order, ms)),
-        sync: (order, ms) => (faults.isCutOff ? noAnswer(ms) : link.sync(order, ms)),
+        start: (order, ms) => (isCutOff() ? noAnswer(ms) : link.start(order, ms)),
+        stop: (order, ms) => (isCutOff() ? noAnswer(ms) : link.stop(order, ms)),
+        pace: (order, ms) => (isCutOff() ? noAnswer(ms) : link.pace(order, ms)),
+        sync: (order, ms) => (isCutOff() ? noAnswer(ms) : link.sync(order, ms)),
         close: () => link.close(),
       }
     },
@@ -140,7 +148,9 @@
 ) {
   const processor = createLimitedProcessor()
   const faults: NodeFaults = { ...NO_FAULTS }
-  const own = createSlowOrders(withCutOff(opts.orders, faults), opts.costs, processor)
+  const freezer = createFreezer()
+  const reached = withFreezer(withCutOff(opts.orders, faults), freezer)
+  const own = createSlowOrders(reached, opts.costs, processor)
   let server = createForwardServer(own)
 
   const failed = (reason: string) => err(callError('test', address, 'unknown', reason))
@@ -154,8 +164,10 @@
     if (faults.isEarlierBuild) return failed('unimplemented')
     const called = server
     if (faults.lateMs > 0) await sleep(faults.lateMs)
+    await freezer.passed()
     await processor.work(MESSAGE_MS + calls.length / CHARS_PER_MS)
     const { life, answers } = await called.handle(session, calls)
+    await freezer.passed()
     if (faults.isMute) await sleep(MESSAGE_TIMEOUT_MS)
     if (called !== server || faults.isDown) return failed('connection reset')
     await sender.work(MESSAGE_MS + answers.length / CHARS_PER_MS)
@@ -173,6 +185,7 @@
     address,
     faults,
     processor,
+    freezer,
     restart() {
       server.stop()
       server = createForwardServer(own)
