--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -20,8 +20,12 @@
   room: 'full',
 }
 
-function orderError(failure: OrderError['failure'], reason: string): OrderError {
-  const props = { step: 'sim.order', peer: 'sim', failure: 'unknown' as const }
+function orderError(
+  failure: OrderError['failure'],
+  reason: string,
+  callFailure: 'unknown' | 'unreachable' = 'unknown',
+): OrderError {
+  const props = { step: 'sim.order', peer: 'sim', failure: callFailure }
   return { failure, reason, cause: new PlatformError(reason, { props }) }
 }
 
@@ -42,11 +46,12 @@
     await sleep(1)
     const target = find()
     if (!target) return err(orderError('gone', 'another incarnation answered'))
-    const { silent, mute, lateMs, isLate, holdsLateOrders } = target.faults
+    const { silent, refuses, mute, lateMs, isLate, holdsLateOrders } = target.faults
     const unanswered = async () => {
       await sleep(Math.min(ANSWER_TIMEOUT_MS, timeoutMs))
       return err(orderError('unanswered', 'no answer'))
     }
+    if (refuses) return err(orderError('notDone', 'connection refused', 'unreachable'))
     if (silent) return unanswered()
     if (lateMs > 0 && isLate()) {
       setTimeout(() => {
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -28,6 +28,8 @@
 export interface TargetFaults {
   /** Orders are neither carried out nor answered. */
   silent: boolean
+  /** Nothing listens at its address. */
+  refuses: boolean
   /** Orders are carried out but not answered. */
   mute: boolean
   /** Delay of the answer to each order, in ms. */
@@ -77,6 +79,9 @@
 /** State of a target, as far as one answer lists it. */
 type SimReport = Pick<TargetReport, 'runs' | 'ends' | 'listsAllEnds'>
 
+/** Longest lease that a target grants, in ms. */
+const MAX_LEASE_MS = 10_000
+
 /** Largest number of ends in one report. */
 const MAX_LISTED_ENDS = 500
 
@@ -157,6 +162,7 @@
   const waiters: (() => void)[] = []
   const faults: TargetFaults = {
     silent: false,
+    refuses: false,
     mute: false,
     delayMs: 0,
     isDelayed: () => true,
@@ -217,7 +223,7 @@
   }
 
   const extendLease = (untilMs: number): void => {
-    leaseUntilMs = Math.max(leaseUntilMs, untilMs)
+    leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, clockMs() + MAX_LEASE_MS))
     clearTimeout(leaseTimer)
     const left = leaseUntilMs - clockMs()
     leaseTimer = setTimeout(() => {
--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -82,6 +82,8 @@
   areNodeRostersRead: boolean
   ledger: RunLedger
   log: ReturnType<typeof createMemoryLogger>
+  /** Node of the owners that are started next. */
+  node: string
   /** How owners reach targets; by default through direct calls in the process. */
   orders: TargetOrders
   /** Organisations with their maxima; undefined for none. */
@@ -199,6 +201,7 @@
     areNodeRostersRead: true,
     ledger,
     log,
+    node: NODE,
     orders: createSimOrders(targets),
     organisations: undefined,
     cordons: new Map(),
@@ -260,7 +263,7 @@
       }
       const authority: Authority = {
         service: SERVICE,
-        node: NODE,
+        node: rig.node,
         term,
         predecessorMayLive,
         predecessorLeaseOverAt: -Infinity,
@@ -278,7 +281,7 @@
         },
       }
       const owner = await createServiceOwner({
-        store: table.forNode(NODE),
+        store: table.forNode(rig.node),
         orders: rig.orders,
         cloud: rig.cloud,
         advice: undefined,
