test: model of targets that restart while orders to them are late

Targets restart once or twice under their id; orders lie in their process, at frozen nodes and in frozen owners; former owners go on in their grace time, mostly without the store.

--- /dev/null
+++ b/test/lives.ts
@@ -0,0 +1,183 @@
+/** Actions of scenarios in which targets restart while orders to their earlier incarnations lie somewhere. */
+import { sleep } from '../src/shared/index.js'
+import { createFreezer, withFreezer } from './frozenOrders.js'
+import type { Freezer } from './frozenOrders.js'
+import { NODE, makeJob } from './jobRig.js'
+import type { JobRig, RigOwner } from './jobRig.js'
+import { findLifeViolation, lifeKey } from './lifeGuarantees.js'
+import { ACTIONS, FORWARDING_ACTIONS, otherNodeAt, targetAt } from './scenarios.js'
+import type { Action, Model, Simulation } from './scenarios.js'
+
+/** Time for which a former owner goes on after its successor has taken over, in ms. */
+export const GRACE_MS = 6000
+/** Time within which a frozen owner has issued the calls that lie there until it is resumed, in ms. */
+const ISSUE_MS = 30
+
+/** What a call meets between two incarnations of a target. */
+type Between = 'silence' | 'refusal' | 'another'
+const BETWEEN: readonly Between[] = ['silence', 'refusal', 'another']
+
+const freezers = new WeakMap<RigOwner, Freezer>()
+
+/** Starts an owner on a node of its own, which can be frozen. */
+export async function startFreezableOwner(
+  rig: JobRig,
+  predecessorMayLive = false,
+): Promise<RigOwner> {
+  const { orders } = rig
+  const freezer = createFreezer()
+  rig.node = `${NODE}${nextNode++}`
+  rig.orders = withFreezer(orders, freezer)
+  const starting = rig.startOwner(predecessorMayLive)
+  rig.orders = orders
+  const owner = await starting
+  freezers.set(owner, freezer)
+  return owner
+}
+
+let nextNode = 1
+
+/** Freezes an owner; it issues no calls a moment later. */
+export async function freezeOwner(owner: RigOwner): Promise<void> {
+  freezers.get(owner)!.freeze()
+  await sleep(ISSUE_MS)
+  owner.live = false
+}
+
+/** Resumes a frozen owner, which may still give orders unless it has lost its service. */
+export function resumeOwner(owner: RigOwner): void {
+  owner.live = owner.lostBecause === undefined
+  freezers.get(owner)!.resume()
+}
+
+/** Ends an incarnation of a target. */
+export function endLife(rig: JobRig, id: string, between: Between = 'silence'): void {
+  const target = rig.targets.get(id)
+  target?.crash()
+  if (target && between === 'refusal') target.faults.refuses = true
+  if (between === 'another' && rig.targets.size > 1) rig.targets.delete(id)
+}
+
+/** Starts the next incarnation of a target, whose clock and end numbers start anew. */
+export function beginLife(rig: JobRig, id: string, initialClockMs = 10) {
+  return rig.addTarget(id, {}, { maxListedEnds: 3, initialClockMs })
+}
+
+/** Restarts a target; the list may show the earlier incarnation for a while longer. */
+async function restart(sim: Simulation, id: string, pick: number): Promise<void> {
+  const { rig, dead } = sim
+  const isOver = (): boolean => dead.has(id)
+  if (isOver() || !rig.listed.has(id)) return
+  endLife(rig, id, BETWEEN[pick % BETWEEN.length])
+  await sleep(30 * pick)
+  if (isOver()) return
+  const earlier = rig.listed.get(id)
+  beginLife(rig, id, pick % 2 ? 10 : 1000)
+  const entry = rig.listed.get(id)!
+  if (pick % 4 !== 0 || !earlier) return
+  rig.setListEntry(earlier)
+  await sleep(50 * pick)
+  if (!isOver() && rig.listed.get(id) === earlier) rig.setListEntry(entry)
+}
+
+/** Ends the lease of the owner, which goes on for a while; mostly it does not reach the store. */
+function beginGrace({ rig, owner }: Simulation, pick: number, ms: number): void {
+  const { refusedNodes } = rig.table.faults
+  const { node } = rig
+  owner.confirmed = false
+  if (pick % 4) refusedNodes.add(node)
+  setTimeout(() => {
+    owner.live = false
+    refusedNodes.delete(node)
+  }, ms)
+}
+
+const LIFE_ACTIONS = {
+  ...ACTIONS,
+  submit(sim: Simulation, pick: number) {
+    const steps = pick % 2 ? [{ count: 3 }, { count: 2, after: [0] }] : [{ count: 4 }]
+    const job = makeJob({ ms: 40 + (pick % 7) * 200, cpu: 500 }, steps)
+    sim.jobs.push(job)
+    sim.rig.submit(sim.owner, job)
+  },
+  silence(sim: Simulation, pick: number) {
+    const { id, lifeStartMs, faults } = targetAt(sim, pick)
+    sim.unreachable.add(lifeKey({ target: id, lifeStartMs }))
+    faults.silent = true
+  },
+  reborn(sim: Simulation, pick: number) {
+    void restart(sim, targetAt(sim, pick).id, pick)
+  },
+  rebornTwice(sim: Simulation, pick: number) {
+    const { id } = targetAt(sim, pick)
+    void restart(sim, id, pick)
+      .then(() => sleep(30 * ((pick * 8) % 21)))
+      .then(() => restart(sim, id, (pick * 5) % 21))
+  },
+  someLate(sim: Simulation, pick: number) {
+    const { faults } = targetAt(sim, pick)
+    let orders = pick
+    faults.holdsLateOrders = true
+    faults.isLate = () => ++orders % 3 === 0
+    faults.lateMs = 500 + pick * 575
+  },
+  /** The owner is frozen for less than its lease, and no other takes over. */
+  async ownerFreezes({ owner }: Simulation, pick: number) {
+    await freezeOwner(owner)
+    setTimeout(() => resumeOwner(owner), 500 + pick * 20)
+  },
+  /** The owner goes on in its grace time, without access to the store, while targets restart. */
+  async takeOver(sim: Simulation, pick: number) {
+    const { rig } = sim
+    beginGrace(sim, pick, (GRACE_MS / 20) * pick)
+    if (pick % 3) setTimeout(() => LIFE_ACTIONS.reborn(sim, pick + 1), pick * 20)
+    sim.owner = await startFreezableOwner(rig, true)
+    if (pick % 2) LIFE_ACTIONS.reborn(sim, pick)
+  },
+  /** The owner is frozen, and resumed while its successor is at work and targets restart. */
+  async takeOverFromFrozen(sim: Simulation, pick: number) {
+    const { rig, owner: former } = sim
+    await freezeOwner(former)
+    beginGrace(sim, pick, GRACE_MS)
+    setTimeout(() => resumeOwner(former), 500 + pick * 275)
+    if (pick % 2) LIFE_ACTIONS.rebornTwice(sim, pick)
+    sim.owner = await startFreezableOwner(rig, true)
+    if (pick % 3) LIFE_ACTIONS.rebornTwice(sim, pick + 1)
+  },
+} satisfies Record<string, Action>
+
+/** The same while targets are called through other nodes, some of which freeze. */
+const FORWARDED_LIFE_ACTIONS = {
+  ...FORWARDING_ACTIONS,
+  ...LIFE_ACTIONS,
+  nodeFreezes(sim: Simulation, pick: number) {
+    const { freezer } = otherNodeAt(sim, pick)
+    freezer.freeze()
+    setTimeout(freezer.resume, 500 + pick * 375)
+  },
+  nodeFreezesAsTargetRestarts(sim: Simulation, pick: number) {
+    FORWARDED_LIFE_ACTIONS.nodeFreezes(sim, pick)
+    LIFE_ACTIONS.submit(sim, pick)
+    setTimeout(() => LIFE_ACTIONS.rebornTwice(sim, pick + 1), 50 + pick * 10)
+  },
+  nodeMissesSome(sim: Simulation, pick: number) {
+    const ids = [...sim.rig.targets.keys()]
+    otherNodeAt(sim, pick).faults.cutOffFrom = new Set([ids[pick % ids.length]!])
+  },
+} satisfies Record<string, Action>
+
+/** Longest time for which an order lies somewhere, in ms. */
+const MAX_HELD_MS = 12_500
+
+const LIFE_MODEL = {
+  afterMs: MAX_HELD_MS,
+  findViolation: ({ rig, unreachable }: Simulation) =>
+    findLifeViolation(rig.ledger, unreachable),
+  start: (rig: JobRig) => startFreezableOwner(rig),
+}
+
+/** Models in which targets restart under their id. */
+export const LIFE_MODELS = {
+  direct: { ...LIFE_MODEL, actions: LIFE_ACTIONS },
+  forwarded: { ...LIFE_MODEL, actions: FORWARDED_LIFE_ACTIONS, forwards: true },
+} satisfies Record<string, Model>
