test: sequences in which an order reaches a later incarnation of its target

Found with the model of restarting targets and reduced. An ended incarnation of the stand-in stays silent, which an action of the model had undone.

--- a/playground/sim/simLinks.ts
+++ b/playground/sim/simLinks.ts
@@ -52,12 +52,12 @@
       return err(orderError('unanswered', 'no answer'))
     }
     if (refuses) return err(orderError('notDone', 'connection refused', 'unreachable'))
-    if (silent) return unanswered()
+    if (silent || target.hasCrashed) return unanswered()
     if (lateMs > 0 && isLate()) {
       setTimeout(() => {
         // After a restart of the target a late order that lies on a link reaches the new incarnation.
         const current = holdsLateOrders ? target : find()
-        if (current && !current.faults.silent) action(current)
+        if (current && !current.faults.silent && !current.hasCrashed) action(current)
       }, lateMs).unref()
       return unanswered()
     }
--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -93,6 +93,7 @@
   /** Start of this incarnation in monotonic time, in ms. */
   readonly startedAt: number
   faults: TargetFaults
+  readonly hasCrashed: boolean
   /** Clock of the target, against which leases are checked, in ms. */
   clockMs(): number
   start(order: {
@@ -260,6 +261,9 @@
     lifeStartMs,
     startedAt,
     faults,
+    get hasCrashed() {
+      return hasCrashed
+    },
     clockMs,
     start({ task, run, spec, untilMs, token, checkpoint }) {
       if (isFenced(token)) return 'fence'
--- a/test/lives.ts
+++ b/test/lives.ts
@@ -60,6 +60,7 @@
 
 /** Starts the next incarnation of a target, whose clock and end numbers start anew. */
 export function beginLife(rig: JobRig, id: string, initialClockMs = 10) {
+  rig.targets.get(id)?.crash()
   return rig.addTarget(id, {}, { maxListedEnds: 3, initialClockMs })
 }
 
