test: more sequences of former owners and a frozen forwarder

A former owner that has never heard the earlier incarnation places a task on the next one; a node that calls targets for an owner makes its call when it is resumed.

--- a/src/scheduler/__tests__/incarnations.spec.ts
+++ b/src/scheduler/__tests__/incarnations.spec.ts
@@ -1,5 +1,6 @@
 /** Guards against a second run of a task through an order that reaches a later incarnation. */
 import type { ExecutionContext } from 'ava'
+import { createBusyNodes } from '../../../test/busyNodes.js'
 import { describe, it } from '../../../test/describe.js'
 import { createJobRig, makeJob } from '../../../test/jobRig.js'
 import type { JobRig, RigOwner } from '../../../test/jobRig.js'
@@ -31,9 +32,15 @@
 }
 
 /** Starts an owner on a node of its own, whose calls go through a path of its own. */
-async function startOwner(rig: JobRig, node: string, predecessorMayLive = false) {
+async function startOwner(
+  rig: JobRig,
+  node: string,
+  predecessorMayLive = false,
+  lost: string[] = [],
+) {
   const { orders } = rig
   const relay = createRelay(orders)
+  for (const id of lost) relay.lost.add(id)
   rig.node = node
   rig.orders = relay.orders
   const starting = rig.startOwner(predecessorMayLive)
@@ -71,12 +78,15 @@
 const hasEvent = (rig: JobRig, name: string): boolean =>
   rig.log.events.some((each) => each.name === name)
 
-/** Lets what is held arrive before any other call does. */
-async function releaseFirst(held: Relay, ...others: Relay[]): Promise<void> {
-  for (const { lost } of [held, ...others]) lost.add('t1')
-  held.release()
+/** Lets what is held go on before an owner hears the target. */
+async function releaseFirst(...relays: [Relay, ...Relay[]]): Promise<void> {
+  for (const { lostSyncs } of relays) lostSyncs.add('t1')
+  relays[0].release()
   await sleep(ARRIVAL_MS)
-  for (const { lost } of [held, ...others]) lost.delete('t1')
+  for (const { lost, lostSyncs } of relays) {
+    lost.clear()
+    lostSyncs.clear()
+  }
 }
 
 async function checkEnd(t: ExecutionContext, rig: JobRig, job: JobSpec): Promise<void> {
@@ -137,6 +147,42 @@
   })
 })
 
+describe('node that calls targets for an owner and freezes', () => {
+  it('starts nothing when it is resumed after the target has restarted twice', async (t) => {
+    const rig = createRig(t)
+    const direct = createRelay(rig.orders)
+    const costs = { startMs: 0, reportMs: 0 }
+    const nodes = createBusyNodes({
+      orders: rig.orders,
+      direct: direct.orders,
+      costs,
+      others: 1,
+      askFromShare: 0,
+    })
+    t.teardown(nodes.stop)
+    rig.orders = nodes.orders
+    rig.addTarget('t1')
+    const owner = await rig.startOwner()
+    await until(t, 'forwarded', () => nodes.forwarders() > 0)
+    const { freezer } = nodes.others[0]!
+    freezer.freeze()
+    const job = makeJob({ ms: LONG_MS }, [{ count: 1 }])
+    rig.submit(owner, job)
+    await until(t, 'direct retry', () => hasRunOn(rig, job, 't1'))
+    rig.addTarget('t2')
+    endLife(rig, 't1')
+    beginDrainedLife(rig, 't1')
+    await until(t, 'run elsewhere', () => hasRunOn(rig, job, 't2'))
+    direct.lost.add('t1')
+    endLife(rig, 't1')
+    beginDrainedLife(rig, 't1')
+    freezer.resume()
+    await sleep(2 * ARRIVAL_MS)
+    direct.lost.clear()
+    await checkEnd(t, rig, job)
+  })
+})
+
 describe('former owner in its grace time', () => {
   it('starts nothing through a held order on an incarnation that its successor has not called', async (t) => {
     const rig = createRig(t)
@@ -192,10 +238,14 @@
     await checkEnd(t, rig, job)
   })
 
-  it('places nothing on an incarnation that only it has heard', async (t) => {
+  /** The former owner, cut off from its targets, hears the later incarnation of one first. */
+  async function hearFirst(t: ExecutionContext, hasHeardEarlier: boolean): Promise<void> {
     const rig = createRig(t)
     const { lifeStartMs } = rig.addTarget('t1')
-    const former = await startOwner(rig, 'n1')
+    const lost = hasHeardEarlier ? [] : ['t1']
+    const former = await startOwner(rig, 'n1', false, lost)
+    if (hasHeardEarlier)
+      await until(t, 'earlier heard', () => hasEvent(rig, 'targetHeard'))
     former.relay.lost.add('t1').add('t2')
     const laterStartMs = lifeStartMs + 10_000
     rig.setListEntry({ ...rig.listed.get('t1')!, lifeStartMs: laterStartMs })
@@ -215,7 +265,13 @@
     await sleep(600)
     next.relay.lost.clear()
     await checkEnd(t, rig, job)
-  })
+  }
+
+  it('places nothing on a later incarnation of a target that it has heard', (t) =>
+    hearFirst(t, true))
+
+  it('places nothing on a later incarnation of a target that it has never heard', (t) =>
+    hearFirst(t, false))
 })
 
 describe('acknowledgement of ends', () => {
--- a/test/busyNodes.ts
+++ b/test/busyNodes.ts
@@ -82,6 +82,8 @@
 export interface BusyNodesOptions {
   /** Calls to targets that take no time. */
   orders: TargetOrders
+  /** Calls that the owner makes itself; by default the same. */
+  direct?: TargetOrders
   /** Processor time of the calls to targets, for the node that makes them. */
   costs: CallCosts
   /** Number of nodes besides the owner. */
@@ -228,7 +230,7 @@
   }
 
   const forwarded = createForwardedOrders({
-    direct: createSlowOrders(orders, costs, processor),
+    direct: createSlowOrders(opts.direct ?? orders, costs, processor),
     choice,
   })
   return {
--- a/test/relay.ts
+++ b/test/relay.ts
@@ -17,6 +17,8 @@
   holdsAnswers: Set<CallKind>
   /** Targets to which calls are lost. */
   lost: Set<string>
+  /** Targets to which calls for reports are lost. */
+  lostSyncs: Set<string>
   /** Number of calls and answers that are held. */
   held(): number
   /** Makes the calls that are held; they reach whichever incarnation of their target is there. */
@@ -32,6 +34,7 @@
     holds: new Set(),
     holdsAnswers: new Set(),
     lost: new Set(),
+    lostSyncs: new Set(),
     held: () => held.length,
     release() {
       relay.holds.clear()
@@ -52,7 +55,8 @@
     kind: CallKind,
     call: () => OrderResult<T>,
   ): OrderResult<T> {
-    if (relay.lost.has(id)) return unanswered()
+    if (relay.lost.has(id) || (kind === 'sync' && relay.lostSyncs.has(id)))
+      return unanswered()
     if (relay.holds.has(kind)) {
       held.push(() => void call())
       return unanswered()
