test: a run that ends while its job is unread and the report is full

A new owner knows a run from the first, complete report; a later report has room for neither the run nor its end, and the owner forgets the run, so that it starts the task again once it has read the job.

--- a/src/scheduler/__tests__/unlistedEnds.spec.ts
+++ b/src/scheduler/__tests__/unlistedEnds.spec.ts
@@ -88,6 +88,33 @@
     await resolved(clock, rig.stop())
   })
 
+  // A run was known from the first report; a later one had room for neither the run nor its end.
+  itInVirtualTime(
+    'starts no task again whose end is not listed while its job is unread',
+    async (t, clock) => {
+      const rig = createJobRig()
+      rig.addTarget('t1', {}, { maxListedEnds: 3 })
+      const owner = await resolved(clock, rig.startOwner())
+      const jobs = [
+        makeJob({ ms: 3000, cpu: 1 }, [{ count: 3 }]),
+        makeJob({ ms: 4000, cpu: 1 }, [{ count: 1 }]),
+      ]
+      for (const job of jobs) rig.submit(owner, job)
+      await clock.advance(500)
+      t.is(startsOf(rig), 4)
+      await resolved(clock, leave(owner))
+      const { refusedParts } = rig.table.faults
+      for (const { queue, id } of jobs) refusedParts.add(intakeKey(queue, id).part)
+      void rig.startOwner()
+      await clock.advance(4500)
+      refusedParts.clear()
+      await clock.advance(NOTING_MS)
+      t.is(findGuaranteeViolation(rig.ledger), undefined)
+      t.is(startsOf(rig), 4)
+      await resolved(clock, rig.stop())
+    },
+  )
+
   itInVirtualTime('starts a task again that vanished', async (t, clock) => {
     const { rig, job } = await startAndLeave(clock, 10, 100)
     rig.targets.delete('t1')
