test: held starts and missed targets in the model of restarts

Starts of a moment lie on their way while their targets restart, an owner misses one target, and no former owner outlives its grace time.

--- a/test/lives.ts
+++ b/test/lives.ts
@@ -1,5 +1,7 @@
 /** Actions of scenarios in which targets restart while orders to their earlier incarnations lie somewhere. */
 import { sleep } from '../src/shared/index.js'
+import { createRelay } from './relay.js'
+import type { Relay } from './relay.js'
 import { createFreezer, withFreezer } from './frozenOrders.js'
 import type { Freezer } from './frozenOrders.js'
 import { NODE, makeJob } from './jobRig.js'
@@ -13,28 +15,47 @@
 /** Time within which a frozen owner has issued the calls that lie there until it is resumed, in ms. */
 const ISSUE_MS = 30
 
+/** Time for which an owner does not reach a target from its start, in ms. */
+const MISSED_MS = 1500
+
 /** What a call meets between two incarnations of a target. */
 type Between = 'silence' | 'refusal' | 'another'
 const BETWEEN: readonly Between[] = ['silence', 'refusal', 'another']
 
 const freezers = new WeakMap<RigOwner, Freezer>()
-
-/** Starts an owner on a node of its own, which can be frozen. */
+const relays = new WeakMap<RigOwner, Relay>()
+/** Owners whose grace time is over. */
+const ended = new WeakSet<RigOwner>()
+
+/**
+ * Starts an owner on a node of its own, which can be frozen.
+ * @param missedId target that it does not reach for a while
+ */
 export async function startFreezableOwner(
   rig: JobRig,
   predecessorMayLive = false,
+  missedId?: string,
 ): Promise<RigOwner> {
   const { orders } = rig
   const freezer = createFreezer()
+  const relay = createRelay(orders)
+  if (missedId !== undefined) miss(relay, missedId, MISSED_MS)
   rig.node = `${NODE}${nextNode++}`
-  rig.orders = withFreezer(orders, freezer)
+  rig.orders = withFreezer(relay.orders, freezer)
   const starting = rig.startOwner(predecessorMayLive)
   rig.orders = orders
   const owner = await starting
   freezers.set(owner, freezer)
+  relays.set(owner, relay)
   return owner
 }
 
+/** Has all calls to a target be lost for a while. */
+function miss(relay: Relay, id: string, ms: number): void {
+  relay.lost.add(id)
+  setTimeout(() => relay.lost.delete(id), ms)
+}
+
 let nextNode = 1
 
 /** Freezes an owner; it issues no calls a moment later. */
@@ -44,9 +65,9 @@
   owner.live = false
 }
 
-/** Resumes a frozen owner, which may still give orders unless it has lost its service. */
+/** Resumes a frozen owner, which may give orders unless its grace time is over. */
 export function resumeOwner(owner: RigOwner): void {
-  owner.live = owner.lostBecause === undefined
+  owner.live = owner.lostBecause === undefined && !ended.has(owner)
   freezers.get(owner)!.resume()
 }
 
@@ -88,6 +109,7 @@
   owner.confirmed = false
   if (pick % 4) refusedNodes.add(node)
   setTimeout(() => {
+    ended.add(owner)
     owner.live = false
     refusedNodes.delete(node)
   }, ms)
@@ -122,6 +144,19 @@
     faults.isLate = () => ++orders % 3 === 0
     faults.lateMs = 500 + pick * 575
   },
+  ownerMissesTarget({ rig, owner }: Simulation, pick: number) {
+    const ids = [...rig.targets.keys()]
+    miss(relays.get(owner)!, ids[pick % ids.length]!, 200 + pick * 100)
+  },
+  /** Starts of a moment lie on the way to their targets, which restart meanwhile. */
+  startsLie(sim: Simulation, pick: number) {
+    const relay = relays.get(sim.owner)!
+    relay.holds.add('start')
+    LIFE_ACTIONS.submit(sim, pick)
+    setTimeout(() => relay.holds.delete('start'), 30 + pick * 40)
+    setTimeout(relay.release, 500 + pick * 575)
+    if (pick % 3) setTimeout(() => LIFE_ACTIONS.rebornTwice(sim, pick), pick * 30)
+  },
   /** The owner is frozen for less than its lease, and no other takes over. */
   async ownerFreezes({ owner }: Simulation, pick: number) {
     await freezeOwner(owner)
@@ -132,12 +167,15 @@
     const { rig } = sim
     beginGrace(sim, pick, (GRACE_MS / 20) * pick)
     if (pick % 3) setTimeout(() => LIFE_ACTIONS.reborn(sim, pick + 1), pick * 20)
-    sim.owner = await startFreezableOwner(rig, true)
+    if (pick % 2) LIFE_ACTIONS.submit(sim, pick)
+    const missed = pick % 5 === 0 ? targetAt(sim, pick).id : undefined
+    sim.owner = await startFreezableOwner(rig, true, missed)
     if (pick % 2) LIFE_ACTIONS.reborn(sim, pick)
   },
   /** The owner is frozen, and resumed while its successor is at work and targets restart. */
   async takeOverFromFrozen(sim: Simulation, pick: number) {
     const { rig, owner: former } = sim
+    LIFE_ACTIONS.submit(sim, pick)
     await freezeOwner(former)
     beginGrace(sim, pick, GRACE_MS)
     setTimeout(() => resumeOwner(former), 500 + pick * 275)
@@ -171,6 +209,8 @@
 const MAX_HELD_MS = 12_500
 
 const LIFE_MODEL = {
+  // Tasks may be taken for the cause of crashes.
+  failing: ['failed', 'killed'] as const,
   afterMs: MAX_HELD_MS,
   findViolation: ({ rig, unreachable }: Simulation) =>
     findLifeViolation(rig.ledger, unreachable),
--- a/test/scenarios.ts
+++ b/test/scenarios.ts
@@ -5,6 +5,7 @@
 import type { JobSpec } from '../src/jobs/index.js'
 import { DEFAULT_STORE_LIMITS } from '../src/ports/index.js'
 import { sleep } from '../src/shared/index.js'
+import type { LedgerEvent } from '../playground/sim/runLedger.js'
 import { createBusyNodes } from './busyNodes.js'
 import type { BusyNodes, OtherNode } from './busyNodes.js'
 import { QUEUE, createJobRig, findGuaranteeViolation, makeJob } from './jobRig.js'
@@ -197,6 +198,7 @@
     forwards = false,
     isScarce = false,
     afterMs = 0,
+    failing = ['failed'],
     findViolation = findTargetViolation,
     start = (each) => each.startOwner(),
   }: Model,
@@ -255,7 +257,7 @@
   if (!settled) return 'jobs are not settled'
   const failures = new Map<string, number>()
   for (const { what, task } of rig.ledger.entries)
-    if (what === 'failed') failures.set(task, (failures.get(task) ?? 0) + 1)
+    if (failing.includes(what)) failures.set(task, (failures.get(task) ?? 0) + 1)
   const hasUsedUpAttempts = ({ id }: JobSpec): boolean =>
     [...failures].some(
       ([task, count]) => task.startsWith(id) && count >= QUEUE.maxAttempts,
@@ -279,6 +281,8 @@
   isScarce?: boolean
   /** Receives the number of copies that a scenario has ordered. */
   noteCopies?(count: number): void
+  /** Events that count as failed attempts of a task; only failed ends by default. */
+  failing?: readonly LedgerEvent[]
   /** Time after the end of all jobs in which what was still under way takes effect, in ms. */
   afterMs?: number
   /**
