test: one report that names no incarnation

Its owner takes incarnation 0 for a later one and ignores the present one as earlier from then on, so that the end of the run is not heard within 15 s.

--- a/src/scheduler/__tests__/incarnations.spec.ts
+++ b/src/scheduler/__tests__/incarnations.spec.ts
@@ -274,6 +274,33 @@
     hearFirst(t, false))
 })
 
+describe('report that names no incarnation', () => {
+  it('does not stand for another incarnation, so that the present one is heard', async (t) => {
+    const rig = createRig(t)
+    rig.addTarget('t1')
+    const { orders } = rig
+    let unnamed = 0
+    rig.orders = {
+      open(target) {
+        const link = orders.open(target)
+        return {
+          ...link,
+          async sync(order, ms) {
+            const res = await link.sync(order, ms)
+            return unnamed-- > 0 ? res.map((each) => ({ ...each, lifeStartMs: 0 })) : res
+          },
+        }
+      },
+    }
+    const owner = await rig.startOwner()
+    const job = makeJob({ ms: LONG_MS }, [{ count: 1 }])
+    rig.submit(owner, job)
+    await until(t, 'run', () => hasEvent(rig, 'startAccepted'))
+    unnamed = 1
+    await checkEnd(t, rig, job)
+  })
+})
+
 describe('acknowledgement of ends', () => {
   it('leaves those of a later incarnation, so that no task is done twice', async (t) => {
     const rig = createRig(t)
