--- a/src/scheduler/__tests__/incarnations.spec.ts
+++ b/src/scheduler/__tests__/incarnations.spec.ts
@@ -120,6 +120,22 @@
     await checkEnd(t, rig, job)
   })
 
+  it('starts nothing again on the next incarnation after its retry is done', async (t) => {
+    const rig = createRig(t)
+    rig.addTarget('t1')
+    const { owner, relay } = await startOwner(rig, 'n1')
+    relay.holds.add('start')
+    const job = makeJob({ ms: 20 }, [{ count: 1 }])
+    rig.submit(owner, job)
+    await until(t, 'start held', () => relay.held() > 0)
+    relay.holds.clear()
+    t.true(await rig.waitForOutcomes([job], STEP_LIMIT_MS))
+    endLife(rig, 't1')
+    beginLife(rig, 't1')
+    await releaseFirst(relay)
+    await checkEnd(t, rig, job)
+  })
+
   it('starts nothing after its target has restarted twice', async (t) => {
     const { rig, relay, job } = await holdStart(t)
     relay.holds.clear()
--- a/test/lives.ts
+++ b/test/lives.ts
@@ -172,6 +172,21 @@
     sim.owner = await startFreezableOwner(rig, true, missed)
     if (pick % 2) LIFE_ACTIONS.reborn(sim, pick)
   },
+  /** Starts wait in the queues of a former owner for answers that lie on their way. */
+  async takeOverWithQueues(sim: Simulation, pick: number) {
+    const relay = relays.get(sim.owner)!
+    relay.holdsAnswers.add('start')
+    for (let each = 0; each < 3; each++) LIFE_ACTIONS.submit(sim, pick + each)
+    await sleep(ISSUE_MS)
+    beginGrace(sim, pick, GRACE_MS)
+    const { id } = targetAt(sim, pick)
+    setTimeout(() => {
+      LIFE_ACTIONS.reborn(sim, pick % 6)
+      setTimeout(relay.release, (pick % 6) * 40)
+    }, 400)
+    sim.owner = await startFreezableOwner(sim.rig, true)
+    if (pick % 2) miss(relays.get(sim.owner)!, id, MISSED_MS)
+  },
   /** The owner is frozen, and resumed while its successor is at work and targets restart. */
   async takeOverFromFrozen(sim: Simulation, pick: number) {
     const { rig, owner: former } = sim
