--- a/test/jobRig.ts
+++ b/test/jobRig.ts
@@ -28,7 +28,8 @@
 import { createRowTable } from '../playground/sim/rowTable.js'
 import { createSimOrders } from '../playground/sim/simLinks.js'
 import { createSimTarget } from '../playground/sim/simTarget.js'
-import type { RunLedger, SimTarget, SimTaskSpec } from '../playground/sim/simTarget.js'
+import type { RunLedger } from '../playground/sim/runLedger.js'
+import type { SimTarget, SimTaskSpec } from '../playground/sim/simTarget.js'
 
 export const SERVICE = 'svc'
 /** Node on which the owners run. */
@@ -81,6 +82,8 @@
   areNodeRostersRead: boolean
   ledger: RunLedger
   log: ReturnType<typeof createMemoryLogger>
+  /** Node of the owners that are started next. */
+  node: string
   /** How owners reach targets; by default through direct calls in the process. */
   orders: TargetOrders
   /** Organisations with their maxima; undefined for none. */
@@ -198,6 +201,7 @@
     areNodeRostersRead: true,
     ledger,
     log,
+    node: NODE,
     orders: createSimOrders(targets),
     organisations: undefined,
     cordons: new Map(),
@@ -259,7 +263,7 @@
       }
       const authority: Authority = {
         service: SERVICE,
-        node: NODE,
+        node: rig.node,
         term,
         predecessorMayLive,
         predecessorLeaseOverAt: -Infinity,
@@ -277,7 +281,7 @@
         },
       }
       const owner = await createServiceOwner({
-        store: table.forNode(NODE),
+        store: table.forNode(rig.node),
         orders: rig.orders,
         cloud: rig.cloud,
         advice: undefined,
