fix(scheduler): an owner that may not hear a target does not call it without a pause

A former owner leaves the first report of a target unused, and a report that names no incarnation counts for nothing. After such an answer it called the target again at once: hundreds of calls a second until a target refused its token, by which it lost its service before its time.

--- a/src/scheduler/__tests__/formerOwner.spec.ts
+++ b/src/scheduler/__tests__/formerOwner.spec.ts
@@ -6,6 +6,8 @@
 
 /** Time in which an owner hears a target that is added, and starts a task there, in ms. */
 const HEARD_MS = 800
+/** Calls in that time: one for each pause after a call that failed, which is 150 ms. */
+const MAX_CALLS = 6
 /** Time within which jobs end, in ms. */
 const LIMIT_MS = 12_000
 
@@ -54,4 +56,27 @@
     t.true(await rig.waitForOutcomes([job], LIMIT_MS))
     t.is(findGuaranteeViolation(rig.ledger), undefined)
   })
+
+  // It called the target again as soon as each answer had come, as no answer counted.
+  it('does not call such a target without a pause', async (t) => {
+    const rig = createJobRig()
+    t.teardown(() => rig.stop())
+    const direct = rig.orders
+    let calls = 0
+    rig.orders = {
+      open(target) {
+        const link = direct.open(target)
+        const sync: typeof link.sync = (order, timeoutMs) => {
+          calls++
+          return link.sync(order, timeoutMs)
+        }
+        return { ...link, sync }
+      },
+    }
+    const former = await rig.startOwner()
+    former.confirmed = false
+    rig.addTarget('t1')
+    await sleep(HEARD_MS)
+    t.true(calls <= MAX_CALLS)
+  })
 })
--- a/src/scheduler/targetAgent.ts
+++ b/src/scheduler/targetAgent.ts
@@ -183,18 +183,24 @@
     }
   }
 
+  /**
+   * Whether the target may be heard for the first time. Its incarnation refuses orders of this owner if a
+   * successor has called it, and a successor may not have called it yet once the lease has ended.
+   */
+  const mayBeHeard = (): boolean =>
+    incarnationStartMs !== undefined || authority.isConfirmed()
+
+  /** Whether a report tells which incarnation it is of, if that is known of any. */
+  const isNamed = ({ lifeStartMs }: TargetReport): boolean =>
+    lifeStartMs !== 0 || !(incarnationStartMs || target.lifeStartMs)
+
   function applyReport(report: TargetReport, call: SentCall): void {
     if (incarnationSwitch || earlierIncarnations.has(report.lifeStartMs)) return
-    // It may be that of any incarnation.
-    if ((incarnationStartMs || target.lifeStartMs) && report.lifeStartMs === 0)
-      return silence.markSilent('does not name its incarnation')
     if (incarnationStartMs !== undefined && incarnationStartMs !== report.lifeStartMs) {
       // A call sent before this incarnation was heard may have been answered by an earlier one.
       if (call.sentAt >= incarnationHeardAt) switchIncarnation(report)
       return
     }
-    // A successor may not have called this incarnation yet, which then refuses no order of this owner.
-    if (incarnationStartMs === undefined && !authority.isConfirmed()) return
     incarnationStartMs = report.lifeStartMs
     incarnationHeardAt = Math.min(incarnationHeardAt, monotonicMs())
     lease.noteClock(report.clockMs)
@@ -349,10 +355,15 @@
     if (isGone || signal.aborted) return false
     const isMissed = res.isErr() && res.error.failure !== 'notSent'
     if (unansweredCalls > 0 || isMissed) silence.noteMissed(sentAt)
-    if (res.isOk()) applyReport(res.value, call)
-    else if (res.error.failure === 'fenced') noteFenced(call.token)
-    else noteFailure(res.error)
-    return res.isOk()
+    if (res.isErr()) {
+      if (res.error.failure === 'fenced') noteFenced(call.token)
+      else noteFailure(res.error)
+      return false
+    }
+    if (!isNamed(res.value)) silence.markSilent('does not name its incarnation')
+    if (!isNamed(res.value) || !mayBeHeard()) return false
+    applyReport(res.value, call)
+    return true
   }
 
   /** Time for which the target may hold the poll until a run ends, in ms. */
@@ -369,7 +380,7 @@
     while (!signal.aborted) {
       await incarnationSwitch
       expireLease()
-      if (isGone || !authority.mayOrder()) {
+      if (isGone || !authority.mayOrder() || !mayBeHeard()) {
         await sleep(SYNC_RETRY_MS, signal)
         continue
       }
