test(playground): a target of the stand-in loses its connections when it ends

The server of a VM kept its connections when the target on it crashed or was taken offline, answered a poll under way, and answered 421 while there was no target. A process that ends loses all connections, and nothing answers at its address, so nodes met a friendlier end than on real machines.

The end of a target destroys all connections to its server, and those that are opened while there is none. A request whose connection is gone before it is handled is dropped, so that a restarted target does not carry out an order to the one before. A live target still answers 421 to requests for another id.

--- a/playground/sim/simFleet.ts
+++ b/playground/sim/simFleet.ts
@@ -39,7 +39,7 @@
   list(vm: SimVm, listing: Listing): void
   /** Starts a new incarnation of the target on a VM, under `id` or, by default, a new id. */
   startTarget(vm: SimVm, id?: string): void
-  /** Crashes the target on a VM and removes its row. */
+  /** Crashes the target on a VM, removes its row and ends its connections. */
   endTarget(vm: SimVm): void
   /** Ends the target on a VM and starts the next one in `pool` when the operation is over. */
   takeOffline(vm: SimVm, state: SimVm['state'], pool: string): void
@@ -54,6 +54,8 @@
   offlineMs: number
   /** Faults that each incarnation of a target has from its start; none by default. */
   targetFaults?: (() => Partial<TargetFaults>) | undefined
+  /** Called when the target on a VM has ended. */
+  onTargetEnd?: (vm: SimVm) => void
 }): SimFleet {
   const { table, ledger } = opts
   const vms: SimVm[] = []
@@ -95,6 +97,7 @@
     vm.target.crash()
     table.remove(rowOf(vm.target.id))
     vm.target = undefined
+    opts.onTargetEnd?.(vm)
   }
 
   return {
--- a/playground/sim/targetHandlers.ts
+++ b/playground/sim/targetHandlers.ts
@@ -4,7 +4,13 @@
 import type { SimTarget } from './simTarget.js'
 import type { Body, Handler, Reply } from './wire.js'
 
-/** Handlers of the current target of a VM. Requests to another target id are answered 421. */
+/** Result of a handler whose target has ended, and the connection with it; it is not sent. */
+const CONNECTION_LOST: Reply = [503]
+
+/**
+ * Handlers of the current target of a VM. Requests to another target id are answered 421. Without
+ * a target, the server has no connections.
+ */
 export function targetHandlers(vm: SimVm): Record<string, Handler> {
   const forCurrentTarget =
     (handler: (target: SimTarget, body: Body) => Reply | Promise<Reply>): Handler =>
@@ -45,6 +51,7 @@
       const untilMs = body.until_ms === undefined ? undefined : Number(body.until_ms)
       target.sync({ token, lastSeen, untilMs })
       await target.waitForEnd(Number(body.wait_ms ?? 0))
+      if (vm.target !== target) return CONNECTION_LOST
       const report = target.sync({ token, lastSeen, untilMs })
       if (!report) return [409, { clock_ms: target.clockMs(), reason: 'fence' }]
       const running = report.runs.map((run) => [
--- a/playground/sim/wire.ts
+++ b/playground/sim/wire.ts
@@ -19,9 +19,10 @@
 }) => Reply | Promise<Reply>
 
 /**
- * Reads the JSON body of a request. Undefined if the client disconnects before the body is
- * complete, or if the body is not JSON: a request may be meant for a process that had this port
- * before, such as a node that was killed.
+ * Reads the JSON body of a request. Undefined if the connection ends before the body is complete
+ * and handled, so that a restarted server does not handle requests to the one before. Undefined as
+ * well if the body is not JSON: a request may be meant for a process that had this port before,
+ * such as a node that was killed.
  */
 async function readBody(req: IncomingMessage): Promise<Body | undefined> {
   const chunks: Buffer[] = []
@@ -30,6 +31,7 @@
   } catch {
     return undefined
   }
+  if (req.socket.destroyed) return undefined
   const text = Buffer.concat(chunks).toString('utf8')
   return text === '' ? {} : (parseJson(text) as Body | undefined)
 }
--- a/playground/sim/wireServer.ts
+++ b/playground/sim/wireServer.ts
@@ -6,6 +6,7 @@
 import type { Resources, RowKey } from '../../src/ports/index.js'
 import { HEALTHY_CLOUD, cloudHandlers } from './cloudHandlers.js'
 import type { CloudFaults } from './cloudHandlers.js'
+import { trackConnections } from './connections.js'
 import { createRowTable } from './rowTable.js'
 import type { RowTable } from './rowTable.js'
 import { createSimFleet } from './simFleet.js'
@@ -61,7 +62,9 @@
   const table = createRowTable()
   const ledger: RunLedger = { entries: [] }
   const { offlineMs, targetFaults } = opts
-  const fleet = createSimFleet({ table, ledger, offlineMs, targetFaults })
+  const disconnects = new Map<SimVm, () => void>()
+  const onTargetEnd = (vm: SimVm): void => disconnects.get(vm)?.()
+  const fleet = createSimFleet({ table, ledger, offlineMs, targetFaults, onTargetEnd })
   const { vms, maintained } = fleet
   const store = await listen(storeHandlers(table.forNode('any')))
   const cloudFaults = { ...HEALTHY_CLOUD }
@@ -72,6 +75,10 @@
     const vm = fleet.add(pool, hall, opts.capacity)
     const server = await listen(targetHandlers(vm))
     servers.push(server)
+    disconnects.set(
+      vm,
+      trackConnections(server, () => vm.target !== undefined),
+    )
     vm.port = portOf(server)
     fleet.startTarget(vm)
   }
