test(soak): a delayed link opens connections late as well

The proxy in front of a target connected to it at once and delayed only the bytes. An order on a new connection of a slow link therefore never met a target that had restarted in the meantime, as the connection ended with the target before.

The connection to the target is opened when the delay or the cut of the link has passed, right before the first bytes. Without a fault of the link nothing changes.

--- a/playground/__tests__/targetLives.spec.ts
+++ b/playground/__tests__/targetLives.spec.ts
@@ -85,4 +85,14 @@
       ['t1'],
     )
   })
+
+  it('gets an order whose connection is opened late by a slow link', async (t) => {
+    const { platform, vm, id, link, start } = await openTarget(t, true)
+    link.delayMs = LINK_DELAY_MS
+    const late = start(1)
+    await sleep(UNDER_WAY_MS)
+    platform.crash(vm)
+    platform.revive(vm, id)
+    t.is(await late, 200)
+  })
 })
--- a/playground/soak/faultLink.ts
+++ b/playground/soak/faultLink.ts
@@ -1,6 +1,5 @@
 /** TCP proxy on the loopback interface that delays, resets, blocks or silences connections. */
-import { connect, createServer } from 'node:net'
-import type { Socket } from 'node:net'
+import { Socket, createServer } from 'node:net'
 import { HOST } from '../sim/wire.js'
 
 /** Interval at which held-back bytes are forwarded, in ms. */
@@ -26,32 +25,28 @@
   close(): void
 }
 
-/** One direction of a connection. Bytes are delayed or held back, and stay in order. */
+/** One direction of a connection. What passes is delayed or held back, and stays in order. */
 interface Pipe {
-  /** Queues bytes; without any, queues the end of the connection. */
-  push(data?: Buffer): void
+  /** Queues the opening of the connection, bytes, or its end. */
+  push(forward: () => unknown): void
   flush(): void
   isSilent: boolean
 }
 
-function createPipe(to: Socket, direction: Direction, link: FaultLink): Pipe {
-  const queue: { dueAt: number; data: Buffer | undefined }[] = []
+function createPipe(direction: Direction, link: FaultLink): Pipe {
+  const queue: { dueAt: number; forward: () => unknown }[] = []
   const isDue = (): boolean =>
     queue.length > 0 && !link.cut.has(direction) && queue[0]!.dueAt <= performance.now()
 
   const pipe: Pipe = {
     isSilent: false,
-    push(data) {
+    push(forward) {
       if (pipe.isSilent) return
-      queue.push({ dueAt: performance.now() + link.delayMs, data })
+      queue.push({ dueAt: performance.now() + link.delayMs, forward })
       pipe.flush()
     },
     flush() {
-      while (isDue()) {
-        const { data } = queue.shift()!
-        if (data && !to.destroyed) to.write(data)
-        else to.end()
-      }
+      while (isDue()) queue.shift()!.forward()
     },
   }
   return pipe
@@ -64,23 +59,27 @@
   let lastFaultAt = -Infinity
   const recordFault = (): void => void (lastFaultAt = performance.now())
 
-  const connectPipe = (from: Socket, to: Socket, direction: Direction): void => {
-    const pipe = createPipe(to, direction, link)
+  const connectPipe = (from: Socket, to: Socket, direction: Direction): Pipe => {
+    const pipe = createPipe(direction, link)
+    const write = (data: Buffer): unknown => (to.destroyed ? to.end() : to.write(data))
     pipes.add(pipe)
     sockets.add(from)
-    from.on('data', (data: Buffer) => pipe.push(data))
+    from.on('data', (data: Buffer) => pipe.push(() => write(data)))
     // An error is always followed by `close`, which is handled below.
     from.on('error', () => undefined)
     from.on('close', () => {
       sockets.delete(from)
-      pipe.push()
+      pipe.push(() => to.end())
     })
     to.on('close', () => pipes.delete(pipe))
+    return pipe
   }
   const server = createServer((client) => {
-    const upstream = connect(toPort, HOST)
-    connectPipe(client, upstream, 'up')
+    const upstream = new Socket()
+    const up = connectPipe(client, upstream, 'up')
     connectPipe(upstream, client, 'down')
+    // A late link opens the connection late as well, perhaps to a restarted server.
+    up.push(() => upstream.destroyed || upstream.connect(toPort, HOST))
   })
   const timer = setInterval(() => {
     if (link.delayMs > 0 || link.cut.size > 0) recordFault()
