test(soak): the checks of runs tell incarnations of a target apart

Runs and their ends were matched by the id of the target and the number of the run. An end on one incarnation could count as the end, or as the acknowledged end, of a run on the next one under the same id, and a second active run replaced the first, so that a third was not seen.

Ledger entries have the start of the incarnation, `lifeStartMs`, runs and ends are matched by it as well, and a task lists all its active runs. The trace and the reports name the incarnation.

--- a/playground/sim/simTarget.ts
+++ b/playground/sim/simTarget.ts
@@ -33,6 +33,8 @@
   task: string
   run: number
   target: string
+  /** Start of the target's incarnation, in ms since 1970. */
+  lifeStartMs: number
 }
 
 /** Event passed to a watcher; `listed`: an end was reported to the owner; `noted`: acknowledged. */
@@ -157,6 +159,7 @@
 }): SimTarget {
   const { id, ledger } = opts
   const startedAt = monotonicMs()
+  const lifeStartMs = opts.lifeStartMs ?? Date.now()
   const runs = new Map<string, ActiveRun>()
   const lastRun = new Map<string, number>()
   const { stopMs = 5, enforcesCapacity = true, initialClockMs = 1000 } = opts
@@ -185,14 +188,14 @@
   const clockMs = (): number => Math.floor(monotonicMs() - startedAt) + initialClockMs
 
   const record = (what: LedgerEvent, task: string, run: number): void => {
-    const entry = { at: monotonicMs(), what, task, run, target: id }
+    const entry = { at: monotonicMs(), what, task, run, target: id, lifeStartMs }
     ledger.entries.push(entry)
     ledger.watch?.(entry)
   }
 
   const notifyWatcher = (what: 'listed' | 'noted', reported: ReportedEnd[]): void => {
     for (const { task, run } of reported) {
-      ledger.watch?.({ at: monotonicMs(), what, task, run, target: id })
+      ledger.watch?.({ at: monotonicMs(), what, task, run, target: id, lifeStartMs })
     }
   }
 
@@ -256,7 +259,7 @@
 
   return {
     id,
-    lifeStartMs: opts.lifeStartMs ?? Date.now(),
+    lifeStartMs,
     startedAt,
     faults,
     clockMs,
--- a/playground/soak/jobView.ts
+++ b/playground/soak/jobView.ts
@@ -17,21 +17,27 @@
   after: number[]
 }
 
-/** End of a run, with whether it was reported to the owner and acknowledged by it. */
-interface EndView {
-  what: LedgerEvent
+/** A run on one incarnation of a target. */
+interface RunView {
   run: number
   target: string
+  /** Start of the incarnation, in ms since 1970. */
+  lifeStartMs: number
+}
+
+/** End of a run, with whether it was reported to the owner and acknowledged by it. */
+interface EndView extends RunView {
+  what: LedgerEvent
   at: number
   isListed: boolean
   isNoted: boolean
 }
 
-/** A task with its active run, if any, and the ends of its earlier runs. */
+/** A task with its active runs, at most one unless a guarantee is violated, and earlier ends. */
 export interface TaskView {
   name: string
   step: number
-  active: { run: number; target: string } | undefined
+  active: RunView[]
   startedAt: number
   ends: EndView[]
 }
@@ -62,7 +68,7 @@
   steps.flatMap(({ count }, step) =>
     Array.from({ length: count }, (_, index): TaskView => {
       const name = `${id}.0.${step}.${index}`
-      return { name, step, active: undefined, startedAt: -Infinity, ends: [] }
+      return { name, step, active: [], startedAt: -Infinity, ends: [] }
     }),
   )
 
@@ -94,15 +100,18 @@
 
 /** Applies an event of a target to a task. */
 export function recordEntry(task: TaskView, entry: WatchedEntry): void {
-  const { what, run, target, at } = entry
+  const { what, run, target, lifeStartMs, at } = entry
+  const isSameRun = (other: RunView): boolean =>
+    other.run === run && other.target === target && other.lifeStartMs === lifeStartMs
   if (what === 'start') {
-    task.active = { run, target }
+    task.active.push({ run, target, lifeStartMs })
     task.startedAt = at
   } else if (what === 'listed' || what === 'noted') {
-    const end = task.ends.find((each) => each.run === run && each.target === target)
+    const end = task.ends.find(isSameRun)
     if (end) end[what === 'noted' ? 'isNoted' : 'isListed'] = true
   } else {
-    task.ends.push({ what, run, target, at, isListed: false, isNoted: false })
-    if (task.active?.target === target) task.active = undefined
+    const end = { what, run, target, lifeStartMs, at, isListed: false, isNoted: false }
+    task.ends.push(end)
+    task.active = task.active.filter((active) => !isSameRun(active))
   }
 }
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -89,9 +89,9 @@
   const checks = createRunChecks(disturbances, isReachable, cordons.cordonedMs, report)
   let runs = 0
   platform.ledger.watch = (entry) => {
-    const { what, task, run, target } = entry
+    const { what, task, run, target, lifeStartMs } = entry
     if (what === 'start') runs++
-    if (what !== 'listed') writeTrace(what, { task, run, target })
+    if (what !== 'listed') writeTrace(what, { task, run, target, lifeStartMs })
     checks.onTargetEntry(entry)
   }
 
--- a/playground/soak/runChecks.ts
+++ b/playground/soak/runChecks.ts
@@ -52,7 +52,7 @@
     disturbances.isUndisturbed() && isReachable(target)
 
   const START_RULES: Record<string, Rule> = {
-    'two runs at once': (_job, { active }) => active !== undefined,
+    'two runs at once': (_job, { active }) => active.length > 0,
     'ran after its end': ({ isLasting }, task) =>
       !isLasting && countEnds(task, 'done', true) > 0,
     'ran before its turn': (job, task) => !areDependenciesDone(job, task),
@@ -84,11 +84,12 @@
     rules: Record<string, Rule>,
     job: JobView,
     task: TaskView,
-    { at, run, target }: WatchedEntry,
+    { at, run, target, lifeStartMs }: WatchedEntry,
   ): void {
     for (const [promise, isBroken] of Object.entries(rules)) {
       if (!isBroken(job, task, at, target)) continue
-      report(promise, `${task.name} run ${run} on ${target}: ${JSON.stringify(task)}`)
+      const where = `${task.name} run ${run} on ${target} of ${lifeStartMs}`
+      report(promise, `${where}: ${JSON.stringify(task)}`)
     }
   }
 
--- a/playground/soak/stallDetector.ts
+++ b/playground/soak/stallDetector.ts
@@ -91,7 +91,7 @@
 
   /** Whether the owner must assume that a run of the task is still active. */
   function mayRun({ active, ends }: TaskView, now: number): boolean {
-    if (active) return true
+    if (active.length > 0) return true
     const last = ends.at(-1)
     if (!last || last.isNoted || isKnown(last.target, now)) return false
     return now - last.at < MAX_UNREACHABLE_RUN_MS
@@ -115,7 +115,7 @@
 
   /** Reports a stall if none of `tasks` runs although one of them could for too long. */
   function checkTasks(job: JobView, tasks: TaskView[], key: string, now: number): void {
-    const isRunning = tasks.some(({ active }) => active !== undefined)
+    const isRunning = tasks.some(({ active }) => active.length > 0)
     const task = isRunning ? undefined : tasks.find((each) => mayStart(job, each, now))
     const vm = task && findVmWithRoom(job, task, now)
     if (!vm) return void stalledSince.delete(key)
