test(soak): faults around restarts of targets under their ids

The soak restarted one target at a time, with tasks that mostly end within a restart, and no fault was drawn around one. Orders that reach a later incarnation, and former owners that order on one, rarely occurred.

They form groups of their own, which are drawn only in plans of the new option `--restarts`, with tasks of 2.5 s in the mean and, in half of these plans, all nodes calling targets through others.

--- a/playground/soak/faultKinds.ts
+++ b/playground/soak/faultKinds.ts
@@ -10,6 +10,7 @@
 import type { FaultLink } from './faultLink.js'
 import { foreignEntry } from './foreignEntry.js'
 import type { SoakNode } from './nodes.js'
+import { RESTART_KINDS } from './restartKinds.js'
 import type { SoakRoutes } from './routes.js'
 import type { SoakOrganisations } from './organisations.js'
 import type { Fault } from './plan.js'
@@ -44,7 +45,8 @@
  * What a fault affects; `planned`: actions of operators and other programs; `wave`: waves of
  * maintenance; `restart`: restarts of targets under the same id; `organisation`: changes of keys and
  * maxima; `cordon`: cordons of data halls; `route`: changes of routes that clients use; `cloud`: the
- * list of VMs and orders for them.
+ * list of VMs and orders for them; `rapidRestart`, `restartBesideFault`: several restarts of targets
+ * under the same id, alone or on late links, and beside a fault of a node or its link to the store.
  */
 export type FaultGroup =
   | 'node'
@@ -58,6 +60,8 @@
   | 'cordon'
   | 'route'
   | 'cloud'
+  | 'rapidRestart'
+  | 'restartBesideFault'
 /** Function that ends a fault. */
 type Undo = () => unknown
 
@@ -403,4 +407,5 @@
   vmListPartial: onCloud(2500, ({ which }) => ({ list: 'partial', which })),
   vmListUnreadable: onCloud(2500, ({ which }) => ({ list: 'unreadable', which })),
   vmOrdersLate: onCloud(1500, ({ level }) => ({ orderDelayMs: 300 + 3000 * level })),
+  ...RESTART_KINDS,
 }
--- a/playground/soak/injectFault.ts
+++ b/playground/soak/injectFault.ts
@@ -9,7 +9,7 @@
 const DISTURBS_AT_EDGES: readonly string[] = ['nodeAway']
 
 /** Groups whose faults disturb all the time that they last. */
-const DISTURBING: readonly FaultGroup[] = ['node', 'store', 'cloud']
+const DISTURBING: readonly FaultGroup[] = ['node', 'store', 'cloud', 'restartBesideFault']
 
 /** The trackers that record a kind of fault. Planned stops are recorded in `disturbances` only. */
 function trackersOf(
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -2,10 +2,11 @@
  * Command line of the soak. `--seeds N --from K` runs the plans of the N seeds from K on; file
  * arguments run the plans in these files instead. `--parallel` sets the number of concurrent
  * runs, `--seconds` the time during which faults begin, and `--dir` the directory of the logs.
+ * `--restarts` draws plans of restarts of targets.
  */
 import { basename, join } from 'node:path'
 import { parseArgs } from 'node:util'
-import { drawPlan, readPlan } from './plan.js'
+import { drawPlan, drawRestartPlan, readPlan } from './plan.js'
 import type { SoakPlan } from './plan.js'
 import { runSoak } from './run.js'
 
@@ -16,6 +17,7 @@
     from: { type: 'string', default: '1' },
     parallel: { type: 'string', default: '1' },
     seconds: { type: 'string', default: '45' },
+    restarts: { type: 'boolean', default: false },
     dir: { type: 'string', default: '/tmp/rillshunt-soak' },
   },
 })
@@ -28,7 +30,10 @@
   const from = Number(values.from)
   return Array.from({ length: Number(values.seeds) }, (_, each) => {
     const seed = from + each
-    return [`seed-${seed}`, drawPlan(seed, Number(values.seconds) * 1000)]
+    const lengthMs = Number(values.seconds) * 1000
+    return values.restarts
+      ? [`restarts-${seed}`, drawRestartPlan(seed, lengthMs)]
+      : [`seed-${seed}`, drawPlan(seed, lengthMs)]
   })
 }
 
--- a/playground/soak/plan.ts
+++ b/playground/soak/plan.ts
@@ -6,6 +6,9 @@
 import { FAULT_KINDS } from './faultKinds.js'
 import type { FaultGroup } from './faultKinds.js'
 
+/** Mean run time of a task in most plans, in ms. */
+const MEAN_TASK_MS = 500
+
 const faultSchema = z.object({
   /** Time after the first job, in ms. */
   at: z.number(),
@@ -30,6 +33,10 @@
   jobsPerSecond: z.number(),
   /** Fraction of jobs whose tasks fail on every target, from 0 to 1. */
   hopelessShare: z.number(),
+  /** Mean run time of a task, in ms. */
+  meanTaskMs: z.number().default(MEAN_TASK_MS),
+  /** Whether all nodes call targets through others whenever they can, instead of every second. */
+  allForward: z.boolean().default(false),
   /** Number of organisations; if it is 0, callers have no keys. */
   organisations: z.number().int().default(0),
   /** Time during which jobs are submitted and faults begin, in ms. */
@@ -79,6 +86,18 @@
  */
 const CLOUD_INTERVAL_MS = 5000
 const CLOUD_SEED_OFFSET = 7_000_000
+/**
+ * Plans of restarts: mean intervals of their groups of faults, in ms, the mean run time of a task,
+ * which is longer than most restarts, and the seed offset of their generator.
+ */
+const RESTART_PLAN_INTERVAL_MS = {
+  rapidRestart: 1800,
+  restartBesideFault: 2200,
+  target: 6000,
+  node: 8000,
+} as const
+const RESTART_PLAN_TASK_MS = 2500
+const RESTART_PLAN_SEED_OFFSET = 8_000_000
 /** Mean interval of faults of nodes and the store within a series, in ms. */
 const SERIES_INTERVAL_MS = 1200
 /** Mean length of a series of faults of nodes and the store, and of the time between two, in ms. */
@@ -87,12 +106,25 @@
 /** Time before the first series of a run, in ms. */
 const INITIAL_UNDISTURBED_MS = 6000
 
-function drawFault(random: Random, groups: FaultGroup[], at: number): Fault {
+/** Draws the duration of a fault as a multiple of the usual one. */
+type DrawDuration = (random: Random) => number
+
+const drawEvenly: DrawDuration = (random) => 0.4 + 1.6 * random()
+
+/** Draws from an eighth to twice the usual duration, short ones as often as long ones. */
+const drawWidely: DrawDuration = (random) => 2 * 16 ** (random() - 1)
+
+function drawFault(
+  random: Random,
+  groups: FaultGroup[],
+  at: number,
+  drawDuration: DrawDuration,
+): Fault {
   const kinds = Object.entries(FAULT_KINDS).filter(([, kind]) =>
     groups.includes(kind.group),
   )
   const [kind, { usualMs }] = kinds[Math.floor(random() * kinds.length)]!
-  const forMs = Math.round(usualMs * (0.4 + 1.6 * random()))
+  const forMs = Math.round(usualMs * drawDuration(random))
   const which = Math.floor(random() * 1000)
   return { at: Math.round(at), kind, which, forMs, level: random() }
 }
@@ -103,11 +135,12 @@
   groups: FaultGroup[],
   gapMs: number,
   [from, until]: [number, number],
+  drawDuration = drawEvenly,
 ): Fault[] {
   const faults: Fault[] = []
   let at = from + exponential(random, gapMs)
   while (at < until) {
-    faults.push(drawFault(random, groups, at))
+    faults.push(drawFault(random, groups, at, drawDuration))
     at += exponential(random, gapMs)
   }
   return faults
@@ -150,6 +183,8 @@
     idleVms,
     jobsPerSecond: 2 + 4 * random(),
     hopelessShare: 0.04,
+    meanTaskMs: MEAN_TASK_MS,
+    allForward: false,
     organisations,
     lengthMs,
     faults: [
@@ -177,6 +212,33 @@
   }
 }
 
+/**
+ * Draws a plan of restarts of targets under their ids, with long tasks and faults of nodes, links
+ * and the store around the restarts.
+ */
+export function drawRestartPlan(seed: number, lengthMs: number): SoakPlan {
+  const random = createRandom((seed + RESTART_PLAN_SEED_OFFSET) * CORDON_SEED_FACTOR)
+  const groups = Object.entries(RESTART_PLAN_INTERVAL_MS) as [FaultGroup, number][]
+  return {
+    seed,
+    nodes: 3 + Math.floor(random() * 2),
+    targets: 2 + Math.floor(random() * 3),
+    idleVms: random() < 0.5 ? 0 : 2,
+    jobsPerSecond: 2 + 3 * random(),
+    // Twelve long attempts of a failing task would last longer than the run.
+    hopelessShare: 0,
+    meanTaskMs: RESTART_PLAN_TASK_MS,
+    allForward: random() < 0.5,
+    organisations: 0,
+    lengthMs,
+    faults: groups
+      .flatMap(([group, gapMs]) =>
+        drawSeries(random, [group], gapMs, [1000, lengthMs], drawWidely),
+      )
+      .sort((a, b) => a.at - b.at),
+  }
+}
+
 /** Reads a plan from a JSON file. */
 export const readPlan = (file: string): SoakPlan =>
   planSchema.parse(JSON.parse(readFileSync(file, 'utf8')))
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -102,7 +102,7 @@
       hall: HALLS[each % HALLS.length]!,
       halls: HALLS,
       withCloud: plan.idleVms > 0,
-      forwards: each % 2 === 0,
+      forwards: plan.allForward || each % 2 === 0,
       dir,
       onUnexpectedExit: (name, reason) =>
         report('node ended by itself', `${name}: ${reason}`),
--- a/playground/soak/traffic.ts
+++ b/playground/soak/traffic.ts
@@ -12,9 +12,8 @@
 const RESENT_SHARE = 0.1
 const CANCELLED_SHARE = 0.06
 const LASTING_SHARE = 0.04
-/** Fraction of jobs with one step, and the mean run time of a task, in ms. */
+/** Fraction of jobs with one step. */
 const ONE_STEP_SHARE = 0.6
-const MEAN_TASK_MS = 500
 /** Longest delay before a job is sent again or cancelled, in ms. */
 const MAX_RESEND_DELAY_MS = 3000
 const MAX_CANCEL_DELAY_MS = 1500
@@ -66,7 +65,7 @@
     const cpu = between(100, 900)
     const isLasting = random() < LASTING_SHARE
     const steps = isLasting ? [{ count: between(1, 3), cpu, after: [] }] : drawSteps(cpu)
-    const ms = isLasting ? 0 : Math.round(50 + exponential(random, MEAN_TASK_MS))
+    const ms = isLasting ? 0 : Math.round(50 + exponential(random, plan.meanTaskMs))
     const fail = !isLasting && random() < plan.hopelessShare
     const spec = JSON.stringify({ ms, cpu, fail })
     const tasks = tasksOf(id, steps)
