test(soak): checks know jobs that fail since targets crash under their tasks

With repeated restarts of targets, two checks reported what nodes promise: a job is shown as failed after three to five crashes of targets under one of its tasks, and a task under which targets have crashed starts apart from others, so that such tasks wait for one another.

`failed` is right after all attempts, or if targets crashed under a task at least three times. The limit for a job that stands still grows by 2 s for each task of its pool under which targets crashed twice or more, for tasks under which targets crashed alone; all other tasks keep their limits.

--- a/playground/soak/clients.ts
+++ b/playground/soak/clients.ts
@@ -37,6 +37,9 @@
 /** Results after which the job may have been accepted; it is sent again under the same id. */
 const UNKNOWN_OUTCOMES: CallResult['status'][] = ['no answer', 502, 504]
 
+/** Fewest targets that crash under a task before its job may be shown as failed. */
+const MIN_CRASHES_TO_FAIL = 3
+
 /** Conditions that must hold when a state is returned to callers. */
 const STATE_CHECKS: Record<string, (job: JobView) => boolean> = {
   queued: () => true,
@@ -44,7 +47,11 @@
   completed: ({ tasks, isLasting }) =>
     !isLasting && tasks.every((task) => countEnds(task, 'done') > 0),
   failed: ({ tasks, isLasting, queue }) =>
-    !isLasting && tasks.some((task) => countEnds(task, 'failed') >= queue.maxAttempts),
+    tasks.some(
+      (task) =>
+        (!isLasting && countEnds(task, 'failed') >= queue.maxAttempts) ||
+        countEnds(task, 'killed') >= MIN_CRASHES_TO_FAIL,
+    ),
   cancelled: ({ cancelSentAt }) => cancelSentAt !== undefined,
 }
 const FINAL_STATES = ['completed', 'failed', 'cancelled']
--- a/playground/soak/stallDetector.ts
+++ b/playground/soak/stallDetector.ts
@@ -23,6 +23,12 @@
 const GRACE_MS = 1000
 /** Free CPU that a target must have, as a multiple of the task's need. */
 const ROOM_FACTOR = 2
+/**
+ * Crashes of targets under a task from which on it starts apart from others, and the time for which
+ * such a start holds up those after it, in ms.
+ */
+const MIN_CRASHES_APART = 2
+const APART_MS = 2000
 /** Longest time that a run may continue out of reach, in ms: a lease of 6 s plus clock skew. */
 const MAX_UNREACHABLE_RUN_MS = 6600
 
@@ -113,6 +119,20 @@
     !mayRun(task, now) &&
     (job.isLasting || (countEnds(task, 'done', true) === 0 && !mayBeDone(task)))
 
+  /** Time for which starts of tasks under which targets crashed may hold up one another, in ms. */
+  function apartMs(pool: string | undefined): number {
+    const open = [...checks.jobs.values()].filter(({ outcome }) => outcome === undefined)
+    const isApart = (task: TaskView): boolean =>
+      countEnds(task, 'killed') >= MIN_CRASHES_APART && countEnds(task, 'done') === 0
+    const apart = open
+      .filter((job) => poolOf(job) === pool)
+      .flatMap(({ tasks }) => tasks.filter(isApart))
+    return APART_MS * apart.length
+  }
+
+  /** Whether the task starts apart from others. */
+  const startsApart = (task: TaskView): boolean => countEnds(task, 'killed') > 0
+
   /** Reports a stall if none of `tasks` runs although one of them could for too long. */
   function checkTasks(job: JobView, tasks: TaskView[], key: string, now: number): void {
     const isRunning = tasks.some(({ active }) => active.length > 0)
@@ -122,7 +142,8 @@
     const since = stalledSince.get(key) ?? now
     stalledSince.set(key, since)
     longestStall = Math.max(longestStall, now - since)
-    const limitMs = job.isLasting ? MAX_LASTING_TASK_STALL_MS : MAX_STALL_MS
+    const usualMs = job.isLasting ? MAX_LASTING_TASK_STALL_MS : MAX_STALL_MS
+    const limitMs = usualMs + (startsApart(task) ? apartMs(vm.pool) : 0)
     if (now - since <= limitMs || reported.has(key)) return
     reported.add(key)
     report('stood still', `${task.name} could run on ${vm.target?.id} (${vm.pool})`)
