test(soak): targets restart twice in a freeze of a node, the second time until it ends

An order in a frozen forwarder meets the second incarnation after a restart in the freeze, and its owner has heard that one and raised the token there. What refuses the order on an incarnation that the owner has not heard was left to chance.

In the new kind nodeFrozenUntilRestart the targets restart a second time while the node is frozen and are up within 60 ms of the end of the freeze. Restart plans have 3 to 7 jobs a second instead of 2 to 5.

--- a/playground/soak/plan.ts
+++ b/playground/soak/plan.ts
@@ -224,7 +224,7 @@
     nodes: 3 + Math.floor(random() * 2),
     targets: 2 + Math.floor(random() * 3),
     idleVms: random() < 0.5 ? 0 : 2,
-    jobsPerSecond: 2 + 3 * random(),
+    jobsPerSecond: 3 + 4 * random(),
     // Twelve long attempts of a failing task would last longer than the run.
     hopelessShare: 0,
     meanTaskMs: RESTART_PLAN_TASK_MS,
--- a/playground/soak/restartKinds.ts
+++ b/playground/soak/restartKinds.ts
@@ -19,8 +19,11 @@
 const MAX_RESTART_AFTER_FREEZE_MS = 300
 /** Interval of restarts while a node is cut off from the store, in ms. */
 const RESTART_WHILE_CUT_MS = 1500
-/** Share of the duration of a fault after which the targets restart in it. */
+/** Shares of the duration of a fault after which the targets restart in it, once or twice. */
 const RESTART_AT_SHARE = 0.3
+const SECOND_RESTART_AT_SHARE = 0.8
+/** Longest time from the end of a freeze to the start of the next incarnations, in ms. */
+const MAX_START_AFTER_FREEZE_MS = 60
 
 const between = (low: number, high: number, level: number): number =>
   Math.round(low + (high - low) * level)
@@ -124,6 +127,29 @@
       }
     },
   },
+  // The owner has heard no incarnation that a thawed node meets, which refuses no token.
+  nodeFrozenUntilRestart: {
+    group: 'restartBesideFault',
+    usualMs: 4000,
+    begin(ctx, fault) {
+      const node = pickNode(ctx, fault)
+      const targets = chooseTargets(ctx, fault)
+      const { forMs, level } = fault
+      node.signal('SIGSTOP')
+      const first = sleep(RESTART_AT_SHARE * forMs).then(() =>
+        restart(ctx, targets, MIN_DOWN_MS),
+      )
+      const downMs =
+        (1 - SECOND_RESTART_AT_SHARE) * forMs + MAX_START_AFTER_FREEZE_MS * level
+      const second = sleep(SECOND_RESTART_AT_SHARE * forMs).then(() =>
+        restart(ctx, targets, downMs),
+      )
+      return async () => {
+        node.signal('SIGCONT')
+        await Promise.all([first, second])
+      }
+    },
+  },
   storeLinkCutOverRestarts: {
     group: 'restartBesideFault',
     usualMs: 6000,
