test(soak): targets kept for suspects hold up other tasks as well

A target on which a task under which targets crashed starts apart takes no other starts, so in a pool of two targets, of which the other one is full, all tasks wait.

--- a/playground/soak/stallDetector.ts
+++ b/playground/soak/stallDetector.ts
@@ -119,7 +119,10 @@
     !mayRun(task, now) &&
     (job.isLasting || (countEnds(task, 'done', true) === 0 && !mayBeDone(task)))
 
-  /** Time for which starts of tasks under which targets crashed may hold up one another, in ms. */
+  /**
+   * Time for which starts of tasks under which targets crashed may hold up one another, and others
+   * on the targets kept for them, in ms.
+   */
   function apartMs(pool: string | undefined): number {
     const open = [...checks.jobs.values()].filter(({ outcome }) => outcome === undefined)
     const isApart = (task: TaskView): boolean =>
@@ -130,9 +133,6 @@
     return APART_MS * apart.length
   }
 
-  /** Whether the task starts apart from others. */
-  const startsApart = (task: TaskView): boolean => countEnds(task, 'killed') > 0
-
   /** Reports a stall if none of `tasks` runs although one of them could for too long. */
   function checkTasks(job: JobView, tasks: TaskView[], key: string, now: number): void {
     const isRunning = tasks.some(({ active }) => active.length > 0)
@@ -143,7 +143,7 @@
     stalledSince.set(key, since)
     longestStall = Math.max(longestStall, now - since)
     const usualMs = job.isLasting ? MAX_LASTING_TASK_STALL_MS : MAX_STALL_MS
-    const limitMs = usualMs + (startsApart(task) ? apartMs(vm.pool) : 0)
+    const limitMs = usualMs + apartMs(vm.pool)
     if (now - since <= limitMs || reported.has(key)) return
     reported.add(key)
     report('stood still', `${task.name} could run on ${vm.target?.id} (${vm.pool})`)
